--- /dev/null
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -0,0 +1,21 @@
+//! What a process knows of its deployment: the routes in force, the replicas of
+//! every service, and the members of the store group. All of it is followed
+//! from a key-value service, whose names and formats an adapter supplies.
+
+pub mod key_value;
+pub mod members;
+pub mod mirror;
+pub mod model;
+pub mod view;
+
+pub use key_value::{
+    Change, Condition, Item, KeyValueError, KeyValueService, RangePage, Transaction,
+    TransactionOutcome, WatchOutcome, Write,
+};
+pub use members::{Member, MemberState, Members};
+pub use mirror::{Mirror, MirrorEvent};
+pub use model::{
+    EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
+    ServiceSpec, Target,
+};
+pub use view::{Interpreter, Update, View};
--- /dev/null
+++ b/crates/stageyoke-directory/src/view.rs
@@ -0,0 +1,140 @@
+//! The current view, built from items of the key-value service.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use stageyoke_types::Text;
+
+use crate::members::Members;
+use crate::model::{ReplicaRecord, Retirement, RouteTable};
+
+/// What one item means to the product.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// The newest configuration.
+    Routes(RouteTable),
+    /// A replica's record, or its end.
+    Replica {
+        /// Incarnation.
+        id: Text,
+        /// `None`: it is gone.
+        record: Option<ReplicaRecord>,
+    },
+    /// The store group's member list.
+    Members(Members),
+    /// An order to empty a store, or its withdrawal.
+    Retire {
+        /// Machine name.
+        node: Text,
+        /// `None`: withdrawn.
+        order: Option<Retirement>,
+    },
+    /// Of no meaning here.
+    Ignored,
+    /// An item that cannot be read, with the reason.
+    Unreadable(String),
+}
+
+/// Reads items and spells keys; supplied by the adapter.
+pub trait Interpreter {
+    /// What a key's value (or its absence) means.
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update;
+    /// Prefix under which everything of interest lies.
+    fn prefix(&self) -> &str;
+    /// Key of the configuration.
+    fn routes_key(&self) -> &str;
+    /// Key of the member list.
+    fn members_key(&self) -> &str;
+    /// The write that reports the state of a store's retirement.
+    fn retirement_report(&self, node: &str, completed: bool) -> crate::key_value::Write;
+}
+
+/// Everything known, replaced piecewise; readers hold cheap references.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration in force; versions only rise.
+    pub routes: Option<Rc<RouteTable>>,
+    /// Replicas by incarnation.
+    pub replicas: BTreeMap<Text, ReplicaRecord>,
+    /// The member list.
+    pub members: Rc<Members>,
+    /// Revision of the member list's key; zero while absent.
+    pub members_revision: u64,
+    /// Stores that are to be emptied.
+    pub retirements: BTreeMap<Text, Retirement>,
+}
+
+/// What changed in the view.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Changed {
+    /// Another configuration is in force.
+    pub routes: bool,
+    /// The replica list changed.
+    pub replicas: bool,
+    /// The member list or a retirement changed.
+    pub members: bool,
+}
+
+impl View {
+    /// Applies one update.
+    pub fn apply(&mut self, update: Update, revision: u64, changed: &mut Changed) {
+        match update {
+            Update::Routes(table) => self.apply_routes(table, changed),
+            Update::Replica { id, record } => self.apply_replica(id, record, changed),
+            Update::Members(members) => self.apply_members(members, revision, changed),
+            Update::Retire { node, order } => self.apply_retirement(node, order, changed),
+            Update::Ignored | Update::Unreadable(_) => {}
+        }
+    }
+
+    fn apply_routes(&mut self, table: RouteTable, changed: &mut Changed) {
+        let current = self.routes.as_ref().map_or(0, |routes| routes.version);
+        if self.routes.is_none() || table.version > current {
+            self.routes = Some(Rc::new(table));
+            changed.routes = true;
+        }
+    }
+
+    fn apply_replica(&mut self, id: Text, record: Option<ReplicaRecord>, changed: &mut Changed) {
+        let before = match &record {
+            Some(record) => self.replicas.insert(id, record.clone()),
+            None => self.replicas.remove(&id),
+        };
+        changed.replicas |= before != record;
+    }
+
+    fn apply_members(&mut self, members: Members, revision: u64, changed: &mut Changed) {
+        if revision < self.members_revision || members.version < self.members.version {
+            return;
+        }
+        self.members_revision = revision;
+        if *self.members != members {
+            self.members = Rc::new(members);
+            changed.members = true;
+        }
+    }
+
+    fn apply_retirement(&mut self, node: Text, order: Option<Retirement>, changed: &mut Changed) {
+        let before = match &order {
+            Some(order) => self.retirements.insert(node, order.clone()),
+            None => self.retirements.remove(&node),
+        };
+        changed.members |= before != order;
+    }
+
+    /// Drops replicas and retirements that a complete read did not show.
+    pub fn retain_seen(
+        &mut self,
+        seen_replicas: &std::collections::BTreeSet<Text>,
+        seen_retirements: &std::collections::BTreeSet<Text>,
+        changed: &mut Changed,
+    ) {
+        let before = (self.replicas.len(), self.retirements.len());
+        self.replicas.retain(|id, _| seen_replicas.contains(id));
+        self.retirements
+            .retain(|node, _| seen_retirements.contains(node));
+        changed.replicas |= before.0 != self.replicas.len();
+        changed.members |= before.1 != self.retirements.len();
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -0,0 +1,189 @@
+//! One try at one replica, and what is known of it afterwards.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use stageyoke_types::Text;
+use tokio::time::Instant;
+
+use crate::fleet::{InFlight, Replica};
+use crate::names::Names;
+use crate::upstream::Connection;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    hyper::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    hyper::header::TE,
+    hyper::header::TRAILER,
+    hyper::header::TRANSFER_ENCODING,
+    hyper::header::UPGRADE,
+    hyper::header::EXPECT,
+];
+
+/// A request as it goes to replicas.
+#[derive(Clone, Debug)]
+pub struct Outbound {
+    /// Identifier that the answer must echo.
+    pub request: Text,
+    /// Method of the caller's request.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub path: PathAndQuery,
+    /// Headers without those of the caller's connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When the replica must be done.
+    pub deadline: Instant,
+}
+
+/// An answer whose body is still to be read.
+pub struct Answer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// Connection that carries it.
+    pub connection: Connection,
+    /// Replica that gave it.
+    pub replica: Rc<Replica>,
+    /// Counts it as under way.
+    pub guard: InFlight,
+}
+
+/// What is known after a try.
+pub enum Outcome {
+    /// The replica never got the request.
+    NotSent(&'static str),
+    /// The replica promises that it was not run.
+    NotRun(StatusCode),
+    /// An answer to this request.
+    Answered(Answer),
+    /// It may have run; there is no usable answer.
+    Lost(&'static str),
+}
+
+/// Drops headers that concern one connection only.
+pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
+    let listed: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let dropped = HOP_BY_HOP.contains(name)
+            || name == CONTENT_LENGTH
+            || listed.iter().any(|listed| listed == name.as_str());
+        if !dropped {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Sends the request to the replica and waits for the head of its answer.
+pub async fn send(outbound: &Outbound, replica: &Rc<Replica>, names: &Names) -> Outcome {
+    let guard = replica.begin();
+    let mut request = build(outbound, replica, names);
+    loop {
+        let (mut connection, fresh) = match replica.pool.take() {
+            Some(connection) => (connection, false),
+            None => match Connection::open(&replica.record.address).await {
+                Ok(connection) => (connection, true),
+                Err(_) => {
+                    replica.failed(true);
+                    return Outcome::NotSent("no_connection");
+                }
+            },
+        };
+        if !replica.taking_work() {
+            return Outcome::NotSent("left_meanwhile");
+        }
+        set_deadline(&mut request, outbound, names);
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return judge(outbound, response, connection, replica, guard, names),
+            Err(mut error) => match error.take_message() {
+                Some(unsent) if !fresh => request = unsent,
+                Some(_) => return Outcome::NotSent("connection_closed"),
+                None => {
+                    replica.failed(false);
+                    return Outcome::Lost("connection_lost");
+                }
+            },
+        }
+    }
+}
+
+fn build(outbound: &Outbound, replica: &Replica, names: &Names) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outbound.body.clone()));
+    *request.method_mut() = outbound.method.clone();
+    *request.uri_mut() = Uri::from(outbound.path.clone());
+    *request.headers_mut() = outbound.headers.clone();
+    if let Ok(instance) = HeaderValue::from_str(&replica.id) {
+        request.headers_mut().insert(names.instance.clone(), instance);
+    }
+    request
+}
+
+fn set_deadline(request: &mut Request<Full<Bytes>>, outbound: &Outbound, names: &Names) {
+    let left = outbound.deadline.saturating_duration_since(Instant::now());
+    let value = HeaderValue::from(left.as_millis().max(1) as u64);
+    request.headers_mut().insert(names.deadline.clone(), value);
+}
+
+fn judge(
+    outbound: &Outbound,
+    response: Response<Incoming>,
+    mut connection: Connection,
+    replica: &Rc<Replica>,
+    guard: InFlight,
+    names: &Names,
+) -> Outcome {
+    connection.heed_keep_alive(&response);
+    if response.status().as_u16() == names.wrong_instance_status {
+        replica.mark_gone();
+        return Outcome::NotRun(response.status());
+    }
+    let echoed = response.headers().get(&names.request_id);
+    let own = echoed.is_some_and(|value| value.as_bytes() == outbound.request.as_bytes());
+    let not_run = response.headers().contains_key(&names.not_run);
+    if not_run && (own || echoed.is_none()) {
+        let status = response.status();
+        tokio::task::spawn_local(finish_connection(response, connection, replica.clone()));
+        return Outcome::NotRun(status);
+    }
+    if !own {
+        replica.failed(false);
+        return Outcome::Lost("foreign_answer");
+    }
+    if response.headers().contains_key(CONTENT_ENCODING) {
+        return Outcome::Lost("encoded_answer");
+    }
+    Outcome::Answered(Answer {
+        response,
+        connection,
+        replica: replica.clone(),
+        guard,
+    })
+}
+
+/// Reads the rest of a short answer, so that its connection can be kept.
+async fn finish_connection(
+    response: Response<Incoming>,
+    connection: Connection,
+    replica: Rc<Replica>,
+) {
+    use http_body_util::BodyExt;
+    let reading = response.into_body().collect();
+    if let Ok(Ok(_)) = tokio::time::timeout(crate::upstream::CONNECT_TIMEOUT, reading).await {
+        replica.pool.give(connection);
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/events.rs
@@ -0,0 +1,75 @@
+//! Splits a stream into whole events and reads what the history keeps of them.
+
+use bytes::{Bytes, BytesMut};
+
+const DATA_FIELD: &[u8] = b"data:";
+
+/// Takes bytes in any pieces and gives whole events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes; returns all events that are now whole, as one piece.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.buffer.extend_from_slice(bytes);
+        let mut end = None;
+        let mut position = self.scanned;
+        while position + 1 < self.buffer.len() {
+            if &self.buffer[position..position + 2] == b"\n\n" {
+                end = Some(position + 2);
+                position += 2;
+            } else if self.buffer[position..].starts_with(b"\r\n\r\n") {
+                end = Some(position + 4);
+                position += 4;
+            } else {
+                position += 1;
+            }
+        }
+        match end {
+            Some(end) => {
+                self.scanned = 0;
+                Some(self.buffer.split_to(end).freeze())
+            }
+            None => {
+                self.scanned = self.buffer.len().saturating_sub(3);
+                None
+            }
+        }
+    }
+
+    /// Bytes after the last whole event.
+    pub fn rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.buffer.split().freeze()
+    }
+}
+
+/// Appends the data of each event of `events`, each followed by a line feed,
+/// and returns how many events carried data.
+pub fn collect_data(events: &[u8], output: &mut Vec<u8>) -> u32 {
+    let mut count = 0;
+    let mut in_event = false;
+    for line in events.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            if in_event {
+                output.push(b'\n');
+                count += 1;
+            }
+            in_event = false;
+            continue;
+        }
+        let Some(data) = line.strip_prefix(DATA_FIELD) else {
+            continue;
+        };
+        if in_event {
+            output.push(b'\n');
+        }
+        output.extend_from_slice(data.strip_prefix(b" ").unwrap_or(data));
+        in_event = true;
+    }
+    count
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/front.rs
@@ -0,0 +1,129 @@
+//! One front process: its parts, and how it starts and stops.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::{Interpreter, KeyValueService, Mirror};
+use stageyoke_store::Group;
+use stageyoke_store::role::report_mirror_event;
+use stageyoke_types::{Event, Text};
+use tokio::net::TcpListener;
+
+use crate::activity::Activity;
+use crate::fleet::Fleet;
+use crate::history::History;
+use crate::names::Names;
+use crate::observe;
+use crate::server;
+use crate::shares::Shares;
+
+/// A planned stop takes new connections at least this long, until the entry
+/// has seen that the front is not ready.
+const STOP_LISTENING_AFTER: Duration = Duration::from_millis(3200);
+/// Part of the grace that is left for the end of the process.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Settings of the role.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// Machine name.
+    pub node: Text,
+    /// Zone.
+    pub zone: Text,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where readiness is asked.
+    pub ready: SocketAddr,
+    /// Disks of the store group that may be lost at once.
+    pub tolerated_losses: usize,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// Everything that a front's tasks share.
+pub struct Front<S, I> {
+    /// Header names and paths.
+    pub names: Names,
+    /// Zone of this front.
+    pub zone: Text,
+    /// Routes, replicas and store members.
+    pub mirror: Rc<Mirror<S, I>>,
+    /// Replicas with what this front has seen of them.
+    pub fleet: Fleet,
+    /// Weighted splits.
+    pub shares: Shares,
+    /// Turns and budgets.
+    pub history: Rc<History>,
+    /// Requests under way.
+    pub activity: Activity,
+    draining: Cell<bool>,
+}
+
+impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
+    /// Whether a planned stop is under way.
+    pub fn draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Whether new connections are welcome.
+    pub fn ready(&self) -> bool {
+        let view = self.mirror.view();
+        view.routes.is_some() && !self.draining()
+    }
+
+    fn follow(&self) {
+        let view = self.mirror.view();
+        self.fleet.follow(&view.replicas);
+        self.history.group.follow(&view.members);
+    }
+}
+
+/// Serves until `stop` is done, then finishes what is under way.
+pub async fn run<S: KeyValueService + 'static, I: Interpreter + 'static>(
+    settings: FrontSettings,
+    names: Names,
+    mirror: Rc<Mirror<S, I>>,
+    stop: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let group = Rc::new(Group::new(settings.zone.clone(), settings.tolerated_losses));
+    let front = Rc::new(Front {
+        names,
+        zone: settings.zone.clone(),
+        mirror,
+        fleet: Fleet::default(),
+        shares: Shares::default(),
+        history: Rc::new(History::new(group)),
+        activity: Activity::default(),
+        draining: Cell::new(false),
+    });
+    let callers = TcpListener::bind(settings.listen).await?;
+    let readiness = TcpListener::bind(settings.ready).await?;
+    tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
+    tokio::task::spawn_local(server::serve_readiness(front.clone(), readiness));
+    let following = front.clone();
+    tokio::task::spawn_local(async move {
+        let mirror = following.mirror.clone();
+        let report = |event| {
+            following.follow();
+            report_mirror_event(event);
+        };
+        mirror.run(report).await;
+    });
+    observe::event(Event::NodeStarted, &format!("node={}", settings.node));
+    stop.await;
+    front.draining.set(true);
+    let detail = format!("under_way={}", front.activity.count());
+    observe::event(Event::NodeDraining, &detail);
+    let most = settings.grace.saturating_sub(GRACE_MARGIN);
+    let finish = async {
+        tokio::time::sleep(STOP_LISTENING_AFTER.min(most)).await;
+        front.activity.idle().await;
+    };
+    let finished = tokio::time::timeout(most, finish).await.is_ok();
+    observe::event(Event::NodeStopped, &format!("finished={finished}"));
+    Ok(())
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/handler.rs
@@ -0,0 +1,434 @@
+//! The way of one request: route, history, budget, replica, answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response, StatusCode};
+use stageyoke_directory::{
+    Interpreter, KeyValueService, Route, RouteKind, RouteTable, ServiceSpec,
+};
+use stageyoke_store::GroupError;
+use stageyoke_types::{ErrorKind, Text};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::answer::{self, Failure};
+use crate::attempt::{self, Answer, Outbound, Outcome, end_to_end_headers};
+use crate::body::FrontBody;
+use crate::front::Front;
+use crate::history::{Reservation, Transcript};
+use crate::observe::{self, Story};
+use crate::placement;
+use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
+use crate::request::{Figures, host};
+
+/// Replicas that one request is offered to at most.
+const MAX_OFFERS: usize = 5;
+/// How long a doubtful route or chain is looked up.
+const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
+/// How long a reservation may take.
+const RESERVE_WITHIN: Duration = Duration::from_millis(900);
+/// When to come back after a refusal that may soon not recur.
+const SOON: Duration = Duration::from_millis(200);
+/// Largest plain answer.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// A request with everything that was found out about it.
+struct Call {
+    figures: Figures,
+    route: Route,
+    service: ServiceSpec,
+    outbound: Outbound,
+    input: Bytes,
+    arrived: Instant,
+}
+
+impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
+    /// Answers one request.
+    pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<FrontBody> {
+        let arrived = Instant::now();
+        let _active = self.activity.begin();
+        let mut story = Story::default();
+        let mut response = match self.serve(request, arrived, &mut story).await {
+            Ok(response) => response,
+            Err(failure) => {
+                story.outcome = failure.cause;
+                story.status = failure.kind.answer().http_status;
+                observe::request_ended(&story, arrived.elapsed());
+                self.echo(answer::respond(&failure), &story)
+            }
+        };
+        if self.draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    fn echo(&self, mut response: Response<FrontBody>, story: &Story) -> Response<FrontBody> {
+        if let Ok(value) = HeaderValue::from_str(&story.request)
+            && !story.request.is_empty()
+        {
+            let name = self.names.request_id.clone();
+            response.headers_mut().insert(name, value);
+        }
+        response
+    }
+
+    async fn serve(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        arrived: Instant,
+        story: &mut Story,
+    ) -> Result<Response<FrontBody>, Failure> {
+        let (head, body) = request.into_parts();
+        let figures = Figures::read(&head.headers, &self.names, arrived)
+            .ok_or(Failure::last(ErrorKind::BadRequest, "no_request_identifier"))?;
+        story.request = figures.request.to_string();
+        story.program = figures.program.to_string();
+        let host = host(&head.headers).unwrap_or_default();
+        let (routes, route) = self.find_route(host, head.uri.path()).await?;
+        story.route = route.name.to_string();
+        story.routes_version = routes.version;
+        let service = self.pick_service(&routes, &route)?;
+        let input = read_body(body, routes.limits.body_bytes, figures.deadline).await?;
+        let deadline = figures.deadline.min(arrived + route.timeout);
+        let path = head
+            .uri
+            .path_and_query()
+            .cloned()
+            .unwrap_or_else(|| PathAndQuery::from_static("/"));
+        let mut headers = end_to_end_headers(&head.headers);
+        let urgency = HeaderValue::from(u16::from(route.priority.min(4)) * 2);
+        if service.engine.is_some() {
+            headers.insert(self.names.urgency.clone(), urgency);
+        }
+        let outbound = Outbound {
+            request: figures.request.clone(),
+            method: head.method,
+            path,
+            headers,
+            body: input.clone(),
+            deadline,
+        };
+        let call = Call {
+            figures,
+            route,
+            service,
+            outbound,
+            input,
+            arrived,
+        };
+        self.run(call, story).await
+    }
+
+    async fn find_route(
+        &self,
+        host: &str,
+        path: &str,
+    ) -> Result<(Rc<RouteTable>, Route), Failure> {
+        let unknown = Failure::come_back(ErrorKind::Unavailable, "no_configuration", SOON);
+        let routes = self.mirror.view().routes.clone();
+        if let Some(routes) = routes
+            && let Some(route) = routes.find(host, path)
+        {
+            return Ok((routes.clone(), route.clone()));
+        }
+        // A newer configuration may hold the route: absence is only known from
+        // a read that began after the request arrived.
+        let confirmed = tokio::time::timeout(LOOK_UP_WITHIN, self.mirror.confirm_routes()).await;
+        if !matches!(confirmed, Ok(Ok(()))) {
+            let cause = "route_not_confirmed";
+            return Err(Failure::come_back(ErrorKind::Unavailable, cause, SOON));
+        }
+        let routes = self.mirror.view().routes.clone().ok_or(unknown)?;
+        match routes.find(host, path) {
+            Some(route) => Ok((routes.clone(), route.clone())),
+            None => Err(Failure::last(ErrorKind::NotFound, "no_such_route")),
+        }
+    }
+
+    fn pick_service(&self, routes: &RouteTable, route: &Route) -> Result<ServiceSpec, Failure> {
+        let missing = Failure::come_back(ErrorKind::Unavailable, "no_such_service", SOON);
+        let target = self.shares.pick(route).ok_or(missing)?;
+        routes.service(&target).cloned().ok_or(missing)
+    }
+
+    async fn run(
+        self: &Rc<Self>,
+        mut call: Call,
+        story: &mut Story,
+    ) -> Result<Response<FrontBody>, Failure> {
+        let (reservation, transcript) =
+            tokio::join!(self.reserve(&call), self.transcript(&call));
+        let mut reservation = match reservation {
+            Ok(granted) => granted,
+            Err(failure) => {
+                story.ledger = "refused".to_owned();
+                return Err(failure);
+            }
+        };
+        if let Some(transcript) = transcript? {
+            let mut body = Vec::with_capacity(transcript.len() + call.input.len());
+            body.extend_from_slice(&transcript);
+            body.extend_from_slice(&call.input);
+            call.outbound.body = Bytes::from(body);
+        }
+        let served = self.offer(&call, story, &mut reservation).await?;
+        Ok(self.pass_on(call, served, story, reservation))
+    }
+
+    async fn transcript(&self, call: &Call) -> Result<Option<Bytes>, Failure> {
+        let Some(previous) = &call.figures.previous else {
+            return Ok(None);
+        };
+        if !call.route.keeps_history {
+            return Ok(None);
+        }
+        let left = call.outbound.deadline.saturating_duration_since(Instant::now());
+        let within = left.min(LOOK_UP_WITHIN);
+        match self.history.transcript(previous, within).await {
+            Transcript::Found(text) => Ok(Some(text)),
+            Transcript::Absent => Err(Failure::last(ErrorKind::NotFound, "no_such_turn")),
+            Transcript::Unsure => Err(Failure::come_back(
+                ErrorKind::Unavailable,
+                "history_unsure",
+                SOON,
+            )),
+        }
+    }
+
+    async fn reserve(&self, call: &Call) -> Result<Option<Reservation>, Failure> {
+        let figures = &call.figures;
+        let Some(budget) = figures.budget else {
+            return Ok(None);
+        };
+        if figures.program.is_empty() || call.route.kind != RouteKind::Stream {
+            return Ok(None);
+        }
+        let (program, turn) = (figures.program.clone(), figures.request.clone());
+        let left = call.outbound.deadline.saturating_duration_since(Instant::now());
+        let within = left.min(RESERVE_WITHIN);
+        let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
+        let most = figures.most_tokens;
+        let mut ledger = self.history.reserve(&program, &turn, most, within).await;
+        if matches!(ledger, Err(GroupError::StaleMembers)) && self.mirror.confirm_members().await.is_ok() {
+            self.history.group.follow(&self.mirror.view().members);
+            ledger = self.history.reserve(&program, &turn, most, within).await;
+        }
+        let ledger = ledger.map_err(|_| {
+            Failure::come_back(ErrorKind::Unavailable, "budget_not_reserved", SOON)
+        })?;
+        if ledger.total_without(&turn) + u64::from(most) > budget {
+            return Err(Failure::last(ErrorKind::TokenBudgetSpent, "budget_spent"));
+        }
+        Ok(Some(reservation))
+    }
+
+    /// Offers the request to replicas until one answers or none is left that
+    /// may be tried.
+    async fn offer(
+        &self,
+        call: &Call,
+        story: &mut Story,
+        reservation: &mut Option<Reservation>,
+    ) -> Result<Served, Failure> {
+        let mut excluded: Vec<Text> = Vec::new();
+        let most_runs = match call.route.repeatable() {
+            true => call.route.max_attempts.max(1),
+            false => 1,
+        };
+        let mut runs = 0;
+        for _ in 0..MAX_OFFERS {
+            let Some(replica) = self.choose(call, &excluded) else {
+                break;
+            };
+            excluded.push(replica.id.clone());
+            set_may_have_run(reservation, true);
+            let sending = attempt::send(&call.outbound, &replica, &self.names);
+            let outcome = tokio::time::timeout_at(call.outbound.deadline, sending).await;
+            let cause = match outcome {
+                Err(_) => {
+                    note(story, &replica.id, "time_out");
+                    return Err(Failure::last(ErrorKind::DeadlineExceeded, "time_out"));
+                }
+                Ok(Outcome::Answered(answer)) => {
+                    match self.complete(call, answer, runs + 1 < most_runs).await {
+                        Ok(served) => {
+                            note(story, &replica.id, "answered");
+                            replica.succeeded();
+                            return Ok(served);
+                        }
+                        Err(cause) => cause,
+                    }
+                }
+                Ok(Outcome::Lost(cause)) => cause,
+                Ok(Outcome::NotSent(cause)) => {
+                    note(story, &replica.id, cause);
+                    set_may_have_run(reservation, runs > 0);
+                    continue;
+                }
+                Ok(Outcome::NotRun(status)) => {
+                    note(story, &replica.id, status.as_str());
+                    set_may_have_run(reservation, runs > 0);
+                    continue;
+                }
+            };
+            note(story, &replica.id, cause);
+            runs += 1;
+            if runs >= most_runs {
+                break;
+            }
+        }
+        if runs == 0 {
+            return Err(Failure::come_back(ErrorKind::Overloaded, "no_replica", SOON));
+        }
+        match call.route.repeatable() {
+            true => Err(Failure::last(ErrorKind::BackEndFailed, "replicas_failed")),
+            false => Err(Failure::last(ErrorKind::OutcomeUnknown, "outcome_unknown")),
+        }
+    }
+
+    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Rc<crate::fleet::Replica>> {
+        let figures = &call.figures;
+        let service = call.service.name.as_str();
+        if call.service.engine.is_some() {
+            let affinity = match figures.program.is_empty() {
+                true => placement::hash_text(&figures.request),
+                false => placement::hash_text(&figures.program),
+            };
+            return self.fleet.choose(service, &self.zone, excluded, |candidates| {
+                placement::choose_engine(candidates, affinity)
+            });
+        }
+        let tie = rand::random();
+        self.fleet.choose(service, &self.zone, excluded, |candidates| {
+            placement::choose_plain(candidates, tie)
+        })
+    }
+
+    /// Checks an answer; a plain one is read whole. `may_retry` says whether a
+    /// failed answer is better tried elsewhere.
+    async fn complete(
+        &self,
+        call: &Call,
+        mut answer: Answer,
+        may_retry: bool,
+    ) -> Result<Served, &'static str> {
+        let status = answer.response.status();
+        let signed = answer.response.headers().contains_key(&self.names.signature);
+        if status.is_success() && !signed {
+            return Err("unsigned_answer");
+        }
+        if status.is_server_error() && may_retry {
+            return Err("server_error");
+        }
+        if call.route.kind == RouteKind::Stream && status == StatusCode::OK {
+            return Ok(Served::Stream(answer));
+        }
+        let reading = Limited::new(answer.response.body_mut(), MAX_ANSWER_BYTES).collect();
+        let content = match tokio::time::timeout_at(call.outbound.deadline, reading).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(_)) => return Err("answer_broke_off"),
+            Err(_) => return Err("time_out"),
+        };
+        let (head, _) = answer.response.into_parts();
+        answer.replica.pool.give(answer.connection);
+        Ok(Served::Whole(head, content))
+    }
+
+    fn pass_on(
+        self: &Rc<Self>,
+        call: Call,
+        served: Served,
+        story: &mut Story,
+        reservation: Option<Reservation>,
+    ) -> Response<FrontBody> {
+        let answer = match served {
+            Served::Whole(head, content) => {
+                story.status = head.status.as_u16();
+                story.outcome = "answered";
+                observe::request_ended(story, call.arrived.elapsed());
+                return from_replica(&head, FrontBody::whole(content));
+            }
+            Served::Stream(answer) => answer,
+        };
+        let (head, body) = answer.response.into_parts();
+        let mut story = std::mem::take(story);
+        story.status = head.status.as_u16();
+        let engine = call.service.engine.as_ref();
+        let keeping = Keeping {
+            history: self.history.clone(),
+            input: call.route.keeps_history.then(|| call.input.clone()),
+            retention: call.route.retention,
+            reservation,
+            tokens_per_event: engine.map_or(0, |engine| engine.tokens_per_event),
+        };
+        let relay = Relay {
+            deadline: call.outbound.deadline,
+            keeping,
+            figures: call.figures,
+            answer: Carrier {
+                connection: answer.connection,
+                replica: answer.replica,
+                guard: answer.guard,
+            },
+            story,
+            arrived: call.arrived,
+        };
+        let (pieces, receiver) = mpsc::channel(PIECES_AHEAD);
+        let active = self.activity.begin();
+        tokio::task::spawn_local(async move {
+            relay.run(body, pieces).await;
+            drop(active);
+        });
+        from_replica(&head, FrontBody::Pieces(receiver))
+    }
+}
+
+/// An answer on its way to the caller.
+enum Served {
+    /// Read whole.
+    Whole(hyper::http::response::Parts, Bytes),
+    /// A stream whose pieces are still to come.
+    Stream(Answer),
+}
+
+fn from_replica(head: &hyper::http::response::Parts, body: FrontBody) -> Response<FrontBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end_headers(&head.headers);
+    response
+}
+
+fn set_may_have_run(reservation: &mut Option<Reservation>, may_have_run: bool) {
+    if let Some(reservation) = reservation {
+        reservation.set_may_have_run(may_have_run);
+    }
+}
+
+fn note(story: &mut Story, replica: &str, outcome: &str) {
+    if !story.attempts.is_empty() {
+        story.attempts.push(' ');
+    }
+    story.attempts.push_str(replica);
+    story.attempts.push('=');
+    story.attempts.push_str(outcome);
+}
+
+async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Failure> {
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(deadline, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Failure::last(ErrorKind::TooLarge, "body_too_large"))
+        }
+        Ok(Err(_)) => Err(Failure::last(ErrorKind::BadRequest, "body_broke_off")),
+        Err(_) => Err(Failure::last(ErrorKind::TooSlow, "body_too_slow")),
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/history.rs
@@ -0,0 +1,225 @@
+//! Turns and budgets of programs: reservations before a turn runs, its record
+//! before its answer ends, and the chain that it goes on from.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use stageyoke_store::message::ChainPart;
+use stageyoke_store::{ChainOutcome, Group, GroupError, LedgerView, Record, TurnRecord};
+use stageyoke_types::{Blob, Text};
+use tokio::time::Instant;
+
+/// Bytes of recent turns that a front keeps to spare reads.
+const CACHE_BYTES: usize = 6 * 1024 * 1024;
+/// One try of a commit.
+const COMMIT_TRY: Duration = Duration::from_millis(1500);
+const COMMIT_PAUSE: Duration = Duration::from_millis(60);
+/// How long a settlement is tried.
+const SETTLE_WITHIN: Duration = Duration::from_millis(2500);
+
+/// Recent turns, oldest out first.
+#[derive(Default)]
+struct TurnCache {
+    parts: HashMap<Text, ChainPart>,
+    order: VecDeque<Text>,
+    bytes: usize,
+}
+
+impl TurnCache {
+    fn insert(&mut self, part: ChainPart) {
+        if self.parts.contains_key(&part.turn) {
+            return;
+        }
+        self.bytes += weight(&part);
+        self.order.push_back(part.turn.clone());
+        self.parts.insert(part.turn.clone(), part);
+        while self.bytes > CACHE_BYTES {
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
+            if let Some(part) = self.parts.remove(&oldest) {
+                self.bytes -= weight(&part);
+            }
+        }
+    }
+}
+
+fn weight(part: &ChainPart) -> usize {
+    part.input.len() + part.output.len() + 2 * part.turn.len()
+}
+
+/// What came of looking for a chain.
+pub enum Transcript {
+    /// The inputs and outputs of the chain, oldest first.
+    Found(Bytes),
+    /// No kept turn has this identifier.
+    Absent,
+    /// It cannot be known now.
+    Unsure,
+}
+
+/// History and budgets, through the store group.
+pub struct History {
+    /// The store group.
+    pub group: Rc<Group>,
+    cache: RefCell<TurnCache>,
+}
+
+impl History {
+    /// History kept by this group.
+    pub fn new(group: Rc<Group>) -> Self {
+        Self {
+            group,
+            cache: RefCell::default(),
+        }
+    }
+
+    /// Everything that was said up to and including `turn`.
+    pub async fn transcript(&self, turn: &Text, within: Duration) -> Transcript {
+        let mut parts = self.cached_chain(turn);
+        let missing = match parts.last() {
+            None => turn.clone(),
+            Some(last) => last.previous.clone(),
+        };
+        if !missing.is_empty() {
+            match self.group.chain(&missing, within).await {
+                ChainOutcome::Whole(rest) => parts.extend(rest),
+                ChainOutcome::Absent(absent) if absent == *turn => return Transcript::Absent,
+                // An ancestor of a turn that exists is never simply absent.
+                ChainOutcome::Absent(_) | ChainOutcome::Unsure => return Transcript::Unsure,
+            }
+        }
+        let mut text = BytesMut::new();
+        for part in parts.iter().rev() {
+            text.extend_from_slice(&part.input);
+            text.extend_from_slice(&part.output);
+        }
+        let mut cache = self.cache.borrow_mut();
+        for part in parts {
+            cache.insert(part);
+        }
+        Transcript::Found(text.freeze())
+    }
+
+    fn cached_chain(&self, turn: &Text) -> Vec<ChainPart> {
+        let cache = self.cache.borrow();
+        let mut parts = Vec::new();
+        let mut next = turn;
+        while let Some(part) = cache.parts.get(next) {
+            parts.push(part.clone());
+            next = &part.previous;
+        }
+        parts
+    }
+
+    /// Reserves a turn's most tokens; the ledger shows every reservation that
+    /// was complete before this one.
+    pub async fn reserve(
+        &self,
+        program: &Text,
+        turn: &Text,
+        most: u32,
+        within: Duration,
+    ) -> Result<LedgerView, GroupError> {
+        let record = Record::Reserve {
+            program: program.clone(),
+            turn: turn.clone(),
+            most,
+        };
+        self.group.append(record, within).await
+    }
+
+    /// Settles a reservation without waiting.
+    pub fn settle(&self, program: &Text, turn: &Text, used: u32) {
+        let record = Record::Settle {
+            program: program.clone(),
+            turn: turn.clone(),
+            used,
+        };
+        self.group.append_in_background(record, SETTLE_WITHIN);
+    }
+
+    /// Keeps a finished turn; returns once a write quorum has it on disk.
+    pub async fn commit(&self, record: TurnRecord, deadline: Instant) -> Result<(), GroupError> {
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let within = left.min(COMMIT_TRY);
+            let error = match self.group.append(Record::Turn(record.clone()), within).await {
+                Ok(_) => break,
+                Err(error) => error,
+            };
+            if Instant::now() + COMMIT_PAUSE >= deadline {
+                return Err(error);
+            }
+            tokio::time::sleep(COMMIT_PAUSE).await;
+        }
+        self.cache.borrow_mut().insert(ChainPart {
+            turn: record.turn,
+            previous: record.previous,
+            input: record.input,
+            output: record.output,
+        });
+        Ok(())
+    }
+}
+
+/// A turn's reservation; given back if the turn is never run.
+pub struct Reservation {
+    history: Rc<History>,
+    program: Text,
+    turn: Text,
+    may_have_run: bool,
+}
+
+impl Reservation {
+    /// The reservation of `turn` of `program`.
+    pub fn new(history: Rc<History>, program: Text, turn: Text) -> Self {
+        Self {
+            history,
+            program,
+            turn,
+            may_have_run: false,
+        }
+    }
+
+    /// Says whether a replica may have run the turn.
+    pub fn set_may_have_run(&mut self, may_have_run: bool) {
+        self.may_have_run = may_have_run;
+    }
+
+    /// Settles the turn, which has ended whole.
+    pub fn settle(&mut self, used: u32) {
+        self.may_have_run = true;
+        self.history.settle(&self.program, &self.turn, used);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if !self.may_have_run {
+            self.history.settle(&self.program, &self.turn, 0);
+        }
+    }
+}
+
+/// The record of a turn.
+pub fn turn_record(
+    figures: &crate::request::Figures,
+    input: Bytes,
+    output: Vec<u8>,
+    used: u32,
+    retention: Duration,
+) -> TurnRecord {
+    TurnRecord {
+        turn: figures.request.clone(),
+        program: figures.program.clone(),
+        previous: figures.previous.clone().unwrap_or_default(),
+        input: Blob(input),
+        output: Blob::from(output),
+        used,
+        retention_seconds: retention.as_secs_f64().ceil() as u32,
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/lib.rs
@@ -0,0 +1,24 @@
+//! The front role: terminates callers' requests, routes them, places each on a
+//! replica, relays plain answers and event streams, and keeps the history and
+//! the token budgets of programs through the store group.
+
+pub mod activity;
+pub mod answer;
+pub mod attempt;
+pub mod body;
+pub mod events;
+pub mod fleet;
+pub mod front;
+pub mod handler;
+pub mod history;
+pub mod names;
+pub mod observe;
+pub mod placement;
+pub mod relay;
+pub mod request;
+pub mod server;
+pub mod shares;
+pub mod upstream;
+
+pub use front::{FrontSettings, run};
+pub use names::Names;
--- /dev/null
+++ b/crates/stageyoke-front/src/names.rs
@@ -0,0 +1,38 @@
+//! Header names and paths of the operator's platform, given by the adapter.
+
+use hyper::header::HeaderName;
+
+/// Names that the front reads and writes.
+#[derive(Clone, Debug)]
+pub struct Names {
+    /// Identifier of one try; echoed in the answer.
+    pub request_id: HeaderName,
+    /// Milliseconds that the caller, or a replica, has.
+    pub deadline: HeaderName,
+    /// Signature of a replica's answer.
+    pub signature: HeaderName,
+    /// Incarnation that a request is meant for.
+    pub instance: HeaderName,
+    /// Marks an answer to a request that was not run.
+    pub not_run: HeaderName,
+    /// Prompt tokens and most tokens to generate.
+    pub token_counts: HeaderName,
+    /// Urgency of a request at a replica, 0 the highest.
+    pub urgency: HeaderName,
+    /// Program of a request.
+    pub program: HeaderName,
+    /// Line of turns within the program.
+    pub session: HeaderName,
+    /// Milliseconds until the program should be over.
+    pub finish: HeaderName,
+    /// Tokens that all turns of the program may generate.
+    pub budget: HeaderName,
+    /// Turn that a request goes on from.
+    pub previous_turn: HeaderName,
+    /// Last event that the caller holds.
+    pub last_event: HeaderName,
+    /// Path of the readiness question.
+    pub readiness_path: &'static str,
+    /// The one status with which a replica says that it is another incarnation.
+    pub wrong_instance_status: u16,
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/relay.rs
@@ -0,0 +1,164 @@
+//! Passes a stream on, event by event, and ends it only once what must be kept
+//! of it is kept.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::fleet::{InFlight, Replica};
+use crate::upstream::Connection;
+use crate::body::{CutShort, Piece};
+use crate::events::{EventSplitter, collect_data};
+use crate::history::{History, Reservation, turn_record};
+use crate::observe::{self, Story};
+use crate::request::Figures;
+
+/// Pieces that wait for a caller who reads slowly.
+pub const PIECES_AHEAD: usize = 16;
+
+/// What is kept of a stream.
+pub struct Keeping {
+    /// Where turns are kept.
+    pub history: Rc<History>,
+    /// The turn's own input, if its history is kept.
+    pub input: Option<Bytes>,
+    /// How long it is kept.
+    pub retention: Duration,
+    /// The turn's reservation, if its program has a budget.
+    pub reservation: Option<Reservation>,
+    /// Tokens in one event.
+    pub tokens_per_event: u32,
+}
+
+/// What carries a stream: closed when dropped, which stops the replica.
+pub struct Carrier {
+    /// Connection to the replica.
+    pub connection: Connection,
+    /// The replica.
+    pub replica: Rc<Replica>,
+    /// Counts the request as under way.
+    pub guard: InFlight,
+}
+
+/// A stream on its way to the caller.
+pub struct Relay {
+    /// The request.
+    pub figures: Figures,
+    /// The replica's answer; its body is relayed apart.
+    pub answer: Carrier,
+    /// What is kept.
+    pub keeping: Keeping,
+    /// When the stream is cut.
+    pub deadline: Instant,
+    /// What is logged at the end.
+    pub story: Story,
+    /// When the request arrived.
+    pub arrived: Instant,
+}
+
+enum End {
+    Whole,
+    CallerLeft,
+    Cut(&'static str),
+}
+
+#[derive(Default)]
+struct Heard {
+    output: Vec<u8>,
+    events: u32,
+}
+
+impl Relay {
+    /// Relays until the end; `pieces` is the caller's side.
+    pub async fn run(mut self, mut body: Incoming, pieces: mpsc::Sender<Piece>) {
+        let mut heard = Heard::default();
+        let end = match self.pass_on(&mut body, &pieces, &mut heard).await {
+            End::Whole => self.keep(heard).await,
+            other => other,
+        };
+        self.finish(&end, &pieces).await;
+    }
+
+    async fn pass_on(
+        &mut self,
+        body: &mut Incoming,
+        pieces: &mpsc::Sender<Piece>,
+        heard: &mut Heard,
+    ) -> End {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = pieces.closed() => return End::CallerLeft,
+                () = tokio::time::sleep_until(self.deadline) => return End::Cut("time_out"),
+            };
+            let whole = match frame {
+                None => {
+                    let rest = splitter.rest();
+                    if !rest.is_empty() && pieces.send(Ok(rest)).await.is_err() {
+                        return End::CallerLeft;
+                    }
+                    return End::Whole;
+                }
+                Some(Err(_)) => return End::Cut("replica_broke_off"),
+                Some(Ok(frame)) => frame.data_ref().and_then(|data| splitter.push(data)),
+            };
+            if let Some(events) = whole {
+                heard.events += collect_data(&events, &mut heard.output);
+                let sending = tokio::time::timeout_at(self.deadline, pieces.send(Ok(events)));
+                match sending.await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return End::CallerLeft,
+                    Err(_) => return End::Cut("time_out"),
+                }
+            }
+        }
+    }
+
+    /// Keeps what must be kept before the caller sees the end.
+    async fn keep(&mut self, heard: Heard) -> End {
+        let generated = heard.events.saturating_mul(self.keeping.tokens_per_event);
+        let used = match self.figures.most_tokens {
+            0 => generated,
+            most => generated.min(most),
+        };
+        let Some(input) = self.keeping.input.take() else {
+            if let Some(reservation) = &mut self.keeping.reservation {
+                reservation.settle(used);
+            }
+            return End::Whole;
+        };
+        let retention = self.keeping.retention;
+        let record = turn_record(&self.figures, input, heard.output, used, retention);
+        match self.keeping.history.commit(record, self.deadline).await {
+            Ok(()) => End::Whole,
+            Err(_) => End::Cut("not_kept"),
+        }
+    }
+
+    async fn finish(self, end: &End, pieces: &mpsc::Sender<Piece>) {
+        let mut story = self.story;
+        story.outcome = match end {
+            End::Whole => "streamed",
+            End::CallerLeft => "caller_left",
+            End::Cut(reason) => reason,
+        };
+        if !matches!(end, End::Whole) {
+            story.status = 0;
+        }
+        observe::request_ended(&story, self.arrived.elapsed());
+        match end {
+            End::Whole => self.answer.replica.pool.give(self.answer.connection),
+            End::CallerLeft => {}
+            End::Cut(_) => {
+                self.answer.replica.failed(false);
+                let _ = pieces.send(Err(CutShort)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/request.rs
@@ -0,0 +1,73 @@
+//! What the front needs to know of a caller's request.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use stageyoke_types::Text;
+use tokio::time::Instant;
+
+use crate::names::Names;
+
+/// Time for requests that name none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// A request's own figures.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Identifier of this try.
+    pub request: Text,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// Program; empty if none.
+    pub program: Text,
+    /// Line of turns; empty if none.
+    pub session: Text,
+    /// When the program should be over.
+    pub finish: Option<Instant>,
+    /// Tokens of the whole program.
+    pub budget: Option<u64>,
+    /// Most tokens of this request.
+    pub most_tokens: u32,
+    /// Turn that it goes on from.
+    pub previous: Option<Text>,
+}
+
+impl Figures {
+    /// Reads the figures; a request without an identifier has none.
+    pub fn read(headers: &HeaderMap, names: &Names, arrived: Instant) -> Option<Self> {
+        let request = text(headers, &names.request_id)?;
+        let milliseconds = |name| number(headers, name).map(Duration::from_millis);
+        let deadline = milliseconds(&names.deadline).unwrap_or(DEFAULT_DEADLINE);
+        Some(Self {
+            request,
+            deadline: arrived + deadline,
+            program: text(headers, &names.program).unwrap_or_default(),
+            session: text(headers, &names.session).unwrap_or_default(),
+            finish: milliseconds(&names.finish).map(|finish| arrived + finish),
+            budget: number(headers, &names.budget),
+            most_tokens: most_tokens(headers, names).unwrap_or_default(),
+            previous: text(headers, &names.previous_turn),
+        })
+    }
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<Text> {
+    let value = headers.get(name)?.to_str().ok()?.trim();
+    (!value.is_empty()).then(|| Text::from(value))
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+fn most_tokens(headers: &HeaderMap, names: &Names) -> Option<u32> {
+    let counts = headers.get(&names.token_counts)?.to_str().ok()?;
+    counts.split(',').nth(1)?.trim().parse().ok()
+}
+
+/// Host without port.
+pub fn host(headers: &HeaderMap) -> Option<&str> {
+    let host = headers.get(hyper::header::HOST)?.to_str().ok()?;
+    Some(host.split(':').next().unwrap_or(host))
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/server.rs
@@ -0,0 +1,103 @@
+//! Listeners: callers' connections and the readiness question.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use stageyoke_directory::{Interpreter, KeyValueService, Limits};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::body::FrontBody;
+use crate::front::Front;
+
+/// Smallest read buffer that hyper accepts.
+const SMALLEST_BUFFER: usize = 8192;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Added to the idle time, so that a connection is never closed before the
+/// caller stops reusing it.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Accepts callers for ever.
+pub async fn serve_callers<S: KeyValueService + 'static, I: Interpreter + 'static>(
+    front: Rc<Front<S, I>>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_caller(front.clone(), stream));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_caller<S: KeyValueService + 'static, I: Interpreter + 'static>(
+    front: Rc<Front<S, I>>,
+    stream: TcpStream,
+) {
+    stageyoke_store::socket::configure(&stream);
+    let limits = front
+        .mirror
+        .view()
+        .routes
+        .as_ref()
+        .map(|routes| routes.limits.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let front = front.clone();
+        async move { Ok::<_, Infallible>(front.handle(request).await) }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    if let Some(limits) = limits {
+        apply_limits(&mut builder, &limits);
+    }
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+fn apply_limits(builder: &mut hyper::server::conn::http1::Builder, limits: &Limits) {
+    // hyper's time for a head also runs while a kept connection rests.
+    builder.header_read_timeout(limits.idle_timeout + IDLE_MARGIN);
+    builder.max_buf_size(limits.header_bytes.max(SMALLEST_BUFFER));
+}
+
+/// Answers the readiness question for ever.
+pub async fn serve_readiness<S: KeyValueService + 'static, I: Interpreter + 'static>(
+    front: Rc<Front<S, I>>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(answer_readiness(front.clone(), stream));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn answer_readiness<S: KeyValueService + 'static, I: Interpreter + 'static>(
+    front: Rc<Front<S, I>>,
+    stream: TcpStream,
+) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let asked = request.uri().path() == front.names.readiness_path;
+        let status = match (asked, front.ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut response = Response::new(FrontBody::whole(""));
+        *response.status_mut() = status;
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
--- /dev/null
+++ b/crates/stageyoke-front/src/upstream.rs
@@ -0,0 +1,112 @@
+//! Kept connections to one replica; one request at a time on each.
+
+use std::cell::RefCell;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// How long a connection may take to come up.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A kept connection is not used in the last part of its announced life.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
+/// Life of an idle connection where the replica announces none.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+
+/// A connection to a replica.
+pub struct Connection {
+    /// Sends the next request.
+    pub sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    idle_since: Instant,
+    keep_alive: Duration,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(address: &str) -> io::Result<Self> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stageyoke_store::socket::configure(&stream);
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let driver = tokio::task::spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            driver,
+            idle_since: Instant::now(),
+            keep_alive: DEFAULT_KEEP_ALIVE,
+        })
+    }
+
+    fn usable(&self) -> bool {
+        let life = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
+        self.sender.is_ready() && self.idle_since.elapsed() < life
+    }
+
+    /// Takes the life that the replica announces for idle connections.
+    pub fn heed_keep_alive(&mut self, response: &Response<Incoming>) {
+        let announced = response
+            .headers()
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.split(',').find_map(timeout_seconds));
+        if let Some(seconds) = announced {
+            self.keep_alive = Duration::from_secs(seconds);
+        }
+    }
+}
+
+fn timeout_seconds(parameter: &str) -> Option<u64> {
+    parameter.trim().strip_prefix("timeout=")?.trim().parse().ok()
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // Closes the socket at once, so that the replica stops its work.
+        self.driver.abort();
+    }
+}
+
+/// Idle connections of one replica, used last in, first out.
+#[derive(Default)]
+pub struct Pool {
+    idle: RefCell<Vec<Connection>>,
+}
+
+impl Pool {
+    /// An idle connection that is still good.
+    pub fn take(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(Connection::usable);
+        idle.pop()
+    }
+
+    /// Keeps a connection for the next request.
+    pub fn give(&self, mut connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.idle_since = Instant::now();
+        self.idle.borrow_mut().push(connection);
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/client.rs
@@ -0,0 +1,219 @@
+//! A front's or a store's connection to one store.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::frame;
+use crate::message::{Numbered, Reply, Request};
+use crate::server::send_replies;
+use crate::socket;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+/// A connection that owes an answer this long is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Why a call has no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// There is no connection; nothing was sent.
+    NotConnected,
+    /// The connection ended or the time ran out; it may have been done.
+    NoAnswer,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NotConnected => "not_connected",
+            Self::NoAnswer => "no_answer",
+        })
+    }
+}
+
+impl std::error::Error for CallError {}
+
+type Pending = Rc<RefCell<HashMap<u64, oneshot::Sender<Reply>>>>;
+
+struct Outgoing {
+    request: Request,
+    answer: oneshot::Sender<Reply>,
+}
+
+/// One store, with a connection that is opened when it is first needed.
+pub struct StoreClient {
+    address: String,
+    commands: UnboundedSender<Outgoing>,
+    task: JoinHandle<()>,
+    last_heard: Rc<Cell<Option<Instant>>>,
+}
+
+impl StoreClient {
+    /// A client of the store at this address. Needs a local task set.
+    pub fn new(address: &str) -> Self {
+        let (commands, inbox) = unbounded_channel();
+        let last_heard = Rc::new(Cell::new(None));
+        let connection = Connection {
+            address: address.to_owned(),
+            inbox,
+            last_heard: last_heard.clone(),
+            next_number: 0,
+            owing_since: Instant::now(),
+        };
+        Self {
+            address: address.to_owned(),
+            commands,
+            task: tokio::task::spawn_local(connection.run()),
+            last_heard,
+        }
+    }
+
+    /// The store's address.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// When the store last answered anything.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.last_heard.get()
+    }
+
+    /// Sends a request and waits for its reply.
+    pub async fn call(&self, request: Request, within: Duration) -> Result<Reply, CallError> {
+        let (answer, reply) = oneshot::channel();
+        let outgoing = Outgoing { request, answer };
+        self.commands
+            .send(outgoing)
+            .map_err(|_| CallError::NotConnected)?;
+        match tokio::time::timeout(within, reply).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) | Err(_) => Err(CallError::NoAnswer),
+        }
+    }
+}
+
+impl Drop for StoreClient {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Connection {
+    address: String,
+    inbox: UnboundedReceiver<Outgoing>,
+    last_heard: Rc<Cell<Option<Instant>>>,
+    next_number: u64,
+    owing_since: Instant,
+}
+
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Connection {
+    async fn run(mut self) {
+        while let Some(first) = self.inbox.recv().await {
+            let connecting = TcpStream::connect(self.address.as_str());
+            match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+                Ok(Ok(stream)) => self.converse(stream, first).await,
+                Ok(Err(_)) | Err(_) => {
+                    drop(first);
+                    self.fail_waiting();
+                    tokio::time::sleep(RECONNECT_PAUSE).await;
+                    self.fail_waiting();
+                }
+            }
+        }
+    }
+
+    fn fail_waiting(&mut self) {
+        while self.inbox.try_recv().is_ok() {}
+    }
+
+    async fn converse(&mut self, stream: TcpStream, first: Outgoing) {
+        socket::configure(&stream);
+        let (reader, writer) = stream.into_split();
+        let pending: Pending = Rc::default();
+        let (frames, outbox) = unbounded_channel();
+        let (ended, mut reader_ended) = oneshot::channel();
+        let _sending = AbortOnDrop(tokio::task::spawn_local(async move {
+            let _ = send_replies(writer, outbox).await;
+        }));
+        let receiving = receive(reader, pending.clone(), self.last_heard.clone(), ended);
+        let _receiving = AbortOnDrop(tokio::task::spawn_local(receiving));
+        self.last_heard.set(Some(Instant::now()));
+        self.send(first, &pending, &frames);
+        loop {
+            let silence = self.silence_deadline(&pending);
+            tokio::select! {
+                next = self.inbox.recv() => match next {
+                    Some(outgoing) => self.send(outgoing, &pending, &frames),
+                    None => return,
+                },
+                _ = &mut reader_ended => return,
+                () = tokio::time::sleep_until(silence) => {
+                    if self.silence_deadline(&pending) <= Instant::now() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// When the connection is given up, if nothing is heard before.
+    fn silence_deadline(&self, pending: &Pending) -> Instant {
+        let now = Instant::now();
+        let heard = self.last_heard.get().unwrap_or(now).max(self.owing_since);
+        if pending.borrow().is_empty() {
+            return now + Duration::from_secs(3600);
+        }
+        heard + SILENCE_LIMIT
+    }
+
+    fn send(&mut self, outgoing: Outgoing, pending: &Pending, frames: &UnboundedSender<Vec<u8>>) {
+        self.next_number += 1;
+        let message = Numbered {
+            number: self.next_number,
+            content: outgoing.request,
+        };
+        let mut waiting = pending.borrow_mut();
+        // Calls whose caller has gone are not waited for.
+        waiting.retain(|_, answer| !answer.is_closed());
+        if waiting.is_empty() {
+            self.owing_since = Instant::now();
+        }
+        waiting.insert(message.number, outgoing.answer);
+        let _ = frames.send(frame::encode(&message));
+    }
+}
+
+async fn receive(
+    reader: OwnedReadHalf,
+    pending: Pending,
+    last_heard: Rc<Cell<Option<Instant>>>,
+    ended: oneshot::Sender<()>,
+) {
+    let mut reader = BufReader::new(reader);
+    while let Ok(reply) = frame::read::<Numbered<Reply>>(&mut reader).await {
+        last_heard.set(Some(Instant::now()));
+        if let Some(answer) = pending.borrow_mut().remove(&reply.number) {
+            let _ = answer.send(reply.content);
+        }
+    }
+    let _ = ended.send(());
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/frame.rs
@@ -0,0 +1,36 @@
+//! Frames on a connection: a length and a binary message.
+
+use std::io;
+
+use nanoserde::{DeBin, SerBin};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+const LENGTH_BYTES: usize = 4;
+/// Longest frame accepted.
+pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
+
+/// Encodes one message as a frame.
+pub fn encode<T: SerBin>(message: &T) -> Vec<u8> {
+    let mut bytes = vec![0_u8; LENGTH_BYTES];
+    message.ser_bin(&mut bytes);
+    let length = (bytes.len() - LENGTH_BYTES) as u32;
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+    bytes
+}
+
+/// Reads one frame.
+pub async fn read<T: DeBin>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
+    let mut prefix = [0_u8; LENGTH_BYTES];
+    stream.read_exact(&mut prefix).await?;
+    let length = u32::from_le_bytes(prefix) as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+    }
+    let mut content = Vec::new();
+    stream.take(length as u64).read_to_end(&mut content).await?;
+    if content.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    T::deserialize_bin(&content)
+        .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "malformed frame"))
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/group.rs
@@ -0,0 +1,299 @@
+//! A front's dealings with the whole store group: quorums of appends, ledgers
+//! merged over members, chains gathered from whoever holds them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_types::Text;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::Instant;
+
+use crate::client::StoreClient;
+use crate::message::{ChainPart, LedgerEntry, Record, Refusal, Reply, Request};
+
+/// How long a member may take before others are asked as well.
+const HEDGE_AFTER: Duration = Duration::from_millis(40);
+
+/// Why the group could not do it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GroupError {
+    /// No member list is known, or it is too small for the tolerance.
+    NoGroup,
+    /// Too few members answered in time.
+    NoQuorum,
+    /// The member list in use is too old.
+    StaleMembers,
+    /// Disks refuse records.
+    DiskRefused,
+}
+
+impl fmt::Display for GroupError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NoGroup => "no_group",
+            Self::NoQuorum => "no_quorum",
+            Self::StaleMembers => "stale_members",
+            Self::DiskRefused => "disk_refused",
+        })
+    }
+}
+
+impl std::error::Error for GroupError {}
+
+/// A program's ledger, merged over a quorum.
+#[derive(Clone, Debug, Default)]
+pub struct LedgerView {
+    entries: BTreeMap<Text, LedgerEntry>,
+}
+
+impl LedgerView {
+    /// Takes one member's entries: a settled amount replaces a reservation.
+    pub fn merge(&mut self, entries: impl IntoIterator<Item = LedgerEntry>) {
+        for entry in entries {
+            match self.entries.get(&entry.turn) {
+                Some(known) if known.settled || !entry.settled => {}
+                _ => {
+                    self.entries.insert(entry.turn.clone(), entry);
+                }
+            }
+        }
+    }
+
+    /// Tokens used and reserved by all turns but this one.
+    pub fn total_without(&self, turn: &str) -> u64 {
+        self.entries
+            .values()
+            .filter(|entry| entry.turn.as_str() != turn)
+            .map(|entry| u64::from(entry.amount))
+            .sum()
+    }
+
+    /// Turns of the ledger.
+    pub fn turns(&self) -> usize {
+        self.entries.len()
+    }
+}
+
+/// What is known of a chain.
+#[derive(Clone, Debug)]
+pub enum ChainOutcome {
+    /// The whole chain, newest first.
+    Whole(Vec<ChainPart>),
+    /// No kept turn has this identifier.
+    Absent(Text),
+    /// Not enough members answered to be sure.
+    Unsure,
+}
+
+/// Connections to all members, following the member list.
+pub struct Group {
+    zone: Text,
+    tolerated_losses: Cell<usize>,
+    members: RefCell<Rc<Members>>,
+    clients: RefCell<HashMap<Text, Rc<StoreClient>>>,
+}
+
+impl Group {
+    /// A group without members yet.
+    pub fn new(zone: Text, tolerated_losses: usize) -> Self {
+        Self {
+            zone,
+            tolerated_losses: Cell::new(tolerated_losses),
+            members: RefCell::default(),
+            clients: RefCell::default(),
+        }
+    }
+
+    /// Disks that may be lost at once.
+    pub fn tolerated_losses(&self) -> usize {
+        self.tolerated_losses.get()
+    }
+
+    /// The member list in use.
+    pub fn members(&self) -> Rc<Members> {
+        self.members.borrow().clone()
+    }
+
+    /// Takes the current member list; connections of unchanged members stay.
+    pub fn follow(&self, members: &Rc<Members>) {
+        let mut clients = self.clients.borrow_mut();
+        clients.retain(|node, client| {
+            members
+                .get(node)
+                .is_some_and(|member| member.address.as_str() == client.address())
+        });
+        for member in members.list.iter() {
+            clients
+                .entry(member.node.clone())
+                .or_insert_with(|| Rc::new(StoreClient::new(&member.address)));
+        }
+        *self.members.borrow_mut() = members.clone();
+    }
+
+    fn client(&self, node: &Text) -> Option<Rc<StoreClient>> {
+        self.clients.borrow().get(node).cloned()
+    }
+
+    /// Writes a record to every active member; done once a write quorum has it
+    /// on disk. For reservations the quorum's members are complete ones, and
+    /// the merged ledger is returned.
+    pub async fn append(&self, record: Record, within: Duration) -> Result<LedgerView, GroupError> {
+        let members = self.members();
+        let needed = members
+            .write_quorum(self.tolerated_losses())
+            .ok_or(GroupError::NoGroup)?;
+        let reads_ledger = matches!(record, Record::Reserve { .. });
+        let (answers, mut inbox) = unbounded_channel();
+        for member in active(&members) {
+            let Some(client) = self.client(&member.node) else {
+                continue;
+            };
+            let request = Request::Append {
+                members_version: members.version,
+                record: record.clone(),
+            };
+            let answers = answers.clone();
+            // The append goes on when this caller leaves: copies spread.
+            tokio::task::spawn_local(async move {
+                let _ = answers.send(client.call(request, within).await);
+            });
+        }
+        drop(answers);
+        let mut ledger = LedgerView::default();
+        let mut kept = 0;
+        let mut error = GroupError::NoQuorum;
+        while let Some(answer) = inbox.recv().await {
+            match answer {
+                Ok(Reply::Kept {
+                    complete,
+                    ledger: entries,
+                }) => {
+                    ledger.merge(entries);
+                    kept += usize::from(complete || !reads_ledger);
+                }
+                Ok(Reply::Refused(Refusal::StaleMembers)) => error = GroupError::StaleMembers,
+                Ok(Reply::Refused(Refusal::DiskRefused)) => error = GroupError::DiskRefused,
+                Ok(_) | Err(_) => {}
+            }
+            if kept >= needed {
+                return Ok(ledger);
+            }
+        }
+        Err(error)
+    }
+
+    /// Sends a record to every active member without waiting.
+    pub fn append_in_background(self: &Rc<Self>, record: Record, within: Duration) {
+        let group = self.clone();
+        tokio::task::spawn_local(async move {
+            let _ = group.append(record, within).await;
+        });
+    }
+
+    /// Gathers the chain that ends in `turn`, nearest member first.
+    pub async fn chain(&self, turn: &Text, within: Duration) -> ChainOutcome {
+        let deadline = Instant::now() + within;
+        let mut parts: Vec<ChainPart> = Vec::new();
+        let mut next = turn.clone();
+        loop {
+            match self.chain_step(&next, deadline).await {
+                StepOutcome::Parts { found, missing } => {
+                    parts.extend(found);
+                    if missing.is_empty() {
+                        return ChainOutcome::Whole(parts);
+                    }
+                    next = missing;
+                }
+                StepOutcome::Absent => return ChainOutcome::Absent(next),
+                StepOutcome::Unsure => return ChainOutcome::Unsure,
+            }
+        }
+    }
+
+    async fn chain_step(&self, turn: &Text, deadline: Instant) -> StepOutcome {
+        let members = self.members();
+        let Some(absence) = members.absence_quorum(self.tolerated_losses()) else {
+            return StepOutcome::Unsure;
+        };
+        let (answers, mut inbox) = unbounded_channel();
+        let mut order: Vec<&Member> = members.list.iter().collect();
+        order.sort_by_key(|member| member.zone != self.zone);
+        let mut waiting = order.into_iter();
+        let mut asked = 0;
+        let mut answered = 0;
+        let mut absent = 0;
+        loop {
+            let ask_more = asked == answered || asked == 0;
+            if ask_more && let Some(member) = waiting.next() {
+                asked += 1;
+                self.ask_chain(member, turn, deadline, &answers);
+            }
+            if asked == answered {
+                return StepOutcome::Unsure;
+            }
+            let hedge = (Instant::now() + HEDGE_AFTER).min(deadline);
+            let answer = tokio::select! {
+                answer = inbox.recv() => answer,
+                () = tokio::time::sleep_until(hedge) => {
+                    if Instant::now() >= deadline {
+                        return StepOutcome::Unsure;
+                    }
+                    if let Some(member) = waiting.next() {
+                        asked += 1;
+                        self.ask_chain(member, turn, deadline, &answers);
+                    }
+                    continue;
+                }
+            };
+            answered += 1;
+            if let Some(Some(Reply::Chain { complete, parts, missing })) = answer {
+                if !parts.is_empty() {
+                    return StepOutcome::Parts { found: parts.0, missing };
+                }
+                absent += usize::from(complete);
+                if absent >= absence {
+                    return StepOutcome::Absent;
+                }
+            }
+        }
+    }
+
+    fn ask_chain(
+        &self,
+        member: &Member,
+        turn: &Text,
+        deadline: Instant,
+        answers: &tokio::sync::mpsc::UnboundedSender<Option<Reply>>,
+    ) {
+        let Some(client) = self.client(&member.node) else {
+            let _ = answers.send(None);
+            return;
+        };
+        let request = Request::Chain { turn: turn.clone() };
+        let answers = answers.clone();
+        tokio::task::spawn_local(async move {
+            let within = deadline.saturating_duration_since(Instant::now());
+            let _ = answers.send(client.call(request, within).await.ok());
+        });
+    }
+}
+
+enum StepOutcome {
+    Parts {
+        found: Vec<ChainPart>,
+        missing: Text,
+    },
+    Absent,
+    Unsure,
+}
+
+fn active(members: &Members) -> impl Iterator<Item = &Member> {
+    members
+        .list
+        .iter()
+        .filter(|member| member.state == MemberState::Active)
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/lib.rs
@@ -0,0 +1,26 @@
+//! The store role: immutable records of finished turns and of budget
+//! reservations, each kept on a write quorum of small disks.
+//!
+//! There is no leader. A front writes a record to every member and counts it
+//! as kept once a write quorum has synced it; a reservation's answers carry
+//! what each member knows of the program, so that of two racing turns at least
+//! one sees the other. Members compare digests and fetch what they miss.
+
+pub mod client;
+pub mod frame;
+pub mod group;
+pub mod journal;
+pub mod membership;
+pub mod message;
+pub mod observe;
+pub mod role;
+pub mod segment;
+pub mod server;
+pub mod socket;
+pub mod state;
+pub mod sync;
+
+pub use client::StoreClient;
+pub use group::{ChainOutcome, Group, GroupError, LedgerView};
+pub use message::{LedgerEntry, Record, Reply, Request, TurnRecord};
+pub use role::{StoreHost, StoreSettings};
--- /dev/null
+++ b/crates/stageyoke-store/src/message.rs
@@ -0,0 +1,193 @@
+//! Messages between fronts and stores, and among stores.
+
+use nanoserde::{DeBin, SerBin};
+use stageyoke_types::{Blob, List, Text};
+
+/// One finished turn of a program whose history is kept. Immutable.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct TurnRecord {
+    /// Request identifier of the turn.
+    pub turn: Text,
+    /// Program; empty where the request named none.
+    pub program: Text,
+    /// Turn that it goes on from; empty at the start.
+    pub previous: Text,
+    /// The turn's own input.
+    pub input: Blob,
+    /// Data of its events, each followed by a line feed.
+    pub output: Blob,
+    /// Tokens that it generated.
+    pub used: u32,
+    /// How long the turn and its chain are kept, in seconds.
+    pub retention_seconds: u32,
+}
+
+/// What a journal holds.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum Record {
+    /// A turn may generate up to `most` tokens.
+    Reserve {
+        /// Program whose budget is reserved.
+        program: Text,
+        /// Turn that reserves.
+        turn: Text,
+        /// Most tokens of the turn.
+        most: u32,
+    },
+    /// A turn is over and has generated `used` tokens.
+    Settle {
+        /// Program whose budget was reserved.
+        program: Text,
+        /// Turn that reserved.
+        turn: Text,
+        /// Tokens that it generated.
+        used: u32,
+    },
+    /// A finished turn; settles its reservation as well.
+    Turn(TurnRecord),
+}
+
+/// Identifies a record among stores: a digest of its kind and identifier.
+pub type RecordDigest = u64;
+
+impl Record {
+    /// The digest by which stores compare what they hold. Records are
+    /// immutable, so kind and identifiers suffice.
+    pub fn digest(&self) -> RecordDigest {
+        let (kind, program, turn) = match self {
+            Self::Reserve { program, turn, .. } => (0_u8, program, turn),
+            Self::Settle { program, turn, .. } => (1, program, turn),
+            Self::Turn(record) => (2, &record.program, &record.turn),
+        };
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&[kind]);
+        hasher.update(program.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(turn.as_bytes());
+        let digest = hasher.finalize();
+        let mut bytes = [0_u8; 8];
+        bytes.copy_from_slice(&digest.as_bytes()[..8]);
+        u64::from_le_bytes(bytes)
+    }
+}
+
+/// One turn's part of a program's ledger.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct LedgerEntry {
+    /// The turn.
+    pub turn: Text,
+    /// Tokens used if settled, else the most it may generate.
+    pub amount: u32,
+    /// Whether the turn is over.
+    pub settled: bool,
+}
+
+/// One turn of a chain, as a replica is to receive it.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ChainPart {
+    /// The turn.
+    pub turn: Text,
+    /// Turn that it goes on from; empty at the start.
+    pub previous: Text,
+    /// Its own input.
+    pub input: Blob,
+    /// Data of its events, each followed by a line feed.
+    pub output: Blob,
+}
+
+/// A position in one disk's journal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct JournalPosition {
+    /// Identifier of the disk.
+    pub disk: u64,
+    /// Number of the next record to read.
+    pub next: u64,
+}
+
+/// What a caller asks of a store.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum Request {
+    /// Keep a record; answered once it is on the disk.
+    Append {
+        /// The asking front's version of the member list.
+        members_version: u64,
+        /// What to keep.
+        record: Record,
+    },
+    /// Read the chain that ends in this turn.
+    Chain {
+        /// Last turn of the chain.
+        turn: Text,
+    },
+    /// Digests of the records from a position on.
+    Digests {
+        /// Machine that asks.
+        node: Text,
+        /// Where it goes on; another disk's position starts anew.
+        from: JournalPosition,
+        /// Position up to which the asker holds everything on its own disk.
+        held: JournalPosition,
+    },
+    /// Records by their digests.
+    Fetch {
+        /// Which records.
+        digests: List<RecordDigest>,
+    },
+}
+
+/// What a store answers.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum Reply {
+    /// The record is on the disk.
+    Kept {
+        /// Whether this store holds everything it ever acknowledged.
+        complete: bool,
+        /// The program's ledger; filled for reservations.
+        ledger: List<LedgerEntry>,
+    },
+    /// Parts of a chain, newest first.
+    Chain {
+        /// Whether this store holds everything it ever acknowledged.
+        complete: bool,
+        /// Parts from the asked turn backwards.
+        parts: List<ChainPart>,
+        /// First turn that this store does not hold; empty if the chain is
+        /// whole.
+        missing: Text,
+    },
+    /// A page of digests.
+    Digests {
+        /// Position after the page.
+        next: JournalPosition,
+        /// Whether the journal goes on after the page.
+        more: bool,
+        /// Whether this store is complete.
+        complete: bool,
+        /// In journal order.
+        digests: List<RecordDigest>,
+    },
+    /// Records that were found.
+    Records(List<Record>),
+    /// Nothing was done.
+    Refused(Refusal),
+}
+
+/// Why a store refused a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum Refusal {
+    /// The caller's member list is too old.
+    StaleMembers,
+    /// This store is not a member, or is being emptied.
+    NotActive,
+    /// The disk takes no more.
+    DiskRefused,
+}
+
+/// A message with the number that pairs it with its answer.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Numbered<T> {
+    /// Chosen by the caller; unique on a connection.
+    pub number: u64,
+    /// The message.
+    pub content: T,
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/role.rs
@@ -0,0 +1,228 @@
+//! The store role: recovers the disk, serves, and keeps its place in the
+//! member list.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nanoserde::SerBin;
+use stageyoke_directory::{
+    Condition, Interpreter, KeyValueService, MemberState, Members, Mirror, MirrorEvent,
+    Transaction, TransactionOutcome, Write,
+};
+use stageyoke_types::{Event, Text};
+use tokio::net::TcpListener;
+
+use crate::journal::Journal;
+use crate::membership::{Oneself, PeerHealth, Step, decide};
+use crate::observe;
+use crate::segment::DataFolder;
+use crate::server::{self, Keeper};
+use crate::sync::Peers;
+
+const TICK: Duration = Duration::from_millis(1000);
+const QUICK_TICK: Duration = Duration::from_millis(150);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Settings of the role.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Machine name.
+    pub node: Text,
+    /// Zone.
+    pub zone: Text,
+    /// Address of the inner listener.
+    pub listen: SocketAddr,
+    /// Data folder.
+    pub data_folder: PathBuf,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Disks that may be lost at once.
+    pub tolerated_losses: usize,
+}
+
+/// One store process.
+pub struct StoreHost<S, I> {
+    settings: StoreSettings,
+    mirror: Rc<Mirror<S, I>>,
+    keeper: Rc<Keeper>,
+    peers: Rc<Peers>,
+    retirement_reported: Cell<bool>,
+}
+
+impl<S: KeyValueService + 'static, I: Interpreter + 'static> StoreHost<S, I> {
+    /// Recovers the disk and serves until the task is dropped.
+    pub async fn run(settings: StoreSettings, mirror: Rc<Mirror<S, I>>) -> io::Result<()> {
+        let folder = DataFolder::open(&settings.data_folder)?;
+        let recovered = folder.recover(rand::random(), settings.first_start)?;
+        let records: usize = recovered.segments.iter().map(|(_, records)| records.len()).sum();
+        let detail = format!(
+            "records={records} torn={} complete={} disk={:016x}",
+            recovered.torn, recovered.complete, recovered.disk
+        );
+        observe::event(Event::LogRecovered, &detail);
+        let next_segment = recovered.segments.last().map_or(0, |(number, _)| number + 1);
+        let (journal, results) = Journal::start(folder, next_segment)?;
+        let keeper = Rc::new(Keeper::new(settings.node.clone(), journal, recovered));
+        let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerated_losses));
+        let listener = TcpListener::bind(settings.listen).await?;
+        tokio::task::spawn_local(server::serve(keeper.clone(), listener));
+        let collector = keeper.clone();
+        tokio::task::spawn_local(async move { collector.collect(results).await });
+        mirror.seed((*keeper.members()).clone());
+        let host = Rc::new(Self {
+            settings,
+            mirror,
+            keeper,
+            peers,
+            retirement_reported: Cell::new(false),
+        });
+        host.follow();
+        let mirroring = host.clone();
+        tokio::task::spawn_local(async move {
+            mirroring.mirror.run(report_mirror_event).await;
+        });
+        host.keep_place().await;
+        Ok(())
+    }
+
+    fn follow(&self) {
+        let view = self.mirror.view();
+        self.keeper.set_members(view.members.clone());
+        self.peers.follow(&self.keeper.members());
+    }
+
+    async fn keep_place(&self) {
+        loop {
+            self.follow();
+            let step = self.next_step();
+            let acted = step != Step::Rest;
+            self.take(step).await;
+            let settled = self.keeper.complete()
+                && self.keeper.members().get(&self.settings.node).is_some()
+                && !self.retiring();
+            let pause = if settled && !acted { TICK } else { QUICK_TICK };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.mirror.changed() => {}
+            }
+        }
+    }
+
+    fn retiring(&self) -> bool {
+        self.mirror
+            .view()
+            .retirements
+            .contains_key(&self.settings.node)
+    }
+
+    fn next_step(&self) -> Step {
+        // Without an answer of the service the list may have moved.
+        if self.mirror.last_contact().is_none() {
+            return Step::Rest;
+        }
+        let members = self.keeper.members();
+        let end = self.keeper.end();
+        let others = members
+            .list
+            .iter()
+            .filter(|member| member.node != self.settings.node);
+        let peers: Vec<PeerHealth> = others
+            .clone()
+            .map(|member| PeerHealth {
+                node: member.node.clone(),
+                silent_for: self.peers.silent_for(&member.node).unwrap_or_default(),
+                caught_up: self.peers.caught_up_with(&member.node),
+            })
+            .collect();
+        let peers_holding_all = others
+            .filter(|member| member.state == MemberState::Active)
+            .filter(|member| self.keeper.held_by(&member.node) == end)
+            .count();
+        let oneself = Oneself {
+            node: self.settings.node.clone(),
+            address: Text::from(self.settings.listen.to_string()),
+            zone: self.settings.zone.clone(),
+            first_start: self.settings.first_start,
+            complete: self.keeper.complete(),
+            caught_up: self.peers.caught_up_with_group(),
+            retiring: self.retiring(),
+            peers_holding_all,
+        };
+        decide(&members, &oneself, &peers, self.settings.tolerated_losses)
+    }
+
+    async fn take(&self, step: Step) {
+        let (members, completed) = match step {
+            Step::Rest => return,
+            Step::Change(members) => (members, None),
+            Step::BeginRetirement(members) => (members, Some(false)),
+            Step::CompleteRetirement(members) => (members, Some(true)),
+        };
+        let mut writes = vec![self.members_write(&members)];
+        if let Some(completed) = completed {
+            let report = self
+                .mirror
+                .interpreter
+                .retirement_report(&self.settings.node, completed);
+            writes.push(report);
+        }
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: self.mirror.interpreter.members_key().to_owned(),
+                revision: self.mirror.view().members_revision,
+            }],
+            writes,
+        };
+        let outcome = self.mirror.service.transact(&transaction).await;
+        self.log_step(&members, completed, &outcome);
+        if outcome != Ok(TransactionOutcome::Done(0)) {
+            // Done, lost to another store, or without an answer: the list says.
+            if self.mirror.confirm_members().await.is_err() {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        if completed == Some(true) {
+            self.retirement_reported.set(true);
+        }
+    }
+
+    fn log_step(
+        &self,
+        members: &Members,
+        completed: Option<bool>,
+        outcome: &Result<TransactionOutcome, stageyoke_directory::KeyValueError>,
+    ) {
+        let nodes: Vec<&str> = members.list.iter().map(|member| member.node.as_str()).collect();
+        let detail = format!(
+            "version={} members={} retirement={completed:?} outcome={outcome:?}",
+            members.version,
+            nodes.join(",")
+        );
+        observe::event(Event::MembersProposed, &detail);
+    }
+
+    fn members_write(&self, members: &Members) -> Write {
+        Write {
+            key: self.mirror.interpreter.members_key().to_owned(),
+            value: members.serialize_bin().into(),
+        }
+    }
+}
+
+/// Logs what the mirror reports.
+pub fn report_mirror_event(event: MirrorEvent) {
+    match event {
+        MirrorEvent::Changed(changed) => {
+            observe::event(Event::ViewChanged, &format!("{changed:?}"));
+        }
+        MirrorEvent::Lost(error) => {
+            observe::event(Event::StoreUnreachable, &format!("error={error}"));
+        }
+        MirrorEvent::Regained => observe::event(Event::DependencyRegained, "key-value service"),
+        MirrorEvent::Unreadable(reason) => observe::event(Event::ItemUnreadable, &reason),
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/server.rs
@@ -0,0 +1,314 @@
+//! Answers fronts and other stores.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+
+use stageyoke_directory::{MemberState, Members};
+use stageyoke_types::{List, Text};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::frame;
+use crate::journal::{Appended, Journal};
+use crate::message::{JournalPosition, Numbered, Record, Refusal, Reply, Request};
+use crate::segment::Recovered;
+use crate::socket;
+use crate::state::State;
+
+/// Versions by which a caller's member list may lag: neighbouring versions
+/// have intersecting quorums.
+const MEMBERS_VERSION_SLACK: u64 = 1;
+
+struct Waiter {
+    record: Record,
+    done: Option<oneshot::Sender<bool>>,
+}
+
+#[derive(Debug)]
+struct SegmentUse {
+    number: u64,
+    records: usize,
+    last_write: u64,
+}
+
+/// A store's state with its journal; shared by the tasks of the process.
+pub struct Keeper {
+    /// Machine name of this store.
+    pub node: Text,
+    state: RefCell<State>,
+    journal: Journal,
+    waiting: RefCell<HashMap<u64, Waiter>>,
+    segments: RefCell<VecDeque<SegmentUse>>,
+    next_ticket: Cell<u64>,
+    complete: Cell<bool>,
+    members: RefCell<Rc<Members>>,
+    held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
+    started: Instant,
+}
+
+impl Keeper {
+    /// Builds the state from what a start found.
+    pub fn new(node: Text, journal: Journal, recovered: Recovered) -> Self {
+        let mut state = State::new(recovered.disk);
+        let mut segments = VecDeque::new();
+        for (number, records) in &recovered.segments {
+            for record in records {
+                state.add(record, 0);
+            }
+            segments.push_back(SegmentUse {
+                number: *number,
+                records: records.len(),
+                last_write: 0,
+            });
+        }
+        Self {
+            node,
+            state: RefCell::new(state),
+            journal,
+            waiting: RefCell::default(),
+            segments: RefCell::new(segments),
+            next_ticket: Cell::new(0),
+            complete: Cell::new(recovered.complete),
+            members: RefCell::new(Rc::new(recovered.members.unwrap_or_default())),
+            held_by_peers: RefCell::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Whether this store holds everything that it ever acknowledged.
+    pub fn complete(&self) -> bool {
+        self.complete.get()
+    }
+
+    /// Declares the store complete, for this life and the next.
+    pub fn set_complete(&self) {
+        if !self.complete.replace(true) {
+            self.journal.mark_complete();
+        }
+    }
+
+    /// Whether this store is being emptied.
+    pub fn leaving(&self) -> bool {
+        self.members()
+            .get(&self.node)
+            .is_some_and(|member| member.state == MemberState::Leaving)
+    }
+
+    /// The member list that this store goes by.
+    pub fn members(&self) -> Rc<Members> {
+        self.members.borrow().clone()
+    }
+
+    /// Takes a newer member list.
+    pub fn set_members(&self, members: Rc<Members>) {
+        if members.version > self.members().version {
+            self.journal.save_members(&members);
+            *self.members.borrow_mut() = members;
+        }
+    }
+
+    /// Position at the end of the journal.
+    pub fn end(&self) -> JournalPosition {
+        self.state.borrow().end()
+    }
+
+    /// Up to where a peer holds this journal on its own disk.
+    pub fn held_by(&self, node: &str) -> JournalPosition {
+        self.held_by_peers
+            .borrow()
+            .get(node)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Whether a record is held.
+    pub fn holds(&self, digest: u64) -> bool {
+        self.state.borrow().holds(digest)
+    }
+
+    /// Writes a record unless it is held. True once it is on the disk.
+    pub async fn keep(&self, record: Record) -> bool {
+        if self.holds(record.digest()) {
+            return true;
+        }
+        let (done, result) = oneshot::channel();
+        self.submit(record, Some(done));
+        result.await.unwrap_or(false)
+    }
+
+    fn submit(&self, record: Record, done: Option<oneshot::Sender<bool>>) {
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        self.journal.append(ticket, &record);
+        let waiter = Waiter { record, done };
+        self.waiting.borrow_mut().insert(ticket, waiter);
+    }
+
+    /// Takes the journal's results for ever.
+    pub async fn collect(&self, mut results: UnboundedReceiver<Vec<Appended>>) {
+        while let Some(batch) = results.recv().await {
+            let now = self.seconds();
+            for appended in batch {
+                self.finish(&appended, now);
+            }
+            self.expire(now);
+        }
+    }
+
+    fn finish(&self, appended: &Appended, now: u64) {
+        let Some(waiter) = self.waiting.borrow_mut().remove(&appended.ticket) else {
+            return;
+        };
+        if let Some(segment) = appended.segment {
+            self.state.borrow_mut().add(&waiter.record, now);
+            self.count_in_segment(segment, now);
+        }
+        if let Some(done) = waiter.done {
+            let _ = done.send(appended.segment.is_some());
+        }
+    }
+
+    fn count_in_segment(&self, number: u64, now: u64) {
+        let mut segments = self.segments.borrow_mut();
+        match segments.back_mut() {
+            Some(segment) if segment.number == number => {
+                segment.records += 1;
+                segment.last_write = now;
+            }
+            _ => segments.push_back(SegmentUse {
+                number,
+                records: 1,
+                last_write: now,
+            }),
+        }
+    }
+
+    fn expire(&self, now: u64) {
+        let oldest = {
+            let segments = self.segments.borrow();
+            match segments.front() {
+                Some(segment) if segments.len() > 1 => (segment.number, segment.records, segment.last_write),
+                _ => return,
+            }
+        };
+        let (number, records, last_write) = oldest;
+        if last_write + self.state.borrow().longest_keep() > now {
+            return;
+        }
+        self.segments.borrow_mut().pop_front();
+        let again = self.state.borrow_mut().expire(records, now);
+        for record in again {
+            self.submit(record, None);
+        }
+        // The journal works in order: the copies are written before this.
+        self.journal.remove(number);
+    }
+
+    fn seconds(&self) -> u64 {
+        self.started.elapsed().as_secs()
+    }
+
+    /// Answers one request.
+    pub async fn answer(&self, request: Request) -> Reply {
+        match request {
+            Request::Append {
+                members_version,
+                record,
+            } => self.append(members_version, record).await,
+            Request::Chain { turn } => self.state.borrow().chain(&turn, self.complete()),
+            Request::Digests { node, from, held } => {
+                self.held_by_peers.borrow_mut().insert(node, held);
+                self.state.borrow().digests(from, self.complete())
+            }
+            Request::Fetch { digests } => Reply::Records(self.state.borrow().fetch(&digests)),
+        }
+    }
+
+    async fn append(&self, members_version: u64, record: Record) -> Reply {
+        if let Some(refusal) = self.refusal(members_version) {
+            return Reply::Refused(refusal);
+        }
+        let program = match &record {
+            Record::Reserve { program, .. } => Some(program.clone()),
+            Record::Settle { .. } | Record::Turn(_) => None,
+        };
+        if !self.keep(record).await {
+            return Reply::Refused(Refusal::DiskRefused);
+        }
+        let ledger = match program {
+            Some(program) => self.state.borrow().ledger_entries(&program),
+            None => List::default(),
+        };
+        Reply::Kept {
+            complete: self.complete(),
+            ledger,
+        }
+    }
+
+    fn refusal(&self, members_version: u64) -> Option<Refusal> {
+        let members = self.members();
+        if members_version + MEMBERS_VERSION_SLACK < members.version {
+            return Some(Refusal::StaleMembers);
+        }
+        let active = members
+            .get(&self.node)
+            .is_some_and(|member| member.state == MemberState::Active);
+        (!active).then_some(Refusal::NotActive)
+    }
+}
+
+/// Accepts connections for ever.
+pub async fn serve(keeper: Rc<Keeper>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                socket::configure(&stream);
+                tokio::task::spawn_local(serve_connection(keeper.clone(), stream));
+            }
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn serve_connection(keeper: Rc<Keeper>, stream: TcpStream) {
+    let (reader, writer) = stream.into_split();
+    let (replies, outbox) = unbounded_channel();
+    let sending = tokio::task::spawn_local(send_replies(writer, outbox));
+    let mut reader = BufReader::new(reader);
+    while let Ok(request) = frame::read::<Numbered<Request>>(&mut reader).await {
+        tokio::task::spawn_local(answer_one(keeper.clone(), request, replies.clone()));
+    }
+    sending.abort();
+}
+
+async fn answer_one(
+    keeper: Rc<Keeper>,
+    request: Numbered<Request>,
+    replies: UnboundedSender<Vec<u8>>,
+) {
+    let content = keeper.answer(request.content).await;
+    let reply = Numbered {
+        number: request.number,
+        content,
+    };
+    let _ = replies.send(frame::encode(&reply));
+}
+
+/// Writes what waits in one go.
+pub async fn send_replies(
+    mut writer: impl AsyncWriteExt + Unpin,
+    mut outbox: UnboundedReceiver<Vec<u8>>,
+) -> io::Result<()> {
+    while let Some(mut bytes) = outbox.recv().await {
+        while let Ok(more) = outbox.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        writer.write_all(&bytes).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/socket.rs
@@ -0,0 +1,24 @@
+//! Options of the product's own TCP connections.
+
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+/// How long sent bytes may stay unacknowledged before the connection ends.
+pub const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Sends at once, and notices a silent peer within seconds.
+pub fn configure(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
--- /dev/null
+++ b/crates/stageyoke-store/src/sync.rs
@@ -0,0 +1,209 @@
+//! Keeps a store's records equal to those of its peers: digests are compared
+//! and what is missing is fetched, at once while the store is incomplete, else
+//! only what is still missing one round later.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::Members;
+use stageyoke_types::{Event, List, Text};
+use tokio::time::Instant;
+
+use crate::client::StoreClient;
+use crate::message::{JournalPosition, RecordDigest, Reply, Request};
+use crate::observe;
+use crate::server::Keeper;
+
+/// Pause between rounds with a peer.
+pub const ROUND_PAUSE: Duration = Duration::from_millis(1000);
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(100);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+const FETCH_PAGE: usize = 256;
+
+/// What is known of one peer.
+pub struct Peer {
+    client: StoreClient,
+    position: Cell<JournalPosition>,
+    caught_up: Cell<bool>,
+    last_answer: Cell<Option<Instant>>,
+    since: Instant,
+    late: RefCell<Vec<RecordDigest>>,
+}
+
+/// All peers of this store.
+pub struct Peers {
+    keeper: Rc<Keeper>,
+    tolerated_losses: usize,
+    peers: RefCell<HashMap<Text, Rc<Peer>>>,
+}
+
+impl Peers {
+    /// No peers yet.
+    pub fn new(keeper: Rc<Keeper>, tolerated_losses: usize) -> Self {
+        Self {
+            keeper,
+            tolerated_losses,
+            peers: RefCell::default(),
+        }
+    }
+
+    /// Follows the member list: new peers are compared with, gone ones dropped.
+    pub fn follow(self: &Rc<Self>, members: &Members) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|node, peer| {
+            members
+                .get(node)
+                .is_some_and(|member| member.address.as_str() == peer.client.address())
+        });
+        for member in members.list.iter() {
+            if member.node == self.keeper.node || peers.contains_key(&member.node) {
+                continue;
+            }
+            let peer = Rc::new(Peer {
+                client: StoreClient::new(&member.address),
+                position: Cell::default(),
+                caught_up: Cell::new(false),
+                last_answer: Cell::new(None),
+                since: Instant::now(),
+                late: RefCell::default(),
+            });
+            peers.insert(member.node.clone(), peer.clone());
+            let weak = Rc::downgrade(&peer);
+            let group = self.clone();
+            drop(peer);
+            tokio::task::spawn_local(async move {
+                while let Some(peer) = weak.upgrade() {
+                    let pause = group.round(&peer).await;
+                    drop(peer);
+                    tokio::time::sleep(pause).await;
+                }
+            });
+        }
+    }
+
+    /// How long this peer has not answered.
+    pub fn silent_for(&self, node: &str) -> Option<Duration> {
+        let peers = self.peers.borrow();
+        let peer = peers.get(node)?;
+        Some(peer.last_answer.get().unwrap_or(peer.since).elapsed())
+    }
+
+    /// Whether everything that this peer held is held here, since it was met.
+    pub fn caught_up_with(&self, node: &str) -> bool {
+        self.peers
+            .borrow()
+            .get(node)
+            .is_some_and(|peer| peer.caught_up.get())
+    }
+
+    async fn round(&self, peer: &Peer) -> Duration {
+        // A store that is being emptied takes nothing new: its end stands
+        // still, so that its peers can be seen to hold all of it.
+        if self.keeper.leaving() {
+            return ROUND_PAUSE;
+        }
+        match self.compare(peer).await {
+            Some(true) => CATCH_UP_PAUSE,
+            Some(false) if !self.keeper.complete() => CATCH_UP_PAUSE,
+            Some(false) | None => ROUND_PAUSE,
+        }
+    }
+
+    /// One page; whether there is more at once.
+    async fn compare(&self, peer: &Peer) -> Option<bool> {
+        let late = peer.late.take();
+        let still_missing: Vec<_> = late
+            .into_iter()
+            .filter(|digest| !self.keeper.holds(*digest))
+            .collect();
+        self.fetch(peer, &still_missing).await?;
+        let request = Request::Digests {
+            node: self.keeper.node.clone(),
+            from: peer.position.get(),
+            held: peer.position.get(),
+        };
+        let reply = self.call(peer, request).await?;
+        let Reply::Digests {
+            next,
+            more,
+            complete,
+            digests,
+        } = reply
+        else {
+            return None;
+        };
+        let missing: Vec<_> = digests
+            .iter()
+            .copied()
+            .filter(|digest| !self.keeper.holds(*digest))
+            .collect();
+        if self.keeper.complete() && peer.caught_up.get() {
+            *peer.late.borrow_mut() = missing;
+        } else {
+            self.fetch(peer, &missing).await?;
+        }
+        peer.position.set(next);
+        if !more && complete {
+            peer.caught_up.set(true);
+            self.judge_completeness();
+        }
+        Some(more)
+    }
+
+    async fn fetch(&self, peer: &Peer, digests: &[RecordDigest]) -> Option<()> {
+        for page in digests.chunks(FETCH_PAGE) {
+            let request = Request::Fetch {
+                digests: List(page.to_vec()),
+            };
+            let Reply::Records(records) = self.call(peer, request).await? else {
+                return None;
+            };
+            let mut kept = Vec::new();
+            for record in records {
+                let keeper = self.keeper.clone();
+                kept.push(tokio::task::spawn_local(
+                    async move { keeper.keep(record).await },
+                ));
+            }
+            for result in kept {
+                if !result.await.unwrap_or(false) {
+                    return None;
+                }
+            }
+        }
+        Some(())
+    }
+
+    async fn call(&self, peer: &Peer, request: Request) -> Option<Reply> {
+        let reply = peer.client.call(request, CALL_TIMEOUT).await.ok()?;
+        peer.last_answer.set(Some(Instant::now()));
+        Some(reply)
+    }
+
+    /// Whether so many peers have been caught up with that no kept record can
+    /// stand only elsewhere.
+    pub fn caught_up_with_group(&self) -> bool {
+        let members = self.keeper.members();
+        let Some(needed) = members.absence_quorum(self.tolerated_losses) else {
+            return false;
+        };
+        let caught_up = members
+            .list
+            .iter()
+            .filter(|member| self.caught_up_with(&member.node))
+            .count();
+        caught_up >= needed
+    }
+
+    /// A disk that lost its content is complete again once it has caught up
+    /// with the group.
+    fn judge_completeness(&self) {
+        if !self.keeper.complete() && self.caught_up_with_group() {
+            self.keeper.set_complete();
+            let detail = format!("members_version={}", self.keeper.members().version);
+            observe::event(Event::StoreComplete, &detail);
+        }
+    }
+}
--- a/crates/stageyoke-types/src/bounded.rs
+++ b/crates/stageyoke-types/src/bounded.rs
@@ -9,6 +9,7 @@
 use std::ops::{Deref, DerefMut};
 use std::sync::Arc;
 
+use bytes::Bytes;
 use nanoserde::{DeBin, DeBinErr, DeBinErrReason, SerBin};
 
 const PAYLOAD_BITS: u32 = 7;
@@ -132,6 +133,54 @@
     }
 }
 
+/// Immutable shared bytes, encoded as one copy; cloning it copies a pointer.
+#[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Blob(pub Bytes);
+
+impl From<Bytes> for Blob {
+    fn from(bytes: Bytes) -> Self {
+        Self(bytes)
+    }
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(Bytes::from(bytes))
+    }
+}
+
+impl Deref for Blob {
+    type Target = Bytes;
+    fn deref(&self) -> &Bytes {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Blob {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Blob({} bytes)", self.0.len())
+    }
+}
+
+impl SerBin for Blob {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        encode_length(self.0.len(), output);
+        output.extend_from_slice(&self.0);
+    }
+}
+
+impl DeBin for Blob {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        let length = decode_length(offset, bytes)?;
+        let rest = bytes.get(*offset..).unwrap_or_default();
+        let content = rest
+            .get(..length)
+            .ok_or_else(|| too_short(*offset, length, rest.len()))?;
+        *offset += length;
+        Ok(Self(Bytes::copy_from_slice(content)))
+    }
+}
+
 impl SerBin for Text {
     fn ser_bin(&self, output: &mut Vec<u8>) {
         encode_length(self.0.len(), output);
--- a/crates/stageyoke-types/src/error.rs
+++ b/crates/stageyoke-types/src/error.rs
@@ -122,6 +122,7 @@
     ConfigConflict, "config_conflict", 409, 20, RetryAdvice::Never, "Another operator applied a configuration first.";
     StoreUnavailable, "store_unavailable", 503, 21, RetryAdvice::After(5), "The key-value service did not answer.";
     StorageFull, "storage_full", 507, 22, RetryAdvice::After(30), "The data folder has reached its size limit.";
+    TokenBudgetSpent, "token_budget_spent", 402, 24, RetryAdvice::Never, "The program's turns have used or reserved all of its tokens; this one was not run.";
     Internal, "internal", 500, 23, RetryAdvice::After(1), "The node met a fault of its own.";
 }
 
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -56,4 +56,13 @@
     LogRecovered, 600, "info", "The data folder was read back after a restart.";
     LogTornTail, 601, "warn", "An incomplete record at the end of the log was cut off.";
     LogCorrupt, 602, "error", "A record of the log failed its checksum.";
+    StoreComplete, 603, "info", "A store holds again everything that its disk ever acknowledged.";
+    DependencyRegained, 700, "info", "A dependency that had been lost answers again.";
+    ViewChanged, 701, "info", "Routes, replicas or store members in use changed.";
+    ItemUnreadable, 702, "error", "An item of the key-value service could not be read and is ignored.";
+    MembersProposed, 703, "info", "This store proposed a change of the store group's member list.";
+    RequestEnded, 800, "info", "A request was answered or given up; its decisive inputs and outcome follow.";
+    SettingsReloaded, 801, "info", "The settings file was read again.";
+    ReplicaSuspended, 802, "warn", "A replica is not offered work for a while.";
+    ReplicaResumed, 803, "info", "A replica is offered work again.";
 }
--- a/crates/stageyoke-types/src/lib.rs
+++ b/crates/stageyoke-types/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod event;
 pub mod identifiers;
 
-pub use bounded::{List, Text};
+pub use bounded::{Blob, List, Text};
 pub use error::{ErrorKind, RetryAdvice, RunState};
 pub use event::Event;
 pub use identifiers::{
