A planned stop closes resting connections once the entry has left

Ruled out: a longer wait for requests under way (they came too late for any wait). Change: 2.6 s after the order listeners close and each connection ends after its answer.

--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -91,7 +91,10 @@
         let mut changed = Changed::default();
         if let Some(item) = item {
             let update = self.interpreter.interpret(&item.key, Some(&item.value));
-            self.edit(|view, changed| view.apply(update, item.revision, changed), &mut changed);
+            self.edit(
+                |view, changed| view.apply(update, item.revision, changed),
+                &mut changed,
+            );
         }
         *last_read = Some(started);
         Ok(())
@@ -103,7 +106,10 @@
         let mut changed = Changed::default();
         if let Some(item) = item {
             let update = self.interpreter.interpret(&item.key, Some(&item.value));
-            self.edit(|view, changed| view.apply(update, item.revision, changed), &mut changed);
+            self.edit(
+                |view, changed| view.apply(update, item.revision, changed),
+                &mut changed,
+            );
         }
         Ok(())
     }
@@ -177,17 +183,17 @@
             if let Update::Unreadable(reason) = &update {
                 report(MirrorEvent::Unreadable(reason.clone()));
             }
-            self.edit(|view, changed| view.apply(update, revision, changed), &mut changed);
+            self.edit(
+                |view, changed| view.apply(update, revision, changed),
+                &mut changed,
+            );
         }
         if changed != Changed::default() {
             report(MirrorEvent::Changed(changed));
         }
     }
 
-    async fn read_all(
-        &self,
-        report: &mut impl FnMut(MirrorEvent),
-    ) -> Result<u64, KeyValueError> {
+    async fn read_all(&self, report: &mut impl FnMut(MirrorEvent)) -> Result<u64, KeyValueError> {
         let mut pages: Vec<RangePage> = Vec::new();
         loop {
             let after = pages
@@ -220,7 +226,10 @@
                 Update::Unreadable(reason) => report(MirrorEvent::Unreadable(reason.clone())),
                 _ => {}
             }
-            self.edit(|view, changed| view.apply(update, item.revision, changed), &mut changed);
+            self.edit(
+                |view, changed| view.apply(update, item.revision, changed),
+                &mut changed,
+            );
         }
         self.edit(
             |view, changed| view.retain_seen(&replicas, &retirements, changed),
--- a/crates/stageyoke-front/src/activity.rs
+++ b/crates/stageyoke-front/src/activity.rs
@@ -48,3 +48,26 @@
         }
     }
 }
+
+/// A one-way switch: once begun, all that wait for it go on.
+#[derive(Debug, Default)]
+pub struct Closing {
+    begun: Cell<bool>,
+    waiting: Notify,
+}
+
+impl Closing {
+    /// Turns the switch.
+    pub fn begin(&self) {
+        self.begun.set(true);
+        self.waiting.notify_waiters();
+    }
+
+    /// Waits until the switch is turned.
+    pub async fn begun(&self) {
+        let notified = self.waiting.notified();
+        if !self.begun.get() {
+            notified.await;
+        }
+    }
+}
--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -128,7 +128,9 @@
     *request.uri_mut() = Uri::from(outbound.path.clone());
     *request.headers_mut() = outbound.headers.clone();
     if let Ok(instance) = HeaderValue::from_str(&replica.id) {
-        request.headers_mut().insert(names.instance.clone(), instance);
+        request
+            .headers_mut()
+            .insert(names.instance.clone(), instance);
     }
     request
 }
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -151,7 +151,10 @@
             .iter()
             .map(|replica| replica.candidate(zone, excluded))
             .collect();
-        let sound: Vec<bool> = replicas.iter().map(|replica| !replica.suspended()).collect();
+        let sound: Vec<bool> = replicas
+            .iter()
+            .map(|replica| !replica.suspended())
+            .collect();
         let any_sound = candidates
             .iter()
             .zip(&sound)
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -13,7 +13,7 @@
 use stageyoke_types::{Event, Text};
 use tokio::net::TcpListener;
 
-use crate::activity::Activity;
+use crate::activity::{Activity, Closing};
 use crate::fleet::Fleet;
 use crate::history::History;
 use crate::names::Names;
@@ -21,9 +21,9 @@
 use crate::server;
 use crate::shares::Shares;
 
-/// A planned stop takes new connections at least this long, until the entry
-/// has seen that the front is not ready.
-const STOP_LISTENING_AFTER: Duration = Duration::from_millis(3200);
+/// A planned stop takes connections and requests this long, until the entry
+/// has seen that the front is not ready; then resting connections are closed.
+const STOP_LISTENING_AFTER: Duration = Duration::from_millis(2600);
 /// Part of the grace that is left for the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -60,6 +60,8 @@
     pub history: Rc<History>,
     /// Requests under way.
     pub activity: Activity,
+    /// Tells the listeners and connections to close.
+    pub closing: Closing,
     draining: Cell<bool>,
 }
 
@@ -98,6 +100,7 @@
         shares: Shares::default(),
         history: Rc::new(History::new(group)),
         activity: Activity::default(),
+        closing: Closing::default(),
         draining: Cell::new(false),
     });
     let callers = TcpListener::bind(settings.listen).await?;
@@ -121,6 +124,7 @@
     let most = settings.grace.saturating_sub(GRACE_MARGIN);
     let finish = async {
         tokio::time::sleep(STOP_LISTENING_AFTER.min(most)).await;
+        front.closing.begin();
         front.activity.idle().await;
     };
     let finished = tokio::time::timeout(most, finish).await.is_ok();
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -87,8 +87,10 @@
         story: &mut Story,
     ) -> Result<Response<FrontBody>, Failure> {
         let (head, body) = request.into_parts();
-        let figures = Figures::read(&head.headers, &self.names, arrived)
-            .ok_or(Failure::last(ErrorKind::BadRequest, "no_request_identifier"))?;
+        let figures = Figures::read(&head.headers, &self.names, arrived).ok_or(Failure::last(
+            ErrorKind::BadRequest,
+            "no_request_identifier",
+        ))?;
         story.request = figures.request.to_string();
         story.program = figures.program.to_string();
         let host = host(&head.headers).unwrap_or_default();
@@ -127,11 +129,7 @@
         self.run(call, story).await
     }
 
-    async fn find_route(
-        &self,
-        host: &str,
-        path: &str,
-    ) -> Result<(Rc<RouteTable>, Route), Failure> {
+    async fn find_route(&self, host: &str, path: &str) -> Result<(Rc<RouteTable>, Route), Failure> {
         let unknown = Failure::come_back(ErrorKind::Unavailable, "no_configuration", SOON);
         let routes = self.mirror.view().routes.clone();
         if let Some(routes) = routes
@@ -164,8 +162,7 @@
         mut call: Call,
         story: &mut Story,
     ) -> Result<Response<FrontBody>, Failure> {
-        let (reservation, transcript) =
-            tokio::join!(self.reserve(&call), self.transcript(&call));
+        let (reservation, transcript) = tokio::join!(self.reserve(&call), self.transcript(&call));
         let mut reservation = match reservation {
             Ok(granted) => granted,
             Err(failure) => {
@@ -190,7 +187,10 @@
         if !call.route.keeps_history {
             return Ok(None);
         }
-        let left = call.outbound.deadline.saturating_duration_since(Instant::now());
+        let left = call
+            .outbound
+            .deadline
+            .saturating_duration_since(Instant::now());
         let within = left.min(LOOK_UP_WITHIN);
         match self.history.transcript(previous, within).await {
             Transcript::Found(text) => Ok(Some(text)),
@@ -212,18 +212,22 @@
             return Ok(None);
         }
         let (program, turn) = (figures.program.clone(), figures.request.clone());
-        let left = call.outbound.deadline.saturating_duration_since(Instant::now());
+        let left = call
+            .outbound
+            .deadline
+            .saturating_duration_since(Instant::now());
         let within = left.min(RESERVE_WITHIN);
         let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let most = figures.most_tokens;
         let mut ledger = self.history.reserve(&program, &turn, most, within).await;
-        if matches!(ledger, Err(GroupError::StaleMembers)) && self.mirror.confirm_members().await.is_ok() {
+        if matches!(ledger, Err(GroupError::StaleMembers))
+            && self.mirror.confirm_members().await.is_ok()
+        {
             self.history.group.follow(&self.mirror.view().members);
             ledger = self.history.reserve(&program, &turn, most, within).await;
         }
-        let ledger = ledger.map_err(|_| {
-            Failure::come_back(ErrorKind::Unavailable, "budget_not_reserved", SOON)
-        })?;
+        let ledger = ledger
+            .map_err(|_| Failure::come_back(ErrorKind::Unavailable, "budget_not_reserved", SOON))?;
         if ledger.total_without(&turn) + u64::from(most) > budget {
             return Err(Failure::last(ErrorKind::TokenBudgetSpent, "budget_spent"));
         }
@@ -286,7 +290,11 @@
             }
         }
         if runs == 0 {
-            return Err(Failure::come_back(ErrorKind::Overloaded, "no_replica", SOON));
+            return Err(Failure::come_back(
+                ErrorKind::Overloaded,
+                "no_replica",
+                SOON,
+            ));
         }
         match call.route.repeatable() {
             true => Err(Failure::last(ErrorKind::BackEndFailed, "replicas_failed")),
@@ -302,14 +310,17 @@
                 true => placement::hash_text(&figures.request),
                 false => placement::hash_text(&figures.program),
             };
-            return self.fleet.choose(service, &self.zone, excluded, |candidates| {
-                placement::choose_engine(candidates, affinity)
-            });
+            return self
+                .fleet
+                .choose(service, &self.zone, excluded, |candidates| {
+                    placement::choose_engine(candidates, affinity)
+                });
         }
         let tie = rand::random();
-        self.fleet.choose(service, &self.zone, excluded, |candidates| {
-            placement::choose_plain(candidates, tie)
-        })
+        self.fleet
+            .choose(service, &self.zone, excluded, |candidates| {
+                placement::choose_plain(candidates, tie)
+            })
     }
 
     /// Checks an answer; a plain one is read whole. `may_retry` says whether a
@@ -321,7 +332,10 @@
         may_retry: bool,
     ) -> Result<Served, &'static str> {
         let status = answer.response.status();
-        let signed = answer.response.headers().contains_key(&self.names.signature);
+        let signed = answer
+            .response
+            .headers()
+            .contains_key(&self.names.signature);
         if status.is_success() && !signed {
             return Err("unsigned_answer");
         }
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -147,7 +147,11 @@
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             let within = left.min(COMMIT_TRY);
-            let error = match self.group.append(Record::Turn(record.clone()), within).await {
+            let error = match self
+                .group
+                .append(Record::Turn(record.clone()), within)
+                .await
+            {
                 Ok(_) => break,
                 Err(error) => error,
             };
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -58,7 +58,11 @@
 
 fn least_loaded(candidates: &[Candidate], tie: u64) -> Option<usize> {
     let load = |candidate: &Candidate| {
-        let handicap = if candidate.local { 0.0 } else { REMOTE_HANDICAP };
+        let handicap = if candidate.local {
+            0.0
+        } else {
+            REMOTE_HANDICAP
+        };
         (f64::from(candidate.in_flight) + handicap) / f64::from(candidate.slots.max(1))
     };
     candidates
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -10,13 +10,13 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::fleet::{InFlight, Replica};
-use crate::upstream::Connection;
 use crate::body::{CutShort, Piece};
 use crate::events::{EventSplitter, collect_data};
+use crate::fleet::{InFlight, Replica};
 use crate::history::{History, Reservation, turn_record};
 use crate::observe::{self, Story};
 use crate::request::Figures;
+use crate::upstream::Connection;
 
 /// Pieces that wait for a caller who reads slowly.
 pub const PIECES_AHEAD: usize = 16;
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -21,13 +21,17 @@
 /// caller stops reusing it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Accepts callers for ever.
+/// Accepts callers until the front closes.
 pub async fn serve_callers<S: KeyValueService + 'static, I: Interpreter + 'static>(
     front: Rc<Front<S, I>>,
     listener: TcpListener,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = front.closing.begun() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_caller(front.clone(), stream));
             }
@@ -47,8 +51,9 @@
         .routes
         .as_ref()
         .map(|routes| routes.limits.clone());
+    let serving = front.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let front = front.clone();
+        let front = serving.clone();
         async move { Ok::<_, Infallible>(front.handle(request).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
@@ -56,9 +61,13 @@
     if let Some(limits) = limits {
         apply_limits(&mut builder, &limits);
     }
-    let _ = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = front.closing.begun() => connection.as_mut().graceful_shutdown(),
+    }
+    // A resting connection ends now, a busy one after its answer.
+    let _ = connection.await;
 }
 
 fn apply_limits(builder: &mut hyper::server::conn::http1::Builder, limits: &Limits) {
--- a/crates/stageyoke-front/src/shares.rs
+++ b/crates/stageyoke-front/src/shares.rs
@@ -31,7 +31,11 @@
             turns.targets = route.targets.clone();
             turns.credit = vec![0; route.targets.len()];
         }
-        let total: i64 = turns.targets.iter().map(|target| i64::from(target.weight)).sum();
+        let total: i64 = turns
+            .targets
+            .iter()
+            .map(|target| i64::from(target.weight))
+            .sum();
         for (credit, target) in turns.credit.iter_mut().zip(&turns.targets) {
             *credit += i64::from(target.weight);
         }
--- a/crates/stageyoke-front/src/upstream.rs
+++ b/crates/stageyoke-front/src/upstream.rs
@@ -72,7 +72,12 @@
 }
 
 fn timeout_seconds(parameter: &str) -> Option<u64> {
-    parameter.trim().strip_prefix("timeout=")?.trim().parse().ok()
+    parameter
+        .trim()
+        .strip_prefix("timeout=")?
+        .trim()
+        .parse()
+        .ok()
 }
 
 impl Drop for Connection {
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -250,9 +250,17 @@
                 }
             };
             answered += 1;
-            if let Some(Some(Reply::Chain { complete, parts, missing })) = answer {
+            if let Some(Some(Reply::Chain {
+                complete,
+                parts,
+                missing,
+            })) = answer
+            {
                 if !parts.is_empty() {
-                    return StepOutcome::Parts { found: parts.0, missing };
+                    return StepOutcome::Parts {
+                        found: parts.0,
+                        missing,
+                    };
                 }
                 absent += usize::from(complete);
                 if absent >= absence {
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -103,7 +103,10 @@
             let mut bytes = Vec::new();
             while let Some(command) = next {
                 match command {
-                    Command::Append { ticket, bytes: record } => {
+                    Command::Append {
+                        ticket,
+                        bytes: record,
+                    } => {
                         tickets.push(ticket);
                         bytes.extend_from_slice(&record);
                     }
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -96,12 +96,7 @@
     Step::Rest
 }
 
-fn retire(
-    members: &Members,
-    current: &Member,
-    oneself: &Oneself,
-    tolerated_losses: usize,
-) -> Step {
+fn retire(members: &Members, current: &Member, oneself: &Oneself, tolerated_losses: usize) -> Step {
     if current.state == MemberState::Active {
         let leaving = Member {
             state: MemberState::Leaving,
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -58,13 +58,20 @@
     pub async fn run(settings: StoreSettings, mirror: Rc<Mirror<S, I>>) -> io::Result<()> {
         let folder = DataFolder::open(&settings.data_folder)?;
         let recovered = folder.recover(rand::random(), settings.first_start)?;
-        let records: usize = recovered.segments.iter().map(|(_, records)| records.len()).sum();
+        let records: usize = recovered
+            .segments
+            .iter()
+            .map(|(_, records)| records.len())
+            .sum();
         let detail = format!(
             "records={records} torn={} complete={} disk={:016x}",
             recovered.torn, recovered.complete, recovered.disk
         );
         observe::event(Event::LogRecovered, &detail);
-        let next_segment = recovered.segments.last().map_or(0, |(number, _)| number + 1);
+        let next_segment = recovered
+            .segments
+            .last()
+            .map_or(0, |(number, _)| number + 1);
         let (journal, results) = Journal::start(folder, next_segment)?;
         let keeper = Rc::new(Keeper::new(settings.node.clone(), journal, recovered));
         let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerated_losses));
@@ -196,7 +203,11 @@
         completed: Option<bool>,
         outcome: &Result<TransactionOutcome, stageyoke_directory::KeyValueError>,
     ) {
-        let nodes: Vec<&str> = members.list.iter().map(|member| member.node.as_str()).collect();
+        let nodes: Vec<&str> = members
+            .list
+            .iter()
+            .map(|member| member.node.as_str())
+            .collect();
         let detail = format!(
             "version={} members={} retirement={completed:?} outcome={outcome:?}",
             members.version,
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -192,7 +192,9 @@
         let oldest = {
             let segments = self.segments.borrow();
             match segments.front() {
-                Some(segment) if segments.len() > 1 => (segment.number, segment.records, segment.last_write),
+                Some(segment) if segments.len() > 1 => {
+                    (segment.number, segment.records, segment.last_write)
+                }
                 _ => return,
             }
         };
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -92,8 +92,16 @@
         });
         holding.copies += 1;
         match record {
-            Record::Reserve { program, turn, most } => self.reserve(program, turn, *most, now),
-            Record::Settle { program, turn, used } => self.settle(program, turn, *used, now),
+            Record::Reserve {
+                program,
+                turn,
+                most,
+            } => self.reserve(program, turn, *most, now),
+            Record::Settle {
+                program,
+                turn,
+                used,
+            } => self.settle(program, turn, *used, now),
             Record::Turn(turn) => self.add_turn(turn, now),
         }
     }
@@ -124,7 +132,9 @@
             amount: used,
             settled: true,
         };
-        self.ledger(program, now).entries.insert(turn.clone(), entry);
+        self.ledger(program, now)
+            .entries
+            .insert(turn.clone(), entry);
     }
 
     fn add_turn(&mut self, record: &TurnRecord, now: u64) {
@@ -194,8 +204,13 @@
             self.first
         };
         let offset = (start - self.first) as usize;
-        let page: List<RecordDigest> =
-            self.journal.iter().skip(offset).take(DIGEST_PAGE).copied().collect();
+        let page: List<RecordDigest> = self
+            .journal
+            .iter()
+            .skip(offset)
+            .take(DIGEST_PAGE)
+            .copied()
+            .collect();
         let next = start + page.len() as u64;
         Reply::Digests {
             next: JournalPosition {
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -163,9 +163,9 @@
             let mut kept = Vec::new();
             for record in records {
                 let keeper = self.keeper.clone();
-                kept.push(tokio::task::spawn_local(
-                    async move { keeper.keep(record).await },
-                ));
+                kept.push(tokio::task::spawn_local(async move {
+                    keeper.keep(record).await
+                }));
             }
             for result in kept {
                 if !result.await.unwrap_or(false) {
