Tests of the mirror, the quorums, the disk and the store group

Loopback sockets and real disks for the group; virtual time for the mirror; all subsets for the quorums.

--- /dev/null
+++ b/crates/stageyoke-directory/tests/mirror_test.rs
@@ -0,0 +1,261 @@
+//! The mirror against a scripted key-value service.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use stageyoke_directory::{
+    Change, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, MirrorEvent,
+    RangePage, ReplicaRecord, ReplicaState, RouteTable, Transaction, TransactionOutcome, Update,
+    WatchOutcome, Write,
+};
+use stageyoke_types::Text;
+
+#[derive(Default)]
+struct Script {
+    items: RefCell<BTreeMap<String, (Bytes, u64)>>,
+    revision: RefCell<u64>,
+    watches: RefCell<VecDeque<Result<WatchOutcome, KeyValueError>>>,
+    ranges: RefCell<u32>,
+    gets: RefCell<u32>,
+    down: RefCell<bool>,
+}
+
+impl Script {
+    fn put(&self, key: &str, value: &str) -> Item {
+        let revision = *self.revision.borrow() + 1;
+        *self.revision.borrow_mut() = revision;
+        let value = Bytes::from(value.to_owned());
+        self.items
+            .borrow_mut()
+            .insert(key.to_owned(), (value.clone(), revision));
+        Item {
+            key: key.to_owned(),
+            value,
+            revision,
+        }
+    }
+}
+
+struct Service(Rc<Script>);
+
+impl KeyValueService for Service {
+    async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
+        *self.0.gets.borrow_mut() += 1;
+        tokio::time::sleep(Duration::from_millis(4)).await;
+        if *self.0.down.borrow() {
+            return Err(KeyValueError::NoAnswer);
+        }
+        let items = self.0.items.borrow();
+        Ok(items.get(key).map(|(value, revision)| Item {
+            key: key.to_owned(),
+            value: value.clone(),
+            revision: *revision,
+        }))
+    }
+
+    async fn range(&self, _: &str, after: Option<&str>) -> Result<RangePage, KeyValueError> {
+        if *self.0.down.borrow() {
+            return Err(KeyValueError::Refused);
+        }
+        *self.0.ranges.borrow_mut() += 1;
+        let items = self.0.items.borrow();
+        let rest: Vec<_> = items
+            .iter()
+            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after))
+            .map(|(key, (value, revision))| Item {
+                key: key.clone(),
+                value: value.clone(),
+                revision: *revision,
+            })
+            .collect();
+        Ok(RangePage {
+            more: rest.len() > 2,
+            items: rest.into_iter().take(2).collect(),
+            revision: *self.0.revision.borrow(),
+        })
+    }
+
+    async fn watch(&self, _: &str, _: u64, wait: Duration) -> Result<WatchOutcome, KeyValueError> {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let next = self.0.watches.borrow_mut().pop_front();
+        match next {
+            Some(outcome) => outcome,
+            None => {
+                tokio::time::sleep(wait).await;
+                Ok(WatchOutcome::Changes {
+                    changes: Vec::new(),
+                    revision: *self.0.revision.borrow(),
+                })
+            }
+        }
+    }
+
+    async fn transact(&self, _: &Transaction) -> Result<TransactionOutcome, KeyValueError> {
+        Ok(TransactionOutcome::Conflict)
+    }
+}
+
+struct Words;
+
+impl Interpreter for Words {
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
+        let text = value.and_then(|value| std::str::from_utf8(value).ok());
+        match (key.split_once('/'), text) {
+            (Some(("replica", id)), text) => Update::Replica {
+                id: Text::from(id),
+                record: text.map(record),
+            },
+            (Some(("routes", _)), Some(version)) => match version.parse() {
+                Ok(version) => Update::Routes(table(version)),
+                Err(_) => Update::Unreadable("version".to_owned()),
+            },
+            _ => Update::Ignored,
+        }
+    }
+    fn prefix(&self) -> &str {
+        ""
+    }
+    fn routes_key(&self) -> &str {
+        "routes/all"
+    }
+    fn members_key(&self) -> &str {
+        "members"
+    }
+    fn retirement_report(&self, node: &str, _: bool) -> Write {
+        Write {
+            key: node.to_owned(),
+            value: Bytes::new(),
+        }
+    }
+}
+
+fn record(service: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        service: Text::from(service),
+        address: Text::from("127.0.0.1:1"),
+        zone: Text::from("zone"),
+        slots: 1,
+        state: ReplicaState::Ready,
+    }
+}
+
+fn table(version: u64) -> RouteTable {
+    RouteTable {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+    }
+}
+
+async fn play(
+    script: &Rc<Script>,
+    watches: Vec<Result<WatchOutcome, KeyValueError>>,
+    span: Duration,
+) -> (Mirror<Service, Words>, Vec<MirrorEvent>) {
+    script.watches.borrow_mut().extend(watches);
+    let mirror = Mirror::new(Service(script.clone()), Words);
+    let mut events = Vec::new();
+    let _ = tokio::time::timeout(span, mirror.run(|event| events.push(event))).await;
+    (mirror, events)
+}
+
+#[tokio::test(start_paused = true)]
+async fn reads_all_pages_then_follows_changes() {
+    let script = Rc::new(Script::default());
+    for id in ["a", "b", "c", "d", "e"] {
+        script.put(&format!("replica/{id}"), "service");
+    }
+    let removed = WatchOutcome::Changes {
+        changes: vec![Change::Removed {
+            key: "replica/c".to_owned(),
+            revision: 6,
+        }],
+        revision: 6,
+    };
+    let (mirror, _) = play(&script, vec![Ok(removed)], Duration::from_secs(1)).await;
+    let ids: Vec<String> = mirror.view().replicas.keys().map(Text::to_string).collect();
+    assert_eq!(ids, ["a", "b", "d", "e"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn forgotten_history_is_read_again_and_drops_what_left_meanwhile() {
+    let script = Rc::new(Script::default());
+    script.put("replica/a", "service");
+    script.put("replica/b", "service");
+    let gone = script.clone();
+    let mirror = Mirror::new(Service(script.clone()), Words);
+    let _ = tokio::time::timeout(Duration::from_millis(50), mirror.run(|_| {})).await;
+    gone.items.borrow_mut().remove("replica/a");
+    script
+        .watches
+        .borrow_mut()
+        .push_back(Ok(WatchOutcome::HistoryGone));
+    let _ = tokio::time::timeout(Duration::from_secs(1), mirror.run(|_| {})).await;
+    let ids: Vec<String> = mirror.view().replicas.keys().map(Text::to_string).collect();
+    assert_eq!(ids, ["b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_version_never_falls() {
+    let script = Rc::new(Script::default());
+    script.put("routes/all", "7");
+    let older = Item {
+        key: "routes/all".to_owned(),
+        value: Bytes::from_static(b"5"),
+        revision: 9,
+    };
+    let outcome = WatchOutcome::Changes {
+        changes: vec![Change::Written(older)],
+        revision: 9,
+    };
+    let (mirror, _) = play(&script, vec![Ok(outcome)], Duration::from_secs(1)).await;
+    assert_eq!(mirror.view().routes.as_ref().expect("routes").version, 7);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_told_once_and_its_end_once() {
+    let script = Rc::new(Script::default());
+    script.put("replica/a", "service");
+    let failures = vec![
+        Err(KeyValueError::NoAnswer),
+        Err(KeyValueError::Refused),
+        Err(KeyValueError::Throttled),
+    ];
+    let (mirror, events) = play(&script, failures, Duration::from_secs(15)).await;
+    let lost = events
+        .iter()
+        .filter(|event| matches!(event, MirrorEvent::Lost(_)))
+        .count();
+    let regained = events
+        .iter()
+        .filter(|event| matches!(event, MirrorEvent::Regained))
+        .count();
+    assert_eq!((lost, regained), (1, 1));
+    assert_eq!(mirror.view().replicas.len(), 1, "the view stays meanwhile");
+}
+
+#[tokio::test(start_paused = true)]
+async fn concurrent_confirmations_share_a_read_that_began_after_them() {
+    let script = Rc::new(Script::default());
+    script.put("routes/all", "3");
+    let mirror = Mirror::new(Service(script.clone()), Words);
+    let first = mirror.confirm_routes();
+    let (one, two, three) = tokio::join!(first, mirror.confirm_routes(), mirror.confirm_routes());
+    assert!(one.is_ok() && two.is_ok() && three.is_ok());
+    assert_eq!(mirror.view().routes.as_ref().expect("routes").version, 3);
+    assert!(
+        *script.gets.borrow() <= 2,
+        "at most one more than the first"
+    );
+    *script.down.borrow_mut() = true;
+    assert!(mirror.confirm_routes().await.is_err());
+}
--- /dev/null
+++ b/crates/stageyoke-store/tests/disk_test.rs
@@ -0,0 +1,108 @@
+//! The data folder: torn tails, lost content, order of segments.
+
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+
+use proptest::prelude::*;
+use stageyoke_store::message::{Record, TurnRecord};
+use stageyoke_store::segment::{DataFolder, decode_records, encode_record};
+use stageyoke_types::{Blob, Text};
+
+fn turn(number: u32) -> Record {
+    Record::Turn(TurnRecord {
+        turn: Text::from(format!("turn-{number}")),
+        program: Text::from("program"),
+        previous: Text::default(),
+        input: Blob::from(vec![7; (number % 50) as usize]),
+        output: Blob::from(b"said\n".to_vec()),
+        used: number,
+        retention_seconds: 60,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Whatever is left of a torn write, every record before it is read, and
+    /// nothing is made up.
+    #[test]
+    fn a_torn_tail_loses_only_what_was_not_whole(
+        count in 1_u32..12,
+        cut in 0_usize..400,
+        noise in proptest::collection::vec(any::<u8>(), 0..40),
+    ) {
+        let records: Vec<Record> = (0..count).map(turn).collect();
+        let mut bytes = Vec::new();
+        let mut ends = vec![0];
+        for record in &records {
+            encode_record(record, &mut bytes);
+            ends.push(bytes.len());
+        }
+        let cut = cut.min(bytes.len());
+        bytes.truncate(cut);
+        let whole = ends.iter().filter(|end| **end > 0 && **end <= cut).count();
+        bytes.extend_from_slice(&noise);
+        let (read, _) = decode_records(&bytes);
+        prop_assert!(read.len() >= whole);
+        prop_assert_eq!(&read[..whole], &records[..whole]);
+        prop_assert!(read[whole..].iter().all(|record| records.contains(record)));
+    }
+}
+
+#[test]
+fn zeroed_bytes_are_damage() {
+    let mut bytes = Vec::new();
+    encode_record(&turn(1), &mut bytes);
+    bytes.extend_from_slice(&[0; 64]);
+    let (read, damaged) = decode_records(&bytes);
+    assert_eq!((read.len(), damaged), (1, true));
+}
+
+#[test]
+fn only_the_first_start_makes_an_empty_disk_complete() {
+    let first = tempfile::tempdir().expect("folder");
+    let folder = DataFolder::open(first.path()).expect("open");
+    assert!(folder.recover(1, true).expect("recover").complete);
+    let again = folder.recover(2, false).expect("recover");
+    assert!(again.complete, "a restart keeps it");
+    assert_eq!(again.disk, 1, "and the disk's identity");
+    let wiped = tempfile::tempdir().expect("folder");
+    let folder = DataFolder::open(wiped.path()).expect("open");
+    assert!(!folder.recover(3, false).expect("recover").complete);
+    folder.mark_complete().expect("mark");
+    assert!(folder.recover(4, false).expect("recover").complete);
+}
+
+#[test]
+fn segments_come_back_in_order_up_to_their_damage() {
+    let path = tempfile::tempdir().expect("folder");
+    let folder = DataFolder::open(path.path()).expect("open");
+    folder.recover(1, true).expect("recover");
+    for number in [0_u64, 1, 10, 2] {
+        let mut bytes = Vec::new();
+        encode_record(&turn(number as u32), &mut bytes);
+        folder
+            .create_segment(number)
+            .expect("create")
+            .write_all(&bytes)
+            .expect("write");
+    }
+    let damaged = path.path().join("segment-0000000001");
+    let mut file = OpenOptions::new().append(true).open(damaged).expect("open");
+    file.write_all(&[9, 9, 9]).expect("write");
+    let recovered = folder.recover(2, false).expect("recover");
+    let numbers: Vec<u64> = recovered
+        .segments
+        .iter()
+        .map(|(number, _)| *number)
+        .collect();
+    assert_eq!(numbers, [0, 1, 2, 10]);
+    assert!(
+        recovered
+            .segments
+            .iter()
+            .all(|(_, records)| records.len() == 1)
+    );
+    assert_eq!(recovered.torn, 1);
+    fs::remove_dir_all(path.path()).expect("remove");
+}
--- /dev/null
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -0,0 +1,274 @@
+//! A front's view of a group of real stores on loopback sockets and disks.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_store::journal::Journal;
+use stageyoke_store::message::{Record, TurnRecord};
+use stageyoke_store::segment::DataFolder;
+use stageyoke_store::server::{self, Keeper};
+use stageyoke_store::sync::Peers;
+use stageyoke_store::{ChainOutcome, Group, GroupError};
+use stageyoke_types::{Blob, Text};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, LocalSet};
+
+const LOSSES: usize = 1;
+const WITHIN: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(300);
+
+struct Store {
+    keeper: Rc<Keeper>,
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    folder: TempDir,
+}
+
+impl Store {
+    async fn start(number: usize, first_start: bool) -> Self {
+        let folder = tempfile::tempdir().expect("folder");
+        Self::start_in(number, first_start, folder).await
+    }
+
+    async fn start_in(number: usize, first_start: bool, folder: TempDir) -> Self {
+        let data = DataFolder::open(folder.path()).expect("open");
+        let recovered = data
+            .recover(number as u64 + 1, first_start)
+            .expect("recover");
+        let next = recovered
+            .segments
+            .last()
+            .map_or(0, |(number, _)| number + 1);
+        let (journal, results) = Journal::start(data, next).expect("journal");
+        let node = Text::from(format!("store-{number}"));
+        let keeper = Rc::new(Keeper::new(node, journal, recovered));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let collector = keeper.clone();
+        let tasks = vec![
+            tokio::task::spawn_local(server::serve(keeper.clone(), listener)),
+            tokio::task::spawn_local(async move { collector.collect(results).await }),
+        ];
+        Self {
+            keeper,
+            address,
+            tasks,
+            folder,
+        }
+    }
+
+    fn stop(&self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+fn list(stores: &[Store]) -> Rc<Members> {
+    let members = stores.iter().fold(Members::default(), |list, store| {
+        list.with(Member {
+            node: store.keeper.node.clone(),
+            address: Text::from(store.address.to_string()),
+            zone: Text::from("zone"),
+            state: MemberState::Active,
+        })
+    });
+    Rc::new(members)
+}
+
+async fn group_of(count: usize) -> (Vec<Store>, Rc<Group>) {
+    let mut stores = Vec::new();
+    for number in 0..count {
+        stores.push(Store::start(number, true).await);
+    }
+    let members = list(&stores);
+    for store in &stores {
+        store.keeper.set_members(members.clone());
+    }
+    let group = Rc::new(Group::new(Text::from("zone"), LOSSES));
+    group.follow(&members);
+    (stores, group)
+}
+
+fn turn(name: &str, previous: &str) -> Record {
+    Record::Turn(TurnRecord {
+        turn: Text::from(name),
+        program: Text::from("program"),
+        previous: Text::from(previous),
+        input: Blob::from(b"ask\n".to_vec()),
+        output: Blob::from(b"say\n".to_vec()),
+        used: 10,
+        retention_seconds: 60,
+    })
+}
+
+fn reserve(turn: &str) -> Record {
+    Record::Reserve {
+        program: Text::from("program"),
+        turn: Text::from(turn),
+        most: 100,
+    }
+}
+
+async fn local<T>(work: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(work).await
+}
+
+#[tokio::test]
+async fn one_store_may_be_lost_but_not_two() {
+    local(async {
+        let (stores, group) = group_of(3).await;
+        stores[0].stop();
+        group
+            .append(turn("one", ""), WITHIN)
+            .await
+            .expect("two of three keep it");
+        stores[1].stop();
+        let group = Group::new(Text::from("zone"), LOSSES);
+        group.follow(&list(&stores));
+        let record = turn("two", "one");
+        let error = group
+            .append(record, SHORT)
+            .await
+            .expect_err("one is too few");
+        assert_eq!(error, GroupError::NoQuorum);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn absence_is_told_only_when_no_kept_copy_can_hide() {
+    local(async {
+        let (stores, group) = group_of(3).await;
+        let unknown = Text::from("unknown");
+        let outcome = group.chain(&unknown, WITHIN).await;
+        assert!(matches!(outcome, ChainOutcome::Absent(turn) if turn == unknown));
+        stores[0].stop();
+        stores[1].stop();
+        // Only the listeners end here: a new group has no open connections.
+        let group = Group::new(Text::from("zone"), LOSSES);
+        group.follow(&list(&stores));
+        let outcome = group.chain(&unknown, SHORT).await;
+        assert!(matches!(outcome, ChainOutcome::Unsure), "{outcome:?}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_store_with_a_lost_disk_never_vouches_for_absence() {
+    local(async {
+        let (mut stores, _) = group_of(2).await;
+        stores.push(Store::start(2, false).await);
+        let members = list(&stores);
+        for store in &stores {
+            store.keeper.set_members(members.clone());
+        }
+        let group = Group::new(Text::from("zone"), LOSSES);
+        group.follow(&members);
+        stores[0].stop();
+        let outcome = group.chain(&Text::from("unknown"), SHORT).await;
+        assert!(matches!(outcome, ChainOutcome::Unsure), "{outcome:?}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn of_racing_reservations_at_least_one_sees_the_other() {
+    local(async {
+        let (_stores, group) = group_of(4).await;
+        for round in 0..30 {
+            let one = format!("one-{round}");
+            let other = format!("other-{round}");
+            let (first, second) = tokio::join!(
+                group.append(reserve(&one), WITHIN),
+                group.append(reserve(&other), WITHIN)
+            );
+            let first = first.expect("kept").total_without(&one);
+            let second = second.expect("kept").total_without(&other);
+            let before = 200 * round;
+            assert!(
+                first.max(second) >= before + 100,
+                "{first} {second} {before}"
+            );
+            assert!(first.min(second) >= before);
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_lost_disk_is_filled_again_and_then_vouches() {
+    local(async {
+        let (mut stores, group) = group_of(3).await;
+        for number in 0..40 {
+            let previous = match number {
+                0 => String::new(),
+                number => format!("turn-{}", number - 1),
+            };
+            let record = turn(&format!("turn-{number}"), &previous);
+            group.append(record, WITHIN).await.expect("kept");
+        }
+        stores[2].stop();
+        stores[2] = Store::start(2, false).await;
+        let members = list(&stores);
+        for store in &stores {
+            store.keeper.set_members(Rc::new(Members {
+                version: members.version + 3,
+                ..(*members).clone()
+            }));
+        }
+        assert!(!stores[2].keeper.complete());
+        let peers = Rc::new(Peers::new(stores[2].keeper.clone(), LOSSES));
+        peers.follow(&stores[2].keeper.members());
+        while !stores[2].keeper.complete() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        for number in 0..40 {
+            let digest = turn(&format!("turn-{number}"), "").digest();
+            assert!(stores[2].keeper.holds(digest));
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn what_was_acknowledged_is_there_after_a_restart() {
+    local(async {
+        let (mut stores, group) = group_of(2).await;
+        group.append(turn("one", ""), WITHIN).await.expect("kept");
+        group.append(reserve("two"), WITHIN).await.expect("kept");
+        for number in 0..2 {
+            let store = stores.remove(0);
+            store.stop();
+            let again = Store::start_in(number, false, store.folder).await;
+            assert!(again.keeper.complete());
+            assert!(again.keeper.holds(turn("one", "").digest()));
+            assert!(again.keeper.holds(reserve("two").digest()));
+            stores.push(again);
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_front_with_an_old_list_is_refused() {
+    local(async {
+        let (stores, group) = group_of(3).await;
+        let newer = Rc::new(Members {
+            version: group.members().version + 2,
+            ..(*group.members()).clone()
+        });
+        for store in &stores {
+            store.keeper.set_members(newer.clone());
+        }
+        let error = group
+            .append(turn("one", ""), SHORT)
+            .await
+            .expect_err("stale");
+        assert_eq!(error, GroupError::StaleMembers);
+        group.follow(&newer);
+        group.append(turn("one", ""), WITHIN).await.expect("kept");
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -0,0 +1,154 @@
+//! The next step in the member list, case by case.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_store::membership::{Oneself, PeerHealth, REMOVE_AFTER, Step, decide};
+use stageyoke_types::Text;
+
+const LOSSES: usize = 1;
+
+fn member(number: usize) -> Member {
+    Member {
+        node: Text::from(format!("store-{number}")),
+        address: Text::from(format!("10.0.0.{number}:7000")),
+        zone: Text::from("zone"),
+        state: MemberState::Active,
+    }
+}
+
+fn members(count: usize) -> Members {
+    (0..count).fold(Members::default(), |list, number| list.with(member(number)))
+}
+
+fn oneself(number: usize) -> Oneself {
+    let member = member(number);
+    Oneself {
+        node: member.node,
+        address: member.address,
+        zone: member.zone,
+        first_start: false,
+        complete: true,
+        caught_up: true,
+        retiring: false,
+        peers_holding_all: 0,
+    }
+}
+
+fn peers(list: &Members, own: usize, silent: &[usize], behind: &[usize]) -> Vec<PeerHealth> {
+    let node = |number: usize| Text::from(format!("store-{number}"));
+    list.list
+        .iter()
+        .filter(|member| member.node != node(own))
+        .map(|member| PeerHealth {
+            node: member.node.clone(),
+            silent_for: match silent.iter().any(|number| member.node == node(*number)) {
+                true => REMOVE_AFTER + Duration::from_millis(1),
+                false => Duration::from_millis(900),
+            },
+            caught_up: !behind.iter().any(|number| member.node == node(*number)),
+        })
+        .collect()
+}
+
+#[test]
+fn the_first_store_founds_the_group_only_at_the_first_start() {
+    let first = Oneself {
+        first_start: true,
+        ..oneself(0)
+    };
+    let founded = decide(&Members::default(), &first, &[], LOSSES);
+    assert_eq!(founded, Step::Change(members(1)));
+    let later = decide(&Members::default(), &oneself(0), &[], LOSSES);
+    assert_eq!(later, Step::Rest, "a wiped store never founds a group");
+}
+
+#[rstest]
+#[case(true, true, true)]
+#[case(false, true, false)]
+#[case(true, false, false)]
+fn a_new_store_joins_once_it_has_caught_up(
+    #[case] complete: bool,
+    #[case] caught_up: bool,
+    #[case] joins: bool,
+) {
+    let newcomer = Oneself {
+        complete,
+        caught_up,
+        ..oneself(3)
+    };
+    let step = decide(&members(3), &newcomer, &[], LOSSES);
+    let expected = match joins {
+        true => Step::Change(members(4)),
+        false => Step::Rest,
+    };
+    assert_eq!(step, expected);
+}
+
+#[test]
+fn a_new_address_is_told() {
+    let moved = Oneself {
+        address: Text::from("10.0.9.9:7000"),
+        ..oneself(1)
+    };
+    let Step::Change(next) = decide(&members(3), &moved, &[], LOSSES) else {
+        panic!("the list changes");
+    };
+    assert_eq!(next.list[1].address.as_str(), "10.0.9.9:7000");
+    assert_eq!(next.list.len(), 3);
+}
+
+#[rstest]
+#[case::one_dead(4, &[2], &[], true)]
+#[case::two_dead(4, &[2, 3], &[], false)]
+#[case::another_is_behind(4, &[2], &[3], false)]
+#[case::too_few_would_be_left(3, &[2], &[], false)]
+#[case::nobody_dead(4, &[], &[], false)]
+fn a_dead_member_goes_only_when_the_rest_hold_everything(
+    #[case] count: usize,
+    #[case] silent: &[usize],
+    #[case] behind: &[usize],
+    #[case] removed: bool,
+) {
+    let list = members(count);
+    let step = decide(&list, &oneself(0), &peers(&list, 0, silent, behind), LOSSES);
+    let expected = match removed {
+        true => Step::Change(list.without("store-2")),
+        false => Step::Rest,
+    };
+    assert_eq!(step, expected);
+}
+
+#[test]
+fn retirement_first_refuses_records_then_waits_for_the_others() {
+    let list = members(4);
+    let mut leaving = Oneself {
+        retiring: true,
+        ..oneself(1)
+    };
+    let Step::BeginRetirement(marked) = decide(&list, &leaving, &[], LOSSES) else {
+        panic!("it begins");
+    };
+    assert_eq!(marked.list[1].state, MemberState::Leaving);
+    leaving.peers_holding_all = 2;
+    assert_eq!(decide(&marked, &leaving, &[], LOSSES), Step::Rest);
+    leaving.peers_holding_all = 3;
+    let done = decide(&marked, &leaving, &[], LOSSES);
+    assert_eq!(done, Step::CompleteRetirement(marked.without("store-1")));
+}
+
+#[test]
+fn a_group_that_would_be_too_small_for_its_losses_keeps_the_store() {
+    let list = members(2);
+    let marked = list.with(Member {
+        state: MemberState::Leaving,
+        ..member(1)
+    });
+    let leaving = Oneself {
+        retiring: true,
+        peers_holding_all: 1,
+        ..oneself(1)
+    };
+    assert_eq!(decide(&marked, &leaving, &[], LOSSES), Step::Rest);
+}
--- /dev/null
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -0,0 +1,158 @@
+//! What a store holds in memory, and what it forgets.
+
+use stageyoke_store::LedgerView;
+use stageyoke_store::message::{JournalPosition, LedgerEntry, Record, Reply, TurnRecord};
+use stageyoke_store::state::State;
+use stageyoke_types::{Blob, Text};
+
+const RETENTION: u32 = 60;
+const LONG_AFTER: u64 = 1_000;
+
+fn turn(name: &str, previous: &str) -> Record {
+    Record::Turn(TurnRecord {
+        turn: Text::from(name),
+        program: Text::from("program"),
+        previous: Text::from(previous),
+        input: Blob::from(format!("ask {name}\n").into_bytes()),
+        output: Blob::from(format!("say {name}\n").into_bytes()),
+        used: 10,
+        retention_seconds: RETENTION,
+    })
+}
+
+fn reserve(turn: &str, most: u32) -> Record {
+    Record::Reserve {
+        program: Text::from("program"),
+        turn: Text::from(turn),
+        most,
+    }
+}
+
+fn settle(turn: &str, used: u32) -> Record {
+    Record::Settle {
+        program: Text::from("program"),
+        turn: Text::from(turn),
+        used,
+    }
+}
+
+fn chain(state: &State, turn: &str) -> (Vec<String>, String) {
+    let Reply::Chain { parts, missing, .. } = state.chain(&Text::from(turn), true) else {
+        panic!("a chain");
+    };
+    let turns = parts.iter().map(|part| part.turn.to_string()).collect();
+    (turns, missing.to_string())
+}
+
+#[test]
+fn a_chain_is_read_backwards_to_its_start_or_to_what_is_missing() {
+    let mut state = State::new(1);
+    state.add(&turn("one", ""), 0);
+    state.add(&turn("two", "one"), 0);
+    state.add(&turn("four", "three"), 0);
+    assert_eq!(
+        chain(&state, "two"),
+        (vec!["two".into(), "one".into()], String::new())
+    );
+    assert_eq!(chain(&state, "four"), (vec!["four".into()], "three".into()));
+    assert_eq!(chain(&state, "none"), (vec![], "none".into()));
+}
+
+#[test]
+fn a_settlement_replaces_its_reservation_in_any_order() {
+    let mut state = State::new(1);
+    state.add(&reserve("a", 100), 0);
+    state.add(&settle("a", 30), 0);
+    state.add(&settle("b", 20), 0);
+    state.add(&reserve("b", 100), 0);
+    let entries = state.ledger_entries("program");
+    let amounts: Vec<(u32, bool)> = entries
+        .iter()
+        .map(|entry| (entry.amount, entry.settled))
+        .collect();
+    assert_eq!(amounts, [(30, true), (20, true)]);
+}
+
+#[test]
+fn merged_ledgers_take_settlements_from_whoever_has_them() {
+    let entry = |turn: &str, amount, settled| LedgerEntry {
+        turn: Text::from(turn),
+        amount,
+        settled,
+    };
+    let mut view = LedgerView::default();
+    view.merge([entry("a", 100, false), entry("b", 5, true)]);
+    view.merge([
+        entry("a", 30, true),
+        entry("b", 100, false),
+        entry("c", 7, false),
+    ]);
+    assert_eq!(view.total_without("none"), 42);
+    assert_eq!(view.total_without("c"), 35);
+}
+
+#[test]
+fn digests_lead_to_the_records_that_another_store_misses() {
+    let mut from = State::new(1);
+    let mut to = State::new(2);
+    let records = [turn("one", ""), reserve("r", 9), settle("s", 3)];
+    for record in &records {
+        from.add(record, 0);
+    }
+    to.add(&records[1], 0);
+    let Reply::Digests {
+        digests,
+        next,
+        more,
+        ..
+    } = from.digests(JournalPosition::default(), true)
+    else {
+        panic!("digests");
+    };
+    assert!(!more);
+    assert_eq!(next, from.end());
+    let missing: Vec<u64> = digests
+        .iter()
+        .copied()
+        .filter(|digest| !to.holds(*digest))
+        .collect();
+    let fetched = from.fetch(&missing);
+    assert_eq!(fetched.0, [records[0].clone(), records[2].clone()]);
+    let Reply::Digests { digests, .. } = from.digests(next, true) else {
+        panic!("digests");
+    };
+    assert!(digests.is_empty(), "nothing new after the end");
+}
+
+#[test]
+fn a_position_on_another_disk_starts_anew() {
+    let mut state = State::new(8);
+    state.add(&turn("one", ""), 0);
+    let elsewhere = JournalPosition { disk: 9, next: 1 };
+    let Reply::Digests { digests, .. } = state.digests(elsewhere, true) else {
+        panic!("digests");
+    };
+    assert_eq!(digests.len(), 1);
+}
+
+#[test]
+fn a_chain_is_kept_as_long_as_its_youngest_turn() {
+    let mut state = State::new(1);
+    state.add(&turn("one", ""), 0);
+    state.add(&turn("old", ""), 0);
+    state.add(&turn("two", "one"), LONG_AFTER);
+    let again = state.expire(2, LONG_AFTER);
+    assert_eq!(
+        again,
+        [turn("one", "")],
+        "written again, for its successor's sake"
+    );
+    for record in &again {
+        state.add(record, LONG_AFTER);
+    }
+    assert_eq!(
+        chain(&state, "two"),
+        (vec!["two".into(), "one".into()], String::new())
+    );
+    assert_eq!(chain(&state, "old"), (vec![], "old".into()));
+}
