A front that starts during an outage takes the stores' copy of the directory

Refusals said 'come back in 0.2 s', so that programs used up their tries before the end. Ruled out: slow stores (they answered within a second of the power's return). Refusals for want of something that is down name one second. Version and instance fences hold as before.

--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -2,7 +2,7 @@
 //! a complete read again whenever the service has forgotten its history.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::key_value::{Change, KeyValueError, KeyValueService, RangePage, WatchOutcome};
+use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
 use crate::view::{Changed, Interpreter, Update, View};
 
 /// How long one watch waits at the service.
@@ -38,6 +38,7 @@
     /// Reads its items.
     pub interpreter: I,
     view: RefCell<Rc<View>>,
+    items: Option<RefCell<BTreeMap<String, Item>>>,
     last_contact: Cell<Option<Instant>>,
     read_lock: tokio::sync::Mutex<Option<Instant>>,
     changed: Notify,
@@ -51,6 +52,7 @@
             service,
             interpreter,
             view: RefCell::new(Rc::new(View::default())),
+            items: None,
             last_contact: Cell::new(None),
             read_lock: tokio::sync::Mutex::new(None),
             changed: Notify::new(),
@@ -58,6 +60,58 @@
         }
     }
 
+    /// A mirror that also keeps the items themselves, to hand them on.
+    pub fn keeping_items(service: S, interpreter: I) -> Self {
+        Self {
+            items: Some(RefCell::default()),
+            ..Self::new(service, interpreter)
+        }
+    }
+
+    /// All items of meaning, if they are kept.
+    pub fn items(&self) -> Vec<Item> {
+        let items = self.items.as_ref();
+        items.map_or_else(Vec::new, |items| items.borrow().values().cloned().collect())
+    }
+
+    /// Seeds the view with a copy of items that another process kept, while
+    /// the service has not answered yet. True if anything was taken.
+    pub fn seed_items(&self, items: Vec<Item>) -> bool {
+        if self.last_contact().is_some() {
+            return false;
+        }
+        let mut changed = Changed::default();
+        for item in items {
+            self.apply_item(&item.key.clone(), Some(item), 0, &mut changed);
+        }
+        changed != Changed::default()
+    }
+
+    fn apply_item(
+        &self,
+        key: &str,
+        item: Option<Item>,
+        revision: u64,
+        changed: &mut Changed,
+    ) -> Update {
+        let value = item.as_ref().map(|item| &item.value);
+        let revision = item.as_ref().map_or(revision, |item| item.revision);
+        let update = self.interpreter.interpret(key, value);
+        if let Some(items) = &self.items
+            && !matches!(update, Update::Ignored)
+        {
+            match item {
+                Some(item) => drop(items.borrow_mut().insert(key.to_owned(), item)),
+                None => drop(items.borrow_mut().remove(key)),
+            }
+        }
+        self.edit(
+            |view, changed| view.apply(update.clone(), revision, changed),
+            changed,
+        );
+        update
+    }
+
     /// The current view.
     pub fn view(&self) -> Rc<View> {
         self.view.borrow().clone()
@@ -175,18 +229,14 @@
     fn apply_changes(&self, changes: Vec<Change>, report: &mut impl FnMut(MirrorEvent)) {
         let mut changed = Changed::default();
         for change in changes {
-            let (key, value, revision) = match change {
-                Change::Written(item) => (item.key, Some(item.value), item.revision),
+            let (key, item, revision) = match change {
+                Change::Written(item) => (item.key.clone(), Some(item), 0),
                 Change::Removed { key, revision } => (key, None, revision),
             };
-            let update = self.interpreter.interpret(&key, value.as_ref());
-            if let Update::Unreadable(reason) = &update {
-                report(MirrorEvent::Unreadable(reason.clone()));
+            let update = self.apply_item(&key, item, revision, &mut changed);
+            if let Update::Unreadable(reason) = update {
+                report(MirrorEvent::Unreadable(reason));
             }
-            self.edit(
-                |view, changed| view.apply(update, revision, changed),
-                &mut changed,
-            );
         }
         if changed != Changed::default() {
             report(MirrorEvent::Changed(changed));
@@ -218,18 +268,19 @@
         let mut changed = Changed::default();
         let mut replicas = BTreeSet::new();
         let mut retirements = BTreeSet::new();
+        let mut keys: BTreeSet<String> = BTreeSet::new();
         for item in pages.into_iter().flat_map(|page| page.items) {
-            let update = self.interpreter.interpret(&item.key, Some(&item.value));
-            match &update {
-                Update::Replica { id, .. } => drop(replicas.insert(id.clone())),
-                Update::Retire { node, .. } => drop(retirements.insert(node.clone())),
-                Update::Unreadable(reason) => report(MirrorEvent::Unreadable(reason.clone())),
+            let key = item.key.clone();
+            keys.insert(key.clone());
+            match self.apply_item(&key, Some(item), 0, &mut changed) {
+                Update::Replica { id, .. } => drop(replicas.insert(id)),
+                Update::Retire { node, .. } => drop(retirements.insert(node)),
+                Update::Unreadable(reason) => report(MirrorEvent::Unreadable(reason)),
                 _ => {}
             }
-            self.edit(
-                |view, changed| view.apply(update, item.revision, changed),
-                &mut changed,
-            );
+        }
+        if let Some(items) = &self.items {
+            items.borrow_mut().retain(|key, _| keys.contains(key));
         }
         self.edit(
             |view, changed| view.retain_seen(&replicas, &retirements, changed),
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 
 use crate::activity::{Activity, Closing};
+use crate::bootstrap;
 use crate::fleet::Fleet;
 use crate::history::History;
 use crate::names::Names;
@@ -38,6 +39,8 @@
     pub listen: SocketAddr,
     /// Where readiness is asked.
     pub ready: SocketAddr,
+    /// Addresses of some stores, for a start while the service is down.
+    pub seeds: Vec<String>,
     /// Disks of the store group that may be lost at once.
     pub tolerated_losses: usize,
     /// Time from the order to stop until the process is killed.
@@ -116,6 +119,12 @@
         };
         mirror.run(report).await;
     });
+    let seeding = front.clone();
+    let seeds = settings.seeds.clone();
+    tokio::task::spawn_local(async move {
+        bootstrap::run(&seeding.mirror, &seeds).await;
+        seeding.follow();
+    });
     observe::event(Event::NodeStarted, &format!("node={}", settings.node));
     stop.await;
     front.draining.set(true);
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -33,8 +33,11 @@
 const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
 /// How long a reservation may take.
 const RESERVE_WITHIN: Duration = Duration::from_millis(900);
-/// When to come back after a refusal that may soon not recur.
-const SOON: Duration = Duration::from_millis(200);
+/// When to come back after a refusal for want of room.
+const SOON: Duration = Duration::from_millis(250);
+/// When to come back after a refusal for want of something that is down: such
+/// faults last seconds.
+const AFTER_RECOVERY: Duration = Duration::from_millis(1000);
 /// Largest plain answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -130,7 +133,8 @@
     }
 
     async fn find_route(&self, host: &str, path: &str) -> Result<(Rc<RouteTable>, Route), Failure> {
-        let unknown = Failure::come_back(ErrorKind::Unavailable, "no_configuration", SOON);
+        let unknown =
+            Failure::come_back(ErrorKind::Unavailable, "no_configuration", AFTER_RECOVERY);
         let routes = self.mirror.view().routes.clone();
         if let Some(routes) = routes
             && let Some(route) = routes.find(host, path)
@@ -142,7 +146,11 @@
         let confirmed = tokio::time::timeout(LOOK_UP_WITHIN, self.mirror.confirm_routes()).await;
         if !matches!(confirmed, Ok(Ok(()))) {
             let cause = "route_not_confirmed";
-            return Err(Failure::come_back(ErrorKind::Unavailable, cause, SOON));
+            return Err(Failure::come_back(
+                ErrorKind::Unavailable,
+                cause,
+                AFTER_RECOVERY,
+            ));
         }
         let routes = self.mirror.view().routes.clone().ok_or(unknown)?;
         match routes.find(host, path) {
@@ -152,7 +160,7 @@
     }
 
     fn pick_service(&self, routes: &RouteTable, route: &Route) -> Result<ServiceSpec, Failure> {
-        let missing = Failure::come_back(ErrorKind::Unavailable, "no_such_service", SOON);
+        let missing = Failure::come_back(ErrorKind::Unavailable, "no_such_service", AFTER_RECOVERY);
         let target = self.shares.pick(route).ok_or(missing)?;
         routes.service(&target).cloned().ok_or(missing)
     }
@@ -198,7 +206,7 @@
             Transcript::Unsure => Err(Failure::come_back(
                 ErrorKind::Unavailable,
                 "history_unsure",
-                SOON,
+                AFTER_RECOVERY,
             )),
         }
     }
@@ -226,8 +234,13 @@
             self.history.group.follow(&self.mirror.view().members);
             ledger = self.history.reserve(&program, &turn, most, within).await;
         }
-        let ledger = ledger
-            .map_err(|_| Failure::come_back(ErrorKind::Unavailable, "budget_not_reserved", SOON))?;
+        let ledger = ledger.map_err(|_| {
+            Failure::come_back(
+                ErrorKind::Unavailable,
+                "budget_not_reserved",
+                AFTER_RECOVERY,
+            )
+        })?;
         if ledger.total_without(&turn) + u64::from(most) > budget {
             return Err(Failure::last(ErrorKind::TokenBudgetSpent, "budget_spent"));
         }
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod body;
+pub mod bootstrap;
 pub mod events;
 pub mod fleet;
 pub mod front;
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -8,7 +8,9 @@
 use stageyoke_directory::Members;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use crate::message::Record;
+use stageyoke_types::List;
+
+use crate::message::{Record, SeenItem};
 use crate::segment::{DataFolder, encode_record};
 
 /// A segment is closed beyond this size.
@@ -29,6 +31,7 @@
     Append { ticket: u64, bytes: Vec<u8> },
     Remove { segment: u64 },
     Members(Members),
+    Items(List<SeenItem>),
     Complete,
 }
 
@@ -76,6 +79,11 @@
         let _ = self.commands.send(Command::Members(members.clone()));
     }
 
+    /// Keeps the items of the key-value service.
+    pub fn save_items(&self, items: List<SeenItem>) {
+        let _ = self.commands.send(Command::Items(items));
+    }
+
     /// Marks the disk as complete.
     pub fn mark_complete(&self) {
         let _ = self.commands.send(Command::Complete);
@@ -126,6 +134,7 @@
         let _ = match command {
             Command::Remove { segment } => self.folder.remove_segment(segment),
             Command::Members(members) => self.folder.save_members(&members),
+            Command::Items(items) => self.folder.save_items(&items),
             Command::Complete => self.folder.mark_complete(),
             Command::Append { .. } => Ok(()),
         };
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -104,6 +104,17 @@
     pub next: u64,
 }
 
+/// An item of the key-value service, as a store last saw it.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct SeenItem {
+    /// The key.
+    pub key: Text,
+    /// Its value.
+    pub value: Blob,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// What a caller asks of a store.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum Request {
@@ -128,6 +139,9 @@
         /// Position up to which the asker holds everything on its own disk.
         held: JournalPosition,
     },
+    /// Items of the key-value service, for a front that starts while the
+    /// service is down.
+    Items,
     /// Records by their digests.
     Fetch {
         /// Which records.
@@ -166,6 +180,8 @@
         /// In journal order.
         digests: List<RecordDigest>,
     },
+    /// Items as last seen.
+    Items(List<SeenItem>),
     /// Records that were found.
     Records(List<Record>),
     /// Nothing was done.
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -10,14 +10,15 @@
 
 use nanoserde::SerBin;
 use stageyoke_directory::{
-    Condition, Interpreter, KeyValueService, MemberState, Members, Mirror, MirrorEvent,
+    Condition, Interpreter, Item, KeyValueService, MemberState, Members, Mirror, MirrorEvent,
     Transaction, TransactionOutcome, Write,
 };
-use stageyoke_types::{Event, Text};
+use stageyoke_types::{Blob, Event, Text};
 use tokio::net::TcpListener;
 
 use crate::journal::Journal;
 use crate::membership::{Oneself, PeerHealth, Step, decide};
+use crate::message::SeenItem;
 use crate::observe;
 use crate::segment::DataFolder;
 use crate::server::{self, Keeper};
@@ -72,6 +73,7 @@
             .segments
             .last()
             .map_or(0, |(number, _)| number + 1);
+        let kept_items = folder.read_items();
         let (journal, results) = Journal::start(folder, next_segment)?;
         let keeper = Rc::new(Keeper::new(settings.node.clone(), journal, recovered));
         let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerated_losses));
@@ -79,6 +81,7 @@
         tokio::task::spawn_local(server::serve(keeper.clone(), listener));
         let collector = keeper.clone();
         tokio::task::spawn_local(async move { collector.collect(results).await });
+        keeper.set_items(kept_items, false);
         mirror.seed((*keeper.members()).clone());
         let host = Rc::new(Self {
             settings,
@@ -100,6 +103,10 @@
         let view = self.mirror.view();
         self.keeper.set_members(view.members.clone());
         self.peers.follow(&self.keeper.members());
+        if self.mirror.last_contact().is_some() {
+            let items = self.mirror.items().into_iter().map(seen_item).collect();
+            self.keeper.set_items(items, true);
+        }
     }
 
     async fn keep_place(&self) {
@@ -224,6 +231,14 @@
     }
 }
 
+fn seen_item(item: Item) -> SeenItem {
+    SeenItem {
+        key: Text::from(item.key),
+        value: Blob(item.value),
+        revision: item.revision,
+    }
+}
+
 /// Logs what the mirror reports.
 pub fn report_mirror_event(event: MirrorEvent) {
     match event {
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -8,13 +8,16 @@
 use nanoserde::{DeBin, SerBin};
 use stageyoke_directory::Members;
 
-use crate::message::Record;
+use stageyoke_types::List;
+
+use crate::message::{Record, SeenItem};
 
 const HEADER_BYTES: usize = 8;
 const SEGMENT_PREFIX: &str = "segment-";
 const IDENTITY_FILE: &str = "identity";
 const COMPLETE_FILE: &str = "complete";
 const MEMBERS_FILE: &str = "members";
+const ITEMS_FILE: &str = "items";
 const TEMPORARY_SUFFIX: &str = ".new";
 
 /// Appends one record with its length and checksum.
@@ -128,6 +131,19 @@
         self.replace(MEMBERS_FILE, &members.serialize_bin())
     }
 
+    /// Keeps the items of the key-value service for such a start.
+    pub fn save_items(&self, items: &List<SeenItem>) -> io::Result<()> {
+        self.replace(ITEMS_FILE, &items.serialize_bin())
+    }
+
+    /// The items that were last kept.
+    pub fn read_items(&self) -> List<SeenItem> {
+        self.read_file(ITEMS_FILE)
+            .ok()
+            .and_then(|bytes| List::deserialize_bin(&bytes).ok())
+            .unwrap_or_default()
+    }
+
     /// Creates a segment and makes its name last.
     pub fn create_segment(&self, number: u64) -> io::Result<File> {
         let file = OpenOptions::new()
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -15,7 +15,7 @@
 
 use crate::frame;
 use crate::journal::{Appended, Journal};
-use crate::message::{JournalPosition, Numbered, Record, Refusal, Reply, Request};
+use crate::message::{JournalPosition, Numbered, Record, Refusal, Reply, Request, SeenItem};
 use crate::segment::Recovered;
 use crate::socket;
 use crate::state::State;
@@ -47,6 +47,7 @@
     next_ticket: Cell<u64>,
     complete: Cell<bool>,
     members: RefCell<Rc<Members>>,
+    items: RefCell<List<SeenItem>>,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
     started: Instant,
 }
@@ -75,6 +76,7 @@
             next_ticket: Cell::new(0),
             complete: Cell::new(recovered.complete),
             members: RefCell::new(Rc::new(recovered.members.unwrap_or_default())),
+            items: RefCell::default(),
             held_by_peers: RefCell::default(),
             started: Instant::now(),
         }
@@ -112,6 +114,15 @@
         }
     }
 
+    /// Takes the items of the key-value service, to hand them to fronts that
+    /// start while it is down; `keep` also puts them on the disk.
+    pub fn set_items(&self, items: List<SeenItem>, keep: bool) {
+        if keep && items != *self.items.borrow() {
+            self.journal.save_items(items.clone());
+        }
+        *self.items.borrow_mut() = items;
+    }
+
     /// Position at the end of the journal.
     pub fn end(&self) -> JournalPosition {
         self.state.borrow().end()
@@ -227,6 +238,7 @@
                 self.held_by_peers.borrow_mut().insert(node, held);
                 self.state.borrow().digests(from, self.complete())
             }
+            Request::Items => Reply::Items(self.items.borrow().clone()),
             Request::Fetch { digests } => Reply::Records(self.state.borrow().fetch(&digests)),
         }
     }
