Engines are chosen by what they hold; the store group survives restarts

Change: cost of reading what an engine is not believed to hold, of waiting (fronts tell their counts along with records) and of the way.

Cause: a store without power, or a front cut from the stores, made turns wait 0.9 s and be refused, and the front stayed ready. Change: an append goes on over a new connection until its time is over, connections are given up sooner, a front without a quorum for 0.6 s is not ready, refusals name a time that grows with the fault's age.

--- a/crates/stageyoke-directory/src/model.rs
+++ b/crates/stageyoke-directory/src/model.rs
@@ -69,6 +69,8 @@
 pub struct EngineShape {
     /// Requests that one replica runs at once.
     pub slots: u32,
+    /// Tokens of prompts and answers that one replica holds.
+    pub cache_tokens: u64,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
 }
--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -63,7 +63,7 @@
     /// The replica promises that it was not run.
     NotRun(StatusCode),
     /// An answer to this request.
-    Answered(Answer),
+    Answered(Box<Answer>),
     /// It may have run; there is no usable answer.
     Lost(&'static str),
 }
@@ -169,12 +169,12 @@
     if response.headers().contains_key(CONTENT_ENCODING) {
         return Outcome::Lost("encoded_answer");
     }
-    Outcome::Answered(Answer {
+    Outcome::Answered(Box::new(Answer {
         response,
         connection,
         replica: replica.clone(),
         guard,
-    })
+    }))
 }
 
 /// Reads the rest of a short answer, so that its connection can be kept.
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use stageyoke_directory::{ReplicaRecord, ReplicaState};
+use stageyoke_store::LoadBoard;
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
 use crate::observe;
-use crate::placement::{Candidate, hash_text};
+use crate::placement::{Candidate, hash_text, mix};
+use crate::prompt::{HeldParts, Prompt};
 use crate::upstream::Pool;
 
 /// Failures in a row after which a replica is left alone for a while.
@@ -26,20 +28,22 @@
     /// Kept connections.
     pub pool: Pool,
     hash: u64,
-    in_flight: Cell<u32>,
+    load: Rc<LoadBoard>,
+    held_parts: RefCell<HeldParts>,
     failures: Cell<u32>,
     suspended_until: Cell<Option<Instant>>,
     gone: Cell<bool>,
 }
 
 impl Replica {
-    fn new(id: Text, record: ReplicaRecord) -> Self {
+    fn new(id: Text, record: ReplicaRecord, load: Rc<LoadBoard>) -> Self {
         Self {
             hash: hash_text(&id),
+            load,
+            held_parts: RefCell::default(),
             id,
             record,
             pool: Pool::default(),
-            in_flight: Cell::new(0),
             failures: Cell::new(0),
             suspended_until: Cell::new(None),
             gone: Cell::new(false),
@@ -53,10 +57,15 @@
 
     /// Counts a request as under way until the guard is dropped.
     pub fn begin(self: &Rc<Self>) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
+        self.load.begin(self.short_hash());
         InFlight(self.clone())
     }
 
+    /// It is given this prompt to read.
+    pub fn reads(&self, prompt: &Prompt, capacity_tokens: u64) {
+        self.held_parts.borrow_mut().read(prompt, capacity_tokens);
+    }
+
     /// A request was answered by it.
     pub fn succeeded(&self) {
         self.failures.set(0);
@@ -78,17 +87,22 @@
         self.pool.clear();
     }
 
+    fn short_hash(&self) -> u32 {
+        mix(self.hash) as u32
+    }
+
     fn suspended(&self) -> bool {
         self.suspended_until
             .get()
             .is_some_and(|until| until > Instant::now())
     }
 
-    fn candidate(&self, zone: &str, excluded: &[Text]) -> Candidate {
+    fn candidate(&self, zone: &str, excluded: &[Text], prompt: &Prompt) -> Candidate {
         Candidate {
             hash: self.hash,
             local: self.record.zone.as_str() == zone,
-            in_flight: self.in_flight.get(),
+            in_flight: self.load.under_way(self.short_hash()),
+            held_tokens: self.held_parts.borrow().held(prompt),
             slots: self.record.slots,
             usable: self.taking_work() && !excluded.contains(&self.id),
         }
@@ -100,18 +114,27 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.load.end(self.0.short_hash());
     }
 }
 
 /// Replicas by service.
-#[derive(Default)]
 pub struct Fleet {
+    load: Rc<LoadBoard>,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
     services: RefCell<HashMap<Text, Vec<Rc<Replica>>>>,
 }
 
 impl Fleet {
+    /// No replicas yet; what is under way is counted on this board.
+    pub fn new(load: Rc<LoadBoard>) -> Self {
+        Self {
+            load,
+            replicas: RefCell::default(),
+            services: RefCell::default(),
+        }
+    }
+
     /// Follows the replica list.
     pub fn follow(&self, records: &BTreeMap<Text, ReplicaRecord>) {
         let ready = |record: &ReplicaRecord| record.state == ReplicaState::Ready;
@@ -124,9 +147,10 @@
             stays
         });
         for (id, record) in records.iter().filter(|(_, record)| ready(record)) {
-            replicas
-                .entry(id.clone())
-                .or_insert_with(|| Rc::new(Replica::new(id.clone(), record.clone())));
+            replicas.entry(id.clone()).or_insert_with(|| {
+                let load = self.load.clone();
+                Rc::new(Replica::new(id.clone(), record.clone(), load))
+            });
         }
         let mut services: HashMap<Text, Vec<Rc<Replica>>> = HashMap::new();
         for replica in replicas.values() {
@@ -143,13 +167,14 @@
         service: &str,
         zone: &str,
         excluded: &[Text],
+        prompt: &Prompt,
         choose: impl Fn(&[Candidate]) -> Option<usize>,
     ) -> Option<Rc<Replica>> {
         let services = self.services.borrow();
         let replicas = services.get(service)?;
         let mut candidates: Vec<Candidate> = replicas
             .iter()
-            .map(|replica| replica.candidate(zone, excluded))
+            .map(|replica| replica.candidate(zone, excluded, prompt))
             .collect();
         let sound: Vec<bool> = replicas
             .iter()
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -28,6 +28,11 @@
 /// Part of the grace that is left for the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
+/// A front that has not reached a quorum of stores for this long is not ready.
+const UNREADY_AFTER: Duration = Duration::from_millis(600);
+const PROBE_PAUSE: Duration = Duration::from_millis(400);
+const PROBE_WITHIN: Duration = Duration::from_millis(350);
+
 /// Settings of the role.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
@@ -77,7 +82,28 @@
     /// Whether new connections are welcome.
     pub fn ready(&self) -> bool {
         let view = self.mirror.view();
-        view.routes.is_some() && !self.draining()
+        let group_serves = self
+            .history
+            .group
+            .failing_for()
+            .is_none_or(|failing| failing < UNREADY_AFTER);
+        view.routes.is_some() && !self.draining() && group_serves
+    }
+
+    /// Looks for the store group's return while it fails.
+    async fn watch_group(&self) {
+        loop {
+            tokio::time::sleep(PROBE_PAUSE).await;
+            let group = &self.history.group;
+            let Some(failing) = group.failing_for() else {
+                continue;
+            };
+            observe::event(Event::GroupFailing, &format!("for={failing:?}"));
+            group.probe(PROBE_WITHIN).await;
+            if group.failing_for().is_none() {
+                observe::event(Event::DependencyRegained, "store group");
+            }
+        }
     }
 
     fn follow(&self) {
@@ -99,7 +125,7 @@
         names,
         zone: settings.zone.clone(),
         mirror,
-        fleet: Fleet::default(),
+        fleet: Fleet::new(group.load.clone()),
         shares: Shares::default(),
         history: Rc::new(History::new(group)),
         activity: Activity::default(),
@@ -119,6 +145,8 @@
         };
         mirror.run(report).await;
     });
+    let watching = front.clone();
+    tokio::task::spawn_local(async move { watching.watch_group().await });
     let seeding = front.clone();
     let seeds = settings.seeds.clone();
     tokio::task::spawn_local(async move {
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -20,10 +20,11 @@
 use crate::answer::{self, Failure};
 use crate::attempt::{self, Answer, Outbound, Outcome, end_to_end_headers};
 use crate::body::FrontBody;
+use crate::fleet::Replica;
 use crate::front::Front;
 use crate::history::{Reservation, Transcript};
 use crate::observe::{self, Story};
-use crate::placement;
+use crate::placement::{self, Candidate};
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
 use crate::request::{Figures, host};
 
@@ -31,8 +32,11 @@
 const MAX_OFFERS: usize = 5;
 /// How long a doubtful route or chain is looked up.
 const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
-/// How long a reservation may take.
-const RESERVE_WITHIN: Duration = Duration::from_millis(900);
+/// How long a reservation may take: through a store's restart, but not for
+/// long where the group has been failing for a while.
+const RESERVE_WITHIN: Duration = Duration::from_millis(1300);
+const RESERVE_WHILE_FAILING: Duration = Duration::from_millis(300);
+const FAILING_FOR_LONG: Duration = Duration::from_millis(800);
 /// When to come back after a refusal for want of room.
 const SOON: Duration = Duration::from_millis(250);
 /// When to come back after a refusal for want of something that is down: such
@@ -108,11 +112,7 @@
             .path_and_query()
             .cloned()
             .unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let mut headers = end_to_end_headers(&head.headers);
-        let urgency = HeaderValue::from(u16::from(route.priority.min(4)) * 2);
-        if service.engine.is_some() {
-            headers.insert(self.names.urgency.clone(), urgency);
-        }
+        let headers = end_to_end_headers(&head.headers);
         let outbound = Outbound {
             request: figures.request.clone(),
             method: head.method,
@@ -184,6 +184,7 @@
             body.extend_from_slice(&call.input);
             call.outbound.body = Bytes::from(body);
         }
+        story.offered_after = call.arrived.elapsed().as_millis() as u64;
         let served = self.offer(&call, story, &mut reservation).await?;
         Ok(self.pass_on(call, served, story, reservation))
     }
@@ -206,11 +207,18 @@
             Transcript::Unsure => Err(Failure::come_back(
                 ErrorKind::Unavailable,
                 "history_unsure",
-                AFTER_RECOVERY,
+                self.group_retry(),
             )),
         }
     }
 
+    /// When to come back after the store group did not serve: soon at first,
+    /// as another front may reach it; later once the fault has lasted.
+    fn group_retry(&self) -> Duration {
+        let failing = self.history.group.failing_for().unwrap_or_default();
+        failing.clamp(SOON, AFTER_RECOVERY)
+    }
+
     async fn reserve(&self, call: &Call) -> Result<Option<Reservation>, Failure> {
         let figures = &call.figures;
         let Some(budget) = figures.budget else {
@@ -224,7 +232,11 @@
             .outbound
             .deadline
             .saturating_duration_since(Instant::now());
-        let within = left.min(RESERVE_WITHIN);
+        let failing = self.history.group.failing_for().unwrap_or_default();
+        let within = left.min(match failing > FAILING_FOR_LONG {
+            true => RESERVE_WHILE_FAILING,
+            false => RESERVE_WITHIN,
+        });
         let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let most = figures.most_tokens;
         let mut ledger = self.history.reserve(&program, &turn, most, within).await;
@@ -238,7 +250,7 @@
             Failure::come_back(
                 ErrorKind::Unavailable,
                 "budget_not_reserved",
-                AFTER_RECOVERY,
+                self.group_retry(),
             )
         })?;
         if ledger.total_without(&turn) + u64::from(most) > budget {
@@ -275,6 +287,7 @@
                     return Err(Failure::last(ErrorKind::DeadlineExceeded, "time_out"));
                 }
                 Ok(Outcome::Answered(answer)) => {
+                    story.head_after = call.arrived.elapsed().as_millis() as u64;
                     match self.complete(call, answer, runs + 1 < most_runs).await {
                         Ok(served) => {
                             note(story, &replica.id, "answered");
@@ -315,25 +328,29 @@
         }
     }
 
-    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Rc<crate::fleet::Replica>> {
+    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Rc<Replica>> {
         let figures = &call.figures;
         let service = call.service.name.as_str();
-        if call.service.engine.is_some() {
-            let affinity = match figures.program.is_empty() {
-                true => placement::hash_text(&figures.request),
-                false => placement::hash_text(&figures.program),
-            };
+        let prompt = &figures.prompt;
+        let Some(engine) = &call.service.engine else {
+            let tie = rand::random();
+            let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
             return self
                 .fleet
-                .choose(service, &self.zone, excluded, |candidates| {
-                    placement::choose_engine(candidates, affinity)
-                });
-        }
-        let tie = rand::random();
-        self.fleet
-            .choose(service, &self.zone, excluded, |candidates| {
-                placement::choose_plain(candidates, tie)
-            })
+                .choose(service, &self.zone, excluded, prompt, choose);
+        };
+        let affinity = match figures.program.is_empty() {
+            true => placement::hash_text(&figures.request),
+            false => placement::hash_text(&figures.program),
+        };
+        let choose = |candidates: &[Candidate]| {
+            placement::choose_engine(candidates, prompt.tokens(), affinity)
+        };
+        let replica = self
+            .fleet
+            .choose(service, &self.zone, excluded, prompt, choose)?;
+        replica.reads(prompt, engine.cache_tokens);
+        Some(replica)
     }
 
     /// Checks an answer; a plain one is read whole. `may_retry` says whether a
@@ -341,7 +358,7 @@
     async fn complete(
         &self,
         call: &Call,
-        mut answer: Answer,
+        mut answer: Box<Answer>,
         may_retry: bool,
     ) -> Result<Served, &'static str> {
         let status = answer.response.status();
@@ -364,6 +381,7 @@
             Ok(Err(_)) => return Err("answer_broke_off"),
             Err(_) => return Err("time_out"),
         };
+        let answer = *answer;
         let (head, _) = answer.response.into_parts();
         answer.replica.pool.give(answer.connection);
         Ok(Served::Whole(head, content))
@@ -383,7 +401,7 @@
                 observe::request_ended(story, call.arrived.elapsed());
                 return from_replica(&head, FrontBody::whole(content));
             }
-            Served::Stream(answer) => answer,
+            Served::Stream(answer) => *answer,
         };
         let (head, body) = answer.response.into_parts();
         let mut story = std::mem::take(story);
@@ -423,7 +441,7 @@
     /// Read whole.
     Whole(hyper::http::response::Parts, Bytes),
     /// A stream whose pieces are still to come.
-    Stream(Answer),
+    Stream(Box<Answer>),
 }
 
 fn from_replica(head: &hyper::http::response::Parts, body: FrontBody) -> Response<FrontBody> {
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod names;
 pub mod observe;
 pub mod placement;
+pub mod prompt;
 pub mod relay;
 pub mod request;
 pub mod server;
--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -17,8 +17,8 @@
     pub not_run: HeaderName,
     /// Prompt tokens and most tokens to generate.
     pub token_counts: HeaderName,
-    /// Urgency of a request at a replica, 0 the highest.
-    pub urgency: HeaderName,
+    /// Parts of a prompt, in order, with their tokens.
+    pub prompt_parts: HeaderName,
     /// Program of a request.
     pub program: HeaderName,
     /// Line of turns within the program.
--- a/crates/stageyoke-front/src/observe.rs
+++ b/crates/stageyoke-front/src/observe.rs
@@ -19,6 +19,10 @@
     pub attempts: String,
     /// Budget and what others had used or reserved of it.
     pub ledger: String,
+    /// Milliseconds until the first offer to a replica.
+    pub offered_after: u64,
+    /// Milliseconds until the head of the answer.
+    pub head_after: u64,
     /// Status that the caller got; zero where it left.
     pub status: u16,
     /// Outcome in a word.
@@ -40,6 +44,8 @@
         routes_version = story.routes_version,
         attempts = story.attempts.as_str(),
         ledger = story.ledger.as_str(),
+        offered_after = story.offered_after,
+        head_after = story.head_after,
         status = story.status,
         milliseconds = elapsed.as_millis() as u64;
         "{}", story.outcome
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -11,26 +11,64 @@
     pub in_flight: u32,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// Tokens from the prompt's start that it is believed to hold.
+    pub held_tokens: u32,
     /// Whether it may be chosen at all.
     pub usable: bool,
 }
 
-/// Share of a replica's slots that one front fills before it goes elsewhere.
-const ENGINE_SHARE: f64 = 0.5;
+/// Prompt tokens that an engine reads in a millisecond; what it reads delays
+/// all that runs there, so reading is weighed heavier than its own time.
+const TOKENS_PER_MILLISECOND: f64 = 65.0;
+const READING_WEIGHT: f64 = 1.5;
+/// Milliseconds that a full engine's sharing costs, and that each further
+/// engine's worth of waiting requests adds.
+const FULL_COST: f64 = 30.0;
+const QUEUE_COST: f64 = 300.0;
+/// Milliseconds that another zone costs.
+const REMOTE_COST: f64 = 4.0;
+/// What the engine gets that the program's hash ranks first, where no engine is
+/// known to hold the program's prompt: at least this many milliseconds, or this
+/// part of reading all of it.
+const HOME_BONUS: f64 = 10.0;
+const HOME_PART: f64 = 0.6;
 /// Requests in flight that a replica of another zone counts as having more.
 const REMOTE_HANDICAP: f64 = 2.5;
 
-/// Chooses a model engine: the same program goes to the same engine, so that
-/// its prompt is still in memory there, unless that engine is filled.
-pub fn choose_engine(candidates: &[Candidate], affinity: u64) -> Option<usize> {
-    let with_room = |local: bool| {
-        best_by_affinity(candidates, affinity, |candidate| {
-            candidate.local == local && below_share(candidate)
-        })
+/// Chooses a model engine: least cost of reading what it does not hold, of
+/// waiting and of the way. Fronts that know nothing of a program agree on its
+/// home, the engine that its hash ranks first.
+pub fn choose_engine(candidates: &[Candidate], prompt_tokens: u32, affinity: u64) -> Option<usize> {
+    let home = best_by_affinity(candidates, affinity, |_| true)?;
+    let known = candidates.iter().map(|candidate| candidate.held_tokens);
+    let someone_holds_most = known.max().unwrap_or_default() * 2 > prompt_tokens;
+    let home_bonus = match someone_holds_most {
+        true => 0.0,
+        false => HOME_BONUS.max(HOME_PART * reading_cost(prompt_tokens)),
+    };
+    let cost = |index: usize, candidate: &Candidate| {
+        let missing = prompt_tokens.saturating_sub(candidate.held_tokens);
+        let bonus = if index == home { home_bonus } else { 0.0 };
+        let way = if candidate.local { 0.0 } else { REMOTE_COST };
+        reading_cost(missing) + load_cost(candidate) + way - bonus
     };
-    with_room(true)
-        .or_else(|| with_room(false))
-        .or_else(|| least_loaded(candidates, affinity))
+    candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| candidate.usable)
+        .min_by(|(one, first), (other, second)| cost(*one, first).total_cmp(&cost(*other, second)))
+        .map(|(index, _)| index)
+}
+
+fn reading_cost(tokens: u32) -> f64 {
+    f64::from(tokens) / TOKENS_PER_MILLISECOND * READING_WEIGHT
+}
+
+fn load_cost(candidate: &Candidate) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let share = f64::from(candidate.in_flight) / slots;
+    let waiting = (f64::from(candidate.in_flight + 1) / slots - 1.0).max(0.0);
+    FULL_COST * share.min(1.0).powi(2) + QUEUE_COST * waiting
 }
 
 /// Chooses a replica of a plain service: the least loaded, nearest first.
@@ -38,11 +76,6 @@
     least_loaded(candidates, tie)
 }
 
-fn below_share(candidate: &Candidate) -> bool {
-    let share = (f64::from(candidate.slots) * ENGINE_SHARE).max(1.0);
-    f64::from(candidate.in_flight) < share
-}
-
 fn best_by_affinity(
     candidates: &[Candidate],
     affinity: u64,
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::names::Names;
+use crate::prompt::Prompt;
 
 /// Time for requests that name none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -23,12 +24,17 @@
     pub program: Text,
     /// Line of turns; empty if none.
     pub session: Text,
-    /// When the program should be over.
-    pub finish: Option<Instant>,
+    /// Milliseconds from the arrival until the program should be over; negative
+    /// once that has passed.
+    pub finish: Option<i64>,
+    /// When the request arrived.
+    pub arrived: Instant,
     /// Tokens of the whole program.
     pub budget: Option<u64>,
     /// Most tokens of this request.
     pub most_tokens: u32,
+    /// Parts of its prompt.
+    pub prompt: Prompt,
     /// Turn that it goes on from.
     pub previous: Option<Text>,
 }
@@ -44,20 +50,32 @@
             deadline: arrived + deadline,
             program: text(headers, &names.program).unwrap_or_default(),
             session: text(headers, &names.session).unwrap_or_default(),
-            finish: milliseconds(&names.finish).map(|finish| arrived + finish),
+            finish: number(headers, &names.finish),
+            arrived,
             budget: number(headers, &names.budget),
             most_tokens: most_tokens(headers, names).unwrap_or_default(),
+            prompt: text(headers, &names.prompt_parts)
+                .map(|parts| Prompt::parse(&parts))
+                .unwrap_or_default(),
             previous: text(headers, &names.previous_turn),
         })
     }
 }
 
+impl Figures {
+    /// Milliseconds until the program should be over.
+    pub fn time_left(&self) -> Option<i64> {
+        let elapsed = self.arrived.elapsed().as_millis() as i64;
+        self.finish.map(|finish| finish - elapsed)
+    }
+}
+
 fn text(headers: &HeaderMap, name: &HeaderName) -> Option<Text> {
     let value = headers.get(name)?.to_str().ok()?.trim();
     (!value.is_empty()).then(|| Text::from(value))
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -19,10 +19,10 @@
 use crate::server::send_replies;
 use crate::socket;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(60);
 /// A connection that owes an answer this long is given up.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+const SILENCE_LIMIT: Duration = Duration::from_millis(600);
 
 /// Why a call has no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -12,12 +12,16 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::Instant;
 
-use crate::client::StoreClient;
+use crate::client::{CallError, StoreClient};
+use crate::load::LoadBoard;
 use crate::message::{ChainPart, LedgerEntry, Record, Refusal, Reply, Request};
 
 /// How long a member may take before others are asked as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(40);
 
+/// Pause before a call is repeated on a new connection.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
 /// Why the group could not do it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GroupError {
@@ -93,6 +97,9 @@
 pub struct Group {
     zone: Text,
     tolerated_losses: Cell<usize>,
+    /// What fronts have under way at replicas.
+    pub load: Rc<LoadBoard>,
+    failing_since: Cell<Option<Instant>>,
     members: RefCell<Rc<Members>>,
     clients: RefCell<HashMap<Text, Rc<StoreClient>>>,
 }
@@ -103,6 +110,8 @@
         Self {
             zone,
             tolerated_losses: Cell::new(tolerated_losses),
+            load: Rc::new(LoadBoard::new(rand::random())),
+            failing_since: Cell::new(None),
             members: RefCell::default(),
             clients: RefCell::default(),
         }
@@ -138,28 +147,83 @@
         self.clients.borrow().get(node).cloned()
     }
 
+    /// How long no quorum has been reached; `None` while the group serves.
+    pub fn failing_for(&self) -> Option<Duration> {
+        self.failing_since.get().map(|since| since.elapsed())
+    }
+
+    fn judge(&self, served: bool) {
+        match served {
+            true => self.failing_since.set(None),
+            false if self.failing_since.get().is_none() => {
+                self.failing_since.set(Some(Instant::now()));
+            }
+            false => {}
+        }
+    }
+
+    /// Asks all members whether they are there; the group serves again once a
+    /// write quorum is.
+    pub async fn probe(&self, within: Duration) {
+        let members = self.members();
+        let Some(needed) = members.write_quorum(self.tolerated_losses()) else {
+            return;
+        };
+        let (answers, mut inbox) = unbounded_channel();
+        for member in active(&members) {
+            let Some(client) = self.client(&member.node) else {
+                continue;
+            };
+            let answers = answers.clone();
+            tokio::task::spawn_local(async move {
+                let _ = answers.send(client.call(Request::Ping, within).await.is_ok());
+            });
+        }
+        drop(answers);
+        let mut present = 0;
+        while let Some(there) = inbox.recv().await {
+            present += usize::from(there);
+            if present >= needed {
+                self.judge(true);
+                return;
+            }
+        }
+    }
+
     /// Writes a record to every active member; done once a write quorum has it
     /// on disk. For reservations the quorum's members are complete ones, and
     /// the merged ledger is returned.
     pub async fn append(&self, record: Record, within: Duration) -> Result<LedgerView, GroupError> {
+        let outcome = self.append_once(record, within).await;
+        self.judge(outcome.is_ok());
+        outcome
+    }
+
+    async fn append_once(
+        &self,
+        record: Record,
+        within: Duration,
+    ) -> Result<LedgerView, GroupError> {
         let members = self.members();
         let needed = members
             .write_quorum(self.tolerated_losses())
             .ok_or(GroupError::NoGroup)?;
         let reads_ledger = matches!(record, Record::Reserve { .. });
         let (answers, mut inbox) = unbounded_channel();
+        let load = self.load.report();
         for member in active(&members) {
             let Some(client) = self.client(&member.node) else {
                 continue;
             };
             let request = Request::Append {
                 members_version: members.version,
+                load: load.clone(),
                 record: record.clone(),
             };
             let answers = answers.clone();
             // The append goes on when this caller leaves: copies spread.
             tokio::task::spawn_local(async move {
-                let _ = answers.send(client.call(request, within).await);
+                let _ = answers.send(call_until(&client, request, within).await);
             });
         }
         drop(answers);
@@ -171,7 +235,11 @@
                 Ok(Reply::Kept {
                     complete,
                     ledger: entries,
+                    others,
                 }) => {
+                    if reads_ledger {
+                        self.load.hear(others);
+                    }
                     ledger.merge(entries);
                     kept += usize::from(complete || !reads_ledger);
                 }
@@ -290,6 +358,27 @@
     }
 }
 
+/// Repeats a call that ended with its connection: records are known by their
+/// digests, so that a second copy does no harm.
+async fn call_until(
+    client: &StoreClient,
+    request: Request,
+    within: Duration,
+) -> Result<Reply, CallError> {
+    let deadline = Instant::now() + within;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let error = match client.call(request.clone(), left).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) => error,
+        };
+        if Instant::now() + RETRY_PAUSE >= deadline {
+            return Err(error);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 enum StepOutcome {
     Parts {
         found: Vec<ChainPart>,
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod frame;
 pub mod group;
 pub mod journal;
+pub mod load;
 pub mod membership;
 pub mod message;
 pub mod observe;
@@ -22,5 +23,6 @@
 
 pub use client::StoreClient;
 pub use group::{ChainOutcome, Group, GroupError, LedgerView};
+pub use load::LoadBoard;
 pub use message::{LedgerEntry, Record, Reply, Request, TurnRecord};
 pub use role::{StoreHost, StoreSettings};
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -115,6 +115,24 @@
     pub revision: u64,
 }
 
+/// Requests that one front has under way at one replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct LoadEntry {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// Requests under way there.
+    pub under_way: u16,
+}
+
+/// What a front has under way, told along with its records.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct LoadReport {
+    /// Chosen by the front at its start.
+    pub front: u32,
+    /// Replicas with requests under way; the busiest where there are many.
+    pub entries: List<LoadEntry>,
+}
+
 /// What a caller asks of a store.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum Request {
@@ -122,6 +140,8 @@
     Append {
         /// The asking front's version of the member list.
         members_version: u64,
+        /// What the front has under way.
+        load: LoadReport,
         /// What to keep.
         record: Record,
     },
@@ -139,6 +159,8 @@
         /// Position up to which the asker holds everything on its own disk.
         held: JournalPosition,
     },
+    /// Whether the store is there.
+    Ping,
     /// Items of the key-value service, for a front that starts while the
     /// service is down.
     Items,
@@ -158,6 +180,8 @@
         complete: bool,
         /// The program's ledger; filled for reservations.
         ledger: List<LedgerEntry>,
+        /// What all other fronts have under way; filled for reservations.
+        others: List<LoadEntry>,
     },
     /// Parts of a chain, newest first.
     Chain {
@@ -180,6 +204,8 @@
         /// In journal order.
         digests: List<RecordDigest>,
     },
+    /// The store is there.
+    Pong,
     /// Items as last seen.
     Items(List<SeenItem>),
     /// Records that were found.
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -15,7 +15,10 @@
 
 use crate::frame;
 use crate::journal::{Appended, Journal};
-use crate::message::{JournalPosition, Numbered, Record, Refusal, Reply, Request, SeenItem};
+use crate::load::LoadReports;
+use crate::message::{
+    JournalPosition, LoadReport, Numbered, Record, Refusal, Reply, Request, SeenItem,
+};
 use crate::segment::Recovered;
 use crate::socket;
 use crate::state::State;
@@ -48,6 +51,7 @@
     complete: Cell<bool>,
     members: RefCell<Rc<Members>>,
     items: RefCell<List<SeenItem>>,
+    loads: LoadReports,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
     started: Instant,
 }
@@ -77,6 +81,7 @@
             complete: Cell::new(recovered.complete),
             members: RefCell::new(Rc::new(recovered.members.unwrap_or_default())),
             items: RefCell::default(),
+            loads: LoadReports::default(),
             held_by_peers: RefCell::default(),
             started: Instant::now(),
         }
@@ -231,19 +236,23 @@
         match request {
             Request::Append {
                 members_version,
+                load,
                 record,
-            } => self.append(members_version, record).await,
+            } => self.append(members_version, load, record).await,
             Request::Chain { turn } => self.state.borrow().chain(&turn, self.complete()),
             Request::Digests { node, from, held } => {
                 self.held_by_peers.borrow_mut().insert(node, held);
                 self.state.borrow().digests(from, self.complete())
             }
+            Request::Ping => Reply::Pong,
             Request::Items => Reply::Items(self.items.borrow().clone()),
             Request::Fetch { digests } => Reply::Records(self.state.borrow().fetch(&digests)),
         }
     }
 
-    async fn append(&self, members_version: u64, record: Record) -> Reply {
+    async fn append(&self, members_version: u64, load: LoadReport, record: Record) -> Reply {
+        let front = load.front;
+        self.loads.take(load);
         if let Some(refusal) = self.refusal(members_version) {
             return Reply::Refused(refusal);
         }
@@ -254,13 +263,17 @@
         if !self.keep(record).await {
             return Reply::Refused(Refusal::DiskRefused);
         }
-        let ledger = match program {
-            Some(program) => self.state.borrow().ledger_entries(&program),
-            None => List::default(),
+        let (ledger, others) = match program {
+            Some(program) => (
+                self.state.borrow().ledger_entries(&program),
+                self.loads.of_others(front),
+            ),
+            None => Default::default(),
         };
         Reply::Kept {
             complete: self.complete(),
             ledger,
+            others,
         }
     }
 
