Changes are gathered before the next watch; kept connections are preferred

Ruled out: narrower watches (the calls come with the replicas' own entries). Change: 0.4 s pass after a change before the next watch; a replica with a free kept connection is preferred among equals.

--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -15,6 +15,9 @@
 
 /// How long one watch waits at the service.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// After a change the next ones are gathered this long: they come in groups,
+/// and each call has its price.
+const GATHER: Duration = Duration::from_millis(400);
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 const LAST_BACKOFF: Duration = Duration::from_millis(800);
 
@@ -220,7 +223,11 @@
         match self.service.watch(prefix, revision, WATCH_WAIT).await? {
             WatchOutcome::HistoryGone => Ok(None),
             WatchOutcome::Changes { changes, revision } => {
+                let pause = !changes.is_empty();
                 self.apply_changes(changes, report);
+                if pause {
+                    tokio::time::sleep(GATHER).await;
+                }
                 Ok(Some(revision))
             }
         }
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -104,6 +104,7 @@
             in_flight: self.load.under_way(self.short_hash()),
             held_tokens: self.held_parts.borrow().held(prompt),
             slots: self.record.slots,
+            connected: self.pool.has_free(),
             usable: self.taking_work() && !excluded.contains(&self.id),
         }
     }
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -13,6 +13,8 @@
     pub slots: u32,
     /// Tokens from the prompt's start that it is believed to hold.
     pub held_tokens: u32,
+    /// Whether a kept connection to it is free.
+    pub connected: bool,
     /// Whether it may be chosen at all.
     pub usable: bool,
 }
@@ -27,6 +29,11 @@
 const QUEUE_COST: f64 = 300.0;
 /// Milliseconds that another zone costs.
 const REMOTE_COST: f64 = 4.0;
+/// Milliseconds that a new connection costs.
+const CONNECTION_COST: f64 = 3.0;
+/// Requests in flight that a replica without a free connection counts as
+/// having more.
+const CONNECTION_HANDICAP: f64 = 0.8;
 /// What the engine gets that the program's hash ranks first, where no engine is
 /// known to hold the program's prompt: at least this many milliseconds, or this
 /// part of reading all of it.
@@ -50,7 +57,12 @@
         let missing = prompt_tokens.saturating_sub(candidate.held_tokens);
         let bonus = if index == home { home_bonus } else { 0.0 };
         let way = if candidate.local { 0.0 } else { REMOTE_COST };
-        reading_cost(missing) + load_cost(candidate) + way - bonus
+        let connection = if candidate.connected {
+            0.0
+        } else {
+            CONNECTION_COST
+        };
+        reading_cost(missing) + load_cost(candidate) + way + connection - bonus
     };
     candidates
         .iter()
@@ -96,7 +108,11 @@
         } else {
             REMOTE_HANDICAP
         };
-        (f64::from(candidate.in_flight) + handicap) / f64::from(candidate.slots.max(1))
+        let connection = match candidate.connected {
+            true => 0.0,
+            false => CONNECTION_HANDICAP,
+        };
+        (f64::from(candidate.in_flight) + handicap + connection) / f64::from(candidate.slots.max(1))
     };
     candidates
         .iter()
--- a/crates/stageyoke-front/src/upstream.rs
+++ b/crates/stageyoke-front/src/upstream.rs
@@ -101,6 +101,11 @@
         idle.pop()
     }
 
+    /// Whether there is an idle connection that is still good.
+    pub fn has_free(&self) -> bool {
+        self.idle.borrow().iter().any(Connection::usable)
+    }
+
     /// Keeps a connection for the next request.
     pub fn give(&self, mut connection: Connection) {
         if connection.sender.is_closed() {
