--- a/crates/stageyoke-front/src/activity.rs
+++ b/crates/stageyoke-front/src/activity.rs
@@ -23,6 +23,7 @@
     /// Counts one more until the guard is dropped.
     pub fn begin(&self) -> Active {
         self.0.count.set(self.0.count.get() + 1);
+        stageyoke_observe::metrics().under_way.inc();
         Active(self.0.clone())
     }
 
@@ -42,6 +43,7 @@
 impl Drop for Active {
     fn drop(&mut self) {
         let left = self.0.count.get() - 1;
+        stageyoke_observe::metrics().under_way.dec();
         self.0.count.set(left);
         if left == 0 {
             self.0.idle.notify_one();
--- a/crates/stageyoke-front/src/bootstrap.rs
+++ b/crates/stageyoke-front/src/bootstrap.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::Instant;
 
-use crate::observe;
+use stageyoke_observe as observe;
 
 /// How long the service itself has, before the stores are asked.
 const SERVICE_FIRST: Duration = Duration::from_millis(100);
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -10,10 +10,10 @@
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
-use crate::observe;
 use crate::placement::{Candidate, hash_text, mix};
 use crate::prompt::{HeldParts, Prompt};
 use crate::upstream::Pool;
+use stageyoke_observe as observe;
 
 /// Failures in a row after which a replica is left alone for a while.
 const FAILURES_TO_SUSPEND: u32 = 3;
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -18,9 +18,9 @@
 use crate::fleet::Fleet;
 use crate::history::History;
 use crate::names::Names;
-use crate::observe;
 use crate::server;
 use crate::shares::Shares;
+use stageyoke_observe as observe;
 
 /// A planned stop takes connections and requests this long, until the entry
 /// has seen that the front is not ready; then resting connections are closed.
@@ -109,6 +109,11 @@
     fn follow(&self) {
         let view = self.mirror.view();
         self.fleet.follow(&view.replicas);
+        let metrics = stageyoke_observe::metrics();
+        metrics.replicas.set(view.replicas.len() as i64);
+        metrics.members_version.set(view.members.version as i64);
+        let version = view.routes.as_ref().map_or(0, |routes| routes.version);
+        metrics.routes_version.set(version as i64);
         self.history.group.follow(&view.members);
     }
 }
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -1,5 +1,6 @@
 //! The way of one request: route, history, budget, replica, answer.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,10 +24,10 @@
 use crate::fleet::Replica;
 use crate::front::Front;
 use crate::history::{Reservation, Transcript};
-use crate::observe::{self, Story};
 use crate::placement::{self, Candidate};
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
 use crate::request::{Figures, host};
+use stageyoke_observe::{self as observe, RequestStory as Story};
 
 /// Replicas that one request is offered to at most.
 const MAX_OFFERS: usize = 5;
@@ -66,6 +67,8 @@
             Err(failure) => {
                 story.outcome = failure.cause;
                 story.status = failure.kind.answer().http_status;
+                let retry_after = failure.retry_after.unwrap_or_default();
+                story.retry_after = retry_after.as_millis() as u64;
                 observe::request_ended(&story, arrived.elapsed());
                 self.echo(answer::respond(&failure), &story)
             }
@@ -100,6 +103,12 @@
         ))?;
         story.request = figures.request.to_string();
         story.program = figures.program.to_string();
+        let deadline = figures.deadline.saturating_duration_since(arrived);
+        story.deadline = deadline.as_millis() as u64;
+        let contact = self.mirror.last_contact();
+        let age = contact.map_or(Duration::MAX, |contact| contact.elapsed());
+        story.directory_age = age.as_millis().min(u128::from(u32::MAX)) as u64;
+        story.members_version = self.history.group.members().version;
         let host = host(&head.headers).unwrap_or_default();
         let (routes, route) = self.find_route(host, head.uri.path()).await?;
         story.route = route.name.to_string();
@@ -170,14 +179,22 @@
         mut call: Call,
         story: &mut Story,
     ) -> Result<Response<FrontBody>, Failure> {
-        let (reservation, transcript) = tokio::join!(self.reserve(&call), self.transcript(&call));
+        let ledger: RefCell<String> = RefCell::default();
+        let (reservation, transcript) =
+            tokio::join!(self.reserve(&call, &ledger), self.transcript(&call));
+        story.ledger = ledger.into_inner();
         let mut reservation = match reservation {
             Ok(granted) => granted,
-            Err(failure) => {
-                story.ledger = "refused".to_owned();
-                return Err(failure);
-            }
+            Err(failure) => return Err(failure),
         };
+        if let Some(previous) = &call.figures.previous {
+            let found = match &transcript {
+                Ok(Some(text)) => format!("{} bytes", text.len()),
+                Ok(None) => "not kept".to_owned(),
+                Err(failure) => failure.cause.to_owned(),
+            };
+            story.history = format!("previous={previous} found={found}");
+        }
         if let Some(transcript) = transcript? {
             let mut body = Vec::with_capacity(transcript.len() + call.input.len());
             body.extend_from_slice(&transcript);
@@ -219,7 +236,11 @@
         failing.clamp(SOON, AFTER_RECOVERY)
     }
 
-    async fn reserve(&self, call: &Call) -> Result<Option<Reservation>, Failure> {
+    async fn reserve(
+        &self,
+        call: &Call,
+        note: &RefCell<String>,
+    ) -> Result<Option<Reservation>, Failure> {
         let figures = &call.figures;
         let Some(budget) = figures.budget else {
             return Ok(None);
@@ -253,7 +274,12 @@
                 self.group_retry(),
             )
         })?;
-        if ledger.total_without(&turn) + u64::from(most) > budget {
+        let others = ledger.total_without(&turn);
+        *note.borrow_mut() = format!(
+            "budget={budget} others={others} most={most} turns={}",
+            ledger.turns()
+        );
+        if others + u64::from(most) > budget {
             return Err(Failure::last(ErrorKind::TokenBudgetSpent, "budget_spent"));
         }
         Ok(Some(reservation))
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use stageyoke_observe::metrics;
 use stageyoke_store::message::ChainPart;
 use stageyoke_store::{ChainOutcome, Group, GroupError, LedgerView, Record, TurnRecord};
 use stageyoke_types::{Blob, Text};
@@ -129,7 +130,12 @@
             turn: turn.clone(),
             most,
         };
-        self.group.append(record, within).await
+        let began = Instant::now();
+        let ledger = self.group.append(record, within).await;
+        metrics()
+            .reserve_seconds
+            .observe(began.elapsed().as_secs_f64());
+        ledger
     }
 
     /// Settles a reservation without waiting.
@@ -144,6 +150,7 @@
 
     /// Keeps a finished turn; returns once a write quorum has it on disk.
     pub async fn commit(&self, record: TurnRecord, deadline: Instant) -> Result<(), GroupError> {
+        let began = Instant::now();
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             let within = left.min(COMMIT_TRY);
@@ -160,6 +167,9 @@
             }
             tokio::time::sleep(COMMIT_PAUSE).await;
         }
+        metrics()
+            .commit_seconds
+            .observe(began.elapsed().as_secs_f64());
         self.cache.borrow_mut().insert(ChainPart {
             turn: record.turn,
             previous: record.previous,
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod handler;
 pub mod history;
 pub mod names;
-pub mod observe;
 pub mod placement;
 pub mod prompt;
 pub mod relay;
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -14,9 +14,9 @@
 use crate::events::{EventSplitter, collect_data};
 use crate::fleet::{InFlight, Replica};
 use crate::history::{History, Reservation, turn_record};
-use crate::observe::{self, Story};
 use crate::request::Figures;
 use crate::upstream::Connection;
+use stageyoke_observe::{self as observe, RequestStory as Story};
 
 /// Pieces that wait for a caller who reads slowly.
 pub const PIECES_AHEAD: usize = 16;
@@ -135,7 +135,10 @@
         };
         let retention = self.keeping.retention;
         let record = turn_record(&self.figures, input, heard.output, used, retention);
-        match self.keeping.history.commit(record, self.deadline).await {
+        let began = Instant::now();
+        let kept = self.keeping.history.commit(record, self.deadline).await;
+        self.story.keeping = began.elapsed().as_millis() as u64;
+        match kept {
             Ok(()) => End::Whole,
             Err(_) => End::Cut("not_kept"),
         }
--- a/crates/stageyoke-front/src/upstream.rs
+++ b/crates/stageyoke-front/src/upstream.rs
@@ -38,6 +38,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stageyoke_store::socket::configure(&stream);
+        stageyoke_observe::metrics().connections_opened.inc();
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
--- /dev/null
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -0,0 +1,163 @@
+//! Counters, gauges and latency histograms of a process, and their listener.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use tokio::net::TcpListener;
+
+/// Path of the metrics page.
+pub const METRICS_PATH: &str = "/metrics";
+/// Buckets of latency histograms, s.
+const LATENCY_BUCKETS: &[f64] = &[
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+/// Every metric of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended, by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time from a request's arrival to its end, s.
+    pub request_seconds: Histogram,
+    /// Time from a request's arrival to the head of its answer, s.
+    pub head_seconds: Histogram,
+    /// Time until a reservation was kept, s.
+    pub reserve_seconds: Histogram,
+    /// Time until a finished turn was kept, s.
+    pub commit_seconds: Histogram,
+    /// Time of one write and sync of a journal, s.
+    pub sync_seconds: Histogram,
+    /// Numbered events.
+    pub events: IntCounterVec,
+    /// Calls to the key-value service, by outcome.
+    pub service_calls: IntCounterVec,
+    /// Connections opened to replicas.
+    pub connections_opened: IntCounter,
+    /// Requests and streams under way.
+    pub under_way: IntGauge,
+    /// Configuration in force.
+    pub routes_version: IntGauge,
+    /// Version of the store group's member list.
+    pub members_version: IntGauge,
+    /// Replicas that take work.
+    pub replicas: IntGauge,
+    /// Records that a store holds.
+    pub records: IntGauge,
+    /// Whether a store holds everything that it ever acknowledged.
+    pub complete: IntGauge,
+}
+
+/// The metrics of this process.
+pub fn metrics() -> &'static Metrics {
+    static METRICS: OnceLock<Metrics> = OnceLock::new();
+    METRICS.get_or_init(Metrics::new)
+}
+
+impl Metrics {
+    fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            register(&registry, IntCounterVec::new(Opts::new(name, help), labels))
+        };
+        let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
+        let seconds = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            register(&registry, Histogram::with_opts(options))
+        };
+        Self {
+            requests: counters(
+                "stageyoke_requests_total",
+                "Requests that ended, by route and outcome.",
+                &["route", "outcome"],
+            ),
+            request_seconds: seconds("stageyoke_request_seconds", "Arrival to end."),
+            head_seconds: seconds("stageyoke_head_seconds", "Arrival to the answer's head."),
+            reserve_seconds: seconds("stageyoke_reserve_seconds", "Until a reservation is kept."),
+            commit_seconds: seconds("stageyoke_commit_seconds", "Until a turn is kept."),
+            sync_seconds: seconds(
+                "stageyoke_sync_seconds",
+                "One write and sync of the journal.",
+            ),
+            events: counters("stageyoke_events_total", "Numbered events.", &["event"]),
+            service_calls: counters(
+                "stageyoke_service_calls_total",
+                "Calls to the key-value service.",
+                &["outcome"],
+            ),
+            connections_opened: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_replica_connections_total",
+                    "Connections opened to replicas.",
+                ),
+            ),
+            under_way: gauge("stageyoke_under_way", "Requests and streams under way."),
+            routes_version: gauge("stageyoke_routes_version", "Configuration in force."),
+            members_version: gauge("stageyoke_members_version", "Version of the member list."),
+            replicas: gauge("stageyoke_replicas", "Replicas that take work."),
+            records: gauge("stageyoke_records", "Records that a store holds."),
+            complete: gauge(
+                "stageyoke_store_complete",
+                "1 once a store's disk is complete.",
+            ),
+            registry,
+        }
+    }
+
+    /// The page, as text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+fn register<T: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<T>,
+) -> T {
+    // Names and labels are constants: a failure is a programming error, which
+    // the test of the page shows.
+    let metric = metric.unwrap_or_else(|error| panic!("a metric is malformed: {error}"));
+    if let Err(error) = registry.register(Box::new(metric.clone())) {
+        panic!("a metric is registered twice: {error}");
+    }
+    metric
+}
+
+/// Serves the page until the task is dropped. Needs a local task set.
+pub async fn serve(address: SocketAddr) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
+                Ok::<_, Infallible>(answer(request.uri().path()))
+            });
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(path: &str) -> Response<Full<Bytes>> {
+    if path == METRICS_PATH {
+        return Response::new(Full::from(metrics().render()));
+    }
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::{self, Write};
 use std::sync::mpsc;
+use std::time::Instant;
 
 use stageyoke_directory::Members;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -167,8 +168,11 @@
         let Some(segment) = self.current.as_mut() else {
             return Err(io::ErrorKind::Other.into());
         };
+        let began = Instant::now();
         segment.file.write_all(bytes)?;
         segment.file.sync_data()?;
+        let seconds = began.elapsed().as_secs_f64();
+        stageyoke_observe::metrics().sync_seconds.observe(seconds);
         segment.bytes += bytes.len() as u64;
         let number = segment.number;
         if segment.bytes > SEGMENT_BYTES {
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod load;
 pub mod membership;
 pub mod message;
-pub mod observe;
 pub mod role;
 pub mod segment;
 pub mod server;
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -19,10 +19,10 @@
 use crate::journal::Journal;
 use crate::membership::{Oneself, PeerHealth, Step, decide};
 use crate::message::SeenItem;
-use crate::observe;
 use crate::segment::DataFolder;
 use crate::server::{self, Keeper};
 use crate::sync::Peers;
+use stageyoke_observe as observe;
 
 const TICK: Duration = Duration::from_millis(1000);
 const QUICK_TICK: Duration = Duration::from_millis(150);
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -173,6 +173,9 @@
                 self.finish(&appended, now);
             }
             self.expire(now);
+            let metrics = stageyoke_observe::metrics();
+            metrics.records.set(self.end().next as i64);
+            metrics.complete.set(i64::from(self.complete()));
         }
     }
 
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -13,8 +13,8 @@
 
 use crate::client::StoreClient;
 use crate::message::{JournalPosition, RecordDigest, Reply, Request};
-use crate::observe;
 use crate::server::Keeper;
+use stageyoke_observe as observe;
 
 /// Pause between rounds with a peer.
 pub const ROUND_PAUSE: Duration = Duration::from_millis(1000);
