The lab plays the platform: real programs as processes, calm or under faults

Change: stand-ins of the platform's key-value service, replicas and callers; a loopback proxy (delay, reset, one-way cut, silence); signals (stop, pause, kill, restart), lost disks and torn tails; every promise checked from the callers' and the replicas' side.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -30,8 +30,8 @@
 
 /// A front that has not reached a quorum of stores for this long is not ready.
 const UNREADY_AFTER: Duration = Duration::from_millis(600);
-const PROBE_PAUSE: Duration = Duration::from_millis(400);
-const PROBE_WITHIN: Duration = Duration::from_millis(350);
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+const PROBE_WITHIN: Duration = Duration::from_millis(300);
 
 /// Settings of the role.
 #[derive(Clone, Debug)]
@@ -92,15 +92,18 @@
 
     /// Looks for the store group's return while it fails.
     async fn watch_group(&self) {
+        let group = &self.history.group;
+        let mut told = false;
         loop {
             tokio::time::sleep(PROBE_PAUSE).await;
-            let group = &self.history.group;
-            let Some(failing) = group.failing_for() else {
-                continue;
-            };
-            observe::event(Event::GroupFailing, &format!("for={failing:?}"));
-            group.probe(PROBE_WITHIN).await;
-            if group.failing_for().is_none() {
+            if let Some(failing) = group.failing_for() {
+                if !std::mem::replace(&mut told, true) {
+                    observe::event(Event::GroupFailing, &format!("for={failing:?}"));
+                }
+                group.probe(PROBE_WITHIN).await;
+            }
+            if told && group.failing_for().is_none() {
+                told = false;
                 observe::event(Event::DependencyRegained, "store group");
             }
         }
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -33,10 +33,12 @@
 const MAX_OFFERS: usize = 5;
 /// How long a doubtful route or chain is looked up.
 const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
-/// How long a reservation may take: through a store's restart, but not for
-/// long where the group has been failing for a while.
+/// How long a reservation may take: through a store's restart, and no more
+/// than this part of the time that the request has left.
 const RESERVE_WITHIN: Duration = Duration::from_millis(1300);
-const RESERVE_WHILE_FAILING: Duration = Duration::from_millis(300);
+const RESERVE_PART: f64 = 0.4;
+/// A group that has been failing this long is not waited for: probes tell when
+/// it serves again.
 const FAILING_FOR_LONG: Duration = Duration::from_millis(800);
 /// When to come back after a refusal for want of room.
 const SOON: Duration = Duration::from_millis(250);
@@ -254,10 +256,12 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let failing = self.history.group.failing_for().unwrap_or_default();
-        let within = left.min(match failing > FAILING_FOR_LONG {
-            true => RESERVE_WHILE_FAILING,
-            false => RESERVE_WITHIN,
-        });
+        if failing > FAILING_FOR_LONG {
+            let cause = "store_group_failing";
+            let after = self.group_retry();
+            return Err(Failure::come_back(ErrorKind::Unavailable, cause, after));
+        }
+        let within = left.mul_f64(RESERVE_PART).min(RESERVE_WITHIN);
         let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let most = figures.most_tokens;
         let mut ledger = self.history.reserve(&program, &turn, most, within).await;
--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use argh::FromArgs;
 use miette::IntoDiagnostic;
@@ -9,6 +10,7 @@
 
 use crate::cluster::{LabCluster, LabShape};
 use crate::load::LoadPlan;
+use crate::soak::{self, SoakPlan};
 use crate::standins::engine::Pace;
 use crate::{capacity, demo, failover, load, scale};
 
@@ -28,6 +30,29 @@
     Scale(ScaleArguments),
     Capacity(CapacityArguments),
     Failover(FailoverArguments),
+    Soak(SoakArguments),
+}
+
+/// Run the real programs as separate processes against stand-ins of the
+/// platform, calm or under random faults, and check every promise.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "soak")]
+struct SoakArguments {
+    /// seconds of each run
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// seed of the first run; drawn where none is given
+    #[argh(option)]
+    seed: Option<u64>,
+    /// runs, each with the next seed
+    #[argh(option, default = "1")]
+    runs: u64,
+    /// without faults
+    #[argh(switch)]
+    calm: bool,
+    /// the program; the one beside this one where none is given
+    #[argh(option)]
+    program: Option<PathBuf>,
 }
 
 /// Kill leaders in virtual time and measure the time to the next answer.
@@ -130,8 +155,43 @@
     }
 }
 
+async fn soak_runs(arguments: &SoakArguments) -> miette::Result<ExitCode> {
+    let own = std::env::current_exe().into_diagnostic()?;
+    let program = arguments
+        .program
+        .clone()
+        .unwrap_or_else(|| soak::program_beside(&own));
+    let first = arguments
+        .seed
+        .unwrap_or_else(|| rand::random::<u32>().into());
+    let mut broken = false;
+    for seed in first..first + arguments.runs {
+        let plan = SoakPlan {
+            program: program.clone(),
+            seed,
+            lasting: Duration::from_secs(arguments.seconds),
+            faults: !arguments.calm,
+        };
+        let report = soak::run(&plan).await.into_diagnostic()?;
+        println!("seed {seed}: {:?}", report.counts);
+        println!("  faults: {}", report.faults.join(", "));
+        for breach in &report.breaches {
+            println!("  BREACH {breach}");
+        }
+        if let Some(folder) = &report.folder {
+            println!("  kept in {}", folder.display());
+        }
+        broken |= !report.breaches.is_empty();
+    }
+    Ok(match broken {
+        true => ExitCode::FAILURE,
+        false => ExitCode::SUCCESS,
+    })
+}
+
 async fn dispatch(command: Command) -> miette::Result<ExitCode> {
     match command {
+        Command::Soak(arguments) => soak_runs(&arguments).await,
         Command::Demo(arguments) => {
             if arguments.verbose {
                 start_log(LogFormat::Text);
--- a/crates/stageyoke-lab/src/lib.rs
+++ b/crates/stageyoke-lab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod load;
 pub mod process;
 pub mod scale;
+pub mod soak;
 pub mod standins;
--- /dev/null
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -0,0 +1,169 @@
+//! A small deployment on loopback: stand-ins, proxies and real processes.
+
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::processes::{Process, ProcessRole, Shared};
+use super::promises::Promises;
+use super::proxy::Proxy;
+use crate::standins::platform::replica::{ReplicaStandIn, ReplicaTrouble};
+use crate::standins::platform::store::PlatformStoreStandIn;
+use crate::standins::platform::{configuration, names};
+use crate::standins::{StandInServer, serve};
+
+/// Fronts of a deployment.
+pub const FRONTS: usize = 3;
+/// Stores of a deployment.
+pub const STORES: usize = 3;
+const MODELS: usize = 3;
+const TOOLS: usize = 2;
+const START_WITHIN: Duration = Duration::from_secs(20);
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// Everything that runs.
+pub struct Deployment {
+    /// The platform's key-value service.
+    pub service: Arc<PlatformStoreStandIn>,
+    /// The proxy before it.
+    pub service_proxy: Proxy,
+    /// Proxies before the replicas.
+    pub replica_proxies: Vec<Proxy>,
+    /// Trouble of all replicas.
+    pub trouble: Arc<ReplicaTrouble>,
+    /// Fronts, then stores.
+    pub processes: Vec<Process>,
+    /// What was promised and seen.
+    pub promises: Arc<Promises>,
+    /// Where fronts listen.
+    pub fronts: Arc<Vec<SocketAddr>>,
+    /// Version of the configuration in the service.
+    pub version: u64,
+    _servers: Vec<StandInServer>,
+    folder: TempDir,
+}
+
+impl Deployment {
+    /// Starts everything and waits until the fronts are ready.
+    pub async fn start(program: &Path) -> io::Result<Self> {
+        let promises = Arc::new(Promises::default());
+        let service = Arc::new(PlatformStoreStandIn::default());
+        let server = serve(service.clone(), None).await?;
+        let service_proxy = Proxy::start(server.address).await?;
+        let mut servers = vec![server];
+        let trouble = Arc::new(ReplicaTrouble::default());
+        let mut replica_proxies = Vec::new();
+        for number in 0..MODELS + TOOLS {
+            let replica = Arc::new(ReplicaStandIn {
+                id: format!("replica-{number}"),
+                model: number < MODELS,
+                trouble: trouble.clone(),
+                promises: promises.clone(),
+            });
+            let server = serve(replica.clone(), None).await?;
+            let proxy = Proxy::start(server.address).await?;
+            let entry = json!({
+                "Service": if replica.model { "models" } else { "tools" },
+                "Addr": proxy.address, "Zone": "lab", "Version": "v1",
+                "Slots": 12, "State": "ready", "ColdLeftMs": 0, "CallSeq": 1,
+            });
+            let key = format!("{}{}", names::SERVERS, replica.id);
+            service.put(&key, entry.to_string().as_bytes());
+            servers.push(server);
+            replica_proxies.push(proxy);
+        }
+        service.put(names::CONFIG_KEY, configuration(1).to_string().as_bytes());
+        let folder = tempfile::tempdir()?;
+        let addresses = addresses(FRONTS + STORES)?;
+        let shared = Shared {
+            program: program.to_owned(),
+            folder: folder.path().to_owned(),
+            platform: service_proxy.address,
+            seeds: addresses[FRONTS..]
+                .iter()
+                .map(|machine| machine[2])
+                .collect(),
+        };
+        let mut processes = Vec::new();
+        for (number, machine) in addresses.iter().enumerate() {
+            let (role, node) = match number < FRONTS {
+                true => (ProcessRole::Front, format!("front-{number}")),
+                false => (ProcessRole::Store, format!("store-{}", number - FRONTS)),
+            };
+            let mut process = Process::new(&shared, node, role, *machine);
+            process.start(true)?;
+            processes.push(process);
+        }
+        let fronts = Arc::new(
+            addresses[..FRONTS]
+                .iter()
+                .map(|machine| machine[0])
+                .collect(),
+        );
+        let deployment = Self {
+            service,
+            service_proxy,
+            replica_proxies,
+            trouble,
+            processes,
+            promises,
+            fronts,
+            version: 1,
+            _servers: servers,
+            folder,
+        };
+        deployment.wait_until_listening().await?;
+        Ok(deployment)
+    }
+
+    async fn wait_until_listening(&self) -> io::Result<()> {
+        let until = Instant::now() + START_WITHIN;
+        for front in self.fronts.iter() {
+            while TcpStream::connect(front).await.is_err() {
+                if Instant::now() > until {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+                tokio::time::sleep(LOOK_AGAIN).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Puts the next configuration in force.
+    pub fn reconfigure(&mut self) {
+        self.version += 1;
+        let configuration = configuration(self.version).to_string();
+        self.service
+            .put(names::CONFIG_KEY, configuration.as_bytes());
+    }
+
+    /// Keeps the folder with settings, data and logs, and names it.
+    pub fn keep_folder(self) -> std::path::PathBuf {
+        self.folder.keep()
+    }
+}
+
+/// Addresses of machines: an IP each, and on all of them the same ports, which
+/// the system gave once.
+fn addresses(count: usize) -> io::Result<Vec<[SocketAddr; 3]>> {
+    let block: u8 = rand::random_range(2..250);
+    let held: Vec<std::net::TcpListener> = (0..3)
+        .map(|_| std::net::TcpListener::bind(("127.0.0.1", 0)))
+        .collect::<io::Result<_>>()?;
+    let mut ports = [0; 3];
+    for (port, listener) in ports.iter_mut().zip(&held) {
+        *port = listener.local_addr()?.port();
+    }
+    let machine = |number: usize| {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, block, 0, number as u8 + 1));
+        ports.map(|port| SocketAddr::new(ip, port))
+    };
+    Ok((0..count).map(machine).collect())
+}
--- /dev/null
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -0,0 +1,207 @@
+//! Random faults from outside, one after the other or overlapping, drawn from
+//! a seed. At most one store is in trouble at a time, as the deployment
+//! tolerates the loss of one; a front may be at any time.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::deployment::{Deployment, FRONTS, STORES};
+use super::proxy::Mode;
+
+/// What is done to the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A front is killed and started again.
+    KillFront,
+    /// A front is stopped in the planned way and started again.
+    StopFront,
+    /// A front stands still.
+    PauseFront,
+    /// A store is killed and started again, with a torn tail.
+    KillStore,
+    /// A store stands still.
+    PauseStore,
+    /// A store loses its disk.
+    WipeStore,
+    /// All processes are killed at once.
+    KillAll,
+    /// The platform's service misbehaves on the way.
+    CutService,
+    /// The platform's service refuses, is slow or loses answers.
+    TroubleService,
+    /// The way to some replicas misbehaves.
+    CutReplicas,
+    /// Replicas refuse, break off and lose answers.
+    TroubleReplicas,
+    /// A new configuration.
+    Reconfigure,
+}
+
+const FAULTS: [Fault; 12] = [
+    Fault::KillFront,
+    Fault::StopFront,
+    Fault::PauseFront,
+    Fault::KillStore,
+    Fault::PauseStore,
+    Fault::WipeStore,
+    Fault::KillAll,
+    Fault::CutService,
+    Fault::TroubleService,
+    Fault::CutReplicas,
+    Fault::TroubleReplicas,
+    Fault::Reconfigure,
+];
+
+/// Time for a store to catch up before another may fail.
+const CATCH_UP: Duration = Duration::from_millis(4500);
+const DOWN: Duration = Duration::from_millis(400);
+
+fn milliseconds(random: &mut ChaCha8Rng, from: u64, to: u64) -> Duration {
+    Duration::from_millis(random.random_range(from..to))
+}
+
+impl Deployment {
+    /// Draws a fault, does it and undoes it; returns which.
+    pub async fn strike(&mut self, random: &mut ChaCha8Rng) -> Fault {
+        let fault = FAULTS[random.random_range(0..FAULTS.len())];
+        let front = random.random_range(0..FRONTS);
+        let store = FRONTS + random.random_range(0..STORES);
+        let lasting = milliseconds(random, 300, 3000);
+        match fault {
+            Fault::KillFront => self.restart(front, Signal::SIGKILL).await,
+            Fault::StopFront => self.restart(front, Signal::SIGTERM).await,
+            Fault::PauseFront => self.pause(front, lasting).await,
+            Fault::KillStore => self.kill_store(store, random).await,
+            Fault::PauseStore => self.pause(store, lasting).await,
+            Fault::WipeStore => self.wipe_store(store).await,
+            Fault::KillAll => self.kill_all().await,
+            Fault::CutService => self.cut_service(random, lasting).await,
+            Fault::TroubleService => self.trouble_service(random, lasting).await,
+            Fault::CutReplicas => self.cut_replicas(random, lasting).await,
+            Fault::TroubleReplicas => self.trouble_replicas(random, lasting).await,
+            Fault::Reconfigure => self.reconfigure(),
+        }
+        if matches!(
+            fault,
+            Fault::KillStore | Fault::PauseStore | Fault::WipeStore
+        ) {
+            tokio::time::sleep(CATCH_UP).await;
+        }
+        fault
+    }
+
+    async fn restart(&mut self, number: usize, signal: Signal) {
+        let process = &mut self.processes[number];
+        process.signal(signal);
+        process.ended().await;
+        tokio::time::sleep(DOWN).await;
+        self.start_again(number);
+    }
+
+    fn start_again(&mut self, number: usize) {
+        if let Err(error) = self.processes[number].start(false) {
+            self.promises
+                .breach(format!("a process did not start: {error}"));
+        }
+    }
+
+    async fn pause(&mut self, number: usize, lasting: Duration) {
+        self.processes[number].signal(Signal::SIGSTOP);
+        tokio::time::sleep(lasting).await;
+        self.processes[number].signal(Signal::SIGCONT);
+    }
+
+    async fn kill_store(&mut self, number: usize, random: &mut ChaCha8Rng) {
+        self.processes[number].signal(Signal::SIGKILL);
+        self.processes[number].ended().await;
+        let torn: Vec<u8> = (0..random.random_range(0..60))
+            .map(|_| random.random())
+            .collect();
+        let _ = self.processes[number].tear(&torn);
+        tokio::time::sleep(DOWN).await;
+        self.start_again(number);
+    }
+
+    async fn wipe_store(&mut self, number: usize) {
+        self.processes[number].signal(Signal::SIGKILL);
+        self.processes[number].ended().await;
+        if let Err(error) = self.processes[number].wipe() {
+            self.promises
+                .breach(format!("a disk could not be wiped: {error}"));
+        }
+        tokio::time::sleep(DOWN).await;
+        self.start_again(number);
+    }
+
+    async fn kill_all(&mut self) {
+        for process in &self.processes {
+            process.signal(Signal::SIGKILL);
+        }
+        for process in &mut self.processes {
+            process.ended().await;
+        }
+        tokio::time::sleep(DOWN).await;
+        for number in 0..self.processes.len() {
+            self.start_again(number);
+        }
+    }
+
+    async fn cut_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
+        let mode = draw_mode(random);
+        let delay = milliseconds(random, 0, 100);
+        self.service_proxy.weather.set(mode, delay);
+        tokio::time::sleep(lasting).await;
+        self.service_proxy.weather.set(Mode::Pass, Duration::ZERO);
+    }
+
+    async fn trouble_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
+        match random.random_range(0..4) {
+            0 => self.service.down.store(true, Ordering::Relaxed),
+            1 => self
+                .service
+                .slow_ms
+                .store(random.random_range(50..600), Ordering::Relaxed),
+            2 => self.service.lost_percent.store(60, Ordering::Relaxed),
+            _ => self.service.forget_history(),
+        }
+        tokio::time::sleep(lasting).await;
+        self.service.down.store(false, Ordering::Relaxed);
+        self.service.slow_ms.store(0, Ordering::Relaxed);
+        self.service.lost_percent.store(0, Ordering::Relaxed);
+    }
+
+    async fn cut_replicas(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
+        let mode = draw_mode(random);
+        let delay = milliseconds(random, 0, 60);
+        let chosen = random.random_range(0..self.replica_proxies.len());
+        self.replica_proxies[chosen].weather.set(mode, delay);
+        tokio::time::sleep(lasting).await;
+        self.replica_proxies[chosen]
+            .weather
+            .set(Mode::Pass, Duration::ZERO);
+    }
+
+    async fn trouble_replicas(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
+        let trouble = &self.trouble;
+        for percent in [&trouble.shed, &trouble.cut, &trouble.lost] {
+            percent.store(random.random_range(0..25), Ordering::Relaxed);
+        }
+        tokio::time::sleep(lasting).await;
+        for percent in [&trouble.shed, &trouble.cut, &trouble.lost] {
+            percent.store(0, Ordering::Relaxed);
+        }
+    }
+}
+
+fn draw_mode(random: &mut ChaCha8Rng) -> Mode {
+    match random.random_range(0..4) {
+        0 => Mode::Silence,
+        1 => Mode::OneWay,
+        2 => Mode::Reset,
+        _ => Mode::Pass,
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -0,0 +1,131 @@
+//! Runs of the real programs as separate processes on loopback, calm or under
+//! random faults, with every promise checked from the callers' and the
+//! replicas' side.
+
+pub mod deployment;
+pub mod faults;
+pub mod processes;
+pub mod promises;
+pub mod proxy;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::standins::platform::caller::{Caller, KeptTurn};
+use deployment::Deployment;
+use promises::{Counts, Promises};
+
+/// Callers at once.
+const CALLERS: u64 = 8;
+const TURNS: u32 = 4;
+/// Time after the last fault until every kept turn must go on.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Budget that never binds, for the turns after the end.
+const FREE_BUDGET: u32 = 1_000_000;
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// The program.
+    pub program: PathBuf,
+    /// Draws callers and faults.
+    pub seed: u64,
+    /// Time of the run.
+    pub lasting: Duration,
+    /// Whether faults strike.
+    pub faults: bool,
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// What contradicts a promise.
+    pub breaches: Vec<String>,
+    /// What was done.
+    pub counts: Counts,
+    /// Faults in their order, with the second of each.
+    pub faults: Vec<String>,
+    /// Where settings, data and logs are kept, after a breach.
+    pub folder: Option<PathBuf>,
+}
+
+/// Plays a run.
+pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
+    let mut deployment = Deployment::start(&plan.program).await?;
+    let began = Instant::now();
+    let until = began + plan.lasting;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let caller = caller(&deployment, plan.seed ^ (number + 1));
+        callers.spawn(call_until(caller, until));
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
+    let mut faults = Vec::new();
+    while plan.faults && Instant::now() < until {
+        let fault = deployment.strike(&mut random).await;
+        faults.push(format!("{:.1} {fault:?}", began.elapsed().as_secs_f64()));
+    }
+    let mut kept = Vec::new();
+    while let Some(turns) = callers.join_next().await {
+        kept.extend(turns.unwrap_or_default());
+    }
+    go_on(&deployment, plan.seed, kept).await;
+    let (breaches, counts) = deployment.promises.judge();
+    let folder = (!breaches.is_empty()).then(|| deployment.keep_folder());
+    Ok(SoakReport {
+        breaches,
+        counts,
+        faults,
+        folder,
+    })
+}
+
+fn caller(deployment: &Deployment, seed: u64) -> Caller {
+    Caller {
+        fronts: deployment.fronts.clone(),
+        promises: deployment.promises.clone(),
+        random: ChaCha8Rng::seed_from_u64(seed),
+    }
+}
+
+async fn call_until(mut caller: Caller, until: Instant) -> Vec<KeptTurn> {
+    let mut kept = Vec::new();
+    while Instant::now() < until {
+        kept.extend(caller.program(TURNS, until).await);
+    }
+    kept
+}
+
+/// After all faults every kept turn must still be there.
+async fn go_on(deployment: &Deployment, seed: u64, kept: Vec<KeptTurn>) {
+    let until = Instant::now() + RECOVERY;
+    let mut callers = JoinSet::new();
+    for (number, turn) in kept.into_iter().enumerate() {
+        let mut caller = caller(deployment, seed ^ (number as u64 + 1_000));
+        let promises: Arc<Promises> = deployment.promises.clone();
+        callers.spawn(async move {
+            let program = format!("after-{number}");
+            let mut given = 0;
+            let next = caller.turn(&program, FREE_BUDGET, Some(&turn), &mut given, until);
+            if next.await.is_none() {
+                promises.breach(format!("{} can't be gone on from at the end", turn.turn));
+            }
+        });
+        // A few at a time: the end is no load test.
+        while callers.len() >= CALLERS as usize * 2 {
+            callers.join_next().await;
+        }
+    }
+    while callers.join_next().await.is_some() {}
+}
+
+/// The program beside this one, where none is named.
+pub fn program_beside(own: &Path) -> PathBuf {
+    own.with_file_name("stageyoke-serve")
+}
--- /dev/null
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -0,0 +1,177 @@
+//! The real programs as separate processes. Only what was started here is ever
+//! signalled, by its own process identifier.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::json;
+use tokio::process::{Child, Command};
+
+use crate::standins::platform::names;
+
+/// What a process serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessRole {
+    /// Callers' requests.
+    Front,
+    /// History and ledgers.
+    Store,
+}
+
+/// One machine's process, with its files.
+pub struct Process {
+    /// Machine name.
+    pub node: String,
+    /// Role.
+    pub role: ProcessRole,
+    /// Where callers connect, for fronts.
+    pub front: SocketAddr,
+    inner: SocketAddr,
+    ready: SocketAddr,
+    program: PathBuf,
+    folder: PathBuf,
+    platform: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    child: Option<Child>,
+}
+
+/// What all processes of a run share.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// The program.
+    pub program: PathBuf,
+    /// Folder for settings, data and logs.
+    pub folder: PathBuf,
+    /// The platform's key-value service, or the proxy before it.
+    pub platform: SocketAddr,
+    /// Inner addresses of the stores.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Process {
+    /// A process that is not started yet.
+    pub fn new(
+        shared: &Shared,
+        node: String,
+        role: ProcessRole,
+        addresses: [SocketAddr; 3],
+    ) -> Self {
+        let [front, ready, inner] = addresses;
+        Self {
+            folder: shared.folder.join(&node),
+            node,
+            role,
+            front,
+            ready,
+            inner,
+            program: shared.program.clone(),
+            platform: shared.platform,
+            seeds: shared.seeds.clone(),
+            child: None,
+        }
+    }
+
+    /// Starts it; `first_start` is true only when the whole system starts for
+    /// the first time.
+    pub fn start(&mut self, first_start: bool) -> io::Result<()> {
+        std::fs::create_dir_all(&self.folder)?;
+        let settings = self.folder.join("settings.json");
+        std::fs::write(&settings, self.settings(first_start).to_string())?;
+        let log = self.log_file();
+        let log: File = OpenOptions::new().create(true).append(true).open(log)?;
+        let errors = log.try_clone()?;
+        let role = match self.role {
+            ProcessRole::Front => "front",
+            ProcessRole::Store => "store",
+        };
+        let child = Command::new(&self.program)
+            .arg(role)
+            .env_clear()
+            .env(names::SETTINGS_VARIABLE, &settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Where its lines go.
+    pub fn log_file(&self) -> PathBuf {
+        self.folder.join("log.jsonl")
+    }
+
+    fn settings(&self, first_start: bool) -> serde_json::Value {
+        let port = self.inner.port();
+        let data = match self.role {
+            ProcessRole::Front => None,
+            ProcessRole::Store => Some(self.data_folder()),
+        };
+        json!({
+            "Node": self.node, "Ip": self.inner.ip(), "Zone": "lab", "Region": "lab",
+            "Listen": {"Front": self.front, "Ready": self.ready},
+            "InnerPortRange": [port, port],
+            "Seeds": self.seeds,
+            "Bootstrap": first_start,
+            "DataDir": data,
+            "FaultTolerance": {"Machines": 1},
+            "Bounds": {"GraceS": 8},
+            "Platform": {"Addr": self.platform},
+        })
+    }
+
+    fn data_folder(&self) -> PathBuf {
+        self.folder.join("data")
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let identifier = self.child.as_ref().and_then(Child::id);
+        if let Some(identifier) = identifier {
+            let _ = kill(Pid::from_raw(identifier as i32), signal);
+        }
+    }
+
+    /// Waits for the process's end; it must have been told to end.
+    pub async fn ended(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait().await;
+        }
+    }
+
+    /// Loses the disk, of a process that has ended.
+    pub fn wipe(&self) -> io::Result<()> {
+        match std::fs::remove_dir_all(self.data_folder()) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    /// Leaves bytes of a torn write at the end of the newest segment, of a
+    /// process that has ended.
+    pub fn tear(&self, bytes: &[u8]) -> io::Result<()> {
+        let newest = newest_segment(&self.data_folder())?;
+        match newest {
+            Some(path) => OpenOptions::new().append(true).open(path)?.write_all(bytes),
+            None => Ok(()),
+        }
+    }
+}
+
+fn newest_segment(folder: &Path) -> io::Result<Option<PathBuf>> {
+    let mut segments = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let name = path.file_name().and_then(|name| name.to_str());
+        if name.is_some_and(|name| name.starts_with("segment-")) {
+            segments.push(path);
+        }
+    }
+    Ok(segments.into_iter().max())
+}
--- a/crates/stageyoke-lab/src/standins/mod.rs
+++ b/crates/stageyoke-lab/src/standins/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod key_value;
 pub mod machine_list;
+pub mod platform;
 pub mod text;
 
 use std::convert::Infallible;
--- /dev/null
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -0,0 +1,74 @@
+//! Stand-ins for the operator's platform: its key-value service, its replicas
+//! and its callers, as its pages describe them.
+
+pub mod caller;
+pub mod replica;
+pub mod store;
+
+/// Header names of the platform.
+pub mod names {
+    /// Identifier of one try.
+    pub const REQUEST: &str = "request-id";
+    /// Milliseconds that the caller waits.
+    pub const DEADLINE: &str = "deadline-ms";
+    /// Signature of a replica's answer.
+    pub const STAMP: &str = "response-stamp";
+    /// Incarnation that a request is meant for.
+    pub const INSTANCE: &str = "expect-instance";
+    /// Marks answers to requests that were not run.
+    pub const NOT_RUN: &str = "not-executed";
+    /// Prompt tokens and most tokens to generate.
+    pub const TOKENS: &str = "token-count";
+    /// Program of a request.
+    pub const PROGRAM: &str = "program-id";
+    /// Tokens of the whole program.
+    pub const BUDGET: &str = "token-budget";
+    /// Turn that a request goes on from.
+    pub const PREVIOUS: &str = "previous-turn";
+    /// When a refused request may come back, in seconds.
+    pub const RETRY_AFTER: &str = "retry-after";
+    /// Key of the operator's configuration.
+    pub const CONFIG_KEY: &str = "op/config";
+    /// Prefix of the replicas' entries.
+    pub const SERVERS: &str = "servers/";
+    /// Variable that names a process's settings file.
+    pub const SETTINGS_VARIABLE: &str = "STAGEYOKE_BOOT";
+}
+
+/// Tokens in one event of the model replicas.
+pub const TOKENS_PER_EVENT: u32 = 9;
+/// Host of all routes.
+pub const HOST: &str = "lab.example";
+/// Path of the turns whose history is kept.
+pub const KEPT_PATH: &str = "/kept/turn";
+/// Path of the tool that may be repeated.
+pub const SAFE_PATH: &str = "/safe/read";
+/// Path of the tool that may not.
+pub const ONCE_PATH: &str = "/once/write";
+
+/// The operator's configuration.
+pub fn configuration(version: u64) -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str, kept: bool| {
+        serde_json::json!({
+            "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
+            "TimeoutMs": 4000, "SloMs": 200, "Priority": 1, "Service": service,
+            "MaxAttempts": if kind == "safe" { 3 } else { 1 },
+            "RetainContext": kept, "RetentionS": 60.0, "CanResume": false,
+        })
+    };
+    serde_json::json!({
+        "Version": version,
+        "Routes": [
+            route("kept", "stream", "models", true),
+            route("safe", "safe", "tools", false),
+            route("once", "unsafe", "tools", false),
+        ],
+        "Services": [
+            {"Name": "models", "HealthPath": "/health", "MaxConns": 160,
+             "Engine": {"Slots": 12, "KvCapacityTokens": 100_000, "EventTokens": TOKENS_PER_EVENT}},
+            {"Name": "tools", "HealthPath": "/health", "MaxConns": 110},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4_194_304,
+                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+    })
+}
