--- /dev/null
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -0,0 +1,456 @@
+//! A front in process, against replicas that answer as scripted, on loopback.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::HeaderName;
+use stageyoke_directory::{
+    Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, RangePage, ReplicaRecord,
+    ReplicaState, Route, RouteKind, RouteTable, ServiceSpec, Target, Transaction,
+    TransactionOutcome, Update, WatchOutcome, Write,
+};
+use stageyoke_front::{FrontSettings, Names};
+use stageyoke_types::Text;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+/// Only reached where a test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+const SIGNED: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 4\r\n\r\nbody";
+const NOT_RUN: &str = "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+#[derive(Clone)]
+struct Directory {
+    replicas: Vec<SocketAddr>,
+    reachable: Rc<RefCell<bool>>,
+}
+
+impl KeyValueService for Directory {
+    async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
+        if !*self.reachable.borrow() {
+            return Err(KeyValueError::NoAnswer);
+        }
+        Ok(Some(item(key, "")))
+    }
+    async fn range(&self, _: &str, _: Option<&str>) -> Result<RangePage, KeyValueError> {
+        let mut items = vec![item("routes", "")];
+        for (number, address) in self.replicas.iter().enumerate() {
+            items.push(item(&format!("replica-{number}"), &address.to_string()));
+        }
+        Ok(RangePage {
+            items,
+            more: false,
+            revision: 1,
+        })
+    }
+    async fn watch(&self, _: &str, _: u64, _: Duration) -> Result<WatchOutcome, KeyValueError> {
+        std::future::pending().await
+    }
+    async fn transact(&self, _: &Transaction) -> Result<TransactionOutcome, KeyValueError> {
+        Err(KeyValueError::Refused)
+    }
+}
+
+fn item(key: &str, value: &str) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: Bytes::from(value.to_owned()),
+        revision: 1,
+    }
+}
+
+struct Words;
+
+impl Interpreter for Words {
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
+        let text = value.and_then(|value| std::str::from_utf8(value).ok());
+        match (key, text) {
+            ("routes", _) => Update::Routes(table()),
+            (id, Some(address)) => Update::Replica {
+                id: Text::from(id),
+                record: Some(ReplicaRecord {
+                    service: Text::from("service"),
+                    address: Text::from(address),
+                    zone: Text::from("zone"),
+                    slots: 4,
+                    state: ReplicaState::Ready,
+                }),
+            },
+            _ => Update::Ignored,
+        }
+    }
+    fn prefix(&self) -> &str {
+        ""
+    }
+    fn routes_key(&self) -> &str {
+        "routes"
+    }
+    fn members_key(&self) -> &str {
+        "members"
+    }
+    fn retirement_report(&self, node: &str, _: bool) -> Write {
+        Write {
+            key: node.to_owned(),
+            value: Bytes::new(),
+        }
+    }
+}
+
+fn table() -> RouteTable {
+    let route = |name: &str, kind| Route {
+        name: Text::from(name),
+        host: Text::from("host"),
+        path_prefix: Text::from(format!("/{name}/")),
+        kind,
+        timeout: Duration::from_millis(1500),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        targets: vec![Target {
+            service: Text::from("service"),
+            weight: 1,
+        }],
+        max_attempts: 3,
+        keeps_history: false,
+        retention: Duration::ZERO,
+        resumable: false,
+    };
+    RouteTable {
+        version: 1,
+        routes: vec![
+            route("safe", RouteKind::Repeatable),
+            route("once", RouteKind::Once),
+            route("stream", RouteKind::Stream),
+        ],
+        services: vec![ServiceSpec {
+            name: Text::from("service"),
+            max_connections: 10,
+            engine: None,
+        }],
+        limits: Limits {
+            header_bytes: 16_384,
+            body_bytes: 1_000,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+fn names() -> Names {
+    let name = HeaderName::from_static;
+    Names {
+        request_id: name("id"),
+        deadline: name("deadline"),
+        signature: name("signed"),
+        instance: name("instance"),
+        not_run: name("not-run"),
+        token_counts: name("tokens"),
+        prompt_parts: name("parts"),
+        program: name("program"),
+        session: name("session"),
+        finish: name("finish"),
+        budget: name("budget"),
+        previous_turn: name("previous"),
+        last_event: name("last-event"),
+        readiness_path: "/ready",
+        wrong_instance_status: 421,
+    }
+}
+
+/// A replica that answers its requests with these texts, one after the other,
+/// the last again and again; `ID` stands for the request's identifier, and
+/// `CLOSE` at the end closes the connection.
+#[derive(Clone)]
+struct Replica {
+    address: SocketAddr,
+    heard: Rc<RefCell<Vec<String>>>,
+}
+
+impl Replica {
+    async fn start(answers: &[&str]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let heard = Rc::new(RefCell::new(Vec::new()));
+        let texts: Vec<String> = answers.iter().map(|text| (*text).to_owned()).collect();
+        let hearing = heard.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (texts, hearing) = (texts.clone(), hearing.clone());
+                tokio::task::spawn_local(answer_all(stream, texts, hearing));
+            }
+        });
+        Self { address, heard }
+    }
+
+    fn count(&self) -> usize {
+        self.heard.borrow().len()
+    }
+}
+
+async fn answer_all(mut stream: TcpStream, texts: Vec<String>, heard: Rc<RefCell<Vec<String>>>) {
+    while let Some(request) = read_message(&mut stream).await {
+        let number = heard.borrow().len();
+        heard.borrow_mut().push(request.clone());
+        let text = &texts[number.min(texts.len() - 1)];
+        let text = text.replace("ID", &field(&request, "id").unwrap_or_default());
+        let closes = text.ends_with("CLOSE");
+        let text = text.trim_end_matches("CLOSE");
+        if stream.write_all(text.as_bytes()).await.is_err() || closes {
+            return;
+        }
+    }
+}
+
+fn field(message: &str, name: &str) -> Option<String> {
+    let prefix = format!("{name}: ");
+    let line = message.lines().find(|line| line.starts_with(&prefix))?;
+    Some(line[prefix.len()..].to_owned())
+}
+
+async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = field(head, "content-length").and_then(|length| length.parse().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        let mut buffer = [0; 4096];
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
+
+struct Bench {
+    front: SocketAddr,
+    ready: SocketAddr,
+    reachable: Rc<RefCell<bool>>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    listener.local_addr().expect("address")
+}
+
+async fn start(replicas: &[&Replica]) -> Bench {
+    let reachable = Rc::new(RefCell::new(true));
+    let directory = Directory {
+        replicas: replicas.iter().map(|replica| replica.address).collect(),
+        reachable: reachable.clone(),
+    };
+    let mirror = Rc::new(Mirror::new(directory, Words));
+    let (front, ready) = (free_address(), free_address());
+    let settings = FrontSettings {
+        node: Text::from("front"),
+        zone: Text::from("zone"),
+        listen: front,
+        ready,
+        seeds: Vec::new(),
+        tolerated_losses: 0,
+        grace: Duration::from_secs(8),
+    };
+    let stop = std::future::pending();
+    tokio::task::spawn_local(stageyoke_front::run(settings, names(), mirror, stop));
+    let bench = Bench {
+        front,
+        ready,
+        reachable,
+    };
+    while !ask(
+        bench.ready,
+        "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+    )
+    .await
+    .starts_with("HTTP/1.1 200")
+    {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    bench
+}
+
+/// Sends one request on a new connection and reads until it closes.
+async fn ask(address: SocketAddr, request: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return String::new();
+    };
+    let _ = stream.write_all(request.as_bytes()).await;
+    let mut bytes = Vec::new();
+    let reading = stream.read_to_end(&mut bytes);
+    let _ = tokio::time::timeout(PATIENCE, reading).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn request(method: &str, path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: host:80\r\nid: r-1\r\ndeadline: 1400\r\n\
+         connection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+async fn local<T>(work: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(work).await
+}
+
+#[tokio::test]
+async fn a_plain_answer_passes_with_its_signature_and_the_request_unchanged() {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start(&[&replica]).await;
+        let answer = ask(bench.front, &request("POST", "/once/a?b=c", "hello")).await;
+        assert!(
+            answer.starts_with("HTTP/1.1 200") && answer.ends_with("body"),
+            "{answer}"
+        );
+        assert!(answer.contains("signed: s"));
+        let heard = replica.heard.borrow()[0].clone();
+        assert!(heard.starts_with("POST /once/a?b=c HTTP/1.1"), "{heard}");
+        assert!(heard.ends_with("hello"));
+        assert_eq!(field(&heard, "instance").as_deref(), Some("replica-0"));
+        let left: u64 = field(&heard, "deadline")
+            .expect("deadline")
+            .parse()
+            .expect("number");
+        assert!(left <= 1400);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn what_may_run_once_is_never_sent_again_after_a_lost_answer() {
+    local(async {
+        let replicas = [
+            Replica::start(&["CLOSE"]).await,
+            Replica::start(&["CLOSE"]).await,
+        ];
+        let bench = start(&[&replicas[0], &replicas[1]]).await;
+        let answer = ask(bench.front, &request("POST", "/once/a", "order")).await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert_eq!(replicas[0].count() + replicas[1].count(), 1);
+        let answer = ask(bench.front, &request("GET", "/safe/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert!(
+            replicas[0].count() + replicas[1].count() > 2,
+            "a safe one is tried again"
+        );
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_promise_not_to_run_allows_another_replica_and_else_a_refusal() {
+    local(async {
+        let full = Replica::start(&[NOT_RUN]).await;
+        let free = Replica::start(&[SIGNED]).await;
+        let bench = start(&[&full, &free]).await;
+        for _ in 0..6 {
+            let answer = ask(bench.front, &request("POST", "/once/a", "order")).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+        assert_eq!(free.count(), 6);
+        let bench = start(&[&full]).await;
+        let answer = ask(bench.front, &request("POST", "/once/a", "order")).await;
+        assert!(
+            answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after: "),
+            "{answer}"
+        );
+        assert!(
+            !answer.contains("signed"),
+            "a refusal of its own bears no signature"
+        );
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn answers_of_others_unsigned_and_cut_ones_never_pass_as_successes() {
+    let foreign = "HTTP/1.1 200 OK\r\nid: other\r\nsigned: s\r\nContent-Length: 4\r\n\r\nbody";
+    let unsigned = "HTTP/1.1 200 OK\r\nid: ID\r\nContent-Length: 4\r\n\r\nbody";
+    let cut = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 9\r\n\r\nbodyCLOSE";
+    let noise = "no answer at allCLOSE";
+    for wrong in [foreign, unsigned, cut, noise] {
+        local(async {
+            let replica = Replica::start(&[wrong]).await;
+            let bench = start(&[&replica]).await;
+            let answer = ask(bench.front, &request("POST", "/once/a", "order")).await;
+            assert!(answer.starts_with("HTTP/1.1 502"), "{wrong}: {answer}");
+            assert_eq!(replica.count(), 1);
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn bytes_after_a_whole_answer_belong_to_no_request() {
+    let surplus =
+        format!("{SIGNED}HTTP/1.1 200 OK\r\nid: r-1\r\nsigned: s\r\nContent-Length: 3\r\n\r\nbad");
+    local(async {
+        let replica = Replica::start(&[&surplus]).await;
+        let bench = start(&[&replica]).await;
+        for _ in 0..3 {
+            let answer = ask(bench.front, &request("GET", "/safe/a", "")).await;
+            assert!(answer.ends_with("body"), "{answer}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_never_looks_complete() {
+    let head = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let whole = format!("{head}d\r\nid: 1\ndata: a\r\n3\r\n\n\nx\r\n0\r\n\r\n");
+    let broken = format!("{head}d\r\nid: 1\ndata: a\r\n3\r\n\n\nx\r\nCLOSE");
+    local(async {
+        let replica = Replica::start(&[&whole, &broken]).await;
+        let bench = start(&[&replica]).await;
+        let answer = ask(bench.front, &request("POST", "/stream/a", "")).await;
+        assert!(
+            answer.ends_with("0\r\n\r\n") && answer.contains("data: a"),
+            "{answer}"
+        );
+        let answer = ask(bench.front, &request("POST", "/stream/a", "")).await;
+        assert!(
+            answer.contains("data: a"),
+            "the whole event passes: {answer}"
+        );
+        assert!(!answer.contains('x'), "the rest does not: {answer}");
+        assert!(!answer.contains("0\r\n\r\n"), "nor does an end: {answer}");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_unknown_route_is_404_only_once_the_service_has_confirmed_it() {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start(&[&replica]).await;
+        let answer = ask(bench.front, &request("GET", "/other/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+        *bench.reachable.borrow_mut() = false;
+        let answer = ask(bench.front, &request("GET", "/other/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert_eq!(replica.count(), 0);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn bad_requests_get_their_own_answers() {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start(&[&replica]).await;
+        let nameless = "GET /safe/a HTTP/1.1\r\nhost: host\r\nconnection: close\r\n\r\n";
+        assert!(ask(bench.front, nameless).await.starts_with("HTTP/1.1 400"));
+        let large = request("POST", "/once/a", &"x".repeat(2_000));
+        assert!(ask(bench.front, &large).await.starts_with("HTTP/1.1 413"));
+        assert_eq!(replica.count(), 0);
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -0,0 +1,161 @@
+//! The pure parts: events, prompts, placement, splits.
+
+use proptest::prelude::*;
+use stageyoke_directory::{Route, RouteKind, Target};
+use stageyoke_front::events::{EventSplitter, collect_data};
+use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
+use stageyoke_front::prompt::{HeldParts, Prompt};
+use stageyoke_front::shares::Shares;
+use stageyoke_types::Text;
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// However a stream is cut into pieces, only whole events pass, in order,
+    /// and nothing is lost or made up.
+    #[test]
+    fn events_pass_whole_in_any_pieces(
+        events in proptest::collection::vec("[a-z ]{0,12}", 0..12),
+        tail in "[a-z]{0,5}",
+        cuts in proptest::collection::vec(1_usize..9, 1..60),
+    ) {
+        let mut text = String::new();
+        for (number, data) in events.iter().enumerate() {
+            text.push_str(&format!("id: {number}\ndata: {data}\n\n"));
+        }
+        text.push_str(&tail);
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut rest = text.as_bytes();
+        let mut cut = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let length = (*cut.next().expect("cycle")).min(rest.len());
+            let (piece, after) = rest.split_at(length);
+            rest = after;
+            if let Some(whole) = splitter.push(piece) {
+                prop_assert!(whole.ends_with(b"\n\n"));
+                passed.extend_from_slice(&whole);
+            }
+        }
+        prop_assert_eq!(splitter.rest(), tail.as_bytes());
+        let mut data = Vec::new();
+        let count = collect_data(&passed, &mut data);
+        prop_assert_eq!(count as usize, events.len());
+        let expected: String = events.iter().map(|data| format!("{data}\n")).collect();
+        prop_assert_eq!(String::from_utf8(data).expect("text"), expected);
+    }
+
+    /// An engine is never believed to hold more than it can.
+    #[test]
+    fn held_parts_stay_within_the_capacity(
+        prompts in proptest::collection::vec(proptest::collection::vec((0_u32..40, 1_u32..50), 1..6), 1..60),
+    ) {
+        let mut held = HeldParts::default();
+        for parts in &prompts {
+            let text: Vec<String> = parts.iter().map(|(id, tokens)| format!("{id:x}:{tokens}")).collect();
+            let prompt = Prompt::parse(&text.join(","));
+            held.read(&prompt, 300);
+            prop_assert!(held.held(&prompt) <= 300);
+        }
+    }
+}
+
+#[test]
+fn events_with_carriage_returns_comments_and_several_lines() {
+    let mut data = Vec::new();
+    let text = b"versions: 3\r\nid: 1\r\ndata: a\r\ndata: b\r\n\r\n: note\n\nid: 2\ndata:c\n\n";
+    assert_eq!(collect_data(text, &mut data), 2);
+    assert_eq!(data, b"a\nb\nc\n");
+}
+
+#[test]
+fn a_prompt_is_held_only_up_to_its_first_missing_part() {
+    let mut held = HeldParts::default();
+    held.read(&Prompt::parse("a:100,b:20"), 1_000);
+    assert_eq!(held.held(&Prompt::parse("a:100,b:20,c:5")), 120);
+    assert_eq!(held.held(&Prompt::parse("a:100,c:5,b:20")), 100);
+    assert_eq!(held.held(&Prompt::parse("c:5,a:100")), 0);
+    assert_eq!(Prompt::parse("a:100,broken,b:20").parts.len(), 1);
+}
+
+fn candidate(hash: u64) -> Candidate {
+    Candidate {
+        hash,
+        local: true,
+        in_flight: 0,
+        slots: 12,
+        held_tokens: 0,
+        connected: true,
+        usable: true,
+    }
+}
+
+#[test]
+fn a_program_goes_where_its_prompt_is_held_unless_that_engine_is_filled() {
+    let mut engines: Vec<Candidate> = (0..5).map(candidate).collect();
+    engines[3].held_tokens = 2_000;
+    assert_eq!(choose_engine(&engines, 2_100, 77), Some(3));
+    engines[3].in_flight = 24;
+    assert_ne!(choose_engine(&engines, 2_100, 77), Some(3));
+    engines[3].usable = false;
+    assert!(choose_engine(&engines, 2_100, 77).is_some());
+}
+
+#[test]
+fn fronts_that_know_nothing_agree_on_a_programs_home() {
+    let mut first: Vec<Candidate> = (0..7).map(candidate).collect();
+    let home = choose_engine(&first, 3_000, 99).expect("engine");
+    // Another front sees other zones as its own.
+    for (index, engine) in first.iter_mut().enumerate() {
+        engine.local = index % 2 == 0;
+    }
+    assert_eq!(choose_engine(&first, 3_000, 99), Some(home));
+    let homes: std::collections::HashSet<_> = (0..50)
+        .filter_map(|program| choose_engine(&first, 3_000, program))
+        .collect();
+    assert_eq!(homes.len(), 7, "programs spread over all engines");
+}
+
+#[test]
+fn plain_requests_go_to_the_least_loaded_and_nobody_unusable() {
+    let mut replicas: Vec<Candidate> = (0..3).map(candidate).collect();
+    replicas[0].in_flight = 4;
+    replicas[1].in_flight = 1;
+    replicas[2].usable = false;
+    assert_eq!(choose_plain(&replicas, 5), Some(1));
+    for replica in &mut replicas {
+        replica.usable = false;
+    }
+    assert_eq!(choose_plain(&replicas, 5), None);
+}
+
+#[test]
+fn a_split_gives_each_target_its_share_at_any_moment() {
+    let target = |service: &str, weight| Target {
+        service: Text::from(service),
+        weight,
+    };
+    let route = Route {
+        name: Text::from("split"),
+        host: Text::from("host"),
+        path_prefix: Text::from("/"),
+        kind: RouteKind::Repeatable,
+        timeout: std::time::Duration::ZERO,
+        objective: std::time::Duration::ZERO,
+        priority: 0,
+        targets: vec![target("a", 90), target("b", 10)],
+        max_attempts: 1,
+        keeps_history: false,
+        retention: std::time::Duration::ZERO,
+        resumable: false,
+    };
+    let shares = Shares::default();
+    let mut to_b = 0;
+    for request in 1..=200 {
+        if shares.pick(&route).expect("target").as_str() == "b" {
+            to_b += 1;
+        }
+        let due = f64::from(request) * 0.1;
+        assert!((f64::from(to_b) - due).abs() <= 1.0, "{to_b} of {request}");
+    }
+}
