--- /dev/null
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -0,0 +1,187 @@
+//! The story of one request or program, from the lines of several processes.
+
+use std::fmt;
+
+use serde_json::{Map, Value};
+use stageyoke_types::Event;
+
+/// How long before and after a request's end other events are shown, ms.
+const AROUND_MILLISECONDS: u64 = 3_000;
+
+/// One line that could be read.
+#[derive(Clone, Debug, PartialEq)]
+struct Line {
+    time: u64,
+    fields: Map<String, Value>,
+}
+
+/// Lines of one or more processes.
+#[derive(Clone, Debug, Default)]
+pub struct Logs {
+    lines: Vec<Line>,
+    unreadable: u64,
+    left_out: u64,
+}
+
+/// What the logs say of an identifier.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Explanation {
+    /// Lines in the order of their time, ready to be shown.
+    pub story: Vec<String>,
+    /// What the outcome means, for each request found.
+    pub causes: Vec<String>,
+    /// Lines that could not be read.
+    pub unreadable: u64,
+    /// Lines that the processes left out to stay within their budget.
+    pub left_out: u64,
+}
+
+impl Logs {
+    /// Adds the lines of one process's log; torn and foreign ones are counted.
+    pub fn add(&mut self, text: &str) {
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            // A collector may have put its own words before the object.
+            let object = line.find('{').map_or("", |start| &line[start..]);
+            match serde_json::from_str::<Map<String, Value>>(object) {
+                Ok(fields) => self.take(fields),
+                Err(_) => self.unreadable += 1,
+            }
+        }
+    }
+
+    fn take(&mut self, fields: Map<String, Value>) {
+        self.left_out += fields.get("left_out").and_then(Value::as_u64).unwrap_or(0);
+        if let Some(time) = fields.get("time").and_then(Value::as_u64) {
+            self.lines.push(Line { time, fields });
+        }
+    }
+
+    /// What is known of a request's or a program's identifier.
+    pub fn explain(&self, identifier: &str) -> Explanation {
+        let own = |line: &Line| {
+            ["request", "program"]
+                .iter()
+                .any(|field| text(line, field) == identifier)
+        };
+        let mut ends: Vec<&Line> = self.lines.iter().filter(|line| own(line)).collect();
+        ends.sort_by_key(|line| line.time);
+        let mut shown: Vec<&Line> = ends.clone();
+        for line in &self.lines {
+            let near = ends.iter().any(|end| near(line, end));
+            if near && !is_request(line) {
+                shown.push(line);
+            }
+        }
+        shown.sort_by_key(|line| line.time);
+        Explanation {
+            story: shown.iter().map(|line| show(line)).collect(),
+            causes: ends.iter().map(|line| cause(line)).collect(),
+            unreadable: self.unreadable,
+            left_out: self.left_out,
+        }
+    }
+}
+
+fn near(line: &Line, end: &Line) -> bool {
+    let began = end.time.saturating_sub(number(end, "milliseconds"));
+    line.time + AROUND_MILLISECONDS >= began && line.time <= end.time + AROUND_MILLISECONDS
+}
+
+fn is_request(line: &Line) -> bool {
+    number(line, "event") == u64::from(Event::RequestEnded.number())
+}
+
+fn text<'a>(line: &'a Line, field: &str) -> &'a str {
+    line.fields
+        .get(field)
+        .and_then(Value::as_str)
+        .unwrap_or_default()
+}
+
+fn number(line: &Line, field: &str) -> u64 {
+    line.fields
+        .get(field)
+        .and_then(Value::as_u64)
+        .unwrap_or_default()
+}
+
+fn show(line: &Line) -> String {
+    let hidden = ["time", "node", "name", "level", "event", "ordinary"];
+    let fields: Vec<String> = line
+        .fields
+        .iter()
+        .filter(|(name, _)| !hidden.contains(&name.as_str()))
+        .filter(|(_, value)| !value.as_str().is_some_and(str::is_empty))
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    format!(
+        "{} {} {} {}",
+        line.time,
+        text(line, "node"),
+        text(line, "name"),
+        fields.join(" ")
+    )
+}
+
+/// What an outcome means, with the inputs that decided it.
+fn cause(line: &Line) -> String {
+    let meaning = match text(line, "outcome") {
+        "answered" | "streamed" => "answered whole",
+        "budget_spent" => "refused: others' tokens and this turn's most exceed the budget",
+        "budget_not_reserved" => "not run: no quorum of stores kept its reservation in time",
+        "store_group_failing" => "not run: this front had reached no quorum of stores for a while",
+        "history_unsure" => "not run: too few stores answered to know the turn it goes on from",
+        "no_such_turn" => "refused: enough complete stores hold no such turn",
+        "outcome_unknown" => {
+            "may have run: the replica's answer was lost, and it may not run twice"
+        }
+        "replicas_failed" => "every replica that might be tried failed",
+        "no_replica" => "not run: every replica that was offered it refused, or none is known",
+        "time_out" => "its time, or its route's, was over",
+        "replica_broke_off" => "the replica broke its stream off",
+        "not_kept" => "cut: its turn could not be kept on a quorum of stores",
+        "caller_left" => "the caller left before the end",
+        "no_such_route" => "refused: the service confirmed that no route fits",
+        "route_not_confirmed" => "not run: no route fits, and the service could not confirm it",
+        "no_configuration" => "not run: this front knew no configuration yet",
+        other => other,
+    };
+    format!(
+        "{}: status {} after {} ms: {meaning}. attempts [{}] ledger [{}] history [{}] \
+         routes version {} of {} ms ago, members version {}",
+        text(line, "request"),
+        number(line, "status"),
+        number(line, "milliseconds"),
+        text(line, "attempts"),
+        text(line, "ledger"),
+        text(line, "history"),
+        number(line, "routes_version"),
+        number(line, "directory_age"),
+        number(line, "members_version"),
+    )
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.story {
+            writeln!(formatter, "{line}")?;
+        }
+        if self.causes.is_empty() {
+            writeln!(
+                formatter,
+                "nothing was logged of it: ask for logs of all machines"
+            )?;
+        }
+        for cause in &self.causes {
+            writeln!(formatter, "=> {cause}")?;
+        }
+        writeln!(
+            formatter,
+            "{} lines could not be read; {} were left out by the processes",
+            self.unreadable, self.left_out
+        )
+    }
+}
--- a/crates/stageyoke-observe/src/lib.rs
+++ b/crates/stageyoke-observe/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod budget;
 pub mod events;
+pub mod explain;
 pub mod lines;
 pub mod metrics;
 pub mod writer;
