Quorums heed zones and regions that may be lost, not machines alone

Cause: a deployment that tolerates the loss of a zone with two stores in it would have kept records on a majority that may lie in that zone alone (found by reading, for deployments not seen). Change: the losses that a write quorum must outlive follow from the tolerance and from where the members stand.

--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -12,7 +12,7 @@
     Change, Condition, Item, KeyValueError, KeyValueService, RangePage, Transaction,
     TransactionOutcome, WatchOutcome, Write,
 };
-pub use members::{Member, MemberState, Members};
+pub use members::{Member, MemberState, Members, Tolerance};
 pub use mirror::{Mirror, MirrorEvent};
 pub use model::{
     EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
--- a/crates/stageyoke-directory/src/members.rs
+++ b/crates/stageyoke-directory/src/members.rs
@@ -2,6 +2,8 @@
 //! under a key of the product's own and changes one member at a time, so that
 //! the quorums of neighbouring versions intersect.
 
+use std::collections::BTreeMap;
+
 use nanoserde::{DeBin, SerBin};
 use stageyoke_types::{List, Text};
 
@@ -62,25 +64,74 @@
         }
     }
 
+    /// Disks that may be lost at once, by the tolerance and by where the
+    /// members stand.
+    fn losses(&self, tolerance: &Tolerance) -> usize {
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
+        for member in self.list.iter() {
+            let zone = member.zone.as_str();
+            let region = tolerance.regions_of_zones.get(zone);
+            *zones.entry(zone).or_default() += 1;
+            *regions
+                .entry(region.map_or(zone, String::as_str))
+                .or_default() += 1;
+        }
+        let in_zones = largest(zones.into_values(), tolerance.zones);
+        let in_regions = largest(regions.into_values(), tolerance.regions);
+        tolerance.machines.max(in_zones).max(in_regions)
+    }
+
     /// Copies that a record needs before it counts as kept: a majority, and
     /// more than the disks that may be lost. `None` while the group is too
     /// small for that.
-    pub fn write_quorum(&self, tolerated_losses: usize) -> Option<usize> {
-        write_quorum(self.list.len(), tolerated_losses)
+    pub fn write_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
+        let count = self.list.len();
+        let needed = majority(count).max(self.losses(tolerance) + 1);
+        (needed <= count).then_some(needed)
     }
 
     /// Complete members that must miss a record before it is known not to be
     /// kept: every set of this size meets every write quorum of this list and
     /// of the one before it, which may have been smaller by one.
-    pub fn absence_quorum(&self, tolerated_losses: usize) -> Option<usize> {
+    pub fn absence_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
         let count = self.list.len();
-        let needed = write_quorum(count, tolerated_losses)?;
-        let before = write_quorum(count - 1, tolerated_losses).unwrap_or(needed);
+        let needed = self.write_quorum(tolerance)?;
+        let before = majority(count - 1).max(1);
         Some(count - needed.min(before) + 1)
     }
 }
 
-fn write_quorum(count: usize, tolerated_losses: usize) -> Option<usize> {
-    let needed = (count / 2 + 1).max(tolerated_losses + 1);
-    (needed <= count).then_some(needed)
+/// What may be lost at once while nothing that was kept is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tolerance {
+    /// Machines.
+    pub machines: usize,
+    /// Zones, with all their machines.
+    pub zones: usize,
+    /// Regions, with all their zones.
+    pub regions: usize,
+    /// Region of each zone.
+    pub regions_of_zones: BTreeMap<String, String>,
+}
+
+impl Tolerance {
+    /// Machines only.
+    pub fn of_machines(machines: usize) -> Self {
+        Self {
+            machines,
+            ..Self::default()
+        }
+    }
+}
+
+/// Members in the `count` largest places.
+fn largest(sizes: impl Iterator<Item = usize>, count: usize) -> usize {
+    let mut sizes: Vec<usize> = sizes.collect();
+    sizes.sort_unstable_by(|one, other| other.cmp(one));
+    sizes.into_iter().take(count).sum()
+}
+
+fn majority(count: usize) -> usize {
+    count / 2 + 1
 }
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Interpreter, KeyValueService, Mirror};
+use stageyoke_directory::{Interpreter, KeyValueService, Mirror, Tolerance};
 use stageyoke_store::Group;
 use stageyoke_store::role::report_mirror_event;
 use stageyoke_types::{Event, Text};
@@ -46,8 +46,8 @@
     pub ready: SocketAddr,
     /// Addresses of some stores, for a start while the service is down.
     pub seeds: Vec<String>,
-    /// Disks of the store group that may be lost at once.
-    pub tolerated_losses: usize,
+    /// What of the store group may be lost at once.
+    pub tolerance: Tolerance,
     /// Time from the order to stop until the process is killed.
     pub grace: Duration,
 }
@@ -128,7 +128,10 @@
     mirror: Rc<Mirror<S, I>>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let group = Rc::new(Group::new(settings.zone.clone(), settings.tolerated_losses));
+    let group = Rc::new(Group::new(
+        settings.zone.clone(),
+        settings.tolerance.clone(),
+    ));
     let front = Rc::new(Front {
         names,
         zone: settings.zone.clone(),
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -253,7 +253,7 @@
         listen: front,
         ready,
         seeds: Vec::new(),
-        tolerated_losses: 0,
+        tolerance: Default::default(),
         grace: Duration::from_secs(8),
     };
     let stop = std::future::pending();
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_types::Text;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::Instant;
@@ -96,7 +96,7 @@
 /// Connections to all members, following the member list.
 pub struct Group {
     zone: Text,
-    tolerated_losses: Cell<usize>,
+    tolerance: Tolerance,
     /// What fronts have under way at replicas.
     pub load: Rc<LoadBoard>,
     failing_since: Cell<Option<Instant>>,
@@ -106,10 +106,10 @@
 
 impl Group {
     /// A group without members yet.
-    pub fn new(zone: Text, tolerated_losses: usize) -> Self {
+    pub fn new(zone: Text, tolerance: Tolerance) -> Self {
         Self {
             zone,
-            tolerated_losses: Cell::new(tolerated_losses),
+            tolerance,
             load: Rc::new(LoadBoard::new(rand::random())),
             failing_since: Cell::new(None),
             members: RefCell::default(),
@@ -117,11 +117,6 @@
         }
     }
 
-    /// Disks that may be lost at once.
-    pub fn tolerated_losses(&self) -> usize {
-        self.tolerated_losses.get()
-    }
-
     /// The member list in use.
     pub fn members(&self) -> Rc<Members> {
         self.members.borrow().clone()
@@ -166,7 +161,7 @@
     /// write quorum is.
     pub async fn probe(&self, within: Duration) {
         let members = self.members();
-        let Some(needed) = members.write_quorum(self.tolerated_losses()) else {
+        let Some(needed) = members.write_quorum(&self.tolerance) else {
             return;
         };
         let (answers, mut inbox) = unbounded_channel();
@@ -206,7 +201,7 @@
     ) -> Result<LedgerView, GroupError> {
         let members = self.members();
         let needed = members
-            .write_quorum(self.tolerated_losses())
+            .write_quorum(&self.tolerance)
             .ok_or(GroupError::NoGroup)?;
         let reads_ledger = matches!(record, Record::Reserve { .. });
         let (answers, mut inbox) = unbounded_channel();
@@ -284,7 +279,7 @@
 
     async fn chain_step(&self, turn: &Text, deadline: Instant) -> StepOutcome {
         let members = self.members();
-        let Some(absence) = members.absence_quorum(self.tolerated_losses()) else {
+        let Some(absence) = members.absence_quorum(&self.tolerance) else {
             return StepOutcome::Unsure;
         };
         let (answers, mut inbox) = unbounded_channel();
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_types::Text;
 
 /// A member that nobody hears for this long may be dropped from the list once
@@ -59,8 +59,8 @@
 /// Whether no record can have been kept by anybody: a group too small for a
 /// write quorum has never had one, since no list shrinks below it. Every disk is
 /// complete then, whatever became of it.
-pub fn nothing_kept_yet(members: &Members, tolerated_losses: usize) -> bool {
-    members.write_quorum(tolerated_losses).is_none()
+pub fn nothing_kept_yet(members: &Members, tolerance: &Tolerance) -> bool {
+    members.write_quorum(tolerance).is_none()
 }
 
 /// The next step.
@@ -68,7 +68,7 @@
     members: &Members,
     oneself: &Oneself,
     peers: &[PeerHealth],
-    tolerated_losses: usize,
+    tolerance: &Tolerance,
 ) -> Step {
     let entry = Member {
         node: oneself.node.clone(),
@@ -77,29 +77,29 @@
         state: MemberState::Active,
     };
     let Some(current) = members.get(&oneself.node) else {
-        return join(members, entry, oneself, tolerated_losses);
+        return join(members, entry, oneself, tolerance);
     };
     if oneself.retiring {
-        return retire(members, current, oneself, tolerated_losses);
+        return retire(members, current, oneself, tolerance);
     }
     if current.address != entry.address {
         return Step::Change(members.with(entry));
     }
-    remove_dead(members, peers, tolerated_losses)
+    remove_dead(members, peers, tolerance)
 }
 
-fn join(members: &Members, entry: Member, oneself: &Oneself, tolerated_losses: usize) -> Step {
+fn join(members: &Members, entry: Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
     if oneself.retiring {
         return Step::Rest;
     }
-    let ready = oneself.caught_up || nothing_kept_yet(members, tolerated_losses);
+    let ready = oneself.caught_up || nothing_kept_yet(members, tolerance);
     if oneself.complete && ready {
         return Step::Change(members.with(entry));
     }
     Step::Rest
 }
 
-fn retire(members: &Members, current: &Member, oneself: &Oneself, tolerated_losses: usize) -> Step {
+fn retire(members: &Members, current: &Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
     if current.state == MemberState::Active {
         let leaving = Member {
             state: MemberState::Leaving,
@@ -108,7 +108,7 @@
         return Step::BeginRetirement(members.with(leaving));
     }
     let rest = members.without(&oneself.node);
-    let Some(needed) = rest.write_quorum(tolerated_losses) else {
+    let Some(needed) = rest.write_quorum(tolerance) else {
         return Step::Rest;
     };
     // All of the rest hold everything, or at least enough for a quorum.
@@ -118,14 +118,13 @@
     Step::Rest
 }
 
-fn remove_dead(members: &Members, peers: &[PeerHealth], tolerated_losses: usize) -> Step {
+fn remove_dead(members: &Members, peers: &[PeerHealth], tolerance: &Tolerance) -> Step {
     let mut dead = peers.iter().filter(|peer| peer.silent_for > REMOVE_AFTER);
     let (Some(gone), None) = (dead.next(), dead.next()) else {
         return Step::Rest;
     };
     let rest = members.without(&gone.node);
-    let large_enough =
-        rest.list.len() >= SMALLEST_GROUP && rest.write_quorum(tolerated_losses).is_some();
+    let large_enough = rest.list.len() >= SMALLEST_GROUP && rest.write_quorum(tolerance).is_some();
     let others_caught_up = peers
         .iter()
         .filter(|peer| peer.node != gone.node)
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -11,7 +11,7 @@
 use nanoserde::SerBin;
 use stageyoke_directory::{
     Condition, Interpreter, Item, KeyValueService, MemberState, Members, Mirror, MirrorEvent,
-    Transaction, TransactionOutcome, Write,
+    Tolerance, Transaction, TransactionOutcome, Write,
 };
 use stageyoke_types::{Blob, Event, Text};
 use tokio::net::TcpListener;
@@ -41,8 +41,8 @@
     pub data_folder: PathBuf,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
-    /// Disks that may be lost at once.
-    pub tolerated_losses: usize,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
 }
 
 /// One store process.
@@ -76,7 +76,7 @@
         let kept_items = folder.read_items();
         let (journal, results) = Journal::start(folder, next_segment)?;
         let keeper = Rc::new(Keeper::new(settings.node.clone(), journal, recovered));
-        let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerated_losses));
+        let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerance.clone()));
         let listener = TcpListener::bind(settings.listen).await?;
         tokio::task::spawn_local(server::serve(keeper.clone(), listener));
         let collector = keeper.clone();
@@ -139,7 +139,7 @@
             return Step::Rest;
         }
         let members = self.keeper.members();
-        if nothing_kept_yet(&members, self.settings.tolerated_losses) {
+        if nothing_kept_yet(&members, &self.settings.tolerance) {
             self.keeper.set_complete();
         }
         let end = self.keeper.end();
@@ -168,7 +168,7 @@
             retiring: self.retiring(),
             peers_holding_all,
         };
-        decide(&members, &oneself, &peers, self.settings.tolerated_losses)
+        decide(&members, &oneself, &peers, &self.settings.tolerance)
     }
 
     async fn take(&self, step: Step) {
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::Members;
+use stageyoke_directory::{Members, Tolerance};
 use stageyoke_types::{Event, List, Text};
 use tokio::time::Instant;
 
@@ -35,16 +35,16 @@
 /// All peers of this store.
 pub struct Peers {
     keeper: Rc<Keeper>,
-    tolerated_losses: usize,
+    tolerance: Tolerance,
     peers: RefCell<HashMap<Text, Rc<Peer>>>,
 }
 
 impl Peers {
     /// No peers yet.
-    pub fn new(keeper: Rc<Keeper>, tolerated_losses: usize) -> Self {
+    pub fn new(keeper: Rc<Keeper>, tolerance: Tolerance) -> Self {
         Self {
             keeper,
-            tolerated_losses,
+            tolerance,
             peers: RefCell::default(),
         }
     }
@@ -186,7 +186,7 @@
     /// stand only elsewhere.
     pub fn caught_up_with_group(&self) -> bool {
         let members = self.keeper.members();
-        let Some(needed) = members.absence_quorum(self.tolerated_losses) else {
+        let Some(needed) = members.absence_quorum(&self.tolerance) else {
             return false;
         };
         let caught_up = members
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_store::journal::Journal;
 use stageyoke_store::message::{Record, TurnRecord};
 use stageyoke_store::segment::DataFolder;
@@ -16,10 +16,13 @@
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet};
 
-const LOSSES: usize = 1;
 const WITHIN: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(300);
 
+fn tolerance() -> Tolerance {
+    Tolerance::of_machines(1)
+}
+
 struct Store {
     keeper: Rc<Keeper>,
     address: SocketAddr,
@@ -86,7 +89,7 @@
     for store in &stores {
         store.keeper.set_members(members.clone());
     }
-    let group = Rc::new(Group::new(Text::from("zone"), LOSSES));
+    let group = Rc::new(Group::new(Text::from("zone"), tolerance()));
     group.follow(&members);
     (stores, group)
 }
@@ -125,7 +128,7 @@
             .await
             .expect("two of three keep it");
         stores[1].stop();
-        let group = Group::new(Text::from("zone"), LOSSES);
+        let group = Group::new(Text::from("zone"), tolerance());
         group.follow(&list(&stores));
         let record = turn("two", "one");
         let error = group
@@ -147,7 +150,7 @@
         stores[0].stop();
         stores[1].stop();
         // Only the listeners end here: a new group has no open connections.
-        let group = Group::new(Text::from("zone"), LOSSES);
+        let group = Group::new(Text::from("zone"), tolerance());
         group.follow(&list(&stores));
         let outcome = group.chain(&unknown, SHORT).await;
         assert!(matches!(outcome, ChainOutcome::Unsure), "{outcome:?}");
@@ -164,7 +167,7 @@
         for store in &stores {
             store.keeper.set_members(members.clone());
         }
-        let group = Group::new(Text::from("zone"), LOSSES);
+        let group = Group::new(Text::from("zone"), tolerance());
         group.follow(&members);
         stores[0].stop();
         let outcome = group.chain(&Text::from("unknown"), SHORT).await;
@@ -219,7 +222,7 @@
             }));
         }
         assert!(!stores[2].keeper.complete());
-        let peers = Rc::new(Peers::new(stores[2].keeper.clone(), LOSSES));
+        let peers = Rc::new(Peers::new(stores[2].keeper.clone(), tolerance()));
         peers.follow(&stores[2].keeper.members());
         while !stores[2].keeper.complete() {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_store::membership::{Oneself, PeerHealth, REMOVE_AFTER, Step, decide};
 use stageyoke_types::Text;
 
-const LOSSES: usize = 1;
+fn tolerance() -> Tolerance {
+    Tolerance::of_machines(1)
+}
 
 fn member(number: usize) -> Member {
     Member {
@@ -53,13 +55,13 @@
 
 #[test]
 fn the_first_complete_store_founds_the_group() {
-    let founded = decide(&Members::default(), &oneself(0), &[], LOSSES);
+    let founded = decide(&Members::default(), &oneself(0), &[], &tolerance());
     assert_eq!(founded, Step::Change(members(1)));
     let wiped = Oneself {
         complete: false,
         ..oneself(0)
     };
-    let later = decide(&Members::default(), &wiped, &[], LOSSES);
+    let later = decide(&Members::default(), &wiped, &[], &tolerance());
     assert_eq!(
         later,
         Step::Rest,
@@ -76,7 +78,7 @@
         caught_up: false,
         ..oneself(0)
     };
-    let founded = decide(&Members::default(), &again, &[], LOSSES);
+    let founded = decide(&Members::default(), &again, &[], &tolerance());
     assert_eq!(founded, Step::Change(members(1)));
 }
 
@@ -85,14 +87,14 @@
 #[test]
 fn before_a_quorum_exists_nothing_is_missed() {
     use stageyoke_store::membership::nothing_kept_yet;
-    assert!(nothing_kept_yet(&Members::default(), LOSSES));
-    assert!(nothing_kept_yet(&members(1), LOSSES));
-    assert!(!nothing_kept_yet(&members(2), LOSSES));
+    assert!(nothing_kept_yet(&Members::default(), &tolerance()));
+    assert!(nothing_kept_yet(&members(1), &tolerance()));
+    assert!(!nothing_kept_yet(&members(2), &tolerance()));
     let second = Oneself {
         caught_up: false,
         ..oneself(1)
     };
-    let step = decide(&members(1), &second, &[], LOSSES);
+    let step = decide(&members(1), &second, &[], &tolerance());
     assert_eq!(step, Step::Change(members(2)));
 }
 
@@ -110,7 +112,7 @@
         caught_up,
         ..oneself(3)
     };
-    let step = decide(&members(3), &newcomer, &[], LOSSES);
+    let step = decide(&members(3), &newcomer, &[], &tolerance());
     let expected = match joins {
         true => Step::Change(members(4)),
         false => Step::Rest,
@@ -124,7 +126,7 @@
         address: Text::from("10.0.9.9:7000"),
         ..oneself(1)
     };
-    let Step::Change(next) = decide(&members(3), &moved, &[], LOSSES) else {
+    let Step::Change(next) = decide(&members(3), &moved, &[], &tolerance()) else {
         panic!("the list changes");
     };
     assert_eq!(next.list[1].address.as_str(), "10.0.9.9:7000");
@@ -144,7 +146,12 @@
     #[case] removed: bool,
 ) {
     let list = members(count);
-    let step = decide(&list, &oneself(0), &peers(&list, 0, silent, behind), LOSSES);
+    let step = decide(
+        &list,
+        &oneself(0),
+        &peers(&list, 0, silent, behind),
+        &tolerance(),
+    );
     let expected = match removed {
         true => Step::Change(list.without("store-2")),
         false => Step::Rest,
@@ -159,14 +166,14 @@
         retiring: true,
         ..oneself(1)
     };
-    let Step::BeginRetirement(marked) = decide(&list, &leaving, &[], LOSSES) else {
+    let Step::BeginRetirement(marked) = decide(&list, &leaving, &[], &tolerance()) else {
         panic!("it begins");
     };
     assert_eq!(marked.list[1].state, MemberState::Leaving);
     leaving.peers_holding_all = 2;
-    assert_eq!(decide(&marked, &leaving, &[], LOSSES), Step::Rest);
+    assert_eq!(decide(&marked, &leaving, &[], &tolerance()), Step::Rest);
     leaving.peers_holding_all = 3;
-    let done = decide(&marked, &leaving, &[], LOSSES);
+    let done = decide(&marked, &leaving, &[], &tolerance());
     assert_eq!(done, Step::CompleteRetirement(marked.without("store-1")));
 }
 
@@ -182,5 +189,5 @@
         peers_holding_all: 1,
         ..oneself(1)
     };
-    assert_eq!(decide(&marked, &leaving, &[], LOSSES), Step::Rest);
+    assert_eq!(decide(&marked, &leaving, &[], &tolerance()), Step::Rest);
 }
