A late retirement is content with a quorum's copies

Cause: with one of the other stores down, a store that was to be emptied waited for that one's copy too, beyond its time. Change: after half of the time the copies of a write quorum do; before, all others must hold everything.

--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -28,6 +28,8 @@
     pub caught_up: bool,
     /// Whether the operator wants this store emptied.
     pub retiring: bool,
+    /// Whether half of the time for that is over.
+    pub retirement_is_late: bool,
     /// Active peers that hold everything that this store holds.
     pub peers_holding_all: usize,
 }
@@ -111,8 +113,13 @@
     let Some(needed) = rest.write_quorum(tolerance) else {
         return Step::Rest;
     };
-    // All of the rest hold everything, or at least enough for a quorum.
-    if oneself.peers_holding_all >= needed.max(rest.list.len().min(SMALLEST_GROUP)) {
+    // All of the rest are to hold everything; once time runs short, as many as
+    // a quorum needs, since one of them may be down.
+    let holders = match oneself.retirement_is_late {
+        true => needed,
+        false => needed.max(rest.list.len()),
+    };
+    if oneself.peers_holding_all >= holders {
         return Step::CompleteRetirement(rest);
     }
     Step::Rest
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -15,6 +15,7 @@
 };
 use stageyoke_types::{Blob, Event, Text};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use crate::journal::Journal;
 use crate::membership::{Oneself, PeerHealth, Step, decide, nothing_kept_yet};
@@ -51,7 +52,7 @@
     mirror: Rc<Mirror<S, I>>,
     keeper: Rc<Keeper>,
     peers: Rc<Peers>,
-    retirement_reported: Cell<bool>,
+    retiring_since: Cell<Option<Instant>>,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> StoreHost<S, I> {
@@ -88,7 +89,7 @@
             mirror,
             keeper,
             peers,
-            retirement_reported: Cell::new(false),
+            retiring_since: Cell::new(None),
         });
         host.follow();
         let mirroring = host.clone();
@@ -126,6 +127,18 @@
         }
     }
 
+    /// Whether half of the time for a retirement is over.
+    fn retirement_is_late(&self) -> bool {
+        let view = self.mirror.view();
+        let Some(order) = view.retirements.get(&self.settings.node) else {
+            self.retiring_since.set(None);
+            return false;
+        };
+        let since = self.retiring_since.get().unwrap_or_else(Instant::now);
+        self.retiring_since.set(Some(since));
+        since.elapsed() > order.within / 2
+    }
+
     fn retiring(&self) -> bool {
         self.mirror
             .view()
@@ -166,6 +179,7 @@
             complete: self.keeper.complete(),
             caught_up: self.peers.caught_up_with_group(),
             retiring: self.retiring(),
+            retirement_is_late: self.retirement_is_late(),
             peers_holding_all,
         };
         decide(&members, &oneself, &peers, &self.settings.tolerance)
@@ -201,9 +215,6 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
-        if completed == Some(true) {
-            self.retirement_reported.set(true);
-        }
     }
 
     fn log_step(
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -33,6 +33,7 @@
         complete: true,
         caught_up: true,
         retiring: false,
+        retirement_is_late: false,
         peers_holding_all: 0,
     }
 }
@@ -172,6 +173,16 @@
     assert_eq!(marked.list[1].state, MemberState::Leaving);
     leaving.peers_holding_all = 2;
     assert_eq!(decide(&marked, &leaving, &[], &tolerance()), Step::Rest);
+    let late = Oneself {
+        retirement_is_late: true,
+        ..leaving.clone()
+    };
+    let done = Step::CompleteRetirement(marked.without("store-1"));
+    assert_eq!(
+        decide(&marked, &late, &[], &tolerance()),
+        done,
+        "a quorum holds it"
+    );
     leaving.peers_holding_all = 3;
     let done = decide(&marked, &leaving, &[], &tolerance());
     assert_eq!(done, Step::CompleteRetirement(marked.without("store-1")));
