--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -13,7 +13,6 @@
 use stageyoke_directory::{
     Interpreter, KeyValueService, Route, RouteKind, RouteTable, ServiceSpec,
 };
-use stageyoke_store::GroupError;
 use stageyoke_types::{ErrorKind, Text};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -23,7 +22,7 @@
 use crate::body::FrontBody;
 use crate::fleet::Replica;
 use crate::front::Front;
-use crate::history::{Reservation, Transcript};
+use crate::history::Reservation;
 use crate::placement::{self, Candidate};
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
 use crate::request::{Figures, host};
@@ -32,30 +31,23 @@
 /// Replicas that one request is offered to at most.
 const MAX_OFFERS: usize = 5;
 /// How long a doubtful route or chain is looked up.
-const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
-/// How long a reservation may take: through a store's restart, and no more
-/// than this part of the time that the request has left.
-const RESERVE_WITHIN: Duration = Duration::from_millis(1300);
-const RESERVE_PART: f64 = 0.4;
-/// A group that has been failing this long is not waited for: probes tell when
-/// it serves again.
-const FAILING_FOR_LONG: Duration = Duration::from_millis(800);
+pub(crate) const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
 /// When to come back after a refusal for want of room.
-const SOON: Duration = Duration::from_millis(250);
+pub(crate) const SOON: Duration = Duration::from_millis(250);
 /// When to come back after a refusal for want of something that is down: such
 /// faults last seconds.
-const AFTER_RECOVERY: Duration = Duration::from_millis(1000);
+pub(crate) const AFTER_RECOVERY: Duration = Duration::from_millis(1000);
 /// Largest plain answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// A request with everything that was found out about it.
-struct Call {
-    figures: Figures,
-    route: Route,
-    service: ServiceSpec,
-    outbound: Outbound,
-    input: Bytes,
-    arrived: Instant,
+pub(crate) struct Call {
+    pub(crate) figures: Figures,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceSpec,
+    pub(crate) outbound: Outbound,
+    pub(crate) input: Bytes,
+    pub(crate) arrived: Instant,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
@@ -208,87 +200,6 @@
         Ok(self.pass_on(call, served, story, reservation))
     }
 
-    async fn transcript(&self, call: &Call) -> Result<Option<Bytes>, Failure> {
-        let Some(previous) = &call.figures.previous else {
-            return Ok(None);
-        };
-        if !call.route.keeps_history {
-            return Ok(None);
-        }
-        let left = call
-            .outbound
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let within = left.min(LOOK_UP_WITHIN);
-        match self.history.transcript(previous, within).await {
-            Transcript::Found(text) => Ok(Some(text)),
-            Transcript::Absent => Err(Failure::last(ErrorKind::NotFound, "no_such_turn")),
-            Transcript::Unsure => Err(Failure::come_back(
-                ErrorKind::Unavailable,
-                "history_unsure",
-                self.group_retry(),
-            )),
-        }
-    }
-
-    /// When to come back after the store group did not serve: soon at first,
-    /// as another front may reach it; later once the fault has lasted.
-    fn group_retry(&self) -> Duration {
-        let failing = self.history.group.failing_for().unwrap_or_default();
-        failing.clamp(SOON, AFTER_RECOVERY)
-    }
-
-    async fn reserve(
-        &self,
-        call: &Call,
-        note: &RefCell<String>,
-    ) -> Result<Option<Reservation>, Failure> {
-        let figures = &call.figures;
-        let Some(budget) = figures.budget else {
-            return Ok(None);
-        };
-        if figures.program.is_empty() || call.route.kind != RouteKind::Stream {
-            return Ok(None);
-        }
-        let (program, turn) = (figures.program.clone(), figures.request.clone());
-        let left = call
-            .outbound
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let failing = self.history.group.failing_for().unwrap_or_default();
-        if failing > FAILING_FOR_LONG {
-            let cause = "store_group_failing";
-            let after = self.group_retry();
-            return Err(Failure::come_back(ErrorKind::Unavailable, cause, after));
-        }
-        let within = left.mul_f64(RESERVE_PART).min(RESERVE_WITHIN);
-        let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
-        let most = figures.most_tokens;
-        let mut ledger = self.history.reserve(&program, &turn, most, within).await;
-        if matches!(ledger, Err(GroupError::StaleMembers))
-            && self.mirror.confirm_members().await.is_ok()
-        {
-            self.history.group.follow(&self.mirror.view().members);
-            ledger = self.history.reserve(&program, &turn, most, within).await;
-        }
-        let ledger = ledger.map_err(|_| {
-            Failure::come_back(
-                ErrorKind::Unavailable,
-                "budget_not_reserved",
-                self.group_retry(),
-            )
-        })?;
-        let others = ledger.total_without(&turn);
-        *note.borrow_mut() = format!(
-            "budget={budget} others={others} most={most} turns={}",
-            ledger.turns()
-        );
-        if others + u64::from(most) > budget {
-            return Err(Failure::last(ErrorKind::TokenBudgetSpent, "budget_spent"));
-        }
-        Ok(Some(reservation))
-    }
-
     /// Offers the request to replicas until one answers or none is left that
     /// may be tried.
     async fn offer(
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod request;
 pub mod server;
 pub mod shares;
+pub mod turns;
 pub mod upstream;
 
 pub use front::{FrontSettings, run};
