--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_store::journal::Journal;
 use stageyoke_store::message::{Record, TurnRecord};
@@ -118,6 +119,38 @@
     LocalSet::new().run_until(work).await
 }
 
+/// Groups of other sizes and tolerances: as many as may be lost, are.
+#[rstest]
+#[case(1, 0)]
+#[case(2, 0)]
+#[case(3, 1)]
+#[case(5, 1)]
+#[case(5, 2)]
+#[tokio::test]
+async fn groups_of_any_size_outlive_what_they_tolerate(
+    #[case] count: usize,
+    #[case] losses: usize,
+) {
+    local(async {
+        let (stores, _) = group_of(count).await;
+        for store in &stores[..losses] {
+            store.stop();
+        }
+        let group = Group::new(Text::from("zone"), Tolerance::of_machines(losses));
+        group.follow(&list(&stores));
+        group.append(turn("one", ""), WITHIN).await.expect("kept");
+        let next = group.append(turn("two", "one"), WITHIN).await;
+        assert!(next.is_ok());
+        let ChainOutcome::Whole(parts) = group.chain(&Text::from("two"), WITHIN).await else {
+            panic!("the chain is whole");
+        };
+        assert_eq!(parts.len(), 2);
+        let unknown = group.chain(&Text::from("unknown"), WITHIN).await;
+        assert!(matches!(unknown, ChainOutcome::Absent(_)), "{unknown:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn one_store_may_be_lost_but_not_two() {
     local(async {
