--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -42,6 +42,7 @@
     pub interpreter: I,
     view: RefCell<Rc<View>>,
     items: Option<RefCell<BTreeMap<String, Item>>>,
+    changes: Cell<u64>,
     last_contact: Cell<Option<Instant>>,
     read_lock: tokio::sync::Mutex<Option<Instant>>,
     changed: Notify,
@@ -56,6 +57,7 @@
             interpreter,
             view: RefCell::new(Rc::new(View::default())),
             items: None,
+            changes: Cell::new(0),
             last_contact: Cell::new(None),
             read_lock: tokio::sync::Mutex::new(None),
             changed: Notify::new(),
@@ -71,6 +73,11 @@
         }
     }
 
+    /// Rises with every change of the view.
+    pub fn changes(&self) -> u64 {
+        self.changes.get()
+    }
+
     /// All items of meaning, if they are kept.
     pub fn items(&self) -> Vec<Item> {
         let items = self.items.as_ref();
@@ -303,6 +310,7 @@
         change(Rc::make_mut(&mut slot), changed);
         drop(slot);
         if *changed != Changed::default() {
+            self.changes.set(self.changes.get() + 1);
             self.changed.notify_waiters();
         }
     }
--- a/crates/stageyoke-store/src/load.rs
+++ b/crates/stageyoke-store/src/load.rs
@@ -61,10 +61,7 @@
                 under_way: *under_way,
             })
             .collect();
-        if entries.len() > MAX_ENTRIES {
-            entries.sort_by_key(|entry| std::cmp::Reverse(entry.under_way));
-            entries.truncate(MAX_ENTRIES);
-        }
+        keep_busiest(&mut entries);
         LoadReport {
             front: self.front,
             entries: List(entries),
@@ -105,7 +102,7 @@
         self.fronts.borrow_mut().insert(report.front, heard);
     }
 
-    /// The sum over all fronts but one.
+    /// The sum over all fronts but one, for the busiest replicas.
     pub fn of_others(&self, front: u32) -> List<LoadEntry> {
         let mut fronts = self.fronts.borrow_mut();
         fronts.retain(|_, (_, heard)| heard.elapsed() < REPORT_LIFE);
@@ -115,8 +112,19 @@
             let sum = sums.entry(entry.replica).or_default();
             *sum = sum.saturating_add(entry.under_way);
         }
-        sums.into_iter()
+        let mut entries: Vec<LoadEntry> = sums
+            .into_iter()
             .map(|(replica, under_way)| LoadEntry { replica, under_way })
-            .collect()
+            .collect();
+        keep_busiest(&mut entries);
+        List(entries)
+    }
+}
+
+/// Messages stay small with thousands of replicas: only the busiest matter.
+fn keep_busiest(entries: &mut Vec<LoadEntry>) {
+    if entries.len() > MAX_ENTRIES {
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.under_way));
+        entries.truncate(MAX_ENTRIES);
     }
 }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -27,6 +27,8 @@
 
 const TICK: Duration = Duration::from_millis(1000);
 const QUICK_TICK: Duration = Duration::from_millis(150);
+/// Least time between two writes of the service's items.
+const KEEP_ITEMS_PAUSE: Duration = Duration::from_millis(700);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Settings of the role.
@@ -46,6 +48,15 @@
     pub tolerance: Tolerance,
 }
 
+/// What the items were kept at last.
+#[derive(Clone, Copy, Debug, Default)]
+struct KeptItems {
+    changes: u64,
+    routes: u64,
+    members: u64,
+    at: Option<Instant>,
+}
+
 /// One store process.
 pub struct StoreHost<S, I> {
     settings: StoreSettings,
@@ -53,6 +64,7 @@
     keeper: Rc<Keeper>,
     peers: Rc<Peers>,
     retiring_since: Cell<Option<Instant>>,
+    items_kept: Cell<KeptItems>,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> StoreHost<S, I> {
@@ -90,6 +102,7 @@
             keeper,
             peers,
             retiring_since: Cell::new(None),
+            items_kept: Cell::default(),
         });
         host.follow();
         let mirroring = host.clone();
@@ -104,10 +117,32 @@
         let view = self.mirror.view();
         self.keeper.set_members(view.members.clone());
         self.peers.follow(&self.keeper.members());
-        if self.mirror.last_contact().is_some() {
-            let items = self.mirror.items().into_iter().map(seen_item).collect();
-            self.keeper.set_items(items, true);
+        self.keep_items();
+    }
+
+    /// Keeps the items of the service, for fronts that start while it is down:
+    /// at once when routes or members have changed, while a group of changes of
+    /// the replica list is kept together.
+    fn keep_items(&self) {
+        if self.mirror.last_contact().is_none() {
+            return;
+        }
+        let view = self.mirror.view();
+        let now = KeptItems {
+            changes: self.mirror.changes(),
+            routes: view.routes.as_ref().map_or(0, |routes| routes.version),
+            members: view.members.version,
+            at: Some(Instant::now()),
+        };
+        let kept = self.items_kept.get();
+        let rested = kept.at.is_none_or(|at| at.elapsed() > KEEP_ITEMS_PAUSE);
+        let urgent = (kept.routes, kept.members) != (now.routes, now.members);
+        if kept.changes == now.changes || !(urgent || rested) {
+            return;
         }
+        self.items_kept.set(now);
+        let items = self.mirror.items().into_iter().map(seen_item).collect();
+        self.keeper.set_items(items, true);
     }
 
     async fn keep_place(&self) {
