A record on its way to the disk is not written again

Cause: while a disk hangs, fronts repeat their records on new connections every 0.6 s; each repeat was queued and written (found by reading). Change: a repeat waits for the copy under way.

--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -17,7 +17,7 @@
 use crate::journal::{Appended, Journal};
 use crate::load::LoadReports;
 use crate::message::{
-    JournalPosition, LoadReport, Numbered, Record, Refusal, Reply, Request, SeenItem,
+    JournalPosition, LoadReport, Numbered, Record, RecordDigest, Refusal, Reply, Request, SeenItem,
 };
 use crate::segment::Recovered;
 use crate::socket;
@@ -27,9 +27,10 @@
 /// have intersecting quorums.
 const MEMBERS_VERSION_SLACK: u64 = 1;
 
-struct Waiter {
+/// A record on its way to the disk, and who waits for it.
+struct Submitted {
     record: Record,
-    done: Option<oneshot::Sender<bool>>,
+    waiting: Vec<oneshot::Sender<bool>>,
 }
 
 #[derive(Debug)]
@@ -45,7 +46,8 @@
     pub node: Text,
     state: RefCell<State>,
     journal: Journal,
-    waiting: RefCell<HashMap<u64, Waiter>>,
+    submitted: RefCell<HashMap<u64, Submitted>>,
+    tickets: RefCell<HashMap<RecordDigest, u64>>,
     segments: RefCell<VecDeque<SegmentUse>>,
     next_ticket: Cell<u64>,
     complete: Cell<bool>,
@@ -75,7 +77,8 @@
             node,
             state: RefCell::new(state),
             journal,
-            waiting: RefCell::default(),
+            submitted: RefCell::default(),
+            tickets: RefCell::default(),
             segments: RefCell::new(segments),
             next_ticket: Cell::new(0),
             complete: Cell::new(recovered.complete),
@@ -147,22 +150,38 @@
         self.state.borrow().holds(digest)
     }
 
-    /// Writes a record unless it is held. True once it is on the disk.
+    /// Writes a record unless it is held or on its way: callers repeat what a
+    /// slow disk has not answered yet. True once it is on the disk.
     pub async fn keep(&self, record: Record) -> bool {
-        if self.holds(record.digest()) {
+        let digest = record.digest();
+        if self.holds(digest) {
             return true;
         }
         let (done, result) = oneshot::channel();
-        self.submit(record, Some(done));
+        let under_way = self.tickets.borrow().get(&digest).copied();
+        let ticket = under_way.unwrap_or_else(|| self.submit(record));
+        if let Some(submitted) = self.submitted.borrow_mut().get_mut(&ticket) {
+            submitted.waiting.push(done);
+        }
         result.await.unwrap_or(false)
     }
 
-    fn submit(&self, record: Record, done: Option<oneshot::Sender<bool>>) {
+    /// Records on their way to the disk.
+    pub fn under_way(&self) -> usize {
+        self.submitted.borrow().len()
+    }
+
+    fn submit(&self, record: Record) -> u64 {
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
         self.journal.append(ticket, &record);
-        let waiter = Waiter { record, done };
-        self.waiting.borrow_mut().insert(ticket, waiter);
+        self.tickets.borrow_mut().insert(record.digest(), ticket);
+        let submitted = Submitted {
+            record,
+            waiting: Vec::new(),
+        };
+        self.submitted.borrow_mut().insert(ticket, submitted);
+        ticket
     }
 
     /// Takes the journal's results for ever.
@@ -180,15 +199,17 @@
     }
 
     fn finish(&self, appended: &Appended, now: u64) {
-        let Some(waiter) = self.waiting.borrow_mut().remove(&appended.ticket) else {
+        let Some(submitted) = self.submitted.borrow_mut().remove(&appended.ticket) else {
             return;
         };
+        let digest = submitted.record.digest();
+        self.tickets.borrow_mut().remove(&digest);
         if let Some(segment) = appended.segment {
-            self.state.borrow_mut().add(&waiter.record, now);
+            self.state.borrow_mut().add(&submitted.record, now);
             self.count_in_segment(segment, now);
         }
-        if let Some(done) = waiter.done {
-            let _ = done.send(appended.segment.is_some());
+        for waiting in submitted.waiting {
+            let _ = waiting.send(appended.segment.is_some());
         }
     }
 
@@ -224,7 +245,7 @@
         self.segments.borrow_mut().pop_front();
         let again = self.state.borrow_mut().expire(records, now);
         for record in again {
-            self.submit(record, None);
+            self.submit(record);
         }
         // The journal works in order: the copies are written before this.
         self.journal.remove(number);
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -308,3 +308,18 @@
     })
     .await;
 }
+
+/// A front repeats what a slow disk has not answered: one copy is written.
+#[tokio::test]
+async fn what_is_on_its_way_to_the_disk_is_not_written_twice() {
+    local(async {
+        let store = Store::start(0, true).await;
+        let before = store.keeper.end().next;
+        let keep = || store.keeper.keep(turn("one", ""));
+        let kept = tokio::join!(keep(), keep(), keep(), keep());
+        assert_eq!(kept, (true, true, true, true));
+        assert_eq!(store.keeper.end().next, before + 1);
+        assert_eq!(store.keeper.under_way(), 0);
+    })
+    .await;
+}
