--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -115,6 +115,9 @@
         let metrics = stageyoke_observe::metrics();
         metrics.replicas.set(view.replicas.len() as i64);
         metrics.members_version.set(view.members.version as i64);
+        if let Some(routes) = &view.routes {
+            self.shares.follow(routes);
+        }
         let version = view.routes.as_ref().map_or(0, |routes| routes.version);
         metrics.routes_version.set(version as i64);
         self.history.group.follow(&view.members);
--- a/crates/stageyoke-front/src/shares.rs
+++ b/crates/stageyoke-front/src/shares.rs
@@ -2,9 +2,9 @@
 //! (smooth weighted round robin).
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
-use stageyoke_directory::{Route, Target};
+use stageyoke_directory::{Route, RouteTable, Target};
 use stageyoke_types::Text;
 
 #[derive(Debug, Default)]
@@ -20,6 +20,13 @@
 }
 
 impl Shares {
+    /// Forgets routes that are no longer there.
+    pub fn follow(&self, routes: &RouteTable) {
+        let names: HashSet<&Text> = routes.routes.iter().map(|route| &route.name).collect();
+        let mut turns = self.routes.borrow_mut();
+        turns.retain(|name, _| names.contains(name));
+    }
+
     /// The service that gets the route's next request.
     pub fn pick(&self, route: &Route) -> Option<Text> {
         if let [only] = route.targets.as_slice() {
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -4,7 +4,7 @@
 
 use stageyoke_types::Event;
 
-use crate::metrics::metrics;
+use crate::metrics::{metrics, route_label};
 
 /// What decided a request.
 #[derive(Clone, Debug, Default)]
@@ -71,7 +71,7 @@
     let metrics = metrics();
     metrics
         .requests
-        .with_label_values(&[&story.route, story.outcome])
+        .with_label_values(&[route_label(&story.route), story.outcome])
         .inc();
     metrics.request_seconds.observe(elapsed.as_secs_f64());
     if story.head_after > 0 {
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters, gauges and latency histograms of a process, and their listener.
 
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -59,6 +60,27 @@
     pub complete: IntGauge,
 }
 
+/// Routes that have a label of their own; the rest share one, since a long
+/// life meets more names than a page can hold.
+pub const LABELLED_ROUTES: usize = 256;
+const OTHER_ROUTES: &str = "other";
+
+/// The label of a route.
+pub fn route_label(route: &str) -> &str {
+    static SEEN: OnceLock<Mutex<HashSet<String>>> = OnceLock::new();
+    let Ok(mut seen) = SEEN.get_or_init(Mutex::default).lock() else {
+        return OTHER_ROUTES;
+    };
+    if seen.contains(route) {
+        return route;
+    }
+    if seen.len() >= LABELLED_ROUTES {
+        return OTHER_ROUTES;
+    }
+    seen.insert(route.to_owned());
+    route
+}
+
 /// The metrics of this process.
 pub fn metrics() -> &'static Metrics {
     static METRICS: OnceLock<Metrics> = OnceLock::new();
--- a/crates/stageyoke-observe/tests/observe_test.rs
+++ b/crates/stageyoke-observe/tests/observe_test.rs
@@ -102,3 +102,15 @@
     assert!(page.contains("stageyoke_commit_seconds_bucket{le=\"0.0025\"} 1"));
     assert!(page.contains("# HELP stageyoke_store_complete"));
 }
+
+#[test]
+fn routes_beyond_the_labelled_ones_share_a_label() {
+    use stageyoke_observe::metrics::{LABELLED_ROUTES, route_label};
+    let names: Vec<String> = (0..4 * LABELLED_ROUTES)
+        .map(|number| format!("r-{number}"))
+        .collect();
+    let labels: std::collections::HashSet<&str> =
+        names.iter().map(|name| route_label(name)).collect();
+    assert!(labels.len() <= LABELLED_ROUTES + 1);
+    assert_eq!(route_label(&names[0]), names[0], "the first keep theirs");
+}
