--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -46,7 +46,6 @@
     last_contact: Cell<Option<Instant>>,
     read_lock: tokio::sync::Mutex<Option<Instant>>,
     changed: Notify,
-    refresh: Notify,
 }
 
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
@@ -61,7 +60,6 @@
             last_contact: Cell::new(None),
             read_lock: tokio::sync::Mutex::new(None),
             changed: Notify::new(),
-            refresh: Notify::new(),
         }
     }
 
@@ -137,11 +135,6 @@
         self.last_contact.get()
     }
 
-    /// Asks for a complete read instead of waiting for the watch.
-    pub fn request_refresh(&self) {
-        self.refresh.notify_one();
-    }
-
     /// Reads the configuration linearizably, after the moment of the call.
     /// Concurrent callers share one read.
     pub async fn confirm_routes(&self) -> Result<(), KeyValueError> {
@@ -151,29 +144,20 @@
             return Ok(());
         }
         let started = Instant::now();
-        let item = self.service.get(self.interpreter.routes_key()).await?;
-        let mut changed = Changed::default();
-        if let Some(item) = item {
-            let update = self.interpreter.interpret(&item.key, Some(&item.value));
-            self.edit(
-                |view, changed| view.apply(update, item.revision, changed),
-                &mut changed,
-            );
-        }
+        self.read_one(self.interpreter.routes_key()).await?;
         *last_read = Some(started);
         Ok(())
     }
 
     /// Reads the member list linearizably.
     pub async fn confirm_members(&self) -> Result<(), KeyValueError> {
-        let item = self.service.get(self.interpreter.members_key()).await?;
-        let mut changed = Changed::default();
+        self.read_one(self.interpreter.members_key()).await
+    }
+
+    async fn read_one(&self, key: &str) -> Result<(), KeyValueError> {
+        let item = self.service.get(key).await?;
         if let Some(item) = item {
-            let update = self.interpreter.interpret(&item.key, Some(&item.value));
-            self.edit(
-                |view, changed| view.apply(update, item.revision, changed),
-                &mut changed,
-            );
+            self.apply_item(key, Some(item), 0, &mut Changed::default());
         }
         Ok(())
     }
@@ -195,10 +179,7 @@
         loop {
             let outcome = match after {
                 None => self.read_all(&mut report).await.map(Some),
-                Some(revision) => tokio::select! {
-                    outcome = self.watch_once(revision, &mut report) => outcome,
-                    () = self.refresh.notified() => Ok(None),
-                },
+                Some(revision) => self.watch_once(revision, &mut report).await,
             };
             match outcome {
                 Ok(next) => {
--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -21,16 +21,10 @@
     pub prompt_parts: HeaderName,
     /// Program of a request.
     pub program: HeaderName,
-    /// Line of turns within the program.
-    pub session: HeaderName,
-    /// Milliseconds until the program should be over.
-    pub finish: HeaderName,
     /// Tokens that all turns of the program may generate.
     pub budget: HeaderName,
     /// Turn that a request goes on from.
     pub previous_turn: HeaderName,
-    /// Last event that the caller holds.
-    pub last_event: HeaderName,
     /// Path of the readiness question.
     pub readiness_path: &'static str,
     /// The one status with which a replica says that it is another incarnation.
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -22,13 +22,6 @@
     pub deadline: Instant,
     /// Program; empty if none.
     pub program: Text,
-    /// Line of turns; empty if none.
-    pub session: Text,
-    /// Milliseconds from the arrival until the program should be over; negative
-    /// once that has passed.
-    pub finish: Option<i64>,
-    /// When the request arrived.
-    pub arrived: Instant,
     /// Tokens of the whole program.
     pub budget: Option<u64>,
     /// Most tokens of this request.
@@ -49,9 +42,6 @@
             request,
             deadline: arrived + deadline,
             program: text(headers, &names.program).unwrap_or_default(),
-            session: text(headers, &names.session).unwrap_or_default(),
-            finish: number(headers, &names.finish),
-            arrived,
             budget: number(headers, &names.budget),
             most_tokens: most_tokens(headers, names).unwrap_or_default(),
             prompt: text(headers, &names.prompt_parts)
@@ -62,14 +52,6 @@
     }
 }
 
-impl Figures {
-    /// Milliseconds until the program should be over.
-    pub fn time_left(&self) -> Option<i64> {
-        let elapsed = self.arrived.elapsed().as_millis() as i64;
-        self.finish.map(|finish| finish - elapsed)
-    }
-}
-
 fn text(headers: &HeaderMap, name: &HeaderName) -> Option<Text> {
     let value = headers.get(name)?.to_str().ok()?.trim();
     (!value.is_empty()).then(|| Text::from(value))
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -150,11 +150,8 @@
         token_counts: name("tokens"),
         prompt_parts: name("parts"),
         program: name("program"),
-        session: name("session"),
-        finish: name("finish"),
         budget: name("budget"),
         previous_turn: name("previous"),
-        last_event: name("last-event"),
         readiness_path: "/ready",
         wrong_instance_status: 421,
     }
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -56,18 +56,16 @@
     address: String,
     commands: UnboundedSender<Outgoing>,
     task: JoinHandle<()>,
-    last_heard: Rc<Cell<Option<Instant>>>,
 }
 
 impl StoreClient {
     /// A client of the store at this address. Needs a local task set.
     pub fn new(address: &str) -> Self {
         let (commands, inbox) = unbounded_channel();
-        let last_heard = Rc::new(Cell::new(None));
         let connection = Connection {
             address: address.to_owned(),
             inbox,
-            last_heard: last_heard.clone(),
+            last_heard: Rc::default(),
             next_number: 0,
             owing_since: Instant::now(),
         };
@@ -75,7 +73,6 @@
             address: address.to_owned(),
             commands,
             task: tokio::task::spawn_local(connection.run()),
-            last_heard,
         }
     }
 
@@ -84,11 +81,6 @@
         &self.address
     }
 
-    /// When the store last answered anything.
-    pub fn last_heard(&self) -> Option<Instant> {
-        self.last_heard.get()
-    }
-
     /// Sends a request and waits for its reply.
     pub async fn call(&self, request: Request, within: Duration) -> Result<Reply, CallError> {
         let (answer, reply) = oneshot::channel();
