Splits start at a place of each front's own

Every front began its smooth weighted cycle at the same place, so that fronts that see few requests each (51 on the grown site) all gave them to the heaviest part: 50 fronts with 3 requests each gave the part of weight 10 none of 150 (its due is 15). Ruled out: weights are whole numbers on the wire and are not lost by rounding. Change: a front starts a route's cycle at a place drawn by its own seed. Before: the new test shows 0 of 150. After: within 8 to 24, and each front still stays within one request of its due at any moment.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -140,7 +140,7 @@
         zone: settings.zone.clone(),
         mirror,
         fleet: Fleet::new(group.load.clone()),
-        shares: Shares::default(),
+        shares: Shares::new(rand::random()),
         history: Rc::new(History::new(group)),
         activity: Activity::default(),
         closing: Closing::default(),
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -129,13 +129,12 @@
     assert_eq!(choose_plain(&replicas, 5), None);
 }
 
-#[test]
-fn a_split_gives_each_target_its_share_at_any_moment() {
-    let target = |service: &str, weight| Target {
-        service: Text::from(service),
-        weight,
+fn split_route(targets: &[(&str, u32)]) -> Route {
+    let target = |(service, weight): &(&str, u32)| Target {
+        service: Text::from(*service),
+        weight: *weight,
     };
-    let route = Route {
+    Route {
         name: Text::from("split"),
         host: Text::from("host"),
         path_prefix: Text::from("/"),
@@ -143,13 +142,18 @@
         timeout: std::time::Duration::ZERO,
         objective: std::time::Duration::ZERO,
         priority: 0,
-        targets: vec![target("a", 90), target("b", 10)],
+        targets: targets.iter().map(target).collect(),
         max_attempts: 1,
         keeps_history: false,
         retention: std::time::Duration::ZERO,
         resumable: false,
-    };
-    let shares = Shares::default();
+    }
+}
+
+#[rstest::rstest]
+fn a_split_gives_each_target_its_share_at_any_moment(#[values(0, 1, 2, 77)] seed: u64) {
+    let route = split_route(&[("a", 90), ("b", 10)]);
+    let shares = Shares::new(seed);
     let mut to_b = 0;
     for request in 1..=200 {
         if shares.pick(&route).expect("target").as_str() == "b" {
@@ -159,3 +163,18 @@
         assert!((f64::from(to_b) - due).abs() <= 1.0, "{to_b} of {request}");
     }
 }
+
+/// Fifty fronts that see three requests each: 150 requests, of which the
+/// lighter target is due 15.
+#[test]
+fn a_split_is_kept_over_many_fronts_that_see_few_requests() {
+    let route = split_route(&[("a", 90), ("b", 10)]);
+    let mut to_b = 0;
+    for seed in 0..50 {
+        let shares = Shares::new(seed);
+        for _ in 0..3 {
+            to_b += u32::from(shares.pick(&route).expect("target").as_str() == "b");
+        }
+    }
+    assert!((8..=24).contains(&to_b), "{to_b} of 150");
+}
