Failing replicas are judged by evidence and told among fronts

Ruled out: connections forgotten while they rest (fresh ones were lost too), the list (the replica never leaves it). Change: health.rs estimates the likelihood of failure from outcomes, fading in time; beyond 0.3 a replica gets nothing that may run only once, beyond 0.6 nothing; a lost answer closes the kept connections, so that a dead replica is found at connecting, before anything is sent. Fronts report the replicas that failed them with their records, and hear how many other fronts report one; a single report excludes nothing. A stream that was not kept, or ran out of time, no longer counts against its replica. Both ends of a suspension are logged. Tests: health_test.rs, in virtual time.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::fleet::{InFlight, Replica};
+use crate::health::Evidence;
 use crate::names::Names;
 use crate::upstream::Connection;
 
@@ -99,7 +100,7 @@
             None => match Connection::open(&replica.record.address).await {
                 Ok(connection) => (connection, true),
                 Err(_) => {
-                    replica.failed(true);
+                    replica.note(Evidence::Unreachable);
                     return Outcome::NotSent("no_connection");
                 }
             },
@@ -114,7 +115,7 @@
                 Some(unsent) if !fresh => request = unsent,
                 Some(_) => return Outcome::NotSent("connection_closed"),
                 None => {
-                    replica.failed(false);
+                    replica.note(Evidence::Lost);
                     return Outcome::Lost("connection_lost");
                 }
             },
@@ -163,7 +164,7 @@
         return Outcome::NotRun(status);
     }
     if !own {
-        replica.failed(false);
+        replica.note(Evidence::Failed);
         return Outcome::Lost("foreign_answer");
     }
     if response.headers().contains_key(CONTENT_ENCODING) {
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -3,22 +3,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::Duration;
 
 use stageyoke_directory::{ReplicaRecord, ReplicaState};
 use stageyoke_store::LoadBoard;
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
+use crate::health::{self, Evidence, Health};
 use crate::placement::{Candidate, hash_text, mix};
 use crate::prompt::{HeldParts, Prompt};
 use crate::upstream::Pool;
 use stageyoke_observe as observe;
 
-/// Failures in a row after which a replica is left alone for a while.
-const FAILURES_TO_SUSPEND: u32 = 3;
-const SUSPENSION: Duration = Duration::from_millis(1000);
-
 /// One incarnation of a replica.
 pub struct Replica {
     /// Incarnation.
@@ -30,8 +26,8 @@
     hash: u64,
     load: Rc<LoadBoard>,
     held_parts: RefCell<HeldParts>,
-    failures: Cell<u32>,
-    suspended_until: Cell<Option<Instant>>,
+    health: Cell<Health>,
+    suspended: Cell<bool>,
     gone: Cell<bool>,
 }
 
@@ -44,8 +40,8 @@
             id,
             record,
             pool: Pool::default(),
-            failures: Cell::new(0),
-            suspended_until: Cell::new(None),
+            health: Cell::default(),
+            suspended: Cell::new(false),
             gone: Cell::new(false),
         }
     }
@@ -66,19 +62,37 @@
         self.held_parts.borrow_mut().read(prompt, capacity_tokens);
     }
 
-    /// A request was answered by it.
-    pub fn succeeded(&self) {
-        self.failures.set(0);
+    /// Takes what a request showed of it, and tells other fronts of a failure.
+    pub fn note(&self, evidence: Evidence) {
+        let now = Instant::now();
+        let mut health = self.health.get();
+        health.note(evidence, now);
+        self.health.set(health);
+        if evidence == Evidence::Lost {
+            // A replica that went down took its kept connections with it: the
+            // next request shall find that out before it is sent.
+            self.pool.clear();
+        }
+        self.load
+            .suspect(self.short_hash(), health.cautious_for(now));
+        self.report(evidence, health.failure(now));
     }
 
-    /// A request failed there; several in a row suspend it.
-    pub fn failed(&self, could_not_connect: bool) {
-        self.failures.set(self.failures.get() + 1);
-        if could_not_connect || self.failures.get() >= FAILURES_TO_SUSPEND {
-            self.suspended_until.set(Some(Instant::now() + SUSPENSION));
-            let detail = format!("replica={} failures={}", self.id, self.failures.get());
-            observe::event(Event::ReplicaSuspended, &detail);
-        }
+    fn report(&self, evidence: Evidence, failure: f64) {
+        let suspended = failure > health::SUSPENSION;
+        let resumed = evidence == Evidence::Sound && failure <= health::CAUTION;
+        let event = match (self.suspended.get(), suspended, resumed) {
+            (false, true, _) => Event::ReplicaSuspended,
+            (true, _, true) => Event::ReplicaResumed,
+            _ => return,
+        };
+        self.suspended.set(suspended);
+        let reports = self.load.suspected_by(self.short_hash());
+        let detail = format!(
+            "replica={} evidence={evidence:?} failure={failure:.2} reports={reports}",
+            self.id
+        );
+        observe::event(event, &detail);
     }
 
     /// It answered as another incarnation: its record is out of date.
@@ -91,21 +105,21 @@
         mix(self.hash) as u32
     }
 
-    fn suspended(&self) -> bool {
-        self.suspended_until
-            .get()
-            .is_some_and(|until| until > Instant::now())
+    /// Likelihood that it fails the next request, with what others report.
+    fn failure(&self, now: Instant) -> f64 {
+        let reports = self.load.suspected_by(self.short_hash());
+        health::combined(self.health.get().failure(now), reports)
     }
 
-    fn candidate(&self, zone: &str, excluded: &[Text], prompt: &Prompt) -> Candidate {
+    fn candidate(&self, wanted: &Wanted<'_>) -> Candidate {
         Candidate {
             hash: self.hash,
-            local: self.record.zone.as_str() == zone,
+            local: self.record.zone.as_str() == wanted.zone,
             in_flight: self.load.under_way(self.short_hash()),
-            held_tokens: self.held_parts.borrow().held(prompt),
+            held_tokens: self.held_parts.borrow().held(wanted.prompt),
             slots: self.record.slots,
             connected: self.pool.has_free(),
-            usable: self.taking_work() && !excluded.contains(&self.id),
+            usable: self.taking_work() && !wanted.excluded.contains(&self.id),
         }
     }
 }
@@ -161,35 +175,52 @@
         *self.services.borrow_mut() = services;
     }
 
-    /// Chooses a replica of a service with `choose`; suspended ones only where
-    /// there is no other.
+    /// Chooses a replica of a service with `choose` for a request that may run
+    /// more than once or not. Failing replicas only where there is no other.
     pub fn choose(
         &self,
-        service: &str,
-        zone: &str,
-        excluded: &[Text],
-        prompt: &Prompt,
+        wanted: &Wanted<'_>,
         choose: impl Fn(&[Candidate]) -> Option<usize>,
     ) -> Option<Rc<Replica>> {
         let services = self.services.borrow();
-        let replicas = services.get(service)?;
+        let replicas = services.get(wanted.service)?;
         let mut candidates: Vec<Candidate> = replicas
             .iter()
-            .map(|replica| replica.candidate(zone, excluded, prompt))
+            .map(|replica| replica.candidate(wanted))
             .collect();
-        let sound: Vec<bool> = replicas
+        let now = Instant::now();
+        let failures: Vec<f64> = replicas
             .iter()
-            .map(|replica| !replica.suspended())
+            .map(|replica| replica.failure(now))
             .collect();
-        let any_sound = candidates
-            .iter()
-            .zip(&sound)
-            .any(|(candidate, sound)| candidate.usable && *sound);
-        if any_sound {
-            for (candidate, sound) in candidates.iter_mut().zip(&sound) {
-                candidate.usable &= *sound;
+        let limits = [
+            health::accepted_failure(wanted.repeatable),
+            health::SUSPENSION,
+        ];
+        let limit = limits.into_iter().find(|limit| {
+            let mut usable = candidates.iter().zip(&failures);
+            usable.any(|(candidate, failure)| candidate.usable && failure <= limit)
+        });
+        if let Some(limit) = limit {
+            for (candidate, failure) in candidates.iter_mut().zip(&failures) {
+                candidate.usable &= *failure <= limit;
             }
         }
         choose(&candidates).map(|index| replicas[index].clone())
     }
 }
+
+/// What a request asks of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Zone of the front.
+    pub zone: &'a str,
+    /// Replicas that were tried already.
+    pub excluded: &'a [Text],
+    /// Prompt of the request.
+    pub prompt: &'a Prompt,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+}
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -20,8 +20,9 @@
 use crate::answer::{self, Failure};
 use crate::attempt::{self, Answer, Outbound, Outcome, end_to_end_headers};
 use crate::body::FrontBody;
-use crate::fleet::Replica;
+use crate::fleet::{Replica, Wanted};
 use crate::front::Front;
+use crate::health::Evidence;
 use crate::history::Reservation;
 use crate::placement::{self, Candidate};
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
@@ -37,6 +38,8 @@
 /// When to come back after a refusal for want of something that is down: such
 /// faults last seconds.
 pub(crate) const AFTER_RECOVERY: Duration = Duration::from_millis(1000);
+/// Outcome of a plain answer that did not come whole.
+const BROKE_OFF: &str = "answer_broke_off";
 /// Largest plain answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -232,10 +235,16 @@
                     match self.complete(call, answer, runs + 1 < most_runs).await {
                         Ok(served) => {
                             note(story, &replica.id, "answered");
-                            replica.succeeded();
+                            replica.note(evidence_of(&served));
                             return Ok(served);
                         }
-                        Err(cause) => cause,
+                        Err(cause) => {
+                            replica.note(match cause {
+                                BROKE_OFF => Evidence::Lost,
+                                _ => Evidence::Failed,
+                            });
+                            cause
+                        }
                     }
                 }
                 Ok(Outcome::Lost(cause)) => cause,
@@ -271,14 +280,18 @@
 
     fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Rc<Replica>> {
         let figures = &call.figures;
-        let service = call.service.name.as_str();
         let prompt = &figures.prompt;
+        let wanted = Wanted {
+            service: call.service.name.as_str(),
+            zone: &self.zone,
+            excluded,
+            prompt,
+            repeatable: call.route.repeatable(),
+        };
         let Some(engine) = &call.service.engine else {
             let tie = rand::random();
             let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
-            return self
-                .fleet
-                .choose(service, &self.zone, excluded, prompt, choose);
+            return self.fleet.choose(&wanted, choose);
         };
         let affinity = match figures.program.is_empty() {
             true => placement::hash_text(&figures.request),
@@ -287,9 +300,7 @@
         let choose = |candidates: &[Candidate]| {
             placement::choose_engine(candidates, prompt.tokens(), affinity)
         };
-        let replica = self
-            .fleet
-            .choose(service, &self.zone, excluded, prompt, choose)?;
+        let replica = self.fleet.choose(&wanted, choose)?;
         replica.reads(prompt, engine.cache_tokens);
         Some(replica)
     }
@@ -319,7 +330,7 @@
         let reading = Limited::new(answer.response.body_mut(), MAX_ANSWER_BYTES).collect();
         let content = match tokio::time::timeout_at(call.outbound.deadline, reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(_)) => return Err("answer_broke_off"),
+            Ok(Err(_)) => return Err(BROKE_OFF),
             Err(_) => return Err("time_out"),
         };
         let answer = *answer;
@@ -385,6 +396,14 @@
     Stream(Box<Answer>),
 }
 
+/// What an answer shows of its replica: failures of its own count against it.
+fn evidence_of(served: &Served) -> Evidence {
+    match served {
+        Served::Whole(head, _) if head.status.is_server_error() => Evidence::Failed,
+        Served::Whole(..) | Served::Stream(_) => Evidence::Sound,
+    }
+}
+
 fn from_replica(head: &hyper::http::response::Parts, body: FrontBody) -> Response<FrontBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- /dev/null
+++ b/crates/stageyoke-front/src/health.rs
@@ -0,0 +1,85 @@
+//! How likely a replica is to fail the next request, judged by the outcomes
+//! that this front saw and by what other fronts report. Pure: time is given.
+//!
+//! A replica that is down refuses at once and therefore looks idle; without a
+//! judgement it would draw ever more work.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Weight of the newest outcome in the estimate.
+const OUTCOME_WEIGHT: f64 = 0.4;
+/// Time in which an estimate halves by itself, so that a replica is tried again.
+const HALF_LIFE: Duration = Duration::from_millis(1500);
+/// Beyond this estimate a replica gets no request that may run only once.
+pub const CAUTION: f64 = 0.3;
+/// Beyond this estimate a replica gets no request at all.
+pub const SUSPENSION: f64 = 0.6;
+/// What each other front that has lost trust in a replica adds: the word of one
+/// alone excludes nothing, as single answers get lost at sound replicas too.
+const REPORT_WEIGHT: f64 = 0.25;
+
+/// What one request showed of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// It answered as it should.
+    Sound,
+    /// It answered, but not as it should.
+    Failed,
+    /// Its connection ended before its answer did.
+    Lost,
+    /// It can't be connected to.
+    Unreachable,
+}
+
+/// One front's own estimate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    estimate: f64,
+    at: Option<Instant>,
+}
+
+impl Health {
+    /// Takes the outcome of a request.
+    pub fn note(&mut self, evidence: Evidence, now: Instant) {
+        let before = self.failure(now);
+        self.estimate = match evidence {
+            Evidence::Sound => before * (1.0 - OUTCOME_WEIGHT),
+            Evidence::Failed | Evidence::Lost => before + OUTCOME_WEIGHT * (1.0 - before),
+            Evidence::Unreachable => 1.0,
+        };
+        self.at = Some(now);
+    }
+
+    /// Likelihood that the next request fails, 0 to 1.
+    pub fn failure(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let passed = now.saturating_duration_since(at).as_secs_f64();
+        self.estimate * (-passed / HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// How long the estimate stays beyond `CAUTION` without another outcome.
+    pub fn cautious_for(&self, now: Instant) -> Duration {
+        let failure = self.failure(now);
+        if failure <= CAUTION {
+            return Duration::ZERO;
+        }
+        HALF_LIFE.mul_f64((failure / CAUTION).log2())
+    }
+}
+
+/// The estimate of one front together with the reports of others.
+pub fn combined(own: f64, reports: u16) -> f64 {
+    own.max((REPORT_WEIGHT * f64::from(reports)).min(1.0))
+}
+
+/// The estimate up to which a replica is offered a request.
+pub fn accepted_failure(repeatable: bool) -> f64 {
+    match repeatable {
+        true => SUSPENSION,
+        false => CAUTION,
+    }
+}
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod front;
 pub mod handler;
+pub mod health;
 pub mod history;
 pub mod names;
 pub mod placement;
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::body::{CutShort, Piece};
 use crate::events::{EventSplitter, collect_data};
 use crate::fleet::{InFlight, Replica};
+use crate::health::Evidence;
 use crate::history::{History, Reservation, turn_record};
 use crate::request::Figures;
 use crate::upstream::Connection;
@@ -21,6 +22,9 @@
 /// Pieces that wait for a caller who reads slowly.
 pub const PIECES_AHEAD: usize = 16;
 
+/// Outcome of a stream that the replica did not end.
+const BROKE_OFF: &str = "replica_broke_off";
+
 /// What is kept of a stream.
 pub struct Keeping {
     /// Where turns are kept.
@@ -105,7 +109,7 @@
                     }
                     return End::Whole;
                 }
-                Some(Err(_)) => return End::Cut("replica_broke_off"),
+                Some(Err(_)) => return End::Cut(BROKE_OFF),
                 Some(Ok(frame)) => frame.data_ref().and_then(|data| splitter.push(data)),
             };
             if let Some(events) = whole {
@@ -158,8 +162,10 @@
         match end {
             End::Whole => self.answer.replica.pool.give(self.answer.connection),
             End::CallerLeft => {}
-            End::Cut(_) => {
-                self.answer.replica.failed(false);
+            End::Cut(reason) => {
+                if *reason == BROKE_OFF {
+                    self.answer.replica.note(Evidence::Lost);
+                }
                 let _ = pieces.send(Err(CutShort)).await;
             }
         }
--- /dev/null
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -0,0 +1,169 @@
+//! Which replicas are offered work after failures, in virtual time.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use stageyoke_directory::{ReplicaRecord, ReplicaState};
+use stageyoke_front::fleet::{Fleet, Replica, Wanted};
+use stageyoke_front::health::{CAUTION, Evidence, Health, SUSPENSION, combined};
+use stageyoke_front::placement::{self, Candidate};
+use stageyoke_front::prompt::Prompt;
+use stageyoke_store::load::LoadReports;
+use stageyoke_store::{LoadBoard, message::OthersReport};
+use stageyoke_types::{List, Text};
+use tokio::time::Instant;
+
+const SERVICE: &str = "service";
+
+fn fleet(replicas: u8) -> (Fleet, Rc<LoadBoard>) {
+    let board = Rc::new(LoadBoard::new(1));
+    let fleet = Fleet::new(board.clone());
+    let record = |number: u8| ReplicaRecord {
+        service: Text::from(SERVICE),
+        address: Text::from(format!("127.0.0.1:{number}")),
+        zone: Text::from("zone"),
+        slots: 4,
+        state: ReplicaState::Ready,
+    };
+    let records: BTreeMap<Text, ReplicaRecord> = (0..replicas)
+        .map(|number| (Text::from(format!("replica-{number}")), record(number)))
+        .collect();
+    fleet.follow(&records);
+    (fleet, board)
+}
+
+fn choose(fleet: &Fleet, repeatable: bool, tie: u64) -> Rc<Replica> {
+    let wanted = Wanted {
+        service: SERVICE,
+        zone: "zone",
+        excluded: &[],
+        prompt: &Prompt::default(),
+        repeatable,
+    };
+    let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
+    fleet.choose(&wanted, choose).expect("a replica")
+}
+
+/// How often each of many requests goes to this replica.
+fn offers(fleet: &Fleet, replica: &Replica, repeatable: bool) -> usize {
+    (0..64)
+        .filter(|tie| choose(fleet, repeatable, *tie).id == replica.id)
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_lost_answer_keeps_away_what_may_run_only_once() {
+    let (fleet, _) = fleet(3);
+    let bad = choose(&fleet, false, 0);
+    assert!(offers(&fleet, &bad, false) > 0);
+    bad.note(Evidence::Lost);
+    assert_eq!(offers(&fleet, &bad, false), 0);
+    assert!(
+        offers(&fleet, &bad, true) > 0,
+        "what may be repeated asks it"
+    );
+    bad.note(Evidence::Lost);
+    assert_eq!(offers(&fleet, &bad, true), 0, "two in a row suspend it");
+    tokio::time::advance(Duration::from_secs(3)).await;
+    assert!(offers(&fleet, &bad, false) > 0, "it is tried again");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_restores_trust_sooner_than_time() {
+    let (fleet, _) = fleet(3);
+    let bad = choose(&fleet, false, 0);
+    bad.note(Evidence::Lost);
+    bad.note(Evidence::Sound);
+    assert!(offers(&fleet, &bad, false) > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn failing_replicas_are_used_where_there_is_no_other() {
+    let (fleet, _) = fleet(1);
+    let only = choose(&fleet, false, 0);
+    only.note(Evidence::Unreachable);
+    assert_eq!(offers(&fleet, &only, false), 64);
+}
+
+/// A front that has sent nothing to a replica learns from others, through a
+/// store, that it fails them; the word of a single one excludes nothing.
+#[tokio::test(start_paused = true)]
+async fn fronts_learn_of_failing_replicas_from_one_another() {
+    let (own, board) = fleet(3);
+    let bad = choose(&own, false, 0);
+    let store = LoadReports::default();
+    let hear = || board.hear(store.of_others(1));
+    let mut offered = Vec::new();
+    for front in 2..=4 {
+        let other = Rc::new(LoadBoard::new(front));
+        let others = Fleet::new(other.clone());
+        let record = bad.record.clone();
+        others.follow(&BTreeMap::from([(bad.id.clone(), record)]));
+        choose(&others, false, 0).note(Evidence::Lost);
+        store.take(other.report());
+        hear();
+        offered.push((offers(&own, &bad, false) > 0, offers(&own, &bad, true) > 0));
+    }
+    assert_eq!(offered, [(true, true), (false, true), (false, false)]);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    hear();
+    assert!(
+        offers(&own, &bad, false) > 0,
+        "reports of the past are forgotten"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn reports_stay_bounded() {
+    let board = LoadBoard::new(1);
+    for replica in 0..10_000 {
+        board.suspect(replica, Duration::from_secs(1));
+    }
+    let report = board.report();
+    assert_eq!(report.suspects.len(), stageyoke_store::load::MAX_SUSPECTS);
+    let store = LoadReports::default();
+    for front in 2..100 {
+        store.take(stageyoke_store::message::LoadReport {
+            front,
+            entries: List(Vec::new()),
+            suspects: List((0..100).map(|number| number * front).collect()),
+        });
+    }
+    let OthersReport { suspects, .. } = store.of_others(1);
+    assert_eq!(suspects.len(), stageyoke_store::load::MAX_SUSPECTS);
+    board.suspect(1, Duration::ZERO);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    assert!(board.report().suspects.is_empty());
+}
+
+proptest! {
+    /// The estimate stays a likelihood, falls with time, and `cautious_for`
+    /// names the moment at which it crosses the limit.
+    #[test]
+    fn an_estimate_is_a_likelihood_that_fades(
+        outcomes in proptest::collection::vec((0_u8..4, 0_u64..2_000), 1..40),
+        reports in 0_u16..40,
+    ) {
+        let mut now = Instant::now();
+        let mut health = Health::default();
+        for (outcome, pause) in outcomes {
+            let evidence = match outcome {
+                0 => Evidence::Sound,
+                1 => Evidence::Failed,
+                2 => Evidence::Lost,
+                _ => Evidence::Unreachable,
+            };
+            health.note(evidence, now);
+            let failure = health.failure(now);
+            prop_assert!((0.0..=1.0).contains(&failure));
+            prop_assert!((failure..=1.0).contains(&combined(failure, reports)));
+            let after = now + health.cautious_for(now) + Duration::from_micros(10);
+            prop_assert!(health.failure(after) <= CAUTION);
+            now += Duration::from_millis(pause);
+            prop_assert!(health.failure(now) <= failure);
+        }
+        prop_assert!(health.failure(now + Duration::from_secs(60)) < SUSPENSION);
+    }
+}
--- a/crates/stageyoke-store/src/load.rs
+++ b/crates/stageyoke-store/src/load.rs
@@ -1,6 +1,6 @@
-//! What fronts have under way at replicas. It travels with the records that
-//! fronts send to stores anyway, and is a hint: placement uses it, nothing
-//! that must hold depends on it.
+//! What fronts have under way at replicas, and which replicas failed them. It
+//! travels with the records that fronts send to stores anyway, and is a hint:
+//! placement uses it, nothing that must hold depends on it.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,19 +9,38 @@
 use stageyoke_types::List;
 use tokio::time::Instant;
 
-use crate::message::{LoadEntry, LoadReport};
+use crate::message::{LoadEntry, LoadReport, OthersReport, Suspicion};
 
 /// Replicas in one report.
 pub const MAX_ENTRIES: usize = 64;
+/// Suspected replicas in one report.
+pub const MAX_SUSPECTS: usize = 32;
 /// A report counts for this long.
 pub const REPORT_LIFE: Duration = Duration::from_millis(500);
+/// What was heard of failing replicas counts for this long: a front that sends
+/// few records hears seldom, and a fault lasts longer than a moment's load.
+pub const SUSPICION_LIFE: Duration = Duration::from_millis(1200);
 
 /// A front's own counts and what it last heard of all others.
 #[derive(Debug)]
 pub struct LoadBoard {
     front: u32,
     own: RefCell<HashMap<u32, u16>>,
-    others: RefCell<(HashMap<u32, u16>, Instant)>,
+    suspects: RefCell<HashMap<u32, Instant>>,
+    others: RefCell<Heard>,
+}
+
+#[derive(Debug, Default)]
+struct Heard {
+    under_way: HashMap<u32, u16>,
+    suspecting: HashMap<u32, u16>,
+    at: Option<Instant>,
+}
+
+impl Heard {
+    fn counts(&self, life: Duration) -> bool {
+        self.at.is_some_and(|at| at.elapsed() < life)
+    }
 }
 
 impl LoadBoard {
@@ -30,7 +49,8 @@
         Self {
             front,
             own: RefCell::default(),
-            others: RefCell::new((HashMap::new(), Instant::now())),
+            suspects: RefCell::default(),
+            others: RefCell::default(),
         }
     }
 
@@ -50,6 +70,16 @@
         }
     }
 
+    /// Reports a replica as failing for so long; not at all after no time.
+    pub fn suspect(&self, replica: u32, lasting: Duration) {
+        let mut suspects = self.suspects.borrow_mut();
+        if lasting.is_zero() {
+            suspects.remove(&replica);
+        } else {
+            suspects.insert(replica, Instant::now() + lasting);
+        }
+    }
+
     /// What this front tells.
     pub fn report(&self) -> LoadReport {
         let mut entries: Vec<LoadEntry> = self
@@ -62,27 +92,41 @@
             })
             .collect();
         keep_busiest(&mut entries);
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.retain(|_, until| *until > Instant::now());
         LoadReport {
             front: self.front,
             entries: List(entries),
+            suspects: suspects.keys().copied().take(MAX_SUSPECTS).collect(),
         }
     }
 
     /// Takes what a store knows of all other fronts.
-    pub fn hear(&self, others: List<LoadEntry>) {
-        let counts = others
-            .into_iter()
-            .map(|entry| (entry.replica, entry.under_way))
-            .collect();
-        *self.others.borrow_mut() = (counts, Instant::now());
+    pub fn hear(&self, others: OthersReport) {
+        let load = |entry: LoadEntry| (entry.replica, entry.under_way);
+        let suspicion = |entry: Suspicion| (entry.replica, entry.fronts);
+        *self.others.borrow_mut() = Heard {
+            under_way: others.entries.into_iter().map(load).collect(),
+            suspecting: others.suspects.into_iter().map(suspicion).collect(),
+            at: Some(Instant::now()),
+        };
+    }
+
+    /// Other fronts that a replica failed of late, as far as known.
+    pub fn suspected_by(&self, replica: u32) -> u16 {
+        let others = self.others.borrow();
+        match others.counts(SUSPICION_LIFE) {
+            true => others.suspecting.get(&replica).copied().unwrap_or_default(),
+            false => 0,
+        }
     }
 
     /// Requests under way at a replica, as far as known.
     pub fn under_way(&self, replica: u32) -> u32 {
         let own = self.own.borrow().get(&replica).copied().unwrap_or_default();
-        let (others, heard) = &*self.others.borrow();
-        let others = match heard.elapsed() < REPORT_LIFE {
-            true => others.get(&replica).copied().unwrap_or_default(),
+        let others = self.others.borrow();
+        let others = match others.counts(REPORT_LIFE) {
+            true => others.under_way.get(&replica).copied().unwrap_or_default(),
             false => 0,
         };
         u32::from(own) + u32::from(others)
@@ -92,35 +136,58 @@
 /// A store's collection of reports.
 #[derive(Debug, Default)]
 pub struct LoadReports {
-    fronts: RefCell<HashMap<u32, (List<LoadEntry>, Instant)>>,
+    fronts: RefCell<HashMap<u32, (LoadReport, Instant)>>,
 }
 
 impl LoadReports {
     /// Takes a front's report in place of its former one.
     pub fn take(&self, report: LoadReport) {
-        let heard = (report.entries, Instant::now());
-        self.fronts.borrow_mut().insert(report.front, heard);
+        let heard = (report, Instant::now());
+        self.fronts.borrow_mut().insert(heard.0.front, heard);
     }
 
-    /// The sum over all fronts but one, for the busiest replicas.
-    pub fn of_others(&self, front: u32) -> List<LoadEntry> {
+    /// What all fronts but one have seen, for the busiest replicas and those
+    /// that most fronts report as failing.
+    pub fn of_others(&self, front: u32) -> OthersReport {
         let mut fronts = self.fronts.borrow_mut();
-        fronts.retain(|_, (_, heard)| heard.elapsed() < REPORT_LIFE);
-        let mut sums: HashMap<u32, u16> = HashMap::new();
+        fronts.retain(|_, (_, heard)| heard.elapsed() < SUSPICION_LIFE);
+        let mut under_way: HashMap<u32, u16> = HashMap::new();
+        let mut suspecting: HashMap<u32, u16> = HashMap::new();
         let others = fronts.iter().filter(|(other, _)| **other != front);
-        for entry in others.flat_map(|(_, (entries, _))| entries.iter()) {
-            let sum = sums.entry(entry.replica).or_default();
-            *sum = sum.saturating_add(entry.under_way);
+        for (report, heard) in others.map(|(_, reported)| reported) {
+            for replica in report.suspects.iter() {
+                *suspecting.entry(*replica).or_default() += 1;
+            }
+            if heard.elapsed() >= REPORT_LIFE {
+                continue;
+            }
+            for entry in report.entries.iter() {
+                let sum = under_way.entry(entry.replica).or_default();
+                *sum = sum.saturating_add(entry.under_way);
+            }
         }
-        let mut entries: Vec<LoadEntry> = sums
+        let mut entries: Vec<LoadEntry> = under_way
             .into_iter()
             .map(|(replica, under_way)| LoadEntry { replica, under_way })
             .collect();
         keep_busiest(&mut entries);
-        List(entries)
+        OthersReport {
+            entries: List(entries),
+            suspects: most_suspected(suspecting),
+        }
     }
 }
 
+fn most_suspected(suspecting: HashMap<u32, u16>) -> List<Suspicion> {
+    let mut suspects: Vec<Suspicion> = suspecting
+        .into_iter()
+        .map(|(replica, fronts)| Suspicion { replica, fronts })
+        .collect();
+    suspects.sort_by_key(|suspicion| std::cmp::Reverse(suspicion.fronts));
+    suspects.truncate(MAX_SUSPECTS);
+    List(suspects)
+}
+
 /// Messages stay small with thousands of replicas: only the busiest matter.
 fn keep_busiest(entries: &mut Vec<LoadEntry>) {
     if entries.len() > MAX_ENTRIES {
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -124,13 +124,33 @@
     pub under_way: u16,
 }
 
-/// What a front has under way, told along with its records.
+/// What a front has seen of replicas, told along with its records.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct LoadReport {
     /// Chosen by the front at its start.
     pub front: u32,
     /// Replicas with requests under way; the busiest where there are many.
     pub entries: List<LoadEntry>,
+    /// Hashes of the replicas that have failed this front of late.
+    pub suspects: List<u32>,
+}
+
+/// How many other fronts a replica has failed of late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Suspicion {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// Fronts that report it.
+    pub fronts: u16,
+}
+
+/// What all other fronts have seen of replicas.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct OthersReport {
+    /// Requests under way, summed; the busiest replicas where there are many.
+    pub entries: List<LoadEntry>,
+    /// Replicas that failed other fronts of late.
+    pub suspects: List<Suspicion>,
 }
 
 /// What a caller asks of a store.
@@ -180,8 +200,8 @@
         complete: bool,
         /// The program's ledger; filled for reservations.
         ledger: List<LedgerEntry>,
-        /// What all other fronts have under way; filled for reservations.
-        others: List<LoadEntry>,
+        /// What all other fronts have seen; filled for reservations.
+        others: OthersReport,
     },
     /// Parts of a chain, newest first.
     Chain {
