A follower that lost its log is sent it again from the start

The leader kept counting it as holding entry 1, sent what follows, was refused, and sent the same again with no pause: messages bred messages, and the run ended before an answer was given (the second violation, an answer that stands nowhere, was the storm's consequence). Ruled out: diverged logs (terms were equal, nothing was committed twice). Change: a refusal below what the follower was believed to hold lowers the belief. Counting fewer copies is always safe.

--- a/crates/stageyoke-core/src/replication/leader.rs
+++ b/crates/stageyoke-core/src/replication/leader.rs
@@ -257,7 +257,11 @@
             self.advance_commit();
             self.send_append(from, now, false, effects);
         } else {
-            state.next = (index + 1).max(state.matched + 1);
+            // A follower that was told that it is no member has dropped its log:
+            // what it held before counts no longer, and it is sent again. Were
+            // `matched` kept, it would be sent what it can't take for ever.
+            state.matched = state.matched.min(index);
+            state.next = index + 1;
             self.send_append(from, now, true, effects);
         }
     }
--- a/crates/stageyoke-sim/tests/cases_test.rs
+++ b/crates/stageyoke-sim/tests/cases_test.rs
@@ -526,3 +526,60 @@
     };
     assert_promises_hold(&plan);
 }
+
+/// Sequence 13 again: a follower that had dropped its log, as it was told that
+/// it is no member, was sent again and again what follows an entry that it had
+/// held before.
+#[test]
+fn storm_after_a_dropped_log() {
+    let program = |call_limit, end_at| PlannedProgram {
+        call_limit,
+        end_at,
+        ..free_program()
+    };
+    let flags = |keyed, doubled, call| PlannedCall {
+        keyed,
+        doubled,
+        ..call
+    };
+    let plan = Plan {
+        seed: 11_858_867_769_542_803_828,
+        programs: vec![
+            program(3, None),
+            program(0, Some(3_328)),
+            program(3, None),
+            program(0, None),
+        ],
+        calls: vec![
+            call(0, 11_025, 2),
+            call(3, 8_273, 0),
+            call(3, 5_150, 4),
+            call(3, 4_125, 2),
+            call(4, 3_516, 3),
+            call(4, 11_743, 1),
+            flags(true, true, call(2, 4_657, 2)),
+            flags(true, true, call(1, 4_268, 1)),
+            flags(true, true, call(3, 3_843, 3)),
+            call(2, 10_412, 1),
+            flags(true, true, call(1, 24, 1)),
+            call(1, 13_565, 1),
+            call(2, 12_715, 0),
+            call(4, 2_262, 0),
+            call(1, 9_891, 4),
+            call(1, 3_223, 3),
+            call(0, 16_523, 1),
+        ],
+        faults: vec![
+            drain(10_839, 1, 3_587),
+            configure(4_408, 2, 1),
+            crash(6_800, 4, true, 5_014),
+            partition(15_889, &[0, 3]),
+            drain(5_850, 3, 3_093),
+        ],
+        loss: 0.023_512_682_607_696_476,
+        duplicate: 0.044_853_969_108_083_99,
+        max_delay: 11,
+        disks: vec![true, true, false, true, false],
+    };
+    assert_promises_hold(&plan);
+}
