--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -13,7 +13,7 @@
     TransactionOutcome, WatchOutcome, Write,
 };
 pub use members::{Member, MemberState, Members, Tolerance};
-pub use mirror::{Mirror, MirrorEvent};
+pub use mirror::{Mirror, MirrorEvent, Pace};
 pub use model::{
     EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
     ServiceSpec, Target,
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -13,11 +13,15 @@
 use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
 use crate::view::{Changed, Interpreter, Update, View};
 
-/// How long one watch waits at the service.
-pub const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// After a change the next ones are gathered this long: they come in groups,
-/// and each call has its price.
-const GATHER: Duration = Duration::from_millis(400);
+/// How long one watch waits at the service. Keep-alive probes of the connection
+/// find a silent peer long before.
+pub const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long the first watch after an outage waits: its answer shows that the
+/// service is back.
+const FIRST_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Parts of the bound on changes that gathering and confirmations may take.
+const GATHER_PART: f64 = 0.3;
+const CONFIRMED_PART: f64 = 0.25;
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 const LAST_BACKOFF: Duration = Duration::from_millis(800);
 
@@ -34,6 +38,34 @@
     Unreadable(String),
 }
 
+/// How calls are spared: they come in groups, and each has its price.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// After a change the next ones are gathered this long.
+    pub gather: Duration,
+    /// A linearizable read of the routes confirms them this long.
+    pub confirmed_for: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            gather: Duration::from_millis(400),
+            confirmed_for: Duration::ZERO,
+        }
+    }
+}
+
+impl Pace {
+    /// The pace where a change must be in force within `bound`.
+    pub fn within(bound: Duration) -> Self {
+        Self {
+            gather: bound.mul_f64(GATHER_PART),
+            confirmed_for: bound.mul_f64(CONFIRMED_PART),
+        }
+    }
+}
+
 /// The view and the means to follow it; shared by the tasks of a process.
 pub struct Mirror<S, I> {
     /// The key-value service.
@@ -46,6 +78,7 @@
     last_contact: Cell<Option<Instant>>,
     read_lock: tokio::sync::Mutex<Option<Instant>>,
     changed: Notify,
+    pace: Pace,
 }
 
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
@@ -60,9 +93,15 @@
             last_contact: Cell::new(None),
             read_lock: tokio::sync::Mutex::new(None),
             changed: Notify::new(),
+            pace: Pace::default(),
         }
     }
 
+    /// The same mirror at another pace.
+    pub fn at_pace(self, pace: Pace) -> Self {
+        Self { pace, ..self }
+    }
+
     /// A mirror that also keeps the items themselves, to hand them on.
     pub fn keeping_items(service: S, interpreter: I) -> Self {
         Self {
@@ -135,12 +174,13 @@
         self.last_contact.get()
     }
 
-    /// Reads the configuration linearizably, after the moment of the call.
-    /// Concurrent callers share one read.
+    /// Reads the configuration linearizably, unless a read began after the
+    /// call, or so shortly before that the bound on changes is kept.
     pub async fn confirm_routes(&self) -> Result<(), KeyValueError> {
         let asked = Instant::now();
         let mut last_read = self.read_lock.lock().await;
-        if last_read.is_some_and(|started| started >= asked) {
+        let confirmed_for = self.pace.confirmed_for;
+        if last_read.is_some_and(|started| started + confirmed_for >= asked) {
             return Ok(());
         }
         let started = Instant::now();
@@ -179,7 +219,10 @@
         loop {
             let outcome = match after {
                 None => self.read_all(&mut report).await.map(Some),
-                Some(revision) => self.watch_once(revision, &mut report).await,
+                Some(revision) => {
+                    let wait = if lost { FIRST_WATCH_WAIT } else { WATCH_WAIT };
+                    self.watch_once(revision, wait, &mut report).await
+                }
             };
             match outcome {
                 Ok(next) => {
@@ -205,16 +248,17 @@
     async fn watch_once(
         &self,
         revision: u64,
+        wait: Duration,
         report: &mut impl FnMut(MirrorEvent),
     ) -> Result<Option<u64>, KeyValueError> {
         let prefix = self.interpreter.prefix();
-        match self.service.watch(prefix, revision, WATCH_WAIT).await? {
+        match self.service.watch(prefix, revision, wait).await? {
             WatchOutcome::HistoryGone => Ok(None),
             WatchOutcome::Changes { changes, revision } => {
                 let pause = !changes.is_empty();
                 self.apply_changes(changes, report);
                 if pause {
-                    tokio::time::sleep(GATHER).await;
+                    tokio::time::sleep(self.pace.gather).await;
                 }
                 Ok(Some(revision))
             }
--- a/crates/stageyoke-directory/tests/mirror_test.rs
+++ b/crates/stageyoke-directory/tests/mirror_test.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use stageyoke_directory::{
-    Change, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, MirrorEvent,
+    Change, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, MirrorEvent, Pace,
     RangePage, ReplicaRecord, ReplicaState, RouteTable, Transaction, TransactionOutcome, Update,
     WatchOutcome, Write,
 };
@@ -259,3 +259,21 @@
     *script.down.borrow_mut() = true;
     assert!(mirror.confirm_routes().await.is_err());
 }
+
+/// A configuration must be in force within two seconds: a read confirms it for
+/// a quarter of that, and no longer.
+#[tokio::test(start_paused = true)]
+async fn a_read_confirms_the_routes_for_a_part_of_the_bound() {
+    let script = Rc::new(Script::default());
+    script.put("routes/all", "3");
+    let mirror = Mirror::new(Service(script.clone()), Words);
+    let mirror = mirror.at_pace(Pace::within(Duration::from_secs(2)));
+    for (pause, version, reads) in [(0, 3, 1), (400, 3, 1), (200, 4, 2)] {
+        tokio::time::advance(Duration::from_millis(pause)).await;
+        mirror.confirm_routes().await.expect("confirmed");
+        let view = mirror.view();
+        assert_eq!(view.routes.as_ref().expect("routes").version, version);
+        assert_eq!(*script.gets.borrow(), reads, "after another {pause} ms");
+        script.put("routes/all", "4");
+    }
+}
