One loss among successes moves no work; fronts that are not ready close kept connections

Cause: with an outcome's weight at 0.4 a single lost answer kept requests that may run only once away for 0.6 s. Change: weight 0.25: two losses in a row keep away what may run once, four all. A front that is not ready says Connection: close on every answer, not only when it is stopping, so that callers on kept connections follow the entry.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -70,7 +70,8 @@
                 self.echo(answer::respond(&failure), &story)
             }
         };
-        if self.draining() {
+        if !self.ready() {
+            // The entry sends new connections elsewhere; kept ones shall follow.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/stageyoke-front/src/health.rs
+++ b/crates/stageyoke-front/src/health.rs
@@ -8,8 +8,10 @@
 
 use tokio::time::Instant;
 
-/// Weight of the newest outcome in the estimate.
-const OUTCOME_WEIGHT: f64 = 0.4;
+/// Weight of the newest outcome in the estimate: one failure among successes
+/// stays below `CAUTION`. Half of the replicas may lose one answer in twenty,
+/// and the others could not carry all the work.
+const OUTCOME_WEIGHT: f64 = 0.25;
 /// Time in which an estimate halves by itself, so that a replica is tried again.
 const HALF_LIFE: Duration = Duration::from_millis(1500);
 /// Beyond this estimate a replica gets no request that may run only once.
