The soak cuts the way to stores and fills their disks; a store tells of a full disk

A store may advertise another address than its listener's (--advertise) and close segments at a size (--segment-bytes): the laboratory puts a proxy before each store, for fronts and other stores, and makes new segments refuse writes. Kinds of fault come last in their list, so that the cases keep their draws. Found: a link in the data folder that leads to a device without an end was read as a segment at the next start (the laboratory's own way to fill a disk, while a store started). Only files of the folder itself are segments now; test what_is_no_file_of_its_own_is_no_segment. A store whose disk refuses records told nobody: event 604, and 700 once it takes them again.

--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -168,16 +168,25 @@
         .seed
         .unwrap_or_else(|| rand::random::<u32>().into());
     let mut broken = false;
-    let seeds: Vec<u64> = match arguments.cases {
-        true => soak::CASES.iter().map(|(seed, _)| *seed).collect(),
-        false => (first..first + arguments.runs).collect(),
+    let kinds = match arguments.calm {
+        true => 0,
+        false => soak::faults::FAULTS.len(),
     };
-    for seed in seeds {
+    let runs: Vec<(u64, usize)> = match arguments.cases {
+        true => soak::CASES
+            .iter()
+            .map(|case| (case.seed, case.kinds))
+            .collect(),
+        false => (first..first + arguments.runs)
+            .map(|seed| (seed, kinds))
+            .collect(),
+    };
+    for (seed, kinds) in runs {
         let plan = SoakPlan {
             program: program.clone(),
             seed,
             lasting: Duration::from_secs(arguments.seconds),
-            faults: !arguments.calm,
+            kinds,
         };
         let report = soak::run(&plan).await.into_diagnostic()?;
         println!("seed {seed}: {:?}", report.counts);
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -34,6 +34,8 @@
     pub service: Arc<PlatformStoreStandIn>,
     /// The proxy before it.
     pub service_proxy: Proxy,
+    /// Proxies before the stores, in their order.
+    pub store_proxies: Vec<Proxy>,
     /// Proxies before the replicas.
     pub replica_proxies: Vec<Proxy>,
     /// Trouble of all replicas.
@@ -92,12 +94,18 @@
                 .collect(),
         };
         let mut processes = Vec::new();
+        let mut store_proxies = Vec::new();
         for (number, machine) in addresses.iter().enumerate() {
             let (role, node) = match number < FRONTS {
                 true => (ProcessRole::Front, format!("front-{number}")),
                 false => (ProcessRole::Store, format!("store-{}", number - FRONTS)),
             };
             let mut process = Process::new(&shared, node, role, *machine);
+            if role == ProcessRole::Store {
+                let proxy = Proxy::start(machine[2]).await?;
+                process = process.behind(proxy.address);
+                store_proxies.push(proxy);
+            }
             process.start(true)?;
             processes.push(process);
         }
@@ -110,6 +118,7 @@
         let deployment = Self {
             service,
             service_proxy,
+            store_proxies,
             replica_proxies,
             trouble,
             processes,
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -39,9 +39,14 @@
     TroubleReplicas,
     /// A new configuration.
     Reconfigure,
+    /// The way to a store misbehaves, for fronts and for other stores.
+    CutStore,
+    /// A store's disk takes no more.
+    FillDisk,
 }
 
-const FAULTS: [Fault; 12] = [
+/// All kinds; new ones come last, as cases draw from the first of them.
+pub const FAULTS: [Fault; 14] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -54,8 +59,20 @@
     Fault::CutReplicas,
     Fault::TroubleReplicas,
     Fault::Reconfigure,
+    Fault::CutStore,
+    Fault::FillDisk,
 ];
 
+impl Fault {
+    /// Whether another store must not fail until this one has caught up.
+    fn strikes_a_store(self) -> bool {
+        matches!(
+            self,
+            Self::KillStore | Self::PauseStore | Self::WipeStore | Self::CutStore | Self::FillDisk
+        )
+    }
+}
+
 /// Time for a store to catch up before another may fail.
 const CATCH_UP: Duration = Duration::from_millis(4500);
 const DOWN: Duration = Duration::from_millis(400);
@@ -65,9 +82,10 @@
 }
 
 impl Deployment {
-    /// Draws a fault, does it and undoes it; returns which.
-    pub async fn strike(&mut self, random: &mut ChaCha8Rng) -> Fault {
-        let fault = FAULTS[random.random_range(0..FAULTS.len())];
+    /// Draws one of the first `kinds` faults, does it and undoes it; returns
+    /// which.
+    pub async fn strike(&mut self, random: &mut ChaCha8Rng, kinds: usize) -> Fault {
+        let fault = FAULTS[random.random_range(0..kinds.min(FAULTS.len()))];
         let front = random.random_range(0..FRONTS);
         let store = FRONTS + random.random_range(0..STORES);
         let lasting = milliseconds(random, 300, 3000);
@@ -84,11 +102,10 @@
             Fault::CutReplicas => self.cut_replicas(random, lasting).await,
             Fault::TroubleReplicas => self.trouble_replicas(random, lasting).await,
             Fault::Reconfigure => self.reconfigure(),
+            Fault::CutStore => self.cut_store(store - FRONTS, random, lasting).await,
+            Fault::FillDisk => self.fill_disk(store, lasting).await,
         }
-        if matches!(
-            fault,
-            Fault::KillStore | Fault::PauseStore | Fault::WipeStore
-        ) {
+        if fault.strikes_a_store() {
             tokio::time::sleep(CATCH_UP).await;
         }
         fault
@@ -150,6 +167,22 @@
         }
     }
 
+    async fn cut_store(&mut self, store: usize, random: &mut ChaCha8Rng, lasting: Duration) {
+        let weather = self.store_proxies[store].weather.clone();
+        weather.set(draw_mode(random), milliseconds(random, 0, 80));
+        tokio::time::sleep(lasting).await;
+        weather.set(Mode::Pass, Duration::ZERO);
+    }
+
+    async fn fill_disk(&mut self, number: usize, lasting: Duration) {
+        let filled = self.processes[number].fill_disk();
+        tokio::time::sleep(lasting).await;
+        if let Err(error) = filled.and(self.processes[number].empty_disk()) {
+            self.promises
+                .breach(format!("a disk could not be filled: {error}"));
+        }
+    }
+
     async fn cut_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
         let mode = draw_mode(random);
         let delay = milliseconds(random, 0, 100);
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -38,8 +38,19 @@
     pub seed: u64,
     /// Time of the run.
     pub lasting: Duration,
-    /// Whether faults strike.
-    pub faults: bool,
+    /// Kinds of fault that may strike: the first of `faults::FAULTS`.
+    pub kinds: usize,
+}
+
+/// A seed that once showed a breach.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    /// The seed.
+    pub seed: u64,
+    /// Kinds of fault that there were then.
+    pub kinds: usize,
+    /// What caused the breach.
+    pub cause: &'static str,
 }
 
 /// What a run showed.
@@ -55,13 +66,18 @@
     pub folder: Option<PathBuf>,
 }
 
-/// Seeds that once showed a breach, with its cause.
-pub const CASES: [(u64, &str); 2] = [
-    (
-        3_967_300_783,
-        "all killed at the very first start, before the disks' marks: no group was ever founded",
-    ),
-    (3_548_155_731, "the same cause, with a front killed next"),
+/// Seeds that once showed a breach.
+pub const CASES: [Case; 2] = [
+    Case {
+        seed: 3_967_300_783,
+        kinds: 12,
+        cause: "all killed at the very first start, before the disks' marks: no group was ever founded",
+    },
+    Case {
+        seed: 3_548_155_731,
+        kinds: 12,
+        cause: "the same cause, with a front killed next",
+    },
 ];
 
 /// Plays a run.
@@ -76,8 +92,8 @@
     }
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
-    while plan.faults && Instant::now() < until {
-        let fault = deployment.strike(&mut random).await;
+    while plan.kinds > 0 && Instant::now() < until {
+        let fault = deployment.strike(&mut random, plan.kinds).await;
         faults.push(format!("{:.1} {fault:?}", began.elapsed().as_secs_f64()));
     }
     let mut kept = Vec::new();
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -14,6 +14,13 @@
 
 use crate::standins::platform::names;
 
+/// Small segments, so that a disk which takes no new file is noticed at once.
+const SEGMENT_BYTES: u64 = 8 * 1024;
+/// Segments that a full disk refuses.
+const REFUSED_SEGMENTS: u64 = 500;
+/// A file that refuses every write.
+const FULL_DEVICE: &str = "/dev/full";
+
 /// What a process serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessRole {
@@ -37,6 +44,7 @@
     folder: PathBuf,
     platform: SocketAddr,
     seeds: Vec<SocketAddr>,
+    advertised: Option<SocketAddr>,
     child: Option<Child>,
 }
 
@@ -72,10 +80,19 @@
             program: shared.program.clone(),
             platform: shared.platform,
             seeds: shared.seeds.clone(),
+            advertised: None,
             child: None,
         }
     }
 
+    /// A store that tells others this address, of a proxy before it.
+    pub fn behind(self, proxy: SocketAddr) -> Self {
+        Self {
+            advertised: Some(proxy),
+            ..self
+        }
+    }
+
     /// Starts it; `first_start` is true only when the whole system starts for
     /// the first time.
     pub fn start(&mut self, first_start: bool) -> io::Result<()> {
@@ -89,8 +106,14 @@
             ProcessRole::Front => "front",
             ProcessRole::Store => "store",
         };
-        let child = Command::new(&self.program)
-            .arg(role)
+        let mut command = Command::new(&self.program);
+        command.arg(role);
+        if let Some(proxy) = self.advertised {
+            let small = SEGMENT_BYTES.to_string();
+            command.args(["--advertise", &proxy.to_string()]);
+            command.args(["--segment-bytes", &small]);
+        }
+        let child = command
             .env_clear()
             .env(names::SETTINGS_VARIABLE, &settings)
             .stdin(Stdio::null())
@@ -153,6 +176,39 @@
         }
     }
 
+    /// Makes the disk full: no new segment can be written. A store that has
+    /// written none yet is left alone.
+    pub fn fill_disk(&self) -> io::Result<()> {
+        if !self.data_folder().exists() {
+            return Ok(());
+        }
+        let newest = newest_segment(&self.data_folder())?;
+        let number = newest.as_deref().and_then(segment_number).unwrap_or(0);
+        for number in number + 1..=number + REFUSED_SEGMENTS {
+            std::os::unix::fs::symlink(FULL_DEVICE, self.segment(number))?;
+        }
+        Ok(())
+    }
+
+    /// Makes the disk take writes again.
+    pub fn empty_disk(&self) -> io::Result<()> {
+        if !self.data_folder().exists() {
+            return Ok(());
+        }
+        for entry in std::fs::read_dir(self.data_folder())? {
+            let entry = entry?;
+            if entry.file_type()?.is_symlink() {
+                std::fs::remove_file(entry.path())?;
+            }
+        }
+        Ok(())
+    }
+
+    fn segment(&self, number: u64) -> PathBuf {
+        let name = format!("{SEGMENT_PREFIX}{number:010}");
+        self.data_folder().join(name)
+    }
+
     /// Leaves bytes of a torn write at the end of the newest segment, of a
     /// process that has ended.
     pub fn tear(&self, bytes: &[u8]) -> io::Result<()> {
@@ -164,12 +220,19 @@
     }
 }
 
+const SEGMENT_PREFIX: &str = "segment-";
+
+fn segment_number(path: &Path) -> Option<u64> {
+    let name = path.file_name()?.to_str()?;
+    name.strip_prefix(SEGMENT_PREFIX)?.parse().ok()
+}
+
 fn newest_segment(folder: &Path) -> io::Result<Option<PathBuf>> {
     let mut segments = Vec::new();
     for entry in std::fs::read_dir(folder)? {
         let path = entry?.path();
         let name = path.file_name().and_then(|name| name.to_str());
-        if name.is_some_and(|name| name.starts_with("segment-")) {
+        if name.is_some_and(|name| name.starts_with(SEGMENT_PREFIX)) {
             segments.push(path);
         }
     }
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -14,8 +14,8 @@
 use crate::message::{Record, SeenItem};
 use crate::segment::{DataFolder, encode_record};
 
-/// A segment is closed beyond this size.
-pub const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+/// A segment is closed beyond this size, where the settings name no other.
+pub const DEFAULT_SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
 /// Bytes written together at most.
 const BATCH_BYTES: usize = 1024 * 1024;
 
@@ -43,16 +43,19 @@
 }
 
 impl Journal {
-    /// Starts the thread. Appends go to a new segment with this number.
+    /// Starts the thread. Appends go to a new segment with this number; a
+    /// segment is closed beyond `segment_bytes`.
     pub fn start(
         folder: DataFolder,
         next_segment: u64,
+        segment_bytes: u64,
     ) -> io::Result<(Self, UnboundedReceiver<Vec<Appended>>)> {
         let (commands, inbox) = mpsc::channel();
         let (results, outbox) = unbounded_channel();
         let writer = Writer {
             folder,
             next_segment,
+            segment_bytes,
             current: None,
             results,
         };
@@ -100,6 +103,7 @@
 struct Writer {
     folder: DataFolder,
     next_segment: u64,
+    segment_bytes: u64,
     current: Option<Segment>,
     results: UnboundedSender<Vec<Appended>>,
 }
@@ -175,7 +179,7 @@
         stageyoke_observe::metrics().sync_seconds.observe(seconds);
         segment.bytes += bytes.len() as u64;
         let number = segment.number;
-        if segment.bytes > SEGMENT_BYTES {
+        if segment.bytes > self.segment_bytes {
             self.current = None;
         }
         Ok(number)
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -40,6 +40,10 @@
     pub zone: Text,
     /// Address of the inner listener.
     pub listen: SocketAddr,
+    /// Address under which fronts and other stores reach it.
+    pub advertised: SocketAddr,
+    /// A segment of the journal is closed beyond this size.
+    pub segment_bytes: u64,
     /// Data folder.
     pub data_folder: PathBuf,
     /// Whether the whole system starts for the first time.
@@ -87,7 +91,7 @@
             .last()
             .map_or(0, |(number, _)| number + 1);
         let kept_items = folder.read_items();
-        let (journal, results) = Journal::start(folder, next_segment)?;
+        let (journal, results) = Journal::start(folder, next_segment, settings.segment_bytes)?;
         let keeper = Rc::new(Keeper::new(settings.node.clone(), journal, recovered));
         let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerance.clone()));
         let listener = TcpListener::bind(settings.listen).await?;
@@ -209,7 +213,7 @@
             .count();
         let oneself = Oneself {
             node: self.settings.node.clone(),
-            address: Text::from(self.settings.listen.to_string()),
+            address: Text::from(self.settings.advertised.to_string()),
             zone: self.settings.zone.clone(),
             complete: self.keeper.complete(),
             caught_up: self.peers.caught_up_with_group(),
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -165,7 +165,12 @@
     pub fn segment_numbers(&self) -> io::Result<Vec<u64>> {
         let mut numbers = Vec::new();
         for entry in fs::read_dir(&self.path)? {
-            let name = entry?.file_name();
+            let entry = entry?;
+            // What is no file of its own was not written by a store.
+            if !entry.file_type()?.is_file() {
+                continue;
+            }
+            let name = entry.file_name();
             let number = name
                 .to_str()
                 .and_then(|name| name.strip_prefix(SEGMENT_PREFIX))
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 
 use stageyoke_directory::{MemberState, Members};
-use stageyoke_types::{List, Text};
+use stageyoke_observe as observe;
+use stageyoke_types::{Event, List, Text};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -51,6 +52,7 @@
     segments: RefCell<VecDeque<SegmentUse>>,
     next_ticket: Cell<u64>,
     complete: Cell<bool>,
+    disk_refuses: Cell<bool>,
     members: RefCell<Rc<Members>>,
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
@@ -82,6 +84,7 @@
             segments: RefCell::new(segments),
             next_ticket: Cell::new(0),
             complete: Cell::new(recovered.complete),
+            disk_refuses: Cell::new(false),
             members: RefCell::new(Rc::new(recovered.members.unwrap_or_default())),
             items: RefCell::default(),
             loads: LoadReports::default(),
@@ -189,6 +192,7 @@
         while let Some(batch) = results.recv().await {
             let now = self.seconds();
             for appended in batch {
+                self.tell_of_disk(&appended);
                 self.finish(&appended, now);
             }
             self.expire(now);
@@ -198,6 +202,17 @@
         }
     }
 
+    fn tell_of_disk(&self, appended: &Appended) {
+        let refuses = appended.segment.is_none();
+        if self.disk_refuses.replace(refuses) == refuses {
+            return;
+        }
+        match refuses {
+            true => observe::event(Event::DiskRefuses, &format!("ticket={}", appended.ticket)),
+            false => observe::event(Event::DependencyRegained, "disk"),
+        }
+    }
+
     fn finish(&self, appended: &Appended, now: u64) {
         let Some(submitted) = self.submitted.borrow_mut().remove(&appended.ticket) else {
             return;
--- a/crates/stageyoke-store/tests/disk_test.rs
+++ b/crates/stageyoke-store/tests/disk_test.rs
@@ -121,3 +121,16 @@
     assert_eq!(recovered.torn, 1);
     fs::remove_dir_all(path.path()).expect("remove");
 }
+
+/// A name that leads to another place, or to a device without an end, was not
+/// written by a store: it is not read, and its number is passed over.
+#[test]
+fn what_is_no_file_of_its_own_is_no_segment() {
+    let place = tempfile::tempdir().expect("folder");
+    let folder = DataFolder::open(place.path()).expect("open");
+    folder.create_segment(3).expect("segment");
+    std::os::unix::fs::symlink("/dev/zero", place.path().join("segment-0000000004")).expect("link");
+    fs::create_dir(place.path().join("segment-0000000005")).expect("folder");
+    assert_eq!(folder.segment_numbers().expect("numbers"), [3]);
+    assert!(folder.recover(1, false).is_ok());
+}
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_store::journal::Journal;
+use stageyoke_store::journal::{DEFAULT_SEGMENT_BYTES, Journal};
 use stageyoke_store::message::{Record, TurnRecord};
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server::{self, Keeper};
@@ -46,7 +46,8 @@
             .segments
             .last()
             .map_or(0, |(number, _)| number + 1);
-        let (journal, results) = Journal::start(data, next).expect("journal");
+        let (journal, results) =
+            Journal::start(data, next, DEFAULT_SEGMENT_BYTES).expect("journal");
         let node = Text::from(format!("store-{number}"));
         let keeper = Rc::new(Keeper::new(node, journal, recovered));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -57,6 +57,7 @@
     LogTornTail, 601, "warn", "An incomplete record at the end of the log was cut off.";
     LogCorrupt, 602, "error", "A record of the log failed its checksum.";
     StoreComplete, 603, "info", "A store holds again everything that its disk ever acknowledged.";
+    DiskRefuses, 604, "error", "The disk takes no record; others of the group keep what this store can't.";
     DependencyRegained, 700, "info", "A dependency that had been lost answers again.";
     ViewChanged, 701, "info", "Routes, replicas or store members in use changed.";
     ItemUnreadable, 702, "error", "An item of the key-value service could not be read and is ignored.";
