A reset at once weighs more than a lost answer; a record is encoded once

Change: a connection that ends within 8 ms of the request (a round trip between zones) met no replica at work: one such keeps away what may run once. Answers that get lost later still weigh 0.25. Also: an append is encoded once for all members instead of once for each, and its record is no longer cloned for each. Tests: one_reset_at_once_keeps_away_what_may_run_only_once, a_frame_of_encoded_content_is_the_frame_of_the_message.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One try at one replica, and what is known of it afterwards.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -28,6 +29,10 @@
     hyper::header::EXPECT,
 ];
 
+/// A connection that ends sooner than this after a request was sent has met no
+/// replica at work: a round trip between zones, and little more.
+const AT_ONCE: Duration = Duration::from_millis(8);
+
 /// A request as it goes to replicas.
 #[derive(Clone, Debug)]
 pub struct Outbound {
@@ -109,13 +114,17 @@
             return Outcome::NotSent("left_meanwhile");
         }
         set_deadline(&mut request, outbound, names);
+        let sent = Instant::now();
         match connection.sender.try_send_request(request).await {
             Ok(response) => return judge(outbound, response, connection, replica, guard, names),
             Err(mut error) => match error.take_message() {
                 Some(unsent) if !fresh => request = unsent,
                 Some(_) => return Outcome::NotSent("connection_closed"),
                 None => {
-                    replica.note(Evidence::Lost);
+                    replica.note(match sent.elapsed() < AT_ONCE {
+                        true => Evidence::Reset,
+                        false => Evidence::Lost,
+                    });
                     return Outcome::Lost("connection_lost");
                 }
             },
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -68,7 +68,7 @@
         let mut health = self.health.get();
         health.note(evidence, now);
         self.health.set(health);
-        if evidence == Evidence::Lost {
+        if matches!(evidence, Evidence::Lost | Evidence::Reset) {
             // A replica that went down took its kept connections with it: the
             // next request shall find that out before it is sent.
             self.pool.clear();
--- a/crates/stageyoke-front/src/health.rs
+++ b/crates/stageyoke-front/src/health.rs
@@ -12,6 +12,9 @@
 /// stays below `CAUTION`. Half of the replicas may lose one answer in twenty,
 /// and the others could not carry all the work.
 const OUTCOME_WEIGHT: f64 = 0.25;
+/// Weight of a connection that was reset sooner than the work takes: nothing
+/// runs there, so a single one is beyond `CAUTION`.
+const RESET_WEIGHT: f64 = 0.5;
 /// Time in which an estimate halves by itself, so that a replica is tried again.
 const HALF_LIFE: Duration = Duration::from_millis(1500);
 /// Beyond this estimate a replica gets no request that may run only once.
@@ -31,6 +34,8 @@
     Failed,
     /// Its connection ended before its answer did.
     Lost,
+    /// Its connection ended at once.
+    Reset,
     /// It can't be connected to.
     Unreachable,
 }
@@ -46,9 +51,11 @@
     /// Takes the outcome of a request.
     pub fn note(&mut self, evidence: Evidence, now: Instant) {
         let before = self.failure(now);
+        let worse_by = |weight: f64| before + weight * (1.0 - before);
         self.estimate = match evidence {
             Evidence::Sound => before * (1.0 - OUTCOME_WEIGHT),
-            Evidence::Failed | Evidence::Lost => before + OUTCOME_WEIGHT * (1.0 - before),
+            Evidence::Failed | Evidence::Lost => worse_by(OUTCOME_WEIGHT),
+            Evidence::Reset => worse_by(RESET_WEIGHT),
             Evidence::Unreachable => 1.0,
         };
         self.at = Some(now);
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// A replica that went down resets at once what comes over kept connections.
+#[tokio::test(start_paused = true)]
+async fn one_reset_at_once_keeps_away_what_may_run_only_once() {
+    let (fleet, board) = fleet(3);
+    let bad = choose(&fleet, false, 0);
+    bad.note(Evidence::Reset);
+    assert_eq!(offers(&fleet, &bad, false), 0);
+    assert!(
+        offers(&fleet, &bad, true) > 0,
+        "what may be repeated asks it"
+    );
+    assert_eq!(board.report().suspects.len(), 1, "and others are told");
+    bad.note(Evidence::Reset);
+    assert_eq!(offers(&fleet, &bad, true), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_unreachable_replica_is_suspended_at_once() {
     let (fleet, _) = fleet(3);
@@ -183,7 +199,7 @@
     /// names the moment at which it crosses the limit.
     #[test]
     fn an_estimate_is_a_likelihood_that_fades(
-        outcomes in proptest::collection::vec((0_u8..4, 0_u64..2_000), 1..40),
+        outcomes in proptest::collection::vec((0_u8..5, 0_u64..2_000), 1..40),
         reports in 0_u16..40,
     ) {
         let mut now = Instant::now();
@@ -193,6 +209,7 @@
                 0 => Evidence::Sound,
                 1 => Evidence::Failed,
                 2 => Evidence::Lost,
+                3 => Evidence::Reset,
                 _ => Evidence::Unreachable,
             };
             health.note(evidence, now);
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::frame;
+use crate::frame::{self, Encoded};
 use crate::message::{Numbered, Reply, Request};
 use crate::server::send_replies;
 use crate::socket;
@@ -47,7 +47,7 @@
 type Pending = Rc<RefCell<HashMap<u64, oneshot::Sender<Reply>>>>;
 
 struct Outgoing {
-    request: Request,
+    request: Encoded,
     answer: oneshot::Sender<Reply>,
 }
 
@@ -83,6 +83,15 @@
 
     /// Sends a request and waits for its reply.
     pub async fn call(&self, request: Request, within: Duration) -> Result<Reply, CallError> {
+        self.call_encoded(Encoded::of(&request), within).await
+    }
+
+    /// Sends a request that was encoded before and waits for its reply.
+    pub async fn call_encoded(
+        &self,
+        request: Encoded,
+        within: Duration,
+    ) -> Result<Reply, CallError> {
         let (answer, reply) = oneshot::channel();
         let outgoing = Outgoing { request, answer };
         self.commands
@@ -179,18 +188,14 @@
 
     fn send(&mut self, outgoing: Outgoing, pending: &Pending, frames: &UnboundedSender<Vec<u8>>) {
         self.next_number += 1;
-        let message = Numbered {
-            number: self.next_number,
-            content: outgoing.request,
-        };
         let mut waiting = pending.borrow_mut();
         // Calls whose caller has gone are not waited for.
         waiting.retain(|_, answer| !answer.is_closed());
         if waiting.is_empty() {
             self.owing_since = Instant::now();
         }
-        waiting.insert(message.number, outgoing.answer);
-        let _ = frames.send(frame::encode(&message));
+        waiting.insert(self.next_number, outgoing.answer);
+        let _ = frames.send(outgoing.request.frame(self.next_number));
     }
 }
 
--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -1,6 +1,7 @@
 //! Frames on a connection: a length and a binary message.
 
 use std::io;
+use std::rc::Rc;
 
 use nanoserde::{DeBin, SerBin};
 use tokio::io::{AsyncRead, AsyncReadExt};
@@ -18,6 +19,28 @@
     bytes
 }
 
+/// A message's content, encoded once for several connections.
+#[derive(Clone, Debug)]
+pub struct Encoded(Rc<[u8]>);
+
+impl Encoded {
+    /// Encodes the content.
+    pub fn of<T: SerBin>(content: &T) -> Self {
+        Self(content.serialize_bin().into())
+    }
+
+    /// The frame of this content under a number: what `encode` makes of
+    /// `Numbered`.
+    pub fn frame(&self, number: u64) -> Vec<u8> {
+        let length = size_of::<u64>() + self.0.len();
+        let mut bytes = Vec::with_capacity(LENGTH_BYTES + length);
+        bytes.extend_from_slice(&(length as u32).to_le_bytes());
+        number.ser_bin(&mut bytes);
+        bytes.extend_from_slice(&self.0);
+        bytes
+    }
+}
+
 /// Reads one frame.
 pub async fn read<T: DeBin>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
     let mut prefix = [0_u8; LENGTH_BYTES];
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::client::{CallError, StoreClient};
+use crate::frame::Encoded;
 use crate::load::LoadBoard;
 use crate::message::{ChainPart, LedgerEntry, Record, Refusal, Reply, Request};
 
@@ -205,16 +206,16 @@
             .ok_or(GroupError::NoGroup)?;
         let reads_ledger = matches!(record, Record::Reserve { .. });
         let (answers, mut inbox) = unbounded_channel();
-        let load = self.load.report();
+        let request = Encoded::of(&Request::Append {
+            members_version: members.version,
+            load: self.load.report(),
+            record,
+        });
         for member in active(&members) {
             let Some(client) = self.client(&member.node) else {
                 continue;
             };
-            let request = Request::Append {
-                members_version: members.version,
-                load: load.clone(),
-                record: record.clone(),
-            };
+            let request = request.clone();
             let answers = answers.clone();
             // The append goes on when this caller leaves: copies spread.
             tokio::task::spawn_local(async move {
@@ -357,13 +358,13 @@
 /// digests, so that a second copy does no harm.
 async fn call_until(
     client: &StoreClient,
-    request: Request,
+    request: Encoded,
     within: Duration,
 ) -> Result<Reply, CallError> {
     let deadline = Instant::now() + within;
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
-        let error = match client.call(request.clone(), left).await {
+        let error = match client.call_encoded(request.clone(), left).await {
             Ok(reply) => return Ok(reply),
             Err(error) => error,
         };
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -1,7 +1,10 @@
 //! What a store holds in memory, and what it forgets.
 
 use stageyoke_store::LedgerView;
-use stageyoke_store::message::{JournalPosition, LedgerEntry, Record, Reply, TurnRecord};
+use stageyoke_store::frame::{self, Encoded};
+use stageyoke_store::message::{
+    JournalPosition, LedgerEntry, Numbered, Record, Reply, Request, TurnRecord,
+};
 use stageyoke_store::state::State;
 use stageyoke_types::{Blob, Text};
 
@@ -156,3 +159,19 @@
     );
     assert_eq!(chain(&state, "old"), (vec![], "old".into()));
 }
+
+/// What is encoded once for all members is what each would have got.
+#[test]
+fn a_frame_of_encoded_content_is_the_frame_of_the_message() {
+    let content = Request::Append {
+        members_version: 3,
+        load: Default::default(),
+        record: turn("one", ""),
+    };
+    let encoded = Encoded::of(&content);
+    for number in [0, 1, u64::MAX] {
+        let content = content.clone();
+        let whole = frame::encode(&Numbered { number, content });
+        assert_eq!(encoded.frame(number), whole);
+    }
+}
