Forgotten connections are learned about; homes lie in large zones

Change 1: after a reset at once a front connects anew. If that fails, the replica is down: suspended at once. If it works, the connection was forgotten: after two of these, what may run only once uses connections that rested at most half as long as the shortest forgotten one, for 6 s after the last. Cause 2: on the large sites each front kept connections to almost every engine. Tests: resting_connections_are_distrusted_after_two_were_forgotten..., homes_lie_in_a_zone_with_enough_engines.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -48,6 +48,8 @@
     pub body: Bytes,
     /// When the replica must be done.
     pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
 }
 
 /// An answer whose body is still to be read.
@@ -100,7 +102,8 @@
     let guard = replica.begin();
     let mut request = build(outbound, replica, names);
     loop {
-        let (mut connection, fresh) = match replica.pool.take() {
+        let limit = replica.rest_limit(outbound.repeatable);
+        let (mut connection, fresh) = match replica.pool.take(limit) {
             Some(connection) => (connection, false),
             None => match Connection::open(&replica.record.address).await {
                 Ok(connection) => (connection, true),
@@ -114,6 +117,7 @@
             return Outcome::NotSent("left_meanwhile");
         }
         set_deadline(&mut request, outbound, names);
+        let rested = connection.rested();
         let sent = Instant::now();
         match connection.sender.try_send_request(request).await {
             Ok(response) => return judge(outbound, response, connection, replica, guard, names),
@@ -121,10 +125,15 @@
                 Some(unsent) if !fresh => request = unsent,
                 Some(_) => return Outcome::NotSent("connection_closed"),
                 None => {
-                    replica.note(match sent.elapsed() < AT_ONCE {
-                        true => Evidence::Reset,
-                        false => Evidence::Lost,
-                    });
+                    if sent.elapsed() >= AT_ONCE {
+                        replica.note(Evidence::Lost);
+                    } else {
+                        replica.note(Evidence::Reset);
+                        let replica = replica.clone();
+                        tokio::task::spawn_local(
+                            async move { replica.look_after_reset(rested).await },
+                        );
+                    }
                     return Outcome::Lost("connection_lost");
                 }
             },
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use stageyoke_directory::{ReplicaRecord, ReplicaState};
 use stageyoke_store::LoadBoard;
@@ -12,7 +13,8 @@
 use crate::health::{self, Evidence, Health};
 use crate::placement::{Candidate, hash_text, mix};
 use crate::prompt::{HeldParts, Prompt};
-use crate::upstream::Pool;
+use crate::rest::RestLimit;
+use crate::upstream::{Connection, Pool};
 use stageyoke_observe as observe;
 
 /// One incarnation of a replica.
@@ -25,6 +27,7 @@
     pub pool: Pool,
     hash: u64,
     load: Rc<LoadBoard>,
+    rest_limit: Rc<Cell<RestLimit>>,
     held_parts: RefCell<HeldParts>,
     health: Cell<Health>,
     suspended: Cell<bool>,
@@ -32,10 +35,11 @@
 }
 
 impl Replica {
-    fn new(id: Text, record: ReplicaRecord, load: Rc<LoadBoard>) -> Self {
+    fn new(id: Text, record: ReplicaRecord, fleet: &Fleet) -> Self {
         Self {
             hash: hash_text(&id),
-            load,
+            load: fleet.load.clone(),
+            rest_limit: fleet.rest_limit.clone(),
             held_parts: RefCell::default(),
             id,
             record,
@@ -95,6 +99,28 @@
         observe::event(event, &detail);
     }
 
+    /// The longest rest after which a connection still takes a request.
+    pub fn rest_limit(&self, repeatable: bool) -> Option<Duration> {
+        match repeatable {
+            true => None,
+            false => self.rest_limit.get().limit(Instant::now()),
+        }
+    }
+
+    /// A connection that had rested so long ended at once under a request. A
+    /// new one shows whether the replica is down or only forgot the other.
+    pub async fn look_after_reset(&self, rested: Duration) {
+        let Ok(connection) = Connection::open(&self.record.address).await else {
+            self.note(Evidence::Unreachable);
+            return;
+        };
+        let mut limit = self.rest_limit.get();
+        limit.forgot(rested, Instant::now());
+        self.rest_limit.set(limit);
+        self.note(Evidence::Sound);
+        self.pool.give(connection);
+    }
+
     /// It answered as another incarnation: its record is out of date.
     pub fn mark_gone(&self) {
         self.gone.set(true);
@@ -136,6 +162,7 @@
 /// Replicas by service.
 pub struct Fleet {
     load: Rc<LoadBoard>,
+    rest_limit: Rc<Cell<RestLimit>>,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
     services: RefCell<HashMap<Text, Vec<Rc<Replica>>>>,
 }
@@ -145,6 +172,7 @@
     pub fn new(load: Rc<LoadBoard>) -> Self {
         Self {
             load,
+            rest_limit: Rc::default(),
             replicas: RefCell::default(),
             services: RefCell::default(),
         }
@@ -162,10 +190,9 @@
             stays
         });
         for (id, record) in records.iter().filter(|(_, record)| ready(record)) {
-            replicas.entry(id.clone()).or_insert_with(|| {
-                let load = self.load.clone();
-                Rc::new(Replica::new(id.clone(), record.clone(), load))
-            });
+            replicas
+                .entry(id.clone())
+                .or_insert_with(|| Rc::new(Replica::new(id.clone(), record.clone(), self)));
         }
         let mut services: HashMap<Text, Vec<Rc<Replica>>> = HashMap::new();
         for replica in replicas.values() {
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -127,6 +127,7 @@
             headers,
             body: input.clone(),
             deadline,
+            repeatable: route.repeatable(),
         };
         let call = Call {
             figures,
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod prompt;
 pub mod relay;
 pub mod request;
+pub mod rest;
 pub mod server;
 pub mod shares;
 pub mod turns;
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -39,6 +39,9 @@
 /// part of reading all of it.
 const HOME_BONUS: f64 = 10.0;
 const HOME_PART: f64 = 0.6;
+/// Engines from which on a zone's programs have their homes in the zone. With
+/// fewer, a burst finds some homes full while other zones' engines are free.
+const ENGINES_OF_A_ZONE: usize = 8;
 /// Requests in flight that a replica of another zone counts as having more.
 const REMOTE_HANDICAP: f64 = 2.5;
 
@@ -46,7 +49,7 @@
 /// waiting and of the way. Fronts that know nothing of a program agree on its
 /// home, the engine that its hash ranks first.
 pub fn choose_engine(candidates: &[Candidate], prompt_tokens: u32, affinity: u64) -> Option<usize> {
-    let home = best_by_affinity(candidates, affinity, |_| true)?;
+    let home = home_of(candidates, affinity)?;
     let known = candidates.iter().map(|candidate| candidate.held_tokens);
     let someone_holds_most = known.max().unwrap_or_default() * 2 > prompt_tokens;
     let home_bonus = match someone_holds_most {
@@ -72,6 +75,17 @@
         .map(|(index, _)| index)
 }
 
+/// The engine that a program's hash ranks first: among the zone's own, which
+/// spares connections and the way, where they are enough for the zone's bursts.
+fn home_of(candidates: &[Candidate], affinity: u64) -> Option<usize> {
+    let own = |candidate: &Candidate| candidate.local && candidate.usable;
+    let own_engines = candidates.iter().filter(|candidate| own(candidate)).count();
+    let zone_only = own_engines >= ENGINES_OF_A_ZONE;
+    best_by_affinity(candidates, affinity, |candidate| {
+        candidate.local || !zone_only
+    })
+}
+
 fn reading_cost(tokens: u32) -> f64 {
     f64::from(tokens) / TOKENS_PER_MILLISECOND * READING_WEIGHT
 }
--- a/crates/stageyoke-front/src/upstream.rs
+++ b/crates/stageyoke-front/src/upstream.rs
@@ -56,7 +56,12 @@
 
     fn usable(&self) -> bool {
         let life = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
-        self.sender.is_ready() && self.idle_since.elapsed() < life
+        self.sender.is_ready() && self.rested() < life
+    }
+
+    /// How long it has rested since its last answer.
+    pub fn rested(&self) -> Duration {
+        self.idle_since.elapsed()
     }
 
     /// Takes the life that the replica announces for idle connections.
@@ -95,10 +100,15 @@
 }
 
 impl Pool {
-    /// An idle connection that is still good.
-    pub fn take(&self) -> Option<Connection> {
+    /// An idle connection that is still good, and has rested no longer than
+    /// `limit`.
+    pub fn take(&self, limit: Option<Duration>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(Connection::usable);
+        let newest = idle.last()?;
+        if limit.is_some_and(|limit| newest.rested() > limit) {
+            return None;
+        }
         idle.pop()
     }
 
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use stageyoke_directory::{Route, RouteKind, Target};
 use stageyoke_front::events::{EventSplitter, collect_data};
-use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
+use stageyoke_front::placement::{Candidate, choose_engine, choose_plain, mix};
 use stageyoke_front::prompt::{HeldParts, Prompt};
 use stageyoke_front::shares::Shares;
 use stageyoke_types::Text;
@@ -178,3 +178,40 @@
     }
     assert!((8..=24).contains(&to_b), "{to_b} of 150");
 }
+
+#[test]
+fn resting_connections_are_distrusted_after_two_were_forgotten_and_for_a_while() {
+    let began = tokio::time::Instant::now();
+    let after = |ms| began + std::time::Duration::from_millis(ms);
+    let rest = std::time::Duration::from_millis;
+    let mut limit = stageyoke_front::rest::RestLimit::default();
+    limit.forgot(rest(5), after(0));
+    limit.forgot(rest(400), after(10));
+    assert_eq!(limit.limit(after(20)), None, "one may be a restart");
+    limit.forgot(rest(300), after(30));
+    assert_eq!(limit.limit(after(40)), Some(rest(150)));
+    limit.forgot(rest(900), after(5_000));
+    assert_eq!(limit.limit(after(10_900)), Some(rest(150)));
+    assert_eq!(limit.limit(after(11_100)), None, "it is forgotten");
+    limit.forgot(rest(900), after(12_000));
+    assert_eq!(limit.limit(after(12_010)), None);
+}
+
+/// Engines of two zones, as a front of one sees them: a program's home lies in
+/// the front's zone if the zone has enough engines.
+#[rstest::rstest]
+#[case(8, true)]
+#[case(7, false)]
+fn homes_lie_in_a_zone_with_enough_engines(#[case] own: u64, #[case] expected: bool) {
+    let engines: Vec<Candidate> = (0..2 * own)
+        .map(|hash| Candidate {
+            local: hash < own,
+            ..candidate(mix(hash))
+        })
+        .collect();
+    let all_local = (0..200_u64).all(|program| {
+        let chosen = choose_engine(&engines, 1_000, mix(program)).expect("engine");
+        engines[chosen].local
+    });
+    assert_eq!(all_local, expected);
+}
