--- a/crates/stageyoke-core/src/replication/election.rs
+++ b/crates/stageyoke-core/src/replication/election.rs
@@ -49,14 +49,9 @@
     /// This replica's place among the voters whose nodes are live; the order
     /// is rotated by the term so that a replica that cannot win yields.
     fn rank_among_live(&self, liveness: &dyn Liveness) -> Time {
-        let live: Vec<NodeId> = self
-            .log
-            .voters()
-            .iter()
-            .copied()
-            .filter(|voter| *voter == self.id || liveness.is_live(*voter))
-            .collect();
-        let position = live.iter().position(|voter| *voter == self.id);
+        let position = self
+            .live_voters(liveness)
+            .position(|voter| voter == self.id);
         position.unwrap_or_default() as Time
     }
 
--- a/crates/stageyoke-core/src/replication/leader.rs
+++ b/crates/stageyoke-core/src/replication/leader.rs
@@ -344,13 +344,7 @@
     }
 
     fn quorum_is_live(&mut self, now: Time, liveness: &dyn Liveness) -> bool {
-        let live: BTreeSet<NodeId> = self
-            .log
-            .voters()
-            .iter()
-            .copied()
-            .filter(|voter| *voter == self.id || liveness.is_live(*voter))
-            .collect();
+        let live: BTreeSet<NodeId> = self.live_voters(liveness).collect();
         let majority_live = self.is_majority(&live);
         let Role::Leader { quorum_seen_at, .. } = &mut self.role else {
             return true;
--- a/crates/stageyoke-core/src/replication/replica.rs
+++ b/crates/stageyoke-core/src/replication/replica.rs
@@ -240,6 +240,12 @@
         self.log.voters_through(index)
     }
 
+    /// Voters whose nodes are live, this one among them, in the group's order.
+    pub(super) fn live_voters(&self, liveness: &dyn Liveness) -> impl Iterator<Item = NodeId> {
+        let voters = self.log.voters().iter().copied();
+        voters.filter(|voter| *voter == self.id || liveness.is_live(*voter))
+    }
+
     /// Term of the entry at a position, if it is still held.
     pub fn term_at(&self, index: LogIndex) -> Option<Term> {
         self.log.term_at(index)
--- a/crates/stageyoke-core/src/shard.rs
+++ b/crates/stageyoke-core/src/shard/mod.rs
@@ -1,31 +1,29 @@
 //! One shard on one node: the replicated log, the program table it drives, and
 //! the requests of gateways that wait for a commit.
 
+mod stored;
+mod upkeep;
+mod voters;
+
+pub use stored::StoredShard;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use nanoserde::DeBinErr;
-use stageyoke_types::{Event, List, NodeId, ProgramKey, RequestId, ShardId, Term, Time};
+use stageyoke_types::{Event, NodeId, ProgramKey, RequestId, ShardId, Term, Time};
 
 use crate::fault::Faults;
 use crate::message::{ProgramReply, ProgramRequest, ReplyBody};
-use crate::placement::REPLICAS;
-use crate::program::{
-    AbandonCall, AbandonCause, Applied, CallState, Command, EndReason, ProgramTable,
-};
+use crate::program::{Applied, Command, EndReason, ProgramTable};
 use crate::replication::{
-    Effect, HardState, Liveness, LogIndex, LogRecord, Payload, Remnant, Replica, ReplicaStatus,
-    ReplicatedLog, ReplicationMessage, SnapshotImage,
+    Effect, Liveness, LogIndex, LogRecord, Payload, Replica, ReplicaStatus, ReplicatedLog,
+    ReplicationMessage, SnapshotImage,
 };
 
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_AFTER_ENTRIES: usize = 256;
 /// Entries kept behind a snapshot for followers that are a little behind.
 const KEEP_ENTRIES: u64 = 64;
-/// How often a leader looks for what has expired, in milliseconds.
-const SWEEP_PERIOD_MS: Time = 1_000;
-/// How often expired outcomes are forgotten, in milliseconds.
-const EXPIRE_PERIOD_MS: Time = 30_000;
-
 /// What the member list says of a replica's node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -306,145 +304,6 @@
         busy
     }
 
-    /// Closes what has run out of time or lost its gateway; for leaders with
-    /// programs, about once a second.
-    pub fn sweep(
-        &mut self,
-        now: Time,
-        gateway_runs: &dyn Fn(NodeId, RequestId) -> bool,
-        output: &mut Vec<ShardOutput>,
-    ) {
-        if now < self.next_sweep_at || !self.is_ready_leader() {
-            return;
-        }
-        self.next_sweep_at = now + SWEEP_PERIOD_MS;
-        let mut commands = self.commands_for_lost_gateways(now, gateway_runs);
-        commands.extend(self.commands_for_expired_programs(now));
-        if now >= self.next_expire_at && self.table.programs().next().is_some() {
-            self.next_expire_at = now + EXPIRE_PERIOD_MS;
-            commands.push(Command::Expire { now });
-        }
-        for command in commands {
-            self.propose(command, now, output);
-        }
-        self.repeat_cancellations(output);
-    }
-
-    fn commands_for_lost_gateways(
-        &self,
-        now: Time,
-        gateway_runs: &dyn Fn(NodeId, RequestId) -> bool,
-    ) -> Vec<Command> {
-        let mut commands = Vec::new();
-        for (key, program) in self.table.programs() {
-            for call in program.open_calls() {
-                if !gateway_runs(call.gateway, call.request) {
-                    commands.push(Command::Abandon(AbandonCall {
-                        gateway: call.gateway,
-                        request: call.request,
-                        program: key.clone(),
-                        cause: AbandonCause::GatewayLost,
-                        now,
-                    }));
-                }
-            }
-        }
-        commands
-    }
-
-    fn commands_for_expired_programs(&self, now: Time) -> Vec<Command> {
-        let mut commands = Vec::new();
-        for (key, program) in self.table.programs() {
-            if program.ended.is_some() {
-                continue;
-            }
-            let limits = &program.limits;
-            let idle = program.open_calls().next().is_none()
-                && limits.idle_ms != 0
-                && now > program.touched_at + limits.idle_ms;
-            let late = limits.wall_ms != 0 && now > program.started_at + limits.wall_ms;
-            let reason = match (late, idle) {
-                (true, _) => EndReason::WallTime,
-                (false, true) => EndReason::Idle,
-                (false, false) => continue,
-            };
-            commands.push(Command::End {
-                program: key.clone(),
-                reason,
-                now,
-            });
-        }
-        commands
-    }
-
-    /// A cancellation may be lost, so it is repeated while the call is open.
-    fn repeat_cancellations(&self, output: &mut Vec<ShardOutput>) {
-        let ended = self
-            .table
-            .programs()
-            .filter(|(_, program)| program.ended.is_some());
-        for call in ended.flat_map(|(_, program)| program.open_calls()) {
-            if call.state == CallState::Running {
-                reply(call.gateway, call.request, ReplyBody::Cancel, output);
-            }
-        }
-    }
-
-    /// Moves the group one step towards `target`: replaces a member that has
-    /// stopped, or adds a better placed one and then drops the extra.
-    pub fn reconcile_voters(
-        &mut self,
-        target: &[NodeId],
-        standing: &dyn Fn(NodeId) -> Standing,
-        now: Time,
-        liveness: &dyn Liveness,
-        output: &mut Vec<ShardOutput>,
-    ) -> bool {
-        let current = self.replica.voters().to_vec();
-        let Some(proposal) = next_voters(&current, target, self.replica.status().leader, standing)
-        else {
-            return self.hand_over_if_misplaced(target, liveness, output);
-        };
-        let mut effects = Vec::new();
-        let changed = self.replica.propose_voters(proposal, now, &mut effects);
-        self.carry_out(effects, output);
-        self.apply_committed(output);
-        if changed {
-            output.push(ShardOutput::Event(
-                Event::VotersChanged,
-                self.replica.term(),
-            ));
-        }
-        changed
-    }
-
-    /// A leader outside the target cannot remove itself; it hands over first.
-    fn hand_over_if_misplaced(
-        &mut self,
-        target: &[NodeId],
-        liveness: &dyn Liveness,
-        output: &mut Vec<ShardOutput>,
-    ) -> bool {
-        let status = self.replica.status();
-        let misplaced = status.voters.len() > target.len()
-            && status
-                .leader
-                .is_some_and(|leader| !target.contains(&leader));
-        misplaced && self.transfer_leadership(liveness, output)
-    }
-
-    /// Hands leadership to a caught-up follower, if there is one.
-    pub fn transfer_leadership(
-        &mut self,
-        liveness: &dyn Liveness,
-        output: &mut Vec<ShardOutput>,
-    ) -> bool {
-        let mut effects = Vec::new();
-        let found = self.replica.transfer_leadership(liveness, &mut effects);
-        self.carry_out(effects, output);
-        found
-    }
-
     fn carry_out(&mut self, effects: Vec<Effect>, output: &mut Vec<ShardOutput>) {
         for effect in effects {
             match effect {
@@ -567,112 +426,3 @@
 fn reply(gateway: NodeId, request: RequestId, body: ReplyBody, output: &mut Vec<ShardOutput>) {
     output.push(ShardOutput::Reply(gateway, ProgramReply { request, body }));
 }
-
-/// The next group on the way from `current` to `target`, one node different.
-///
-/// A stopped member is only dropped for a replacement: it may come back with
-/// its disk, and a smaller group would tolerate no more than the larger one.
-fn next_voters(
-    current: &[NodeId],
-    target: &[NodeId],
-    leader: Option<NodeId>,
-    standing: &dyn Fn(NodeId) -> Standing,
-) -> Option<Vec<NodeId>> {
-    let without = |node: NodeId| {
-        current
-            .iter()
-            .copied()
-            .filter(|other| *other != node)
-            .collect()
-    };
-    let missing = target.iter().find(|node| !current.contains(node)).copied();
-    let stopped = current
-        .iter()
-        .copied()
-        .find(|node| standing(*node) == Standing::Stopped);
-    let extra = current
-        .iter()
-        .copied()
-        .find(|node| !target.contains(node) && Some(*node) != leader);
-    if let (Some(_), Some(stopped)) = (missing, stopped) {
-        // It leaves first: the majority then needs one node fewer.
-        return Some(without(stopped));
-    }
-    if let Some(missing) = missing.filter(|_| current.len() <= target.len()) {
-        return Some(current.iter().copied().chain([missing]).collect());
-    }
-    let extra = extra.filter(|_| current.len() > target.len())?;
-    let may_shrink = current.len() > REPLICAS || standing(extra) == Standing::Leaving;
-    may_shrink.then(|| without(extra))
-}
-
-/// A shard's records as read back from disk.
-#[derive(Clone, Debug, Default)]
-pub struct StoredShard {
-    /// Term and vote.
-    pub hard: HardState,
-    /// Latest snapshot.
-    pub image: SnapshotImage,
-    /// Entries after it.
-    pub entries: List<crate::replication::Entry>,
-    /// What was kept when the node was last removed from the group.
-    pub remnant: Remnant,
-}
-
-impl StoredShard {
-    fn last_term(&self) -> Term {
-        self.entries
-            .last()
-            .map_or(self.image.term, |entry| entry.term)
-    }
-
-    /// Whether the entry of a term at a position is here, in the log or within
-    /// the snapshot.
-    pub fn holds(&self, index: LogIndex, term: Term) -> bool {
-        let mut entries = self.entries.iter();
-        let is_base = (self.image.index, self.image.term) == (index, term);
-        let logged = entries.any(|entry| (entry.index, entry.term) == (index, term));
-        self.image.index > index || is_base || logged
-    }
-
-    /// Last position held.
-    pub fn last_index(&self) -> LogIndex {
-        self.entries
-            .last()
-            .map_or(self.image.index, |entry| entry.index)
-    }
-
-    /// Takes in the next record of the log.
-    pub fn absorb(&mut self, record: LogRecord) {
-        match record {
-            LogRecord::HardState { state, .. } => self.hard = state,
-            LogRecord::Append { entries, .. } => {
-                if let Some(first) = entries.first().map(|entry| entry.index) {
-                    self.entries.retain(|entry| entry.index < first);
-                }
-                self.entries.extend(entries);
-            }
-            // Entries before this record may conflict with the snapshot; those
-            // that follow it are written again after it.
-            LogRecord::Snapshot { image, .. } => {
-                self.entries = List::default();
-                self.image = image;
-            }
-            LogRecord::Dropped { .. } => {
-                let held = (self.last_term(), self.last_index());
-                let before = (self.remnant.last_term, self.remnant.last_index);
-                let (last_term, last_index) = held.max(before);
-                let remnant = Remnant {
-                    hard: self.hard,
-                    last_term,
-                    last_index,
-                };
-                *self = Self {
-                    hard: remnant.hard,
-                    remnant,
-                    ..Self::default()
-                };
-            }
-        }
-    }
-}
