Replicas whose entries lapse together serve on for a while

Ruled out: replicas that refuse (no request was offered to any). Change: if more than a quarter of a service's replicas leave the list at once, without having said that they drain, they are used for half of the bound on changes more, unless they are listed again; with the gathering of changes that stays within the bound. Event 804 tells it. Tests: replicas_whose_entries_lapse_together_serve_on_for_a_while (before: no replica), replicas_that_drain_or_leave_one_by_one_get_nothing_more.

--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -1,7 +1,7 @@
 //! All replicas, with what this front has seen of each.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +32,14 @@
     health: Cell<Health>,
     suspended: Cell<bool>,
     gone: Cell<bool>,
+    lapsed_until: Cell<Option<Instant>>,
 }
 
+/// A service's replicas have lapsed, rather than left, if more than one in this
+/// many leave the list together without having said that they drain: entries go
+/// while the key-value service is down, and come back after it.
+const LAPSE_SHARE: usize = 4;
+
 impl Replica {
     fn new(id: Text, record: ReplicaRecord, fleet: &Fleet) -> Self {
         Self {
@@ -47,12 +53,21 @@
             health: Cell::default(),
             suspended: Cell::new(false),
             gone: Cell::new(false),
+            lapsed_until: Cell::new(None),
         }
     }
 
     /// Whether it takes new work, by the list.
     pub fn taking_work(&self) -> bool {
-        !self.gone.get()
+        let lapsed = self.lapsed_until.get();
+        !self.gone.get() && lapsed.is_none_or(|until| Instant::now() < until)
+    }
+
+    /// It is not listed; it takes work until then, unless that was set before.
+    fn lapse(&self, until: Instant) {
+        if self.lapsed_until.get().is_none() {
+            self.lapsed_until.set(Some(until));
+        }
     }
 
     /// Counts a request as under way until the guard is dropped.
@@ -163,6 +178,7 @@
 pub struct Fleet {
     load: Rc<LoadBoard>,
     rest_limit: Rc<Cell<RestLimit>>,
+    lapse_grace: Duration,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
     services: RefCell<HashMap<Text, Vec<Rc<Replica>>>>,
 }
@@ -173,17 +189,40 @@
         Self {
             load,
             rest_limit: Rc::default(),
+            lapse_grace: Duration::ZERO,
             replicas: RefCell::default(),
             services: RefCell::default(),
         }
     }
 
+    /// The same fleet, using lapsed replicas for so long. It must end before
+    /// replicas that have left may get nothing more.
+    pub fn with_lapse_grace(self, lapse_grace: Duration) -> Self {
+        Self {
+            lapse_grace,
+            ..self
+        }
+    }
+
     /// Follows the replica list.
     pub fn follow(&self, records: &BTreeMap<Text, ReplicaRecord>) {
         let ready = |record: &ReplicaRecord| record.state == ReplicaState::Ready;
         let mut replicas = self.replicas.borrow_mut();
+        let lapsed = lapsed_services(&replicas, records);
+        let until = Instant::now() + self.lapse_grace;
         replicas.retain(|id, replica| {
-            let stays = records.get(id).is_some_and(ready);
+            let stays = match records.get(id) {
+                Some(record) => {
+                    replica.lapsed_until.set(None);
+                    ready(record)
+                }
+                None => {
+                    if lapsed.contains(&replica.record.service) {
+                        replica.lapse(until);
+                    }
+                    replica.lapsed_until.get().is_some() && replica.taking_work()
+                }
+            };
             if !stays {
                 replica.mark_gone();
             }
@@ -237,6 +276,28 @@
     }
 }
 
+/// Services of which too many replicas have left the list at once.
+fn lapsed_services(
+    replicas: &HashMap<Text, Rc<Replica>>,
+    records: &BTreeMap<Text, ReplicaRecord>,
+) -> HashSet<Text> {
+    let mut counts: HashMap<&Text, (usize, usize)> = HashMap::new();
+    let listed = replicas
+        .iter()
+        .filter(|(_, replica)| replica.lapsed_until.get().is_none());
+    for (id, replica) in listed {
+        let (left, all) = counts.entry(&replica.record.service).or_default();
+        *left += usize::from(!records.contains_key(id));
+        *all += 1;
+    }
+    counts.retain(|_, (left, all)| *left * LAPSE_SHARE > *all);
+    for (service, (left, all)) in &counts {
+        let detail = format!("service={service} left={left} of={all}");
+        observe::event(Event::ReplicasLapsed, &detail);
+    }
+    counts.into_keys().cloned().collect()
+}
+
 /// What a request asks of a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -28,6 +28,10 @@
 /// Part of the grace that is left for the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Part of the bound on changes for which replicas that lapsed are used: with
+/// what the mirror takes to gather changes it stays within the bound.
+const LAPSE_GRACE_PART: f64 = 0.5;
+
 /// A front that has not reached a quorum of stores for this long is not ready.
 const UNREADY_AFTER: Duration = Duration::from_millis(600);
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
@@ -50,6 +54,8 @@
     pub tolerance: Tolerance,
     /// Time from the order to stop until the process is killed.
     pub grace: Duration,
+    /// Time in which a change of the directory must be in force.
+    pub change_bound: Duration,
 }
 
 /// Everything that a front's tasks share.
@@ -139,7 +145,8 @@
         names,
         zone: settings.zone.clone(),
         mirror,
-        fleet: Fleet::new(group.load.clone()),
+        fleet: Fleet::new(group.load.clone())
+            .with_lapse_grace(settings.change_bound.mul_f64(LAPSE_GRACE_PART)),
         shares: Shares::new(rand::random()),
         history: Rc::new(History::new(group)),
         activity: Activity::default(),
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -252,6 +252,7 @@
         seeds: Vec::new(),
         tolerance: Default::default(),
         grace: Duration::from_secs(8),
+        change_bound: Duration::from_secs(2),
     };
     let stop = std::future::pending();
     tokio::task::spawn_local(stageyoke_front::run(settings, names(), mirror, stop));
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -16,10 +16,9 @@
 use tokio::time::Instant;
 
 const SERVICE: &str = "service";
+const LAPSE_GRACE: Duration = Duration::from_secs(1);
 
-fn fleet(replicas: u8) -> (Fleet, Rc<LoadBoard>) {
-    let board = Rc::new(LoadBoard::new(1));
-    let fleet = Fleet::new(board.clone());
+fn records(replicas: u8) -> BTreeMap<Text, ReplicaRecord> {
     let record = |number: u8| ReplicaRecord {
         service: Text::from(SERVICE),
         address: Text::from(format!("127.0.0.1:{number}")),
@@ -27,14 +26,23 @@
         slots: 4,
         state: ReplicaState::Ready,
     };
-    let records: BTreeMap<Text, ReplicaRecord> = (0..replicas)
+    (0..replicas)
         .map(|number| (Text::from(format!("replica-{number}")), record(number)))
-        .collect();
-    fleet.follow(&records);
+        .collect()
+}
+
+fn fleet(replicas: u8) -> (Fleet, Rc<LoadBoard>) {
+    let board = Rc::new(LoadBoard::new(1));
+    let fleet = Fleet::new(board.clone()).with_lapse_grace(LAPSE_GRACE);
+    fleet.follow(&records(replicas));
     (fleet, board)
 }
 
 fn choose(fleet: &Fleet, repeatable: bool, tie: u64) -> Rc<Replica> {
+    find(fleet, repeatable, tie).expect("a replica")
+}
+
+fn find(fleet: &Fleet, repeatable: bool, tie: u64) -> Option<Rc<Replica>> {
     let wanted = Wanted {
         service: SERVICE,
         zone: "zone",
@@ -43,7 +51,7 @@
         repeatable,
     };
     let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
-    fleet.choose(&wanted, choose).expect("a replica")
+    fleet.choose(&wanted, choose)
 }
 
 /// How often each of many requests goes to this replica.
@@ -194,6 +202,47 @@
     assert!(board.report().suspects.is_empty());
 }
 
+/// Entries go while the key-value service is down, and come back after it.
+#[tokio::test(start_paused = true)]
+async fn replicas_whose_entries_lapse_together_serve_on_for_a_while() {
+    let (fleet, _) = fleet(4);
+    fleet.follow(&BTreeMap::new());
+    assert!(find(&fleet, false, 0).is_some());
+    tokio::time::advance(LAPSE_GRACE / 2).await;
+    fleet.follow(&records(1));
+    let back = choose(&fleet, false, 0).id.clone();
+    tokio::time::advance(LAPSE_GRACE).await;
+    let left: Vec<Text> = (0..32)
+        .map(|tie| choose(&fleet, false, tie).id.clone())
+        .collect();
+    assert!(
+        left.iter().all(|id| id.as_str() == "replica-0"),
+        "{back} {left:?}"
+    );
+    fleet.follow(&BTreeMap::new());
+    tokio::time::advance(LAPSE_GRACE).await;
+    assert!(find(&fleet, false, 0).is_none(), "a lapse ends");
+}
+
+#[tokio::test(start_paused = true)]
+async fn replicas_that_drain_or_leave_one_by_one_get_nothing_more() {
+    let (fleet, _) = fleet(8);
+    let mut rest = records(8);
+    rest.remove("replica-7");
+    fleet.follow(&rest);
+    let chosen = |fleet: &Fleet| -> Vec<Text> {
+        (0..64)
+            .map(|tie| choose(fleet, false, tie).id.clone())
+            .collect()
+    };
+    assert!(chosen(&fleet).iter().all(|id| id.as_str() != "replica-7"));
+    for record in rest.values_mut() {
+        record.state = ReplicaState::Draining;
+    }
+    fleet.follow(&rest);
+    assert!(find(&fleet, false, 0).is_none());
+}
+
 proptest! {
     /// The estimate stays a likelihood, falls with time, and `cautious_for`
     /// names the moment at which it crosses the limit.
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -69,4 +69,5 @@
     SettingsReloaded, 801, "info", "The settings file was read again.";
     ReplicaSuspended, 802, "warn", "A replica is not offered work for a while.";
     ReplicaResumed, 803, "info", "A replica is offered work again.";
+    ReplicasLapsed, 804, "warn", "Many of a service's replicas left the list at once; they are used a little longer.";
 }
