--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -12,9 +12,9 @@
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
-use crate::fleet::{InFlight, Replica};
 use crate::health::Evidence;
 use crate::names::Names;
+use crate::replica::{InFlight, Replica};
 use crate::upstream::Connection;
 
 /// Headers that concern one connection only.
@@ -62,6 +62,8 @@
     pub replica: Rc<Replica>,
     /// Counts it as under way.
     pub guard: InFlight,
+    /// When the request was sent.
+    pub sent: Instant,
 }
 
 /// What is known after a try.
@@ -120,7 +122,16 @@
         let rested = connection.rested();
         let sent = Instant::now();
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return judge(outbound, response, connection, replica, guard, names),
+            Ok(response) => {
+                let answer = Box::new(Answer {
+                    response,
+                    connection,
+                    replica: replica.clone(),
+                    guard,
+                    sent,
+                });
+                return judge(outbound, answer, names);
+            }
             Err(mut error) => match error.take_message() {
                 Some(unsent) if !fresh => request = unsent,
                 Some(_) => return Outcome::NotSent("connection_closed"),
@@ -160,49 +171,42 @@
     request.headers_mut().insert(names.deadline.clone(), value);
 }
 
-fn judge(
-    outbound: &Outbound,
-    response: Response<Incoming>,
-    mut connection: Connection,
-    replica: &Rc<Replica>,
-    guard: InFlight,
-    names: &Names,
-) -> Outcome {
-    connection.heed_keep_alive(&response);
-    if response.status().as_u16() == names.wrong_instance_status {
-        replica.mark_gone();
-        return Outcome::NotRun(response.status());
+fn judge(outbound: &Outbound, mut answer: Box<Answer>, names: &Names) -> Outcome {
+    answer.connection.heed_keep_alive(&answer.response);
+    let head = &answer.response;
+    let status = head.status();
+    if status.as_u16() == names.wrong_instance_status {
+        answer.replica.mark_gone();
+        return Outcome::NotRun(status);
     }
-    let echoed = response.headers().get(&names.request_id);
+    let echoed = head.headers().get(&names.request_id);
     let own = echoed.is_some_and(|value| value.as_bytes() == outbound.request.as_bytes());
-    let not_run = response.headers().contains_key(&names.not_run);
+    let not_run = head.headers().contains_key(&names.not_run);
     if not_run && (own || echoed.is_none()) {
-        let status = response.status();
-        tokio::task::spawn_local(finish_connection(response, connection, replica.clone()));
+        tokio::task::spawn_local(finish_connection(*answer));
         return Outcome::NotRun(status);
     }
     if !own {
-        replica.note(Evidence::Failed);
+        answer.replica.note(Evidence::Failed);
         return Outcome::Lost("foreign_answer");
     }
-    if response.headers().contains_key(CONTENT_ENCODING) {
+    if head.headers().contains_key(CONTENT_ENCODING) {
         return Outcome::Lost("encoded_answer");
     }
-    Outcome::Answered(Box::new(Answer {
-        response,
-        connection,
-        replica: replica.clone(),
-        guard,
-    }))
+    Outcome::Answered(answer)
 }
 
 /// Reads the rest of a short answer, so that its connection can be kept.
-async fn finish_connection(
-    response: Response<Incoming>,
-    connection: Connection,
-    replica: Rc<Replica>,
-) {
+async fn finish_connection(answer: Answer) {
     use http_body_util::BodyExt;
+    let Answer {
+        response,
+        connection,
+        replica,
+        guard,
+        ..
+    } = answer;
+    drop(guard);
     let reading = response.into_body().collect();
     if let Ok(Ok(_)) = tokio::time::timeout(crate::upstream::CONNECT_TIMEOUT, reading).await {
         replica.pool.give(connection);
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -20,12 +20,13 @@
 use crate::answer::{self, Failure};
 use crate::attempt::{self, Answer, Outbound, Outcome, end_to_end_headers};
 use crate::body::FrontBody;
-use crate::fleet::{Replica, Wanted};
+use crate::fleet::Wanted;
 use crate::front::Front;
 use crate::health::Evidence;
 use crate::history::Reservation;
 use crate::placement::{self, Candidate};
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
+use crate::replica::Replica;
 use crate::request::{Figures, host};
 use stageyoke_observe::{self as observe, RequestStory as Story};
 
@@ -220,9 +221,11 @@
         };
         let mut runs = 0;
         for _ in 0..MAX_OFFERS {
-            let Some(replica) = self.choose(call, &excluded) else {
+            let Some(placed) = self.choose(call, &excluded) else {
                 break;
             };
+            story.placement = placed.explanation;
+            let replica = placed.replica;
             excluded.push(replica.id.clone());
             set_may_have_run(reservation, true);
             let sending = attempt::send(&call.outbound, &replica, &self.names);
@@ -234,7 +237,9 @@
                 }
                 Ok(Outcome::Answered(answer)) => {
                     story.head_after = call.arrived.elapsed().as_millis() as u64;
-                    match self.complete(call, answer, runs + 1 < most_runs).await {
+                    let missing_tokens = placed.missing_tokens;
+                    let may_retry = runs + 1 < most_runs;
+                    match self.complete(call, answer, missing_tokens, may_retry).await {
                         Ok(served) => {
                             note(story, &replica.id, "answered");
                             replica.note(evidence_of(&served));
@@ -280,7 +285,7 @@
         }
     }
 
-    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Rc<Replica>> {
+    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Placed> {
         let figures = &call.figures;
         let prompt = &figures.prompt;
         let wanted = Wanted {
@@ -293,18 +298,34 @@
         let Some(engine) = &call.service.engine else {
             let tie = rand::random();
             let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
-            return self.fleet.choose(&wanted, choose);
+            let replica = self.fleet.choose(&wanted, choose)?;
+            return Some(Placed {
+                replica,
+                missing_tokens: 0,
+                explanation: String::new(),
+            });
         };
         let affinity = match figures.program.is_empty() {
             true => placement::hash_text(&figures.request),
             false => placement::hash_text(&figures.program),
         };
+        let rates = self.fleet.rates(&call.service.name);
         let choose = |candidates: &[Candidate]| {
-            placement::choose_engine(candidates, prompt.tokens(), affinity)
+            placement::choose_engine(candidates, prompt.tokens(), affinity, &rates)
         };
         let replica = self.fleet.choose(&wanted, choose)?;
-        replica.reads(prompt, engine.cache_tokens);
-        Some(replica)
+        let missing_tokens = replica.reads(prompt, engine.cache_tokens);
+        let explanation = format!(
+            "beside={} missing={missing_tokens} of={} slowness={:.2} {rates}",
+            replica.under_way(),
+            prompt.tokens(),
+            replica.slowness()
+        );
+        Some(Placed {
+            replica,
+            missing_tokens,
+            explanation,
+        })
     }
 
     /// Checks an answer; a plain one is read whole. `may_retry` says whether a
@@ -313,6 +334,7 @@
         &self,
         call: &Call,
         mut answer: Box<Answer>,
+        missing_tokens: u32,
         may_retry: bool,
     ) -> Result<Served, &'static str> {
         let status = answer.response.status();
@@ -327,7 +349,7 @@
             return Err("server_error");
         }
         if call.route.kind == RouteKind::Stream && status == StatusCode::OK {
-            return Ok(Served::Stream(answer));
+            return Ok(Served::Stream(answer, missing_tokens));
         }
         let reading = Limited::new(answer.response.body_mut(), MAX_ANSWER_BYTES).collect();
         let content = match tokio::time::timeout_at(call.outbound.deadline, reading).await {
@@ -348,14 +370,14 @@
         story: &mut Story,
         reservation: Option<Reservation>,
     ) -> Response<FrontBody> {
-        let answer = match served {
+        let (answer, missing_tokens) = match served {
             Served::Whole(head, content) => {
                 story.status = head.status.as_u16();
                 story.outcome = "answered";
                 observe::request_ended(story, call.arrived.elapsed());
                 return from_replica(&head, FrontBody::whole(content));
             }
-            Served::Stream(answer) => *answer,
+            Served::Stream(answer, missing_tokens) => (*answer, missing_tokens),
         };
         let (head, body) = answer.response.into_parts();
         let mut story = std::mem::take(story);
@@ -376,6 +398,8 @@
                 connection: answer.connection,
                 replica: answer.replica,
                 guard: answer.guard,
+                sent: answer.sent,
+                missing_tokens,
             },
             story,
             arrived: call.arrived,
@@ -394,15 +418,25 @@
 enum Served {
     /// Read whole.
     Whole(hyper::http::response::Parts, Bytes),
-    /// A stream whose pieces are still to come.
-    Stream(Box<Answer>),
+    /// A stream whose pieces are still to come, and the tokens of its prompt
+    /// that the replica was believed not to hold.
+    Stream(Box<Answer>, u32),
+}
+
+/// A replica that was chosen.
+struct Placed {
+    replica: Rc<Replica>,
+    /// Tokens of the prompt that it was believed not to hold.
+    missing_tokens: u32,
+    /// What decided the choice, for the request's line.
+    explanation: String,
 }
 
 /// What an answer shows of its replica: failures of its own count against it.
 fn evidence_of(served: &Served) -> Evidence {
     match served {
         Served::Whole(head, _) if head.status.is_server_error() => Evidence::Failed,
-        Served::Whole(..) | Served::Stream(_) => Evidence::Sound,
+        Served::Whole(..) | Served::Stream(..) => Evidence::Sound,
     }
 }
 
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -1,5 +1,7 @@
 //! Chooses a replica. Pure.
 
+use crate::engine_rates::CurrentRates;
+
 /// What is known of one replica at the moment of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -11,6 +13,8 @@
     pub in_flight: u32,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// Its deviation from the service's rates: 2 means half as fast.
+    pub slowness: f64,
     /// Tokens from the prompt's start that it is believed to hold.
     pub held_tokens: u32,
     /// Whether a kept connection to it is free.
@@ -19,14 +23,6 @@
     pub usable: bool,
 }
 
-/// Prompt tokens that an engine reads in a millisecond; what it reads delays
-/// all that runs there, so reading is weighed heavier than its own time.
-const TOKENS_PER_MILLISECOND: f64 = 65.0;
-const READING_WEIGHT: f64 = 1.5;
-/// Milliseconds that a full engine's sharing costs, and that each further
-/// engine's worth of waiting requests adds.
-const FULL_COST: f64 = 30.0;
-const QUEUE_COST: f64 = 300.0;
 /// Milliseconds that another zone costs.
 const REMOTE_COST: f64 = 4.0;
 /// Milliseconds that a new connection costs.
@@ -45,27 +41,26 @@
 /// Requests in flight that a replica of another zone counts as having more.
 const REMOTE_HANDICAP: f64 = 2.5;
 
-/// Chooses a model engine: least cost of reading what it does not hold, of
-/// waiting and of the way. Fronts that know nothing of a program agree on its
-/// home, the engine that its hash ranks first.
-pub fn choose_engine(candidates: &[Candidate], prompt_tokens: u32, affinity: u64) -> Option<usize> {
+/// Chooses a model engine: the least time that the turn takes there together
+/// with the time that it takes from the turns beside it, by the rates learnt
+/// from earlier turns. Fronts that know nothing of a program agree on its home,
+/// the engine that its hash ranks first.
+pub fn choose_engine(
+    candidates: &[Candidate],
+    prompt_tokens: u32,
+    affinity: u64,
+    rates: &CurrentRates,
+) -> Option<usize> {
     let home = home_of(candidates, affinity)?;
     let known = candidates.iter().map(|candidate| candidate.held_tokens);
     let someone_holds_most = known.max().unwrap_or_default() * 2 > prompt_tokens;
     let home_bonus = match someone_holds_most {
         true => 0.0,
-        false => HOME_BONUS.max(HOME_PART * reading_cost(prompt_tokens)),
+        false => HOME_BONUS.max(HOME_PART * f64::from(prompt_tokens) * rates.reading),
     };
     let cost = |index: usize, candidate: &Candidate| {
-        let missing = prompt_tokens.saturating_sub(candidate.held_tokens);
         let bonus = if index == home { home_bonus } else { 0.0 };
-        let way = if candidate.local { 0.0 } else { REMOTE_COST };
-        let connection = if candidate.connected {
-            0.0
-        } else {
-            CONNECTION_COST
-        };
-        reading_cost(missing) + load_cost(candidate) + way + connection - bonus
+        turn_cost(candidate, prompt_tokens, rates) + way_cost(candidate) - bonus
     };
     candidates
         .iter()
@@ -75,6 +70,32 @@
         .map(|(index, _)| index)
 }
 
+/// Milliseconds that a turn takes on an engine, and takes from those beside it,
+/// all of which its reading stops. The learnt contention is that of reading
+/// beside a turn too, so it is not charged for those beside once more.
+fn turn_cost(candidate: &Candidate, prompt_tokens: u32, rates: &CurrentRates) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let in_flight = f64::from(candidate.in_flight);
+    let beside = in_flight.min(slots - 1.0);
+    let missing = prompt_tokens.saturating_sub(candidate.held_tokens);
+    let reading = f64::from(missing) * rates.reading;
+    // One slot gets free in a turn's time divided by the slots.
+    let ahead = (in_flight + 1.0 - slots).max(0.0);
+    let waiting = ahead / slots * rates.turn_beside(slots - 1.0);
+    let own = reading + rates.turn_beside(beside) + waiting;
+    (own + beside * reading) * candidate.slowness
+}
+
+fn way_cost(candidate: &Candidate) -> f64 {
+    let way = if candidate.local { 0.0 } else { REMOTE_COST };
+    let connection = if candidate.connected {
+        0.0
+    } else {
+        CONNECTION_COST
+    };
+    way + connection
+}
+
 /// The engine that a program's hash ranks first: among the zone's own, which
 /// spares connections and the way, where they are enough for the zone's bursts.
 fn home_of(candidates: &[Candidate], affinity: u64) -> Option<usize> {
@@ -86,17 +107,6 @@
     })
 }
 
-fn reading_cost(tokens: u32) -> f64 {
-    f64::from(tokens) / TOKENS_PER_MILLISECOND * READING_WEIGHT
-}
-
-fn load_cost(candidate: &Candidate) -> f64 {
-    let slots = f64::from(candidate.slots.max(1));
-    let share = f64::from(candidate.in_flight) / slots;
-    let waiting = (f64::from(candidate.in_flight + 1) / slots - 1.0).max(0.0);
-    FULL_COST * share.min(1.0).powi(2) + QUEUE_COST * waiting
-}
-
 /// Chooses a replica of a plain service: the least loaded, nearest first.
 pub fn choose_plain(candidates: &[Candidate], tie: u64) -> Option<usize> {
     least_loaded(candidates, tie)
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -11,10 +11,11 @@
 use tokio::time::Instant;
 
 use crate::body::{CutShort, Piece};
+use crate::engine_rates::TurnTiming;
 use crate::events::{EventSplitter, collect_data};
-use crate::fleet::{InFlight, Replica};
 use crate::health::Evidence;
 use crate::history::{History, Reservation, turn_record};
+use crate::replica::{InFlight, Replica};
 use crate::request::Figures;
 use crate::upstream::Connection;
 use stageyoke_observe::{self as observe, RequestStory as Story};
@@ -47,6 +48,33 @@
     pub replica: Rc<Replica>,
     /// Counts the request as under way.
     pub guard: InFlight,
+    /// When the request was sent there.
+    pub sent: Instant,
+    /// Tokens of the prompt that the replica was believed not to hold.
+    pub missing_tokens: u32,
+}
+
+impl Carrier {
+    /// Times of a turn that ended now.
+    fn timing(&self, first_event: &EventMark, generated_tokens: u32) -> TurnTiming {
+        let beside = |under_way: u32| f64::from(under_way.saturating_sub(1));
+        let at_end = self.replica.under_way();
+        TurnTiming {
+            to_first_event: first_event.at - self.sent,
+            missing_tokens: self.missing_tokens,
+            generating: first_event.at.elapsed(),
+            generated_tokens,
+            running: (beside(first_event.under_way) + beside(at_end)) / 2.0,
+            queued: first_event.under_way > self.replica.record.slots,
+        }
+    }
+}
+
+/// The moment of a stream's first event.
+struct EventMark {
+    at: Instant,
+    /// Requests under way at the replica, this one among them.
+    under_way: u32,
 }
 
 /// A stream on its way to the caller.
@@ -75,6 +103,7 @@
 struct Heard {
     output: Vec<u8>,
     events: u32,
+    first: Option<EventMark>,
 }
 
 impl Relay {
@@ -82,12 +111,26 @@
     pub async fn run(mut self, mut body: Incoming, pieces: mpsc::Sender<Piece>) {
         let mut heard = Heard::default();
         let end = match self.pass_on(&mut body, &pieces, &mut heard).await {
-            End::Whole => self.keep(heard).await,
+            End::Whole => {
+                self.learn(&heard);
+                self.keep(heard).await
+            }
             other => other,
         };
         self.finish(&end, &pieces).await;
     }
 
+    /// Learns the engine's rates from a turn that ran to its end.
+    fn learn(&self, heard: &Heard) {
+        let Some(first) = &heard.first else {
+            return;
+        };
+        let later_events = heard.events.saturating_sub(1);
+        let generated = later_events.saturating_mul(self.keeping.tokens_per_event);
+        let timing = self.answer.timing(first, generated);
+        self.answer.replica.note_turn(&timing);
+    }
+
     async fn pass_on(
         &mut self,
         body: &mut Incoming,
@@ -113,6 +156,10 @@
                 Some(Ok(frame)) => frame.data_ref().and_then(|data| splitter.push(data)),
             };
             if let Some(events) = whole {
+                heard.first.get_or_insert_with(|| EventMark {
+                    at: Instant::now(),
+                    under_way: self.answer.replica.under_way(),
+                });
                 heard.events += collect_data(&events, &mut heard.output);
                 let sending = tokio::time::timeout_at(self.deadline, pieces.send(Ok(events)));
                 match sending.await {
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -6,10 +6,11 @@
 
 use proptest::prelude::*;
 use stageyoke_directory::{ReplicaRecord, ReplicaState};
-use stageyoke_front::fleet::{Fleet, Replica, Wanted};
+use stageyoke_front::fleet::{Fleet, Wanted};
 use stageyoke_front::health::{CAUTION, Evidence, Health, SUSPENSION, combined};
 use stageyoke_front::placement::{self, Candidate};
 use stageyoke_front::prompt::Prompt;
+use stageyoke_front::replica::Replica;
 use stageyoke_store::load::LoadReports;
 use stageyoke_store::{LoadBoard, message::OthersReport};
 use stageyoke_types::{List, Text};
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use stageyoke_directory::{Route, RouteKind, Target};
+use stageyoke_front::engine_rates::{CurrentRates, EngineRates};
 use stageyoke_front::events::{EventSplitter, collect_data};
 use stageyoke_front::placement::{Candidate, choose_engine, choose_plain, mix};
 use stageyoke_front::prompt::{HeldParts, Prompt};
@@ -78,12 +79,18 @@
     assert_eq!(Prompt::parse("a:100,broken,b:20").parts.len(), 1);
 }
 
+/// Rates of a front that has seen no turn yet.
+fn assumed() -> CurrentRates {
+    EngineRates::default().current()
+}
+
 fn candidate(hash: u64) -> Candidate {
     Candidate {
         hash,
         local: true,
         in_flight: 0,
         slots: 12,
+        slowness: 1.0,
         held_tokens: 0,
         connected: true,
         usable: true,
@@ -94,24 +101,24 @@
 fn a_program_goes_where_its_prompt_is_held_unless_that_engine_is_filled() {
     let mut engines: Vec<Candidate> = (0..5).map(candidate).collect();
     engines[3].held_tokens = 2_000;
-    assert_eq!(choose_engine(&engines, 2_100, 77), Some(3));
+    assert_eq!(choose_engine(&engines, 2_100, 77, &assumed()), Some(3));
     engines[3].in_flight = 24;
-    assert_ne!(choose_engine(&engines, 2_100, 77), Some(3));
+    assert_ne!(choose_engine(&engines, 2_100, 77, &assumed()), Some(3));
     engines[3].usable = false;
-    assert!(choose_engine(&engines, 2_100, 77).is_some());
+    assert!(choose_engine(&engines, 2_100, 77, &assumed()).is_some());
 }
 
 #[test]
 fn fronts_that_know_nothing_agree_on_a_programs_home() {
     let mut first: Vec<Candidate> = (0..7).map(candidate).collect();
-    let home = choose_engine(&first, 3_000, 99).expect("engine");
+    let home = choose_engine(&first, 3_000, 99, &assumed()).expect("engine");
     // Another front sees other zones as its own.
     for (index, engine) in first.iter_mut().enumerate() {
         engine.local = index % 2 == 0;
     }
-    assert_eq!(choose_engine(&first, 3_000, 99), Some(home));
+    assert_eq!(choose_engine(&first, 3_000, 99, &assumed()), Some(home));
     let homes: std::collections::HashSet<_> = (0..50)
-        .filter_map(|program| choose_engine(&first, 3_000, program))
+        .filter_map(|program| choose_engine(&first, 3_000, program, &assumed()))
         .collect();
     assert_eq!(homes.len(), 7, "programs spread over all engines");
 }
@@ -210,7 +217,7 @@
         })
         .collect();
     let all_local = (0..200_u64).all(|program| {
-        let chosen = choose_engine(&engines, 1_000, mix(program)).expect("engine");
+        let chosen = choose_engine(&engines, 1_000, mix(program), &assumed()).expect("engine");
         engines[chosen].local
     });
     assert_eq!(all_local, expected);
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -23,6 +23,9 @@
     pub members_version: u64,
     /// Replicas that were tried, each with its outcome.
     pub attempts: String,
+    /// What placed the request: load, tokens to read and the rates of the chosen
+    /// replica.
+    pub placement: String,
     /// Budget and what others had used or reserved of it.
     pub ledger: String,
     /// Turn that it goes on from, and what was found of it.
@@ -56,6 +59,7 @@
         directory_age = story.directory_age,
         members_version = story.members_version,
         attempts = story.attempts.as_str(),
+        placement = story.placement.as_str(),
         ledger = story.ledger.as_str(),
         history = story.history.as_str(),
         deadline = story.deadline,
