Fronts learn newer member lists from the stores that refuse them

Ruled out: the wiped store (two others kept a quorum; the other six fronts served on). Change: a store's refusal of an old list brings the newer one; the front goes by it at the next try, background records too; a group never goes back to an older list. The question to the service at this place is gone. Test: a_front_cut_off_from_the_service_learns_the_list_from_stores.

--- a/crates/stageyoke-front/src/turns.rs
+++ b/crates/stageyoke-front/src/turns.rs
@@ -81,10 +81,7 @@
         let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let most = figures.most_tokens;
         let mut ledger = self.history.reserve(&program, &turn, most, within).await;
-        if matches!(ledger, Err(GroupError::StaleMembers))
-            && self.mirror.confirm_members().await.is_ok()
-        {
-            self.history.group.follow(&self.mirror.view().members);
+        if matches!(ledger, Err(GroupError::StaleMembers)) {
             ledger = self.history.reserve(&program, &turn, most, within).await;
         }
         let ledger = ledger.map_err(|_| {
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -30,7 +30,8 @@
     NoGroup,
     /// Too few members answered in time.
     NoQuorum,
-    /// The member list in use is too old.
+    /// The member list in use was too old; the next try goes by a newer one,
+    /// which came with the refusal.
     StaleMembers,
     /// Disks refuse records.
     DiskRefused,
@@ -123,8 +124,12 @@
         self.members.borrow().clone()
     }
 
-    /// Takes the current member list; connections of unchanged members stay.
+    /// Takes a member list unless it is older than the one in use; connections
+    /// of unchanged members stay.
     pub fn follow(&self, members: &Rc<Members>) {
+        if members.version < self.members().version {
+            return;
+        }
         let mut clients = self.clients.borrow_mut();
         clients.retain(|node, client| {
             members
@@ -239,7 +244,10 @@
                     ledger.merge(entries);
                     kept += usize::from(complete || !reads_ledger);
                 }
-                Ok(Reply::Refused(Refusal::StaleMembers)) => error = GroupError::StaleMembers,
+                Ok(Reply::StaleMembers(newer)) => {
+                    self.follow(&Rc::new(newer));
+                    error = GroupError::StaleMembers;
+                }
                 Ok(Reply::Refused(Refusal::DiskRefused)) => error = GroupError::DiskRefused,
                 Ok(_) | Err(_) => {}
             }
@@ -254,7 +262,10 @@
     pub fn append_in_background(self: &Rc<Self>, record: Record, within: Duration) {
         let group = self.clone();
         tokio::task::spawn_local(async move {
-            let _ = group.append(record, within).await;
+            let outcome = group.append(record.clone(), within).await;
+            if matches!(outcome, Err(GroupError::StaleMembers)) {
+                let _ = group.append(record, within).await;
+            }
         });
     }
 
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between fronts and stores, and among stores.
 
 use nanoserde::{DeBin, SerBin};
+use stageyoke_directory::Members;
 use stageyoke_types::{Blob, List, Text};
 
 /// One finished turn of a program whose history is kept. Immutable.
@@ -230,6 +231,8 @@
     Items(List<SeenItem>),
     /// Records that were found.
     Records(List<Record>),
+    /// Nothing was done: the caller's member list is too old. This one is newer.
+    StaleMembers(Members),
     /// Nothing was done.
     Refused(Refusal),
 }
@@ -237,8 +240,6 @@
 /// Why a store refused a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum Refusal {
-    /// The caller's member list is too old.
-    StaleMembers,
     /// This store is not a member, or is being emptied.
     NotActive,
     /// The disk takes no more.
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -293,7 +293,7 @@
         let front = load.front;
         self.loads.take(load);
         if let Some(refusal) = self.refusal(members_version) {
-            return Reply::Refused(refusal);
+            return refusal;
         }
         let program = match &record {
             Record::Reserve { program, .. } => Some(program.clone()),
@@ -316,15 +316,16 @@
         }
     }
 
-    fn refusal(&self, members_version: u64) -> Option<Refusal> {
+    /// Why a caller with this version of the member list gets no record kept.
+    fn refusal(&self, members_version: u64) -> Option<Reply> {
         let members = self.members();
         if members_version + MEMBERS_VERSION_SLACK < members.version {
-            return Some(Refusal::StaleMembers);
+            return Some(Reply::StaleMembers((*members).clone()));
         }
         let active = members
             .get(&self.node)
             .is_some_and(|member| member.state == MemberState::Active);
-        (!active).then_some(Refusal::NotActive)
+        (!active).then_some(Reply::Refused(Refusal::NotActive))
     }
 }
 
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -310,6 +310,34 @@
     .await;
 }
 
+/// A front that the key-value service turns away learns of newer lists from the
+/// stores that refuse it: here two changes came while it heard nothing, and one
+/// of the three stores that it knows has left.
+#[tokio::test]
+async fn a_front_cut_off_from_the_service_learns_the_list_from_stores() {
+    local(async {
+        let (mut stores, group) = group_of(3).await;
+        stores.push(Store::start(3, true).await);
+        let grown = list(&stores);
+        let left = stores.remove(0);
+        let newest = Rc::new(grown.without(&left.keeper.node));
+        assert!(newest.version > group.members().version + 1);
+        for store in &stores {
+            store.keeper.set_members(newest.clone());
+        }
+        left.stop();
+        let refused = group.append(reserve("one"), SHORT).await.map(drop);
+        assert_eq!(refused, Err(GroupError::StaleMembers));
+        assert_eq!(group.members().version, newest.version);
+        group.append(reserve("one"), WITHIN).await.expect("kept");
+        group.append_in_background(turn("two", ""), WITHIN);
+        // What the service hands on later may be older than that.
+        group.follow(&grown);
+        assert_eq!(group.members().version, newest.version);
+    })
+    .await;
+}
+
 /// A front repeats what a slow disk has not answered: one copy is written.
 #[tokio::test]
 async fn what_is_on_its_way_to_the_disk_is_not_written_twice() {
