--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -21,6 +21,8 @@
     pub prompt_parts: HeaderName,
     /// Program of a request.
     pub program: HeaderName,
+    /// Milliseconds until the program should be over.
+    pub finish: HeaderName,
     /// Tokens that all turns of the program may generate.
     pub budget: HeaderName,
     /// Turn that a request goes on from.
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -13,6 +13,20 @@
 /// Time for requests that name none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
+/// When a program should be over.
+#[derive(Clone, Copy, Debug)]
+pub struct Finish {
+    arrived: Instant,
+    left: Duration,
+}
+
+impl Finish {
+    /// Time that is left; none once the program is late.
+    pub fn left(&self) -> Duration {
+        self.left.saturating_sub(self.arrived.elapsed())
+    }
+}
+
 /// A request's own figures.
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -22,6 +36,8 @@
     pub deadline: Instant,
     /// Program; empty if none.
     pub program: Text,
+    /// When the program should be over; in the past once it is late.
+    pub finish: Option<Finish>,
     /// Tokens of the whole program.
     pub budget: Option<u64>,
     /// Most tokens of this request.
@@ -42,6 +58,7 @@
             request,
             deadline: arrived + deadline,
             program: text(headers, &names.program).unwrap_or_default(),
+            finish: milliseconds(&names.finish).map(|left| Finish { arrived, left }),
             budget: number(headers, &names.budget),
             most_tokens: most_tokens(headers, names).unwrap_or_default(),
             prompt: text(headers, &names.prompt_parts)
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -150,6 +150,7 @@
         token_counts: name("tokens"),
         prompt_parts: name("parts"),
         program: name("program"),
+        finish: name("finish"),
         budget: name("budget"),
         previous_turn: name("previous"),
         readiness_path: "/ready",
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -32,6 +32,10 @@
     pub history: String,
     /// Milliseconds that the request had when it arrived.
     pub deadline: u64,
+    /// Milliseconds until its program should be over; zero if none was set.
+    pub finish: u64,
+    /// Milliseconds that it waited behind programs that can be in time.
+    pub held: u64,
     /// Milliseconds until the first offer to a replica.
     pub offered_after: u64,
     /// Milliseconds until the head of the answer.
@@ -63,6 +67,8 @@
         ledger = story.ledger.as_str(),
         history = story.history.as_str(),
         deadline = story.deadline,
+        finish = story.finish,
+        held = story.held,
         offered_after = story.offered_after,
         head_after = story.head_after,
         keeping = story.keeping,
