--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -11,7 +11,6 @@
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
-use crate::admission;
 use crate::engine_rates::{CurrentRates, EngineRates};
 use crate::health;
 use crate::placement::Candidate;
@@ -110,27 +109,6 @@
         rates.unwrap_or_default().current()
     }
 
-    /// Waits until an engine of the service has room beside what runs there, but
-    /// no longer than `longest`.
-    pub async fn wait_for_room(&self, wanted: &Wanted<'_>, longest: Duration) {
-        let until = Instant::now() + longest;
-        while Instant::now() < until && self.all_crowded(wanted) {
-            tokio::time::sleep(admission::LOOK_PAUSE).await;
-        }
-    }
-
-    fn all_crowded(&self, wanted: &Wanted<'_>) -> bool {
-        let services = self.services.borrow();
-        let Some(replicas) = services.get(wanted.service) else {
-            return false;
-        };
-        let candidates: Vec<Candidate> = replicas
-            .iter()
-            .map(|replica| replica.candidate(wanted))
-            .collect();
-        admission::all_crowded(&candidates, &self.rates(wanted.service))
-    }
-
     /// Chooses a replica of a service with `choose` for a request that may run
     /// more than once or not. Failing replicas only where there is no other.
     pub fn choose(
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -17,7 +17,6 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::admission::{self, Prospect};
 use crate::answer::{self, Failure};
 use crate::attempt::{self, Answer, Outbound, Outcome, end_to_end_headers};
 use crate::body::FrontBody;
@@ -206,31 +205,11 @@
             body.extend_from_slice(&call.input);
             call.outbound.body = Bytes::from(body);
         }
-        self.wait_behind_urgent(&call, story).await;
         story.offered_after = call.arrived.elapsed().as_millis() as u64;
         let served = self.offer(&call, story, &mut reservation).await?;
         Ok(self.pass_on(call, served, story, reservation))
     }
 
-    /// Holds back a turn of a late program while all engines are crowded.
-    async fn wait_behind_urgent(&self, call: &Call, story: &mut Story) {
-        if call.service.engine.is_none() {
-            return;
-        }
-        let left = call.figures.finish.map(|finish| finish.left());
-        let rates = self.fleet.rates(&call.service.name);
-        if admission::prospect(left, &rates) == Prospect::InTime {
-            return;
-        }
-        let began = Instant::now();
-        let time = call.outbound.deadline.saturating_duration_since(began);
-        let part = time.mul_f64(admission::LONGEST_WAIT_PART);
-        let longest = part.min(admission::LONGEST_WAIT);
-        let wanted = self.wanted(call, &[]);
-        self.fleet.wait_for_room(&wanted, longest).await;
-        story.held = began.elapsed().as_millis() as u64;
-    }
-
     /// Offers the request to replicas until one answers or none is left that
     /// may be tried.
     async fn offer(
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -3,7 +3,6 @@
 //! the token budgets of programs through the store group.
 
 pub mod activity;
-pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod body;
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -34,8 +34,6 @@
     pub deadline: u64,
     /// Milliseconds until its program should be over; zero if none was set.
     pub finish: u64,
-    /// Milliseconds that it waited behind programs that can be in time.
-    pub held: u64,
     /// Milliseconds until the first offer to a replica.
     pub offered_after: u64,
     /// Milliseconds until the head of the answer.
@@ -68,7 +66,6 @@
         history = story.history.as_str(),
         deadline = story.deadline,
         finish = story.finish,
-        held = story.held,
         offered_after = story.offered_after,
         head_after = story.head_after,
         keeping = story.keeping,
