Likely failures count in the cost of an engine

Ruled out: slower turns (late programs stayed as they were). Change: a turn's own time on an engine is divided by the likelihood that the try succeeds (the expected tries); Candidate carries the likelihood of failure, which the fleet's limits read from there too. Test: an_engine_that_fails_draws_no_work_by_looking_idle.

--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -122,22 +122,17 @@
             .iter()
             .map(|replica| replica.candidate(wanted))
             .collect();
-        let now = Instant::now();
-        let failures: Vec<f64> = replicas
-            .iter()
-            .map(|replica| replica.failure(now))
-            .collect();
         let limits = [
             health::accepted_failure(wanted.repeatable),
             health::SUSPENSION,
         ];
         let limit = limits.into_iter().find(|limit| {
-            let mut usable = candidates.iter().zip(&failures);
-            usable.any(|(candidate, failure)| candidate.usable && failure <= limit)
+            let mut candidates = candidates.iter();
+            candidates.any(|candidate| candidate.usable && candidate.failure <= *limit)
         });
         if let Some(limit) = limit {
-            for (candidate, failure) in candidates.iter_mut().zip(&failures) {
-                candidate.usable &= *failure <= limit;
+            for candidate in &mut candidates {
+                candidate.usable &= candidate.failure <= limit;
             }
         }
         choose(&candidates).map(|index| replicas[index].clone())
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -15,6 +15,8 @@
     pub slots: u32,
     /// Its deviation from the service's rates: 2 means half as fast.
     pub slowness: f64,
+    /// Likelihood that it fails the request, 0 to 1.
+    pub failure: f64,
     /// Tokens from the prompt's start that it is believed to hold.
     pub held_tokens: u32,
     /// Whether a kept connection to it is free.
@@ -23,6 +25,8 @@
     pub usable: bool,
 }
 
+/// Likelihood of failure that is counted at most.
+const MOST_FAILURE: f64 = 0.9;
 /// Milliseconds that another zone costs.
 const REMOTE_COST: f64 = 4.0;
 /// Milliseconds that a new connection costs.
@@ -83,7 +87,13 @@
     let ahead = (in_flight + 1.0 - slots).max(0.0);
     let waiting = ahead / slots * rates.turn_beside(slots - 1.0);
     let own = reading + rates.turn_beside(beside) + waiting;
-    (own + beside * reading) * candidate.slowness
+    (own * tries(candidate) + beside * reading) * candidate.slowness
+}
+
+/// Tries until the request succeeds, as far as the likelihood tells. A replica
+/// that cuts answers short looks idle, and would draw work otherwise.
+fn tries(candidate: &Candidate) -> f64 {
+    1.0 / (1.0 - candidate.failure.min(MOST_FAILURE))
 }
 
 fn way_cost(candidate: &Candidate) -> f64 {
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -205,6 +205,7 @@
             local: self.record.zone.as_str() == wanted.zone,
             in_flight: self.under_way(),
             slowness: self.slowness(),
+            failure: self.failure(Instant::now()),
             held_tokens: self.held_parts.borrow().held(wanted.prompt),
             slots: self.record.slots,
             connected: self.pool.has_free(),
--- a/crates/stageyoke-front/tests/engine_rates_test.rs
+++ b/crates/stageyoke-front/tests/engine_rates_test.rs
@@ -149,6 +149,7 @@
         in_flight,
         slots: 24,
         slowness: 1.0,
+        failure: 0.0,
         held_tokens,
         connected: true,
         usable: true,
@@ -183,6 +184,22 @@
     assert!(turns[0] * 2 < turns[1].min(turns[2]), "{turns:?}");
 }
 
+/// An engine that cuts answers short ends its turns early and looks idle.
+#[test]
+fn an_engine_that_fails_draws_no_work_by_looking_idle() {
+    let rates = taught(ENGINE, 500);
+    let mut engines = vec![candidate(1, 4, 0), candidate(2, 6, 0), candidate(3, 6, 0)];
+    let chosen = choose_engine(&engines, 0, 0, &rates);
+    assert_eq!(chosen, Some(0));
+    engines[0].failure = 0.5;
+    let chosen = choose_engine(&engines, 0, 0, &rates).expect("engine");
+    assert_ne!(chosen, 0);
+    // Where the others are full it is used all the same.
+    engines[1].in_flight = 90;
+    engines[2].in_flight = 90;
+    assert_eq!(choose_engine(&engines, 0, 0, &rates), Some(0));
+}
+
 /// Turns of programs that every engine serves as well spread evenly.
 #[test]
 fn turns_spread_over_equal_engines() {
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -91,6 +91,7 @@
         in_flight: 0,
         slots: 12,
         slowness: 1.0,
+        failure: 0.0,
         held_tokens: 0,
         connected: true,
         usable: true,
