The laboratory tells which programs ended late, and what held them up

Change: stageyoke-lab lateness FILE... reads the fronts' RequestEnded lines: programs by the window in which they began, late ones by silence, refusal, cut or slow turns. Ruled out: another field per request; finish is there already.

--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use miette::IntoDiagnostic;
+use miette::{Context, IntoDiagnostic};
 use stageyoke_node::events::{LogFormat, start_log};
 
 use crate::cluster::{LabCluster, LabShape};
+use crate::lateness::Lateness;
 use crate::load::LoadPlan;
 use crate::soak::{self, SoakPlan};
 use crate::standins::engine::Pace;
@@ -31,6 +32,7 @@
     Capacity(CapacityArguments),
     Failover(FailoverArguments),
     Soak(SoakArguments),
+    Lateness(LatenessArguments),
 }
 
 /// Run the real programs as separate processes against stand-ins of the
@@ -58,6 +60,22 @@
     program: Option<PathBuf>,
 }
 
+/// Tell from fronts' logs which programs ended late, by the window in which they
+/// began, and what held them up.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "lateness")]
+struct LatenessArguments {
+    /// seconds of one window
+    #[argh(option, default = "2")]
+    window_seconds: u64,
+    /// pause between two requests of a program that counts as silence, ms
+    #[argh(option, default = "2000")]
+    silence_ms: u64,
+    /// log files
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
 /// Kill leaders in virtual time and measure the time to the next answer.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "failover")]
@@ -158,6 +176,19 @@
     }
 }
 
+fn tell_lateness(arguments: &LatenessArguments) -> miette::Result<ExitCode> {
+    let mut logs = Vec::new();
+    for file in &arguments.files {
+        let bytes = std::fs::read(file)
+            .into_diagnostic()
+            .wrap_err_with(|| file.display().to_string())?;
+        logs.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let (window, silence) = (arguments.window_seconds, arguments.silence_ms);
+    print!("{}", Lateness::read(&logs, window, silence));
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn soak_runs(arguments: &SoakArguments) -> miette::Result<ExitCode> {
     let own = std::env::current_exe().into_diagnostic()?;
     let program = arguments
@@ -208,6 +239,7 @@
 async fn dispatch(command: Command) -> miette::Result<ExitCode> {
     match command {
         Command::Soak(arguments) => soak_runs(&arguments).await,
+        Command::Lateness(arguments) => tell_lateness(&arguments),
         Command::Demo(arguments) => {
             if arguments.verbose {
                 start_log(LogFormat::Text);
