--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -18,6 +18,9 @@
 const SEGMENT_BYTES: u64 = 8 * 1024;
 /// Segments that a full disk refuses.
 const REFUSED_SEGMENTS: u64 = 500;
+/// Memory of a process's machine, in megabytes: that of the smallest store
+/// machine among the deployments.
+pub const MEMORY_MB: u64 = 58;
 /// A file that refuses every write.
 const FULL_DEVICE: &str = "/dev/full";
 
@@ -144,12 +147,14 @@
             "Bootstrap": first_start,
             "DataDir": data,
             "FaultTolerance": {"Machines": 1},
+            "Limits": {"MemoryMb": MEMORY_MB},
             "Bounds": {"GraceS": 8},
             "Platform": {"Addr": self.platform},
         })
     }
 
-    fn data_folder(&self) -> PathBuf {
+    /// Folder of a store's data.
+    pub fn data_folder(&self) -> PathBuf {
         self.folder.join("data")
     }
 
@@ -161,6 +166,30 @@
         }
     }
 
+    /// Bytes of memory that the running process has had at most, as the kernel
+    /// tells them.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        self.memory_figure("VmHWM:")
+    }
+
+    /// Bytes of memory that the running process has now.
+    pub fn memory(&self) -> io::Result<u64> {
+        self.memory_figure("VmRSS:")
+    }
+
+    fn memory_figure(&self, name: &str) -> io::Result<u64> {
+        let identifier = self.child.as_ref().and_then(Child::id);
+        let identifier = identifier.ok_or(io::ErrorKind::NotFound)?;
+        let status = std::fs::read_to_string(format!("/proc/{identifier}/status"))?;
+        let kilobytes = status
+            .lines()
+            .find_map(|line| line.strip_prefix(name))
+            .and_then(|rest| rest.trim().strip_suffix(" kB"))
+            .and_then(|number| number.parse::<u64>().ok())
+            .ok_or(io::ErrorKind::InvalidData)?;
+        Ok(kilobytes * 1024)
+    }
+
     /// Waits for the process's end; it must have been told to end.
     pub async fn ended(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/stageyoke-lab/src/standins/platform/store.rs
+++ b/crates/stageyoke-lab/src/standins/platform/store.rs
@@ -32,6 +32,10 @@
     pub lost_percent: AtomicU32,
     /// Calls so far.
     pub calls: AtomicU64,
+    /// While true, calls are taken and never answered.
+    silent: AtomicBool,
+    /// Silences so far; a call that one began or ended in is never answered.
+    silences: AtomicU64,
 }
 
 #[derive(Default)]
@@ -98,6 +102,19 @@
         self.changed.notify_waiters();
     }
 
+    /// Answers nobody any more, and leaves all connections open. What is waiting
+    /// now, watches too, never gets an answer.
+    pub fn fall_silent(&self) {
+        self.silences.fetch_add(1, Ordering::Relaxed);
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Answers the calls that come from now on.
+    pub fn speak_again(&self) {
+        self.silent.store(false, Ordering::Relaxed);
+        self.silences.fetch_add(1, Ordering::Relaxed);
+    }
+
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<Body> {
         let deadline = tokio::time::Instant::now() + wait;
         loop {
@@ -196,6 +213,18 @@
 
 impl Handler for PlatformStoreStandIn {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let silences = self.silences.load(Ordering::Relaxed);
+        let response = self.answer(request).await;
+        let silent = self.silent.load(Ordering::Relaxed);
+        if silent || self.silences.load(Ordering::Relaxed) != silences {
+            std::future::pending::<()>().await;
+        }
+        response
+    }
+}
+
+impl PlatformStoreStandIn {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let slow = self.slow_ms.load(Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(slow)).await;
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -58,6 +58,12 @@
     pub records: IntGauge,
     /// Whether a store holds everything that it ever acknowledged.
     pub complete: IntGauge,
+    /// Age of the directory when a request was routed by it, s.
+    pub directory_age_seconds: Histogram,
+    /// Bytes of turns' inputs and outputs that a store keeps in memory.
+    pub turn_bytes: IntGauge,
+    /// Entries of all ledgers that a store keeps in memory.
+    pub ledger_entries: IntGauge,
 }
 
 /// Routes that have a label of their own; the rest share one, since a long
@@ -134,6 +140,18 @@
                 "stageyoke_store_complete",
                 "1 once a store's disk is complete.",
             ),
+            directory_age_seconds: seconds(
+                "stageyoke_directory_age_seconds",
+                "Age of the directory when a request was routed by it.",
+            ),
+            turn_bytes: gauge(
+                "stageyoke_turn_bytes",
+                "Bytes of turns' contents that a store keeps in memory.",
+            ),
+            ledger_entries: gauge(
+                "stageyoke_ledger_entries",
+                "Ledger entries that a store keeps in memory.",
+            ),
             registry,
         }
     }
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -199,6 +199,10 @@
             let metrics = stageyoke_observe::metrics();
             metrics.records.set(self.end().next as i64);
             metrics.complete.set(i64::from(self.complete()));
+            let state = self.state.borrow();
+            metrics.turn_bytes.set(state.turn_bytes() as i64);
+            let entries = state.ledger_entries_held();
+            metrics.ledger_entries.set(entries as i64);
         }
     }
 
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -52,6 +52,8 @@
     turns: HashMap<Text, HeldTurn>,
     ledgers: HashMap<Text, Ledger>,
     longest_retention: u64,
+    turn_bytes: usize,
+    ledger_entries: usize,
 }
 
 impl State {
@@ -68,6 +70,16 @@
         self.held.contains_key(&digest)
     }
 
+    /// Bytes of turns' inputs and outputs in memory.
+    pub fn turn_bytes(&self) -> usize {
+        self.turn_bytes
+    }
+
+    /// Entries of all ledgers in memory.
+    pub fn ledger_entries_held(&self) -> usize {
+        self.ledger_entries
+    }
+
     /// Seconds after its last write that a segment is looked at again.
     pub fn longest_keep(&self) -> u64 {
         self.longest_retention + RETENTION_MARGIN_SECONDS
@@ -120,7 +132,10 @@
             settled: false,
         };
         let ledger = self.ledger(program, now);
+        let before = ledger.entries.len();
         ledger.entries.entry(turn.clone()).or_insert(entry);
+        let added = ledger.entries.len() - before;
+        self.ledger_entries += added;
     }
 
     fn settle(&mut self, program: &Text, turn: &Text, used: u32, now: u64) {
@@ -132,9 +147,9 @@
             amount: used,
             settled: true,
         };
-        self.ledger(program, now)
-            .entries
-            .insert(turn.clone(), entry);
+        let ledger = self.ledger(program, now);
+        let added = ledger.entries.insert(turn.clone(), entry).is_none();
+        self.ledger_entries += usize::from(added);
     }
 
     fn add_turn(&mut self, record: &TurnRecord, now: u64) {
@@ -146,7 +161,11 @@
             record: record.clone(),
             keep_until,
         };
+        let before = self.turns.len();
         self.turns.entry(record.turn.clone()).or_insert(held);
+        if self.turns.len() > before {
+            self.turn_bytes += content_bytes(record);
+        }
         self.keep_chain(&record.turn, keep_until);
     }
 
@@ -253,8 +272,20 @@
                 needed.extend(self.read(&holding.locator));
             }
         }
-        self.turns.retain(|_, held| held.keep_until > now);
-        self.ledgers.retain(|_, ledger| ledger.keep_until > now);
+        self.turns.retain(|_, held| {
+            let stays = held.keep_until > now;
+            if !stays {
+                self.turn_bytes -= content_bytes(&held.record);
+            }
+            stays
+        });
+        self.ledgers.retain(|_, ledger| {
+            let stays = ledger.keep_until > now;
+            if !stays {
+                self.ledger_entries -= ledger.entries.len();
+            }
+            stays
+        });
         needed
     }
 
@@ -297,6 +328,10 @@
     }
 }
 
+fn content_bytes(record: &TurnRecord) -> usize {
+    record.input.len() + record.output.len()
+}
+
 fn locate(record: &Record) -> Locator {
     match record {
         Record::Turn(turn) => Locator::Turn(turn.turn.clone()),
