The directory's age is bounded: an answer is asked for, and old beliefs wait for it

Class: a belief of the outside that only the peer's word ends. Change: directory::Freshness. Only answers make the directory young: of the service, asked for at 0.6 of the bound beside the pending watch and given 0.3 of it, or of stores that ask first (at 0.4) and tell it with the records' answers. A request that finds it older than 0.8 waits for the answer, unless the service is known to be unreachable. Idle fronts ask nothing.

--- /dev/null
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -0,0 +1,236 @@
+//! How old the directory is. A process may act on it only while it is young:
+//! a pending watch proves nothing, since a peer that neither answers nor closes
+//! looks like one that has nothing to tell. Only answers prove it, those of the
+//! service itself or of another process that has heard from it since.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use nanoserde::{DeBin, SerBin};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Part of the bound on changes after which an answer is asked for.
+const RENEW_PART: f64 = 0.6;
+/// The same for the processes that ask first, so that the others hear of it
+/// from them in time: the answers that bring a change reach all at one moment.
+const RENEW_FIRST_PART: f64 = 0.4;
+/// Part of the bound that one such answer may take; with the part above it
+/// leaves a tenth of the bound for a request's way to its replica.
+const ANSWER_PART: f64 = 0.3;
+/// Part of the bound beyond which a request waits for a younger directory.
+const ACT_PART: f64 = 0.8;
+/// Part of the bound that lies at most between two tries to reach the service.
+const BACKOFF_PART: f64 = 0.25;
+/// Bounds on changes without a request after which a directory that only
+/// requests act on is left to age.
+const IDLE_BOUNDS: u32 = 2;
+/// Bound on changes where the settings name none: the shortest of the
+/// deployments.
+const DEFAULT_BOUND: Duration = Duration::from_millis(2000);
+
+/// How old the directory may get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgeLimits {
+    /// Age at which an answer of the service is asked for.
+    pub renew_after: Duration,
+    /// The same for a process that asks first, on behalf of others.
+    pub renew_first_after: Duration,
+    /// Time for that answer; then the service counts as unreachable.
+    pub answer_within: Duration,
+    /// Age beyond which a request waits for that answer.
+    pub act_within: Duration,
+    /// Longest pause between two tries while the service is unreachable.
+    pub longest_backoff: Duration,
+    /// Time without use after which nothing is asked for.
+    pub idle_after: Duration,
+}
+
+impl AgeLimits {
+    /// The limits where a change must be in force within `bound`.
+    pub fn within(bound: Duration) -> Self {
+        Self {
+            renew_after: bound.mul_f64(RENEW_PART),
+            renew_first_after: bound.mul_f64(RENEW_FIRST_PART),
+            answer_within: bound.mul_f64(ANSWER_PART),
+            act_within: bound.mul_f64(ACT_PART),
+            longest_backoff: bound.mul_f64(BACKOFF_PART),
+            idle_after: bound * IDLE_BOUNDS,
+        }
+    }
+}
+
+impl Default for AgeLimits {
+    fn default() -> Self {
+        Self::within(DEFAULT_BOUND)
+    }
+}
+
+/// What one process tells another of its directory.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct DirectoryMark {
+    /// Revision of the newest change that the directory holds; zero while it
+    /// holds none. The service's own counter also rises without such a change.
+    pub last_change: u64,
+    /// How long ago that was the newest change, in milliseconds.
+    pub age_milliseconds: u32,
+}
+
+/// Revision and age of one process's directory.
+#[derive(Debug)]
+pub struct Freshness {
+    limits: AgeLimits,
+    only_by_requests: bool,
+    asks_first: Cell<bool>,
+    revision: Cell<u64>,
+    last_change: Cell<u64>,
+    confirmed_at: Cell<Option<Instant>>,
+    used_at: Cell<Option<Instant>>,
+    unreachable: Cell<bool>,
+    used_again: Notify,
+    settled: Notify,
+}
+
+impl Freshness {
+    /// Nothing is known yet. Where only requests act on the directory it may
+    /// age while there are none.
+    pub fn new(limits: AgeLimits, only_by_requests: bool) -> Self {
+        Self {
+            limits,
+            only_by_requests,
+            asks_first: Cell::new(false),
+            revision: Cell::new(0),
+            last_change: Cell::new(0),
+            confirmed_at: Cell::new(None),
+            used_at: Cell::new(None),
+            unreachable: Cell::new(false),
+            used_again: Notify::new(),
+            settled: Notify::new(),
+        }
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> AgeLimits {
+        self.limits
+    }
+
+    /// Whether this process asks before others get old, which hear from it.
+    pub fn set_asks_first(&self, asks_first: bool) {
+        self.asks_first.set(asks_first);
+    }
+
+    /// Time since the directory was known to hold every change; `None` before
+    /// the first answer.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.get().map(|at| at.elapsed())
+    }
+
+    /// Whether the last try to reach the service failed.
+    pub fn unreachable(&self) -> bool {
+        self.unreachable.get()
+    }
+
+    /// The service answered: at the moment `as_of` the directory held every
+    /// change up to `revision`, the newest of them at `last_change` (`None`:
+    /// none since the answer before).
+    pub fn confirm(&self, revision: u64, last_change: Option<u64>, as_of: Instant) {
+        self.revision.set(revision);
+        if let Some(last_change) = last_change {
+            self.last_change.set(last_change);
+        }
+        self.advance(as_of);
+        self.unreachable.set(false);
+        self.settled.notify_waiters();
+    }
+
+    /// The service gave no usable answer in time.
+    pub fn fail(&self) {
+        self.unreachable.set(true);
+        self.settled.notify_waiters();
+    }
+
+    /// Another process told of its directory, in answer to a message that was
+    /// sent at `sent`. One that has seen no later change than this one, and
+    /// heard from the service since, shows that there is none.
+    pub fn hear(&self, mark: DirectoryMark, sent: Instant) {
+        let age = Duration::from_millis(u64::from(mark.age_milliseconds));
+        let known = self.confirmed_at.get().is_some();
+        if known
+            && mark.last_change > 0
+            && mark.last_change <= self.revision.get()
+            && let Some(as_of) = sent.checked_sub(age)
+        {
+            self.advance(as_of);
+        }
+    }
+
+    /// What to tell other processes.
+    pub fn mark(&self) -> DirectoryMark {
+        let Some(age) = self.age() else {
+            return DirectoryMark::default();
+        };
+        DirectoryMark {
+            last_change: self.last_change.get(),
+            age_milliseconds: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn advance(&self, as_of: Instant) {
+        let before = self.confirmed_at.get();
+        self.confirmed_at.set(before.max(Some(as_of)));
+    }
+
+    /// A request is about to act on the directory. Waits for a younger one if
+    /// it is too old, at most as long as an answer may take; not while the
+    /// service is known to be unreachable, nor before it was first heard.
+    pub async fn before_use(&self) {
+        let idle = self.idle();
+        self.used_at.set(Some(Instant::now()));
+        if idle {
+            self.used_again.notify_one();
+        }
+        let wait = async {
+            loop {
+                let settled = self.settled.notified();
+                if !self.too_old_to_act() {
+                    return;
+                }
+                settled.await;
+            }
+        };
+        // What is known is used when the time is over: `fail` says why.
+        let _ = tokio::time::timeout(self.limits.answer_within, wait).await;
+    }
+
+    fn too_old_to_act(&self) -> bool {
+        let old = self.age().is_some_and(|age| age > self.limits.act_within);
+        old && !self.unreachable.get()
+    }
+
+    fn idle(&self) -> bool {
+        let used = self.used_at.get();
+        self.only_by_requests && used.is_none_or(|used| used.elapsed() > self.limits.idle_after)
+    }
+
+    /// Returns once the directory is in use and old enough to ask for an answer.
+    pub async fn overdue(&self) {
+        loop {
+            if self.idle() {
+                self.used_again.notified().await;
+                continue;
+            }
+            let renew_after = match self.asks_first.get() {
+                true => self.limits.renew_first_after,
+                false => self.limits.renew_after,
+            };
+            let Some(confirmed_at) = self.confirmed_at.get() else {
+                return;
+            };
+            let due = confirmed_at + renew_after;
+            if due <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(due).await;
+        }
+    }
+}
--- a/crates/stageyoke-directory/src/key_value.rs
+++ b/crates/stageyoke-directory/src/key_value.rs
@@ -43,6 +43,16 @@
     },
 }
 
+impl Change {
+    /// Revision at which the key was written or removed.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// What a watch answered.
 #[derive(Clone, Debug)]
 pub enum WatchOutcome {
--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -2,12 +2,14 @@
 //! every service, and the members of the store group. All of it is followed
 //! from a key-value service, whose names and formats an adapter supplies.
 
+pub mod freshness;
 pub mod key_value;
 pub mod members;
 pub mod mirror;
 pub mod model;
 pub mod view;
 
+pub use freshness::{AgeLimits, DirectoryMark, Freshness};
 pub use key_value::{
     Change, Condition, Item, KeyValueError, KeyValueService, RangePage, Transaction,
     TransactionOutcome, WatchOutcome, Write,
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -1,5 +1,7 @@
 //! Follows the key-value service: one complete read, then one long watch, and
-//! a complete read again whenever the service has forgotten its history.
+//! a complete read again whenever the service has forgotten its history. A
+//! pending watch is no proof that nothing has changed: beside it the service is
+//! asked for an answer as often as the directory's age limits demand.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,20 +12,20 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::freshness::{AgeLimits, Freshness};
 use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
 use crate::view::{Changed, Interpreter, Update, View};
 
-/// How long one watch waits at the service. Keep-alive probes of the connection
-/// find a silent peer long before.
+/// How long one watch waits at the service: it spares calls, and nothing relies
+/// on its end.
 pub const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// How long the first watch after an outage waits: its answer shows that the
-/// service is back.
-const FIRST_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// While the service is unreachable every second try may take so many times as
+/// long as the others: a slow service answers these.
+const PATIENT_TRY: u32 = 2;
 /// Parts of the bound on changes that gathering and confirmations may take.
 const GATHER_PART: f64 = 0.3;
 const CONFIRMED_PART: f64 = 0.25;
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
-const LAST_BACKOFF: Duration = Duration::from_millis(800);
 
 /// What the mirror tells its owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,6 +68,18 @@
     }
 }
 
+/// What one exchange with the service came to.
+struct Step {
+    /// Where to go on; `None`: the history is gone, everything is read again.
+    revision: Option<u64>,
+    /// When the view held every change up to there.
+    as_of: Instant,
+    /// Revision of the newest change that it brought, if any.
+    last_change: Option<u64>,
+    /// Whether more changes may follow at once, and are gathered.
+    gather: bool,
+}
+
 /// The view and the means to follow it; shared by the tasks of a process.
 pub struct Mirror<S, I> {
     /// The key-value service.
@@ -79,6 +93,7 @@
     read_lock: tokio::sync::Mutex<Option<Instant>>,
     changed: Notify,
     pace: Pace,
+    freshness: Rc<Freshness>,
 }
 
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
@@ -94,22 +109,35 @@
             read_lock: tokio::sync::Mutex::new(None),
             changed: Notify::new(),
             pace: Pace::default(),
+            freshness: Rc::new(Freshness::new(AgeLimits::default(), true)),
         }
     }
 
-    /// The same mirror at another pace.
-    pub fn at_pace(self, pace: Pace) -> Self {
-        Self { pace, ..self }
+    /// The same mirror where a change must be in force within `bound`.
+    pub fn bounded(self, bound: Duration) -> Self {
+        let only_by_requests = self.items.is_none();
+        Self {
+            pace: Pace::within(bound),
+            freshness: Rc::new(Freshness::new(AgeLimits::within(bound), only_by_requests)),
+            ..self
+        }
     }
 
-    /// A mirror that also keeps the items themselves, to hand them on.
+    /// A mirror that also keeps the items themselves, to hand them on. Its
+    /// directory is in use at all times.
     pub fn keeping_items(service: S, interpreter: I) -> Self {
         Self {
             items: Some(RefCell::default()),
+            freshness: Rc::new(Freshness::new(AgeLimits::default(), false)),
             ..Self::new(service, interpreter)
         }
     }
 
+    /// Revision and age of the view.
+    pub fn freshness(&self) -> &Rc<Freshness> {
+        &self.freshness
+    }
+
     /// Rises with every change of the view.
     pub fn changes(&self) -> u64 {
         self.changes.get()
@@ -215,52 +243,136 @@
     pub async fn run(&self, mut report: impl FnMut(MirrorEvent)) {
         let mut backoff = FIRST_BACKOFF;
         let mut after = None;
-        let mut lost = false;
+        let mut failures: u32 = 0;
         loop {
-            let outcome = match after {
-                None => self.read_all(&mut report).await.map(Some),
-                Some(revision) => {
-                    let wait = if lost { FIRST_WATCH_WAIT } else { WATCH_WAIT };
-                    self.watch_once(revision, wait, &mut report).await
-                }
-            };
+            let outcome = self.step(after, failures, &mut report).await;
             match outcome {
-                Ok(next) => {
+                Ok(step) => {
                     self.last_contact.set(Some(Instant::now()));
-                    after = next;
+                    if let Some(revision) = step.revision {
+                        self.freshness
+                            .confirm(revision, step.last_change, step.as_of);
+                    }
+                    after = step.revision;
                     backoff = FIRST_BACKOFF;
-                    if std::mem::take(&mut lost) {
+                    if std::mem::take(&mut failures) > 0 {
                         report(MirrorEvent::Regained);
                     }
+                    if step.gather {
+                        tokio::time::sleep(self.pace.gather).await;
+                    }
                 }
                 Err(error) => {
-                    if !std::mem::replace(&mut lost, true) {
+                    self.freshness.fail();
+                    if failures == 0 {
                         report(MirrorEvent::Lost(error));
                     }
+                    failures = failures.saturating_add(1);
                     let jitter = rand::rng().random_range(0.5..1.0);
                     tokio::time::sleep(backoff.mul_f64(jitter)).await;
-                    backoff = (backoff * 2).min(LAST_BACKOFF);
+                    backoff = (backoff * 2).min(self.freshness.limits().longest_backoff);
                 }
             }
         }
     }
 
-    async fn watch_once(
+    /// One complete read, one watch, or one try to reach the service again.
+    async fn step(
+        &self,
+        after: Option<u64>,
+        failures: u32,
+        report: &mut impl FnMut(MirrorEvent),
+    ) -> Result<Step, KeyValueError> {
+        let began = Instant::now();
+        match after {
+            None => {
+                let revision = self.read_all(report).await?;
+                Ok(Step {
+                    revision: Some(revision),
+                    as_of: began,
+                    // What was removed before left no item that tells when.
+                    last_change: Some(revision),
+                    gather: false,
+                })
+            }
+            Some(revision) if failures == 0 => self.follow(revision, report).await,
+            Some(revision) => {
+                let patience = 1 + (failures % PATIENT_TRY);
+                let outcome = self.ask(revision, patience).await?;
+                Ok(self.take(outcome, began, report))
+            }
+        }
+    }
+
+    /// Watches; while the watch is pending the service is asked for an answer
+    /// whenever the directory gets old. An answer that brings what the watch
+    /// did not shows that the watch is dead: it is dropped.
+    async fn follow(
         &self,
         revision: u64,
-        wait: Duration,
         report: &mut impl FnMut(MirrorEvent),
-    ) -> Result<Option<u64>, KeyValueError> {
+    ) -> Result<Step, KeyValueError> {
         let prefix = self.interpreter.prefix();
-        match self.service.watch(prefix, revision, wait).await? {
-            WatchOutcome::HistoryGone => Ok(None),
+        let mut revision = revision;
+        let mut watch = std::pin::pin!(self.service.watch(prefix, revision, WATCH_WAIT));
+        loop {
+            tokio::select! {
+                outcome = &mut watch => return Ok(self.take(outcome?, Instant::now(), report)),
+                () = self.freshness.overdue() => {}
+            }
+            let asked_at = Instant::now();
+            let outcome = tokio::select! {
+                outcome = &mut watch => return Ok(self.take(outcome?, Instant::now(), report)),
+                outcome = self.ask(revision, 1) => outcome?,
+            };
+            match &outcome {
+                WatchOutcome::Changes {
+                    changes,
+                    revision: now,
+                } if changes.is_empty() => {
+                    revision = revision.max(*now);
+                    self.last_contact.set(Some(Instant::now()));
+                    self.freshness.confirm(revision, None, asked_at);
+                }
+                _ => return Ok(self.take(outcome, asked_at, report)),
+            }
+        }
+    }
+
+    /// Asks for what has changed since a revision, on another connection than a
+    /// pending watch's. Fails once the time for an answer is over.
+    async fn ask(&self, revision: u64, patience: u32) -> Result<WatchOutcome, KeyValueError> {
+        let prefix = self.interpreter.prefix();
+        let within = self.freshness.limits().answer_within * patience;
+        let asking = self.service.watch(prefix, revision, Duration::ZERO);
+        tokio::time::timeout(within, asking)
+            .await
+            .map_err(|_| KeyValueError::NoAnswer)?
+    }
+
+    /// Applies an answer that was the newest state at `as_of`.
+    fn take(
+        &self,
+        outcome: WatchOutcome,
+        as_of: Instant,
+        report: &mut impl FnMut(MirrorEvent),
+    ) -> Step {
+        match outcome {
+            WatchOutcome::HistoryGone => Step {
+                revision: None,
+                as_of,
+                last_change: None,
+                gather: false,
+            },
             WatchOutcome::Changes { changes, revision } => {
-                let pause = !changes.is_empty();
+                let last_change = changes.iter().map(Change::revision).max();
                 self.apply_changes(changes, report);
-                if pause {
-                    tokio::time::sleep(self.pace.gather).await;
+                Step {
+                    revision: Some(revision),
+                    as_of,
+                    last_change,
+                    gather: last_change.is_some(),
                 }
-                Ok(Some(revision))
             }
         }
     }
@@ -290,7 +402,11 @@
                 .and_then(|page| page.items.last())
                 .map(|item| item.key.clone());
             let prefix = self.interpreter.prefix();
-            let page = self.service.range(prefix, after.as_deref()).await?;
+            let reading = self.service.range(prefix, after.as_deref());
+            let within = self.freshness.limits().answer_within * PATIENT_TRY;
+            let page = tokio::time::timeout(within, reading)
+                .await
+                .map_err(|_| KeyValueError::NoAnswer)??;
             let more = page.more;
             pages.push(page);
             if !more {
--- a/crates/stageyoke-directory/tests/mirror_test.rs
+++ b/crates/stageyoke-directory/tests/mirror_test.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use stageyoke_directory::{
-    Change, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, MirrorEvent, Pace,
+    Change, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, MirrorEvent,
     RangePage, ReplicaRecord, ReplicaState, RouteTable, Transaction, TransactionOutcome, Update,
     WatchOutcome, Write,
 };
@@ -267,7 +267,7 @@
     let script = Rc::new(Script::default());
     script.put("routes/all", "3");
     let mirror = Mirror::new(Service(script.clone()), Words);
-    let mirror = mirror.at_pace(Pace::within(Duration::from_secs(2)));
+    let mirror = mirror.bounded(Duration::from_secs(2));
     for (pause, version, reads) in [(0, 3, 1), (400, 3, 1), (200, 4, 2)] {
         tokio::time::advance(Duration::from_millis(pause)).await;
         mirror.confirm_routes().await.expect("confirmed");
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -137,10 +137,8 @@
     mirror: Rc<Mirror<S, I>>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let group = Rc::new(Group::new(
-        settings.zone.clone(),
-        settings.tolerance.clone(),
-    ));
+    let group = Group::new(settings.zone.clone(), settings.tolerance.clone());
+    let group = Rc::new(group.confirming(mirror.freshness().clone()));
     let front = Rc::new(Front {
         names,
         zone: settings.zone.clone(),
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -108,8 +108,9 @@
             .finish
             .map_or(Duration::ZERO, |finish| finish.left());
         story.finish = finish.as_millis() as u64;
-        let contact = self.mirror.last_contact();
-        let age = contact.map_or(Duration::MAX, |contact| contact.elapsed());
+        let freshness = self.mirror.freshness();
+        freshness.before_use().await;
+        let age = freshness.age().unwrap_or(Duration::MAX);
         story.directory_age = age.as_millis().min(u128::from(u32::MAX)) as u64;
         let ages = &observe::metrics().directory_age_seconds;
         ages.observe(age.as_secs_f64());
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Member, MemberState, Members, Tolerance};
+use stageyoke_directory::{Freshness, Member, MemberState, Members, Tolerance};
 use stageyoke_types::Text;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::Instant;
@@ -104,6 +104,7 @@
     failing_since: Cell<Option<Instant>>,
     members: RefCell<Rc<Members>>,
     clients: RefCell<HashMap<Text, Rc<StoreClient>>>,
+    directory: Option<Rc<Freshness>>,
 }
 
 impl Group {
@@ -116,6 +117,16 @@
             failing_since: Cell::new(None),
             members: RefCell::default(),
             clients: RefCell::default(),
+            directory: None,
+        }
+    }
+
+    /// The same group; what its members tell of the directory counts for this
+    /// one.
+    pub fn confirming(self, directory: Rc<Freshness>) -> Self {
+        Self {
+            directory: Some(directory),
+            ..self
         }
     }
 
@@ -209,6 +220,7 @@
         let needed = members
             .write_quorum(&self.tolerance)
             .ok_or(GroupError::NoGroup)?;
+        let sent = Instant::now();
         let reads_ledger = matches!(record, Record::Reserve { .. });
         let (answers, mut inbox) = unbounded_channel();
         let request = Encoded::of(&Request::Append {
@@ -237,7 +249,11 @@
                     complete,
                     ledger: entries,
                     others,
+                    directory,
                 }) => {
+                    if let Some(own) = &self.directory {
+                        own.hear(directory, sent);
+                    }
                     if reads_ledger {
                         self.load.hear(others);
                     }
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between fronts and stores, and among stores.
 
 use nanoserde::{DeBin, SerBin};
-use stageyoke_directory::Members;
+use stageyoke_directory::{DirectoryMark, Members};
 use stageyoke_types::{Blob, List, Text};
 
 /// One finished turn of a program whose history is kept. Immutable.
@@ -203,6 +203,8 @@
         ledger: List<LedgerEntry>,
         /// What all other fronts have seen; filled for reservations.
         others: OthersReport,
+        /// Up to where this store knows the key-value service's directory.
+        directory: DirectoryMark,
     },
     /// Parts of a chain, newest first.
     Chain {
@@ -222,6 +224,8 @@
         more: bool,
         /// Whether this store is complete.
         complete: bool,
+        /// Up to where this store knows the key-value service's directory.
+        directory: DirectoryMark,
         /// In journal order.
         digests: List<RecordDigest>,
     },
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -31,6 +31,10 @@
 const KEEP_ITEMS_PAUSE: Duration = Duration::from_millis(700);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Stores that ask the key-value service before the others get old, the first
+/// of the member list: one more than the disks that any deployment may lose.
+const ASKING_FIRST: usize = 3;
+
 /// Settings of the role.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
@@ -92,7 +96,8 @@
             .map_or(0, |(number, _)| number + 1);
         let kept_items = folder.read_items();
         let (journal, results) = Journal::start(folder, next_segment, settings.segment_bytes)?;
-        let keeper = Rc::new(Keeper::new(settings.node.clone(), journal, recovered));
+        let keeper = Keeper::new(settings.node.clone(), journal, recovered);
+        let keeper = Rc::new(keeper.following(mirror.freshness().clone()));
         let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerance.clone()));
         let listener = TcpListener::bind(settings.listen).await?;
         tokio::task::spawn_local(server::serve(keeper.clone(), listener));
@@ -120,7 +125,11 @@
     fn follow(&self) {
         let view = self.mirror.view();
         self.keeper.set_members(view.members.clone());
-        self.peers.follow(&self.keeper.members());
+        let members = self.keeper.members();
+        self.peers.follow(&members);
+        let mut first = members.list.iter().take(ASKING_FIRST);
+        let asks_first = first.any(|member| member.node == self.settings.node);
+        self.mirror.freshness().set_asks_first(asks_first);
         self.keep_items();
     }
 
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::rc::Rc;
 
-use stageyoke_directory::{MemberState, Members};
+use stageyoke_directory::{AgeLimits, DirectoryMark, Freshness, MemberState, Members};
 use stageyoke_observe as observe;
 use stageyoke_types::{Event, List, Text};
 use tokio::io::{AsyncWriteExt, BufReader};
@@ -58,6 +58,7 @@
     loads: LoadReports,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
     started: Instant,
+    directory: Rc<Freshness>,
 }
 
 impl Keeper {
@@ -90,9 +91,15 @@
             loads: LoadReports::default(),
             held_by_peers: RefCell::default(),
             started: Instant::now(),
+            directory: Rc::new(Freshness::new(AgeLimits::default(), false)),
         }
     }
 
+    /// The same store, telling fronts how fresh this directory is.
+    pub fn following(self, directory: Rc<Freshness>) -> Self {
+        Self { directory, ..self }
+    }
+
     /// Whether this store holds everything that it ever acknowledged.
     pub fn complete(&self) -> bool {
         self.complete.get()
@@ -134,6 +141,12 @@
         *self.items.borrow_mut() = items;
     }
 
+    /// Another store told how fresh its directory is, in answer to a message
+    /// that was sent at `sent`.
+    pub fn hear_directory(&self, mark: DirectoryMark, sent: Instant) {
+        self.directory.hear(mark, sent);
+    }
+
     /// Position at the end of the journal.
     pub fn end(&self) -> JournalPosition {
         self.state.borrow().end()
@@ -285,7 +298,9 @@
             Request::Chain { turn } => self.state.borrow().chain(&turn, self.complete()),
             Request::Digests { node, from, held } => {
                 self.held_by_peers.borrow_mut().insert(node, held);
-                self.state.borrow().digests(from, self.complete())
+                let directory = self.directory.mark();
+                let state = self.state.borrow();
+                state.digests(from, self.complete(), directory)
             }
             Request::Ping => Reply::Pong,
             Request::Items => Reply::Items(self.items.borrow().clone()),
@@ -317,6 +332,7 @@
             complete: self.complete(),
             ledger,
             others,
+            directory: self.directory.mark(),
         }
     }
 
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use stageyoke_directory::DirectoryMark;
 use stageyoke_types::{List, Text};
 
 use crate::message::{
@@ -216,7 +217,12 @@
 
     /// A page of digests from a position on; a position on another disk, or
     /// before the journal's start, begins at the start.
-    pub fn digests(&self, from: JournalPosition, complete: bool) -> Reply {
+    pub fn digests(
+        &self,
+        from: JournalPosition,
+        complete: bool,
+        directory: DirectoryMark,
+    ) -> Reply {
         let start = if from.disk == self.disk {
             from.next.clamp(self.first, self.end().next)
         } else {
@@ -238,6 +244,7 @@
             },
             more: next < self.end().next,
             complete,
+            directory,
             digests: page,
         }
     }
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -124,16 +124,19 @@
             from: peer.position.get(),
             held: peer.position.get(),
         };
+        let sent = Instant::now();
         let reply = self.call(peer, request).await?;
         let Reply::Digests {
             next,
             more,
             complete,
+            directory,
             digests,
         } = reply
         else {
             return None;
         };
+        self.keeper.hear_directory(directory, sent);
         let missing: Vec<_> = digests
             .iter()
             .copied()
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -1,5 +1,6 @@
 //! What a store holds in memory, and what it forgets.
 
+use stageyoke_directory::DirectoryMark;
 use stageyoke_store::LedgerView;
 use stageyoke_store::frame::{self, Encoded};
 use stageyoke_store::message::{
@@ -108,7 +109,7 @@
         next,
         more,
         ..
-    } = from.digests(JournalPosition::default(), true)
+    } = from.digests(JournalPosition::default(), true, DirectoryMark::default())
     else {
         panic!("digests");
     };
@@ -121,7 +122,7 @@
         .collect();
     let fetched = from.fetch(&missing);
     assert_eq!(fetched.0, [records[0].clone(), records[2].clone()]);
-    let Reply::Digests { digests, .. } = from.digests(next, true) else {
+    let Reply::Digests { digests, .. } = from.digests(next, true, DirectoryMark::default()) else {
         panic!("digests");
     };
     assert!(digests.is_empty(), "nothing new after the end");
@@ -132,7 +133,8 @@
     let mut state = State::new(8);
     state.add(&turn("one", ""), 0);
     let elsewhere = JournalPosition { disk: 9, next: 1 };
-    let Reply::Digests { digests, .. } = state.digests(elsewhere, true) else {
+    let Reply::Digests { digests, .. } = state.digests(elsewhere, true, DirectoryMark::default())
+    else {
         panic!("digests");
     };
     assert_eq!(digests.len(), 1);
