--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -2,14 +2,15 @@
 //! before its answer ends, and the chain that it goes on from.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use stageyoke_observe::metrics;
 use stageyoke_store::message::ChainPart;
-use stageyoke_store::{ChainOutcome, Group, GroupError, LedgerView, Record, TurnRecord};
+use stageyoke_store::{
+    ChainOutcome, Group, GroupError, LedgerView, RecentTurns, Record, TurnRecord,
+};
 use stageyoke_types::{Blob, Text};
 use tokio::time::Instant;
 
@@ -21,37 +22,6 @@
 /// How long a settlement is tried.
 const SETTLE_WITHIN: Duration = Duration::from_millis(2500);
 
-/// Recent turns, oldest out first.
-#[derive(Default)]
-struct TurnCache {
-    parts: HashMap<Text, ChainPart>,
-    order: VecDeque<Text>,
-    bytes: usize,
-}
-
-impl TurnCache {
-    fn insert(&mut self, part: ChainPart) {
-        if self.parts.contains_key(&part.turn) {
-            return;
-        }
-        self.bytes += weight(&part);
-        self.order.push_back(part.turn.clone());
-        self.parts.insert(part.turn.clone(), part);
-        while self.bytes > CACHE_BYTES {
-            let Some(oldest) = self.order.pop_front() else {
-                return;
-            };
-            if let Some(part) = self.parts.remove(&oldest) {
-                self.bytes -= weight(&part);
-            }
-        }
-    }
-}
-
-fn weight(part: &ChainPart) -> usize {
-    part.input.len() + part.output.len() + 2 * part.turn.len()
-}
-
 /// What came of looking for a chain.
 pub enum Transcript {
     /// The inputs and outputs of the chain, oldest first.
@@ -66,7 +36,7 @@
 pub struct History {
     /// The store group.
     pub group: Rc<Group>,
-    cache: RefCell<TurnCache>,
+    cache: RefCell<RecentTurns>,
 }
 
 impl History {
@@ -74,7 +44,7 @@
     pub fn new(group: Rc<Group>) -> Self {
         Self {
             group,
-            cache: RefCell::default(),
+            cache: RefCell::new(RecentTurns::new(CACHE_BYTES)),
         }
     }
 
@@ -109,7 +79,7 @@
         let cache = self.cache.borrow();
         let mut parts = Vec::new();
         let mut next = turn;
-        while let Some(part) = cache.parts.get(next) {
+        while let Some(part) = cache.get(next) {
             parts.push(part.clone());
             next = &part.previous;
         }
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -16,7 +16,6 @@
 
 use crate::frame::{self, Encoded};
 use crate::message::{Numbered, Reply, Request};
-use crate::server::send_replies;
 use crate::socket;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -153,7 +152,7 @@
         let (frames, outbox) = unbounded_channel();
         let (ended, mut reader_ended) = oneshot::channel();
         let _sending = AbortOnDrop(tokio::task::spawn_local(async move {
-            let _ = send_replies(writer, outbox).await;
+            let _ = frame::write_waiting(writer, outbox).await;
         }));
         let receiving = receive(reader, pending.clone(), self.last_heard.clone(), ended);
         let _receiving = AbortOnDrop(tokio::task::spawn_local(receiving));
--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 
 use nanoserde::{DeBin, SerBin};
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::mpsc::UnboundedReceiver;
 
 const LENGTH_BYTES: usize = 4;
 /// Longest frame accepted.
@@ -41,6 +42,24 @@
     }
 }
 
+/// Writes what waits, all of it in one go. What holds a frame's bytes is dropped
+/// once they are written.
+pub async fn write_waiting<T: AsRef<[u8]>>(
+    mut writer: impl AsyncWrite + Unpin,
+    mut outbox: UnboundedReceiver<T>,
+) -> io::Result<()> {
+    while let Some(first) = outbox.recv().await {
+        let mut bytes = first.as_ref().to_vec();
+        let mut holders = vec![first];
+        while let Ok(more) = outbox.try_recv() {
+            bytes.extend_from_slice(more.as_ref());
+            holders.push(more);
+        }
+        writer.write_all(&bytes).await?;
+    }
+    Ok(())
+}
+
 /// Reads one frame.
 pub async fn read<T: DeBin>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
     let mut prefix = [0_u8; LENGTH_BYTES];
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -35,6 +35,8 @@
     StaleMembers,
     /// Disks refuse records.
     DiskRefused,
+    /// The members' memory takes no new turns for a while.
+    MemoryFull,
 }
 
 impl fmt::Display for GroupError {
@@ -44,6 +46,7 @@
             Self::NoQuorum => "no_quorum",
             Self::StaleMembers => "stale_members",
             Self::DiskRefused => "disk_refused",
+            Self::MemoryFull => "memory_full",
         })
     }
 }
@@ -265,6 +268,7 @@
                     error = GroupError::StaleMembers;
                 }
                 Ok(Reply::Refused(Refusal::DiskRefused)) => error = GroupError::DiskRefused,
+                Ok(Reply::Refused(Refusal::MemoryFull)) => error = GroupError::MemoryFull,
                 Ok(_) | Err(_) => {}
             }
             if kept >= needed {
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -11,11 +11,15 @@
 
 use stageyoke_types::List;
 
+use crate::clock::DiskClock;
 use crate::message::{Record, SeenItem};
-use crate::segment::{DataFolder, encode_record};
+use crate::segment::{DataFolder, Place, encode_clock, encode_record};
 
 /// A segment is closed beyond this size, where the settings name no other.
 pub const DEFAULT_SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+/// A segment is closed after so long: its successor tells the disk's clock, and
+/// a restart loses no more than this of it.
+const SEGMENT_SECONDS: u64 = 10;
 /// Bytes written together at most.
 const BATCH_BYTES: usize = 1024 * 1024;
 
@@ -24,8 +28,8 @@
 pub struct Appended {
     /// Ticket that the caller gave.
     pub ticket: u64,
-    /// Segment that holds the record, or `None` if the disk refused it.
-    pub segment: Option<u64>,
+    /// Where the record lies, or `None` if the disk refused it.
+    pub place: Option<Place>,
 }
 
 enum Command {
@@ -44,11 +48,12 @@
 
 impl Journal {
     /// Starts the thread. Appends go to a new segment with this number; a
-    /// segment is closed beyond `segment_bytes`.
+    /// segment is closed beyond `segment_bytes`, or after some seconds.
     pub fn start(
         folder: DataFolder,
         next_segment: u64,
         segment_bytes: u64,
+        clock: DiskClock,
     ) -> io::Result<(Self, UnboundedReceiver<Vec<Appended>>)> {
         let (commands, inbox) = mpsc::channel();
         let (results, outbox) = unbounded_channel();
@@ -56,6 +61,7 @@
             folder,
             next_segment,
             segment_bytes,
+            clock,
             current: None,
             results,
         };
@@ -66,11 +72,14 @@
         Ok((Self { commands }, outbox))
     }
 
-    /// Writes a record; the result carries the ticket.
-    pub fn append(&self, ticket: u64, record: &Record) {
+    /// Writes a record; the result carries the ticket. Returns the bytes that
+    /// wait for the disk until then.
+    pub fn append(&self, ticket: u64, record: &Record) -> usize {
         let mut bytes = Vec::new();
         encode_record(record, &mut bytes);
+        let waiting = bytes.len();
         let _ = self.commands.send(Command::Append { ticket, bytes });
+        waiting
     }
 
     /// Removes a segment whose records are no longer needed.
@@ -98,12 +107,20 @@
     number: u64,
     file: File,
     bytes: u64,
+    began: u64,
+}
+
+/// A record in a batch.
+struct BatchEntry {
+    ticket: u64,
+    length: usize,
 }
 
 struct Writer {
     folder: DataFolder,
     next_segment: u64,
     segment_bytes: u64,
+    clock: DiskClock,
     current: Option<Segment>,
     results: UnboundedSender<Vec<Appended>>,
 }
@@ -112,7 +129,7 @@
     fn run(mut self, inbox: &mpsc::Receiver<Command>) {
         while let Ok(first) = inbox.recv() {
             let mut next = Some(first);
-            let mut tickets = Vec::new();
+            let mut entries = Vec::new();
             let mut bytes = Vec::new();
             while let Some(command) = next {
                 match command {
@@ -120,7 +137,8 @@
                         ticket,
                         bytes: record,
                     } => {
-                        tickets.push(ticket);
+                        let length = record.len();
+                        entries.push(BatchEntry { ticket, length });
                         bytes.extend_from_slice(&record);
                     }
                     other => self.housekeeping(other),
@@ -129,8 +147,8 @@
                     .then(|| inbox.try_recv().ok())
                     .flatten();
             }
-            if !tickets.is_empty() {
-                self.write_batch(tickets, &bytes);
+            if !entries.is_empty() {
+                self.write_batch(&entries, &bytes);
             }
         }
     }
@@ -145,32 +163,53 @@
         };
     }
 
-    fn write_batch(&mut self, tickets: Vec<u64>, bytes: &[u8]) {
-        let segment = self.write(bytes).ok();
-        if segment.is_none() {
+    fn write_batch(&mut self, entries: &[BatchEntry], bytes: &[u8]) {
+        let written = self.write(bytes).ok();
+        if written.is_none() {
             // What was written of the batch may be torn: nothing may follow it.
             self.current = None;
         }
-        let appended = tickets
-            .into_iter()
-            .map(|ticket| Appended { ticket, segment })
+        let mut next = written;
+        let appended = entries
+            .iter()
+            .map(|entry| Appended {
+                ticket: entry.ticket,
+                place: next.as_mut().map(|next| next.take(entry.length)),
+            })
             .collect();
         let _ = self.results.send(appended);
     }
 
-    fn write(&mut self, bytes: &[u8]) -> io::Result<u64> {
-        if self.current.is_none() {
-            let number = self.next_segment;
-            self.next_segment += 1;
-            let file = self.folder.create_segment(number)?;
-            self.current = Some(Segment {
-                number,
-                file,
-                bytes: 0,
-            });
-        }
-        let Some(segment) = self.current.as_mut() else {
-            return Err(io::ErrorKind::Other.into());
+    /// Starts a segment with the disk's clock.
+    fn start_segment(&mut self) -> io::Result<Segment> {
+        let number = self.next_segment;
+        self.next_segment += 1;
+        let began = self.clock.seconds();
+        let mut file = self.folder.create_segment(number)?;
+        let mut bytes = Vec::new();
+        encode_clock(began, &mut bytes);
+        file.write_all(&bytes)?;
+        Ok(Segment {
+            number,
+            file,
+            bytes: bytes.len() as u64,
+            began,
+        })
+    }
+
+    /// Writes and syncs; returns where the bytes begin.
+    fn write(&mut self, bytes: &[u8]) -> io::Result<NextPlace> {
+        let current = self.current.take().filter(|segment| {
+            let old = self.clock.seconds() >= segment.began + SEGMENT_SECONDS;
+            segment.bytes <= self.segment_bytes && !old
+        });
+        let mut segment = match current {
+            Some(segment) => segment,
+            None => self.start_segment()?,
+        };
+        let start = NextPlace {
+            segment: segment.number,
+            offset: u32::try_from(segment.bytes).map_err(|_| io::ErrorKind::FileTooLarge)?,
         };
         let began = Instant::now();
         segment.file.write_all(bytes)?;
@@ -178,10 +217,25 @@
         let seconds = began.elapsed().as_secs_f64();
         stageyoke_observe::metrics().sync_seconds.observe(seconds);
         segment.bytes += bytes.len() as u64;
-        let number = segment.number;
-        if segment.bytes > self.segment_bytes {
-            self.current = None;
-        }
-        Ok(number)
+        self.current = Some(segment);
+        Ok(start)
+    }
+}
+
+/// Where the next record of a batch lies.
+struct NextPlace {
+    segment: u64,
+    offset: u32,
+}
+
+impl NextPlace {
+    fn take(&mut self, length: usize) -> Place {
+        let place = Place {
+            segment: self.segment,
+            offset: self.offset,
+            length: length as u32,
+        };
+        self.offset += place.length;
+        place
     }
 }
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -7,12 +7,16 @@
 //! one sees the other. Members compare digests and fetch what they miss.
 
 pub mod client;
+pub mod clock;
 pub mod frame;
 pub mod group;
 pub mod journal;
+pub mod limits;
 pub mod load;
 pub mod membership;
 pub mod message;
+pub mod reader;
+pub mod recent;
 pub mod role;
 pub mod segment;
 pub mod server;
@@ -22,6 +26,8 @@
 
 pub use client::StoreClient;
 pub use group::{ChainOutcome, Group, GroupError, LedgerView};
+pub use limits::StoreLimits;
 pub use load::LoadBoard;
 pub use message::{LedgerEntry, Record, Reply, Request, TurnRecord};
+pub use recent::RecentTurns;
 pub use role::{StoreHost, StoreSettings};
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -46,6 +46,11 @@
     },
     /// A finished turn; settles its reservation as well.
     Turn(TurnRecord),
+    /// Start of a segment by the disk's own clock; never sent to others.
+    Clock {
+        /// Seconds that processes have run on this disk.
+        seconds: u64,
+    },
 }
 
 /// Identifies a record among stores: a digest of its kind and identifier.
@@ -55,8 +60,10 @@
     /// The digest by which stores compare what they hold. Records are
     /// immutable, so kind and identifiers suffice.
     pub fn digest(&self) -> RecordDigest {
+        let none = Text::default();
         let (kind, program, turn) = match self {
-            Self::Reserve { program, turn, .. } => (0_u8, program, turn),
+            Self::Clock { .. } => (3_u8, &none, &none),
+            Self::Reserve { program, turn, .. } => (0, program, turn),
             Self::Settle { program, turn, .. } => (1, program, turn),
             Self::Turn(record) => (2, &record.program, &record.turn),
         };
@@ -248,6 +255,8 @@
     NotActive,
     /// The disk takes no more.
     DiskRefused,
+    /// The store's memory holds no more until older records have expired.
+    MemoryFull,
 }
 
 /// A message with the number that pairs it with its answer.
--- /dev/null
+++ b/crates/stageyoke-store/src/recent.rs
@@ -0,0 +1,65 @@
+//! The newest turns with their contents, within a bound of bytes; the oldest
+//! go first.
+
+use std::collections::{HashMap, VecDeque};
+
+use stageyoke_types::Text;
+
+use crate::message::ChainPart;
+
+/// Bytes that one turn costs beside its contents: its identifiers, and its
+/// places in the map and in the order (measured together at about 200).
+const TURN_OVERHEAD: usize = 200;
+
+/// Recent turns, oldest out first.
+#[derive(Debug)]
+pub struct RecentTurns {
+    most_bytes: usize,
+    parts: HashMap<Text, ChainPart>,
+    order: VecDeque<Text>,
+    bytes: usize,
+}
+
+impl RecentTurns {
+    /// Keeps at most so many bytes.
+    pub fn new(most_bytes: usize) -> Self {
+        Self {
+            most_bytes,
+            parts: HashMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Takes a turn.
+    pub fn insert(&mut self, part: ChainPart) {
+        if self.parts.contains_key(&part.turn) {
+            return;
+        }
+        self.bytes += weight(&part);
+        self.order.push_back(part.turn.clone());
+        self.parts.insert(part.turn.clone(), part);
+        while self.bytes > self.most_bytes {
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
+            if let Some(part) = self.parts.remove(&oldest) {
+                self.bytes -= weight(&part);
+            }
+        }
+    }
+
+    /// A turn, if it is among them.
+    pub fn get(&self, turn: &Text) -> Option<&ChainPart> {
+        self.parts.get(turn)
+    }
+
+    /// Bytes in memory.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+fn weight(part: &ChainPart) -> usize {
+    part.input.len() + part.output.len() + TURN_OVERHEAD
+}
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use crate::journal::Journal;
+use crate::limits::StoreLimits;
 use crate::membership::{Oneself, PeerHealth, Step, decide, nothing_kept_yet};
 use crate::message::SeenItem;
 use crate::segment::DataFolder;
@@ -29,6 +29,8 @@
 const QUICK_TICK: Duration = Duration::from_millis(150);
 /// Least time between two writes of the service's items.
 const KEEP_ITEMS_PAUSE: Duration = Duration::from_millis(700);
+/// Pause between two looks for what is past its time.
+const EXPIRE_PAUSE: Duration = Duration::from_secs(1);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Stores that ask the key-value service before the others get old, the first
@@ -46,8 +48,8 @@
     pub listen: SocketAddr,
     /// Address under which fronts and other stores reach it.
     pub advertised: SocketAddr,
-    /// A segment of the journal is closed beyond this size.
-    pub segment_bytes: u64,
+    /// Bounds of memory and of files.
+    pub limits: StoreLimits,
     /// Data folder.
     pub data_folder: PathBuf,
     /// Whether the whole system starts for the first time.
@@ -80,23 +82,22 @@
     pub async fn run(settings: StoreSettings, mirror: Rc<Mirror<S, I>>) -> io::Result<()> {
         let folder = DataFolder::open(&settings.data_folder)?;
         let recovered = folder.recover(rand::random(), settings.first_start)?;
-        let records: usize = recovered
-            .segments
-            .iter()
-            .map(|(_, records)| records.len())
-            .sum();
+        let segments = recovered.segments.iter();
+        let records: usize = segments.map(|segment| segment.records).sum();
         let detail = format!(
-            "records={records} torn={} complete={} disk={:016x}",
-            recovered.torn, recovered.complete, recovered.disk
+            "records={records} segments={} bytes={} memory={} clock={} torn={} complete={} disk={:016x}",
+            recovered.segments.len(),
+            recovered.bytes,
+            recovered.state.memory(),
+            recovered.clock,
+            recovered.torn,
+            recovered.complete,
+            recovered.state.end().disk
         );
         observe::event(Event::LogRecovered, &detail);
-        let next_segment = recovered
-            .segments
-            .last()
-            .map_or(0, |(number, _)| number + 1);
         let kept_items = folder.read_items();
-        let (journal, results) = Journal::start(folder, next_segment, settings.segment_bytes)?;
-        let keeper = Keeper::new(settings.node.clone(), journal, recovered);
+        let node = settings.node.clone();
+        let (keeper, results) = Keeper::open(node, folder, recovered, settings.limits)?;
         let keeper = Rc::new(keeper.following(mirror.freshness().clone()));
         let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerance.clone()));
         let listener = TcpListener::bind(settings.listen).await?;
@@ -114,6 +115,13 @@
             items_kept: Cell::default(),
         });
         host.follow();
+        let forgetting = host.keeper.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(EXPIRE_PAUSE).await;
+                forgetting.expire().await;
+            }
+        });
         let mirroring = host.clone();
         tokio::task::spawn_local(async move {
             mirroring.mirror.run(report_mirror_event).await;
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -2,7 +2,7 @@
 //! disk's identity, the mark of completeness and the last member list.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, BufReader, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use nanoserde::{DeBin, SerBin};
@@ -11,8 +11,11 @@
 use stageyoke_types::List;
 
 use crate::message::{Record, SeenItem};
+use crate::state::State;
 
 const HEADER_BYTES: usize = 8;
+/// Bytes of a segment that a scan reads ahead.
+const SCAN_BYTES: usize = 64 * 1024;
 const SEGMENT_PREFIX: &str = "segment-";
 const IDENTITY_FILE: &str = "identity";
 const COMPLETE_FILE: &str = "complete";
@@ -32,32 +35,119 @@
     output[start + 4..start + HEADER_BYTES].copy_from_slice(&checksum.to_le_bytes());
 }
 
+/// The record that gives a segment's start by the disk's clock.
+pub fn encode_clock(seconds: u64, output: &mut Vec<u8>) {
+    encode_record(&Record::Clock { seconds }, output);
+}
+
 /// Records up to the first that is torn or damaged, and whether one was.
 pub fn decode_records(bytes: &[u8]) -> (Vec<Record>, bool) {
-    let mut records = Vec::new();
-    let mut offset = 0;
-    while offset < bytes.len() {
-        let Some((record, next)) = decode_record(bytes, offset) else {
-            return (records, true);
-        };
-        records.push(record);
-        offset = next;
+    let mut scan = RecordScan::new(bytes, bytes.len() as u64);
+    let scanned = scan.by_ref().map_while(Result::ok);
+    let records = scanned.map(|scanned| scanned.record).collect();
+    (records, scan.damaged())
+}
+
+/// Where a record lies on the disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Number of the segment.
+    pub segment: u64,
+    /// Bytes before the record's header.
+    pub offset: u32,
+    /// Bytes of header and content.
+    pub length: u32,
+}
+
+/// A record with its place in the bytes that were scanned.
+#[derive(Clone, Debug)]
+pub struct ScannedRecord {
+    /// The record.
+    pub record: Record,
+    /// Bytes before its header.
+    pub offset: u32,
+    /// Bytes of header and content.
+    pub length: u32,
+}
+
+/// Reads records one by one: no more than one is in memory. Ends at the first
+/// that is torn or damaged.
+pub struct RecordScan<R> {
+    input: R,
+    offset: u64,
+    length: u64,
+    damaged: bool,
+}
+
+impl<R: Read> RecordScan<R> {
+    /// Scans an input of so many bytes.
+    pub fn new(input: R, length: u64) -> Self {
+        Self {
+            input,
+            offset: 0,
+            length,
+            damaged: false,
+        }
     }
-    (records, false)
+
+    /// Whether the scan ended at damage.
+    pub fn damaged(&self) -> bool {
+        self.damaged
+    }
+
+    /// The next record; `None` at damage.
+    fn read(&mut self) -> io::Result<Option<ScannedRecord>> {
+        let left = self.length - self.offset;
+        let mut header = [0; HEADER_BYTES];
+        if left < HEADER_BYTES as u64 {
+            return Ok(None);
+        }
+        self.input.read_exact(&mut header)?;
+        let (length, checksum) = decode_header(header);
+        // A torn length may name anything: memory is taken for what is there.
+        if u64::from(length) > left - HEADER_BYTES as u64 {
+            return Ok(None);
+        }
+        let mut content = vec![0; length as usize];
+        self.input.read_exact(&mut content)?;
+        let record = decode_content(&content, checksum);
+        let whole = HEADER_BYTES as u32 + length;
+        let offset = u32::try_from(self.offset).map_err(|_| io::ErrorKind::FileTooLarge)?;
+        self.offset += u64::from(whole);
+        Ok(record.map(|record| ScannedRecord {
+            record,
+            offset,
+            length: whole,
+        }))
+    }
+}
+
+impl<R: Read> Iterator for RecordScan<R> {
+    type Item = io::Result<ScannedRecord>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.damaged || self.offset >= self.length {
+            return None;
+        }
+        let scanned = self.read().transpose();
+        self.damaged = !matches!(scanned, Some(Ok(_)));
+        scanned
+    }
+}
+
+fn decode_header(header: [u8; HEADER_BYTES]) -> (u32, u32) {
+    let [a, b, c, d, e, f, g, h] = header;
+    let length = u32::from_le_bytes([a, b, c, d]);
+    let checksum = u32::from_le_bytes([e, f, g, h]);
+    (length, checksum)
 }
 
-fn decode_record(bytes: &[u8], offset: usize) -> Option<(Record, usize)> {
-    let header = bytes.get(offset..offset + HEADER_BYTES)?;
-    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
-    let checksum = u32::from_le_bytes(header[4..].try_into().ok()?);
-    let start = offset + HEADER_BYTES;
-    let content = bytes.get(start..start.checked_add(length)?)?;
+fn decode_content(content: &[u8], checksum: u32) -> Option<Record> {
     // An empty content never stands for a record: zeroed bytes are damage.
-    if length == 0 || crc32fast::hash(content) != checksum {
+    if content.is_empty() || crc32fast::hash(content) != checksum {
         return None;
     }
-    let record = Record::deserialize_bin(content).ok()?;
-    Some((record, start + length))
+    Record::deserialize_bin(content).ok()
 }
 
 /// The data folder of one store.
@@ -66,21 +156,52 @@
     path: PathBuf,
 }
 
+/// A segment and how much of it counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SegmentUse {
+    /// Number of its file.
+    pub number: u64,
+    /// Records in it.
+    pub records: usize,
+    /// When the last of them was written at the latest, by the disk's clock.
+    pub last_write: u64,
+}
+
 /// What a start found.
 #[derive(Debug)]
 pub struct Recovered {
-    /// Identifier of the disk.
-    pub disk: u64,
+    /// Index of all records.
+    pub state: State,
     /// Whether the disk holds everything that it ever acknowledged.
     pub complete: bool,
-    /// Records of each segment, oldest first.
-    pub segments: Vec<(u64, Vec<Record>)>,
+    /// Segments, oldest first.
+    pub segments: Vec<SegmentUse>,
     /// Segments that ended in a torn record.
     pub torn: usize,
+    /// Bytes of all segments.
+    pub bytes: u64,
+    /// Seconds of the disk's clock.
+    pub clock: u64,
     /// Member list that was last known.
     pub members: Option<Members>,
 }
 
+impl Recovered {
+    /// A segment began at this time: what stands in the segments before it was
+    /// written earlier.
+    fn start_segment_at(&mut self, seconds: u64) {
+        self.clock = self.clock.max(seconds);
+        if let Some(last) = self.segments.last_mut() {
+            last.last_write = self.clock;
+        }
+    }
+
+    /// Number of the next segment.
+    pub fn next_segment(&self) -> u64 {
+        self.segments.last().map_or(0, |last| last.number + 1)
+    }
+}
+
 impl DataFolder {
     /// Opens the folder, creating it if need be.
     pub fn open(path: &Path) -> io::Result<Self> {
@@ -104,21 +225,77 @@
         if identity.is_none() {
             self.replace(IDENTITY_FILE, &new_disk.to_le_bytes())?;
         }
-        let mut segments = Vec::new();
-        let mut torn = 0;
-        for number in numbers {
-            let (records, damaged) = decode_records(&self.read_file(&segment_name(number))?);
-            torn += usize::from(damaged);
-            segments.push((number, records));
-        }
         let marked = self.path.join(COMPLETE_FILE).exists();
-        Ok(Recovered {
-            disk: identity.unwrap_or(new_disk),
+        let mut recovered = Recovered {
+            state: State::new(identity.unwrap_or(new_disk)),
             complete: marked && (identity.is_some() || fresh),
-            segments,
-            torn,
+            segments: Vec::new(),
+            torn: 0,
+            bytes: 0,
+            clock: 0,
             members: self.read_members(),
-        })
+        };
+        for number in numbers {
+            self.recover_segment(number, &mut recovered)?;
+        }
+        Ok(recovered)
+    }
+
+    /// Indexes one segment, record by record.
+    fn recover_segment(&self, number: u64, recovered: &mut Recovered) -> io::Result<()> {
+        let (file, length) = self.open_segment(number)?;
+        let mut scan = RecordScan::new(BufReader::with_capacity(SCAN_BYTES, file), length);
+        let mut records = 0;
+        for scanned in scan.by_ref() {
+            let scanned = scanned?;
+            if let Record::Clock { seconds } = scanned.record {
+                recovered.start_segment_at(seconds);
+                continue;
+            }
+            let place = Place {
+                segment: number,
+                offset: scanned.offset,
+                length: scanned.length,
+            };
+            recovered.state.add(&scanned.record, place, recovered.clock);
+            records += 1;
+        }
+        recovered.torn += usize::from(scan.damaged());
+        recovered.bytes += length;
+        recovered.segments.push(SegmentUse {
+            number,
+            records,
+            last_write: recovered.clock,
+        });
+        Ok(())
+    }
+
+    fn open_segment(&self, number: u64) -> io::Result<(File, u64)> {
+        let file = File::open(self.path.join(segment_name(number)))?;
+        let length = file.metadata()?.len();
+        Ok((file, length))
+    }
+
+    /// Reads one record back.
+    pub fn read_record(&self, place: Place) -> io::Result<Record> {
+        let mut file = File::open(self.path.join(segment_name(place.segment)))?;
+        file.seek(SeekFrom::Start(u64::from(place.offset)))?;
+        let mut bytes = vec![0; place.length as usize];
+        file.read_exact(&mut bytes)?;
+        let mut scan = RecordScan::new(bytes.as_slice(), bytes.len() as u64);
+        let scanned = scan
+            .next()
+            .unwrap_or(Err(io::ErrorKind::InvalidData.into()));
+        scanned.map(|scanned| scanned.record)
+    }
+
+    /// Reads a segment's records up to its damage, if there is any.
+    pub fn read_segment(&self, number: u64) -> io::Result<Vec<Record>> {
+        let (file, length) = self.open_segment(number)?;
+        RecordScan::new(BufReader::with_capacity(SCAN_BYTES, file), length)
+            .map(|scanned| scanned.map(|scanned| scanned.record))
+            .filter(|record| !matches!(record, Ok(Record::Clock { .. })))
+            .collect()
     }
 
     /// Records that the disk now holds everything that it ever acknowledged.
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -4,49 +4,57 @@
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use stageyoke_directory::{AgeLimits, DirectoryMark, Freshness, MemberState, Members};
 use stageyoke_observe as observe;
 use stageyoke_types::{Event, List, Text};
-use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::Instant;
 
+use crate::clock::DiskClock;
 use crate::frame;
 use crate::journal::{Appended, Journal};
+use crate::limits::StoreLimits;
 use crate::load::LoadReports;
 use crate::message::{
-    JournalPosition, LoadReport, Numbered, Record, RecordDigest, Refusal, Reply, Request, SeenItem,
+    ChainPart, JournalPosition, LoadReport, Numbered, Record, RecordDigest, Refusal, Reply,
+    Request, SeenItem, TurnRecord,
 };
-use crate::segment::Recovered;
+use crate::reader::RecordReader;
+use crate::segment::{DataFolder, Recovered, SegmentUse};
 use crate::socket;
-use crate::state::State;
+use crate::state::{ChainIndex, ChainStep, State};
 
 /// Versions by which a caller's member list may lag: neighbouring versions
 /// have intersecting quorums.
 const MEMBERS_VERSION_SLACK: u64 = 1;
 
+/// Requests of one connection that are answered at once; more wait in the
+/// sockets. Fronts have some tens under way with a store.
+const MOST_UNDER_WAY: usize = 128;
+
 /// A record on its way to the disk, and who waits for it.
 struct Submitted {
     record: Record,
+    bytes: usize,
     waiting: Vec<oneshot::Sender<bool>>,
 }
 
-#[derive(Debug)]
-struct SegmentUse {
-    number: u64,
-    records: usize,
-    last_write: u64,
-}
-
 /// A store's state with its journal; shared by the tasks of the process.
 pub struct Keeper {
     /// Machine name of this store.
     pub node: Text,
     state: RefCell<State>,
+    limits: StoreLimits,
     journal: Journal,
+    reader: RecordReader,
+    clock: DiskClock,
+    waiting_bytes: Cell<usize>,
+    expiring: Cell<bool>,
     submitted: RefCell<HashMap<u64, Submitted>>,
     tickets: RefCell<HashMap<RecordDigest, u64>>,
     segments: RefCell<VecDeque<SegmentUse>>,
@@ -57,32 +65,36 @@
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
-    started: Instant,
     directory: Rc<Freshness>,
 }
 
 impl Keeper {
-    /// Builds the state from what a start found.
-    pub fn new(node: Text, journal: Journal, recovered: Recovered) -> Self {
-        let mut state = State::new(recovered.disk);
-        let mut segments = VecDeque::new();
-        for (number, records) in &recovered.segments {
-            for record in records {
-                state.add(record, 0);
-            }
-            segments.push_back(SegmentUse {
-                number: *number,
-                records: records.len(),
-                last_write: 0,
-            });
-        }
-        Self {
+    /// Goes on from what a start found; the second part are the journal's
+    /// results, to be given to `collect`.
+    pub fn open(
+        node: Text,
+        folder: DataFolder,
+        recovered: Recovered,
+        limits: StoreLimits,
+    ) -> io::Result<(Self, UnboundedReceiver<Vec<Appended>>)> {
+        let clock = DiskClock::from(recovered.clock);
+        let reader = RecordReader::start(folder.clone())?;
+        let next_segment = recovered.next_segment();
+        let (journal, results) = Journal::start(folder, next_segment, limits.segment_bytes, clock)?;
+        let mut state = recovered.state;
+        state.keep_recent(limits.recent_bytes);
+        let keeper = Self {
             node,
             state: RefCell::new(state),
+            limits,
             journal,
+            reader,
+            clock,
+            waiting_bytes: Cell::new(0),
+            expiring: Cell::new(false),
             submitted: RefCell::default(),
             tickets: RefCell::default(),
-            segments: RefCell::new(segments),
+            segments: RefCell::new(recovered.segments.into()),
             next_ticket: Cell::new(0),
             complete: Cell::new(recovered.complete),
             disk_refuses: Cell::new(false),
@@ -90,9 +102,9 @@
             items: RefCell::default(),
             loads: LoadReports::default(),
             held_by_peers: RefCell::default(),
-            started: Instant::now(),
             directory: Rc::new(Freshness::new(AgeLimits::default(), false)),
-        }
+        };
+        Ok((keeper, results))
     }
 
     /// The same store, telling fronts how fresh this directory is.
@@ -167,12 +179,16 @@
     }
 
     /// Writes a record unless it is held or on its way: callers repeat what a
-    /// slow disk has not answered yet. True once it is on the disk.
+    /// slow disk has not answered yet. True once it is on the disk; false also
+    /// where the memory takes no more.
     pub async fn keep(&self, record: Record) -> bool {
         let digest = record.digest();
         if self.holds(digest) {
             return true;
         }
+        if self.memory() >= self.limits.state_bytes || self.backlog_is_full() {
+            return false;
+        }
         let (done, result) = oneshot::channel();
         let under_way = self.tickets.borrow().get(&digest).copied();
         let ticket = under_way.unwrap_or_else(|| self.submit(record));
@@ -182,6 +198,16 @@
         result.await.unwrap_or(false)
     }
 
+    /// Estimated bytes of memory of the index and of the newest turns.
+    pub fn memory(&self) -> usize {
+        self.state.borrow().memory()
+    }
+
+    /// Whether so much waits for the disk that nothing more is taken.
+    fn backlog_is_full(&self) -> bool {
+        self.waiting_bytes.get() >= self.limits.backlog_bytes
+    }
+
     /// Records on their way to the disk.
     pub fn under_way(&self) -> usize {
         self.submitted.borrow().len()
@@ -190,10 +216,12 @@
     fn submit(&self, record: Record) -> u64 {
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
-        self.journal.append(ticket, &record);
+        let bytes = self.journal.append(ticket, &record);
+        self.waiting_bytes.set(self.waiting_bytes.get() + bytes);
         self.tickets.borrow_mut().insert(record.digest(), ticket);
         let submitted = Submitted {
             record,
+            bytes,
             waiting: Vec::new(),
         };
         self.submitted.borrow_mut().insert(ticket, submitted);
@@ -203,13 +231,12 @@
     /// Takes the journal's results for ever.
     pub async fn collect(&self, mut results: UnboundedReceiver<Vec<Appended>>) {
         while let Some(batch) = results.recv().await {
-            let now = self.seconds();
+            let now = self.clock.seconds();
             for appended in batch {
                 self.tell_of_disk(&appended);
                 self.finish(&appended, now);
             }
-            self.expire(now);
-            let metrics = stageyoke_observe::metrics();
+            let metrics = observe::metrics();
             metrics.records.set(self.end().next as i64);
             metrics.complete.set(i64::from(self.complete()));
             let state = self.state.borrow();
@@ -220,7 +247,7 @@
     }
 
     fn tell_of_disk(&self, appended: &Appended) {
-        let refuses = appended.segment.is_none();
+        let refuses = appended.place.is_none();
         if self.disk_refuses.replace(refuses) == refuses {
             return;
         }
@@ -236,12 +263,14 @@
         };
         let digest = submitted.record.digest();
         self.tickets.borrow_mut().remove(&digest);
-        if let Some(segment) = appended.segment {
-            self.state.borrow_mut().add(&submitted.record, now);
-            self.count_in_segment(segment, now);
+        let waiting_bytes = self.waiting_bytes.get() - submitted.bytes;
+        self.waiting_bytes.set(waiting_bytes);
+        if let Some(place) = appended.place {
+            self.state.borrow_mut().add(&submitted.record, place, now);
+            self.count_in_segment(place.segment, now);
         }
         for waiting in submitted.waiting {
-            let _ = waiting.send(appended.segment.is_some());
+            let _ = waiting.send(appended.place.is_some());
         }
     }
 
@@ -260,31 +289,51 @@
         }
     }
 
-    fn expire(&self, now: u64) {
-        let oldest = {
-            let segments = self.segments.borrow();
-            match segments.front() {
-                Some(segment) if segments.len() > 1 => {
-                    (segment.number, segment.records, segment.last_write)
+    /// Forgets what is past its time, one segment after the other. Called
+    /// regularly: a store that takes nothing new must forget all the same.
+    pub async fn expire(&self) {
+        if self.expiring.replace(true) {
+            return;
+        }
+        while let Some(segment) = self.expired_segment() {
+            match self.reader.segment(segment.number).await {
+                Ok(mut records) if records.len() >= segment.records => {
+                    // What follows was never acknowledged: its write failed.
+                    records.truncate(segment.records);
+                    self.forget(segment, records);
+                }
+                Ok(records) => {
+                    let detail = format!("segment={} records={}", segment.number, records.len());
+                    observe::event(Event::SegmentUnreadable, &detail);
+                    break;
+                }
+                Err(error) => {
+                    let detail = format!("segment={} error={error}", segment.number);
+                    observe::event(Event::SegmentUnreadable, &detail);
+                    break;
                 }
-                _ => return,
             }
-        };
-        let (number, records, last_write) = oldest;
-        if last_write + self.state.borrow().longest_keep() > now {
-            return;
         }
+        self.expiring.set(false);
+    }
+
+    /// The oldest segment, if it is past its time and not the newest.
+    fn expired_segment(&self) -> Option<SegmentUse> {
+        let segments = self.segments.borrow();
+        let oldest = segments.front().filter(|_| segments.len() > 1)?;
+        let kept_until = oldest.last_write + self.state.borrow().longest_keep();
+        (kept_until <= self.clock.seconds()).then_some(*oldest)
+    }
+
+    fn forget(&self, segment: SegmentUse, records: Vec<Record>) {
         self.segments.borrow_mut().pop_front();
+        let now = self.clock.seconds();
         let again = self.state.borrow_mut().expire(records, now);
         for record in again {
             self.submit(record);
         }
         // The journal works in order: the copies are written before this.
-        self.journal.remove(number);
-    }
-
-    fn seconds(&self) -> u64 {
-        self.started.elapsed().as_secs()
+        self.journal.remove(segment.number);
     }
 
     /// Answers one request.
@@ -295,7 +344,7 @@
                 load,
                 record,
             } => self.append(members_version, load, record).await,
-            Request::Chain { turn } => self.state.borrow().chain(&turn, self.complete()),
+            Request::Chain { turn } => self.chain(&turn).await,
             Request::Digests { node, from, held } => {
                 self.held_by_peers.borrow_mut().insert(node, held);
                 let directory = self.directory.mark();
@@ -304,7 +353,48 @@
             }
             Request::Ping => Reply::Pong,
             Request::Items => Reply::Items(self.items.borrow().clone()),
-            Request::Fetch { digests } => Reply::Records(self.state.borrow().fetch(&digests)),
+            Request::Fetch { digests } => self.fetch(&digests).await,
+        }
+    }
+
+    /// Records by their digests; those that can't be read are left out, and the
+    /// asker, which still misses them, asks again or elsewhere.
+    async fn fetch(&self, digests: &[RecordDigest]) -> Reply {
+        let places = self.state.borrow().places(digests);
+        let read = self.reader.records(places).await;
+        Reply::Records(read.into_iter().filter_map(Result::ok).collect())
+    }
+
+    /// The chain that ends in a turn. A turn that is held and can't be read is
+    /// never told as missing: the caller must ask another store.
+    async fn chain(&self, turn: &Text) -> Reply {
+        let complete = self.complete();
+        let ChainIndex { steps, missing } = self.state.borrow().chain(turn);
+        let places = steps.iter().filter_map(|step| match step {
+            ChainStep::OnDisk { place, .. } => Some(*place),
+            ChainStep::Known(_) => None,
+        });
+        let places: Vec<_> = places.collect();
+        let mut read = match places.is_empty() {
+            true => Vec::new(),
+            false => self.reader.records(places).await,
+        }
+        .into_iter();
+        let mut parts = Vec::new();
+        for step in steps {
+            let part = match step {
+                ChainStep::Known(part) => Some(part),
+                ChainStep::OnDisk { turn, .. } => read.next().and_then(|read| part_of(&turn, read)),
+            };
+            let Some(part) = part else {
+                return Reply::Refused(Refusal::DiskRefused);
+            };
+            parts.push(part);
+        }
+        Reply::Chain {
+            complete,
+            parts: List(parts),
+            missing,
         }
     }
 
@@ -314,9 +404,12 @@
         if let Some(refusal) = self.refusal(members_version) {
             return refusal;
         }
+        if let Some(refusal) = self.no_room_for(&record) {
+            return Reply::Refused(refusal);
+        }
         let program = match &record {
             Record::Reserve { program, .. } => Some(program.clone()),
-            Record::Settle { .. } | Record::Turn(_) => None,
+            Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
         };
         if !self.keep(record).await {
             return Reply::Refused(Refusal::DiskRefused);
@@ -336,6 +429,21 @@
         }
     }
 
+    /// Why this record is not taken. New turns are refused before the ends of
+    /// those that have begun, so that these can still be kept.
+    fn no_room_for(&self, record: &Record) -> Option<Refusal> {
+        let most = match record {
+            Record::Reserve { .. } => self.limits.reserve_below(),
+            Record::Settle { .. } | Record::Turn(_) => self.limits.state_bytes,
+            // A store's own; no caller may send it.
+            Record::Clock { .. } => return Some(Refusal::NotActive),
+        };
+        if self.memory() >= most {
+            return Some(Refusal::MemoryFull);
+        }
+        self.backlog_is_full().then_some(Refusal::DiskRefused)
+    }
+
     /// Why a caller with this version of the member list gets no record kept.
     fn refusal(&self, members_version: u64) -> Option<Reply> {
         let members = self.members();
@@ -365,37 +473,62 @@
 async fn serve_connection(keeper: Rc<Keeper>, stream: TcpStream) {
     let (reader, writer) = stream.into_split();
     let (replies, outbox) = unbounded_channel();
-    let sending = tokio::task::spawn_local(send_replies(writer, outbox));
+    let sending = tokio::task::spawn_local(frame::write_waiting(writer, outbox));
+    let under_way = Arc::new(Semaphore::new(MOST_UNDER_WAY));
     let mut reader = BufReader::new(reader);
     while let Ok(request) = frame::read::<Numbered<Request>>(&mut reader).await {
-        tokio::task::spawn_local(answer_one(keeper.clone(), request, replies.clone()));
+        let Ok(room) = under_way.clone().acquire_owned().await else {
+            break;
+        };
+        let answering = answer_one(keeper.clone(), request, room, replies.clone());
+        tokio::task::spawn_local(answering);
     }
     sending.abort();
 }
 
+/// An encoded reply. It holds its part of the connection's room until it is
+/// written.
+struct Outgoing {
+    bytes: Vec<u8>,
+    _room: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for Outgoing {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 async fn answer_one(
     keeper: Rc<Keeper>,
     request: Numbered<Request>,
-    replies: UnboundedSender<Vec<u8>>,
+    room: OwnedSemaphorePermit,
+    replies: UnboundedSender<Outgoing>,
 ) {
     let content = keeper.answer(request.content).await;
     let reply = Numbered {
         number: request.number,
         content,
     };
-    let _ = replies.send(frame::encode(&reply));
+    let bytes = frame::encode(&reply);
+    let _ = replies.send(Outgoing { bytes, _room: room });
 }
 
-/// Writes what waits in one go.
-pub async fn send_replies(
-    mut writer: impl AsyncWriteExt + Unpin,
-    mut outbox: UnboundedReceiver<Vec<u8>>,
-) -> io::Result<()> {
-    while let Some(mut bytes) = outbox.recv().await {
-        while let Ok(more) = outbox.try_recv() {
-            bytes.extend_from_slice(&more);
-        }
-        writer.write_all(&bytes).await?;
+/// The part of a chain that was read for `turn`.
+fn part_of(turn: &Text, read: io::Result<Record>) -> Option<ChainPart> {
+    match read {
+        Ok(Record::Turn(TurnRecord {
+            turn: found,
+            previous,
+            input,
+            output,
+            ..
+        })) if found == *turn => Some(ChainPart {
+            turn: found,
+            previous,
+            input,
+            output,
+        }),
+        _ => None,
     }
-    Ok(())
 }
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -1,5 +1,6 @@
-//! What a store holds in memory: turns, ledgers and the digests of its
-//! journal. Pure; time is a reading of the process's steady clock in seconds.
+//! What a store holds in memory: an index of the turns on its disk, ledgers,
+//! and the digests of its journal. Contents of turns stay on the disk, but for
+//! the newest. Pure; time is a reading of the disk's clock in seconds.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -9,17 +10,32 @@
 use crate::message::{
     ChainPart, JournalPosition, LedgerEntry, Record, RecordDigest, Reply, TurnRecord,
 };
+use crate::recent::RecentTurns;
+use crate::segment::Place;
 
 /// Digests in one page.
 pub const DIGEST_PAGE: usize = 4096;
-/// Least time that a program's ledger is kept after its last turn.
+/// How long a program's ledger is kept after its last turn where no record has
+/// told a retention.
 pub const LEDGER_KEEP_SECONDS: u64 = 300;
 /// Seconds that a record is kept beyond its retention.
 pub const RETENTION_MARGIN_SECONDS: u64 = 30;
+/// Bytes of the newest turns' contents, where nothing else is set.
+pub const DEFAULT_RECENT_BYTES: usize = 4 * 1024 * 1024;
+
+// Bytes that each thing costs in memory, from the sizes of the types, the maps'
+// load factor (7/8 after growth to twice the size: 0.44 to 0.88 in use) and two
+// words for each allocation. store_memory_test holds the sum against a process.
+const TURN_BYTES: usize = 200;
+const HELD_BYTES: usize = 64;
+const JOURNAL_BYTES: usize = 12;
+const LEDGER_BYTES: usize = 180;
+const ENTRY_BYTES: usize = 130;
 
 #[derive(Clone, Debug)]
 struct HeldTurn {
-    record: TurnRecord,
+    previous: Text,
+    place: Place,
     keep_until: u64,
 }
 
@@ -29,22 +45,38 @@
     keep_until: u64,
 }
 
-/// Where a held record's content is found.
-#[derive(Clone, Debug)]
-enum Locator {
-    Turn(Text),
-    Reservation { program: Text, turn: Text },
-    Settlement { program: Text, turn: Text },
-}
-
+/// A record in the journal: how often, and where it was written last.
 #[derive(Clone, Debug)]
 struct Holding {
     copies: u32,
-    locator: Locator,
+    place: Place,
+}
+
+/// One turn of a chain, as far as it is in memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChainStep {
+    /// With its content.
+    Known(ChainPart),
+    /// The content must be read from the disk.
+    OnDisk {
+        /// The turn.
+        turn: Text,
+        /// Where its record lies.
+        place: Place,
+    },
 }
 
-/// Turns, ledgers and digests.
-#[derive(Debug, Default)]
+/// The chain that ends in a turn, as far as it is held.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChainIndex {
+    /// Newest first.
+    pub steps: Vec<ChainStep>,
+    /// First turn that is not held; empty if the chain is whole.
+    pub missing: Text,
+}
+
+/// Index of turns, ledgers and digests.
+#[derive(Debug)]
 pub struct State {
     disk: u64,
     first: u64,
@@ -53,8 +85,8 @@
     turns: HashMap<Text, HeldTurn>,
     ledgers: HashMap<Text, Ledger>,
     longest_retention: u64,
-    turn_bytes: usize,
     ledger_entries: usize,
+    recent: RecentTurns,
 }
 
 impl State {
@@ -62,10 +94,22 @@
     pub fn new(disk: u64) -> Self {
         Self {
             disk,
-            ..Self::default()
+            first: 0,
+            journal: VecDeque::new(),
+            held: HashMap::new(),
+            turns: HashMap::new(),
+            ledgers: HashMap::new(),
+            longest_retention: 0,
+            ledger_entries: 0,
+            recent: RecentTurns::new(DEFAULT_RECENT_BYTES),
         }
     }
 
+    /// Keeps the newest turns' contents within so many bytes from now on.
+    pub fn keep_recent(&mut self, bytes: usize) {
+        self.recent = RecentTurns::new(bytes);
+    }
+
     /// Whether a record with this digest is held.
     pub fn holds(&self, digest: RecordDigest) -> bool {
         self.held.contains_key(&digest)
@@ -73,7 +117,7 @@
 
     /// Bytes of turns' inputs and outputs in memory.
     pub fn turn_bytes(&self) -> usize {
-        self.turn_bytes
+        self.recent.bytes()
     }
 
     /// Entries of all ledgers in memory.
@@ -81,11 +125,30 @@
         self.ledger_entries
     }
 
+    /// Bytes of memory that all of it takes, estimated from the counts.
+    pub fn memory(&self) -> usize {
+        self.turns.len() * TURN_BYTES
+            + self.held.len() * HELD_BYTES
+            + self.journal.len() * JOURNAL_BYTES
+            + self.ledgers.len() * LEDGER_BYTES
+            + self.ledger_entries * ENTRY_BYTES
+            + self.recent.bytes()
+    }
+
     /// Seconds after its last write that a segment is looked at again.
     pub fn longest_keep(&self) -> u64 {
         self.longest_retention + RETENTION_MARGIN_SECONDS
     }
 
+    /// Seconds after its last turn that a program's ledger is kept: a program
+    /// may come back within the retention, and starts anew after it.
+    fn ledger_keep(&self) -> u64 {
+        match self.longest_retention {
+            0 => LEDGER_KEEP_SECONDS,
+            _ => self.longest_keep(),
+        }
+    }
+
     /// Number of the record that will be added next.
     pub fn end(&self) -> JournalPosition {
         JournalPosition {
@@ -94,16 +157,20 @@
         }
     }
 
-    /// Adds a record at the end of the journal. The caller has checked that it
-    /// is not held, or means to write it again.
-    pub fn add(&mut self, record: &Record, now: u64) {
+    /// Adds a record, which lies at `place`, at the end of the journal. The
+    /// caller has checked that it is not held, or has written it again.
+    pub fn add(&mut self, record: &Record, place: Place, now: u64) {
+        if matches!(record, Record::Clock { .. }) {
+            return;
+        }
         let digest = record.digest();
         self.journal.push_back(digest);
-        let holding = self.held.entry(digest).or_insert_with(|| Holding {
-            copies: 0,
-            locator: locate(record),
-        });
+        let holding = self
+            .held
+            .entry(digest)
+            .or_insert(Holding { copies: 0, place });
         holding.copies += 1;
+        holding.place = place;
         match record {
             Record::Reserve {
                 program,
@@ -115,12 +182,13 @@
                 turn,
                 used,
             } => self.settle(program, turn, *used, now),
-            Record::Turn(turn) => self.add_turn(turn, now),
+            Record::Turn(turn) => self.add_turn(turn, place, now),
+            Record::Clock { .. } => {}
         }
     }
 
     fn ledger(&mut self, program: &Text, now: u64) -> &mut Ledger {
-        let keep_until = now + self.longest_keep().max(LEDGER_KEEP_SECONDS);
+        let keep_until = now + self.ledger_keep();
         let ledger = self.ledgers.entry(program.clone()).or_default();
         ledger.keep_until = ledger.keep_until.max(keep_until);
         ledger
@@ -153,20 +221,23 @@
         self.ledger_entries += usize::from(added);
     }
 
-    fn add_turn(&mut self, record: &TurnRecord, now: u64) {
+    fn add_turn(&mut self, record: &TurnRecord, place: Place, now: u64) {
         let retention = u64::from(record.retention_seconds);
         self.longest_retention = self.longest_retention.max(retention);
         self.settle(&record.program, &record.turn, record.used, now);
         let keep_until = now + retention + RETENTION_MARGIN_SECONDS;
-        let held = HeldTurn {
-            record: record.clone(),
+        let held = self.turns.entry(record.turn.clone()).or_insert(HeldTurn {
+            previous: record.previous.clone(),
+            place,
             keep_until,
-        };
-        let before = self.turns.len();
-        self.turns.entry(record.turn.clone()).or_insert(held);
-        if self.turns.len() > before {
-            self.turn_bytes += content_bytes(record);
-        }
+        });
+        held.place = place;
+        self.recent.insert(ChainPart {
+            turn: record.turn.clone(),
+            previous: record.previous.clone(),
+            input: record.input.clone(),
+            output: record.output.clone(),
+        });
         self.keep_chain(&record.turn, keep_until);
     }
 
@@ -174,7 +245,7 @@
         let mut next = turn.clone();
         while let Some(held) = self.turns.get_mut(&next) {
             held.keep_until = held.keep_until.max(keep_until);
-            let previous = held.record.previous.clone();
+            let previous = held.previous.clone();
             // A chain is finite unless records are forged; stop at a repeat.
             if previous.is_empty() || previous == next {
                 return;
@@ -192,25 +263,24 @@
     }
 
     /// The chain that ends in `turn`, as far as it is held.
-    pub fn chain(&self, turn: &Text, complete: bool) -> Reply {
-        let mut parts = Vec::new();
+    pub fn chain(&self, turn: &Text) -> ChainIndex {
+        let mut steps = Vec::new();
         let mut next = turn.clone();
         while let Some(held) = self.turns.get(&next) {
-            let record = &held.record;
-            parts.push(ChainPart {
-                turn: record.turn.clone(),
-                previous: record.previous.clone(),
-                input: record.input.clone(),
-                output: record.output.clone(),
+            steps.push(match self.recent.get(&next) {
+                Some(part) => ChainStep::Known(part.clone()),
+                None => ChainStep::OnDisk {
+                    turn: next.clone(),
+                    place: held.place,
+                },
             });
-            next = record.previous.clone();
+            next = held.previous.clone();
             if next.is_empty() {
                 break;
             }
         }
-        Reply::Chain {
-            complete,
-            parts: List(parts),
+        ChainIndex {
+            steps,
             missing: next,
         }
     }
@@ -249,23 +319,19 @@
         }
     }
 
-    /// Records with these digests, as far as they are held.
-    pub fn fetch(&self, digests: &[RecordDigest]) -> List<Record> {
-        digests
-            .iter()
-            .filter_map(|digest| self.held.get(digest))
-            .filter_map(|holding| self.read(&holding.locator))
-            .collect()
+    /// Where the records with these digests lie, as far as they are held.
+    pub fn places(&self, digests: &[RecordDigest]) -> Vec<Place> {
+        let held = digests.iter().filter_map(|digest| self.held.get(digest));
+        held.map(|holding| holding.place).collect()
     }
 
-    /// Forgets the journal's first `count` records. Returns those that must be
-    /// kept longer, for writing again.
-    pub fn expire(&mut self, count: usize, now: u64) -> Vec<Record> {
-        let count = count.min(self.journal.len());
-        let dropped: Vec<RecordDigest> = self.journal.drain(..count).collect();
-        self.first += count as u64;
+    /// Forgets the journal's first records, which are these. Returns those that
+    /// must be kept longer, for writing again.
+    pub fn expire(&mut self, records: Vec<Record>, now: u64) -> Vec<Record> {
         let mut needed = Vec::new();
-        for digest in dropped {
+        for record in records {
+            self.forget_first();
+            let digest = record.digest();
             let Some(holding) = self.held.get_mut(&digest) else {
                 continue;
             };
@@ -273,19 +339,12 @@
             if holding.copies > 0 {
                 continue;
             }
-            if let Some(holding) = self.held.remove(&digest)
-                && self.needed(&holding.locator, now)
-            {
-                needed.extend(self.read(&holding.locator));
+            self.held.remove(&digest);
+            if self.needed(&record, now) {
+                needed.push(record);
             }
         }
-        self.turns.retain(|_, held| {
-            let stays = held.keep_until > now;
-            if !stays {
-                self.turn_bytes -= content_bytes(&held.record);
-            }
-            stays
-        });
+        self.turns.retain(|_, held| held.keep_until > now);
         self.ledgers.retain(|_, ledger| {
             let stays = ledger.keep_until > now;
             if !stays {
@@ -293,62 +352,40 @@
             }
             stays
         });
+        self.give_back_memory();
         needed
     }
 
-    fn read(&self, locator: &Locator) -> Option<Record> {
-        match locator {
-            Locator::Turn(turn) => {
-                let held = self.turns.get(turn)?;
-                Some(Record::Turn(held.record.clone()))
-            }
-            Locator::Reservation { program, turn } => {
-                let entry = self.ledgers.get(program)?.entries.get(turn)?;
-                Some(Record::Reserve {
-                    program: program.clone(),
-                    turn: turn.clone(),
-                    most: entry.amount,
-                })
-            }
-            Locator::Settlement { program, turn } => {
-                let entry = self.ledgers.get(program)?.entries.get(turn)?;
-                Some(Record::Settle {
-                    program: program.clone(),
-                    turn: turn.clone(),
-                    used: entry.amount,
-                })
-            }
+    fn forget_first(&mut self) {
+        if self.journal.pop_front().is_some() {
+            self.first += 1;
         }
     }
 
-    fn needed(&self, locator: &Locator, now: u64) -> bool {
-        match locator {
-            Locator::Turn(turn) => self
-                .turns
-                .get(turn)
-                .is_some_and(|held| held.keep_until > now),
-            Locator::Reservation { program, .. } | Locator::Settlement { program, .. } => self
-                .ledgers
-                .get(program)
-                .is_some_and(|ledger| ledger.keep_until > now),
+    /// Maps keep the size of their fullest moment; a burst must not hold its
+    /// memory for ever.
+    fn give_back_memory(&mut self) {
+        if self.held.len() * 4 < self.held.capacity() {
+            self.held.shrink_to(self.held.len() * 2);
+            self.turns.shrink_to(self.turns.len() * 2);
+            self.ledgers.shrink_to(self.ledgers.len() * 2);
+            self.journal.shrink_to(self.journal.len() * 2);
         }
     }
-}
-
-fn content_bytes(record: &TurnRecord) -> usize {
-    record.input.len() + record.output.len()
-}
 
-fn locate(record: &Record) -> Locator {
-    match record {
-        Record::Turn(turn) => Locator::Turn(turn.turn.clone()),
-        Record::Reserve { program, turn, .. } => Locator::Reservation {
-            program: program.clone(),
-            turn: turn.clone(),
-        },
-        Record::Settle { program, turn, .. } => Locator::Settlement {
-            program: program.clone(),
-            turn: turn.clone(),
-        },
+    fn needed(&self, record: &Record, now: u64) -> bool {
+        match record {
+            Record::Turn(record) => {
+                let held = self.turns.get(&record.turn);
+                held.is_some_and(|held| held.keep_until > now)
+            }
+            Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
+                let ledger = self.ledgers.get(program);
+                ledger.is_some_and(|ledger| {
+                    ledger.keep_until > now && ledger.entries.contains_key(turn)
+                })
+            }
+            Record::Clock { .. } => false,
+        }
     }
 }
--- /dev/null
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -0,0 +1,200 @@
+//! What a store's memory and disk grow by, and what bounds them: ages go on over
+//! restarts, a full memory refuses new turns first, and a store that takes
+//! nothing forgets all the same.
+
+use std::io::Write;
+use std::path::Path;
+use std::rc::Rc;
+
+use rstest::rstest;
+use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_store::StoreLimits;
+use stageyoke_store::message::{Record, Refusal, Reply, Request, TurnRecord};
+use stageyoke_store::segment::{DataFolder, encode_clock, encode_record};
+use stageyoke_store::server::Keeper;
+use stageyoke_types::{Blob, Text};
+use tokio::task::LocalSet;
+
+const NODE: &str = "store";
+
+fn turn(name: &str, previous: &str) -> Record {
+    Record::Turn(TurnRecord {
+        turn: Text::from(name),
+        program: Text::from("program"),
+        previous: Text::from(previous),
+        input: Blob::from(b"ask\n".to_vec()),
+        output: Blob::from(b"say\n".to_vec()),
+        used: 10,
+        retention_seconds: 60,
+    })
+}
+
+fn reserve(number: usize) -> Record {
+    Record::Reserve {
+        program: Text::from(format!("program-{number}")),
+        turn: Text::from(format!("turn-{number}")),
+        most: 100,
+    }
+}
+
+/// Writes segments that began at these seconds of the disk's clock.
+fn write_segments(path: &Path, segments: &[(u64, &[Record])]) {
+    let folder = DataFolder::open(path).expect("folder");
+    folder.recover(1, true).expect("first start");
+    for (number, (seconds, records)) in (0..).zip(segments) {
+        let mut bytes = Vec::new();
+        encode_clock(*seconds, &mut bytes);
+        for record in *records {
+            encode_record(record, &mut bytes);
+        }
+        let mut file = folder.create_segment(number).expect("segment");
+        file.write_all(&bytes).expect("records");
+    }
+}
+
+fn open(path: &Path, limits: StoreLimits) -> Rc<Keeper> {
+    let folder = DataFolder::open(path).expect("folder");
+    let recovered = folder.recover(2, false).expect("recover");
+    let node = Text::from(NODE);
+    let (keeper, results) = Keeper::open(node, folder, recovered, limits).expect("threads");
+    let keeper = Rc::new(keeper);
+    let members = Members::default().with(Member {
+        node: Text::from(NODE),
+        address: Text::from("127.0.0.1:1"),
+        zone: Text::from("zone"),
+        state: MemberState::Active,
+    });
+    keeper.set_members(Rc::new(members));
+    let collector = keeper.clone();
+    tokio::task::spawn_local(async move { collector.collect(results).await });
+    keeper
+}
+
+async fn append(keeper: &Keeper, record: Record) -> Reply {
+    let request = Request::Append {
+        members_version: 1,
+        load: Default::default(),
+        record,
+    };
+    keeper.answer(request).await
+}
+
+async fn chain(keeper: &Keeper, turn: &str) -> (usize, String) {
+    let turn = Text::from(turn);
+    match keeper.answer(Request::Chain { turn }).await {
+        Reply::Chain { parts, missing, .. } => (parts.len(), missing.to_string()),
+        other => panic!("a chain: {other:?}"),
+    }
+}
+
+async fn local(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+/// The time that a record is kept does not begin anew at a restart: what the
+/// disk's clock says is past its time goes, also from a store that takes
+/// nothing, and what a younger turn goes on from is written again.
+#[tokio::test]
+async fn ages_go_on_over_restarts_and_an_idle_store_forgets() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        let old = [turn("old", ""), turn("first", "")];
+        let young = [turn("second", "first")];
+        write_segments(path.path(), &[(0, &old), (10, &[]), (490, &young)]);
+        let keeper = open(path.path(), StoreLimits::default());
+        assert_eq!(chain(&keeper, "old").await, (1, String::new()));
+        keeper.expire().await;
+        while keeper.under_way() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(chain(&keeper, "old").await, (0, "old".to_owned()));
+        assert_eq!(chain(&keeper, "second").await, (2, String::new()));
+        let folder = DataFolder::open(path.path()).expect("folder");
+        let left = folder.segment_numbers().expect("numbers");
+        assert!(!left.contains(&0), "{left:?}");
+        let again = folder.recover(3, false).expect("recover");
+        assert!(again.clock >= 490, "and the clock goes on: {}", again.clock);
+    })
+    .await;
+}
+
+/// A clock that was set back by a lost tail never lets a record go too early.
+#[rstest]
+#[case(&[0, 10, 20], 20)]
+#[case(&[0, 500, 20], 500)]
+fn the_clock_is_the_latest_that_any_segment_tells(#[case] starts: &[u64], #[case] clock: u64) {
+    let path = tempfile::tempdir().expect("folder");
+    let segments: Vec<(u64, &[Record])> = starts.iter().map(|start| (*start, &[][..])).collect();
+    write_segments(path.path(), &segments);
+    let folder = DataFolder::open(path.path()).expect("folder");
+    assert_eq!(folder.recover(2, false).expect("recover").clock, clock);
+}
+
+/// At the bound new turns are refused first; the ends of those that have begun
+/// are still kept, up to the whole of it; reads go on.
+#[tokio::test]
+async fn a_full_memory_refuses_new_turns_before_the_ends_of_others() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        write_segments(path.path(), &[]);
+        let limits = StoreLimits {
+            state_bytes: 64 * 1024,
+            ..StoreLimits::default()
+        };
+        let keeper = open(path.path(), limits);
+        assert!(matches!(
+            append(&keeper, turn("one", "")).await,
+            Reply::Kept { .. }
+        ));
+        let mut taken = 0;
+        while matches!(append(&keeper, reserve(taken)).await, Reply::Kept { .. }) {
+            taken += 1;
+        }
+        assert!(keeper.memory() < limits.state_bytes);
+        let refused = append(&keeper, reserve(taken)).await;
+        assert_eq!(refused, Reply::Refused(Refusal::MemoryFull));
+        let end = append(&keeper, turn("two", "one")).await;
+        assert!(matches!(end, Reply::Kept { .. }), "{end:?}");
+        assert_eq!(chain(&keeper, "two").await, (2, String::new()));
+        let mut ends = 0;
+        while matches!(
+            append(&keeper, turn(&format!("end-{ends}"), "")).await,
+            Reply::Kept { .. }
+        ) {
+            ends += 1;
+        }
+        let most = limits.state_bytes + 1024;
+        assert!(keeper.memory() <= most, "{}", keeper.memory());
+        assert!(ends > 0);
+    })
+    .await;
+}
+
+/// A turn whose record can't be read back is told as a disk's refusal, never as
+/// missing.
+#[tokio::test]
+async fn what_is_held_and_unreadable_is_not_told_as_missing() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        write_segments(path.path(), &[(0, &[turn("one", "")]), (1, &[])]);
+        let keeper = open(path.path(), StoreLimits::default());
+        std::fs::remove_file(path.path().join("segment-0000000000")).expect("remove");
+        let turn = Text::from("one");
+        let reply = keeper.answer(Request::Chain { turn }).await;
+        assert_eq!(reply, Reply::Refused(Refusal::DiskRefused));
+    })
+    .await;
+}
+
+/// No caller may set a store's clock.
+#[tokio::test]
+async fn a_clock_from_outside_is_refused() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        write_segments(path.path(), &[]);
+        let keeper = open(path.path(), StoreLimits::default());
+        let reply = append(&keeper, Record::Clock { seconds: 9 }).await;
+        assert!(matches!(reply, Reply::Refused(_)), "{reply:?}");
+    })
+    .await;
+}
--- a/crates/stageyoke-store/tests/disk_test.rs
+++ b/crates/stageyoke-store/tests/disk_test.rs
@@ -65,7 +65,7 @@
     assert!(folder.recover(1, true).expect("recover").complete);
     let again = folder.recover(2, false).expect("recover");
     assert!(again.complete, "a restart keeps it");
-    assert_eq!(again.disk, 1, "and the disk's identity");
+    assert_eq!(again.state.end().disk, 1, "and the disk's identity");
     let wiped = tempfile::tempdir().expect("folder");
     let folder = DataFolder::open(wiped.path()).expect("open");
     assert!(!folder.recover(3, false).expect("recover").complete);
@@ -109,14 +109,14 @@
     let numbers: Vec<u64> = recovered
         .segments
         .iter()
-        .map(|(number, _)| *number)
+        .map(|segment| segment.number)
         .collect();
     assert_eq!(numbers, [0, 1, 2, 10]);
     assert!(
         recovered
             .segments
             .iter()
-            .all(|(_, records)| records.len() == 1)
+            .all(|segment| segment.records == 1)
     );
     assert_eq!(recovered.torn, 1);
     fs::remove_dir_all(path.path()).expect("remove");
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -6,12 +6,11 @@
 
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_store::journal::{DEFAULT_SEGMENT_BYTES, Journal};
 use stageyoke_store::message::{Record, TurnRecord};
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server::{self, Keeper};
 use stageyoke_store::sync::Peers;
-use stageyoke_store::{ChainOutcome, Group, GroupError};
+use stageyoke_store::{ChainOutcome, Group, GroupError, StoreLimits};
 use stageyoke_types::{Blob, Text};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
@@ -42,14 +41,10 @@
         let recovered = data
             .recover(number as u64 + 1, first_start)
             .expect("recover");
-        let next = recovered
-            .segments
-            .last()
-            .map_or(0, |(number, _)| number + 1);
-        let (journal, results) =
-            Journal::start(data, next, DEFAULT_SEGMENT_BYTES).expect("journal");
         let node = Text::from(format!("store-{number}"));
-        let keeper = Rc::new(Keeper::new(node, journal, recovered));
+        let limits = StoreLimits::default();
+        let (keeper, results) = Keeper::open(node, data, recovered, limits).expect("threads");
+        let keeper = Rc::new(keeper);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let collector = keeper.clone();
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -6,7 +6,8 @@
 use stageyoke_store::message::{
     JournalPosition, LedgerEntry, Numbered, Record, Reply, Request, TurnRecord,
 };
-use stageyoke_store::state::State;
+use stageyoke_store::segment::Place;
+use stageyoke_store::state::{ChainIndex, ChainStep, State};
 use stageyoke_types::{Blob, Text};
 
 const RETENTION: u32 = 60;
@@ -41,19 +42,29 @@
 }
 
 fn chain(state: &State, turn: &str) -> (Vec<String>, String) {
-    let Reply::Chain { parts, missing, .. } = state.chain(&Text::from(turn), true) else {
-        panic!("a chain");
-    };
-    let turns = parts.iter().map(|part| part.turn.to_string()).collect();
-    (turns, missing.to_string())
+    let ChainIndex { steps, missing } = state.chain(&Text::from(turn));
+    let turns = steps.iter().map(|step| match step {
+        ChainStep::Known(part) => part.turn.to_string(),
+        ChainStep::OnDisk { turn, .. } => turn.to_string(),
+    });
+    (turns.collect(), missing.to_string())
+}
+
+/// A place told apart by its number.
+fn place(number: u32) -> Place {
+    Place {
+        segment: 1,
+        offset: number,
+        length: 1,
+    }
 }
 
 #[test]
 fn a_chain_is_read_backwards_to_its_start_or_to_what_is_missing() {
     let mut state = State::new(1);
-    state.add(&turn("one", ""), 0);
-    state.add(&turn("two", "one"), 0);
-    state.add(&turn("four", "three"), 0);
+    state.add(&turn("one", ""), place(0), 0);
+    state.add(&turn("two", "one"), place(0), 0);
+    state.add(&turn("four", "three"), place(0), 0);
     assert_eq!(
         chain(&state, "two"),
         (vec!["two".into(), "one".into()], String::new())
@@ -65,10 +76,10 @@
 #[test]
 fn a_settlement_replaces_its_reservation_in_any_order() {
     let mut state = State::new(1);
-    state.add(&reserve("a", 100), 0);
-    state.add(&settle("a", 30), 0);
-    state.add(&settle("b", 20), 0);
-    state.add(&reserve("b", 100), 0);
+    state.add(&reserve("a", 100), place(0), 0);
+    state.add(&settle("a", 30), place(0), 0);
+    state.add(&settle("b", 20), place(0), 0);
+    state.add(&reserve("b", 100), place(0), 0);
     let entries = state.ledger_entries("program");
     let amounts: Vec<(u32, bool)> = entries
         .iter()
@@ -100,10 +111,10 @@
     let mut from = State::new(1);
     let mut to = State::new(2);
     let records = [turn("one", ""), reserve("r", 9), settle("s", 3)];
-    for record in &records {
-        from.add(record, 0);
+    for (number, record) in (0..).zip(&records) {
+        from.add(record, place(number), 0);
     }
-    to.add(&records[1], 0);
+    to.add(&records[1], place(0), 0);
     let Reply::Digests {
         digests,
         next,
@@ -120,8 +131,7 @@
         .copied()
         .filter(|digest| !to.holds(*digest))
         .collect();
-    let fetched = from.fetch(&missing);
-    assert_eq!(fetched.0, [records[0].clone(), records[2].clone()]);
+    assert_eq!(from.places(&missing), [place(0), place(2)]);
     let Reply::Digests { digests, .. } = from.digests(next, true, DirectoryMark::default()) else {
         panic!("digests");
     };
@@ -131,7 +141,7 @@
 #[test]
 fn a_position_on_another_disk_starts_anew() {
     let mut state = State::new(8);
-    state.add(&turn("one", ""), 0);
+    state.add(&turn("one", ""), place(0), 0);
     let elsewhere = JournalPosition { disk: 9, next: 1 };
     let Reply::Digests { digests, .. } = state.digests(elsewhere, true, DirectoryMark::default())
     else {
@@ -143,17 +153,17 @@
 #[test]
 fn a_chain_is_kept_as_long_as_its_youngest_turn() {
     let mut state = State::new(1);
-    state.add(&turn("one", ""), 0);
-    state.add(&turn("old", ""), 0);
-    state.add(&turn("two", "one"), LONG_AFTER);
-    let again = state.expire(2, LONG_AFTER);
+    state.add(&turn("one", ""), place(0), 0);
+    state.add(&turn("old", ""), place(0), 0);
+    state.add(&turn("two", "one"), place(0), LONG_AFTER);
+    let again = state.expire(vec![turn("one", ""), turn("old", "")], LONG_AFTER);
     assert_eq!(
         again,
         [turn("one", "")],
         "written again, for its successor's sake"
     );
     for record in &again {
-        state.add(record, LONG_AFTER);
+        state.add(record, place(0), LONG_AFTER);
     }
     assert_eq!(
         chain(&state, "two"),
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -58,6 +58,7 @@
     LogCorrupt, 602, "error", "A record of the log failed its checksum.";
     StoreComplete, 603, "info", "A store holds again everything that its disk ever acknowledged.";
     DiskRefuses, 604, "error", "The disk takes no record; others of the group keep what this store can't.";
+    SegmentUnreadable, 605, "error", "A segment past its time can't be read back and is kept; the store refuses new turns once its memory is full.";
     DependencyRegained, 700, "info", "A dependency that had been lost answers again.";
     ViewChanged, 701, "info", "Routes, replicas or store members in use changed.";
     ItemUnreadable, 702, "error", "An item of the key-value service could not be read and is ignored.";
