The index by keys: a third of the memory for each turn

Ruled out: a larger part of the memory (the program and its peaks need the rest). Change: turns and programs by hashed keys, whose records are compared with the identifier when read; ledgers as lists; 15 s beyond the retention in place of 30.

--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use stageyoke_observe::metrics;
+use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::ChainPart;
 use stageyoke_store::{
     ChainOutcome, Group, GroupError, LedgerView, RecentTurns, Record, TurnRecord,
@@ -79,7 +80,9 @@
         let cache = self.cache.borrow();
         let mut parts = Vec::new();
         let mut next = turn;
-        while let Some(part) = cache.get(next) {
+        while let Some(part) = cache.get(TurnKey::of(next))
+            && part.turn == *next
+        {
             parts.push(part.clone());
             next = &part.previous;
         }
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -14,6 +14,7 @@
 
 use crate::client::{CallError, StoreClient};
 use crate::frame::Encoded;
+use crate::keys::TurnKey;
 use crate::load::LoadBoard;
 use crate::message::{ChainPart, LedgerEntry, Record, Refusal, Reply, Request};
 
@@ -56,7 +57,7 @@
 /// A program's ledger, merged over a quorum.
 #[derive(Clone, Debug, Default)]
 pub struct LedgerView {
-    entries: BTreeMap<Text, LedgerEntry>,
+    entries: BTreeMap<u64, LedgerEntry>,
 }
 
 impl LedgerView {
@@ -66,7 +67,7 @@
             match self.entries.get(&entry.turn) {
                 Some(known) if known.settled || !entry.settled => {}
                 _ => {
-                    self.entries.insert(entry.turn.clone(), entry);
+                    self.entries.insert(entry.turn, entry);
                 }
             }
         }
@@ -74,9 +75,10 @@
 
     /// Tokens used and reserved by all turns but this one.
     pub fn total_without(&self, turn: &str) -> u64 {
+        let TurnKey(turn) = TurnKey::of(turn);
         self.entries
             .values()
-            .filter(|entry| entry.turn.as_str() != turn)
+            .filter(|entry| entry.turn != turn)
             .map(|entry| u64::from(entry.amount))
             .sum()
     }
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -208,7 +208,7 @@
             None => self.start_segment()?,
         };
         let start = NextPlace {
-            segment: segment.number,
+            segment: u32::try_from(segment.number).map_err(|_| io::ErrorKind::InvalidData)?,
             offset: u32::try_from(segment.bytes).map_err(|_| io::ErrorKind::FileTooLarge)?,
         };
         let began = Instant::now();
@@ -224,7 +224,7 @@
 
 /// Where the next record of a batch lies.
 struct NextPlace {
-    segment: u64,
+    segment: u32,
     offset: u32,
 }
 
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod frame;
 pub mod group;
 pub mod journal;
+pub mod keys;
 pub mod limits;
 pub mod load;
 pub mod membership;
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -80,10 +80,10 @@
 }
 
 /// One turn's part of a program's ledger.
-#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct LedgerEntry {
-    /// The turn.
-    pub turn: Text,
+    /// The turn, by its key (`TurnKey`).
+    pub turn: u64,
     /// Tokens used if settled, else the most it may generate.
     pub amount: u32,
     /// Whether the turn is over.
--- a/crates/stageyoke-store/src/recent.rs
+++ b/crates/stageyoke-store/src/recent.rs
@@ -3,8 +3,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use stageyoke_types::Text;
-
+use crate::keys::TurnKey;
 use crate::message::ChainPart;
 
 /// Bytes that one turn costs beside its contents: its identifiers, and its
@@ -15,8 +14,8 @@
 #[derive(Debug)]
 pub struct RecentTurns {
     most_bytes: usize,
-    parts: HashMap<Text, ChainPart>,
-    order: VecDeque<Text>,
+    parts: HashMap<TurnKey, ChainPart>,
+    order: VecDeque<TurnKey>,
     bytes: usize,
 }
 
@@ -33,12 +32,13 @@
 
     /// Takes a turn.
     pub fn insert(&mut self, part: ChainPart) {
-        if self.parts.contains_key(&part.turn) {
+        let key = TurnKey::of(&part.turn);
+        if self.parts.contains_key(&key) {
             return;
         }
         self.bytes += weight(&part);
-        self.order.push_back(part.turn.clone());
-        self.parts.insert(part.turn.clone(), part);
+        self.order.push_back(key);
+        self.parts.insert(key, part);
         while self.bytes > self.most_bytes {
             let Some(oldest) = self.order.pop_front() else {
                 return;
@@ -49,9 +49,9 @@
         }
     }
 
-    /// A turn, if it is among them.
-    pub fn get(&self, turn: &Text) -> Option<&ChainPart> {
-        self.parts.get(turn)
+    /// A turn, if it is among them; the caller compares its identifier.
+    pub fn get(&self, turn: TurnKey) -> Option<&ChainPart> {
+        self.parts.get(&turn)
     }
 
     /// Bytes in memory.
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -51,8 +51,8 @@
 /// Where a record lies on the disk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Place {
-    /// Number of the segment.
-    pub segment: u64,
+    /// Number of the segment: 32 bits last for centuries of a segment a second.
+    pub segment: u32,
     /// Bytes before the record's header.
     pub offset: u32,
     /// Bytes of header and content.
@@ -246,6 +246,7 @@
         let (file, length) = self.open_segment(number)?;
         let mut scan = RecordScan::new(BufReader::with_capacity(SCAN_BYTES, file), length);
         let mut records = 0;
+        let segment = u32::try_from(number).map_err(|_| io::ErrorKind::InvalidData)?;
         for scanned in scan.by_ref() {
             let scanned = scanned?;
             if let Record::Clock { seconds } = scanned.record {
@@ -253,7 +254,7 @@
                 continue;
             }
             let place = Place {
-                segment: number,
+                segment,
                 offset: scanned.offset,
                 length: scanned.length,
             };
@@ -278,7 +279,7 @@
 
     /// Reads one record back.
     pub fn read_record(&self, place: Place) -> io::Result<Record> {
-        let mut file = File::open(self.path.join(segment_name(place.segment)))?;
+        let mut file = File::open(self.path.join(segment_name(u64::from(place.segment))))?;
         file.seek(SeekFrom::Start(u64::from(place.offset)))?;
         let mut bytes = vec![0; place.length as usize];
         file.read_exact(&mut bytes)?;
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -27,7 +27,7 @@
 use crate::reader::RecordReader;
 use crate::segment::{DataFolder, Recovered, SegmentUse};
 use crate::socket;
-use crate::state::{ChainIndex, ChainStep, State};
+use crate::state::{ChainStep, State};
 
 /// Versions by which a caller's member list may lag: neighbouring versions
 /// have intersecting quorums.
@@ -267,7 +267,7 @@
         self.waiting_bytes.set(waiting_bytes);
         if let Some(place) = appended.place {
             self.state.borrow_mut().add(&submitted.record, place, now);
-            self.count_in_segment(place.segment, now);
+            self.count_in_segment(u64::from(place.segment), now);
         }
         for waiting in submitted.waiting {
             let _ = waiting.send(appended.place.is_some());
@@ -369,33 +369,45 @@
     /// never told as missing: the caller must ask another store.
     async fn chain(&self, turn: &Text) -> Reply {
         let complete = self.complete();
-        let ChainIndex { steps, missing } = self.state.borrow().chain(turn);
+        let steps = self.state.borrow().chain(turn);
+        let Some(parts) = self.read_chain(turn, steps).await else {
+            return Reply::Refused(Refusal::DiskRefused);
+        };
+        let missing = parts.last().map_or(turn, |last| &last.previous).clone();
+        Reply::Chain {
+            complete,
+            parts: List(parts),
+            missing,
+        }
+    }
+
+    /// The parts of a chain, those from the disk in one go; `None` if one can't
+    /// be read or is another turn than the one before it names.
+    async fn read_chain(&self, turn: &Text, steps: Vec<ChainStep>) -> Option<Vec<ChainPart>> {
         let places = steps.iter().filter_map(|step| match step {
-            ChainStep::OnDisk { place, .. } => Some(*place),
+            ChainStep::OnDisk(place) => Some(*place),
             ChainStep::Known(_) => None,
         });
         let places: Vec<_> = places.collect();
-        let mut read = match places.is_empty() {
+        let read = match places.is_empty() {
             true => Vec::new(),
             false => self.reader.records(places).await,
-        }
-        .into_iter();
+        };
+        let mut read = read.into_iter();
         let mut parts = Vec::new();
+        let mut expected = turn.clone();
         for step in steps {
             let part = match step {
-                ChainStep::Known(part) => Some(part),
-                ChainStep::OnDisk { turn, .. } => read.next().and_then(|read| part_of(&turn, read)),
-            };
-            let Some(part) = part else {
-                return Reply::Refused(Refusal::DiskRefused);
+                ChainStep::Known(part) => part,
+                ChainStep::OnDisk(_) => part_of(read.next()?.ok()?)?,
             };
+            if part.turn != expected {
+                return None;
+            }
+            expected = part.previous.clone();
             parts.push(part);
         }
-        Reply::Chain {
-            complete,
-            parts: List(parts),
-            missing,
-        }
+        Some(parts)
     }
 
     async fn append(&self, members_version: u64, load: LoadReport, record: Record) -> Reply {
@@ -514,21 +526,21 @@
     let _ = replies.send(Outgoing { bytes, _room: room });
 }
 
-/// The part of a chain that was read for `turn`.
-fn part_of(turn: &Text, read: io::Result<Record>) -> Option<ChainPart> {
-    match read {
-        Ok(Record::Turn(TurnRecord {
-            turn: found,
+/// The part of a chain that a record is.
+fn part_of(record: Record) -> Option<ChainPart> {
+    match record {
+        Record::Turn(TurnRecord {
+            turn,
             previous,
             input,
             output,
             ..
-        })) if found == *turn => Some(ChainPart {
-            turn: found,
+        }) => Some(ChainPart {
+            turn,
             previous,
             input,
             output,
         }),
-        _ => None,
+        Record::Reserve { .. } | Record::Settle { .. } | Record::Clock { .. } => None,
     }
 }
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -2,11 +2,12 @@
 //! and the digests of its journal. Contents of turns stay on the disk, but for
 //! the newest. Pure; time is a reading of the disk's clock in seconds.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use stageyoke_directory::DirectoryMark;
 use stageyoke_types::{List, Text};
 
+use crate::keys::{ProgramKey, TurnKey};
 use crate::message::{
     ChainPart, JournalPosition, LedgerEntry, Record, RecordDigest, Reply, TurnRecord,
 };
@@ -18,33 +19,43 @@
 /// How long a program's ledger is kept after its last turn where no record has
 /// told a retention.
 pub const LEDGER_KEEP_SECONDS: u64 = 300;
-/// Seconds that a record is kept beyond its retention.
-pub const RETENTION_MARGIN_SECONDS: u64 = 30;
+/// Seconds that a record is kept beyond its retention: a request that comes in
+/// time may take its deadline of some seconds, and is repeated once or twice.
+pub const RETENTION_MARGIN_SECONDS: u64 = 15;
 /// Bytes of the newest turns' contents, where nothing else is set.
 pub const DEFAULT_RECENT_BYTES: usize = 4 * 1024 * 1024;
 
-// Bytes that each thing costs in memory, from the sizes of the types, the maps'
-// load factor (7/8 after growth to twice the size: 0.44 to 0.88 in use) and two
-// words for each allocation. store_memory_test holds the sum against a process.
-const TURN_BYTES: usize = 200;
-const HELD_BYTES: usize = 64;
+// Bytes that each thing costs in memory: the sizes of the types over the maps'
+// mean load (0.66: between 7/8 and half of it), and the vectors' mean slack.
+const TURN_BYTES: usize = 64;
+const HELD_BYTES: usize = 40;
 const JOURNAL_BYTES: usize = 12;
-const LEDGER_BYTES: usize = 180;
-const ENTRY_BYTES: usize = 130;
+const LEDGER_BYTES: usize = 120;
+const ENTRY_BYTES: usize = 24;
 
 #[derive(Clone, Debug)]
 struct HeldTurn {
-    previous: Text,
+    previous: Option<TurnKey>,
     place: Place,
     keep_until: u64,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Ledger {
-    entries: BTreeMap<Text, LedgerEntry>,
+    /// In the order of the turns' first records. Programs have some hundred
+    /// turns at most, most of them a few.
+    entries: Vec<LedgerEntry>,
     keep_until: u64,
 }
 
+impl Ledger {
+    /// The turn's entry, the newest first.
+    fn entry(&mut self, turn: TurnKey) -> Option<&mut LedgerEntry> {
+        let mut entries = self.entries.iter_mut().rev();
+        entries.find(|entry| entry.turn == turn.0)
+    }
+}
+
 /// A record in the journal: how often, and where it was written last.
 #[derive(Clone, Debug)]
 struct Holding {
@@ -58,21 +69,7 @@
     /// With its content.
     Known(ChainPart),
     /// The content must be read from the disk.
-    OnDisk {
-        /// The turn.
-        turn: Text,
-        /// Where its record lies.
-        place: Place,
-    },
-}
-
-/// The chain that ends in a turn, as far as it is held.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ChainIndex {
-    /// Newest first.
-    pub steps: Vec<ChainStep>,
-    /// First turn that is not held; empty if the chain is whole.
-    pub missing: Text,
+    OnDisk(Place),
 }
 
 /// Index of turns, ledgers and digests.
@@ -82,8 +79,8 @@
     first: u64,
     journal: VecDeque<RecordDigest>,
     held: HashMap<RecordDigest, Holding>,
-    turns: HashMap<Text, HeldTurn>,
-    ledgers: HashMap<Text, Ledger>,
+    turns: HashMap<TurnKey, HeldTurn>,
+    ledgers: HashMap<ProgramKey, Ledger>,
     longest_retention: u64,
     ledger_entries: usize,
     recent: RecentTurns,
@@ -189,36 +186,43 @@
 
     fn ledger(&mut self, program: &Text, now: u64) -> &mut Ledger {
         let keep_until = now + self.ledger_keep();
-        let ledger = self.ledgers.entry(program.clone()).or_default();
+        let ledger = self.ledgers.entry(ProgramKey::of(program)).or_default();
         ledger.keep_until = ledger.keep_until.max(keep_until);
         ledger
     }
 
     fn reserve(&mut self, program: &Text, turn: &Text, most: u32, now: u64) {
-        let entry = LedgerEntry {
-            turn: turn.clone(),
+        let turn = TurnKey::of(turn);
+        let ledger = self.ledger(program, now);
+        if ledger.entry(turn).is_some() {
+            return;
+        }
+        ledger.entries.push(LedgerEntry {
+            turn: turn.0,
             amount: most,
             settled: false,
-        };
-        let ledger = self.ledger(program, now);
-        let before = ledger.entries.len();
-        ledger.entries.entry(turn.clone()).or_insert(entry);
-        let added = ledger.entries.len() - before;
-        self.ledger_entries += added;
+        });
+        self.ledger_entries += 1;
     }
 
     fn settle(&mut self, program: &Text, turn: &Text, used: u32, now: u64) {
         if program.is_empty() {
             return;
         }
-        let entry = LedgerEntry {
-            turn: turn.clone(),
+        let turn = TurnKey::of(turn);
+        let settled = LedgerEntry {
+            turn: turn.0,
             amount: used,
             settled: true,
         };
         let ledger = self.ledger(program, now);
-        let added = ledger.entries.insert(turn.clone(), entry).is_none();
-        self.ledger_entries += usize::from(added);
+        match ledger.entry(turn) {
+            Some(entry) => *entry = settled,
+            None => {
+                ledger.entries.push(settled);
+                self.ledger_entries += 1;
+            }
+        }
     }
 
     fn add_turn(&mut self, record: &TurnRecord, place: Place, now: u64) {
@@ -226,8 +230,10 @@
         self.longest_retention = self.longest_retention.max(retention);
         self.settle(&record.program, &record.turn, record.used, now);
         let keep_until = now + retention + RETENTION_MARGIN_SECONDS;
-        let held = self.turns.entry(record.turn.clone()).or_insert(HeldTurn {
-            previous: record.previous.clone(),
+        let key = TurnKey::of(&record.turn);
+        let previous = (!record.previous.is_empty()).then(|| TurnKey::of(&record.previous));
+        let held = self.turns.entry(key).or_insert(HeldTurn {
+            previous,
             place,
             keep_until,
         });
@@ -238,51 +244,41 @@
             input: record.input.clone(),
             output: record.output.clone(),
         });
-        self.keep_chain(&record.turn, keep_until);
+        self.keep_chain(key, keep_until);
     }
 
-    fn keep_chain(&mut self, turn: &Text, keep_until: u64) {
-        let mut next = turn.clone();
+    fn keep_chain(&mut self, turn: TurnKey, keep_until: u64) {
+        let mut next = turn;
         while let Some(held) = self.turns.get_mut(&next) {
             held.keep_until = held.keep_until.max(keep_until);
-            let previous = held.previous.clone();
-            // A chain is finite unless records are forged; stop at a repeat.
-            if previous.is_empty() || previous == next {
-                return;
+            match held.previous {
+                // A chain is finite unless records are forged; stop at a repeat.
+                Some(previous) if previous != next => next = previous,
+                _ => return,
             }
-            next = previous;
         }
     }
 
     /// The program's ledger.
     pub fn ledger_entries(&self, program: &str) -> List<LedgerEntry> {
-        self.ledgers
-            .get(program)
-            .map(|ledger| ledger.entries.values().cloned().collect())
-            .unwrap_or_default()
+        let ledger = self.ledgers.get(&ProgramKey::of(program));
+        List(ledger.map_or_else(Vec::new, |ledger| ledger.entries.clone()))
     }
 
-    /// The chain that ends in `turn`, as far as it is held.
-    pub fn chain(&self, turn: &Text) -> ChainIndex {
+    /// The chain that ends in `turn`, as far as it is held, newest first.
+    pub fn chain(&self, turn: &Text) -> Vec<ChainStep> {
         let mut steps = Vec::new();
-        let mut next = turn.clone();
-        while let Some(held) = self.turns.get(&next) {
-            steps.push(match self.recent.get(&next) {
+        let mut next = Some(TurnKey::of(turn));
+        while let Some(key) = next
+            && let Some(held) = self.turns.get(&key)
+        {
+            steps.push(match self.recent.get(key) {
                 Some(part) => ChainStep::Known(part.clone()),
-                None => ChainStep::OnDisk {
-                    turn: next.clone(),
-                    place: held.place,
-                },
+                None => ChainStep::OnDisk(held.place),
             });
-            next = held.previous.clone();
-            if next.is_empty() {
-                break;
-            }
-        }
-        ChainIndex {
-            steps,
-            missing: next,
+            next = held.previous.filter(|previous| *previous != key);
         }
+        steps
     }
 
     /// A page of digests from a position on; a position on another disk, or
@@ -376,13 +372,15 @@
     fn needed(&self, record: &Record, now: u64) -> bool {
         match record {
             Record::Turn(record) => {
-                let held = self.turns.get(&record.turn);
+                let held = self.turns.get(&TurnKey::of(&record.turn));
                 held.is_some_and(|held| held.keep_until > now)
             }
             Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
-                let ledger = self.ledgers.get(program);
+                let TurnKey(turn) = TurnKey::of(turn);
+                let ledger = self.ledgers.get(&ProgramKey::of(program));
                 ledger.is_some_and(|ledger| {
-                    ledger.keep_until > now && ledger.entries.contains_key(turn)
+                    let mut entries = ledger.entries.iter();
+                    ledger.keep_until > now && entries.any(|entry| entry.turn == turn)
                 })
             }
             Record::Clock { .. } => false,
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -3,11 +3,12 @@
 use stageyoke_directory::DirectoryMark;
 use stageyoke_store::LedgerView;
 use stageyoke_store::frame::{self, Encoded};
+use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{
     JournalPosition, LedgerEntry, Numbered, Record, Reply, Request, TurnRecord,
 };
 use stageyoke_store::segment::Place;
-use stageyoke_store::state::{ChainIndex, ChainStep, State};
+use stageyoke_store::state::{ChainStep, State};
 use stageyoke_types::{Blob, Text};
 
 const RETENTION: u32 = 60;
@@ -42,12 +43,15 @@
 }
 
 fn chain(state: &State, turn: &str) -> (Vec<String>, String) {
-    let ChainIndex { steps, missing } = state.chain(&Text::from(turn));
-    let turns = steps.iter().map(|step| match step {
-        ChainStep::Known(part) => part.turn.to_string(),
-        ChainStep::OnDisk { turn, .. } => turn.to_string(),
+    let steps = state.chain(&Text::from(turn));
+    let parts = steps.iter().map(|step| match step {
+        ChainStep::Known(part) => part,
+        ChainStep::OnDisk(place) => panic!("{place:?} is among the newest"),
     });
-    (turns.collect(), missing.to_string())
+    let parts: Vec<_> = parts.collect();
+    let missing = parts.last().map_or(turn, |part| part.previous.as_str());
+    let turns = parts.iter().map(|part| part.turn.to_string()).collect();
+    (turns, missing.to_owned())
 }
 
 /// A place told apart by its number.
@@ -91,7 +95,7 @@
 #[test]
 fn merged_ledgers_take_settlements_from_whoever_has_them() {
     let entry = |turn: &str, amount, settled| LedgerEntry {
-        turn: Text::from(turn),
+        turn: TurnKey::of(turn).0,
         amount,
         settled,
     };
