A lapse ends within the bound from when the replica list was last current

Change: what is left of the bound since the list was current limits the grace; after an outage of the service, which is why entries lapse, it stays. Figures: health_test has a case for each of four ages; it can't be run on the code before, whose fleet knew no age.

--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -23,11 +23,17 @@
 /// while the key-value service is down, and come back after it.
 const LAPSE_SHARE: usize = 4;
 
+/// Part of the bound on changes for which replicas that lapsed are used.
+const LAPSE_GRACE_PART: f64 = 0.5;
+/// Part of the bound after which a replica that left just after the list was
+/// last current gets nothing more; the rest is for requests on their way.
+const LAPSE_LAST_PART: f64 = 0.9;
+
 /// Replicas by service.
 pub struct Fleet {
     load: Rc<LoadBoard>,
     rest_limit: Rc<Cell<RestLimit>>,
-    lapse_grace: Duration,
+    change_bound: Duration,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
     services: RefCell<HashMap<Text, Vec<Rc<Replica>>>>,
     rates: RefCell<HashMap<Text, Rc<Cell<EngineRates>>>>,
@@ -39,28 +45,41 @@
         Self {
             load,
             rest_limit: Rc::default(),
-            lapse_grace: Duration::ZERO,
+            change_bound: Duration::ZERO,
             replicas: RefCell::default(),
             services: RefCell::default(),
             rates: RefCell::default(),
         }
     }
 
-    /// The same fleet, using lapsed replicas for so long. It must end before
-    /// replicas that have left may get nothing more.
-    pub fn with_lapse_grace(self, lapse_grace: Duration) -> Self {
+    /// The same fleet where replicas that have left may get nothing more after
+    /// `change_bound`.
+    pub fn bounded(self, change_bound: Duration) -> Self {
         Self {
-            lapse_grace,
+            change_bound,
             ..self
         }
     }
 
-    /// Follows the replica list.
-    pub fn follow(&self, records: &BTreeMap<Text, ReplicaRecord>) {
+    /// How long lapsed replicas are used, if the list was known to be current
+    /// `unseen` ago. They may have left at any time since: what is left of the
+    /// bound limits it, unless the service was away for longer than that. Then
+    /// its outage is why they lapsed, and they come back.
+    fn lapse_grace(&self, unseen: Duration) -> Duration {
+        let grace = self.change_bound.mul_f64(LAPSE_GRACE_PART);
+        if unseen >= self.change_bound {
+            return grace;
+        }
+        let last = self.change_bound.mul_f64(LAPSE_LAST_PART);
+        grace.min(last.saturating_sub(unseen))
+    }
+
+    /// Follows the replica list, which was known to be current `unseen` ago.
+    pub fn follow(&self, records: &BTreeMap<Text, ReplicaRecord>, unseen: Duration) {
         let ready = |record: &ReplicaRecord| record.state == ReplicaState::Ready;
         let mut replicas = self.replicas.borrow_mut();
         let lapsed = lapsed_services(&replicas, records);
-        let until = Instant::now() + self.lapse_grace;
+        let until = Instant::now() + self.lapse_grace(unseen);
         replicas.retain(|id, replica| {
             let stays = match records.get(id) {
                 Some(record) => {
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -28,10 +28,6 @@
 /// Part of the grace that is left for the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Part of the bound on changes for which replicas that lapsed are used: with
-/// what the mirror takes to gather changes it stays within the bound.
-const LAPSE_GRACE_PART: f64 = 0.5;
-
 /// A front that has not reached a quorum of stores for this long is not ready.
 const UNREADY_AFTER: Duration = Duration::from_millis(600);
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
@@ -117,7 +113,10 @@
 
     fn follow(&self) {
         let view = self.mirror.view();
-        self.fleet.follow(&view.replicas);
+        // Changes are reported before their answer confirms the directory: this
+        // is the age that it had until now.
+        let unseen = self.mirror.freshness().age().unwrap_or_default();
+        self.fleet.follow(&view.replicas, unseen);
         let metrics = stageyoke_observe::metrics();
         metrics.replicas.set(view.replicas.len() as i64);
         metrics.members_version.set(view.members.version as i64);
@@ -143,8 +142,7 @@
         names,
         zone: settings.zone.clone(),
         mirror,
-        fleet: Fleet::new(group.load.clone())
-            .with_lapse_grace(settings.change_bound.mul_f64(LAPSE_GRACE_PART)),
+        fleet: Fleet::new(group.load.clone()).bounded(settings.change_bound),
         shares: Shares::new(rand::random()),
         history: Rc::new(History::new(group)),
         activity: Activity::default(),
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rstest::rstest;
 use stageyoke_directory::{ReplicaRecord, ReplicaState};
 use stageyoke_front::fleet::{Fleet, Wanted};
 use stageyoke_front::health::{CAUTION, Evidence, Health, SUSPENSION, combined};
@@ -18,6 +19,8 @@
 
 const SERVICE: &str = "service";
 const LAPSE_GRACE: Duration = Duration::from_secs(1);
+/// Bound on changes; half of it is the grace.
+const CHANGE_BOUND: Duration = LAPSE_GRACE.saturating_mul(2);
 
 fn records(replicas: u8) -> BTreeMap<Text, ReplicaRecord> {
     let record = |number: u8| ReplicaRecord {
@@ -34,8 +37,8 @@
 
 fn fleet(replicas: u8) -> (Fleet, Rc<LoadBoard>) {
     let board = Rc::new(LoadBoard::new(1));
-    let fleet = Fleet::new(board.clone()).with_lapse_grace(LAPSE_GRACE);
-    fleet.follow(&records(replicas));
+    let fleet = Fleet::new(board.clone()).bounded(CHANGE_BOUND);
+    fleet.follow(&records(replicas), Duration::ZERO);
     (fleet, board)
 }
 
@@ -165,7 +168,7 @@
         let other = Rc::new(LoadBoard::new(front));
         let others = Fleet::new(other.clone());
         let record = bad.record.clone();
-        others.follow(&BTreeMap::from([(bad.id.clone(), record)]));
+        others.follow(&BTreeMap::from([(bad.id.clone(), record)]), Duration::ZERO);
         lose(&choose(&others, false, 0), 2);
         store.take(other.report());
         hear();
@@ -207,10 +210,10 @@
 #[tokio::test(start_paused = true)]
 async fn replicas_whose_entries_lapse_together_serve_on_for_a_while() {
     let (fleet, _) = fleet(4);
-    fleet.follow(&BTreeMap::new());
+    fleet.follow(&BTreeMap::new(), Duration::ZERO);
     assert!(find(&fleet, false, 0).is_some());
     tokio::time::advance(LAPSE_GRACE / 2).await;
-    fleet.follow(&records(1));
+    fleet.follow(&records(1), Duration::ZERO);
     let back = choose(&fleet, false, 0).id.clone();
     tokio::time::advance(LAPSE_GRACE).await;
     let left: Vec<Text> = (0..32)
@@ -220,17 +223,39 @@
         left.iter().all(|id| id.as_str() == "replica-0"),
         "{back} {left:?}"
     );
-    fleet.follow(&BTreeMap::new());
+    fleet.follow(&BTreeMap::new(), Duration::ZERO);
     tokio::time::advance(LAPSE_GRACE).await;
     assert!(find(&fleet, false, 0).is_none(), "a lapse ends");
 }
 
+/// Lapsed replicas may have left at any time since the list was last current:
+/// they are used within what is left of the bound, but after an outage of the
+/// service, which is why they lapsed.
+#[rstest]
+#[case::just_seen(0.0, 0.49, 0.51)]
+#[case::seen_before(0.6, 0.29, 0.31)]
+#[case::long_unseen(0.95, 0.0, 0.01)]
+#[case::after_an_outage(3.0, 0.49, 0.51)]
+#[tokio::test(start_paused = true)]
+async fn a_lapse_ends_within_the_bound_from_when_the_list_was_current(
+    #[case] unseen: f64,
+    #[case] used: f64,
+    #[case] unused: f64,
+) {
+    let (fleet, _) = fleet(4);
+    fleet.follow(&BTreeMap::new(), CHANGE_BOUND.mul_f64(unseen));
+    tokio::time::advance(CHANGE_BOUND.mul_f64(used)).await;
+    assert_eq!(find(&fleet, false, 0).is_some(), used > 0.0);
+    tokio::time::advance(CHANGE_BOUND.mul_f64(unused - used)).await;
+    assert!(find(&fleet, false, 0).is_none());
+}
+
 #[tokio::test(start_paused = true)]
 async fn replicas_that_drain_or_leave_one_by_one_get_nothing_more() {
     let (fleet, _) = fleet(8);
     let mut rest = records(8);
     rest.remove("replica-7");
-    fleet.follow(&rest);
+    fleet.follow(&rest, Duration::ZERO);
     let chosen = |fleet: &Fleet| -> Vec<Text> {
         (0..64)
             .map(|tie| choose(fleet, false, tie).id.clone())
@@ -240,7 +265,7 @@
     for record in rest.values_mut() {
         record.state = ReplicaState::Draining;
     }
-    fleet.follow(&rest);
+    fleet.follow(&rest, Duration::ZERO);
     assert!(find(&fleet, false, 0).is_none());
 }
 
