--- a/crates/stageyoke-front/src/body.rs
+++ b/crates/stageyoke-front/src/body.rs
@@ -8,6 +8,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::memory::Held;
+
 /// An answer that ends before it is complete; the connection is cut so that
 /// it cannot look complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,8 +28,8 @@
 
 /// The body of an answer.
 pub enum FrontBody {
-    /// All at once.
-    Whole(Option<Bytes>),
+    /// All at once, with what it holds of the front's memory until it is written.
+    Whole(Option<Bytes>, Option<Held>),
     /// As pieces come; the sender's end without an error completes it.
     Pieces(mpsc::Receiver<Piece>),
 }
@@ -35,7 +37,15 @@
 impl FrontBody {
     /// A body with this content.
     pub fn whole(content: impl Into<Bytes>) -> Self {
-        Self::Whole(Some(content.into()))
+        Self::Whole(Some(content.into()), None)
+    }
+
+    /// The same body, holding memory until it is dropped.
+    pub fn holding(self, held: Held) -> Self {
+        match self {
+            Self::Whole(content, _) => Self::Whole(content, Some(held)),
+            pieces @ Self::Pieces(_) => pieces,
+        }
     }
 }
 
@@ -48,7 +58,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
         match &mut *self {
-            Self::Whole(content) => {
+            Self::Whole(content, _) => {
                 let rest = content.take().filter(|content| !content.is_empty());
                 Poll::Ready(rest.map(|content| Ok(Frame::data(content))))
             }
@@ -60,14 +70,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(content) => content.as_ref().is_none_or(Bytes::is_empty),
+            Self::Whole(content, _) => content.as_ref().is_none_or(Bytes::is_empty),
             Self::Pieces(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(content) => {
+            Self::Whole(content, _) => {
                 SizeHint::with_exact(content.as_ref().map_or(0, |content| content.len() as u64))
             }
             Self::Pieces(_) => SizeHint::default(),
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -29,6 +29,10 @@
 /// last current gets nothing more; the rest is for requests on their way.
 const LAPSE_LAST_PART: f64 = 0.9;
 
+/// Services whose rates are remembered though they have no replica now: names
+/// change with each configuration, and a process lives long.
+const MOST_RATES: usize = 64;
+
 /// Replicas by service.
 pub struct Fleet {
     load: Rc<LoadBoard>,
@@ -109,6 +113,11 @@
             let list = services.entry(replica.record.service.clone()).or_default();
             list.push(replica.clone());
         }
+        let mut rates = self.rates.borrow_mut();
+        if rates.len() > MOST_RATES {
+            rates.retain(|service, _| services.contains_key(service));
+        }
+        drop(rates);
         *self.services.borrow_mut() = services;
     }
 
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -17,6 +17,7 @@
 use crate::bootstrap;
 use crate::fleet::Fleet;
 use crate::history::History;
+use crate::memory::MemoryBudget;
 use crate::names::Names;
 use crate::server;
 use crate::shares::Shares;
@@ -52,6 +53,8 @@
     pub grace: Duration,
     /// Time in which a change of the directory must be in force.
     pub change_bound: Duration,
+    /// Memory beyond which the process is killed, in bytes.
+    pub memory_bytes: u64,
 }
 
 /// Everything that a front's tasks share.
@@ -70,6 +73,8 @@
     pub history: Rc<History>,
     /// Requests under way.
     pub activity: Activity,
+    /// Bytes that they hold.
+    pub memory: Rc<MemoryBudget>,
     /// Tells the listeners and connections to close.
     pub closing: Closing,
     draining: Cell<bool>,
@@ -146,6 +151,7 @@
         shares: Shares::new(rand::random()),
         history: Rc::new(History::new(group)),
         activity: Activity::default(),
+        memory: Rc::new(MemoryBudget::within(settings.memory_bytes)),
         closing: Closing::default(),
         draining: Cell::new(false),
     });
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode};
@@ -24,6 +24,7 @@
 use crate::front::Front;
 use crate::health::Evidence;
 use crate::history::Reservation;
+use crate::memory::Held;
 use crate::placement::{self, Candidate};
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
 use crate::replica::Replica;
@@ -52,6 +53,8 @@
     pub(crate) outbound: Outbound,
     pub(crate) input: Bytes,
     pub(crate) arrived: Instant,
+    /// What the request holds of the front's memory.
+    pub(crate) held: Held,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
@@ -120,7 +123,11 @@
         story.route = route.name.to_string();
         story.routes_version = routes.version;
         let service = self.pick_service(&routes, &route)?;
-        let input = read_body(body, routes.limits.body_bytes, figures.deadline).await?;
+        let mut held = self.memory.begin();
+        let reading = read_body(body, routes.limits.body_bytes, &mut held);
+        let input = tokio::time::timeout_at(figures.deadline, reading)
+            .await
+            .map_err(|_| Failure::last(ErrorKind::TooSlow, "body_too_slow"))??;
         let deadline = figures.deadline.min(arrived + route.timeout);
         let path = head
             .uri
@@ -144,6 +151,7 @@
             outbound,
             input,
             arrived,
+            held,
         };
         self.run(call, story).await
     }
@@ -203,13 +211,16 @@
             story.history = format!("previous={previous} found={found}");
         }
         if let Some(transcript) = transcript? {
+            if !call.held.take(transcript.len() + call.input.len()) {
+                return Err(no_memory());
+            }
             let mut body = Vec::with_capacity(transcript.len() + call.input.len());
             body.extend_from_slice(&transcript);
             body.extend_from_slice(&call.input);
             call.outbound.body = Bytes::from(body);
         }
         story.offered_after = call.arrived.elapsed().as_millis() as u64;
-        let served = self.offer(&call, story, &mut reservation).await?;
+        let served = self.offer(&mut call, story, &mut reservation).await?;
         Ok(self.pass_on(call, served, story, reservation))
     }
 
@@ -217,7 +228,7 @@
     /// may be tried.
     async fn offer(
         &self,
-        call: &Call,
+        call: &mut Call,
         story: &mut Story,
         reservation: &mut Option<Reservation>,
     ) -> Result<Served, Failure> {
@@ -343,7 +354,7 @@
     /// failed answer is better tried elsewhere.
     async fn complete(
         &self,
-        call: &Call,
+        call: &mut Call,
         mut answer: Box<Answer>,
         missing_tokens: u32,
         may_retry: bool,
@@ -368,6 +379,7 @@
             Ok(Err(_)) => return Err(BROKE_OFF),
             Err(_) => return Err("time_out"),
         };
+        call.held.take_anyway(content.len());
         let answer = *answer;
         let (head, _) = answer.response.into_parts();
         answer.replica.pool.give(answer.connection);
@@ -386,7 +398,8 @@
                 story.status = head.status.as_u16();
                 story.outcome = "answered";
                 observe::request_ended(story, call.arrived.elapsed());
-                return from_replica(&head, FrontBody::whole(content));
+                let body = FrontBody::whole(content).holding(call.held);
+                return from_replica(&head, body);
             }
             Served::Stream(answer, missing_tokens) => (*answer, missing_tokens),
         };
@@ -414,6 +427,7 @@
             },
             story,
             arrived: call.arrived,
+            _held: call.held,
         };
         let (pieces, receiver) = mpsc::channel(PIECES_AHEAD);
         let active = self.activity.begin();
@@ -473,14 +487,42 @@
     story.attempts.push_str(outcome);
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Failure> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Failure::last(ErrorKind::TooLarge, "body_too_large"))
+/// Reads a request's body. Memory is taken for its whole length at once where
+/// it is told, else as it comes.
+async fn read_body(body: Incoming, limit: usize, held: &mut Held) -> Result<Bytes, Failure> {
+    let told = body.size_hint().exact().map(|length| length as usize);
+    if let Some(length) = told
+        && length <= limit
+        && !held.take(length)
+    {
+        return Err(no_memory());
+    }
+    let mut body = Limited::new(body, limit);
+    let mut pieces: Vec<Bytes> = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(body_failure)?.into_data() else {
+            continue;
+        };
+        if told.is_none() && !held.take(data.len()) {
+            return Err(no_memory());
         }
-        Ok(Err(_)) => Err(Failure::last(ErrorKind::BadRequest, "body_broke_off")),
-        Err(_) => Err(Failure::last(ErrorKind::TooSlow, "body_too_slow")),
+        pieces.push(data);
     }
+    match pieces.len() {
+        0 => Ok(Bytes::new()),
+        1 => Ok(pieces.remove(0)),
+        _ => Ok(Bytes::from(pieces.concat())),
+    }
+}
+
+fn body_failure(error: Box<dyn std::error::Error + Send + Sync>) -> Failure {
+    match error.is::<http_body_util::LengthLimitError>() {
+        true => Failure::last(ErrorKind::TooLarge, "body_too_large"),
+        false => Failure::last(ErrorKind::BadRequest, "body_broke_off"),
+    }
+}
+
+/// A request for which the front has no memory; it was not run.
+fn no_memory() -> Failure {
+    Failure::come_back(ErrorKind::Overloaded, "no_memory", SOON)
 }
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod handler;
 pub mod health;
 pub mod history;
+pub mod memory;
 pub mod names;
 pub mod placement;
 pub mod prompt;
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::events::{EventSplitter, collect_data};
 use crate::health::Evidence;
 use crate::history::{History, Reservation, turn_record};
+use crate::memory::Held;
 use crate::replica::{InFlight, Replica};
 use crate::request::Figures;
 use crate::upstream::Connection;
@@ -91,6 +92,8 @@
     pub story: Story,
     /// When the request arrived.
     pub arrived: Instant,
+    /// What the request holds of the front's memory, until the stream has ended.
+    pub _held: Held,
 }
 
 enum End {
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -18,6 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
+/// Memory of the front's machine: its requests may hold a third of it.
+const MEMORY_BYTES: u64 = 2_000;
 /// Only reached where a test fails.
 const PATIENCE: Duration = Duration::from_secs(20);
 const SIGNED: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 4\r\n\r\nbody";
@@ -254,6 +256,7 @@
         tolerance: Default::default(),
         grace: Duration::from_secs(8),
         change_bound: Duration::from_secs(2),
+        memory_bytes: MEMORY_BYTES,
     };
     let stop = std::future::pending();
     tokio::task::spawn_local(stageyoke_front::run(settings, names(), mirror, stop));
@@ -453,3 +456,40 @@
     })
     .await;
 }
+
+/// Requests hold a part of the front's memory, from the moment at which their
+/// length is told until they are answered; what finds none left is refused
+/// without having run, and finds it again later.
+#[tokio::test]
+async fn a_request_for_which_there_is_no_memory_is_refused_and_may_come_back() {
+    let test = async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start(&[&replica]).await;
+        let whole = request("POST", "/once/a", &"x".repeat(600));
+        let mut slow = TcpStream::connect(bench.front).await.expect("connection");
+        let begun = &whole.as_bytes()[..whole.len() - 300];
+        slow.write_all(begun).await.expect("half of the body");
+        let refused = loop {
+            // Until the front has read the head of the first.
+            let answer = ask(bench.front, &whole).await;
+            if !answer.starts_with("HTTP/1.1 200") {
+                break answer;
+            }
+        };
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+        assert!(refused.to_lowercase().contains("retry-after"), "{refused}");
+        let ran = replica.count();
+        assert!(
+            ask(bench.front, &request("GET", "/safe/a", ""))
+                .await
+                .starts_with("HTTP/1.1 200")
+        );
+        drop(slow);
+        while !ask(bench.front, &whole).await.starts_with("HTTP/1.1 200") {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(replica.count(), ran + 2, "what was refused was not run");
+    };
+    let in_time = local(tokio::time::timeout(PATIENCE, test)).await;
+    in_time.expect("in time");
+}
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -140,6 +140,9 @@
     pub fn set_members(&self, members: Rc<Members>) {
         if members.version > self.members().version {
             self.journal.save_members(&members);
+            let mut held_by_peers = self.held_by_peers.borrow_mut();
+            held_by_peers.retain(|node, _| members.get(node).is_some());
+            drop(held_by_peers);
             *self.members.borrow_mut() = members;
         }
     }
