--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -11,6 +11,7 @@
 use crate::cluster::{LabCluster, LabShape};
 use crate::lateness::Lateness;
 use crate::load::LoadPlan;
+use crate::soak::faults::{FAULTS, Fault};
 use crate::soak::{self, SoakPlan};
 use crate::standins::engine::Pace;
 use crate::{capacity, demo, failover, load, scale};
@@ -55,6 +56,10 @@
     /// without faults
     #[argh(switch)]
     calm: bool,
+    /// faults that may strike, by their names with commas between; all where
+    /// none is given
+    #[argh(option)]
+    faults: Option<String>,
     /// the program; the one beside this one where none is given
     #[argh(option)]
     program: Option<PathBuf>,
@@ -189,6 +194,21 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Faults of the runs, by the arguments.
+fn soak_faults(arguments: &SoakArguments) -> miette::Result<Vec<Fault>> {
+    match &arguments.faults {
+        _ if arguments.calm => Ok(Vec::new()),
+        None => Ok(FAULTS.to_vec()),
+        Some(names) => names
+            .split(',')
+            .map(|name| {
+                let known = || miette::miette!("no fault is named {name}; there are {FAULTS:?}");
+                Fault::named(name.trim()).ok_or_else(known)
+            })
+            .collect(),
+    }
+}
+
 async fn soak_runs(arguments: &SoakArguments) -> miette::Result<ExitCode> {
     let own = std::env::current_exe().into_diagnostic()?;
     let program = arguments
@@ -199,25 +219,22 @@
         .seed
         .unwrap_or_else(|| rand::random::<u32>().into());
     let mut broken = false;
-    let kinds = match arguments.calm {
-        true => 0,
-        false => soak::faults::FAULTS.len(),
-    };
-    let runs: Vec<(u64, usize)> = match arguments.cases {
+    let faults = soak_faults(arguments)?;
+    let runs: Vec<(u64, Vec<Fault>)> = match arguments.cases {
         true => soak::CASES
             .iter()
-            .map(|case| (case.seed, case.kinds))
+            .map(|case| (case.seed, case.faults()))
             .collect(),
         false => (first..first + arguments.runs)
-            .map(|seed| (seed, kinds))
+            .map(|seed| (seed, faults.clone()))
             .collect(),
     };
-    for (seed, kinds) in runs {
+    for (seed, faults) in runs {
         let plan = SoakPlan {
             program: program.clone(),
             seed,
             lasting: Duration::from_secs(arguments.seconds),
-            kinds,
+            faults,
         };
         let report = soak::run(&plan).await.into_diagnostic()?;
         println!("seed {seed}: {:?}", report.counts);
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::json;
@@ -11,7 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::processes::{Process, ProcessRole, Shared};
+use super::changes::Versions;
+use super::processes::{MEMORY_MB, Process, ProcessRole, Shared};
 use super::promises::Promises;
 use super::proxy::Proxy;
 use crate::standins::platform::replica::{ReplicaStandIn, ReplicaTrouble};
@@ -23,7 +24,8 @@
 pub const FRONTS: usize = 3;
 /// Stores of a deployment.
 pub const STORES: usize = 3;
-const MODELS: usize = 3;
+/// Model replicas of a deployment.
+pub const MODELS: usize = 3;
 const TOOLS: usize = 2;
 const START_WITHIN: Duration = Duration::from_secs(20);
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
@@ -48,6 +50,9 @@
     pub fronts: Arc<Vec<SocketAddr>>,
     /// Version of the configuration in the service.
     pub version: u64,
+    /// All versions so far.
+    pub versions: Arc<Versions>,
+    replicas: Vec<Arc<ReplicaStandIn>>,
     _servers: Vec<StandInServer>,
     folder: TempDir,
 }
@@ -62,26 +67,25 @@
         let mut servers = vec![server];
         let trouble = Arc::new(ReplicaTrouble::default());
         let mut replica_proxies = Vec::new();
+        let mut replicas = Vec::new();
         for number in 0..MODELS + TOOLS {
             let replica = Arc::new(ReplicaStandIn {
                 id: format!("replica-{number}"),
                 model: number < MODELS,
                 trouble: trouble.clone(),
                 promises: promises.clone(),
+                leaving_since: Mutex::default(),
             });
             let server = serve(replica.clone(), None).await?;
             let proxy = Proxy::start(server.address).await?;
-            let entry = json!({
-                "Service": if replica.model { "models" } else { "tools" },
-                "Addr": proxy.address, "Zone": "lab", "Version": "v1",
-                "Slots": 12, "State": "ready", "ColdLeftMs": 0, "CallSeq": 1,
-            });
-            let key = format!("{}{}", names::SERVERS, replica.id);
-            service.put(&key, entry.to_string().as_bytes());
+            list(&service, &replica, proxy.address, "ready");
+            replicas.push(replica);
             servers.push(server);
             replica_proxies.push(proxy);
         }
         service.put(names::CONFIG_KEY, configuration(1).to_string().as_bytes());
+        let versions = Arc::new(Versions::default());
+        versions.accepted(1);
         let folder = tempfile::tempdir()?;
         let addresses = addresses(FRONTS + STORES)?;
         let shared = Shared {
@@ -125,6 +129,8 @@
             promises,
             fronts,
             version: 1,
+            versions,
+            replicas,
             _servers: servers,
             folder,
         };
@@ -151,6 +157,40 @@
         let configuration = configuration(self.version).to_string();
         self.service
             .put(names::CONFIG_KEY, configuration.as_bytes());
+        self.versions.accepted(self.version);
+    }
+
+    /// A replica says that it leaves, and serves on.
+    pub fn replica_leaves(&self, number: usize) {
+        let replica = &self.replicas[number];
+        let address = self.replica_proxies[number].address;
+        list(&self.service, replica, address, "draining");
+        replica.leaves(true);
+    }
+
+    /// Another takes its place.
+    pub fn replica_returns(&self, number: usize) {
+        let replica = &self.replicas[number];
+        let address = self.replica_proxies[number].address;
+        replica.leaves(false);
+        list(&self.service, replica, address, "ready");
+    }
+
+    /// Whether any process has needed more memory than its machine has.
+    pub fn check_memory(&self) {
+        for process in &self.processes {
+            match process.peak_memory() {
+                Ok(bytes) if bytes > MEMORY_MB * 1024 * 1024 => {
+                    let breach = format!("{} needed {bytes} bytes of memory", process.node);
+                    self.promises.breach(breach);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    let breach = format!("{} has ended: {error}", process.node);
+                    self.promises.breach(breach);
+                }
+            }
+        }
     }
 
     /// Keeps the folder with settings, data and logs, and names it.
@@ -159,6 +199,22 @@
     }
 }
 
+/// Writes a replica's entry, as it does itself.
+fn list(
+    service: &PlatformStoreStandIn,
+    replica: &ReplicaStandIn,
+    address: SocketAddr,
+    state: &str,
+) {
+    let entry = json!({
+        "Service": if replica.model { "models" } else { "tools" },
+        "Addr": address, "Zone": "lab", "Version": "v1",
+        "Slots": 12, "State": state, "ColdLeftMs": 0, "CallSeq": 1,
+    });
+    let key = format!("{}{}", names::SERVERS, replica.id);
+    service.put(&key, entry.to_string().as_bytes());
+}
+
 /// Addresses of machines: an IP each, and on all of them the same ports, which
 /// the system gave once.
 fn addresses(count: usize) -> io::Result<Vec<[SocketAddr; 3]>> {
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -9,7 +9,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::deployment::{Deployment, FRONTS, STORES};
+use super::calm::{CHANGE_BOUND, IN_TOUCH_AFTER};
+use super::deployment::{Deployment, FRONTS, MODELS, STORES};
 use super::proxy::Mode;
 
 /// What is done to the deployment.
@@ -43,10 +44,15 @@
     CutStore,
     /// A store's disk takes no more.
     FillDisk,
+    /// The platform's service answers nobody and closes nothing; soon after its
+    /// return the configuration changes and a replica leaves.
+    SilenceService,
+    /// Replicas are replaced, one after the other.
+    ReplaceReplicas,
 }
 
 /// All kinds; new ones come last, as cases draw from the first of them.
-pub const FAULTS: [Fault; 14] = [
+pub const FAULTS: [Fault; 16] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -61,9 +67,30 @@
     Fault::Reconfigure,
     Fault::CutStore,
     Fault::FillDisk,
+    Fault::SilenceService,
+    Fault::ReplaceReplicas,
 ];
 
 impl Fault {
+    /// The fault of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        let mut faults = FAULTS.into_iter();
+        faults.find(|fault| format!("{fault:?}").eq_ignore_ascii_case(name))
+    }
+
+    /// Whether bounds on changes don't hold meanwhile.
+    fn disturbs(self) -> bool {
+        matches!(
+            self,
+            Self::KillFront
+                | Self::StopFront
+                | Self::PauseFront
+                | Self::KillAll
+                | Self::CutService
+                | Self::TroubleService
+        )
+    }
+
     /// Whether another store must not fail until this one has caught up.
     fn strikes_a_store(self) -> bool {
         matches!(
@@ -82,13 +109,15 @@
 }
 
 impl Deployment {
-    /// Draws one of the first `kinds` faults, does it and undoes it; returns
-    /// which.
-    pub async fn strike(&mut self, random: &mut ChaCha8Rng, kinds: usize) -> Fault {
-        let fault = FAULTS[random.random_range(0..kinds.min(FAULTS.len()))];
+    /// Draws one of the faults, does it and undoes it; returns which.
+    pub async fn strike(&mut self, random: &mut ChaCha8Rng, faults: &[Fault]) -> Fault {
+        let fault = faults[random.random_range(0..faults.len())];
         let front = random.random_range(0..FRONTS);
         let store = FRONTS + random.random_range(0..STORES);
         let lasting = milliseconds(random, 300, 3000);
+        if fault.disturbs() {
+            self.promises.calm.disturb();
+        }
         match fault {
             Fault::KillFront => self.restart(front, Signal::SIGKILL).await,
             Fault::StopFront => self.restart(front, Signal::SIGTERM).await,
@@ -104,6 +133,11 @@
             Fault::Reconfigure => self.reconfigure(),
             Fault::CutStore => self.cut_store(store - FRONTS, random, lasting).await,
             Fault::FillDisk => self.fill_disk(store, lasting).await,
+            Fault::SilenceService => self.silence_service(random).await,
+            Fault::ReplaceReplicas => self.replace_replicas(random).await,
+        }
+        if fault.disturbs() {
+            self.promises.calm.settle();
         }
         if fault.strikes_a_store() {
             tokio::time::sleep(CATCH_UP).await;
@@ -207,6 +241,29 @@
         self.service.lost_percent.store(0, Ordering::Relaxed);
     }
 
+    async fn silence_service(&mut self, random: &mut ChaCha8Rng) {
+        self.promises.calm.disturb();
+        self.service.fall_silent();
+        tokio::time::sleep(milliseconds(random, 300, 5000)).await;
+        self.service.speak_again();
+        self.promises.calm.settle();
+        tokio::time::sleep(milliseconds(random, 0, 1000)).await;
+        self.reconfigure();
+        let leaving = random.random_range(0..MODELS);
+        self.replica_leaves(leaving);
+        // Until bounds hold again, and then for as long as they take.
+        tokio::time::sleep(IN_TOUCH_AFTER + CHANGE_BOUND).await;
+        self.replica_returns(leaving);
+    }
+
+    async fn replace_replicas(&mut self, random: &mut ChaCha8Rng) {
+        for leaving in 0..MODELS {
+            self.replica_leaves(leaving);
+            tokio::time::sleep(CHANGE_BOUND + milliseconds(random, 100, 800)).await;
+            self.replica_returns(leaving);
+        }
+    }
+
     async fn cut_replicas(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
         let mode = draw_mode(random);
         let delay = milliseconds(random, 0, 60);
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -2,6 +2,8 @@
 //! random faults, with every promise checked from the callers' and the
 //! replicas' side.
 
+pub mod calm;
+pub mod changes;
 pub mod deployment;
 pub mod faults;
 pub mod processes;
@@ -19,13 +21,16 @@
 
 use crate::standins::platform::caller::{Caller, KeptTurn};
 use deployment::Deployment;
+use faults::{FAULTS, Fault};
 use promises::{Counts, Promises};
 
 /// Callers at once.
 const CALLERS: u64 = 8;
 const TURNS: u32 = 4;
-/// Time after the last fault until every kept turn must go on.
+/// Time from which on a kept turn is asked for until it must have gone on.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Time in which all of them are asked for.
+const GO_ON_WITHIN: Duration = Duration::from_secs(90);
 /// Budget that never binds, for the turns after the end.
 const FREE_BUDGET: u32 = 1_000_000;
 
@@ -38,8 +43,8 @@
     pub seed: u64,
     /// Time of the run.
     pub lasting: Duration,
-    /// Kinds of fault that may strike: the first of `faults::FAULTS`.
-    pub kinds: usize,
+    /// Faults that may strike; none for a calm run.
+    pub faults: Vec<Fault>,
 }
 
 /// A seed that once showed a breach.
@@ -80,6 +85,13 @@
     },
 ];
 
+impl Case {
+    /// The faults that there were then.
+    pub fn faults(&self) -> Vec<Fault> {
+        FAULTS[..self.kinds.min(FAULTS.len())].to_vec()
+    }
+}
+
 /// Plays a run.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
     let mut deployment = Deployment::start(&plan.program).await?;
@@ -90,10 +102,15 @@
         let caller = caller(&deployment, plan.seed ^ (number + 1));
         callers.spawn(call_until(caller, until));
     }
+    let probing = tokio::spawn(changes::probe(
+        deployment.fronts.clone(),
+        deployment.versions.clone(),
+        deployment.promises.clone(),
+    ));
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
-    while plan.kinds > 0 && Instant::now() < until {
-        let fault = deployment.strike(&mut random, plan.kinds).await;
+    while !plan.faults.is_empty() && Instant::now() < until {
+        let fault = deployment.strike(&mut random, &plan.faults).await;
         faults.push(format!("{:.1} {fault:?}", began.elapsed().as_secs_f64()));
     }
     let mut kept = Vec::new();
@@ -104,7 +121,9 @@
         let breach = "no program was served to its end".to_owned();
         deployment.promises.breach(breach);
     }
+    probing.abort();
     go_on(&deployment, plan.seed, kept).await;
+    deployment.check_memory();
     let (breaches, counts) = deployment.promises.judge();
     let folder = (!breaches.is_empty()).then(|| deployment.keep_folder());
     Ok(SoakReport {
@@ -131,13 +150,19 @@
     kept
 }
 
-/// After all faults every kept turn must still be there.
+/// After all faults every kept turn must still be there. Each has its own time
+/// from when it is first asked for; one that is not asked for is told as that.
 async fn go_on(deployment: &Deployment, seed: u64, kept: Vec<KeptTurn>) {
-    let until = Instant::now() + RECOVERY;
+    let last = Instant::now() + GO_ON_WITHIN;
     let mut callers = JoinSet::new();
     for (number, turn) in kept.into_iter().enumerate() {
         let mut caller = caller(deployment, seed ^ (number as u64 + 1_000));
         let promises: Arc<Promises> = deployment.promises.clone();
+        if Instant::now() > last {
+            promises.breach(format!("{} was not asked for: no time was left", turn.turn));
+            continue;
+        }
+        let until = Instant::now() + RECOVERY;
         callers.spawn(async move {
             let program = format!("after-{number}");
             let mut given = 0;
--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -6,6 +6,8 @@
 
 use hyper::body::Bytes;
 
+use super::calm::Calm;
+
 /// What a caller may expect of one request.
 #[derive(Clone, Debug)]
 pub struct Expected {
@@ -48,11 +50,15 @@
 
 /// The record of one run.
 #[derive(Debug, Default)]
-pub struct Promises(Mutex<Record>);
+pub struct Promises {
+    record: Mutex<Record>,
+    /// When bounds hold.
+    pub calm: Calm,
+}
 
 impl Promises {
     fn record(&self) -> MutexGuard<'_, Record> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A caller is about to send a request.
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -46,6 +46,11 @@
 /// Path of the tool that may not.
 pub const ONCE_PATH: &str = "/once/write";
 
+/// Path of a route that only this version of the configuration has.
+pub fn version_path(version: u64) -> String {
+    format!("/version-{version}/read")
+}
+
 /// The operator's configuration.
 pub fn configuration(version: u64) -> serde_json::Value {
     let route = |name: &str, kind: &str, service: &str, kept: bool| {
@@ -62,6 +67,7 @@
             route("kept", "stream", "models", true),
             route("safe", "safe", "tools", false),
             route("once", "unsafe", "tools", false),
+            route(&format!("version-{version}"), "safe", "tools", false),
         ],
         "Services": [
             {"Name": "models", "HealthPath": "/health", "MaxConns": 160,
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -1,8 +1,8 @@
 //! A replica of the platform: streams turns or answers tools, and reports every
 //! run to the promises' record.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -11,8 +11,10 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use stageyoke_node::backends::{Body, BodyError};
+use tokio::time::Instant;
 
 use super::{TOKENS_PER_EVENT, names};
+use crate::soak::calm::CHANGE_BOUND;
 use crate::soak::promises::Promises;
 use crate::standins::{Handler, respond};
 
@@ -41,6 +43,8 @@
     pub trouble: Arc<ReplicaTrouble>,
     /// Where runs are reported.
     pub promises: Arc<Promises>,
+    /// When it said that it leaves.
+    pub leaving_since: Mutex<Option<Instant>>,
 }
 
 fn text(headers: &HeaderMap, name: &str) -> String {
@@ -53,6 +57,31 @@
 }
 
 impl ReplicaStandIn {
+    /// Says that it leaves, or that another has taken its place.
+    pub fn leaves(&self, leaves: bool) {
+        let mut since = self
+            .leaving_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *since = leaves.then(Instant::now);
+    }
+
+    /// Work that comes too long after it has said that it leaves.
+    fn check_leaving(&self, request: &str) {
+        let since = *self
+            .leaving_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let late = since.map(|since| since.elapsed());
+        if let Some(late) = late.filter(|late| *late > CHANGE_BOUND)
+            && self.promises.calm.holds()
+        {
+            let (id, late) = (&self.id, late.as_millis());
+            let breach = format!("{request} reached {id} {late} ms after it said that it leaves");
+            self.promises.breach(breach);
+        }
+    }
+
     fn head(&self, response: &mut Response<Body>, request: &str) {
         let headers = response.headers_mut();
         for (name, value) in [(names::REQUEST, request), (names::STAMP, &self.id)] {
@@ -114,6 +143,7 @@
         if text(&headers, names::INSTANCE) != self.id {
             return self.refuse(StatusCode::MISDIRECTED_REQUEST, &id);
         }
+        self.check_leaving(&id);
         if strikes(&self.trouble.shed) {
             return self.refuse(StatusCode::SERVICE_UNAVAILABLE, &id);
         }
