--- a/crates/stageyoke-front/src/turns.rs
+++ b/crates/stageyoke-front/src/turns.rs
@@ -84,7 +84,8 @@
         if matches!(ledger, Err(GroupError::StaleMembers)) {
             ledger = self.history.reserve(&program, &turn, most, within).await;
         }
-        let ledger = ledger.map_err(|_| {
+        let ledger = ledger.map_err(|error| {
+            *note.borrow_mut() = format!("budget={budget} most={most} error={error}");
             Failure::come_back(
                 ErrorKind::Unavailable,
                 "budget_not_reserved",
