--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -11,6 +11,7 @@
 use crate::cluster::{LabCluster, LabShape};
 use crate::lateness::Lateness;
 use crate::load::LoadPlan;
+use crate::soak::deployment::Size;
 use crate::soak::faults::{FAULTS, Fault};
 use crate::soak::{self, SoakPlan};
 use crate::standins::engine::Pace;
@@ -56,6 +57,9 @@
     /// without faults
     #[argh(switch)]
     calm: bool,
+    /// processes, one store in seven; 6 where none is given, 250 at most
+    #[argh(option, default = "6")]
+    processes: usize,
     /// faults that may strike, by their names with commas between; all where
     /// none is given
     #[argh(option)]
@@ -235,6 +239,7 @@
             seed,
             lasting: Duration::from_secs(arguments.seconds),
             faults,
+            size: Size::of(arguments.processes),
         };
         let report = soak::run(&plan).await.into_diagnostic()?;
         println!("seed {seed}: {:?}", report.counts);
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -20,18 +20,63 @@
 use crate::standins::platform::{configuration, names};
 use crate::standins::{StandInServer, serve};
 
-/// Fronts of a deployment.
+/// Fronts, where nothing else is asked for.
 pub const FRONTS: usize = 3;
-/// Stores of a deployment.
-pub const STORES: usize = 3;
+/// Stores, where nothing else is asked for.
+const STORES: usize = 3;
+/// Stores of the largest groups among the deployments.
+const MOST_STORES: usize = 36;
+/// Addresses of one block, of which each process has one.
+const MOST_PROCESSES: usize = 250;
+/// One process in so many is a store, in large deployments: as the users' are.
+const PROCESSES_A_STORE: usize = 7;
+
+/// Processes of a deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Fronts.
+    pub fronts: usize,
+    /// Stores.
+    pub stores: usize,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            fronts: FRONTS,
+            stores: STORES,
+        }
+    }
+}
+
+impl Size {
+    /// So many processes, as near as a deployment can have them.
+    pub fn of(processes: usize) -> Self {
+        let processes = processes.clamp(FRONTS + STORES, MOST_PROCESSES);
+        let stores = (processes / PROCESSES_A_STORE).clamp(STORES, MOST_STORES);
+        Self {
+            fronts: processes - stores,
+            stores,
+        }
+    }
+
+    /// All of them.
+    pub fn processes(&self) -> usize {
+        self.fronts + self.stores
+    }
+}
 /// Model replicas of a deployment.
 pub const MODELS: usize = 3;
 const TOOLS: usize = 2;
-const START_WITHIN: Duration = Duration::from_secs(20);
+/// Seeds in each process's settings, as the platform names them.
+const SEEDS: usize = 3;
+const START_WITHIN: Duration = Duration::from_secs(60);
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
 /// Everything that runs.
 pub struct Deployment {
+    /// How many processes there are.
+    pub size: Size,
     /// The platform's key-value service.
     pub service: Arc<PlatformStoreStandIn>,
     /// The proxy before it.
@@ -58,8 +103,13 @@
 }
 
 impl Deployment {
-    /// Starts everything and waits until the fronts are ready.
+    /// Starts a small deployment and waits until the fronts listen.
     pub async fn start(program: &Path) -> io::Result<Self> {
+        Self::start_sized(program, Size::default()).await
+    }
+
+    /// Starts everything and waits until the fronts listen.
+    pub async fn start_sized(program: &Path, size: Size) -> io::Result<Self> {
         let promises = Arc::new(Promises::default());
         let service = Arc::new(PlatformStoreStandIn::default());
         let server = serve(service.clone(), None).await?;
@@ -87,22 +137,26 @@
         let versions = Arc::new(Versions::default());
         versions.accepted(1);
         let folder = tempfile::tempdir()?;
-        let addresses = addresses(FRONTS + STORES)?;
+        let addresses = addresses(size.processes())?;
         let shared = Shared {
             program: program.to_owned(),
             folder: folder.path().to_owned(),
             platform: service_proxy.address,
-            seeds: addresses[FRONTS..]
+            seeds: addresses[size.fronts..]
                 .iter()
+                .take(SEEDS)
                 .map(|machine| machine[2])
                 .collect(),
         };
         let mut processes = Vec::new();
         let mut store_proxies = Vec::new();
         for (number, machine) in addresses.iter().enumerate() {
-            let (role, node) = match number < FRONTS {
+            let (role, node) = match number < size.fronts {
                 true => (ProcessRole::Front, format!("front-{number}")),
-                false => (ProcessRole::Store, format!("store-{}", number - FRONTS)),
+                false => (
+                    ProcessRole::Store,
+                    format!("store-{}", number - size.fronts),
+                ),
             };
             let mut process = Process::new(&shared, node, role, *machine);
             if role == ProcessRole::Store {
@@ -114,12 +168,13 @@
             processes.push(process);
         }
         let fronts = Arc::new(
-            addresses[..FRONTS]
+            addresses[..size.fronts]
                 .iter()
                 .map(|machine| machine[0])
                 .collect(),
         );
         let deployment = Self {
+            size,
             service,
             service_proxy,
             store_proxies,
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::calm::{CHANGE_BOUND, IN_TOUCH_AFTER};
-use super::deployment::{Deployment, FRONTS, MODELS, STORES};
+use super::deployment::{Deployment, MODELS};
 use super::proxy::Mode;
 
 /// What is done to the deployment.
@@ -112,8 +112,8 @@
     /// Draws one of the faults, does it and undoes it; returns which.
     pub async fn strike(&mut self, random: &mut ChaCha8Rng, faults: &[Fault]) -> Fault {
         let fault = faults[random.random_range(0..faults.len())];
-        let front = random.random_range(0..FRONTS);
-        let store = FRONTS + random.random_range(0..STORES);
+        let front = random.random_range(0..self.size.fronts);
+        let store = self.size.fronts + random.random_range(0..self.size.stores);
         let lasting = milliseconds(random, 300, 3000);
         if fault.disturbs() {
             self.promises.calm.disturb();
@@ -131,7 +131,10 @@
             Fault::CutReplicas => self.cut_replicas(random, lasting).await,
             Fault::TroubleReplicas => self.trouble_replicas(random, lasting).await,
             Fault::Reconfigure => self.reconfigure(),
-            Fault::CutStore => self.cut_store(store - FRONTS, random, lasting).await,
+            Fault::CutStore => {
+                self.cut_store(store - self.size.fronts, random, lasting)
+                    .await
+            }
             Fault::FillDisk => self.fill_disk(store, lasting).await,
             Fault::SilenceService => self.silence_service(random).await,
             Fault::ReplaceReplicas => self.replace_replicas(random).await,
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -20,11 +20,11 @@
 use tokio::time::Instant;
 
 use crate::standins::platform::caller::{Caller, KeptTurn};
-use deployment::Deployment;
+use deployment::{Deployment, Size};
 use faults::{FAULTS, Fault};
 use promises::{Counts, Promises};
 
-/// Callers at once.
+/// Callers at once; one for each front where there are more of these.
 const CALLERS: u64 = 8;
 const TURNS: u32 = 4;
 /// Time from which on a kept turn is asked for until it must have gone on.
@@ -45,6 +45,8 @@
     pub lasting: Duration,
     /// Faults that may strike; none for a calm run.
     pub faults: Vec<Fault>,
+    /// How many processes there are.
+    pub size: Size,
 }
 
 /// A seed that once showed a breach.
@@ -94,11 +96,11 @@
 
 /// Plays a run.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
-    let mut deployment = Deployment::start(&plan.program).await?;
+    let mut deployment = Deployment::start_sized(&plan.program, plan.size).await?;
     let began = Instant::now();
     let until = began + plan.lasting;
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS {
+    for number in 0..CALLERS.max(plan.size.fronts as u64) {
         let caller = caller(&deployment, plan.seed ^ (number + 1));
         callers.spawn(call_until(caller, until));
     }
--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -8,10 +8,13 @@
 
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members};
-use stageyoke_store::StoreLimits;
-use stageyoke_store::message::{Record, Refusal, Reply, Request, TurnRecord};
+use stageyoke_store::keys::TurnKey;
+use stageyoke_store::message::{
+    ChainPart, JournalPosition, Record, Refusal, Reply, Request, TurnRecord,
+};
 use stageyoke_store::segment::{DataFolder, encode_clock, encode_record};
 use stageyoke_store::server::Keeper;
+use stageyoke_store::{RecentTurns, StoreLimits};
 use stageyoke_types::{Blob, Text};
 use tokio::task::LocalSet;
 
@@ -198,3 +201,65 @@
     })
     .await;
 }
+
+/// What waits for a disk is bounded: more is refused as by the disk itself.
+#[tokio::test]
+async fn what_waits_for_the_disk_is_bounded() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        write_segments(path.path(), &[]);
+        let limits = StoreLimits {
+            backlog_bytes: 1,
+            ..StoreLimits::default()
+        };
+        let keeper = open(path.path(), limits);
+        let (first, second) =
+            tokio::join!(append(&keeper, reserve(1)), append(&keeper, reserve(2)),);
+        assert!(matches!(first, Reply::Kept { .. }), "{first:?}");
+        assert_eq!(second, Reply::Refused(Refusal::DiskRefused));
+        let later = append(&keeper, reserve(2)).await;
+        assert!(matches!(later, Reply::Kept { .. }), "{later:?}");
+    })
+    .await;
+}
+
+/// Positions of stores that are no members any more are forgotten.
+#[tokio::test]
+async fn positions_go_with_the_members() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        write_segments(path.path(), &[]);
+        let keeper = open(path.path(), StoreLimits::default());
+        let held = JournalPosition { disk: 5, next: 7 };
+        let request = Request::Digests {
+            node: Text::from("gone"),
+            from: JournalPosition::default(),
+            held,
+        };
+        keeper.answer(request).await;
+        assert_eq!(keeper.held_by("gone"), held);
+        let members = keeper.members();
+        keeper.set_members(Rc::new(members.without("another")));
+        assert_eq!(keeper.held_by("gone"), JournalPosition::default());
+    })
+    .await;
+}
+
+/// The newest turns stay within their bytes; the oldest go first.
+#[test]
+fn recent_turns_stay_within_their_bytes() {
+    let part = |number: u32| ChainPart {
+        turn: Text::from(format!("turn-{number}")),
+        previous: Text::default(),
+        input: Blob::from(vec![0; 500]),
+        output: Blob::from(vec![0; 300]),
+    };
+    let mut recent = RecentTurns::new(10_000);
+    for number in 0..100 {
+        recent.insert(part(number));
+        recent.insert(part(number));
+        assert!(recent.bytes() <= 10_000, "{}", recent.bytes());
+    }
+    let held = |number: u32| recent.get(TurnKey::of(&format!("turn-{number}"))).is_some();
+    assert!(held(99) && held(92) && !held(89) && !held(0));
+}
