The soak asks only for turns whose retention is not over

The check was wrong: the logs give 422 answers 404; of the 421 whose turn's end is in the logs, the youngest turn was 87.6 s old, the oldest 130.4 s, and turns are kept for 60 s. None younger was answered 404. Change: a kept turn knows when it was answered; at the end the newest are asked for first, each that has its whole time left within the retention; the others are counted as expired. What is promised is judged as strictly as before.

--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -46,6 +46,8 @@
     pub continued: u64,
     /// Budgets found spent.
     pub spent: u64,
+    /// Kept turns whose retention was over before they could be asked for.
+    pub expired: u64,
 }
 
 /// The record of one run.
@@ -105,6 +107,11 @@
         record.counts.continued += u64::from(continued);
     }
 
+    /// A kept turn's retention is over: nothing is promised of it.
+    pub fn expired(&self) {
+        self.record().counts.expired += 1;
+    }
+
     /// Something contradicts a promise.
     pub fn breach(&self, what: String) {
         self.record().breach(what);
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -30,6 +30,8 @@
     pub turn: String,
     /// Inputs and outputs of its chain, its own among them.
     pub transcript: Vec<u8>,
+    /// When its answer had come whole: it is kept from then on.
+    pub answered_at: Instant,
 }
 
 /// How a try ended.
@@ -126,6 +128,7 @@
                     return Some(KeptTurn {
                         turn: id,
                         transcript: body,
+                        answered_at: Instant::now(),
                     });
                 }
                 End::Refused(402, _) => return None,
