--- a/crates/stageyoke-lab/src/soak/changes.rs
+++ b/crates/stageyoke-lab/src/soak/changes.rs
@@ -12,9 +12,11 @@
 
 use super::calm::CHANGE_BOUND;
 use super::promises::{Expected, Promises};
-use crate::standins::platform::{HOST, version_path};
+use crate::standins::platform::{HOST, names, version_path};
 
 const PAUSE: Duration = Duration::from_millis(100);
+/// Time that a request tells the front; shorter than the wait for its answer.
+const DEADLINE: Duration = Duration::from_millis(1000);
 const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
 
 /// Configurations of a run, with the moments at which they were accepted.
@@ -70,9 +72,11 @@
 async fn ask(front: SocketAddr, request: &str, version: u64) -> Option<u16> {
     let mut stream = TcpStream::connect(front).await.ok()?;
     let path = version_path(version);
+    let (identifier, deadline) = (names::REQUEST, names::DEADLINE);
+    let milliseconds = DEADLINE.as_millis();
     let text = format!(
-        "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {request}\r\n\
-         deadline-ms: 1000\r\nconnection: close\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nhost: {HOST}\r\n{identifier}: {request}\r\n\
+         {deadline}: {milliseconds}\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(text.as_bytes()).await.ok()?;
     let mut answer = String::new();
