--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -125,11 +125,6 @@
         self.confirmed_at.get().map(|at| at.elapsed())
     }
 
-    /// Whether the last try to reach the service failed.
-    pub fn unreachable(&self) -> bool {
-        self.unreachable.get()
-    }
-
     /// The service answered: at the moment `as_of` the directory held every
     /// change up to `revision`, the newest of them at `last_change` (`None`:
     /// none since the answer before).
--- a/crates/stageyoke-directory/tests/freshness_test.rs
+++ b/crates/stageyoke-directory/tests/freshness_test.rs
@@ -2,6 +2,8 @@
 //! neither answer nor end. Only calls that don't wait are answered, and these
 //! too not while it is silent.
 
+mod support;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,15 +11,15 @@
 use bytes::Bytes;
 use rstest::rstest;
 use stageyoke_directory::{
-    Change, DirectoryMark, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror,
-    MirrorEvent, RangePage, RouteTable, Transaction, TransactionOutcome, Update, WatchOutcome,
-    Write,
+    Change, DirectoryMark, Item, KeyValueError, KeyValueService, Mirror, MirrorEvent, RangePage,
+    Transaction, TransactionOutcome, WatchOutcome,
 };
+use support::Words;
 use tokio::time::Instant;
 
 const BOUND: Duration = Duration::from_secs(2);
 const ANSWER: Duration = Duration::from_millis(4);
-const ROUTES: &str = "routes";
+const ROUTES: &str = "routes/all";
 
 #[derive(Default)]
 struct Service {
@@ -88,45 +90,6 @@
     }
 }
 
-struct Words;
-
-impl Interpreter for Words {
-    fn interpret(&self, _: &str, value: Option<&Bytes>) -> Update {
-        let text = value.and_then(|value| std::str::from_utf8(value).ok());
-        let version = text.and_then(|text| text.parse().ok());
-        version.map_or(Update::Ignored, |version| Update::Routes(table(version)))
-    }
-    fn prefix(&self) -> &str {
-        ""
-    }
-    fn routes_key(&self) -> &str {
-        ROUTES
-    }
-    fn members_key(&self) -> &str {
-        "members"
-    }
-    fn retirement_report(&self, node: &str, _: bool) -> Write {
-        Write {
-            key: node.to_owned(),
-            value: Bytes::new(),
-        }
-    }
-}
-
-fn table(version: u64) -> RouteTable {
-    RouteTable {
-        version,
-        routes: Vec::new(),
-        services: Vec::new(),
-        limits: Limits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_timeout: Duration::ZERO,
-            idle_timeout: Duration::ZERO,
-        },
-    }
-}
-
 type TestMirror = Rc<Mirror<Link, Words>>;
 
 /// A mirror that follows the service, whose events are kept.
--- a/crates/stageyoke-directory/tests/mirror_test.rs
+++ b/crates/stageyoke-directory/tests/mirror_test.rs
@@ -1,5 +1,7 @@
 //! The mirror against a scripted key-value service.
 
+mod support;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -7,11 +9,11 @@
 
 use bytes::Bytes;
 use stageyoke_directory::{
-    Change, Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, MirrorEvent,
-    RangePage, ReplicaRecord, ReplicaState, RouteTable, Transaction, TransactionOutcome, Update,
-    WatchOutcome, Write,
+    Change, Item, KeyValueError, KeyValueService, Mirror, MirrorEvent, RangePage, Transaction,
+    TransactionOutcome, WatchOutcome,
 };
 use stageyoke_types::Text;
+use support::Words;
 
 #[derive(Default)]
 struct Script {
@@ -98,64 +100,6 @@
     }
 }
 
-struct Words;
-
-impl Interpreter for Words {
-    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
-        let text = value.and_then(|value| std::str::from_utf8(value).ok());
-        match (key.split_once('/'), text) {
-            (Some(("replica", id)), text) => Update::Replica {
-                id: Text::from(id),
-                record: text.map(record),
-            },
-            (Some(("routes", _)), Some(version)) => match version.parse() {
-                Ok(version) => Update::Routes(table(version)),
-                Err(_) => Update::Unreadable("version".to_owned()),
-            },
-            _ => Update::Ignored,
-        }
-    }
-    fn prefix(&self) -> &str {
-        ""
-    }
-    fn routes_key(&self) -> &str {
-        "routes/all"
-    }
-    fn members_key(&self) -> &str {
-        "members"
-    }
-    fn retirement_report(&self, node: &str, _: bool) -> Write {
-        Write {
-            key: node.to_owned(),
-            value: Bytes::new(),
-        }
-    }
-}
-
-fn record(service: &str) -> ReplicaRecord {
-    ReplicaRecord {
-        service: Text::from(service),
-        address: Text::from("127.0.0.1:1"),
-        zone: Text::from("zone"),
-        slots: 1,
-        state: ReplicaState::Ready,
-    }
-}
-
-fn table(version: u64) -> RouteTable {
-    RouteTable {
-        version,
-        routes: Vec::new(),
-        services: Vec::new(),
-        limits: Limits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_timeout: Duration::ZERO,
-            idle_timeout: Duration::ZERO,
-        },
-    }
-}
-
 async fn play(
     script: &Rc<Script>,
     watches: Vec<Result<WatchOutcome, KeyValueError>>,
--- /dev/null
+++ b/crates/stageyoke-directory/tests/support/mod.rs
@@ -0,0 +1,68 @@
+//! The interpreter that the tests of the mirror share.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use stageyoke_directory::{
+    Interpreter, Limits, ReplicaRecord, ReplicaState, RouteTable, Update, Write,
+};
+use stageyoke_types::Text;
+
+/// Reads `replica/ID` and `routes/all`, whose value is the version.
+pub struct Words;
+
+impl Interpreter for Words {
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
+        let text = value.and_then(|value| std::str::from_utf8(value).ok());
+        match (key.split_once('/'), text) {
+            (Some(("replica", id)), text) => Update::Replica {
+                id: Text::from(id),
+                record: text.map(record),
+            },
+            (Some(("routes", _)), Some(version)) => match version.parse() {
+                Ok(version) => Update::Routes(table(version)),
+                Err(_) => Update::Unreadable("version".to_owned()),
+            },
+            _ => Update::Ignored,
+        }
+    }
+    fn prefix(&self) -> &str {
+        ""
+    }
+    fn routes_key(&self) -> &str {
+        "routes/all"
+    }
+    fn members_key(&self) -> &str {
+        "members"
+    }
+    fn retirement_report(&self, node: &str, _: bool) -> Write {
+        Write {
+            key: node.to_owned(),
+            value: Bytes::new(),
+        }
+    }
+}
+
+fn record(service: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        service: Text::from(service),
+        address: Text::from("127.0.0.1:1"),
+        zone: Text::from("zone"),
+        slots: 1,
+        state: ReplicaState::Ready,
+    }
+}
+
+fn table(version: u64) -> RouteTable {
+    RouteTable {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+    }
+}
--- a/crates/stageyoke-front/src/memory.rs
+++ b/crates/stageyoke-front/src/memory.rs
@@ -33,11 +33,6 @@
         }
     }
 
-    /// Bytes held by all requests.
-    pub fn held(&self) -> usize {
-        self.held.get()
-    }
-
     /// Begins a request that holds nothing yet.
     pub fn begin(self: &Rc<Self>) -> Held {
         Held {
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -169,21 +169,12 @@
     /// Bytes of memory that the running process has had at most, as the kernel
     /// tells them.
     pub fn peak_memory(&self) -> io::Result<u64> {
-        self.memory_figure("VmHWM:")
-    }
-
-    /// Bytes of memory that the running process has now.
-    pub fn memory(&self) -> io::Result<u64> {
-        self.memory_figure("VmRSS:")
-    }
-
-    fn memory_figure(&self, name: &str) -> io::Result<u64> {
         let identifier = self.child.as_ref().and_then(Child::id);
         let identifier = identifier.ok_or(io::ErrorKind::NotFound)?;
         let status = std::fs::read_to_string(format!("/proc/{identifier}/status"))?;
         let kilobytes = status
             .lines()
-            .find_map(|line| line.strip_prefix(name))
+            .find_map(|line| line.strip_prefix("VmHWM:"))
             .and_then(|rest| rest.trim().strip_suffix(" kB"))
             .and_then(|number| number.parse::<u64>().ok())
             .ok_or(io::ErrorKind::InvalidData)?;
--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -49,13 +49,17 @@
     mut outbox: UnboundedReceiver<T>,
 ) -> io::Result<()> {
     while let Some(first) = outbox.recv().await {
-        let mut bytes = first.as_ref().to_vec();
-        let mut holders = vec![first];
+        let mut waiting = vec![first];
         while let Ok(more) = outbox.try_recv() {
-            bytes.extend_from_slice(more.as_ref());
-            holders.push(more);
+            waiting.push(more);
+        }
+        match waiting.as_slice() {
+            [only] => writer.write_all(only.as_ref()).await?,
+            several => {
+                let frames: Vec<&[u8]> = several.iter().map(AsRef::as_ref).collect();
+                writer.write_all(&frames.concat()).await?;
+            }
         }
-        writer.write_all(&bytes).await?;
     }
     Ok(())
 }
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -60,12 +60,11 @@
     /// The digest by which stores compare what they hold. Records are
     /// immutable, so kind and identifiers suffice.
     pub fn digest(&self) -> RecordDigest {
-        let none = Text::default();
         let (kind, program, turn) = match self {
-            Self::Clock { .. } => (3_u8, &none, &none),
-            Self::Reserve { program, turn, .. } => (0, program, turn),
-            Self::Settle { program, turn, .. } => (1, program, turn),
-            Self::Turn(record) => (2, &record.program, &record.turn),
+            Self::Reserve { program, turn, .. } => (0_u8, program.as_str(), turn.as_str()),
+            Self::Settle { program, turn, .. } => (1, program.as_str(), turn.as_str()),
+            Self::Turn(record) => (2, record.program.as_str(), record.turn.as_str()),
+            Self::Clock { .. } => (3, "", ""),
         };
         let mut hasher = blake3::Hasher::new();
         hasher.update(&[kind]);
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -189,7 +189,7 @@
         if self.holds(digest) {
             return true;
         }
-        if self.memory() >= self.limits.state_bytes || self.backlog_is_full() {
+        if self.no_room_below(self.limits.state_bytes).is_some() {
             return false;
         }
         let (done, result) = oneshot::channel();
@@ -206,9 +206,13 @@
         self.state.borrow().memory()
     }
 
-    /// Whether so much waits for the disk that nothing more is taken.
-    fn backlog_is_full(&self) -> bool {
-        self.waiting_bytes.get() >= self.limits.backlog_bytes
+    /// Why nothing more is taken where the index may have so many bytes.
+    fn no_room_below(&self, state_bytes: usize) -> Option<Refusal> {
+        if self.memory() >= state_bytes {
+            return Some(Refusal::MemoryFull);
+        }
+        let backlog_is_full = self.waiting_bytes.get() >= self.limits.backlog_bytes;
+        backlog_is_full.then_some(Refusal::DiskRefused)
     }
 
     /// Records on their way to the disk.
@@ -453,10 +457,7 @@
             // A store's own; no caller may send it.
             Record::Clock { .. } => return Some(Refusal::NotActive),
         };
-        if self.memory() >= most {
-            return Some(Refusal::MemoryFull);
-        }
-        self.backlog_is_full().then_some(Refusal::DiskRefused)
+        self.no_room_below(most)
     }
 
     /// Why a caller with this version of the member list gets no record kept.
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -23,7 +23,7 @@
 /// time may take its deadline of some seconds, and is repeated once or twice.
 pub const RETENTION_MARGIN_SECONDS: u64 = 15;
 /// Bytes of the newest turns' contents, where nothing else is set.
-pub const DEFAULT_RECENT_BYTES: usize = 4 * 1024 * 1024;
+const DEFAULT_RECENT_BYTES: usize = 4 * 1024 * 1024;
 
 // Bytes that each thing costs in memory: the sizes of the types over the maps'
 // mean load (0.66: between 7/8 and half of it), and the vectors' mean slack.
@@ -178,7 +178,7 @@
                 program,
                 turn,
                 used,
-            } => self.settle(program, turn, *used, now),
+            } => self.settle(program, TurnKey::of(turn), *used, now),
             Record::Turn(turn) => self.add_turn(turn, place, now),
             Record::Clock { .. } => {}
         }
@@ -205,11 +205,10 @@
         self.ledger_entries += 1;
     }
 
-    fn settle(&mut self, program: &Text, turn: &Text, used: u32, now: u64) {
+    fn settle(&mut self, program: &Text, turn: TurnKey, used: u32, now: u64) {
         if program.is_empty() {
             return;
         }
-        let turn = TurnKey::of(turn);
         let settled = LedgerEntry {
             turn: turn.0,
             amount: used,
@@ -228,9 +227,9 @@
     fn add_turn(&mut self, record: &TurnRecord, place: Place, now: u64) {
         let retention = u64::from(record.retention_seconds);
         self.longest_retention = self.longest_retention.max(retention);
-        self.settle(&record.program, &record.turn, record.used, now);
-        let keep_until = now + retention + RETENTION_MARGIN_SECONDS;
         let key = TurnKey::of(&record.turn);
+        self.settle(&record.program, key, record.used, now);
+        let keep_until = now + retention + RETENTION_MARGIN_SECONDS;
         let previous = (!record.previous.is_empty()).then(|| TurnKey::of(&record.previous));
         let held = self.turns.entry(key).or_insert(HeldTurn {
             previous,
--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -2,6 +2,8 @@
 //! restarts, a full memory refuses new turns first, and a store that takes
 //! nothing forgets all the same.
 
+mod support;
+
 use std::io::Write;
 use std::path::Path;
 use std::rc::Rc;
@@ -9,29 +11,16 @@
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members};
 use stageyoke_store::keys::TurnKey;
-use stageyoke_store::message::{
-    ChainPart, JournalPosition, Record, Refusal, Reply, Request, TurnRecord,
-};
+use stageyoke_store::message::{ChainPart, JournalPosition, Record, Refusal, Reply, Request};
 use stageyoke_store::segment::{DataFolder, encode_clock, encode_record};
 use stageyoke_store::server::Keeper;
 use stageyoke_store::{RecentTurns, StoreLimits};
 use stageyoke_types::{Blob, Text};
+use support::turn;
 use tokio::task::LocalSet;
 
 const NODE: &str = "store";
 
-fn turn(name: &str, previous: &str) -> Record {
-    Record::Turn(TurnRecord {
-        turn: Text::from(name),
-        program: Text::from("program"),
-        previous: Text::from(previous),
-        input: Blob::from(b"ask\n".to_vec()),
-        output: Blob::from(b"say\n".to_vec()),
-        used: 10,
-        retention_seconds: 60,
-    })
-}
-
 fn reserve(number: usize) -> Record {
     Record::Reserve {
         program: Text::from(format!("program-{number}")),
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -1,17 +1,20 @@
 //! A front's view of a group of real stores on loopback sockets and disks.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_store::message::{Record, TurnRecord};
+use stageyoke_store::message::Record;
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server::{self, Keeper};
 use stageyoke_store::sync::Peers;
 use stageyoke_store::{ChainOutcome, Group, GroupError, StoreLimits};
-use stageyoke_types::{Blob, Text};
+use stageyoke_types::Text;
+use support::turn;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet};
@@ -91,18 +94,6 @@
     (stores, group)
 }
 
-fn turn(name: &str, previous: &str) -> Record {
-    Record::Turn(TurnRecord {
-        turn: Text::from(name),
-        program: Text::from("program"),
-        previous: Text::from(previous),
-        input: Blob::from(b"ask\n".to_vec()),
-        output: Blob::from(b"say\n".to_vec()),
-        used: 10,
-        retention_seconds: 60,
-    })
-}
-
 fn reserve(turn: &str) -> Record {
     Record::Reserve {
         program: Text::from("program"),
