--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -1,8 +1,9 @@
 //! What a process knows of its deployment: the routes in force, the replicas of
-//! every service, and the members of the store group. All of it is followed
+//! every service, and the store groups. All of it is followed
 //! from a key-value service, whose names and formats an adapter supplies.
 
 pub mod freshness;
+pub mod groups;
 pub mod key_value;
 pub mod members;
 pub mod mirror;
@@ -10,6 +11,7 @@
 pub mod view;
 
 pub use freshness::{AgeLimits, DirectoryMark, Freshness};
+pub use groups::{GroupNumber, StoreGroups};
 pub use key_value::{
     Change, Condition, Item, KeyValueError, KeyValueService, RangePage, Transaction,
     TransactionOutcome, WatchOutcome, Write,
--- a/crates/stageyoke-directory/src/members.rs
+++ b/crates/stageyoke-directory/src/members.rs
@@ -1,6 +1,5 @@
-//! The list of the store group's members. It lives in the key-value service
-//! under a key of the product's own and changes one member at a time, so that
-//! the quorums of neighbouring versions intersect.
+//! The list of one store group's members. It changes one member at a time, so
+//! that the quorums of neighbouring versions intersect.
 
 use std::collections::BTreeMap;
 
@@ -66,7 +65,7 @@
 
     /// Disks that may be lost at once, by the tolerance and by where the
     /// members stand.
-    fn losses(&self, tolerance: &Tolerance) -> usize {
+    pub fn losses(&self, tolerance: &Tolerance) -> usize {
         let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
         for member in self.list.iter() {
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::freshness::{AgeLimits, Freshness};
+use crate::groups::StoreGroups;
 use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
 use crate::view::{Changed, Interpreter, Update, View};
 
@@ -217,9 +218,9 @@
         Ok(())
     }
 
-    /// Reads the member list linearizably.
-    pub async fn confirm_members(&self) -> Result<(), KeyValueError> {
-        self.read_one(self.interpreter.members_key()).await
+    /// Reads the store groups linearizably.
+    pub async fn confirm_stores(&self) -> Result<(), KeyValueError> {
+        self.read_one(self.interpreter.stores_key()).await
     }
 
     async fn read_one(&self, key: &str) -> Result<(), KeyValueError> {
@@ -231,10 +232,10 @@
     }
 
     /// Seeds the view from a copy kept elsewhere, before the service answers.
-    pub fn seed(&self, members: crate::members::Members) {
+    pub fn seed(&self, stores: StoreGroups) {
         let mut changed = Changed::default();
         self.edit(
-            |view, changed| view.apply(Update::Members(members), 0, changed),
+            |view, changed| view.apply(Update::Stores(stores), 0, changed),
             &mut changed,
         );
     }
--- a/crates/stageyoke-directory/src/view.rs
+++ b/crates/stageyoke-directory/src/view.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use stageyoke_types::Text;
 
-use crate::members::Members;
+use crate::groups::StoreGroups;
 use crate::model::{ReplicaRecord, Retirement, RouteTable};
 
 /// What one item means to the product.
@@ -21,8 +21,8 @@
         /// `None`: it is gone.
         record: Option<ReplicaRecord>,
     },
-    /// The store group's member list.
-    Members(Members),
+    /// The store groups.
+    Stores(StoreGroups),
     /// An order to empty a store, or its withdrawal.
     Retire {
         /// Machine name.
@@ -44,8 +44,8 @@
     fn prefix(&self) -> &str;
     /// Key of the configuration.
     fn routes_key(&self) -> &str;
-    /// Key of the member list.
-    fn members_key(&self) -> &str;
+    /// Key of the store groups.
+    fn stores_key(&self) -> &str;
     /// The write that reports the state of a store's retirement.
     fn retirement_report(&self, node: &str, completed: bool) -> crate::key_value::Write;
 }
@@ -57,10 +57,10 @@
     pub routes: Option<Rc<RouteTable>>,
     /// Replicas by incarnation.
     pub replicas: BTreeMap<Text, ReplicaRecord>,
-    /// The member list.
-    pub members: Rc<Members>,
-    /// Revision of the member list's key; zero while absent.
-    pub members_revision: u64,
+    /// The store groups.
+    pub stores: Rc<StoreGroups>,
+    /// Revision of the store groups' key; zero while absent.
+    pub stores_revision: u64,
     /// Stores that are to be emptied.
     pub retirements: BTreeMap<Text, Retirement>,
 }
@@ -72,8 +72,8 @@
     pub routes: bool,
     /// The replica list changed.
     pub replicas: bool,
-    /// The member list or a retirement changed.
-    pub members: bool,
+    /// The store groups or a retirement changed.
+    pub stores: bool,
 }
 
 impl View {
@@ -82,7 +82,7 @@
         match update {
             Update::Routes(table) => self.apply_routes(table, changed),
             Update::Replica { id, record } => self.apply_replica(id, record, changed),
-            Update::Members(members) => self.apply_members(members, revision, changed),
+            Update::Stores(stores) => self.apply_stores(stores, revision, changed),
             Update::Retire { node, order } => self.apply_retirement(node, order, changed),
             Update::Ignored | Update::Unreadable(_) => {}
         }
@@ -104,14 +104,14 @@
         changed.replicas |= before != record;
     }
 
-    fn apply_members(&mut self, members: Members, revision: u64, changed: &mut Changed) {
-        if revision < self.members_revision || members.version < self.members.version {
+    fn apply_stores(&mut self, stores: StoreGroups, revision: u64, changed: &mut Changed) {
+        if revision < self.stores_revision || stores.version < self.stores.version {
             return;
         }
-        self.members_revision = revision;
-        if *self.members != members {
-            self.members = Rc::new(members);
-            changed.members = true;
+        self.stores_revision = revision;
+        if *self.stores != stores {
+            self.stores = Rc::new(stores);
+            changed.stores = true;
         }
     }
 
@@ -120,7 +120,7 @@
             Some(order) => self.retirements.insert(node, order.clone()),
             None => self.retirements.remove(&node),
         };
-        changed.members |= before != order;
+        changed.stores |= before != order;
     }
 
     /// Drops replicas and retirements that a complete read did not show.
@@ -135,6 +135,6 @@
         self.retirements
             .retain(|node, _| seen_retirements.contains(node));
         changed.replicas |= before.0 != self.replicas.len();
-        changed.members |= before.1 != self.retirements.len();
+        changed.stores |= before.1 != self.retirements.len();
     }
 }
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -1,14 +1,15 @@
 //! One front process: its parts, and how it starts and stops.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Interpreter, KeyValueService, Mirror, Tolerance};
-use stageyoke_store::Group;
+use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance};
+use stageyoke_store::Groups;
 use stageyoke_store::role::report_mirror_event;
 use stageyoke_types::{Event, Text};
 use tokio::net::TcpListener;
@@ -29,7 +30,8 @@
 /// Part of the grace that is left for the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
-/// A front that has not reached a quorum of stores for this long is not ready.
+/// A front that has reached no quorum of any store group for this long is not
+/// ready.
 const UNREADY_AFTER: Duration = Duration::from_millis(600);
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 const PROBE_WITHIN: Duration = Duration::from_millis(300);
@@ -89,30 +91,35 @@
     /// Whether new connections are welcome.
     pub fn ready(&self) -> bool {
         let view = self.mirror.view();
-        let group_serves = self
-            .history
-            .group
-            .failing_for()
-            .is_none_or(|failing| failing < UNREADY_AFTER);
-        view.routes.is_some() && !self.draining() && group_serves
+        let failing = self.history.stores.all_failing_for();
+        let stores_serve = failing.is_none_or(|failing| failing < UNREADY_AFTER);
+        view.routes.is_some() && !self.draining() && stores_serve
     }
 
-    /// Looks for the store group's return while it fails.
-    async fn watch_group(&self) {
-        let group = &self.history.group;
-        let mut told = false;
+    /// Looks for the return of store groups while they fail.
+    async fn watch_groups(&self) {
+        let mut told: BTreeSet<GroupNumber> = BTreeSet::new();
         loop {
             tokio::time::sleep(PROBE_PAUSE).await;
-            if let Some(failing) = group.failing_for() {
-                if !std::mem::replace(&mut told, true) {
-                    observe::event(Event::GroupFailing, &format!("for={failing:?}"));
+            let failing = self.history.stores.failing();
+            for group in &failing {
+                let number = group.number();
+                if told.insert(number) {
+                    let failing_for = group.failing_for().unwrap_or_default();
+                    let detail = format!("group={} for={failing_for:?}", number.0);
+                    observe::event(Event::GroupFailing, &detail);
                 }
-                group.probe(PROBE_WITHIN).await;
-            }
-            if told && group.failing_for().is_none() {
-                told = false;
-                observe::event(Event::DependencyRegained, "store group");
+                let probed = group.clone();
+                tokio::task::spawn_local(async move { probed.probe(PROBE_WITHIN).await });
             }
+            told.retain(|number| {
+                let fails = failing.iter().any(|group| group.number() == *number);
+                if !fails {
+                    let detail = format!("store group {}", number.0);
+                    observe::event(Event::DependencyRegained, &detail);
+                }
+                fails
+            });
         }
     }
 
@@ -124,13 +131,13 @@
         self.fleet.follow(&view.replicas, unseen);
         let metrics = stageyoke_observe::metrics();
         metrics.replicas.set(view.replicas.len() as i64);
-        metrics.members_version.set(view.members.version as i64);
+        metrics.members_version.set(view.stores.version as i64);
         if let Some(routes) = &view.routes {
             self.shares.follow(routes);
         }
         let version = view.routes.as_ref().map_or(0, |routes| routes.version);
         metrics.routes_version.set(version as i64);
-        self.history.group.follow(&view.members);
+        self.history.stores.follow(&view.stores);
     }
 }
 
@@ -141,15 +148,15 @@
     mirror: Rc<Mirror<S, I>>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let group = Group::new(settings.zone.clone(), settings.tolerance.clone());
-    let group = Rc::new(group.confirming(mirror.freshness().clone()));
+    let stores = Groups::new(settings.zone.clone(), settings.tolerance.clone());
+    let stores = Rc::new(stores.confirming(mirror.freshness().clone()));
     let front = Rc::new(Front {
         names,
         zone: settings.zone.clone(),
         mirror,
-        fleet: Fleet::new(group.load.clone()).bounded(settings.change_bound),
+        fleet: Fleet::new(stores.load().clone()).bounded(settings.change_bound),
         shares: Shares::new(rand::random()),
-        history: Rc::new(History::new(group)),
+        history: Rc::new(History::new(stores)),
         activity: Activity::default(),
         memory: Rc::new(MemoryBudget::within(settings.memory_bytes)),
         closing: Closing::default(),
@@ -169,7 +176,7 @@
         mirror.run(report).await;
     });
     let watching = front.clone();
-    tokio::task::spawn_local(async move { watching.watch_group().await });
+    tokio::task::spawn_local(async move { watching.watch_groups().await });
     let seeding = front.clone();
     let seeds = settings.seeds.clone();
     tokio::task::spawn_local(async move {
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -117,7 +117,7 @@
         story.directory_age = age.as_millis().min(u128::from(u32::MAX)) as u64;
         let ages = &observe::metrics().directory_age_seconds;
         ages.observe(age.as_secs_f64());
-        story.members_version = self.history.group.members().version;
+        story.members_version = self.history.stores.stores().version;
         let host = host(&head.headers).unwrap_or_default();
         let (routes, route) = self.find_route(host, head.uri.path()).await?;
         story.route = route.name.to_string();
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -10,7 +10,7 @@
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::ChainPart;
 use stageyoke_store::{
-    ChainOutcome, Group, GroupError, LedgerView, RecentTurns, Record, TurnRecord,
+    ChainOutcome, GroupError, Groups, LedgerView, RecentTurns, Record, TurnRecord,
 };
 use stageyoke_types::{Blob, Text};
 use tokio::time::Instant;
@@ -33,31 +33,32 @@
     Unsure,
 }
 
-/// History and budgets, through the store group.
+/// History and budgets, through the store groups.
 pub struct History {
-    /// The store group.
-    pub group: Rc<Group>,
+    /// The store groups.
+    pub stores: Rc<Groups>,
     cache: RefCell<RecentTurns>,
 }
 
 impl History {
-    /// History kept by this group.
-    pub fn new(group: Rc<Group>) -> Self {
+    /// History kept by these groups.
+    pub fn new(stores: Rc<Groups>) -> Self {
         Self {
-            group,
+            stores,
             cache: RefCell::new(RecentTurns::new(CACHE_BYTES)),
         }
     }
 
-    /// Everything that was said up to and including `turn`.
-    pub async fn transcript(&self, turn: &Text, within: Duration) -> Transcript {
+    /// Everything that was said up to and including `turn`, from which this
+    /// program goes on.
+    pub async fn transcript(&self, program: &str, turn: &Text, within: Duration) -> Transcript {
         let mut parts = self.cached_chain(turn);
         let missing = match parts.last() {
             None => turn.clone(),
             Some(last) => last.previous.clone(),
         };
         if !missing.is_empty() {
-            match self.group.chain(&missing, within).await {
+            match self.stores.chain(program, &missing, within).await {
                 ChainOutcome::Whole(rest) => parts.extend(rest),
                 ChainOutcome::Absent(absent) if absent == *turn => return Transcript::Absent,
                 // An ancestor of a turn that exists is never simply absent.
@@ -104,7 +105,7 @@
             most,
         };
         let began = Instant::now();
-        let ledger = self.group.append(record, within).await;
+        let ledger = self.stores.append(record, within).await;
         metrics()
             .reserve_seconds
             .observe(began.elapsed().as_secs_f64());
@@ -118,7 +119,7 @@
             turn: turn.clone(),
             used,
         };
-        self.group.append_in_background(record, SETTLE_WITHIN);
+        self.stores.append_in_background(record, SETTLE_WITHIN);
     }
 
     /// Keeps a finished turn; returns once a write quorum has it on disk.
@@ -128,7 +129,7 @@
             let left = deadline.saturating_duration_since(Instant::now());
             let within = left.min(COMMIT_TRY);
             let error = match self
-                .group
+                .stores
                 .append(Record::Turn(record.clone()), within)
                 .await
             {
--- a/crates/stageyoke-front/src/turns.rs
+++ b/crates/stageyoke-front/src/turns.rs
@@ -35,22 +35,33 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let within = left.min(LOOK_UP_WITHIN);
-        match self.history.transcript(previous, within).await {
+        match self
+            .history
+            .transcript(&call.figures.program, previous, within)
+            .await
+        {
             Transcript::Found(text) => Ok(Some(text)),
             Transcript::Absent => Err(Failure::last(ErrorKind::NotFound, "no_such_turn")),
             Transcript::Unsure => Err(Failure::come_back(
                 ErrorKind::Unavailable,
                 "history_unsure",
-                self.group_retry(),
+                self.group_retry(call),
             )),
         }
     }
 
-    /// When to come back after the store group did not serve: soon at first,
-    /// as another front may reach it; later once the fault has lasted.
-    fn group_retry(&self) -> Duration {
-        let failing = self.history.group.failing_for().unwrap_or_default();
-        failing.clamp(SOON, AFTER_RECOVERY)
+    /// How long the store group that this request needs has not served.
+    fn group_failing_for(&self, call: &Call) -> Duration {
+        let figures = &call.figures;
+        let stores = &self.history.stores;
+        let failing = stores.failing_for(&figures.program, &figures.request);
+        failing.unwrap_or_default()
+    }
+
+    /// When to come back after that group did not serve: soon at first, as
+    /// another front may reach it; later once the fault has lasted.
+    fn group_retry(&self, call: &Call) -> Duration {
+        self.group_failing_for(call).clamp(SOON, AFTER_RECOVERY)
     }
 
     /// Reserves the turn's most tokens; `note` takes what decided it.
@@ -71,10 +82,10 @@
             .outbound
             .deadline
             .saturating_duration_since(Instant::now());
-        let failing = self.history.group.failing_for().unwrap_or_default();
+        let failing = self.group_failing_for(call);
         if failing > FAILING_FOR_LONG {
             let cause = "store_group_failing";
-            let after = self.group_retry();
+            let after = self.group_retry(call);
             return Err(Failure::come_back(ErrorKind::Unavailable, cause, after));
         }
         let within = left.mul_f64(RESERVE_PART).min(RESERVE_WITHIN);
@@ -89,7 +100,7 @@
             Failure::come_back(
                 ErrorKind::Unavailable,
                 "budget_not_reserved",
-                self.group_retry(),
+                self.group_retry(call),
             )
         })?;
         let others = ledger.total_without(&turn);
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -91,7 +91,7 @@
     fn routes_key(&self) -> &str {
         "routes"
     }
-    fn members_key(&self) -> &str {
+    fn stores_key(&self) -> &str {
         "members"
     }
     fn retirement_report(&self, node: &str, _: bool) -> Write {
--- a/crates/stageyoke-lab/src/standins/platform/store.rs
+++ b/crates/stageyoke-lab/src/standins/platform/store.rs
@@ -86,6 +86,12 @@
         self.changed.notify_waiters();
     }
 
+    /// A key's value.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let data = self.data();
+        data.items.get(key).map(|stored| stored.value.clone())
+    }
+
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         self.data().write(key, None);
--- /dev/null
+++ b/crates/stageyoke-store/src/exchange.rs
@@ -0,0 +1,99 @@
+//! What a store has seen of one peer's journal, and what of it is still missing
+//! here. Pure: whoever drives it sends the calls.
+
+use crate::message::{JournalPosition, RecordDigest};
+
+/// Progress with one peer.
+#[derive(Clone, Debug, Default)]
+pub struct Exchange {
+    position: JournalPosition,
+    held: JournalPosition,
+    late: Vec<RecordDigest>,
+    compared: Option<u64>,
+    in_step: Option<u64>,
+    known: Option<u64>,
+    caught_up: bool,
+}
+
+/// A page of a peer's digests.
+#[derive(Clone, Copy, Debug)]
+pub struct Page<'a> {
+    /// In journal order.
+    pub digests: &'a [RecordDigest],
+    /// Position after the page.
+    pub next: JournalPosition,
+    /// Whether the peer's journal goes on after it.
+    pub more: bool,
+    /// Whether the peer vouches for what it misses.
+    pub complete: bool,
+    /// The version of the member list that the peer goes by.
+    pub members_version: u64,
+}
+
+impl Exchange {
+    /// Digests that were seen there and are still missing here.
+    pub fn missing(&mut self, holds: impl Fn(RecordDigest) -> bool) -> Vec<RecordDigest> {
+        self.late.retain(|digest| !holds(*digest));
+        self.late.clone()
+    }
+
+    /// Whether nothing that was seen there is missing.
+    pub fn nothing_missing(&self) -> bool {
+        self.late.is_empty()
+    }
+
+    /// The next comparison goes on here.
+    pub fn position(&self) -> JournalPosition {
+        self.position
+    }
+
+    /// Up to where everything is held here.
+    pub fn held(&self) -> JournalPosition {
+        self.held
+    }
+
+    /// Before a comparison: what was missing has been asked for.
+    pub fn note_fetched(&mut self) {
+        if !self.nothing_missing() {
+            return;
+        }
+        self.held = self.position;
+        self.in_step = self.compared.or(self.in_step);
+    }
+
+    /// Takes a page.
+    pub fn take(&mut self, page: Page<'_>, holds: impl Fn(RecordDigest) -> bool) {
+        let missing = page.digests.iter().copied();
+        self.late.extend(missing.filter(|digest| !holds(*digest)));
+        self.position = page.next;
+        if page.complete {
+            self.known = self.known.max(Some(page.members_version));
+        }
+        let whole = !page.more && page.complete;
+        self.compared = whole.then_some(page.members_version);
+    }
+
+    /// After a page: a complete peer is caught up with at its journal's end,
+    /// unless something is missing.
+    pub fn note_end(&mut self) {
+        self.caught_up |= self.compared.is_some() && self.nothing_missing();
+    }
+
+    /// Whether everything that a complete peer held was held here once.
+    pub fn caught_up(&self) -> bool {
+        self.caught_up
+    }
+
+    /// Whether the peer, complete, goes by this version of the member list.
+    pub fn knows(&self, members_version: u64) -> bool {
+        self.known.is_some_and(|version| version >= members_version)
+    }
+
+    /// Whether everything is held here that the peer, complete, held when it
+    /// went by this version of the member list already. From then on it has
+    /// taken nothing from fronts with an older list.
+    pub fn in_step(&self, members_version: u64) -> bool {
+        self.in_step
+            .is_some_and(|version| version >= members_version)
+    }
+}
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -1,22 +1,24 @@
-//! A front's dealings with the whole store group: quorums of appends, ledgers
-//! merged over members, chains gathered from whoever holds them.
+//! A front's dealings with one store group: quorums of appends, ledgers merged
+//! over members, chains gathered from whoever holds them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Freshness, Member, MemberState, Members, Tolerance};
+use stageyoke_directory::{
+    Freshness, GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance,
+};
 use stageyoke_types::Text;
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
 
 use crate::client::{CallError, StoreClient};
 use crate::frame::Encoded;
-use crate::keys::TurnKey;
 use crate::load::LoadBoard;
-use crate::message::{ChainPart, LedgerEntry, Record, Refusal, Reply, Request};
+use crate::message::{ChainPart, Record, Reply, Request};
+use crate::quorum::{AppendTally, ChainStep, ChainTally, LedgerView};
 
 /// How long a member may take before others are asked as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(40);
@@ -54,41 +56,6 @@
 
 impl std::error::Error for GroupError {}
 
-/// A program's ledger, merged over a quorum.
-#[derive(Clone, Debug, Default)]
-pub struct LedgerView {
-    entries: BTreeMap<u64, LedgerEntry>,
-}
-
-impl LedgerView {
-    /// Takes one member's entries: a settled amount replaces a reservation.
-    pub fn merge(&mut self, entries: impl IntoIterator<Item = LedgerEntry>) {
-        for entry in entries {
-            match self.entries.get(&entry.turn) {
-                Some(known) if known.settled || !entry.settled => {}
-                _ => {
-                    self.entries.insert(entry.turn, entry);
-                }
-            }
-        }
-    }
-
-    /// Tokens used and reserved by all turns but this one.
-    pub fn total_without(&self, turn: &str) -> u64 {
-        let TurnKey(turn) = TurnKey::of(turn);
-        self.entries
-            .values()
-            .filter(|entry| entry.turn != turn)
-            .map(|entry| u64::from(entry.amount))
-            .sum()
-    }
-
-    /// Turns of the ledger.
-    pub fn turns(&self) -> usize {
-        self.entries.len()
-    }
-}
-
 /// What is known of a chain.
 #[derive(Clone, Debug)]
 pub enum ChainOutcome {
@@ -100,39 +67,58 @@
     Unsure,
 }
 
-/// Connections to all members, following the member list.
-pub struct Group {
-    zone: Text,
-    tolerance: Tolerance,
+/// What the groups of one front share.
+#[derive(Clone)]
+pub struct Shared {
+    /// Zone of the front.
+    pub zone: Text,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
     /// What fronts have under way at replicas.
     pub load: Rc<LoadBoard>,
+    /// What members tell of the directory counts for this one.
+    pub directory: Option<Rc<Freshness>>,
+    /// The newest store groups that a refusal has brought.
+    pub newer: Rc<RefCell<Option<StoreGroups>>>,
+}
+
+impl Shared {
+    /// For a front in this zone.
+    pub fn new(zone: Text, tolerance: Tolerance) -> Self {
+        Self {
+            zone,
+            tolerance,
+            load: Rc::new(LoadBoard::new(rand::random())),
+            directory: None,
+            newer: Rc::default(),
+        }
+    }
+}
+
+/// Connections to all members of one group, following its member list.
+pub struct Group {
+    number: GroupNumber,
+    shared: Shared,
     failing_since: Cell<Option<Instant>>,
     members: RefCell<Rc<Members>>,
     clients: RefCell<HashMap<Text, Rc<StoreClient>>>,
-    directory: Option<Rc<Freshness>>,
 }
 
 impl Group {
     /// A group without members yet.
-    pub fn new(zone: Text, tolerance: Tolerance) -> Self {
+    pub fn new(number: GroupNumber, shared: Shared) -> Self {
         Self {
-            zone,
-            tolerance,
-            load: Rc::new(LoadBoard::new(rand::random())),
+            number,
+            shared,
             failing_since: Cell::new(None),
             members: RefCell::default(),
             clients: RefCell::default(),
-            directory: None,
         }
     }
 
-    /// The same group; what its members tell of the directory counts for this
-    /// one.
-    pub fn confirming(self, directory: Rc<Freshness>) -> Self {
-        Self {
-            directory: Some(directory),
-            ..self
-        }
+    /// Its place among the groups.
+    pub fn number(&self) -> GroupNumber {
+        self.number
     }
 
     /// The member list in use.
@@ -142,8 +128,9 @@
 
     /// Takes a member list unless it is older than the one in use; connections
     /// of unchanged members stay.
-    pub fn follow(&self, members: &Rc<Members>) {
-        if members.version < self.members().version {
+    pub fn follow(&self, members: &Members) {
+        let current = self.members();
+        if members.version < current.version || *members == *current {
             return;
         }
         let mut clients = self.clients.borrow_mut();
@@ -157,7 +144,7 @@
                 .entry(member.node.clone())
                 .or_insert_with(|| Rc::new(StoreClient::new(&member.address)));
         }
-        *self.members.borrow_mut() = members.clone();
+        *self.members.borrow_mut() = Rc::new(members.clone());
     }
 
     fn client(&self, node: &Text) -> Option<Rc<StoreClient>> {
@@ -183,7 +170,7 @@
     /// write quorum is.
     pub async fn probe(&self, within: Duration) {
         let members = self.members();
-        let Some(needed) = members.write_quorum(&self.tolerance) else {
+        let Some(needed) = members.write_quorum(&self.shared.tolerance) else {
             return;
         };
         let (answers, mut inbox) = unbounded_channel();
@@ -222,15 +209,14 @@
         within: Duration,
     ) -> Result<LedgerView, GroupError> {
         let members = self.members();
-        let needed = members
-            .write_quorum(&self.tolerance)
-            .ok_or(GroupError::NoGroup)?;
-        let sent = Instant::now();
         let reads_ledger = matches!(record, Record::Reserve { .. });
+        let mut tally = AppendTally::new(&members, &self.shared.tolerance, reads_ledger)?;
+        let sent = Instant::now();
         let (answers, mut inbox) = unbounded_channel();
         let request = Encoded::of(&Request::Append {
+            group: self.number,
             members_version: members.version,
-            load: self.load.report(),
+            load: self.shared.load.report(),
             record,
         });
         for member in active(&members) {
@@ -239,56 +225,57 @@
             };
             let request = request.clone();
             let answers = answers.clone();
+            let node = member.node.clone();
             // The append goes on when this caller leaves: copies spread.
             tokio::task::spawn_local(async move {
-                let _ = answers.send(call_until(&client, request, within).await);
+                let _ = answers.send((node, call_until(&client, request, within).await));
             });
         }
         drop(answers);
-        let mut ledger = LedgerView::default();
-        let mut kept = 0;
-        let mut error = GroupError::NoQuorum;
         while let Some(answer) = inbox.recv().await {
-            match answer {
-                Ok(Reply::Kept {
-                    complete,
-                    ledger: entries,
-                    others,
-                    directory,
-                }) => {
-                    if let Some(own) = &self.directory {
-                        own.hear(directory, sent);
-                    }
-                    if reads_ledger {
-                        self.load.hear(others);
-                    }
-                    ledger.merge(entries);
-                    kept += usize::from(complete || !reads_ledger);
-                }
-                Ok(Reply::StaleMembers(newer)) => {
-                    self.follow(&Rc::new(newer));
-                    error = GroupError::StaleMembers;
-                }
-                Ok(Reply::Refused(Refusal::DiskRefused)) => error = GroupError::DiskRefused,
-                Ok(Reply::Refused(Refusal::MemoryFull)) => error = GroupError::MemoryFull,
-                Ok(_) | Err(_) => {}
+            let (node, Ok(mut reply)) = answer else {
+                continue;
+            };
+            self.hear(&mut reply, reads_ledger, sent);
+            tally.take(&node, reply);
+            if let Some(newer) = tally.take_newer() {
+                self.take_newer(newer);
             }
-            if kept >= needed {
-                return Ok(ledger);
+            if tally.kept() {
+                break;
             }
         }
-        Err(error)
+        tally.outcome()
     }
 
-    /// Sends a record to every active member without waiting.
-    pub fn append_in_background(self: &Rc<Self>, record: Record, within: Duration) {
-        let group = self.clone();
-        tokio::task::spawn_local(async move {
-            let outcome = group.append(record.clone(), within).await;
-            if matches!(outcome, Err(GroupError::StaleMembers)) {
-                let _ = group.append(record, within).await;
-            }
-        });
+    /// Takes what comes along with an answer.
+    fn hear(&self, reply: &mut Reply, reads_ledger: bool, sent: Instant) {
+        let Reply::Kept {
+            others, directory, ..
+        } = reply
+        else {
+            return;
+        };
+        if let Some(own) = &self.shared.directory {
+            own.hear(*directory, sent);
+        }
+        if reads_ledger {
+            self.shared.load.hear(std::mem::take(others));
+        }
+    }
+
+    /// Follows its own list in newer store groups, and hands them on.
+    fn take_newer(&self, newer: StoreGroups) {
+        if let Some(members) = newer.group(self.number) {
+            self.follow(members);
+        }
+        let mut known = self.shared.newer.borrow_mut();
+        if known
+            .as_ref()
+            .is_none_or(|known| known.version < newer.version)
+        {
+            *known = Some(newer);
+        }
     }
 
     /// Gathers the chain that ends in `turn`, nearest member first.
@@ -298,46 +285,47 @@
         let mut next = turn.clone();
         loop {
             match self.chain_step(&next, deadline).await {
-                StepOutcome::Parts { found, missing } => {
+                ChainStep::Parts { found, missing } => {
                     parts.extend(found);
                     if missing.is_empty() {
                         return ChainOutcome::Whole(parts);
                     }
                     next = missing;
                 }
-                StepOutcome::Absent => return ChainOutcome::Absent(next),
-                StepOutcome::Unsure => return ChainOutcome::Unsure,
+                ChainStep::Absent => return ChainOutcome::Absent(next),
+                ChainStep::Unsure => return ChainOutcome::Unsure,
             }
         }
     }
 
-    async fn chain_step(&self, turn: &Text, deadline: Instant) -> StepOutcome {
+    /// What the group knows of one turn and those before it.
+    pub async fn chain_step(&self, turn: &Text, deadline: Instant) -> ChainStep {
         let members = self.members();
-        let Some(absence) = members.absence_quorum(&self.tolerance) else {
-            return StepOutcome::Unsure;
+        let Some(mut tally) = ChainTally::new(&members, &self.shared.tolerance) else {
+            return ChainStep::Unsure;
         };
         let (answers, mut inbox) = unbounded_channel();
         let mut order: Vec<&Member> = members.list.iter().collect();
-        order.sort_by_key(|member| member.zone != self.zone);
+        order.sort_by_key(|member| member.zone != self.shared.zone);
         let mut waiting = order.into_iter();
         let mut asked = 0;
         let mut answered = 0;
-        let mut absent = 0;
         loop {
-            let ask_more = asked == answered || asked == 0;
-            if ask_more && let Some(member) = waiting.next() {
+            if asked == answered
+                && let Some(member) = waiting.next()
+            {
                 asked += 1;
                 self.ask_chain(member, turn, deadline, &answers);
             }
             if asked == answered {
-                return StepOutcome::Unsure;
+                return ChainStep::Unsure;
             }
             let hedge = (Instant::now() + HEDGE_AFTER).min(deadline);
             let answer = tokio::select! {
                 answer = inbox.recv() => answer,
                 () = tokio::time::sleep_until(hedge) => {
                     if Instant::now() >= deadline {
-                        return StepOutcome::Unsure;
+                        return ChainStep::Unsure;
                     }
                     if let Some(member) = waiting.next() {
                         asked += 1;
@@ -347,22 +335,15 @@
                 }
             };
             answered += 1;
-            if let Some(Some(Reply::Chain {
-                complete,
-                parts,
-                missing,
-            })) = answer
-            {
-                if !parts.is_empty() {
-                    return StepOutcome::Parts {
-                        found: parts.0,
-                        missing,
-                    };
-                }
-                absent += usize::from(complete);
-                if absent >= absence {
-                    return StepOutcome::Absent;
-                }
+            if let Some((node, Some(reply))) = answer {
+                tally.take(&node, reply);
+            }
+            if let Some(newer) = tally.take_newer() {
+                self.take_newer(newer);
+            }
+            let step = tally.step();
+            if step != ChainStep::Unsure {
+                return step;
             }
         }
     }
@@ -372,17 +353,22 @@
         member: &Member,
         turn: &Text,
         deadline: Instant,
-        answers: &tokio::sync::mpsc::UnboundedSender<Option<Reply>>,
+        answers: &UnboundedSender<(Text, Option<Reply>)>,
     ) {
         let Some(client) = self.client(&member.node) else {
-            let _ = answers.send(None);
+            let _ = answers.send((member.node.clone(), None));
             return;
         };
-        let request = Request::Chain { turn: turn.clone() };
+        let request = Request::Chain {
+            group: self.number,
+            members_version: self.members().version,
+            turn: turn.clone(),
+        };
         let answers = answers.clone();
+        let node = member.node.clone();
         tokio::task::spawn_local(async move {
             let within = deadline.saturating_duration_since(Instant::now());
-            let _ = answers.send(client.call(request, within).await.ok());
+            let _ = answers.send((node, client.call(request, within).await.ok()));
         });
     }
 }
@@ -408,15 +394,6 @@
     }
 }
 
-enum StepOutcome {
-    Parts {
-        found: Vec<ChainPart>,
-        missing: Text,
-    },
-    Absent,
-    Unsure,
-}
-
 fn active(members: &Members) -> impl Iterator<Item = &Member> {
     members
         .list
--- /dev/null
+++ b/crates/stageyoke-store/src/groups.rs
@@ -0,0 +1,247 @@
+//! A front's dealings with all store groups: each program's records go to the
+//! members of its group, and to no other store.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::{Freshness, GroupNumber, StoreGroups, Tolerance};
+use stageyoke_types::Text;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::time::Instant;
+
+use crate::group::{ChainOutcome, Group, GroupError, Shared};
+use crate::keys::TurnKey;
+use crate::load::LoadBoard;
+use crate::message::{ChainPart, Record};
+use crate::quorum::{ChainStep, LedgerView};
+
+/// How long the group that a program belongs to may take before the others are
+/// asked for a turn that the program goes on from: another program may have
+/// made it. A few ways to a store and back.
+const OTHERS_AFTER: Duration = Duration::from_millis(60);
+
+/// Connections to the store groups, following their map.
+pub struct Groups {
+    shared: Shared,
+    stores: RefCell<Rc<StoreGroups>>,
+    groups: RefCell<Vec<Rc<Group>>>,
+    /// Since when records find no group, as the groups are not known.
+    unknown_since: Cell<Option<Instant>>,
+}
+
+/// What one group said of a turn.
+struct Answer {
+    own: bool,
+    step: ChainStep,
+}
+
+impl Groups {
+    /// No groups yet, for a front in this zone.
+    pub fn new(zone: Text, tolerance: Tolerance) -> Self {
+        Self {
+            shared: Shared::new(zone, tolerance),
+            stores: RefCell::default(),
+            groups: RefCell::default(),
+            unknown_since: Cell::new(None),
+        }
+    }
+
+    /// The same; what stores tell of the directory counts for this one.
+    pub fn confirming(self, directory: Rc<Freshness>) -> Self {
+        let shared = Shared {
+            directory: Some(directory),
+            ..self.shared
+        };
+        Self { shared, ..self }
+    }
+
+    /// What fronts have under way at replicas.
+    pub fn load(&self) -> &Rc<LoadBoard> {
+        &self.shared.load
+    }
+
+    /// The store groups in use.
+    pub fn stores(&self) -> Rc<StoreGroups> {
+        self.stores.borrow().clone()
+    }
+
+    /// Takes the store groups unless they are older than those in use.
+    pub fn follow(&self, stores: &Rc<StoreGroups>) {
+        if stores.version < self.stores().version {
+            return;
+        }
+        let mut groups = self.groups.borrow_mut();
+        for (number, members) in stores.numbered() {
+            if groups.len() <= number.0 as usize {
+                groups.push(Rc::new(Group::new(number, self.shared.clone())));
+            }
+            groups[number.0 as usize].follow(members);
+        }
+        if !groups.is_empty() {
+            self.unknown_since.set(None);
+        }
+        *self.stores.borrow_mut() = stores.clone();
+    }
+
+    /// Takes what refusals have brought; true if there was any.
+    fn follow_newer(&self) -> bool {
+        let newer = self.shared.newer.borrow_mut().take();
+        match newer {
+            Some(newer) => {
+                self.follow(&Rc::new(newer));
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// The group that keeps what a program does. A turn that names no program
+    /// is its own.
+    pub fn group_of(&self, program: &str, turn: &str) -> Option<Rc<Group>> {
+        let identifier = if program.is_empty() { turn } else { program };
+        let TurnKey(hash) = TurnKey::of(identifier);
+        let GroupNumber(number) = self.stores().group_of_hash(hash)?;
+        self.groups.borrow().get(number as usize).cloned()
+    }
+
+    fn group_of_record(&self, record: &Record) -> Option<Rc<Group>> {
+        match record {
+            Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
+                self.group_of(program, turn)
+            }
+            Record::Turn(record) => self.group_of(&record.program, &record.turn),
+            Record::Clock { .. } => None,
+        }
+    }
+
+    /// How long a program's group has reached no quorum; `None` while it
+    /// serves.
+    pub fn failing_for(&self, program: &str, turn: &str) -> Option<Duration> {
+        self.group_of(program, turn)?.failing_for()
+    }
+
+    /// How long no group at all has served; `None` while one does.
+    pub fn all_failing_for(&self) -> Option<Duration> {
+        let groups = self.groups.borrow();
+        if groups.is_empty() {
+            return self.unknown_since.get().map(|since| since.elapsed());
+        }
+        let failing = groups.iter().map(|group| group.failing_for());
+        let failing: Option<Vec<Duration>> = failing.collect();
+        failing?.into_iter().min()
+    }
+
+    /// Groups that reach no quorum.
+    pub fn failing(&self) -> Vec<Rc<Group>> {
+        let groups = self.groups.borrow();
+        let failing = groups.iter().filter(|group| group.failing_for().is_some());
+        failing.cloned().collect()
+    }
+
+    /// Writes a record to the members of its program's group; done once a write
+    /// quorum has it on disk. A reservation gives the program's ledger.
+    pub async fn append(&self, record: Record, within: Duration) -> Result<LedgerView, GroupError> {
+        let Some(group) = self.group_of_record(&record) else {
+            let since = self.unknown_since.get().unwrap_or_else(Instant::now);
+            self.unknown_since.set(Some(since));
+            return Err(GroupError::NoGroup);
+        };
+        let outcome = group.append(record, within).await;
+        self.follow_newer();
+        outcome
+    }
+
+    /// Sends a record without waiting.
+    pub fn append_in_background(self: &Rc<Self>, record: Record, within: Duration) {
+        let groups = self.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = groups.append(record.clone(), within).await;
+            if matches!(outcome, Err(GroupError::StaleMembers)) {
+                let _ = groups.append(record, within).await;
+            }
+        });
+    }
+
+    /// Gathers the chain that ends in `turn`, from the program's own group
+    /// first: a program may go on from another's turns.
+    pub async fn chain(&self, program: &str, turn: &Text, within: Duration) -> ChainOutcome {
+        let deadline = Instant::now() + within;
+        let mut parts: Vec<ChainPart> = Vec::new();
+        let mut next = turn.clone();
+        loop {
+            let mut step = self.chain_step(program, &next, deadline).await;
+            if step == ChainStep::Unsure && self.follow_newer() {
+                step = self.chain_step(program, &next, deadline).await;
+            }
+            match step {
+                ChainStep::Parts { found, missing } => {
+                    parts.extend(found);
+                    if missing.is_empty() {
+                        return ChainOutcome::Whole(parts);
+                    }
+                    next = missing;
+                }
+                ChainStep::Absent => return ChainOutcome::Absent(next),
+                ChainStep::Unsure => return ChainOutcome::Unsure,
+            }
+        }
+    }
+
+    /// Absent only where every group is sure of it.
+    async fn chain_step(&self, program: &str, turn: &Text, deadline: Instant) -> ChainStep {
+        let Some(own) = self.group_of(program, turn) else {
+            return ChainStep::Unsure;
+        };
+        let mut others: Vec<Rc<Group>> = self.groups.borrow().clone();
+        others.retain(|group| !Rc::ptr_eq(group, &own));
+        let (answers, mut inbox) = unbounded_channel();
+        ask(own, true, turn, deadline, &answers);
+        let mut pending = 1;
+        let mut sure = true;
+        let others_from = Instant::now() + OTHERS_AFTER;
+        while pending > 0 {
+            let answer = tokio::select! {
+                answer = inbox.recv() => answer,
+                () = tokio::time::sleep_until(others_from), if !others.is_empty() => None,
+            };
+            let own_missed_it = match answer {
+                Some(Answer {
+                    step: found @ ChainStep::Parts { .. },
+                    ..
+                }) => return found,
+                Some(Answer { own, step }) => {
+                    pending -= 1;
+                    sure &= step == ChainStep::Absent;
+                    own
+                }
+                None => true,
+            };
+            if own_missed_it {
+                for group in others.drain(..) {
+                    pending += 1;
+                    ask(group, false, turn, deadline, &answers);
+                }
+            }
+        }
+        match sure {
+            true => ChainStep::Absent,
+            false => ChainStep::Unsure,
+        }
+    }
+}
+
+fn ask(
+    group: Rc<Group>,
+    own: bool,
+    turn: &Text,
+    deadline: Instant,
+    answers: &UnboundedSender<Answer>,
+) {
+    let turn = turn.clone();
+    let answers = answers.clone();
+    tokio::task::spawn_local(async move {
+        let step = group.chain_step(&turn, deadline).await;
+        let _ = answers.send(Answer { own, step });
+    });
+}
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -6,12 +6,13 @@
 use std::sync::mpsc;
 use std::time::Instant;
 
-use stageyoke_directory::Members;
+use stageyoke_directory::StoreGroups;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use stageyoke_types::List;
 
 use crate::clock::DiskClock;
+use crate::completeness::Completeness;
 use crate::message::{Record, SeenItem};
 use crate::segment::{DataFolder, Place, encode_clock, encode_record};
 
@@ -35,9 +36,9 @@
 enum Command {
     Append { ticket: u64, bytes: Vec<u8> },
     Remove { segment: u64 },
-    Members(Members),
+    Stores(StoreGroups),
     Items(List<SeenItem>),
-    Complete,
+    Complete(Completeness),
 }
 
 /// Sends work to the writing thread.
@@ -87,9 +88,9 @@
         let _ = self.commands.send(Command::Remove { segment });
     }
 
-    /// Keeps the member list.
-    pub fn save_members(&self, members: &Members) {
-        let _ = self.commands.send(Command::Members(members.clone()));
+    /// Keeps the store groups.
+    pub fn save_stores(&self, stores: &StoreGroups) {
+        let _ = self.commands.send(Command::Stores(stores.clone()));
     }
 
     /// Keeps the items of the key-value service.
@@ -97,9 +98,9 @@
         let _ = self.commands.send(Command::Items(items));
     }
 
-    /// Marks the disk as complete.
-    pub fn mark_complete(&self) {
-        let _ = self.commands.send(Command::Complete);
+    /// Marks what the disk is complete for.
+    pub fn mark_complete(&self, completeness: Completeness) {
+        let _ = self.commands.send(Command::Complete(completeness));
     }
 }
 
@@ -156,9 +157,9 @@
     fn housekeeping(&self, command: Command) {
         let _ = match command {
             Command::Remove { segment } => self.folder.remove_segment(segment),
-            Command::Members(members) => self.folder.save_members(&members),
+            Command::Stores(stores) => self.folder.save_stores(&stores),
             Command::Items(items) => self.folder.save_items(&items),
-            Command::Complete => self.folder.mark_complete(),
+            Command::Complete(completeness) => self.folder.mark_complete(completeness),
             Command::Append { .. } => Ok(()),
         };
     }
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -1,26 +1,34 @@
-//! Decides this store's next step in the member list. Pure: the caller makes
+//! Decides a member's next step in the list of its group. Pure: the caller makes
 //! the change under the condition that the list has not moved meanwhile.
+//!
+//! Quorums of neighbouring lists intersect; those of lists further apart need
+//! not. So before a list is followed by one with other members, the one before
+//! it is *fenced*: so many complete members go by the current list, and refuse
+//! whoever goes by an older one, that no older quorum can be reached any more;
+//! and whoever proposes the next list holds all that they held then
+//! (`docs/GROUPS.md` has the argument).
 
 use std::time::Duration;
 
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_types::Text;
 
+use crate::message::JournalPosition;
+
 /// A member that nobody hears for this long may be dropped from the list once
 /// all others have caught up with one another.
 pub const REMOVE_AFTER: Duration = Duration::from_secs(6);
+/// How long the list must have stood before a member too many leaves: whoever
+/// was away may be so again.
+pub const SURPLUS_AFTER: Duration = Duration::from_secs(10);
 /// A group never shrinks below this many members by itself.
 const SMALLEST_GROUP: usize = 3;
 
 /// This store, as it should stand in the list.
 #[derive(Clone, Debug)]
 pub struct Oneself {
-    /// Machine name.
-    pub node: Text,
-    /// Address of the inner listener.
-    pub address: Text,
-    /// Zone.
-    pub zone: Text,
+    /// Its entry as an active member.
+    pub entry: Member,
     /// Whether the disk holds everything that it acknowledged, or, for a new
     /// store, everything that the group holds.
     pub complete: bool,
@@ -28,10 +36,78 @@
     pub caught_up: bool,
     /// Whether the operator wants this store emptied.
     pub retiring: bool,
-    /// Whether half of the time for that is over.
+    /// Whether it is a member too many, and should become a spare.
+    pub surplus: bool,
+    /// Whether half of the time for the retirement is over.
     pub retirement_is_late: bool,
+    /// Whether the lists before the current one are fenced.
+    pub fenced: bool,
     /// Active peers that hold everything that this store holds.
     pub peers_holding_all: usize,
+    /// How long the current list has been in use here.
+    pub list_age: Duration,
+}
+
+/// Where a store's journal ended when it was first seen to hold everything that
+/// its living peers held under a member list. A peer that holds the journal up
+/// to there holds what all of them held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedEnd {
+    members_version: u64,
+    end: JournalPosition,
+}
+
+impl SharedEnd {
+    /// The end that was known, if it is this list's; else the journal's end
+    /// now, provided that this store holds what its living peers held since the
+    /// list came into use.
+    pub fn under(
+        members: &Members,
+        known: Option<Self>,
+        holds_living_peers: impl FnOnce() -> bool,
+        end: JournalPosition,
+    ) -> Option<Self> {
+        let members_version = members.version;
+        let known = known.filter(|known| known.members_version == members_version);
+        known.or_else(|| {
+            holds_living_peers().then_some(Self {
+                members_version,
+                end,
+            })
+        })
+    }
+
+    /// Whether a peer that holds the journal up to there holds all of it.
+    pub fn held_by(&self, held: JournalPosition) -> bool {
+        held.disk == self.end.disk && held.next >= self.end.next
+    }
+}
+
+/// Whether the lists before the current one are fenced, by members that are in
+/// step: this store holds what they held, complete, under the current list. For
+/// a store that leaves it is enough that they know that list: what it does not
+/// hold stays where it is.
+pub fn fenced(members: &Members, tolerance: &Tolerance, in_step: impl Fn(&Member) -> bool) -> bool {
+    let Some(needed) = members.absence_quorum(tolerance) else {
+        return false;
+    };
+    let in_step = members.list.iter().filter(|member| in_step(member));
+    in_step.count() >= needed
+}
+
+/// Whether so many members have been caught up with that no kept record can
+/// stand only elsewhere.
+pub fn caught_up_with_group(
+    members: &Members,
+    tolerance: &Tolerance,
+    caught_up_with: impl Fn(&str) -> bool,
+) -> bool {
+    let Some(needed) = members.absence_quorum(tolerance) else {
+        return false;
+    };
+    let caught_up = members.list.iter();
+    let caught_up = caught_up.filter(|member| caught_up_with(&member.node));
+    caught_up.count() >= needed
 }
 
 /// What this store knows of a peer.
@@ -41,7 +117,8 @@
     pub node: Text,
     /// How long it has not answered.
     pub silent_for: Duration,
-    /// Whether this store holds what it held.
+    /// Whether this store holds what its living peers held under the current
+    /// list, and the peer holds all of that.
     pub caught_up: bool,
 }
 
@@ -52,10 +129,10 @@
     Rest,
     /// Put this list in place of the current one.
     Change(Members),
-    /// Mark oneself as leaving and report that the retirement is under way.
-    BeginRetirement(Members),
-    /// Leave the list and report that the retirement is complete.
-    CompleteRetirement(Members),
+    /// Mark oneself as leaving: a retirement, if there is one, is under way.
+    BeginLeaving(Members),
+    /// Leave the list: a retirement, if there is one, is complete.
+    Leave(Members),
 }
 
 /// Whether no record can have been kept by anybody: a group too small for a
@@ -72,44 +149,42 @@
     peers: &[PeerHealth],
     tolerance: &Tolerance,
 ) -> Step {
-    let entry = Member {
-        node: oneself.node.clone(),
-        address: oneself.address.clone(),
-        zone: oneself.zone.clone(),
-        state: MemberState::Active,
-    };
-    let Some(current) = members.get(&oneself.node) else {
+    let entry = oneself.entry.clone();
+    let Some(current) = members.get(&entry.node) else {
         return join(members, entry, oneself, tolerance);
     };
-    if oneself.retiring {
-        return retire(members, current, oneself, tolerance);
+    let leaving = current.state == MemberState::Leaving;
+    let begins = oneself.surplus && oneself.list_age >= SURPLUS_AFTER;
+    if oneself.retiring || begins || (leaving && oneself.surplus) {
+        return leave(members, current, oneself, tolerance);
     }
-    if current.address != entry.address {
+    if *current != entry {
         return Step::Change(members.with(entry));
     }
-    remove_dead(members, peers, tolerance)
+    remove_dead(members, oneself, peers, tolerance)
 }
 
 fn join(members: &Members, entry: Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
     if oneself.retiring {
         return Step::Rest;
     }
-    let ready = oneself.caught_up || nothing_kept_yet(members, tolerance);
+    let holds_all = oneself.caught_up && oneself.fenced;
+    let ready = holds_all || nothing_kept_yet(members, tolerance);
     if oneself.complete && ready {
         return Step::Change(members.with(entry));
     }
     Step::Rest
 }
 
-fn retire(members: &Members, current: &Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
+fn leave(members: &Members, current: &Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
     if current.state == MemberState::Active {
         let leaving = Member {
             state: MemberState::Leaving,
             ..current.clone()
         };
-        return Step::BeginRetirement(members.with(leaving));
+        return Step::BeginLeaving(members.with(leaving));
     }
-    let rest = members.without(&oneself.node);
+    let rest = members.without(&oneself.entry.node);
     let Some(needed) = rest.write_quorum(tolerance) else {
         return Step::Rest;
     };
@@ -119,25 +194,57 @@
         true => needed,
         false => needed.max(rest.list.len()),
     };
-    if oneself.peers_holding_all >= holders {
-        return Step::CompleteRetirement(rest);
+    if oneself.fenced && oneself.peers_holding_all >= holders {
+        return Step::Leave(rest);
     }
     Step::Rest
 }
 
-fn remove_dead(members: &Members, peers: &[PeerHealth], tolerance: &Tolerance) -> Step {
-    let mut dead = peers.iter().filter(|peer| peer.silent_for > REMOVE_AFTER);
-    let (Some(gone), None) = (dead.next(), dead.next()) else {
+/// Removes one dead member in two steps, if no more are dead than may be lost at
+/// once, and those that are left can still keep records and hold everything
+/// together. What it acknowledged to fronts that don't know of the first step
+/// is held by others too before the second.
+fn remove_dead(
+    members: &Members,
+    oneself: &Oneself,
+    peers: &[PeerHealth],
+    tolerance: &Tolerance,
+) -> Step {
+    let dead = |peer: &&PeerHealth| peer.silent_for > REMOVE_AFTER;
+    let dead_count = peers.iter().filter(dead).count();
+    let most_dead = members.losses(tolerance).max(1);
+    let is_leaving = |peer: &PeerHealth| {
+        let member = members.get(&peer.node);
+        member.is_some_and(|member| member.state == MemberState::Leaving)
+    };
+    let longest_dead = peers
+        .iter()
+        .filter(dead)
+        .max_by_key(|peer| (is_leaving(peer), peer.silent_for));
+    let Some(gone) = longest_dead.filter(|_| dead_count <= most_dead) else {
         return Step::Rest;
     };
     let rest = members.without(&gone.node);
-    let large_enough = rest.list.len() >= SMALLEST_GROUP && rest.write_quorum(tolerance).is_some();
-    let others_caught_up = peers
-        .iter()
-        .filter(|peer| peer.node != gone.node)
-        .all(|peer| peer.caught_up);
-    if large_enough && others_caught_up {
-        return Step::Change(rest);
+    let living = members.list.len() - dead_count;
+    let serves = rest
+        .write_quorum(tolerance)
+        .is_some_and(|needed| needed <= living);
+    let large_enough = rest.list.len() >= SMALLEST_GROUP;
+    let mut living = peers.iter().filter(|peer| !dead(peer));
+    let caught_up = living.all(|peer| peer.caught_up);
+    if !(serves && large_enough && caught_up) {
+        return Step::Rest;
+    }
+    // First nobody counts on it any more; it goes once no front can that does.
+    match members.get(&gone.node) {
+        Some(member) if member.state == MemberState::Active => {
+            let leaving = Member {
+                state: MemberState::Leaving,
+                ..member.clone()
+            };
+            Step::Change(members.with(leaving))
+        }
+        Some(_) if oneself.fenced => Step::Change(rest),
+        _ => Step::Rest,
     }
-    Step::Rest
 }
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between fronts and stores, and among stores.
 
 use nanoserde::{DeBin, SerBin};
-use stageyoke_directory::{DirectoryMark, Members};
+use stageyoke_directory::{DirectoryMark, GroupNumber, StoreGroups};
 use stageyoke_types::{Blob, List, Text};
 
 /// One finished turn of a program whose history is kept. Immutable.
@@ -165,7 +165,9 @@
 pub enum Request {
     /// Keep a record; answered once it is on the disk.
     Append {
-        /// The asking front's version of the member list.
+        /// The group that the record belongs to.
+        group: GroupNumber,
+        /// The asking front's version of that group's member list.
         members_version: u64,
         /// What the front has under way.
         load: LoadReport,
@@ -174,11 +176,19 @@
     },
     /// Read the chain that ends in this turn.
     Chain {
+        /// The group as whose member the store is asked.
+        group: GroupNumber,
+        /// The asking front's version of that group's member list.
+        members_version: u64,
         /// Last turn of the chain.
         turn: Text,
     },
     /// Digests of the records from a position on.
     Digests {
+        /// The group as whose member the store is asked.
+        group: GroupNumber,
+        /// The asking store's version of that group's member list.
+        members_version: u64,
         /// Machine that asks.
         node: Text,
         /// Where it goes on; another disk's position starts anew.
@@ -214,7 +224,8 @@
     },
     /// Parts of a chain, newest first.
     Chain {
-        /// Whether this store holds everything it ever acknowledged.
+        /// Whether this store vouches for what it misses: it is a complete member
+        /// of the group that was asked, and the asker's list is not too old.
         complete: bool,
         /// Parts from the asked turn backwards.
         parts: List<ChainPart>,
@@ -228,8 +239,10 @@
         next: JournalPosition,
         /// Whether the journal goes on after the page.
         more: bool,
-        /// Whether this store is complete.
+        /// Whether this store vouches for what it misses, as for chains.
         complete: bool,
+        /// The version of the group's member list that this store goes by.
+        members_version: u64,
         /// Up to where this store knows the key-value service's directory.
         directory: DirectoryMark,
         /// In journal order.
@@ -241,8 +254,10 @@
     Items(List<SeenItem>),
     /// Records that were found.
     Records(List<Record>),
-    /// Nothing was done: the caller's member list is too old. This one is newer.
-    StaleMembers(Members),
+    /// Nothing was done, or the store misses the turn and can't vouch for its
+    /// absence: the caller's member list is too old, or the store is no member of
+    /// the group. These are the groups as the store knows them.
+    StaleMembers(StoreGroups),
     /// Nothing was done.
     Refused(Refusal),
 }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -9,19 +9,24 @@
 use std::time::Duration;
 
 use nanoserde::SerBin;
+use stageyoke_directory::groups::group_size;
 use stageyoke_directory::{
-    Condition, Interpreter, Item, KeyValueService, MemberState, Members, Mirror, MirrorEvent,
-    Tolerance, Transaction, TransactionOutcome, Write,
+    Condition, Interpreter, Item, KeyValueService, Member, MemberState, Members, Mirror,
+    MirrorEvent, StoreGroups, Tolerance, Transaction, TransactionOutcome, Write,
 };
 use stageyoke_types::{Blob, Event, Text};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use crate::formation::{self, Registered};
 use crate::limits::StoreLimits;
-use crate::membership::{Oneself, PeerHealth, Step, decide, nothing_kept_yet};
+use crate::membership::{
+    Oneself, PeerHealth, REMOVE_AFTER, SharedEnd, Step, decide, fenced, nothing_kept_yet,
+};
 use crate::message::SeenItem;
 use crate::segment::DataFolder;
 use crate::server::{self, Keeper};
+use crate::spare::Survey;
 use crate::sync::Peers;
 use stageyoke_observe as observe;
 
@@ -37,6 +42,9 @@
 /// of the member list: one more than the disks that any deployment may lose.
 const ASKING_FIRST: usize = 3;
 
+/// A peer that answered within this time is there: two rounds and a bit.
+const PRESENT_WITHIN: Duration = Duration::from_millis(2300);
+
 /// Settings of the role.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
@@ -58,12 +66,35 @@
     pub tolerance: Tolerance,
 }
 
+/// The next change of the store groups, and what it tells of this store's
+/// retirement.
+struct Proposal {
+    stores: StoreGroups,
+    retired: Option<bool>,
+}
+
+impl Proposal {
+    fn change(stores: StoreGroups) -> Self {
+        Self {
+            stores,
+            retired: None,
+        }
+    }
+
+    fn retirement(stores: StoreGroups, completed: bool) -> Self {
+        Self {
+            stores,
+            retired: Some(completed),
+        }
+    }
+}
+
 /// What the items were kept at last.
 #[derive(Clone, Copy, Debug, Default)]
 struct KeptItems {
     changes: u64,
     routes: u64,
-    members: u64,
+    stores: u64,
     at: Option<Instant>,
 }
 
@@ -73,6 +104,10 @@
     mirror: Rc<Mirror<S, I>>,
     keeper: Rc<Keeper>,
     peers: Rc<Peers>,
+    survey: Survey,
+    started: formation::Start,
+    registered: Cell<Registered>,
+    shared_end: Cell<Option<SharedEnd>>,
     retiring_since: Cell<Option<Instant>>,
     items_kept: Cell<KeptItems>,
 }
@@ -85,13 +120,13 @@
         let segments = recovered.segments.iter();
         let records: usize = segments.map(|segment| segment.records).sum();
         let detail = format!(
-            "records={records} segments={} bytes={} memory={} clock={} torn={} complete={} disk={:016x}",
+            "records={records} segments={} bytes={} memory={} clock={} torn={} complete={:?} disk={:016x}",
             recovered.segments.len(),
             recovered.bytes,
             recovered.state.memory(),
             recovered.clock,
             recovered.torn,
-            recovered.complete,
+            recovered.completeness,
             recovered.state.end().disk
         );
         observe::event(Event::LogRecovered, &detail);
@@ -105,12 +140,16 @@
         let collector = keeper.clone();
         tokio::task::spawn_local(async move { collector.collect(results).await });
         keeper.set_items(kept_items, false);
-        mirror.seed((*keeper.members()).clone());
+        mirror.seed((*keeper.stores()).clone());
         let host = Rc::new(Self {
             settings,
             mirror,
             keeper,
             peers,
+            survey: Survey::default(),
+            started: formation::Start::now(),
+            registered: Cell::new(Registered::now(0)),
+            shared_end: Cell::new(None),
             retiring_since: Cell::new(None),
             items_kept: Cell::default(),
         });
@@ -122,6 +161,10 @@
                 forgetting.expire().await;
             }
         });
+        let asking = host.clone();
+        tokio::task::spawn_local(async move {
+            asking.survey.run(|| asking.spare_among()).await;
+        });
         let mirroring = host.clone();
         tokio::task::spawn_local(async move {
             mirroring.mirror.run(report_mirror_event).await;
@@ -132,7 +175,10 @@
 
     fn follow(&self) {
         let view = self.mirror.view();
-        self.keeper.set_members(view.members.clone());
+        self.keeper.set_stores(view.stores.clone());
+        let registered = self.registered.get();
+        self.registered.set(registered.seen(view.stores.version));
+        self.choose_group();
         let members = self.keeper.members();
         self.peers.follow(&members);
         let mut first = members.list.iter().take(ASKING_FIRST);
@@ -141,6 +187,43 @@
         self.keep_items();
     }
 
+    /// The store groups, if this store is a member of none.
+    fn spare_among(&self) -> Option<Rc<StoreGroups>> {
+        let stores = self.keeper.stores();
+        let spare = stores.formed() && stores.group_of_node(&self.settings.node).is_none();
+        spare.then_some(stores)
+    }
+
+    /// A spare fills up for the group that needs it most.
+    fn choose_group(&self) {
+        let Some(stores) = self.spare_among() else {
+            return;
+        };
+        let group = self.ordinary_size(&stores).and_then(|size| {
+            self.survey
+                .group_in_need(&stores, size, &self.settings.node)
+        });
+        self.keeper.fill_up_for(group);
+    }
+
+    /// Members of an ordinary group.
+    fn ordinary_size(&self, stores: &StoreGroups) -> Option<usize> {
+        let members: Vec<Member> = stores.members().cloned().collect();
+        group_size(&self.settings.tolerance, &members)
+    }
+
+    /// Whether this store is a member too many: the newest of a group that is
+    /// larger than an ordinary one though all its members are there.
+    fn surplus(&self, stores: &StoreGroups, members: &Members) -> bool {
+        let newest = members.list.last();
+        let is_newest = newest.is_some_and(|member| member.node == self.settings.node);
+        let larger = |size| stores.groups.len() > 1 && members.list.len() > size;
+        let mut others = self.others(members);
+        is_newest
+            && self.ordinary_size(stores).is_some_and(larger)
+            && others.all(|member| self.silent_for(member) < PRESENT_WITHIN)
+    }
+
     /// Keeps the items of the service, for fronts that start while it is down:
     /// at once when routes or members have changed, while a group of changes of
     /// the replica list is kept together.
@@ -152,12 +235,12 @@
         let now = KeptItems {
             changes: self.mirror.changes(),
             routes: view.routes.as_ref().map_or(0, |routes| routes.version),
-            members: view.members.version,
+            stores: view.stores.version,
             at: Some(Instant::now()),
         };
         let kept = self.items_kept.get();
         let rested = kept.at.is_none_or(|at| at.elapsed() > KEEP_ITEMS_PAUSE);
-        let urgent = (kept.routes, kept.members) != (now.routes, now.members);
+        let urgent = (kept.routes, kept.stores) != (now.routes, now.stores);
         if kept.changes == now.changes || !(urgent || rested) {
             return;
         }
@@ -169,13 +252,16 @@
     async fn keep_place(&self) {
         loop {
             self.follow();
-            let step = self.next_step();
-            let acted = step != Step::Rest;
-            self.take(step).await;
-            let settled = self.keeper.complete()
-                && self.keeper.members().get(&self.settings.node).is_some()
-                && !self.retiring();
-            let pause = if settled && !acted { TICK } else { QUICK_TICK };
+            let proposal = self.next_proposal();
+            let acted = proposal.is_some();
+            if let Some(proposal) = proposal {
+                self.propose(proposal).await;
+            }
+            let pause = if self.settled() && !acted {
+                TICK
+            } else {
+                QUICK_TICK
+            };
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 () = self.mirror.changed() => {}
@@ -183,6 +269,16 @@
         }
     }
 
+    /// Whether nothing is to be done soon: a complete member, or a spare that
+    /// no group needs.
+    fn settled(&self) -> bool {
+        let stores = self.keeper.stores();
+        let member = stores.group_of_node(&self.settings.node).is_some();
+        let settled_member = member && self.keeper.complete();
+        let idle_spare = stores.formed() && !member && self.keeper.group().is_none();
+        (settled_member || idle_spare) && !self.retiring()
+    }
+
     /// Whether half of the time for a retirement is over.
     fn retirement_is_late(&self) -> bool {
         let view = self.mirror.view();
@@ -202,54 +298,133 @@
             .contains_key(&self.settings.node)
     }
 
-    fn next_step(&self) -> Step {
-        // Without an answer of the service the list may have moved.
-        if self.mirror.last_contact().is_none() {
-            return Step::Rest;
+    fn next_proposal(&self) -> Option<Proposal> {
+        // Without an answer of the service the groups may have changed.
+        self.mirror.last_contact()?;
+        let stores = self.keeper.stores();
+        if !stores.formed() {
+            return self.before_formation(&stores);
         }
-        let members = self.keeper.members();
-        if nothing_kept_yet(&members, &self.settings.tolerance) {
-            self.keeper.set_complete();
+        let member = stores.group_of_node(&self.settings.node).is_some();
+        if !member && self.retiring() {
+            // What a spare holds, the group that it was a member of holds too.
+            return Some(Proposal::retirement(stores.next(), true));
         }
-        let end = self.keeper.end();
-        let others = members
-            .list
-            .iter()
-            .filter(|member| member.node != self.settings.node);
-        let peers: Vec<PeerHealth> = others
-            .clone()
-            .map(|member| PeerHealth {
-                node: member.node.clone(),
-                silent_for: self.peers.silent_for(&member.node).unwrap_or_default(),
-                caught_up: self.peers.caught_up_with(&member.node),
-            })
-            .collect();
-        let peers_holding_all = others
-            .filter(|member| member.state == MemberState::Active)
-            .filter(|member| self.keeper.held_by(&member.node) == end)
-            .count();
-        let oneself = Oneself {
+        let group = self.keeper.group()?;
+        let change = |members| stores.with_group(group, members);
+        match self.next_step(&stores, stores.group(group)?) {
+            Step::Rest => None,
+            Step::Change(members) => Some(Proposal::change(change(members))),
+            Step::BeginLeaving(members) | Step::Leave(members) if !self.retiring() => {
+                Some(Proposal::change(change(members)))
+            }
+            Step::BeginLeaving(members) => Some(Proposal::retirement(change(members), false)),
+            Step::Leave(members) => Some(Proposal::retirement(change(members), true)),
+        }
+    }
+
+    /// Registers; the groups are formed once no more stores come.
+    fn before_formation(&self, stores: &StoreGroups) -> Option<Proposal> {
+        // Nothing can have been kept by anybody yet, whatever became of a disk.
+        self.keeper.set_complete();
+        if self.retiring() {
+            let rest = stores.without_candidate(&self.settings.node);
+            return Some(Proposal::retirement(rest, true));
+        }
+        let next = formation::next(
+            stores,
+            &self.entry(),
+            self.started,
+            self.registered.get(),
+            &self.settings.tolerance,
+        );
+        next.map(Proposal::change)
+    }
+
+    /// This store, as an active member.
+    fn entry(&self) -> Member {
+        Member {
             node: self.settings.node.clone(),
             address: Text::from(self.settings.advertised.to_string()),
             zone: self.settings.zone.clone(),
+            state: MemberState::Active,
+        }
+    }
+
+    /// The next step in the list of the group that this store is a member of,
+    /// or fills up for.
+    fn next_step(&self, stores: &StoreGroups, members: &Members) -> Step {
+        if nothing_kept_yet(members, &self.settings.tolerance) {
+            self.keeper.set_complete();
+        }
+        let end = self.keeper.end();
+        let holds_all = |member: &&Member| {
+            let active = member.state == MemberState::Active;
+            active && self.keeper.held_by(&member.node) == end
+        };
+        let peers_holding_all = self.others(members).filter(holds_all).count();
+        let oneself = Oneself {
+            entry: self.entry(),
             complete: self.keeper.complete(),
             caught_up: self.peers.caught_up_with_group(),
             retiring: self.retiring(),
+            surplus: self.surplus(stores, members),
             retirement_is_late: self.retirement_is_late(),
+            fenced: self.fenced(members),
             peers_holding_all,
+            list_age: self.keeper.members_since().elapsed(),
         };
-        decide(&members, &oneself, &peers, &self.settings.tolerance)
+        let peers = self.peer_health(members);
+        decide(members, &oneself, &peers, &self.settings.tolerance)
+    }
+
+    fn others<'a>(&'a self, members: &'a Members) -> impl Iterator<Item = &'a Member> {
+        let others = members.list.iter();
+        others.filter(|member| member.node != self.settings.node)
     }
 
-    async fn take(&self, step: Step) {
-        let (members, completed) = match step {
-            Step::Rest => return,
-            Step::Change(members) => (members, None),
-            Step::BeginRetirement(members) => (members, Some(false)),
-            Step::CompleteRetirement(members) => (members, Some(true)),
+    fn fenced(&self, members: &Members) -> bool {
+        fenced(members, &self.settings.tolerance, |member| {
+            match member.node == self.settings.node {
+                true => self.keeper.complete(),
+                false if self.keeper.leaving() => self.peers.knows(&member.node, members.version),
+                false => self.peers.in_step(&member.node, members.version),
+            }
+        })
+    }
+
+    fn peer_health(&self, members: &Members) -> Vec<PeerHealth> {
+        let holds_living_peers = || {
+            let mut living = self
+                .others(members)
+                .filter(|member| self.silent_for(member) <= REMOVE_AFTER);
+            living.all(|member| self.peers.in_step(&member.node, members.version))
         };
-        let mut writes = vec![self.members_write(&members)];
-        if let Some(completed) = completed {
+        let known = self.shared_end.get();
+        let end = self.keeper.end();
+        let shared_end = SharedEnd::under(members, known, holds_living_peers, end);
+        self.shared_end.set(shared_end);
+        let holds_it = |node: &str| {
+            let held = self.keeper.held_by(node);
+            shared_end.is_some_and(|end| end.held_by(held))
+        };
+        self.others(members)
+            .map(|member| PeerHealth {
+                node: member.node.clone(),
+                silent_for: self.silent_for(member),
+                caught_up: holds_it(&member.node),
+            })
+            .collect()
+    }
+
+    fn silent_for(&self, member: &Member) -> Duration {
+        self.peers.silent_for(&member.node).unwrap_or_default()
+    }
+
+    async fn propose(&self, proposal: Proposal) {
+        let Proposal { stores, retired } = proposal;
+        let mut writes = vec![self.stores_write(&stores)];
+        if let Some(completed) = retired {
             let report = self
                 .mirror
                 .interpreter
@@ -258,48 +433,50 @@
         }
         let transaction = Transaction {
             conditions: vec![Condition {
-                key: self.mirror.interpreter.members_key().to_owned(),
-                revision: self.mirror.view().members_revision,
+                key: self.mirror.interpreter.stores_key().to_owned(),
+                revision: self.mirror.view().stores_revision,
             }],
             writes,
         };
         let outcome = self.mirror.service.transact(&transaction).await;
-        self.log_step(&members, completed, &outcome);
+        let detail = format!(
+            "version={} {} retirement={retired:?} outcome={outcome:?}",
+            stores.version,
+            describe(&stores)
+        );
+        observe::event(Event::MembersProposed, &detail);
         if outcome != Ok(TransactionOutcome::Done(0)) {
-            // Done, lost to another store, or without an answer: the list says.
-            if self.mirror.confirm_members().await.is_err() {
+            // Done, lost to another store, or without an answer: the groups
+            // themselves say.
+            if self.mirror.confirm_stores().await.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 
-    fn log_step(
-        &self,
-        members: &Members,
-        completed: Option<bool>,
-        outcome: &Result<TransactionOutcome, stageyoke_directory::KeyValueError>,
-    ) {
-        let nodes: Vec<&str> = members
-            .list
-            .iter()
-            .map(|member| member.node.as_str())
-            .collect();
-        let detail = format!(
-            "version={} members={} retirement={completed:?} outcome={outcome:?}",
-            members.version,
-            nodes.join(",")
-        );
-        observe::event(Event::MembersProposed, &detail);
-    }
-
-    fn members_write(&self, members: &Members) -> Write {
+    fn stores_write(&self, stores: &StoreGroups) -> Write {
         Write {
-            key: self.mirror.interpreter.members_key().to_owned(),
-            value: members.serialize_bin().into(),
+            key: self.mirror.interpreter.stores_key().to_owned(),
+            value: stores.serialize_bin().into(),
         }
     }
 }
 
+/// The groups' members in one line.
+fn describe(stores: &StoreGroups) -> String {
+    let names = |list: &[Member]| {
+        let names: Vec<&str> = list.iter().map(|member| member.node.as_str()).collect();
+        names.join(",")
+    };
+    let groups: Vec<String> = stores
+        .groups
+        .iter()
+        .map(|members| format!("{}:{}", members.version, names(&members.list)))
+        .collect();
+    let candidates = names(&stores.candidates);
+    format!("groups={} candidates={candidates}", groups.join("|"))
+}
+
 fn seen_item(item: Item) -> SeenItem {
     SeenItem {
         key: Text::from(item.key),
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -1,15 +1,16 @@
 //! Files of the data folder: numbered segments of checksummed records, the
-//! disk's identity, the mark of completeness and the last member list.
+//! disk's identity, the mark of completeness and the last store groups.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufReader, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use nanoserde::{DeBin, SerBin};
-use stageyoke_directory::Members;
+use stageyoke_directory::StoreGroups;
 
 use stageyoke_types::List;
 
+use crate::completeness::Completeness;
 use crate::message::{Record, SeenItem};
 use crate::state::State;
 
@@ -19,7 +20,7 @@
 const SEGMENT_PREFIX: &str = "segment-";
 const IDENTITY_FILE: &str = "identity";
 const COMPLETE_FILE: &str = "complete";
-const MEMBERS_FILE: &str = "members";
+const STORES_FILE: &str = "stores";
 const ITEMS_FILE: &str = "items";
 const TEMPORARY_SUFFIX: &str = ".new";
 
@@ -172,8 +173,8 @@
 pub struct Recovered {
     /// Index of all records.
     pub state: State,
-    /// Whether the disk holds everything that it ever acknowledged.
-    pub complete: bool,
+    /// For which group the disk holds everything that it ever acknowledged.
+    pub completeness: Completeness,
     /// Segments, oldest first.
     pub segments: Vec<SegmentUse>,
     /// Segments that ended in a torn record.
@@ -182,8 +183,8 @@
     pub bytes: u64,
     /// Seconds of the disk's clock.
     pub clock: u64,
-    /// Member list that was last known.
-    pub members: Option<Members>,
+    /// Store groups that were last known.
+    pub stores: Option<StoreGroups>,
 }
 
 impl Recovered {
@@ -218,22 +219,25 @@
         let numbers = self.segment_numbers()?;
         let fresh = identity.is_none() && numbers.is_empty();
         if fresh && first_start {
-            self.mark_complete()?;
+            self.mark_complete(Completeness::SinceFormation)?;
         }
         // The identity comes last: a start that is cut short before it has
         // acknowledged nothing, and its mark of completeness holds.
         if identity.is_none() {
             self.replace(IDENTITY_FILE, &new_disk.to_le_bytes())?;
         }
-        let marked = self.path.join(COMPLETE_FILE).exists();
+        let marked = match identity.is_some() || fresh {
+            true => self.read_completeness()?,
+            false => Completeness::Incomplete,
+        };
         let mut recovered = Recovered {
             state: State::new(identity.unwrap_or(new_disk)),
-            complete: marked && (identity.is_some() || fresh),
+            completeness: marked,
             segments: Vec::new(),
             torn: 0,
             bytes: 0,
             clock: 0,
-            members: self.read_members(),
+            stores: self.read_stores(),
         };
         for number in numbers {
             self.recover_segment(number, &mut recovered)?;
@@ -299,14 +303,19 @@
             .collect()
     }
 
-    /// Records that the disk now holds everything that it ever acknowledged.
-    pub fn mark_complete(&self) -> io::Result<()> {
-        self.replace(COMPLETE_FILE, b"complete")
+    /// Records for which group the disk now holds everything that it ever
+    /// acknowledged.
+    pub fn mark_complete(&self, completeness: Completeness) -> io::Result<()> {
+        let Some(mark) = completeness.mark() else {
+            fs::remove_file(self.path.join(COMPLETE_FILE))?;
+            return self.sync_folder();
+        };
+        self.replace(COMPLETE_FILE, mark.as_bytes())
     }
 
-    /// Keeps the member list for a start while the service is down.
-    pub fn save_members(&self, members: &Members) -> io::Result<()> {
-        self.replace(MEMBERS_FILE, &members.serialize_bin())
+    /// Keeps the store groups for a start while the service is down.
+    pub fn save_stores(&self, stores: &StoreGroups) -> io::Result<()> {
+        self.replace(STORES_FILE, &stores.serialize_bin())
     }
 
     /// Keeps the items of the key-value service for such a start.
@@ -367,9 +376,17 @@
         }
     }
 
-    fn read_members(&self) -> Option<Members> {
-        let bytes = self.read_file(MEMBERS_FILE).ok()?;
-        Members::deserialize_bin(&bytes).ok()
+    fn read_completeness(&self) -> io::Result<Completeness> {
+        match self.read_file(COMPLETE_FILE) {
+            Ok(bytes) => Ok(Completeness::of_mark(&String::from_utf8_lossy(&bytes))),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Completeness::Incomplete),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn read_stores(&self) -> Option<StoreGroups> {
+        let bytes = self.read_file(STORES_FILE).ok()?;
+        StoreGroups::deserialize_bin(&bytes).ok()
     }
 
     fn read_file(&self, name: &str) -> io::Result<Vec<u8>> {
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use stageyoke_directory::{AgeLimits, DirectoryMark, Freshness, MemberState, Members};
+use stageyoke_directory::{AgeLimits, DirectoryMark, Freshness, GroupNumber, Members, StoreGroups};
 use stageyoke_observe as observe;
 use stageyoke_types::{Event, List, Text};
 use tokio::io::BufReader;
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::clock::DiskClock;
+use crate::completeness::Completeness;
 use crate::frame;
 use crate::journal::{Appended, Journal};
 use crate::limits::StoreLimits;
@@ -27,12 +28,9 @@
 use crate::reader::RecordReader;
 use crate::segment::{DataFolder, Recovered, SegmentUse};
 use crate::socket;
+use crate::standing::Standing;
 use crate::state::{ChainStep, State};
 
-/// Versions by which a caller's member list may lag: neighbouring versions
-/// have intersecting quorums.
-const MEMBERS_VERSION_SLACK: u64 = 1;
-
 /// Requests of one connection that are answered at once; more wait in the
 /// sockets. Fronts have some tens under way with a store.
 const MOST_UNDER_WAY: usize = 128;
@@ -59,9 +57,9 @@
     tickets: RefCell<HashMap<RecordDigest, u64>>,
     segments: RefCell<VecDeque<SegmentUse>>,
     next_ticket: Cell<u64>,
-    complete: Cell<bool>,
     disk_refuses: Cell<bool>,
-    members: RefCell<Rc<Members>>,
+    standing: RefCell<Standing>,
+    members_since: Cell<Instant>,
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
@@ -83,6 +81,8 @@
         let (journal, results) = Journal::start(folder, next_segment, limits.segment_bytes, clock)?;
         let mut state = recovered.state;
         state.keep_recent(limits.recent_bytes);
+        let stores = recovered.stores.unwrap_or_default();
+        let standing = Standing::new(node.clone(), stores, recovered.completeness);
         let keeper = Self {
             node,
             state: RefCell::new(state),
@@ -96,9 +96,9 @@
             tickets: RefCell::default(),
             segments: RefCell::new(recovered.segments.into()),
             next_ticket: Cell::new(0),
-            complete: Cell::new(recovered.complete),
             disk_refuses: Cell::new(false),
-            members: RefCell::new(Rc::new(recovered.members.unwrap_or_default())),
+            standing: RefCell::new(standing),
+            members_since: Cell::new(Instant::now()),
             items: RefCell::default(),
             loads: LoadReports::default(),
             held_by_peers: RefCell::default(),
@@ -112,39 +112,76 @@
         Self { directory, ..self }
     }
 
-    /// Whether this store holds everything that it ever acknowledged.
+    /// Whether this store holds everything that it ever acknowledged as a
+    /// member of its group; before there are groups, of any.
     pub fn complete(&self) -> bool {
-        self.complete.get()
+        self.standing.borrow().complete()
     }
 
-    /// Declares the store complete, for this life and the next.
+    /// Declares the store complete for its group, for this life and the next.
     pub fn set_complete(&self) {
-        if !self.complete.replace(true) {
-            self.journal.mark_complete();
+        let mark = self.standing.borrow_mut().declare_complete();
+        self.mark_complete(mark);
+    }
+
+    fn mark_complete(&self, mark: Option<Completeness>) {
+        if let Some(completeness) = mark {
+            self.journal.mark_complete(completeness);
         }
     }
 
     /// Whether this store is being emptied.
     pub fn leaving(&self) -> bool {
-        self.members()
-            .get(&self.node)
-            .is_some_and(|member| member.state == MemberState::Leaving)
+        self.standing.borrow().leaving()
+    }
+
+    /// The store groups that this store goes by.
+    pub fn stores(&self) -> Rc<StoreGroups> {
+        self.standing.borrow().stores()
+    }
+
+    /// The group that this store is a member of, or fills up for.
+    pub fn group(&self) -> Option<GroupNumber> {
+        self.standing.borrow().group()
     }
 
-    /// The member list that this store goes by.
-    pub fn members(&self) -> Rc<Members> {
-        self.members.borrow().clone()
+    /// The member list of that group; empty where there is none.
+    pub fn members(&self) -> Members {
+        self.standing.borrow().members()
     }
 
-    /// Takes a newer member list.
-    pub fn set_members(&self, members: Rc<Members>) {
-        if members.version > self.members().version {
-            self.journal.save_members(&members);
-            let mut held_by_peers = self.held_by_peers.borrow_mut();
-            held_by_peers.retain(|node, _| members.get(node).is_some());
-            drop(held_by_peers);
-            *self.members.borrow_mut() = members;
+    /// Since when that list has been in use here.
+    pub fn members_since(&self) -> Instant {
+        self.members_since.get()
+    }
+
+    /// Takes newer store groups.
+    pub fn set_stores(&self, stores: Rc<StoreGroups>) {
+        let before = self.members();
+        if !self.standing.borrow_mut().follow(stores) {
+            return;
         }
+        self.journal.save_stores(&self.stores());
+        self.follow_members(&before);
+        let mark = self.standing.borrow_mut().settle_completeness();
+        self.mark_complete(mark);
+    }
+
+    /// A store that is no member of any group fills up for this one.
+    pub fn fill_up_for(&self, group: Option<GroupNumber>) {
+        let before = self.members();
+        self.standing.borrow_mut().fill_up_for(group);
+        self.follow_members(&before);
+    }
+
+    fn follow_members(&self, before: &Members) {
+        let members = self.members();
+        if members == *before {
+            return;
+        }
+        self.members_since.set(Instant::now());
+        let mut held_by_peers = self.held_by_peers.borrow_mut();
+        held_by_peers.retain(|node, _| members.get(node).is_some());
     }
 
     /// Takes the items of the key-value service, to hand them to fronts that
@@ -347,16 +384,27 @@
     pub async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Append {
+                group,
                 members_version,
                 load,
                 record,
-            } => self.append(members_version, load, record).await,
-            Request::Chain { turn } => self.chain(&turn).await,
-            Request::Digests { node, from, held } => {
+            } => self.append(group, members_version, load, record).await,
+            Request::Chain {
+                group,
+                members_version,
+                turn,
+            } => self.chain(group, members_version, &turn).await,
+            Request::Digests {
+                group,
+                members_version,
+                node,
+                from,
+                held,
+            } => {
                 self.held_by_peers.borrow_mut().insert(node, held);
                 let directory = self.directory.mark();
-                let state = self.state.borrow();
-                state.digests(from, self.complete(), directory)
+                let standing = self.standing.borrow().for_peer(group, members_version);
+                self.state.borrow().digests(from, standing, directory)
             }
             Request::Ping => Reply::Pong,
             Request::Items => Reply::Items(self.items.borrow().clone()),
@@ -374,12 +422,21 @@
 
     /// The chain that ends in a turn. A turn that is held and can't be read is
     /// never told as missing: the caller must ask another store.
-    async fn chain(&self, turn: &Text) -> Reply {
-        let complete = self.complete();
+    async fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
+        let complete = {
+            let standing = self.standing.borrow();
+            standing.vouches_for(group, members_version)
+        };
+        let refusal = self.standing.borrow().refusal(group, members_version);
         let steps = self.state.borrow().chain(turn);
         let Some(parts) = self.read_chain(turn, steps).await else {
             return Reply::Refused(Refusal::DiskRefused);
         };
+        if parts.is_empty()
+            && let Some(Reply::StaleMembers(newer)) = refusal
+        {
+            return Reply::StaleMembers(newer);
+        }
         let missing = parts.last().map_or(turn, |last| &last.previous).clone();
         Reply::Chain {
             complete,
@@ -417,10 +474,17 @@
         Some(parts)
     }
 
-    async fn append(&self, members_version: u64, load: LoadReport, record: Record) -> Reply {
+    async fn append(
+        &self,
+        group: GroupNumber,
+        members_version: u64,
+        load: LoadReport,
+        record: Record,
+    ) -> Reply {
         let front = load.front;
         self.loads.take(load);
-        if let Some(refusal) = self.refusal(members_version) {
+        let refusal = self.standing.borrow().refusal(group, members_version);
+        if let Some(refusal) = refusal {
             return refusal;
         }
         if let Some(refusal) = self.no_room_for(&record) {
@@ -441,7 +505,7 @@
             None => Default::default(),
         };
         Reply::Kept {
-            complete: self.complete(),
+            complete: self.standing.borrow().complete_for(group),
             ledger,
             others,
             directory: self.directory.mark(),
@@ -459,18 +523,6 @@
         };
         self.no_room_below(most)
     }
-
-    /// Why a caller with this version of the member list gets no record kept.
-    fn refusal(&self, members_version: u64) -> Option<Reply> {
-        let members = self.members();
-        if members_version + MEMBERS_VERSION_SLACK < members.version {
-            return Some(Reply::StaleMembers((*members).clone()));
-        }
-        let active = members
-            .get(&self.node)
-            .is_some_and(|member| member.state == MemberState::Active);
-        (!active).then_some(Reply::Refused(Refusal::NotActive))
-    }
 }
 
 /// Accepts connections for ever.
--- /dev/null
+++ b/crates/stageyoke-store/src/spare.rs
@@ -0,0 +1,114 @@
+//! A store that is a member of no group looks for the one that needs it: it asks
+//! all members whether they are there.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::groups::group_in_need;
+use stageyoke_directory::{GroupNumber, Member, StoreGroups};
+use stageyoke_types::Text;
+use tokio::time::Instant;
+
+use crate::client::StoreClient;
+use crate::message::Request;
+
+/// Pause between two rounds of asking.
+const ROUND_PAUSE: Duration = Duration::from_millis(1000);
+/// Time for an answer.
+const ANSWER_WITHIN: Duration = Duration::from_millis(700);
+/// A member that has not answered for this long is taken as lost: two rounds
+/// and a bit. It stays a member until its peers remove it.
+const LOST_AFTER: Duration = Duration::from_millis(2300);
+
+struct Asked {
+    client: StoreClient,
+    since: Instant,
+    answered_at: Cell<Option<Instant>>,
+}
+
+/// What a spare knows of the members of all groups.
+#[derive(Default)]
+pub struct Survey {
+    asked: RefCell<HashMap<Text, Rc<Asked>>>,
+    asked_since: Cell<Option<Instant>>,
+}
+
+impl Survey {
+    /// The group that needs the store on this machine most. `None` before all members have had
+    /// the time to answer, or if none does.
+    pub fn group_in_need(
+        &self,
+        stores: &StoreGroups,
+        size: usize,
+        node: &str,
+    ) -> Option<GroupNumber> {
+        let since = self.asked_since.get();
+        let asked_long_enough = since.is_some_and(|since| since.elapsed() >= LOST_AFTER);
+        if stores.groups.len() > 1 && !asked_long_enough {
+            return None;
+        }
+        group_in_need(stores, size, node, |member| self.lives(member))
+    }
+
+    fn lives(&self, member: &Member) -> bool {
+        let asked = self.asked.borrow();
+        let heard_at = asked
+            .get(&member.node)
+            .map(|asked| asked.answered_at.get().unwrap_or(asked.since));
+        // One that has just joined has not been asked yet: it was there then.
+        heard_at.is_none_or(|at| at.elapsed() < LOST_AFTER)
+    }
+
+    /// Asks all members once, without waiting, unless that was done just now.
+    /// Needs a local task set.
+    pub fn ask(&self, stores: &StoreGroups) {
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|node, asked| {
+            let mut members = stores.members();
+            members.any(|member| {
+                member.node == *node && member.address.as_str() == asked.client.address()
+            })
+        });
+        for member in stores.members() {
+            let asked = asked.entry(member.node.clone()).or_insert_with(|| {
+                Rc::new(Asked {
+                    client: StoreClient::new(&member.address),
+                    since: Instant::now(),
+                    answered_at: Cell::new(None),
+                })
+            });
+            let asked = asked.clone();
+            tokio::task::spawn_local(async move {
+                if asked
+                    .client
+                    .call(Request::Ping, ANSWER_WITHIN)
+                    .await
+                    .is_ok()
+                {
+                    asked.answered_at.set(Some(Instant::now()));
+                }
+            });
+        }
+    }
+
+    /// Asks regularly while `spare` says that this store is one.
+    pub async fn run(&self, spare: impl Fn() -> Option<Rc<StoreGroups>>) {
+        loop {
+            match spare() {
+                Some(stores) => {
+                    if self.asked_since.get().is_none() {
+                        self.asked_since.set(Some(Instant::now()));
+                    }
+                    self.ask(&stores);
+                }
+                None => {
+                    self.asked_since.set(None);
+                    self.asked.borrow_mut().clear();
+                }
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+}
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -13,6 +13,7 @@
 };
 use crate::recent::RecentTurns;
 use crate::segment::Place;
+use crate::standing::PeerStanding;
 
 /// Digests in one page.
 pub const DIGEST_PAGE: usize = 4096;
@@ -285,7 +286,7 @@
     pub fn digests(
         &self,
         from: JournalPosition,
-        complete: bool,
+        standing: PeerStanding,
         directory: DirectoryMark,
     ) -> Reply {
         let start = if from.disk == self.disk {
@@ -308,7 +309,8 @@
                 next,
             },
             more: next < self.end().next,
-            complete,
+            complete: standing.complete,
+            members_version: standing.members_version,
             directory,
             digests: page,
         }
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -12,7 +12,9 @@
 use tokio::time::Instant;
 
 use crate::client::StoreClient;
-use crate::message::{JournalPosition, RecordDigest, Reply, Request};
+use crate::exchange::{Exchange, Page};
+use crate::membership::caught_up_with_group;
+use crate::message::{RecordDigest, Reply, Request};
 use crate::server::Keeper;
 use stageyoke_observe as observe;
 
@@ -25,11 +27,9 @@
 /// What is known of one peer.
 pub struct Peer {
     client: StoreClient,
-    position: Cell<JournalPosition>,
-    caught_up: Cell<bool>,
+    exchange: RefCell<Exchange>,
     last_answer: Cell<Option<Instant>>,
     since: Instant,
-    late: RefCell<Vec<RecordDigest>>,
 }
 
 /// All peers of this store.
@@ -63,11 +63,9 @@
             }
             let peer = Rc::new(Peer {
                 client: StoreClient::new(&member.address),
-                position: Cell::default(),
-                caught_up: Cell::new(false),
+                exchange: RefCell::default(),
                 last_answer: Cell::new(None),
                 since: Instant::now(),
-                late: RefCell::default(),
             });
             peers.insert(member.node.clone(), peer.clone());
             let weak = Rc::downgrade(&peer);
@@ -92,18 +90,27 @@
 
     /// Whether everything that this peer held is held here, since it was met.
     pub fn caught_up_with(&self, node: &str) -> bool {
-        self.peers
-            .borrow()
-            .get(node)
-            .is_some_and(|peer| peer.caught_up.get())
+        self.exchange_with(node, Exchange::caught_up)
+    }
+
+    /// Whether everything is held here that this peer held when it went by this
+    /// version of the member list already.
+    pub fn in_step(&self, node: &str, members_version: u64) -> bool {
+        self.exchange_with(node, |exchange| exchange.in_step(members_version))
+    }
+
+    /// Whether this peer goes by this version of the member list.
+    pub fn knows(&self, node: &str, members_version: u64) -> bool {
+        self.exchange_with(node, |exchange| exchange.knows(members_version))
+    }
+
+    fn exchange_with(&self, node: &str, holds: impl Fn(&Exchange) -> bool) -> bool {
+        let peers = self.peers.borrow();
+        let peer = peers.get(node);
+        peer.is_some_and(|peer| holds(&peer.exchange.borrow()))
     }
 
     async fn round(&self, peer: &Peer) -> Duration {
-        // A store that is being emptied takes nothing new: its end stands
-        // still, so that its peers can be seen to hold all of it.
-        if self.keeper.leaving() {
-            return ROUND_PAUSE;
-        }
         match self.compare(peer).await {
             Some(true) => CATCH_UP_PAUSE,
             Some(false) if !self.keeper.complete() => CATCH_UP_PAUSE,
@@ -113,16 +120,15 @@
 
     /// One page; whether there is more at once.
     async fn compare(&self, peer: &Peer) -> Option<bool> {
-        let late = peer.late.take();
-        let still_missing: Vec<_> = late
-            .into_iter()
-            .filter(|digest| !self.keeper.holds(*digest))
-            .collect();
-        self.fetch(peer, &still_missing).await?;
+        let group = self.keeper.group()?;
+        self.fetch_missing(peer).await?;
+        peer.exchange.borrow_mut().note_fetched();
         let request = Request::Digests {
+            group,
+            members_version: self.keeper.members().version,
             node: self.keeper.node.clone(),
-            from: peer.position.get(),
-            held: peer.position.get(),
+            from: peer.exchange.borrow().position(),
+            held: peer.exchange.borrow().held(),
         };
         let sent = Instant::now();
         let reply = self.call(peer, request).await?;
@@ -130,6 +136,7 @@
             next,
             more,
             complete,
+            members_version,
             directory,
             digests,
         } = reply
@@ -137,24 +144,41 @@
             return None;
         };
         self.keeper.hear_directory(directory, sent);
-        let missing: Vec<_> = digests
-            .iter()
-            .copied()
-            .filter(|digest| !self.keeper.holds(*digest))
-            .collect();
-        if self.keeper.complete() && peer.caught_up.get() {
-            *peer.late.borrow_mut() = missing;
-        } else {
-            self.fetch(peer, &missing).await?;
-        }
-        peer.position.set(next);
-        if !more && complete {
-            peer.caught_up.set(true);
-            self.judge_completeness();
+        let page = Page {
+            digests: &digests,
+            next,
+            more,
+            complete,
+            members_version,
+        };
+        let holds = |digest| self.keeper.holds(digest);
+        peer.exchange.borrow_mut().take(page, holds);
+        if !self.keeper.complete() || !peer.exchange.borrow().caught_up() {
+            self.fetch_missing(peer).await?;
         }
+        peer.exchange.borrow_mut().note_end();
+        self.judge_completeness();
         Some(more)
     }
 
+    /// Fetches what this peer was seen to hold and is still missing here. What
+    /// it does not deliver stays missing, and is asked for again.
+    async fn fetch_missing(&self, peer: &Peer) -> Option<()> {
+        let missing = || {
+            let holds = |digest| self.keeper.holds(digest);
+            peer.exchange.borrow_mut().missing(holds)
+        };
+        let digests = missing();
+        // A store that is being emptied takes nothing new: its end stands
+        // still, so that its peers can be seen to hold all of it.
+        if self.keeper.leaving() {
+            return Some(());
+        }
+        let outcome = self.fetch(peer, &digests).await;
+        missing();
+        outcome
+    }
+
     async fn fetch(&self, peer: &Peer, digests: &[RecordDigest]) -> Option<()> {
         for page in digests.chunks(FETCH_PAGE) {
             let request = Request::Fetch {
@@ -189,15 +213,7 @@
     /// stand only elsewhere.
     pub fn caught_up_with_group(&self) -> bool {
         let members = self.keeper.members();
-        let Some(needed) = members.absence_quorum(&self.tolerance) else {
-            return false;
-        };
-        let caught_up = members
-            .list
-            .iter()
-            .filter(|member| self.caught_up_with(&member.node))
-            .count();
-        caught_up >= needed
+        caught_up_with_group(&members, &self.tolerance, |node| self.caught_up_with(node))
     }
 
     /// A disk that lost its content is complete again once it has caught up
--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use rstest::rstest;
-use stageyoke_directory::{Member, MemberState, Members};
+use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups};
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{ChainPart, JournalPosition, Record, Refusal, Reply, Request};
 use stageyoke_store::segment::{DataFolder, encode_clock, encode_record};
@@ -56,7 +56,7 @@
         zone: Text::from("zone"),
         state: MemberState::Active,
     });
-    keeper.set_members(Rc::new(members));
+    keeper.set_stores(Rc::new(StoreGroups::single(members)));
     let collector = keeper.clone();
     tokio::task::spawn_local(async move { collector.collect(results).await });
     keeper
@@ -64,6 +64,7 @@
 
 async fn append(keeper: &Keeper, record: Record) -> Reply {
     let request = Request::Append {
+        group: GroupNumber(0),
         members_version: 1,
         load: Default::default(),
         record,
@@ -71,9 +72,18 @@
     keeper.answer(request).await
 }
 
+fn chain_request(turn: Text) -> Request {
+    let group = GroupNumber(0);
+    Request::Chain {
+        group,
+        members_version: 1,
+        turn,
+    }
+}
+
 async fn chain(keeper: &Keeper, turn: &str) -> (usize, String) {
     let turn = Text::from(turn);
-    match keeper.answer(Request::Chain { turn }).await {
+    match keeper.answer(chain_request(turn)).await {
         Reply::Chain { parts, missing, .. } => (parts.len(), missing.to_string()),
         other => panic!("a chain: {other:?}"),
     }
@@ -172,7 +182,7 @@
         let keeper = open(path.path(), StoreLimits::default());
         std::fs::remove_file(path.path().join("segment-0000000000")).expect("remove");
         let turn = Text::from("one");
-        let reply = keeper.answer(Request::Chain { turn }).await;
+        let reply = keeper.answer(chain_request(turn)).await;
         assert_eq!(reply, Reply::Refused(Refusal::DiskRefused));
     })
     .await;
@@ -221,6 +231,8 @@
         let keeper = open(path.path(), StoreLimits::default());
         let held = JournalPosition { disk: 5, next: 7 };
         let request = Request::Digests {
+            group: GroupNumber(0),
+            members_version: 1,
             node: Text::from("gone"),
             from: JournalPosition::default(),
             held,
@@ -228,7 +240,8 @@
         keeper.answer(request).await;
         assert_eq!(keeper.held_by("gone"), held);
         let members = keeper.members();
-        keeper.set_members(Rc::new(members.without("another")));
+        let changed = members.without("another");
+        keeper.set_stores(Rc::new(StoreGroups::single(changed)));
         assert_eq!(keeper.held_by("gone"), JournalPosition::default());
     })
     .await;
--- a/crates/stageyoke-store/tests/disk_test.rs
+++ b/crates/stageyoke-store/tests/disk_test.rs
@@ -4,6 +4,8 @@
 use std::io::Write;
 
 use proptest::prelude::*;
+use stageyoke_directory::GroupNumber;
+use stageyoke_store::completeness::Completeness;
 use stageyoke_store::message::{Record, TurnRecord};
 use stageyoke_store::segment::{DataFolder, decode_records, encode_record};
 use stageyoke_types::{Blob, Text};
@@ -62,15 +64,29 @@
 fn only_the_first_start_makes_an_empty_disk_complete() {
     let first = tempfile::tempdir().expect("folder");
     let folder = DataFolder::open(first.path()).expect("open");
-    assert!(folder.recover(1, true).expect("recover").complete);
+    assert_eq!(
+        folder.recover(1, true).expect("recover").completeness,
+        Completeness::SinceFormation
+    );
     let again = folder.recover(2, false).expect("recover");
-    assert!(again.complete, "a restart keeps it");
+    assert_eq!(
+        again.completeness,
+        Completeness::SinceFormation,
+        "a restart keeps it"
+    );
     assert_eq!(again.state.end().disk, 1, "and the disk's identity");
     let wiped = tempfile::tempdir().expect("folder");
     let folder = DataFolder::open(wiped.path()).expect("open");
-    assert!(!folder.recover(3, false).expect("recover").complete);
-    folder.mark_complete().expect("mark");
-    assert!(folder.recover(4, false).expect("recover").complete);
+    assert_eq!(
+        folder.recover(3, false).expect("recover").completeness,
+        Completeness::Incomplete
+    );
+    let group = Completeness::Of(GroupNumber(3));
+    folder.mark_complete(group).expect("mark");
+    assert_eq!(
+        folder.recover(4, false).expect("recover").completeness,
+        group
+    );
 }
 
 /// Soak seed 3967300783: a kill between the two files of the very first start
@@ -81,11 +97,18 @@
     let folder = DataFolder::open(path.path()).expect("open");
     folder.recover(1, true).expect("recover");
     fs::remove_file(path.path().join("identity")).expect("cut short before it");
-    assert!(folder.recover(2, false).expect("recover").complete);
+    assert_eq!(
+        folder.recover(2, false).expect("recover").completeness,
+        Completeness::SinceFormation
+    );
     folder.create_segment(0).expect("create");
     fs::remove_file(path.path().join("identity")).expect("lost later");
     let recovered = folder.recover(3, false).expect("recover");
-    assert!(!recovered.complete, "content without an identity is damage");
+    assert_eq!(
+        recovered.completeness,
+        Completeness::Incomplete,
+        "content without an identity is damage"
+    );
 }
 
 #[test]
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -7,18 +7,21 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_store::message::Record;
+use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
+use stageyoke_store::frame;
+use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request};
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server::{self, Keeper};
 use stageyoke_store::sync::Peers;
-use stageyoke_store::{ChainOutcome, Group, GroupError, StoreLimits};
-use stageyoke_types::Text;
+use stageyoke_store::{ChainOutcome, GroupError, Groups, StoreLimits};
+use stageyoke_types::{List, Text};
 use support::turn;
 use tempfile::TempDir;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet};
 
+const PROGRAM: &str = "program";
 const WITHIN: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(300);
 
@@ -68,7 +71,7 @@
     }
 }
 
-fn list(stores: &[Store]) -> Rc<Members> {
+fn list(stores: &[Store]) -> Rc<StoreGroups> {
     let members = stores.iter().fold(Members::default(), |list, store| {
         list.with(Member {
             node: store.keeper.node.clone(),
@@ -77,19 +80,28 @@
             state: MemberState::Active,
         })
     });
-    Rc::new(members)
+    Rc::new(StoreGroups::single(members))
 }
 
-async fn group_of(count: usize) -> (Vec<Store>, Rc<Group>) {
+/// The same group so many versions later.
+fn later(stores: &StoreGroups, versions: u64) -> Rc<StoreGroups> {
+    let members = stores.group(GroupNumber(0)).expect("group");
+    Rc::new(StoreGroups::single(Members {
+        version: members.version + versions,
+        ..members.clone()
+    }))
+}
+
+async fn group_of(count: usize) -> (Vec<Store>, Rc<Groups>) {
     let mut stores = Vec::new();
     for number in 0..count {
         stores.push(Store::start(number, true).await);
     }
     let members = list(&stores);
     for store in &stores {
-        store.keeper.set_members(members.clone());
+        store.keeper.set_stores(members.clone());
     }
-    let group = Rc::new(Group::new(Text::from("zone"), tolerance()));
+    let group = Rc::new(Groups::new(Text::from("zone"), tolerance()));
     group.follow(&members);
     (stores, group)
 }
@@ -123,16 +135,17 @@
         for store in &stores[..losses] {
             store.stop();
         }
-        let group = Group::new(Text::from("zone"), Tolerance::of_machines(losses));
+        let group = Groups::new(Text::from("zone"), Tolerance::of_machines(losses));
         group.follow(&list(&stores));
         group.append(turn("one", ""), WITHIN).await.expect("kept");
         let next = group.append(turn("two", "one"), WITHIN).await;
         assert!(next.is_ok());
-        let ChainOutcome::Whole(parts) = group.chain(&Text::from("two"), WITHIN).await else {
+        let ChainOutcome::Whole(parts) = group.chain(PROGRAM, &Text::from("two"), WITHIN).await
+        else {
             panic!("the chain is whole");
         };
         assert_eq!(parts.len(), 2);
-        let unknown = group.chain(&Text::from("unknown"), WITHIN).await;
+        let unknown = group.chain(PROGRAM, &Text::from("unknown"), WITHIN).await;
         assert!(matches!(unknown, ChainOutcome::Absent(_)), "{unknown:?}");
     })
     .await;
@@ -148,7 +161,7 @@
             .await
             .expect("two of three keep it");
         stores[1].stop();
-        let group = Group::new(Text::from("zone"), tolerance());
+        let group = Groups::new(Text::from("zone"), tolerance());
         group.follow(&list(&stores));
         let record = turn("two", "one");
         let error = group
@@ -165,14 +178,14 @@
     local(async {
         let (stores, group) = group_of(3).await;
         let unknown = Text::from("unknown");
-        let outcome = group.chain(&unknown, WITHIN).await;
+        let outcome = group.chain(PROGRAM, &unknown, WITHIN).await;
         assert!(matches!(outcome, ChainOutcome::Absent(turn) if turn == unknown));
         stores[0].stop();
         stores[1].stop();
         // Only the listeners end here: a new group has no open connections.
-        let group = Group::new(Text::from("zone"), tolerance());
+        let group = Groups::new(Text::from("zone"), tolerance());
         group.follow(&list(&stores));
-        let outcome = group.chain(&unknown, SHORT).await;
+        let outcome = group.chain(PROGRAM, &unknown, SHORT).await;
         assert!(matches!(outcome, ChainOutcome::Unsure), "{outcome:?}");
     })
     .await;
@@ -185,12 +198,12 @@
         stores.push(Store::start(2, false).await);
         let members = list(&stores);
         for store in &stores {
-            store.keeper.set_members(members.clone());
+            store.keeper.set_stores(members.clone());
         }
-        let group = Group::new(Text::from("zone"), tolerance());
+        let group = Groups::new(Text::from("zone"), tolerance());
         group.follow(&members);
         stores[0].stop();
-        let outcome = group.chain(&Text::from("unknown"), SHORT).await;
+        let outcome = group.chain(PROGRAM, &Text::from("unknown"), SHORT).await;
         assert!(matches!(outcome, ChainOutcome::Unsure), "{outcome:?}");
     })
     .await;
@@ -236,10 +249,7 @@
         stores[2] = Store::start(2, false).await;
         let members = list(&stores);
         for store in &stores {
-            store.keeper.set_members(Rc::new(Members {
-                version: members.version + 3,
-                ..(*members).clone()
-            }));
+            store.keeper.set_stores(later(&members, 3));
         }
         assert!(!stores[2].keeper.complete());
         let peers = Rc::new(Peers::new(stores[2].keeper.clone(), tolerance()));
@@ -278,12 +288,9 @@
 async fn a_front_with_an_old_list_is_refused() {
     local(async {
         let (stores, group) = group_of(3).await;
-        let newer = Rc::new(Members {
-            version: group.members().version + 2,
-            ..(*group.members()).clone()
-        });
+        let newer = later(&group.stores(), 2);
         for store in &stores {
-            store.keeper.set_members(newer.clone());
+            store.keeper.set_stores(newer.clone());
         }
         let error = group
             .append(turn("one", ""), SHORT)
@@ -306,20 +313,22 @@
         stores.push(Store::start(3, true).await);
         let grown = list(&stores);
         let left = stores.remove(0);
-        let newest = Rc::new(grown.without(&left.keeper.node));
-        assert!(newest.version > group.members().version + 1);
+        let members = grown.group(GroupNumber(0)).expect("group");
+        let newest = members.without(&left.keeper.node);
+        let newest = Rc::new(StoreGroups::single(newest));
+        assert!(newest.version > group.stores().version + 1);
         for store in &stores {
-            store.keeper.set_members(newest.clone());
+            store.keeper.set_stores(newest.clone());
         }
         left.stop();
         let refused = group.append(reserve("one"), SHORT).await.map(drop);
         assert_eq!(refused, Err(GroupError::StaleMembers));
-        assert_eq!(group.members().version, newest.version);
+        assert_eq!(group.stores().version, newest.version);
         group.append(reserve("one"), WITHIN).await.expect("kept");
         group.append_in_background(turn("two", ""), WITHIN);
         // What the service hands on later may be older than that.
         group.follow(&grown);
-        assert_eq!(group.members().version, newest.version);
+        assert_eq!(group.stores().version, newest.version);
     })
     .await;
 }
@@ -338,3 +347,60 @@
     })
     .await;
 }
+
+/// A peer that tells of a record and delivers nothing.
+async fn withholding_peer(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::task::spawn_local(async move {
+            let (mut reader, mut writer) = stream.into_split();
+            while let Ok(asked) = frame::read::<Numbered<Request>>(&mut reader).await {
+                let content = match asked.content {
+                    Request::Digests { .. } => Reply::Digests {
+                        next: JournalPosition { disk: 9, next: 1 },
+                        more: false,
+                        complete: true,
+                        members_version: 3,
+                        directory: Default::default(),
+                        digests: List(vec![turn("withheld", "").digest()]),
+                    },
+                    _ => Reply::Records(List::default()),
+                };
+                let number = asked.number;
+                let bytes = frame::encode(&Numbered { number, content });
+                if writer.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// A store vouches for what it has been given, not for what it has been told of:
+/// a peer whose disk fails a read leaves records out of its answers.
+#[tokio::test]
+async fn a_store_does_not_vouch_for_records_that_were_not_delivered() {
+    local(async {
+        let wiped = Store::start(0, false).await;
+        let mut members = Members::default();
+        for number in 0..3 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let address = listener.local_addr().expect("address");
+            members = members.with(Member {
+                node: Text::from(format!("store-{number}")),
+                address: Text::from(address.to_string()),
+                zone: Text::from("zone"),
+                state: MemberState::Active,
+            });
+            tokio::task::spawn_local(withholding_peer(listener));
+        }
+        let stores = Rc::new(StoreGroups::single(members.clone()));
+        wiped.keeper.set_stores(stores);
+        let peers = Rc::new(Peers::new(wiped.keeper.clone(), tolerance()));
+        peers.follow(&members);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert!(!wiped.keeper.complete());
+        assert!(!peers.caught_up_with("store-1"));
+        assert!(!peers.in_step("store-1", 1));
+    })
+    .await;
+}
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_store::membership::{Oneself, PeerHealth, REMOVE_AFTER, Step, decide};
+use stageyoke_store::membership::{Oneself, PeerHealth, REMOVE_AFTER, SURPLUS_AFTER, Step, decide};
 use stageyoke_types::Text;
 
 fn tolerance() -> Tolerance {
@@ -25,16 +25,16 @@
 }
 
 fn oneself(number: usize) -> Oneself {
-    let member = member(number);
     Oneself {
-        node: member.node,
-        address: member.address,
-        zone: member.zone,
+        entry: member(number),
         complete: true,
         caught_up: true,
         retiring: false,
+        surplus: false,
         retirement_is_late: false,
         peers_holding_all: 0,
+        fenced: true,
+        list_age: Duration::ZERO,
     }
 }
 
@@ -100,17 +100,20 @@
 }
 
 #[rstest]
-#[case(true, true, true)]
-#[case(false, true, false)]
-#[case(true, false, false)]
+#[case(true, true, true, true)]
+#[case(false, true, true, false)]
+#[case(true, false, true, false)]
+#[case::an_older_list_may_be_in_use(true, true, false, false)]
 fn a_new_store_joins_once_it_has_caught_up(
     #[case] complete: bool,
     #[case] caught_up: bool,
+    #[case] fenced: bool,
     #[case] joins: bool,
 ) {
     let newcomer = Oneself {
         complete,
         caught_up,
+        fenced,
         ..oneself(3)
     };
     let step = decide(&members(3), &newcomer, &[], &tolerance());
@@ -124,7 +127,10 @@
 #[test]
 fn a_new_address_is_told() {
     let moved = Oneself {
-        address: Text::from("10.0.9.9:7000"),
+        entry: Member {
+            address: Text::from("10.0.9.9:7000"),
+            ..member(1)
+        },
         ..oneself(1)
     };
     let Step::Change(next) = decide(&members(3), &moved, &[], &tolerance()) else {
@@ -153,11 +159,38 @@
         &peers(&list, 0, silent, behind),
         &tolerance(),
     );
+    let marked = list.with(Member {
+        state: MemberState::Leaving,
+        ..member(2)
+    });
     let expected = match removed {
-        true => Step::Change(list.without("store-2")),
+        true => Step::Change(marked.clone()),
         false => Step::Rest,
     };
     assert_eq!(step, expected);
+    let step = decide(
+        &marked,
+        &oneself(0),
+        &peers(&list, 0, silent, behind),
+        &tolerance(),
+    );
+    let expected = match removed {
+        true => Step::Change(marked.without("store-2")),
+        false => Step::Rest,
+    };
+    assert_eq!(step, expected);
+}
+
+/// A member that was marked while nobody heard it takes records again when it
+/// is back.
+#[test]
+fn a_member_that_comes_back_is_active_again() {
+    let marked = members(4).with(Member {
+        state: MemberState::Leaving,
+        ..member(2)
+    });
+    let step = decide(&marked, &oneself(2), &[], &tolerance());
+    assert_eq!(step, Step::Change(marked.with(member(2))));
 }
 
 #[test]
@@ -167,7 +200,7 @@
         retiring: true,
         ..oneself(1)
     };
-    let Step::BeginRetirement(marked) = decide(&list, &leaving, &[], &tolerance()) else {
+    let Step::BeginLeaving(marked) = decide(&list, &leaving, &[], &tolerance()) else {
         panic!("it begins");
     };
     assert_eq!(marked.list[1].state, MemberState::Leaving);
@@ -177,7 +210,7 @@
         retirement_is_late: true,
         ..leaving.clone()
     };
-    let done = Step::CompleteRetirement(marked.without("store-1"));
+    let done = Step::Leave(marked.without("store-1"));
     assert_eq!(
         decide(&marked, &late, &[], &tolerance()),
         done,
@@ -185,7 +218,7 @@
     );
     leaving.peers_holding_all = 3;
     let done = decide(&marked, &leaving, &[], &tolerance());
-    assert_eq!(done, Step::CompleteRetirement(marked.without("store-1")));
+    assert_eq!(done, Step::Leave(marked.without("store-1")));
 }
 
 #[test]
@@ -202,3 +235,63 @@
     };
     assert_eq!(decide(&marked, &leaving, &[], &tolerance()), Step::Rest);
 }
+
+/// A member too many leaves as one that retires, once its peers hold all; it
+/// takes records again if it is needed after all.
+#[test]
+fn a_member_too_many_becomes_a_spare() {
+    let list = members(4);
+    let mut extra = Oneself {
+        surplus: true,
+        ..oneself(3)
+    };
+    assert_eq!(decide(&list, &extra, &[], &tolerance()), Step::Rest);
+    extra.list_age = SURPLUS_AFTER;
+    let Step::BeginLeaving(marked) = decide(&list, &extra, &[], &tolerance()) else {
+        panic!("it begins");
+    };
+    extra.list_age = Duration::ZERO;
+    assert_eq!(decide(&marked, &extra, &[], &tolerance()), Step::Rest);
+    let needed = Oneself {
+        surplus: false,
+        ..extra.clone()
+    };
+    let again = decide(&marked, &needed, &[], &tolerance());
+    assert_eq!(again, Step::Change(marked.with(member(3))));
+    extra.peers_holding_all = 3;
+    let left = decide(&marked, &extra, &[], &tolerance());
+    assert_eq!(left, Step::Leave(marked.without("store-3")));
+}
+
+/// Two disks may be lost: of two dead members the longer silent goes first, and
+/// the other waits until the new list has stood for a while.
+#[test]
+fn two_dead_members_go_one_after_the_other() {
+    let tolerance = Tolerance::of_machines(2);
+    let list = members(5);
+    let mut dead = peers(&list, 0, &[2, 3], &[]);
+    dead[2].silent_for += Duration::from_secs(1);
+    let step = decide(&list, &oneself(0), &dead, &tolerance);
+    let Step::Change(marked) = step else {
+        panic!("it is marked");
+    };
+    assert_eq!(marked.list[3].state, MemberState::Leaving);
+    let unfenced = Oneself {
+        fenced: false,
+        ..oneself(0)
+    };
+    assert_eq!(decide(&marked, &unfenced, &dead, &tolerance), Step::Rest);
+    let step = decide(&marked, &oneself(0), &dead, &tolerance);
+    let rest = marked.without("store-3");
+    assert_eq!(step, Step::Change(rest.clone()));
+    let dead = peers(&rest, 0, &[2], &[]);
+    let Step::Change(marked) = decide(&rest, &unfenced, &dead, &tolerance) else {
+        panic!("the other is marked");
+    };
+    assert_eq!(decide(&marked, &unfenced, &dead, &tolerance), Step::Rest);
+    let step = decide(&marked, &oneself(0), &dead, &tolerance);
+    assert_eq!(step, Step::Change(marked.without("store-2")));
+    let three = peers(&list, 0, &[1, 2, 3], &[]);
+    let step = decide(&list, &oneself(0), &three, &tolerance);
+    assert_eq!(step, Step::Rest, "more than may be lost");
+}
--- /dev/null
+++ b/crates/stageyoke-store/tests/plans/store.rs
@@ -0,0 +1,515 @@
+//! One store of a plan: the product's state machines over a disk that can be
+//! torn, lost or refuse.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_directory::groups::{group_in_need, group_size};
+use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
+use stageyoke_store::completeness::Completeness;
+use stageyoke_store::exchange::{Exchange, Page};
+use stageyoke_store::membership::{
+    Oneself, PeerHealth, REMOVE_AFTER, SharedEnd, Step, caught_up_with_group, decide, fenced,
+};
+use stageyoke_store::message::{ChainPart, JournalPosition, Record, RecordDigest, Reply};
+use stageyoke_store::segment::Place;
+use stageyoke_store::standing::Standing;
+use stageyoke_store::state::{ChainStep, State};
+use stageyoke_types::{List, Text};
+
+/// What is on the disk, and outlives the process.
+#[derive(Clone, Debug)]
+struct Disk {
+    identity: u64,
+    records: Vec<Record>,
+    completeness: Completeness,
+    stores: StoreGroups,
+}
+
+/// A record that is not synced yet.
+#[derive(Clone, Debug)]
+struct Unsynced {
+    record: Record,
+    at: u64,
+}
+
+/// One store.
+#[derive(Debug)]
+pub struct Store {
+    /// Its entry in member lists.
+    pub entry: Member,
+    /// Whether the process runs.
+    pub running: bool,
+    /// Until when it does nothing.
+    pub frozen_until: u64,
+    /// Until when other stores and the service don't reach it.
+    pub cut_until: u64,
+    /// Until when its disk refuses.
+    pub refuses_until: u64,
+    /// Whether the operator wants it emptied.
+    pub retiring: bool,
+    /// Whether the retirement is complete: the machine is gone.
+    pub gone: bool,
+    disk: Disk,
+    unsynced: Vec<Unsynced>,
+    state: State,
+    standing: Standing,
+    exchanges: HashMap<Text, Exchange>,
+    held_by: HashMap<Text, JournalPosition>,
+    heard_at: HashMap<Text, u64>,
+    members_since: u64,
+    retiring_since: Option<u64>,
+    shared_end: Option<SharedEnd>,
+    target: Option<GroupNumber>,
+}
+
+/// What the peers' side of an exchange answers.
+pub struct Answered {
+    digests: List<RecordDigest>,
+    next: JournalPosition,
+    more: bool,
+    complete: bool,
+    members_version: u64,
+}
+
+impl Store {
+    /// A store with an empty disk.
+    pub fn new(entry: Member, identity: u64, first_start: bool) -> Self {
+        let completeness = match first_start {
+            true => Completeness::SinceFormation,
+            false => Completeness::Incomplete,
+        };
+        let disk = Disk {
+            identity,
+            records: Vec::new(),
+            completeness,
+            stores: StoreGroups::default(),
+        };
+        Self {
+            running: true,
+            frozen_until: 0,
+            cut_until: 0,
+            refuses_until: 0,
+            retiring: false,
+            gone: false,
+            unsynced: Vec::new(),
+            state: State::new(identity),
+            standing: Standing::new(entry.node.clone(), disk.stores.clone(), completeness),
+            exchanges: HashMap::new(),
+            held_by: HashMap::new(),
+            heard_at: HashMap::new(),
+            members_since: 0,
+            retiring_since: None,
+            shared_end: None,
+            target: None,
+            disk,
+            entry,
+        }
+    }
+
+    /// Whether it takes part in anything now.
+    pub fn acts(&self, now: u64) -> bool {
+        self.running && !self.gone && self.frozen_until <= now
+    }
+
+    /// Whether its disk may lack what it acknowledged: it counts as lost.
+    pub fn incomplete(&self) -> bool {
+        !self.standing.complete()
+    }
+
+    /// The group that it is a member of.
+    pub fn group(&self) -> Option<GroupNumber> {
+        self.standing.stores().group_of_node(&self.entry.node)
+    }
+
+    /// The process ends; of what was not synced so many records are there.
+    pub fn stop(&mut self, surviving: usize) {
+        self.running = false;
+        let unsynced = std::mem::take(&mut self.unsynced);
+        let surviving = unsynced.into_iter().take(surviving);
+        let records = surviving.map(|unsynced| unsynced.record);
+        self.disk.records.extend(records);
+    }
+
+    /// The disk is lost.
+    pub fn wipe(&mut self, identity: u64) {
+        self.disk = Disk {
+            identity,
+            records: Vec::new(),
+            completeness: Completeness::Incomplete,
+            stores: StoreGroups::default(),
+        };
+    }
+
+    /// The process starts on what its disk holds.
+    pub fn start(&mut self, now: u64) {
+        self.running = true;
+        self.state = State::new(self.disk.identity);
+        for record in &self.disk.records {
+            if !self.state.holds(record.digest()) {
+                self.state.add(record, Place::default(), 0);
+            }
+        }
+        let node = self.entry.node.clone();
+        let disk = &self.disk;
+        self.standing = Standing::new(node, disk.stores.clone(), disk.completeness);
+        self.exchanges.clear();
+        self.held_by.clear();
+        self.heard_at.clear();
+        self.members_since = now;
+        self.shared_end = None;
+        self.target = None;
+    }
+
+    /// A front's append arrives. `Err` is the answer at once; else it is
+    /// answered by `synced`.
+    pub fn append(
+        &mut self,
+        group: GroupNumber,
+        members_version: u64,
+        record: &Record,
+        now: u64,
+    ) -> Result<(), Reply> {
+        if let Some(refusal) = self.standing.refusal(group, members_version) {
+            return Err(refusal);
+        }
+        self.write(record.clone(), now);
+        Ok(())
+    }
+
+    fn write(&mut self, record: Record, now: u64) {
+        let digest = record.digest();
+        let waits = |unsynced: &Unsynced| unsynced.record.digest() == digest;
+        if !self.state.holds(digest) && !self.unsynced.iter().any(waits) {
+            self.unsynced.push(Unsynced { record, at: now });
+        }
+    }
+
+    /// The disk syncs what was written by then; true if this record is on it.
+    pub fn synced(&mut self, record: &Record, now: u64) -> bool {
+        if self.refuses_until > now {
+            self.unsynced.clear();
+            return self.state.holds(record.digest());
+        }
+        let (synced, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unsynced)
+            .into_iter()
+            .partition(|unsynced| unsynced.at <= now);
+        self.unsynced = waiting;
+        for unsynced in synced {
+            self.state.add(&unsynced.record, Place::default(), 0);
+            self.disk.records.push(unsynced.record);
+        }
+        self.state.holds(record.digest())
+    }
+
+    /// The answer to an append that is on the disk.
+    pub fn kept(&self, group: GroupNumber, record: &Record) -> Reply {
+        let ledger = match record {
+            Record::Reserve { program, .. } => self.state.ledger_entries(program),
+            _ => List::default(),
+        };
+        Reply::Kept {
+            complete: self.standing.complete_for(group),
+            ledger,
+            others: Default::default(),
+            directory: Default::default(),
+        }
+    }
+
+    /// The answer to a question for a chain: the record itself, from the disk.
+    pub fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
+        let steps = self.state.chain(turn);
+        let parts: Vec<ChainPart> = steps
+            .into_iter()
+            .filter_map(|step| match step {
+                ChainStep::Known(part) => Some(part),
+                ChainStep::OnDisk(_) => None,
+            })
+            .collect();
+        let missing = parts.last().map_or(turn, |last| &last.previous).clone();
+        Reply::Chain {
+            complete: self.standing.vouches_for(group, members_version),
+            parts: List(parts),
+            missing,
+        }
+    }
+
+    /// The service told of these groups.
+    pub fn follow(&mut self, stores: &Rc<StoreGroups>, now: u64) {
+        let before = self.standing.members();
+        if self.standing.follow(stores.clone()) {
+            self.disk.stores = (**stores).clone();
+        }
+        let mark = self.standing.settle_completeness();
+        self.mark(mark);
+        self.follow_members(&before, now);
+    }
+
+    fn mark(&mut self, mark: Option<Completeness>) {
+        if let Some(mark) = mark {
+            self.disk.completeness = mark;
+        }
+    }
+
+    fn follow_members(&mut self, before: &Members, now: u64) {
+        let members = self.standing.members();
+        if members == *before {
+            return;
+        }
+        self.members_since = now;
+        let member = |node: &Text| members.get(node).is_some();
+        self.held_by.retain(|node, _| member(node));
+        self.exchanges.retain(|node, _| member(node));
+        self.heard_at.retain(|node, _| member(node));
+    }
+
+    /// A spare looks for a group, by which members it reaches.
+    pub fn choose_group(
+        &mut self,
+        now: u64,
+        tolerance: &Tolerance,
+        lives: impl Fn(&Member) -> bool,
+    ) {
+        let stores = self.standing.stores();
+        if !stores.formed() || self.group().is_some() {
+            self.target = None;
+            return;
+        }
+        let members: Vec<Member> = stores.members().cloned().collect();
+        let size = group_size(tolerance, &members);
+        let node = self.entry.node.clone();
+        self.target = size.and_then(|size| group_in_need(&stores, size, &node, lives));
+        let before = self.standing.members();
+        self.standing.fill_up_for(self.target);
+        self.follow_members(&before, now);
+    }
+
+    /// Declares the disk complete where a guard is missing.
+    pub fn vouch_early(&mut self) {
+        let mark = self.standing.declare_complete();
+        self.mark(mark);
+    }
+
+    /// Whether it is being emptied: it takes nothing new.
+    pub fn leaving(&self) -> bool {
+        self.standing.leaving()
+    }
+
+    /// Peers to compare with.
+    pub fn peers(&self) -> Vec<Text> {
+        let members = self.standing.members();
+        let others = members
+            .list
+            .iter()
+            .filter(|member| member.node != self.entry.node);
+        others.map(|member| member.node.clone()).collect()
+    }
+
+    /// Digests that this peer was seen to hold and are missing here.
+    pub fn missing_of(&mut self, peer: &Text) -> Vec<RecordDigest> {
+        let state = &self.state;
+        let exchange = self.exchanges.entry(peer.clone()).or_default();
+        exchange.missing(|digest| state.holds(digest))
+    }
+
+    /// Records by their digests; `deliver` says which can be read.
+    pub fn records(&self, digests: &[RecordDigest], deliver: impl Fn() -> bool) -> Vec<Record> {
+        let wanted = |record: &&Record| digests.contains(&record.digest());
+        let records = self.disk.records.iter().filter(wanted);
+        records.filter(|_| deliver()).cloned().collect()
+    }
+
+    /// Takes records from a peer, and syncs them.
+    pub fn take(&mut self, records: Vec<Record>, now: u64) {
+        for record in records {
+            self.write(record.clone(), now);
+            self.synced(&record, now);
+        }
+    }
+
+    /// Before a comparison with a peer: where it goes on, and up to where all is
+    /// held.
+    pub fn question(&mut self, peer: &Text) -> (JournalPosition, JournalPosition) {
+        let exchange = self.exchanges.entry(peer.clone()).or_default();
+        exchange.note_fetched();
+        (exchange.position(), exchange.held())
+    }
+
+    /// Answers a comparison that another store asks as this group's.
+    pub fn compare(
+        &mut self,
+        asker: &Text,
+        group: GroupNumber,
+        members_version: u64,
+        from: JournalPosition,
+        held: JournalPosition,
+    ) -> Option<Answered> {
+        self.held_by.insert(asker.clone(), held);
+        let standing = self.standing.for_peer(group, members_version);
+        let reply = self.state.digests(from, standing, Default::default());
+        let Reply::Digests {
+            next,
+            more,
+            complete,
+            members_version,
+            digests,
+            ..
+        } = reply
+        else {
+            return None;
+        };
+        Some(Answered {
+            digests,
+            next,
+            more,
+            complete,
+            members_version,
+        })
+    }
+
+    /// The group as whose member others are asked, by this version of its list.
+    pub fn asks_as(&self) -> Option<(GroupNumber, u64)> {
+        let group = self.standing.group()?;
+        Some((group, self.standing.members().version))
+    }
+
+    /// Takes a peer's digests.
+    pub fn compared(&mut self, peer: &Text, answered: &Answered, now: u64) {
+        self.heard_at.insert(peer.clone(), now);
+        let state = &self.state;
+        let page = Page {
+            digests: &answered.digests,
+            next: answered.next,
+            more: answered.more,
+            complete: answered.complete,
+            members_version: answered.members_version,
+        };
+        let exchange = self.exchanges.entry(peer.clone()).or_default();
+        exchange.take(page, |digest| state.holds(digest));
+    }
+
+    /// Whether it fetches at once what it lacks of this peer.
+    pub fn filling(&self, peer: &Text) -> bool {
+        let caught_up = self.exchanges.get(peer).is_some_and(Exchange::caught_up);
+        !self.standing.complete() || !caught_up
+    }
+
+    /// The end of a round with a peer.
+    pub fn end_round(&mut self, peer: &Text, tolerance: &Tolerance) {
+        self.missing_of(peer);
+        if let Some(exchange) = self.exchanges.get_mut(peer) {
+            exchange.note_end();
+        }
+        if !self.standing.complete() && self.caught_up_with_group(tolerance) {
+            let mark = self.standing.declare_complete();
+            self.mark(mark);
+        }
+    }
+
+    fn caught_up_with_group(&self, tolerance: &Tolerance) -> bool {
+        let caught_up = |node: &str| self.exchanges.get(node).is_some_and(Exchange::caught_up);
+        caught_up_with_group(&self.standing.members(), tolerance, caught_up)
+    }
+
+    fn silent_for(&self, node: &str, now: u64) -> Duration {
+        let heard_at = self.heard_at.get(node).copied();
+        Duration::from_millis(now - heard_at.unwrap_or(self.members_since).min(now))
+    }
+
+    /// The next step in the member list; `hasty` leaves a guard out.
+    pub fn step(
+        &mut self,
+        now: u64,
+        tolerance: &Tolerance,
+        hasty: bool,
+    ) -> (Option<GroupNumber>, Step) {
+        let members = self.standing.members();
+        let others: Vec<&Member> = members
+            .list
+            .iter()
+            .filter(|member| member.node != self.entry.node)
+            .collect();
+        let holds_living_peers = || {
+            let mut living = others
+                .iter()
+                .filter(|member| self.silent_for(&member.node, now) <= REMOVE_AFTER);
+            living.all(|member| {
+                let exchange = self.exchanges.get(&member.node);
+                exchange.is_some_and(|exchange| exchange.in_step(members.version))
+            })
+        };
+        let end = self.state.end();
+        let shared_end = SharedEnd::under(&members, self.shared_end, holds_living_peers, end);
+        self.shared_end = shared_end;
+        let held_by = |node: &Text| self.held_by.get(node).copied().unwrap_or_default();
+        let peers: Vec<PeerHealth> = others
+            .iter()
+            .map(|member| PeerHealth {
+                node: member.node.clone(),
+                silent_for: self.silent_for(&member.node, now),
+                caught_up: hasty
+                    || shared_end.is_some_and(|end| end.held_by(held_by(&member.node))),
+            })
+            .collect();
+        let active = |member: &&&Member| member.state == MemberState::Active;
+        let holding = others.iter().filter(active);
+        let retiring_since = self.retiring.then(|| self.retiring_since.unwrap_or(now));
+        self.retiring_since = retiring_since;
+        let oneself = Oneself {
+            entry: self.entry.clone(),
+            complete: self.standing.complete(),
+            caught_up: self.caught_up_with_group(tolerance),
+            retiring: self.retiring,
+            surplus: self.surplus(&members, now, tolerance),
+            retirement_is_late: retiring_since.is_some_and(|since| now - since > 5_000),
+            peers_holding_all: holding
+                .filter(|member| held_by(&member.node) == end)
+                .count(),
+            fenced: hasty || self.fenced(&members, tolerance),
+            list_age: Duration::from_millis(now - self.members_since),
+        };
+        let step = decide(&members, &oneself, &peers, tolerance);
+        (self.standing.group(), step)
+    }
+
+    fn fenced(&self, members: &Members, tolerance: &Tolerance) -> bool {
+        fenced(members, tolerance, |member| {
+            let exchange = self.exchanges.get(&member.node);
+            match member.node == self.entry.node {
+                true => self.standing.complete(),
+                false if self.leaving() => {
+                    exchange.is_some_and(|exchange| exchange.knows(members.version))
+                }
+                false => exchange.is_some_and(|exchange| exchange.in_step(members.version)),
+            }
+        })
+    }
+
+    fn surplus(&self, members: &Members, now: u64, tolerance: &Tolerance) -> bool {
+        let stores = self.standing.stores();
+        let all: Vec<Member> = stores.members().cloned().collect();
+        let newest = members.list.last();
+        let is_newest = newest.is_some_and(|member| member.node == self.entry.node);
+        let size = group_size(tolerance, &all);
+        let larger = size.is_some_and(|size| members.list.len() > size);
+        let others = members
+            .list
+            .iter()
+            .filter(|member| member.node != self.entry.node);
+        let mut silent = others.map(|member| self.silent_for(&member.node, now));
+        let all_there = silent.all(|silent| silent < Duration::from_millis(2_300));
+        stores.groups.len() > 1 && is_newest && larger && all_there
+    }
+
+    /// Whether a record is on its disk.
+    pub fn on_disk(&self, record: &Record) -> bool {
+        let digest = record.digest();
+        self.disk.records.iter().any(|held| held.digest() == digest)
+    }
+
+    /// The groups as it knows them.
+    pub fn stores(&self) -> Rc<StoreGroups> {
+        self.standing.stores()
+    }
+}
--- /dev/null
+++ b/crates/stageyoke-store/tests/plans/world.rs
@@ -0,0 +1,753 @@
+//! Plays a plan: an event queue in virtual time, fronts that append and ask, and
+//! the checkers.
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
+use stageyoke_store::membership::Step;
+use stageyoke_store::message::{Record, Reply, TurnRecord};
+use stageyoke_store::quorum::{AppendTally, ChainStep, ChainTally};
+use stageyoke_types::{Blob, Text};
+
+use super::store::Store;
+use super::{Fault, PLAN_MILLISECONDS, Plan};
+
+/// Fronts of a plan.
+const FRONTS: usize = 3;
+/// Programs of a plan.
+const PROGRAMS: u32 = 6;
+/// Milliseconds between two requests.
+const REQUEST_PAUSE: u64 = 40;
+/// How long a front waits for an append, and for a chain.
+const APPEND_WITHIN: u64 = 1_300;
+const CHAIN_WITHIN: u64 = 800;
+/// Time after the faults in which everything comes back.
+const QUIET_MILLISECONDS: u64 = 30_000;
+const MEMBER_PAUSE: u64 = 500;
+const ROUND_PAUSE: u64 = 1_000;
+const FILLING_PAUSE: u64 = 100;
+const FRONT_PAUSE: u64 = 400;
+
+/// A guard that is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// None is.
+    None,
+    /// Fronts take a record as kept one disk too early.
+    QuorumOneShort,
+    /// Stores serve fronts with any old member list.
+    StaleListsAccepted,
+    /// Stores are complete as soon as they start.
+    VouchesEarly,
+    /// Dead members go though the rest have not exchanged what they hold.
+    RemovesWithoutExchange,
+    /// A reservation's quorum may consist of incomplete stores.
+    IncompleteLedgersCount,
+}
+
+/// What came of a plan.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Promises that were broken.
+    pub breaches: Vec<String>,
+    /// Appends, and those that were kept.
+    pub asked: u64,
+    /// Appends that were kept.
+    pub kept: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Strike(usize),
+    Start(usize),
+    FollowGroups(usize),
+    Round(usize),
+    FrontFollows(usize),
+    Request,
+    Arrive(usize, usize),
+    Synced(usize, usize),
+    Answer(usize, Text, Reply),
+    GiveUp(usize),
+}
+
+enum Work {
+    Append { record: Record, tally: AppendTally },
+    Chain { turn: Text, tally: ChainTally },
+}
+
+/// A request that a front has under way.
+struct Call {
+    group: GroupNumber,
+    members_version: u64,
+    began: u64,
+    work: Option<Work>,
+}
+
+/// A reservation or a turn that was kept.
+struct Kept {
+    at: u64,
+    program: Text,
+    turn: Text,
+    amount: u32,
+}
+
+struct Front {
+    stores: Rc<StoreGroups>,
+    deaf_until: u64,
+}
+
+/// Everything that a plan is played with.
+pub struct World {
+    plan: Plan,
+    flaw: Flaw,
+    tolerance: Tolerance,
+    random: RefCell<StdRng>,
+    now: u64,
+    sequence: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    registry: Rc<StoreGroups>,
+    service_down_until: u64,
+    stores: Vec<Store>,
+    fronts: Vec<Front>,
+    calls: Vec<Call>,
+    reservations: Vec<Kept>,
+    turns: Vec<Kept>,
+    /// The next kept record's holders lose their disks, as many as may be.
+    wipe_after_next: Option<u64>,
+    outcome: Outcome,
+}
+
+fn entry(number: usize) -> Member {
+    Member {
+        node: Text::from(format!("store-{number}")),
+        address: Text::from(format!("10.0.0.{number}:7000")),
+        zone: Text::from(format!("zone-{}", number % 3)),
+        state: MemberState::Active,
+    }
+}
+
+impl World {
+    /// A plan's world at its beginning: the groups are formed.
+    pub fn new(plan: &Plan, flaw: Flaw) -> Self {
+        let tolerance = Tolerance::of_machines(plan.losses);
+        let candidates = (0..plan.stores).fold(StoreGroups::default(), |groups, number| {
+            groups.with_candidate(entry(number))
+        });
+        let registry = Rc::new(candidates.form(&tolerance).expect("enough stores"));
+        let mut stores: Vec<Store> = (0..plan.stores)
+            .map(|number| Store::new(entry(number), number as u64 + 1, true))
+            .collect();
+        for store in &mut stores {
+            store.follow(&registry, 0);
+        }
+        let front = || Front {
+            stores: registry.clone(),
+            deaf_until: 0,
+        };
+        let mut world = Self {
+            flaw,
+            tolerance,
+            random: RefCell::new(StdRng::seed_from_u64(plan.seed)),
+            now: 0,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            service_down_until: 0,
+            stores,
+            fronts: (0..FRONTS).map(|_| front()).collect(),
+            registry,
+            calls: Vec::new(),
+            reservations: Vec::new(),
+            turns: Vec::new(),
+            wipe_after_next: None,
+            outcome: Outcome::default(),
+            plan: plan.clone(),
+        };
+        for (number, (at, _)) in plan.faults.iter().enumerate() {
+            world.at(*at, Event::Strike(number));
+        }
+        for store in 0..plan.stores {
+            world.begin(store);
+        }
+        for front in 0..FRONTS {
+            world.after(10, Event::FrontFollows(front));
+        }
+        world.after(1, Event::Request);
+        world
+    }
+
+    fn begin(&mut self, store: usize) {
+        let first = self.draw(1, MEMBER_PAUSE);
+        self.after(first, Event::FollowGroups(store));
+        self.after(first, Event::Round(store));
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.sequence += 1;
+        self.queue
+            .push(Reverse((time.max(self.now), self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn after(&mut self, milliseconds: u64, event: Event) {
+        self.at(self.now + milliseconds, event);
+    }
+
+    fn draw(&self, from: u64, to: u64) -> u64 {
+        self.random.borrow_mut().random_range(from..=to)
+    }
+
+    fn chance(&self, per_thousand: u32) -> bool {
+        self.random.borrow_mut().random_range(0..1000) < per_thousand
+    }
+
+    /// Sends a message: it may be lost, late or doubled.
+    fn send(&mut self, event: Event) {
+        let copies = match () {
+            () if self.chance(self.plan.lost) => 0,
+            () if self.chance(self.plan.doubled) => 2,
+            () => 1,
+        };
+        for _ in 0..copies {
+            let delay = match self.chance(self.plan.late) {
+                true => self.draw(500, 4_000),
+                false => self.draw(1, 12),
+            };
+            self.after(delay, event.clone());
+        }
+    }
+
+    /// Plays it all and judges.
+    pub fn play(mut self) -> Outcome {
+        let end = PLAN_MILLISECONDS + QUIET_MILLISECONDS;
+        while let Some(Reverse((time, number))) = self.queue.pop() {
+            if time > end {
+                break;
+            }
+            self.now = time;
+            let event = self.events.remove(&number).expect("queued");
+            self.handle(event);
+        }
+        self.judge_end();
+        self.outcome
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Strike(number) => self.strike(self.plan.faults[number].1),
+            Event::Start(store) => self.start(store),
+            Event::FollowGroups(store) => self.keep_place(store),
+            Event::Round(store) => self.round(store),
+            Event::FrontFollows(front) => {
+                if self.service_down_until <= self.now && self.fronts[front].deaf_until <= self.now
+                {
+                    self.fronts[front].stores = self.registry.clone();
+                }
+                self.after(FRONT_PAUSE, Event::FrontFollows(front));
+            }
+            Event::Request => {
+                self.request();
+                let pause = self.draw(1, 2 * REQUEST_PAUSE);
+                self.after(pause, Event::Request);
+            }
+            Event::Arrive(call, store) => self.arrive(call, store),
+            Event::Synced(call, store) => self.synced(call, store),
+            Event::Answer(call, node, reply) => self.answer(call, &node, reply),
+            Event::GiveUp(call) => drop(self.calls[call].work.take()),
+        }
+    }
+
+    // Faults.
+
+    fn strike(&mut self, fault: Fault) {
+        let count = self.stores.len();
+        match fault {
+            Fault::Kill(store, down) => self.stop(store % count, down, true),
+            Fault::PowerOff(store, down) => self.stop(store % count, down, false),
+            Fault::PowerOffAll(down) => {
+                for store in 0..count {
+                    let later = self.draw(0, 200);
+                    self.stop(store, down + later, false);
+                }
+            }
+            Fault::Wipe(store, down) => self.wipe(store % count, down),
+            Fault::WipeAfterNext(down) => self.wipe_after_next = Some(down),
+            Fault::Refuse(store, lasting) => {
+                self.stores[store % count].refuses_until = self.now + lasting;
+            }
+            Fault::Cut(store, lasting) => {
+                self.stores[store % count].cut_until = self.now + lasting;
+            }
+            Fault::Freeze(store, lasting) => {
+                self.stores[store % count].frozen_until = self.now + lasting;
+            }
+            Fault::Retire(store) => self.stores[store % count].retiring = true,
+            Fault::Add => {
+                let store = Store::new(entry(count), count as u64 + 1, false);
+                self.stores.push(store);
+                self.begin(count);
+            }
+            Fault::ServiceDown(lasting) => self.service_down_until = self.now + lasting,
+            Fault::Deaf(front, lasting) => {
+                self.fronts[front % FRONTS].deaf_until = self.now + lasting;
+            }
+        }
+    }
+
+    fn stop(&mut self, store: usize, down: u64, whole: bool) {
+        if !self.stores[store].running {
+            return;
+        }
+        let surviving = match whole {
+            true => usize::MAX,
+            false => self.draw(0, 20) as usize,
+        };
+        self.stores[store].stop(surviving);
+        self.after(down, Event::Start(store));
+    }
+
+    /// Disks that are lost together are as many as may be: a member whose disk
+    /// is being filled up again is lost until it is complete.
+    fn wipe(&mut self, store: usize, down: u64) {
+        let lost = |other: &Store| {
+            let member = self.registry.group_of_node(&other.entry.node).is_some();
+            !other.gone && member && other.incomplete()
+        };
+        let others = self.stores.iter().enumerate();
+        let lost_now = others.filter(|(number, other)| *number != store && lost(other));
+        if lost_now.count() >= self.plan.losses {
+            return;
+        }
+        self.stop(store, down, false);
+        let identity = self.draw(1_000, u64::MAX);
+        self.stores[store].wipe(identity);
+        // What counts as lost must show at once.
+        self.stores[store].start(self.now);
+        self.stores[store].running = false;
+    }
+
+    fn start(&mut self, store: usize) {
+        if self.stores[store].gone {
+            return;
+        }
+        let now = self.now;
+        self.stores[store].start(now);
+        if self.flaw == Flaw::VouchesEarly {
+            let registry = self.registry.clone();
+            self.stores[store].follow(&registry, now);
+            self.stores[store].vouch_early();
+        }
+    }
+
+    // Stores among themselves.
+
+    fn reaches_service(&self, store: usize) -> bool {
+        self.service_down_until <= self.now && self.stores[store].cut_until <= self.now
+    }
+
+    fn reaches(&self, one: usize, other: usize) -> bool {
+        let reached = |store: &Store| store.cut_until <= self.now && store.acts(self.now);
+        reached(&self.stores[one]) && reached(&self.stores[other])
+    }
+
+    fn number_of(&self, node: &Text) -> Option<usize> {
+        self.stores
+            .iter()
+            .position(|store| store.entry.node == *node)
+    }
+
+    fn keep_place(&mut self, store: usize) {
+        let pause = self.draw(MEMBER_PAUSE / 2, MEMBER_PAUSE * 2);
+        self.after(pause, Event::FollowGroups(store));
+        if !self.stores[store].acts(self.now) || !self.reaches_service(store) {
+            return;
+        }
+        // A look at the service may be older than the newest change.
+        if self.chance(700) {
+            let registry = self.registry.clone();
+            self.stores[store].follow(&registry, self.now);
+        }
+        let living: Vec<Text> = (0..self.stores.len())
+            .filter(|other| self.reaches(store, *other))
+            .map(|other| self.stores[other].entry.node.clone())
+            .collect();
+        let tolerance = self.tolerance.clone();
+        let lives = |member: &Member| living.contains(&member.node);
+        self.stores[store].choose_group(self.now, &tolerance, lives);
+        self.propose(store);
+    }
+
+    fn propose(&mut self, store: usize) {
+        let known = self.stores[store].stores();
+        if self.stores[store].group().is_none() && self.stores[store].retiring {
+            self.stores[store].gone = known.version == self.registry.version;
+            return;
+        }
+        let hasty = self.flaw == Flaw::RemovesWithoutExchange;
+        let tolerance = self.tolerance.clone();
+        let now = self.now;
+        let (group, step) = self.stores[store].step(now, &tolerance, hasty);
+        let (members, leaves) = match step {
+            Step::Rest => return,
+            Step::Change(members) | Step::BeginLeaving(members) => (members, false),
+            Step::Leave(members) => (members, true),
+        };
+        let Some(group) = group else {
+            return;
+        };
+        if self.registry.version == known.version {
+            self.registry = Rc::new(known.with_group(group, members));
+            self.stores[store].gone |= leaves && self.stores[store].retiring;
+        }
+        let registry = self.registry.clone();
+        self.stores[store].follow(&registry, now);
+    }
+
+    /// One round with each peer; any part of it may be cut short.
+    fn round(&mut self, store: usize) {
+        let mut filling = false;
+        if self.stores[store].acts(self.now) {
+            for peer in self.stores[store].peers() {
+                let Some(number) = self.number_of(&peer) else {
+                    continue;
+                };
+                filling |= self.stores[store].filling(&peer);
+                self.compare(store, number, &peer);
+            }
+        }
+        let pause = match filling {
+            true => FILLING_PAUSE,
+            false => ROUND_PAUSE,
+        };
+        let jitter = self.draw(0, pause / 4);
+        self.after(pause + jitter, Event::Round(store));
+    }
+
+    fn call_succeeds(&self, one: usize, other: usize) -> bool {
+        self.reaches(one, other) && !self.chance(2 * self.plan.lost)
+    }
+
+    fn compare(&mut self, store: usize, number: usize, peer: &Text) -> Option<()> {
+        self.fetch_missing(store, number, peer)?;
+        let (from, held) = self.stores[store].question(peer);
+        if !self.call_succeeds(store, number) {
+            return None;
+        }
+        let (group, version) = self.stores[store].asks_as()?;
+        let asker = self.stores[store].entry.node.clone();
+        let answered = self.stores[number].compare(&asker, group, version, from, held)?;
+        if !self.call_succeeds(store, number) {
+            return None;
+        }
+        self.stores[store].compared(peer, &answered, self.now);
+        if self.stores[store].filling(peer) {
+            self.fetch_missing(store, number, peer)?;
+        }
+        let tolerance = self.tolerance.clone();
+        self.stores[store].end_round(peer, &tolerance);
+        Some(())
+    }
+
+    fn fetch_missing(&mut self, store: usize, number: usize, peer: &Text) -> Option<()> {
+        let missing = self.stores[store].missing_of(peer);
+        if !missing.is_empty() && !self.stores[store].leaving() {
+            if !self.call_succeeds(store, number) {
+                return None;
+            }
+            let readable = || !self.chance(self.plan.lost);
+            let records = self.stores[number].records(&missing, readable);
+            self.stores[store].take(records, self.now);
+            self.stores[store].missing_of(peer);
+        }
+        Some(())
+    }
+
+    // Fronts.
+
+    fn request(&mut self) {
+        let front = self.draw(0, FRONTS as u64 - 1) as usize;
+        let program = Text::from(format!("program-{}", self.draw(0, u64::from(PROGRAMS) - 1)));
+        let stores = self.fronts[front].stores.clone();
+        let hash = stageyoke_store::keys::TurnKey::of(&program).0;
+        let group = stores.group_of_hash(hash).expect("formed");
+        let members = stores.group(group).expect("a group").clone();
+        let turn = Text::from(format!("turn-{}", self.calls.len()));
+        let work = match self.draw(0, 9) {
+            0..=3 => self.append(&members, reservation(&program, &turn), true),
+            4..=6 => self.append(&members, finished(&program, &turn), false),
+            _ => self.question(&members, group),
+        };
+        let Some(work) = work else {
+            return;
+        };
+        let within = match work {
+            Work::Append { .. } => APPEND_WITHIN,
+            Work::Chain { .. } => CHAIN_WITHIN,
+        };
+        let number = self.calls.len();
+        let asks = matches!(work, Work::Chain { .. });
+        self.calls.push(Call {
+            group,
+            members_version: members.version,
+            began: self.now,
+            work: Some(work),
+        });
+        let active = |member: &&Member| asks || member.state == MemberState::Active;
+        for member in members.list.iter().filter(active) {
+            if let Some(store) = self.number_of(&member.node) {
+                self.send(Event::Arrive(number, store));
+            }
+        }
+        self.after(within, Event::GiveUp(number));
+    }
+
+    fn append(&mut self, members: &Members, record: Record, reads_ledger: bool) -> Option<Work> {
+        self.outcome.asked += 1;
+        let counted = match self.flaw {
+            Flaw::QuorumOneShort => {
+                let mut fewer = members.clone();
+                fewer
+                    .list
+                    .truncate(members.list.len().saturating_sub(2).max(1));
+                fewer
+            }
+            _ => members.clone(),
+        };
+        let tolerance = match self.flaw {
+            Flaw::QuorumOneShort => Tolerance::of_machines(0),
+            _ => self.tolerance.clone(),
+        };
+        let reads_ledger = reads_ledger && self.flaw != Flaw::IncompleteLedgersCount;
+        let tally = AppendTally::new(&counted, &tolerance, reads_ledger).ok()?;
+        Some(Work::Append { record, tally })
+    }
+
+    /// Asks for a kept turn of this group, or for one that never was.
+    fn question(&mut self, members: &Members, group: GroupNumber) -> Option<Work> {
+        let stores = self.registry.clone();
+        let own: Vec<&Kept> = self
+            .turns
+            .iter()
+            .filter(|kept| {
+                let hash = stageyoke_store::keys::TurnKey::of(&kept.program).0;
+                stores.group_of_hash(hash) == Some(group)
+            })
+            .collect();
+        let turn = match own.len() {
+            0 => Text::from("never"),
+            // The newest ones are those that few disks hold yet.
+            count => {
+                let back = self.draw(1, count.min(12) as u64) as usize;
+                own[count - back].turn.clone()
+            }
+        };
+        let tally = ChainTally::new(members, &self.tolerance)?;
+        Some(Work::Chain { turn, tally })
+    }
+
+    fn arrive(&mut self, call: usize, store: usize) {
+        if !self.stores[store].acts(self.now) {
+            let frozen_until = self.stores[store].frozen_until;
+            if self.stores[store].running && frozen_until > self.now {
+                self.at(frozen_until + 1, Event::Arrive(call, store));
+            }
+            return;
+        }
+        let accept_stale = self.flaw == Flaw::StaleListsAccepted;
+        let (group, version) = (self.calls[call].group, self.calls[call].members_version);
+        let version = match accept_stale {
+            true => u64::MAX / 2,
+            false => version,
+        };
+        let node = self.stores[store].entry.node.clone();
+        match &self.calls[call].work {
+            Some(Work::Append { record, .. }) => {
+                let record = record.clone();
+                match self.stores[store].append(group, version, &record, self.now) {
+                    Err(refusal) => self.send(Event::Answer(call, node, refusal)),
+                    Ok(()) => {
+                        let delay = self.draw(1, 25);
+                        self.after(delay, Event::Synced(call, store));
+                    }
+                }
+            }
+            Some(Work::Chain { turn, .. }) => {
+                let reply = self.stores[store].chain(group, version, turn);
+                self.send(Event::Answer(call, node, reply));
+            }
+            None => {}
+        }
+    }
+
+    fn synced(&mut self, call: usize, store: usize) {
+        if !self.stores[store].acts(self.now) {
+            return;
+        }
+        let Some(Work::Append { record, .. }) = &self.calls[call].work else {
+            return;
+        };
+        let record = record.clone();
+        if self.stores[store].synced(&record, self.now) {
+            let node = self.stores[store].entry.node.clone();
+            let reply = self.stores[store].kept(self.calls[call].group, &record);
+            self.send(Event::Answer(call, node, reply));
+        }
+    }
+
+    fn answer(&mut self, call: usize, node: &Text, reply: Reply) {
+        match self.calls[call].work.take() {
+            Some(Work::Append { record, mut tally }) => {
+                tally.take(node, reply);
+                match tally.kept() {
+                    true => self.kept(call, &record, tally),
+                    false => self.calls[call].work = Some(Work::Append { record, tally }),
+                }
+            }
+            Some(Work::Chain { turn, mut tally }) => {
+                tally.take(node, reply);
+                match tally.step() {
+                    ChainStep::Parts { .. } => {}
+                    ChainStep::Absent => self.absent(call, &turn),
+                    ChainStep::Unsure => self.calls[call].work = Some(Work::Chain { turn, tally }),
+                }
+            }
+            None => {}
+        }
+    }
+
+    // Checkers.
+
+    fn kept(&mut self, call: usize, record: &Record, tally: AppendTally) {
+        self.outcome.kept += 1;
+        if let Some(down) = self.wipe_after_next.take() {
+            self.wipe_holders(record, down);
+        }
+        let ledger = tally.outcome().expect("kept");
+        let at = self.now;
+        match record {
+            Record::Reserve {
+                program,
+                turn,
+                most,
+            } => {
+                let began = self.calls[call].began;
+                let before = |kept: &&Kept| kept.at < began && kept.program == *program;
+                let due: u64 = self
+                    .reservations
+                    .iter()
+                    .filter(before)
+                    .map(|kept| u64::from(kept.amount))
+                    .sum();
+                let seen = ledger.total_without(turn);
+                if seen < due {
+                    let breach = format!("{at}: {turn} of {program} sees {seen} of {due} reserved");
+                    self.outcome.breaches.push(breach);
+                }
+                self.reservations.push(Kept {
+                    at,
+                    program: program.clone(),
+                    turn: turn.clone(),
+                    amount: *most,
+                });
+            }
+            Record::Turn(record) => self.turns.push(Kept {
+                at,
+                program: record.program.clone(),
+                turn: record.turn.clone(),
+                amount: record.used,
+            }),
+            _ => {}
+        }
+    }
+
+    /// Disks that hold what was just kept are lost, as many as may be, and
+    /// what was kept is asked for until after they are back.
+    fn wipe_holders(&mut self, record: &Record, down: u64) {
+        let holders: Vec<usize> = (0..self.stores.len())
+            .filter(|store| self.stores[*store].on_disk(record))
+            .collect();
+        for store in holders {
+            self.wipe(store, down);
+        }
+    }
+
+    fn absent(&mut self, call: usize, turn: &Text) {
+        let began = self.calls[call].began;
+        let kept = self.turns.iter().find(|kept| kept.turn == *turn);
+        if let Some(kept) = kept.filter(|kept| kept.at < began) {
+            let breach = format!(
+                "{}: {turn}, kept at {}, was told as absent by version {}",
+                self.now, kept.at, self.calls[call].members_version
+            );
+            self.outcome.breaches.push(breach);
+        }
+    }
+
+    /// Once all faults are over a store that is to leave does, if the rest can
+    /// serve without it.
+    fn judge_retirements(&mut self) {
+        for store in self
+            .stores
+            .iter()
+            .filter(|store| store.retiring && !store.gone)
+        {
+            let members = store.group().and_then(|group| self.registry.group(group));
+            let rest = members.map(|members| members.without(&store.entry.node));
+            let may_leave = rest.is_some_and(|rest| {
+                let active = |member: &&Member| member.state == MemberState::Active;
+                let serving = rest.list.iter().filter(active).count();
+                let all_serve = serving == rest.list.len();
+                let needed = rest.write_quorum(&self.tolerance);
+                all_serve && needed.is_some_and(|needed| needed <= serving)
+            });
+            if may_leave && store.acts(self.now) {
+                let breach = format!("{} has not left", store.entry.node);
+                self.outcome.breaches.push(breach);
+            }
+        }
+    }
+
+    /// At the end every kept turn is on a disk of its group.
+    fn judge_end(&mut self) {
+        self.judge_retirements();
+        for kept in &self.turns {
+            let record = finished(&kept.program, &kept.turn);
+            let hash = stageyoke_store::keys::TurnKey::of(&kept.program).0;
+            let group = self.registry.group_of_hash(hash);
+            let mut members = self.stores.iter().filter(|store| {
+                let own = self.registry.group_of_node(&store.entry.node);
+                !store.gone && own == group
+            });
+            if !members.any(|store| store.on_disk(&record)) {
+                let breach = format!("{} is on no disk of its group at the end", kept.turn);
+                self.outcome.breaches.push(breach);
+            }
+        }
+    }
+}
+
+fn reservation(program: &Text, turn: &Text) -> Record {
+    Record::Reserve {
+        program: program.clone(),
+        turn: turn.clone(),
+        most: 10,
+    }
+}
+
+fn finished(program: &Text, turn: &Text) -> Record {
+    Record::Turn(TurnRecord {
+        turn: turn.clone(),
+        program: program.clone(),
+        previous: Text::default(),
+        input: Blob::from(b"in".to_vec()),
+        output: Blob::from(b"out".to_vec()),
+        used: 0,
+        retention_seconds: 60,
+    })
+}
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -1,6 +1,6 @@
 //! What a store holds in memory, and what it forgets.
 
-use stageyoke_directory::DirectoryMark;
+use stageyoke_directory::{DirectoryMark, GroupNumber};
 use stageyoke_store::LedgerView;
 use stageyoke_store::frame::{self, Encoded};
 use stageyoke_store::keys::TurnKey;
@@ -8,12 +8,18 @@
     JournalPosition, LedgerEntry, Numbered, Record, Reply, Request, TurnRecord,
 };
 use stageyoke_store::segment::Place;
+use stageyoke_store::standing::PeerStanding;
 use stageyoke_store::state::{ChainStep, State};
 use stageyoke_types::{Blob, Text};
 
 const RETENTION: u32 = 60;
 const LONG_AFTER: u64 = 1_000;
 
+const VOUCHING: PeerStanding = PeerStanding {
+    complete: true,
+    members_version: 1,
+};
+
 fn turn(name: &str, previous: &str) -> Record {
     Record::Turn(TurnRecord {
         turn: Text::from(name),
@@ -124,7 +130,11 @@
         next,
         more,
         ..
-    } = from.digests(JournalPosition::default(), true, DirectoryMark::default())
+    } = from.digests(
+        JournalPosition::default(),
+        VOUCHING,
+        DirectoryMark::default(),
+    )
     else {
         panic!("digests");
     };
@@ -136,7 +146,8 @@
         .filter(|digest| !to.holds(*digest))
         .collect();
     assert_eq!(from.places(&missing), [place(0), place(2)]);
-    let Reply::Digests { digests, .. } = from.digests(next, true, DirectoryMark::default()) else {
+    let Reply::Digests { digests, .. } = from.digests(next, VOUCHING, DirectoryMark::default())
+    else {
         panic!("digests");
     };
     assert!(digests.is_empty(), "nothing new after the end");
@@ -147,7 +158,8 @@
     let mut state = State::new(8);
     state.add(&turn("one", ""), place(0), 0);
     let elsewhere = JournalPosition { disk: 9, next: 1 };
-    let Reply::Digests { digests, .. } = state.digests(elsewhere, true, DirectoryMark::default())
+    let Reply::Digests { digests, .. } =
+        state.digests(elsewhere, VOUCHING, DirectoryMark::default())
     else {
         panic!("digests");
     };
@@ -180,6 +192,7 @@
 #[test]
 fn a_frame_of_encoded_content_is_the_frame_of_the_message() {
     let content = Request::Append {
+        group: GroupNumber(0),
         members_version: 3,
         load: Default::default(),
         record: turn("one", ""),
