Fronts hear the directory from stores, and ask the service where none can tell

Cause: each of 95 to 295 processes followed the platform's service by itself: its watch came back with every change of the replica list, and each call has its price. Ruled out: calls held open at a store (a store that is silent on a connection is given up after 0.6 s, as it must be). An age counts from before the question was sent. What is left are the stores' own calls, and reads that confirm routes which are not known.

--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -89,6 +89,7 @@
     unreachable: Cell<bool>,
     used_again: Notify,
     settled: Notify,
+    behind: Notify,
 }
 
 impl Freshness {
@@ -106,6 +107,7 @@
             unreachable: Cell::new(false),
             used_again: Notify::new(),
             settled: Notify::new(),
+            behind: Notify::new(),
         }
     }
 
@@ -150,6 +152,9 @@
     pub fn hear(&self, mark: DirectoryMark, sent: Instant) {
         let age = Duration::from_millis(u64::from(mark.age_milliseconds));
         let known = self.confirmed_at.get().is_some();
+        if known && mark.last_change > self.revision.get() {
+            self.behind.notify_one();
+        }
         if known
             && mark.last_change > 0
             && mark.last_change <= self.revision.get()
@@ -159,6 +164,17 @@
         }
     }
 
+    /// Returns once another process has told of a change that this directory
+    /// does not hold.
+    pub async fn behind(&self) {
+        self.behind.notified().await;
+    }
+
+    /// Revision up to which the directory holds every change.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
     /// What to tell other processes.
     pub fn mark(&self) -> DirectoryMark {
         let Some(age) = self.age() else {
--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod members;
 pub mod mirror;
 pub mod model;
+pub mod relay;
 pub mod view;
 
 pub use freshness::{AgeLimits, DirectoryMark, Freshness};
@@ -22,4 +23,5 @@
     EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
     ServiceSpec, Target,
 };
+pub use relay::{DirectoryRelay, DirectorySource, Relayed, Telling, ToldChanges, ToldItems};
 pub use view::{Interpreter, Update, View};
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -15,6 +15,7 @@
 use crate::freshness::{AgeLimits, Freshness};
 use crate::groups::StoreGroups;
 use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
+use crate::relay::{DirectoryRelay, DirectorySource, RecentChanges, ToldChanges, ToldItems};
 use crate::view::{Changed, Interpreter, Update, View};
 
 /// How long one watch waits at the service: it spares calls, and nothing relies
@@ -26,6 +27,14 @@
 /// Parts of the bound on changes that gathering and confirmations may take.
 const GATHER_PART: f64 = 0.3;
 const CONFIRMED_PART: f64 = 0.25;
+/// Parts of the bound on changes: how old a copy that other processes tell may
+/// be to be taken, and the least time between two questions to them.
+const TOLD_PART: f64 = 0.7;
+const TOLD_PAUSE_PART: f64 = 0.05;
+/// How long other processes are asked for everything at a start, before the
+/// service is: they may be starting too.
+const TOLD_START: Duration = Duration::from_millis(1500);
+const TOLD_START_PAUSE: Duration = Duration::from_millis(150);
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 
 /// What the mirror tells its owner.
@@ -95,6 +104,8 @@
     changed: Notify,
     pace: Pace,
     freshness: Rc<Freshness>,
+    relay: Option<Rc<dyn DirectoryRelay>>,
+    recent: RefCell<RecentChanges>,
 }
 
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
@@ -111,6 +122,17 @@
             changed: Notify::new(),
             pace: Pace::default(),
             freshness: Rc::new(Freshness::new(AgeLimits::default(), true)),
+            relay: None,
+            recent: RefCell::default(),
+        }
+    }
+
+    /// The same mirror, which asks other processes that follow the service, and
+    /// the service itself only where they can't tell.
+    pub fn relayed(self, relay: Rc<dyn DirectoryRelay>) -> Self {
+        Self {
+            relay: Some(relay),
+            ..self
         }
     }
 
@@ -260,7 +282,7 @@
                         report(MirrorEvent::Regained);
                     }
                     if step.gather {
-                        tokio::time::sleep(self.pace.gather).await;
+                        tokio::time::sleep(self.pause_after_change()).await;
                     }
                 }
                 Err(error) => {
@@ -287,6 +309,9 @@
         let began = Instant::now();
         match after {
             None => {
+                if let Some(step) = self.read_told(report).await {
+                    return Ok(step);
+                }
                 let revision = self.read_all(report).await?;
                 Ok(Step {
                     revision: Some(revision),
@@ -296,8 +321,14 @@
                     gather: false,
                 })
             }
-            Some(revision) if failures == 0 => self.follow(revision, report).await,
+            Some(revision) if failures == 0 => match &self.relay {
+                Some(_) => self.follow_told(revision, report).await,
+                None => self.follow(revision, report).await,
+            },
             Some(revision) => {
+                if let Some(step) = self.take_told(revision, report).await {
+                    return Ok(step);
+                }
                 let patience = 1 + (failures % PATIENT_TRY);
                 let outcome = self.ask(revision, patience).await?;
                 Ok(self.take(outcome, began, report))
@@ -305,6 +336,103 @@
         }
     }
 
+    /// More changes may follow at once. Calls to the service are gathered longer
+    /// than those to other processes: they have their price.
+    fn pause_after_change(&self) -> Duration {
+        match &self.relay {
+            Some(_) => self.bound_part(TOLD_PAUSE_PART),
+            None => self.pace.gather,
+        }
+    }
+
+    fn bound_part(&self, part: f64) -> Duration {
+        self.pace.gather.mul_f64(part / GATHER_PART)
+    }
+
+    /// Reads everything from another process that follows the service. At a
+    /// start that is tried for a while, until the service itself is asked.
+    async fn read_told(&self, report: &mut impl FnMut(MirrorEvent)) -> Option<Step> {
+        let relay = self.relay.as_ref()?;
+        let starting = self.last_contact.get().is_none();
+        let until = Instant::now() + TOLD_START;
+        let within = self.freshness.limits().answer_within;
+        loop {
+            if let Some(relayed) = relay.items(within).await
+                && relayed.told.age < self.bound_part(TOLD_PART)
+            {
+                let as_of = relayed.as_of(relayed.told.age);
+                let ToldItems {
+                    items, revision, ..
+                } = relayed.told;
+                let page = RangePage {
+                    items,
+                    more: false,
+                    revision,
+                };
+                self.apply_pages(vec![page], report);
+                return Some(Step {
+                    revision: Some(revision),
+                    as_of,
+                    last_change: Some(revision),
+                    gather: false,
+                });
+            }
+            if !starting || !relay.knows_any() || Instant::now() >= until {
+                return None;
+            }
+            tokio::time::sleep(TOLD_START_PAUSE).await;
+        }
+    }
+
+    /// Asks other processes when the directory gets old, or when one of them has
+    /// told of a change; the service where none has a young copy.
+    async fn follow_told(
+        &self,
+        revision: u64,
+        report: &mut impl FnMut(MirrorEvent),
+    ) -> Result<Step, KeyValueError> {
+        tokio::select! {
+            () = self.freshness.overdue() => {}
+            () = self.freshness.behind() => {}
+        }
+        if let Some(step) = self.take_told(revision, report).await {
+            return Ok(step);
+        }
+        let began = Instant::now();
+        let outcome = self.ask(revision, 1).await?;
+        Ok(self.take(outcome, began, report))
+    }
+
+    /// What another process tells of the changes after a revision, if its copy
+    /// is young.
+    async fn take_told(&self, revision: u64, report: &mut impl FnMut(MirrorEvent)) -> Option<Step> {
+        let relay = self.relay.as_ref()?;
+        let within = self.freshness.limits().answer_within;
+        let relayed = relay.changes(revision, within).await?;
+        let as_of = relayed.as_of(relayed.told.age);
+        if as_of.elapsed() > self.bound_part(TOLD_PART) {
+            return None;
+        }
+        let ToldChanges {
+            changes,
+            revision: told,
+            ..
+        } = relayed.told;
+        let outcome = match changes {
+            None => WatchOutcome::HistoryGone,
+            // A copy that is behind this one held all there was at its time,
+            // and this one holds that too.
+            Some(changes) => WatchOutcome::Changes {
+                changes,
+                revision: told.max(revision),
+            },
+        };
+        let step = self.take(outcome, as_of, report);
+        // Other processes are not asked without a pause.
+        let gather = step.revision.is_some();
+        Some(Step { gather, ..step })
+    }
+
     /// Watches; while the watch is pending the service is asked for an answer
     /// whenever the directory gets old. An answer that brings what the watch
     /// did not shows that the watch is dead: it is dropped.
@@ -381,6 +509,7 @@
     fn apply_changes(&self, changes: Vec<Change>, report: &mut impl FnMut(MirrorEvent)) {
         let mut changed = Changed::default();
         for change in changes {
+            self.keep_recent(&change);
             let (key, item, revision) = match change {
                 Change::Written(item) => (item.key.clone(), Some(item), 0),
                 Change::Removed { key, revision } => (key, None, revision),
@@ -420,11 +549,20 @@
         Ok(revision)
     }
 
+    /// Keeps a change to hand it on, where items are kept.
+    fn keep_recent(&self, change: &Change) {
+        if self.items.is_some() {
+            self.recent.borrow_mut().push(change.clone());
+        }
+    }
+
     fn apply_pages(&self, pages: Vec<RangePage>, report: &mut impl FnMut(MirrorEvent)) {
         let mut changed = Changed::default();
         let mut replicas = BTreeSet::new();
         let mut retirements = BTreeSet::new();
         let mut keys: BTreeSet<String> = BTreeSet::new();
+        let revision = pages.first().map_or(0, |page| page.revision);
+        self.recent.borrow_mut().restart(revision);
         for item in pages.into_iter().flat_map(|page| page.items) {
             let key = item.key.clone();
             keys.insert(key.clone());
@@ -457,3 +595,23 @@
         }
     }
 }
+
+impl<S: KeyValueService, I: Interpreter> DirectorySource for Mirror<S, I> {
+    fn tell_changes(&self, after: u64) -> Option<ToldChanges> {
+        let age = self.freshness.age()?;
+        Some(ToldChanges {
+            changes: self.recent.borrow().after(after),
+            revision: self.freshness.revision(),
+            age,
+        })
+    }
+
+    fn tell_items(&self) -> Option<ToldItems> {
+        let age = self.freshness.age()?;
+        Some(ToldItems {
+            items: self.items(),
+            revision: self.freshness.revision(),
+            age,
+        })
+    }
+}
--- a/crates/stageyoke-directory/tests/freshness_test.rs
+++ b/crates/stageyoke-directory/tests/freshness_test.rs
@@ -2,93 +2,21 @@
 //! neither answer nor end. Only calls that don't wait are answered, and these
 //! too not while it is silent.
 
+#[path = "support/service.rs"]
+mod service;
 mod support;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rstest::rstest;
-use stageyoke_directory::{
-    Change, DirectoryMark, Item, KeyValueError, KeyValueService, Mirror, MirrorEvent, RangePage,
-    Transaction, TransactionOutcome, WatchOutcome,
-};
+use service::{Link, Service};
+use stageyoke_directory::{DirectoryMark, Mirror, MirrorEvent};
 use support::Words;
 use tokio::time::Instant;
 
 const BOUND: Duration = Duration::from_secs(2);
-const ANSWER: Duration = Duration::from_millis(4);
-const ROUTES: &str = "routes/all";
-
-#[derive(Default)]
-struct Service {
-    version: Cell<u64>,
-    silent: Cell<bool>,
-    asked: Cell<u32>,
-    waits: RefCell<Vec<Duration>>,
-}
-
-impl Service {
-    async fn answer(&self) {
-        self.asked.set(self.asked.get() + 1);
-        let silent = self.silent.get();
-        tokio::time::sleep(ANSWER).await;
-        if silent || self.silent.get() {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    fn item(&self) -> Item {
-        Item {
-            key: ROUTES.to_owned(),
-            value: Bytes::from(self.version.get().to_string()),
-            revision: self.version.get(),
-        }
-    }
-}
-
-/// The mirror's hold on the service.
-struct Link(Rc<Service>);
-
-impl KeyValueService for Link {
-    async fn get(&self, _: &str) -> Result<Option<Item>, KeyValueError> {
-        self.0.answer().await;
-        Ok(Some(self.0.item()))
-    }
-
-    async fn range(&self, _: &str, _: Option<&str>) -> Result<RangePage, KeyValueError> {
-        self.0.answer().await;
-        Ok(RangePage {
-            items: vec![self.0.item()],
-            more: false,
-            revision: self.0.version.get(),
-        })
-    }
-
-    async fn watch(
-        &self,
-        _: &str,
-        after: u64,
-        wait: Duration,
-    ) -> Result<WatchOutcome, KeyValueError> {
-        self.0.waits.borrow_mut().push(wait);
-        if !wait.is_zero() {
-            std::future::pending::<()>().await;
-        }
-        self.0.answer().await;
-        let revision = self.0.version.get();
-        let newer = (revision > after).then(|| Change::Written(self.0.item()));
-        Ok(WatchOutcome::Changes {
-            changes: newer.into_iter().collect(),
-            revision,
-        })
-    }
-
-    async fn transact(&self, _: &Transaction) -> Result<TransactionOutcome, KeyValueError> {
-        Ok(TransactionOutcome::Conflict)
-    }
-}
 
 type TestMirror = Rc<Mirror<Link, Words>>;
 
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -10,6 +10,7 @@
 
 use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance};
 use stageyoke_store::Groups;
+use stageyoke_store::relay::StoreRelay;
 use stageyoke_store::role::report_mirror_event;
 use stageyoke_types::{Event, Text};
 use tokio::net::TcpListener;
@@ -141,15 +142,18 @@
     }
 }
 
-/// Serves until `stop` is done, then finishes what is under way.
+/// Serves until `stop` is done, then finishes what is under way. The directory
+/// comes from the stores where they can tell it, and from the service otherwise.
 pub async fn run<S: KeyValueService + 'static, I: Interpreter + 'static>(
     settings: FrontSettings,
     names: Names,
-    mirror: Rc<Mirror<S, I>>,
+    mirror: Mirror<S, I>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let stores = Groups::new(settings.zone.clone(), settings.tolerance.clone());
     let stores = Rc::new(stores.confirming(mirror.freshness().clone()));
+    let relay = StoreRelay::new(stores.clone(), settings.seeds.clone());
+    let mirror = Rc::new(mirror.relayed(Rc::new(relay)));
     let front = Rc::new(Front {
         names,
         zone: settings.zone.clone(),
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -245,7 +245,7 @@
         replicas: replicas.iter().map(|replica| replica.address).collect(),
         reachable: reachable.clone(),
     };
-    let mirror = Rc::new(Mirror::new(directory, Words));
+    let mirror = Mirror::new(directory, Words);
     let (front, ready) = (free_address(), free_address());
     let settings = FrontSettings {
         node: Text::from("front"),
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -147,7 +147,8 @@
         *self.members.borrow_mut() = Rc::new(members.clone());
     }
 
-    fn client(&self, node: &Text) -> Option<Rc<StoreClient>> {
+    /// The connection to a member.
+    pub fn client(&self, node: &Text) -> Option<Rc<StoreClient>> {
         self.clients.borrow().get(node).cloned()
     }
 
--- a/crates/stageyoke-store/src/groups.rs
+++ b/crates/stageyoke-store/src/groups.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
 
+use crate::client::StoreClient;
 use crate::group::{ChainOutcome, Group, GroupError, Shared};
 use crate::keys::TurnKey;
 use crate::load::LoadBoard;
@@ -96,6 +97,29 @@
         }
     }
 
+    /// Connections to some stores, those of the front's zone first, in random
+    /// order otherwise.
+    pub fn clients_by_distance(&self, most: usize) -> Vec<Rc<StoreClient>> {
+        let stores = self.stores();
+        let mut members: Vec<_> = stores
+            .members()
+            .map(|member| {
+                (
+                    member.zone != self.shared.zone,
+                    rand::random::<u32>(),
+                    member,
+                )
+            })
+            .collect();
+        members.sort_by_key(|(remote, tie, _)| (*remote, *tie));
+        let groups = self.groups.borrow();
+        let client = |node: &Text| groups.iter().find_map(|group| group.client(node));
+        let nearest = members.into_iter().take(most);
+        nearest
+            .filter_map(|(_, _, member)| client(&member.node))
+            .collect()
+    }
+
     /// The group that keeps what a program does. A turn that names no program
     /// is its own.
     pub fn group_of(&self, program: &str, turn: &str) -> Option<Rc<Group>> {
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quorum;
 pub mod reader;
 pub mod recent;
+pub mod relay;
 pub mod role;
 pub mod segment;
 pub mod server;
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -122,6 +122,26 @@
     pub revision: u64,
 }
 
+/// A change of an item, as a store saw it.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct SeenChange {
+    /// The key.
+    pub key: Text,
+    /// Its value; `None` if it was removed.
+    pub value: Option<Blob>,
+    /// Revision of the change.
+    pub revision: u64,
+}
+
+/// How far a copy of the directory goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct CopyMark {
+    /// It holds every change up to this revision.
+    pub revision: u64,
+    /// How long ago that was the newest state, in milliseconds.
+    pub age_milliseconds: u32,
+}
+
 /// Requests that one front has under way at one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct LoadEntry {
@@ -201,6 +221,13 @@
     /// Items of the key-value service, for a front that starts while the
     /// service is down.
     Items,
+    /// What has changed in the key-value service's directory after a revision.
+    Changes {
+        /// Up to where the asker knows it.
+        after: u64,
+    },
+    /// The whole directory.
+    Directory,
     /// Records by their digests.
     Fetch {
         /// Which records.
@@ -252,6 +279,24 @@
     Pong,
     /// Items as last seen.
     Items(List<SeenItem>),
+    /// Changes of the directory.
+    Changes {
+        /// Whether all changes after the revision that was asked for are known.
+        known: bool,
+        /// In the order of their revisions.
+        changes: List<SeenChange>,
+        /// Up to where they go.
+        mark: CopyMark,
+    },
+    /// The whole directory.
+    Directory {
+        /// All items.
+        items: List<SeenItem>,
+        /// Up to where they go.
+        mark: CopyMark,
+    },
+    /// This store does not know the directory yet.
+    DirectoryUnknown,
     /// Records that were found.
     Records(List<Record>),
     /// Nothing was done, or the store misses the turn and can't vouch for its
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -100,6 +100,9 @@
             | Reply::Digests { .. }
             | Reply::Pong
             | Reply::Items(_)
+            | Reply::Changes { .. }
+            | Reply::Directory { .. }
+            | Reply::DirectoryUnknown
             | Reply::Records(_) => {}
         }
     }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -11,10 +11,10 @@
 use nanoserde::SerBin;
 use stageyoke_directory::groups::group_size;
 use stageyoke_directory::{
-    Condition, Interpreter, Item, KeyValueService, Member, MemberState, Members, Mirror,
-    MirrorEvent, StoreGroups, Tolerance, Transaction, TransactionOutcome, Write,
+    Condition, Interpreter, KeyValueService, Member, MemberState, Members, Mirror, MirrorEvent,
+    StoreGroups, Tolerance, Transaction, TransactionOutcome, Write,
 };
-use stageyoke_types::{Blob, Event, Text};
+use stageyoke_types::{Event, Text};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
@@ -23,7 +23,7 @@
 use crate::membership::{
     Oneself, PeerHealth, REMOVE_AFTER, SharedEnd, Step, decide, fenced, nothing_kept_yet,
 };
-use crate::message::SeenItem;
+use crate::relay::seen_item;
 use crate::segment::DataFolder;
 use crate::server::{self, Keeper};
 use crate::spare::Survey;
@@ -140,6 +140,7 @@
         let collector = keeper.clone();
         tokio::task::spawn_local(async move { collector.collect(results).await });
         keeper.set_items(kept_items, false);
+        keeper.telling(mirror.clone());
         mirror.seed((*keeper.stores()).clone());
         let host = Rc::new(Self {
             settings,
@@ -477,14 +478,6 @@
     format!("groups={} candidates={candidates}", groups.join("|"))
 }
 
-fn seen_item(item: Item) -> SeenItem {
-    SeenItem {
-        key: Text::from(item.key),
-        value: Blob(item.value),
-        revision: item.revision,
-    }
-}
-
 /// Logs what the mirror reports.
 pub fn report_mirror_event(event: MirrorEvent) {
     match event {
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use stageyoke_directory::{AgeLimits, DirectoryMark, Freshness, GroupNumber, Members, StoreGroups};
+use stageyoke_directory::{
+    AgeLimits, DirectoryMark, DirectorySource, Freshness, GroupNumber, Members, StoreGroups,
+};
 use stageyoke_observe as observe;
 use stageyoke_types::{Event, List, Text};
 use tokio::io::BufReader;
@@ -26,6 +28,7 @@
     Request, SeenItem, TurnRecord,
 };
 use crate::reader::RecordReader;
+use crate::relay;
 use crate::segment::{DataFolder, Recovered, SegmentUse};
 use crate::socket;
 use crate::standing::Standing;
@@ -64,6 +67,7 @@
     loads: LoadReports,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
     directory: Rc<Freshness>,
+    source: RefCell<Option<Rc<dyn DirectorySource>>>,
 }
 
 impl Keeper {
@@ -103,6 +107,7 @@
             loads: LoadReports::default(),
             held_by_peers: RefCell::default(),
             directory: Rc::new(Freshness::new(AgeLimits::default(), false)),
+            source: RefCell::default(),
         };
         Ok((keeper, results))
     }
@@ -199,6 +204,25 @@
         self.directory.hear(mark, sent);
     }
 
+    /// The directory that this store tells others of.
+    pub fn telling(&self, source: Rc<dyn DirectorySource>) {
+        *self.source.borrow_mut() = Some(source);
+    }
+
+    fn tell_changes(&self, after: u64) -> Reply {
+        let source = self.source.borrow();
+        let told = source
+            .as_ref()
+            .and_then(|source| source.tell_changes(after));
+        told.map_or(Reply::DirectoryUnknown, relay::changes_reply)
+    }
+
+    fn tell_directory(&self) -> Reply {
+        let source = self.source.borrow();
+        let told = source.as_ref().and_then(|source| source.tell_items());
+        told.map_or(Reply::DirectoryUnknown, relay::directory_reply)
+    }
+
     /// Position at the end of the journal.
     pub fn end(&self) -> JournalPosition {
         self.state.borrow().end()
@@ -407,6 +431,8 @@
                 self.state.borrow().digests(from, standing, directory)
             }
             Request::Ping => Reply::Pong,
+            Request::Changes { after } => self.tell_changes(after),
+            Request::Directory => self.tell_directory(),
             Request::Items => Reply::Items(self.items.borrow().clone()),
             Request::Fetch { digests } => self.fetch(&digests).await,
         }
