A second dead member does not stop the removal of the first

After a lost disk three complete members of six were left, where four must vouch. Ruled out: the refill of the wiped store (it waited for a fourth voucher). Change: that guard goes. What it stood for is what the fence says exactly: an absence set of complete members is there and in step, so no kept record can stand on dead members only. Both steps of a removal need it.

--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -200,9 +200,9 @@
     Step::Rest
 }
 
-/// Removes one dead member in two steps, if no more are dead than may be lost at
-/// once, and those that are left can still keep records and hold everything
-/// together. What it acknowledged to fronts that don't know of the first step
+/// Removes one dead member in two steps, if those that are left can keep records
+/// and hold everything together: so many complete ones that no kept record can
+/// stand on dead members only (`fenced`), however many these are. What it acknowledged to fronts that don't know of the first step
 /// is held by others too before the second.
 fn remove_dead(
     members: &Members,
@@ -212,7 +212,6 @@
 ) -> Step {
     let dead = |peer: &&PeerHealth| peer.silent_for > REMOVE_AFTER;
     let dead_count = peers.iter().filter(dead).count();
-    let most_dead = members.losses(tolerance).max(1);
     let is_leaving = |peer: &PeerHealth| {
         let member = members.get(&peer.node);
         member.is_some_and(|member| member.state == MemberState::Leaving)
@@ -221,7 +220,7 @@
         .iter()
         .filter(dead)
         .max_by_key(|peer| (is_leaving(peer), peer.silent_for));
-    let Some(gone) = longest_dead.filter(|_| dead_count <= most_dead) else {
+    let Some(gone) = longest_dead else {
         return Step::Rest;
     };
     let rest = members.without(&gone.node);
@@ -232,10 +231,11 @@
     let large_enough = rest.list.len() >= SMALLEST_GROUP;
     let mut living = peers.iter().filter(|peer| !dead(peer));
     let caught_up = living.all(|peer| peer.caught_up);
-    if !(serves && large_enough && caught_up) {
+    if !(serves && large_enough && caught_up && oneself.fenced) {
         return Step::Rest;
     }
-    // First nobody counts on it any more; it goes once no front can that does.
+    // First nobody counts on it any more; it goes once the list that says so is
+    // fenced in its turn, and no front can that does.
     match members.get(&gone.node) {
         Some(member) if member.state == MemberState::Active => {
             let leaving = Member {
@@ -244,7 +244,7 @@
             };
             Step::Change(members.with(leaving))
         }
-        Some(_) if oneself.fenced => Step::Change(rest),
-        _ => Step::Rest,
+        Some(_) => Step::Change(rest),
+        None => Step::Rest,
     }
 }
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -4,7 +4,9 @@
 
 use rstest::rstest;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_store::membership::{Oneself, PeerHealth, REMOVE_AFTER, SURPLUS_AFTER, Step, decide};
+use stageyoke_store::membership::{
+    Oneself, PeerHealth, REMOVE_AFTER, SURPLUS_AFTER, Step, decide, fenced,
+};
 use stageyoke_types::Text;
 
 fn tolerance() -> Tolerance {
@@ -54,6 +56,19 @@
         .collect()
 }
 
+/// The store with this number, which is in step with its living peers.
+fn in_step(list: &Members, number: usize, peers: &[PeerHealth], tolerance: &Tolerance) -> Oneself {
+    let living = |member: &Member| {
+        let mut peers = peers.iter();
+        let peer = peers.find(|peer| peer.node == member.node);
+        peer.is_none_or(|peer| peer.caught_up && peer.silent_for <= REMOVE_AFTER)
+    };
+    Oneself {
+        fenced: fenced(list, tolerance, living),
+        ..oneself(number)
+    }
+}
+
 #[test]
 fn the_first_complete_store_founds_the_group() {
     let founded = decide(&Members::default(), &oneself(0), &[], &tolerance());
@@ -153,12 +168,9 @@
     #[case] removed: bool,
 ) {
     let list = members(count);
-    let step = decide(
-        &list,
-        &oneself(0),
-        &peers(&list, 0, silent, behind),
-        &tolerance(),
-    );
+    let peers = peers(&list, 0, silent, behind);
+    let living = in_step(&list, 0, &peers, &tolerance());
+    let step = decide(&list, &living, &peers, &tolerance());
     let marked = list.with(Member {
         state: MemberState::Leaving,
         ..member(2)
@@ -168,12 +180,7 @@
         false => Step::Rest,
     };
     assert_eq!(step, expected);
-    let step = decide(
-        &marked,
-        &oneself(0),
-        &peers(&list, 0, silent, behind),
-        &tolerance(),
-    );
+    let step = decide(&marked, &living, &peers, &tolerance());
     let expected = match removed {
         true => Step::Change(marked.without("store-2")),
         false => Step::Rest,
@@ -285,13 +292,45 @@
     let rest = marked.without("store-3");
     assert_eq!(step, Step::Change(rest.clone()));
     let dead = peers(&rest, 0, &[2], &[]);
-    let Step::Change(marked) = decide(&rest, &unfenced, &dead, &tolerance) else {
+    let Step::Change(marked) = decide(&rest, &oneself(0), &dead, &tolerance) else {
         panic!("the other is marked");
     };
     assert_eq!(decide(&marked, &unfenced, &dead, &tolerance), Step::Rest);
     let step = decide(&marked, &oneself(0), &dead, &tolerance);
     assert_eq!(step, Step::Change(marked.without("store-2")));
     let three = peers(&list, 0, &[1, 2, 3], &[]);
-    let step = decide(&list, &oneself(0), &three, &tolerance);
+    let living = in_step(&list, 0, &three, &tolerance);
+    let step = decide(&list, &living, &three, &tolerance);
     assert_eq!(step, Step::Rest, "more than may be lost");
 }
+
+/// Hunted day hunt-3a00-11 of fbhs-warn: a second member died before the first
+/// dead one, marked already, was removed. Neither ever was; after a lost disk
+/// too few of the six were left.
+#[test]
+fn a_second_death_does_not_stop_the_removal_of_the_first() {
+    let list = members(6).with(Member {
+        state: MemberState::Leaving,
+        ..member(2)
+    });
+    let mut dead = peers(&list, 0, &[1, 2], &[]);
+    dead[0].silent_for += Duration::from_secs(3);
+    let living = in_step(&list, 0, &dead, &tolerance());
+    let step = decide(&list, &living, &dead, &tolerance());
+    let rest = list.without("store-2");
+    assert_eq!(
+        step,
+        Step::Change(rest.clone()),
+        "the marked one goes first"
+    );
+    let dead = peers(&rest, 0, &[1], &[]);
+    let living = in_step(&rest, 0, &dead, &tolerance());
+    let marked = rest.with(Member {
+        state: MemberState::Leaving,
+        ..member(1)
+    });
+    let step = decide(&rest, &living, &dead, &tolerance());
+    assert_eq!(step, Step::Change(marked.clone()));
+    let step = decide(&marked, &living, &dead, &tolerance());
+    assert_eq!(step, Step::Change(marked.without("store-1")));
+}
--- a/crates/stageyoke-store/tests/plans/mod.rs
+++ b/crates/stageyoke-store/tests/plans/mod.rs
@@ -48,6 +48,9 @@
     Freeze(usize, u64),
     /// The operator wants it emptied.
     Retire(usize),
+    /// The machine is lost for good, and an empty one comes in its place after
+    /// so long. Not played where more would be lost than may be.
+    Replace(usize, u64),
     /// An empty store is added.
     Add,
     /// The key-value service answers nobody.
@@ -71,6 +74,8 @@
         (number(), long()).prop_map(|(store, time)| Fault::Cut(store, time)),
         (number(), long()).prop_map(|(store, time)| Fault::Freeze(store, time)),
         number().prop_map(Fault::Retire),
+        (number(), short()).prop_map(|(store, time)| Fault::Replace(store, time)),
+        (number(), short()).prop_map(|(store, time)| Fault::Replace(store, time)),
         Just(Fault::Add),
         long().prop_map(Fault::ServiceDown),
         (number(), long()).prop_map(|(front, time)| Fault::Deaf(front, time)),
@@ -81,7 +86,7 @@
 /// while a front hears nothing of it.
 fn replacement() -> impl Strategy<Value = Vec<(u64, Fault)>> {
     let begin = 0..PLAN_MILLISECONDS - 16_000;
-    let times = (7_000..15_000_u64, 4_000..9_000_u64, 5_000..16_000_u64);
+    let times = (7_000..15_000_u64, 4_000..9_000_u64, 9_000..18_000_u64);
     (begin, 0..64_usize, 0..64_usize, times).prop_map(|(begin, store, front, times)| {
         let (cut, added, deaf) = times;
         vec![
@@ -110,7 +115,7 @@
         Just((12, 2)),
     ];
     let single = (0..PLAN_MILLISECONDS, fault()).prop_map(|fault| vec![fault]);
-    let scenario = prop_oneof![3 => single, 1 => replacement(), 1 => lost_disks()];
+    let scenario = prop_oneof![3 => single, 2 => replacement(), 1 => lost_disks()];
     let faults = proptest::collection::vec(scenario, 0..9);
     (any::<u64>(), sizes, 0..60_u32, 0..60_u32, 0..30_u32, faults).prop_map(
         |(seed, (stores, losses), lost, doubled, late, scenarios)| {
--- a/crates/stageyoke-store/tests/plans/world.rs
+++ b/crates/stageyoke-store/tests/plans/world.rs
@@ -65,6 +65,7 @@
 enum Event {
     Strike(usize),
     Start(usize),
+    Add,
     FollowGroups(usize),
     Round(usize),
     FrontFollows(usize),
@@ -242,6 +243,7 @@
         match event {
             Event::Strike(number) => self.strike(self.plan.faults[number].1),
             Event::Start(store) => self.start(store),
+            Event::Add => self.add(),
             Event::FollowGroups(store) => self.keep_place(store),
             Event::Round(store) => self.round(store),
             Event::FrontFollows(front) => {
@@ -288,11 +290,8 @@
                 self.stores[store % count].frozen_until = self.now + lasting;
             }
             Fault::Retire(store) => self.stores[store % count].retiring = true,
-            Fault::Add => {
-                let store = Store::new(entry(count), count as u64 + 1, false);
-                self.stores.push(store);
-                self.begin(count);
-            }
+            Fault::Add => self.add(),
+            Fault::Replace(store, later) => self.replace(store % count, later),
             Fault::ServiceDown(lasting) => self.service_down_until = self.now + lasting,
             Fault::Deaf(front, lasting) => {
                 self.fronts[front % FRONTS].deaf_until = self.now + lasting;
@@ -312,16 +311,37 @@
         self.after(down, Event::Start(store));
     }
 
+    fn add(&mut self) {
+        let number = self.stores.len();
+        let store = Store::new(entry(number), number as u64 + 1, false);
+        self.stores.push(store);
+        self.begin(number);
+    }
+
+    fn replace(&mut self, store: usize, later: u64) {
+        if self.stores[store].gone || !self.may_lose(store) {
+            return;
+        }
+        self.stores[store].stop(0);
+        self.stores[store].gone = true;
+        self.after(later, Event::Add);
+    }
+
     /// Disks that are lost together are as many as may be: a member whose disk
-    /// is being filled up again is lost until it is complete.
-    fn wipe(&mut self, store: usize, down: u64) {
+    /// is being filled up again is lost until it is complete, and one whose
+    /// machine is lost until it is no member any more.
+    fn may_lose(&self, store: usize) -> bool {
         let lost = |other: &Store| {
             let member = self.registry.group_of_node(&other.entry.node).is_some();
-            !other.gone && member && other.incomplete()
+            member && (other.gone || other.incomplete())
         };
         let others = self.stores.iter().enumerate();
         let lost_now = others.filter(|(number, other)| *number != store && lost(other));
-        if lost_now.count() >= self.plan.losses {
+        lost_now.count() < self.plan.losses
+    }
+
+    fn wipe(&mut self, store: usize, down: u64) {
+        if self.stores[store].gone || !self.may_lose(store) {
             return;
         }
         self.stop(store, down, false);
@@ -713,9 +733,34 @@
         }
     }
 
+    /// A machine that is lost for good is no member any more, if the rest of its
+    /// group could tell: enough complete members, all of them there.
+    fn judge_removals(&mut self) {
+        for members in self.registry.groups.iter() {
+            let store = |member: &Member| self.number_of(&member.node);
+            let gone =
+                |member: &&Member| store(member).is_some_and(|number| self.stores[number].gone);
+            let living = |member: &&Member| {
+                store(member).is_some_and(|number| {
+                    let store = &self.stores[number];
+                    store.acts(self.now) && !store.incomplete()
+                })
+            };
+            let living = members.list.iter().filter(living).count();
+            let needed = members.absence_quorum(&self.tolerance);
+            let enough = needed.is_some_and(|needed| living >= needed.max(3));
+            let gone = members.list.iter().filter(gone).count();
+            if gone > 0 && enough && living + gone == members.list.len() {
+                let breach = format!("{gone} lost machines of {members:?} are still members");
+                self.outcome.breaches.push(breach);
+            }
+        }
+    }
+
     /// At the end every kept turn is on a disk of its group.
     fn judge_end(&mut self) {
         self.judge_retirements();
+        self.judge_removals();
         for kept in &self.turns {
             let record = finished(&kept.program, &kept.turn);
             let hash = stageyoke_store::keys::TurnKey::of(&kept.program).0;
--- a/crates/stageyoke-store/tests/plans_test.rs
+++ b/crates/stageyoke-store/tests/plans_test.rs
@@ -18,7 +18,7 @@
 /// Tries to make a failing plan smaller.
 const SHRINKING: u32 = 2_000;
 /// Plans within which a flaw must show.
-const PLANS_FOR_A_FLAW: u32 = 300;
+const PLANS_FOR_A_FLAW: u32 = 2_000;
 
 fn runner(cases: u32, max_shrink_iters: u32) -> TestRunner {
     let config = ProptestConfig {
