Load is counted where it is decided; stores confirm routes for many fronts

Cause (load): of the others' load a front heard with its own reservations, some two or three a second, and after the split into groups from a part of them only; what was told was half a turn old. Change: a reservation names the replica that the front expects, by what it knew; the group's stores count their group's turns from there to their ends (PlacedTurns) and answer with the count of that moment; a front that then chooses another says so. The engines of a service are divided among the groups by an order that all fronts share (Fleet::divide), so that a group's count is nearly all there is; a program leaves its group's engines only when all of them are full, or to the holder of its prompt. Ruled out: telling all stores' counts to all groups (grows with stores x engines). Cause (calls): half of what was left were linearizable reads for unknown routes, by each front for itself.

--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -23,5 +23,8 @@
     EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
     ServiceSpec, Target,
 };
-pub use relay::{DirectoryRelay, DirectorySource, Relayed, Telling, ToldChanges, ToldItems};
+pub use relay::{
+    Confirming, DirectoryRelay, DirectorySource, Relayed, Telling, ToldChanges, ToldItems,
+    ToldRoutes,
+};
 pub use view::{Interpreter, Update, View};
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -15,7 +15,9 @@
 use crate::freshness::{AgeLimits, Freshness};
 use crate::groups::StoreGroups;
 use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
-use crate::relay::{DirectoryRelay, DirectorySource, RecentChanges, ToldChanges, ToldItems};
+use crate::relay::{
+    Confirming, DirectoryRelay, DirectorySource, RecentChanges, ToldChanges, ToldItems, ToldRoutes,
+};
 use crate::view::{Changed, Interpreter, Update, View};
 
 /// How long one watch waits at the service: it spares calls, and nothing relies
@@ -31,6 +33,12 @@
 /// be to be taken, and the least time between two questions to them.
 const TOLD_PART: f64 = 0.7;
 const TOLD_PAUSE_PART: f64 = 0.05;
+/// Part of the time for an answer of the service that other processes have to
+/// tell the configuration, before it is read directly.
+const ROUTES_TOLD_PART: f64 = 0.25;
+/// Part of the time for which a read of the configuration counts that it may
+/// have when it is told to others: they let it count for the rest.
+const TOLD_ROUTES_PART: f64 = 0.5;
 /// How long other processes are asked for everything at a start, before the
 /// service is: they may be starting too.
 const TOLD_START: Duration = Duration::from_millis(1500);
@@ -228,16 +236,46 @@
     /// Reads the configuration linearizably, unless a read began after the
     /// call, or so shortly before that the bound on changes is kept.
     pub async fn confirm_routes(&self) -> Result<(), KeyValueError> {
+        self.routes_read_within(self.pace.confirmed_for).await?;
+        Ok(())
+    }
+
+    /// The same for a read that began at most so long before the call; returns
+    /// when it began.
+    async fn routes_read_within(&self, confirmed_for: Duration) -> Result<Instant, KeyValueError> {
         let asked = Instant::now();
         let mut last_read = self.read_lock.lock().await;
-        let confirmed_for = self.pace.confirmed_for;
-        if last_read.is_some_and(|started| started + confirmed_for >= asked) {
-            return Ok(());
+        let recent = |started: &Instant| *started + confirmed_for >= asked;
+        if let Some(started) = last_read.filter(recent) {
+            return Ok(started);
+        }
+        if let Some(started) = self.routes_told().await.filter(recent) {
+            *last_read = Some(started);
+            return Ok(started);
         }
         let started = Instant::now();
         self.read_one(self.interpreter.routes_key()).await?;
         *last_read = Some(started);
-        Ok(())
+        Ok(started)
+    }
+
+    /// Takes the configuration from another process, which reads it for many;
+    /// returns when that read began at the latest.
+    async fn routes_told(&self) -> Option<Instant> {
+        let relay = self.relay.as_ref()?;
+        let within = self
+            .freshness
+            .limits()
+            .answer_within
+            .mul_f64(ROUTES_TOLD_PART);
+        let relayed = relay.routes(within).await?;
+        let started = relayed.as_of(relayed.told.age);
+        let item = relayed.told.item;
+        let key = self.interpreter.routes_key();
+        if item.key == key {
+            self.apply_item(key, Some(item), 0, &mut Changed::default());
+        }
+        Some(started)
     }
 
     /// Reads the store groups linearizably.
@@ -606,6 +644,17 @@
         })
     }
 
+    fn tell_routes(&self) -> Confirming<'_> {
+        Box::pin(async move {
+            let within = self.pace.confirmed_for.mul_f64(TOLD_ROUTES_PART);
+            let started = self.routes_read_within(within).await.ok()?;
+            let items = self.items.as_ref()?.borrow();
+            let item = items.get(self.interpreter.routes_key())?.clone();
+            let age = started.elapsed();
+            Some(ToldRoutes { item, age })
+        })
+    }
+
     fn tell_items(&self) -> Option<ToldItems> {
         let age = self.freshness.age()?;
         Some(ToldItems {
--- a/crates/stageyoke-directory/src/relay.rs
+++ b/crates/stageyoke-directory/src/relay.rs
@@ -40,6 +40,15 @@
     pub age: Duration,
 }
 
+/// The configuration as another process tells it.
+#[derive(Clone, Debug)]
+pub struct ToldRoutes {
+    /// Its item.
+    pub item: Item,
+    /// How long ago the linearizable read began that it rests on.
+    pub age: Duration,
+}
+
 /// What was told, and when the question was sent.
 #[derive(Clone, Debug)]
 pub struct Relayed<T> {
@@ -59,12 +68,17 @@
 /// An answer that is waited for; `None` where nobody could tell.
 pub type Telling<'a, T> = Pin<Box<dyn Future<Output = Option<Relayed<T>>> + 'a>>;
 
+/// A read that is waited for.
+pub type Confirming<'a> = Pin<Box<dyn Future<Output = Option<ToldRoutes>> + 'a>>;
+
 /// Processes that follow the service, as seen by one that does not.
 pub trait DirectoryRelay {
     /// Whether any such process is known.
     fn knows_any(&self) -> bool;
     /// What has changed after a revision.
     fn changes(&self, after: u64, within: Duration) -> Telling<'_, ToldChanges>;
+    /// The configuration, from a linearizable read of a moment ago.
+    fn routes(&self, within: Duration) -> Telling<'_, ToldRoutes>;
     /// Everything.
     fn items(&self, within: Duration) -> Telling<'_, ToldItems>;
 }
@@ -73,6 +87,9 @@
 pub trait DirectorySource {
     /// What has changed after a revision; `None` while nothing is known.
     fn tell_changes(&self, after: u64) -> Option<ToldChanges>;
+    /// The configuration, from a linearizable read that began just before this
+    /// call at the most; `None` if there is none.
+    fn tell_routes(&self) -> Confirming<'_>;
     /// Everything; `None` while nothing is known.
     fn tell_items(&self) -> Option<ToldItems>;
 }
--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -14,7 +14,8 @@
 use service::{Link, Service};
 use stageyoke_directory::relay::RecentChanges;
 use stageyoke_directory::{
-    Change, DirectoryRelay, DirectorySource, Item, Mirror, Relayed, Telling, ToldChanges, ToldItems,
+    Change, DirectoryRelay, DirectorySource, Item, Mirror, Relayed, Telling, ToldChanges,
+    ToldItems, ToldRoutes,
 };
 use support::Words;
 use tokio::time::Instant;
@@ -58,6 +59,19 @@
         Box::pin(self.answer(within, move |store| store.tell_changes(after)))
     }
 
+    fn routes(&self, within: Duration) -> Telling<'_, ToldRoutes> {
+        Box::pin(async move {
+            let sent = Instant::now();
+            if self.silent.get() {
+                tokio::time::sleep(within).await;
+                return None;
+            }
+            let reading = self.store.tell_routes();
+            let told = tokio::time::timeout(within, reading).await.ok()??;
+            Some(Relayed { told, sent })
+        })
+    }
+
     fn items(&self, within: Duration) -> Telling<'_, ToldItems> {
         Box::pin(self.answer(within, |store| store.tell_items()))
     }
@@ -165,6 +179,31 @@
     .await;
 }
 
+/// An unknown route is confirmed by a store's read, and by the front's own where
+/// the store can't; never by one that began too long before.
+#[rstest]
+#[case::by_the_store(false, false)]
+#[case::the_store_hears_nothing(true, false)]
+#[case::the_store_is_silent(false, true)]
+#[tokio::test(start_paused = true)]
+async fn routes_are_confirmed_by_whoever_can(#[case] store_deaf: bool, #[case] way_silent: bool) {
+    local(async {
+        let pair = Pair::start().await;
+        pair.use_for(Duration::from_millis(300)).await;
+        pair.store_service.silent.set(store_deaf);
+        pair.way_silent.set(way_silent);
+        for version in 2..6 {
+            pair.set_version(version);
+            tokio::time::sleep(BOUND.mul_f64(0.3)).await;
+            pair.front.confirm_routes().await.expect("confirmed");
+            assert_eq!(pair.version(), version);
+        }
+        let own_reads = pair.front_service.asked.get();
+        assert_eq!(own_reads == 0, !store_deaf && !way_silent, "{own_reads}");
+    })
+    .await;
+}
+
 fn change(revision: u64) -> Change {
     Change::Written(Item {
         key: "routes/all".to_owned(),
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{ReplicaRecord, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
 use stageyoke_types::{Event, Text};
@@ -29,6 +29,11 @@
 /// last current gets nothing more; the rest is for requests on their way.
 const LAPSE_LAST_PART: f64 = 0.9;
 
+/// Replicas that a store group's programs have at least for themselves, where a
+/// service's replicas are divided among the groups: with fewer a burst of one
+/// group's programs fills them while others' are free.
+const LEAST_CELL: usize = 6;
+
 /// Services whose rates are remembered though they have no replica now: names
 /// change with each configuration, and a process lives long.
 const MOST_RATES: usize = 64;
@@ -38,6 +43,7 @@
     load: Rc<LoadBoard>,
     rest_limit: Rc<Cell<RestLimit>>,
     change_bound: Duration,
+    groups: Cell<usize>,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
     services: RefCell<HashMap<Text, Vec<Rc<Replica>>>>,
     rates: RefCell<HashMap<Text, Rc<Cell<EngineRates>>>>,
@@ -50,6 +56,7 @@
             load,
             rest_limit: Rc::default(),
             change_bound: Duration::ZERO,
+            groups: Cell::new(0),
             replicas: RefCell::default(),
             services: RefCell::default(),
             rates: RefCell::default(),
@@ -113,6 +120,9 @@
             let list = services.entry(replica.record.service.clone()).or_default();
             list.push(replica.clone());
         }
+        for replicas in services.values_mut() {
+            self.divide(replicas);
+        }
         let mut rates = self.rates.borrow_mut();
         if rates.len() > MOST_RATES {
             rates.retain(|service, _| services.contains_key(service));
@@ -121,6 +131,24 @@
         *self.services.borrow_mut() = services;
     }
 
+    /// Divides a service's replicas among the store groups, by an order that all
+    /// fronts share: one that comes or goes moves few others.
+    fn divide(&self, replicas: &mut [Rc<Replica>]) {
+        let groups = self.groups.get();
+        let count = replicas.len();
+        replicas.sort_by_key(|replica| replica.rank());
+        let divided = groups > 0 && count >= groups * LEAST_CELL;
+        for (position, replica) in replicas.iter().enumerate() {
+            let number = u32::try_from(position * groups / count).unwrap_or_default();
+            replica.set_cell(divided.then_some(GroupNumber(number)));
+        }
+    }
+
+    /// So many store groups there are.
+    pub fn set_groups(&self, groups: usize) {
+        self.groups.set(groups);
+    }
+
     fn shared(&self, service: &Text) -> Shared {
         let mut rates = self.rates.borrow_mut();
         Shared {
@@ -198,6 +226,8 @@
     pub excluded: &'a [Text],
     /// Prompt of the request.
     pub prompt: &'a Prompt,
+    /// The store group of its program; none where it has no program.
+    pub group: Option<GroupNumber>,
     /// Whether it may run more than once.
     pub repeatable: bool,
 }
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -129,6 +129,7 @@
         // Changes are reported before their answer confirms the directory: this
         // is the age that it had until now.
         let unseen = self.mirror.freshness().age().unwrap_or_default();
+        self.fleet.set_groups(view.stores.groups.len());
         self.fleet.follow(&view.replicas, unseen);
         let metrics = stageyoke_observe::metrics();
         metrics.replicas.set(view.replicas.len() as i64);
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -13,6 +13,7 @@
 use stageyoke_directory::{
     Interpreter, KeyValueService, Route, RouteKind, RouteTable, ServiceSpec,
 };
+use stageyoke_store::message::Placement;
 use stageyoke_types::{ErrorKind, Text};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -195,8 +196,12 @@
         story: &mut Story,
     ) -> Result<Response<FrontBody>, Failure> {
         let ledger: RefCell<String> = RefCell::default();
-        let (reservation, transcript) =
-            tokio::join!(self.reserve(&call, &ledger), self.transcript(&call));
+        // What the stores answer may show a better one.
+        let expected = self.expected_placement(&call);
+        let (reservation, transcript) = tokio::join!(
+            self.reserve(&call, expected, &ledger),
+            self.transcript(&call)
+        );
         story.ledger = ledger.into_inner();
         let mut reservation = match reservation {
             Ok(granted) => granted,
@@ -220,7 +225,9 @@
             call.outbound.body = Bytes::from(body);
         }
         story.offered_after = call.arrived.elapsed().as_millis() as u64;
-        let served = self.offer(&mut call, story, &mut reservation).await?;
+        let served = self
+            .offer(&mut call, story, &mut reservation, expected)
+            .await?;
         Ok(self.pass_on(call, served, story, reservation))
     }
 
@@ -231,6 +238,7 @@
         call: &mut Call,
         story: &mut Story,
         reservation: &mut Option<Reservation>,
+        mut told: Option<Placement>,
     ) -> Result<Served, Failure> {
         let mut excluded: Vec<Text> = Vec::new();
         let most_runs = match call.route.repeatable() {
@@ -245,6 +253,13 @@
             story.placement = placed.explanation;
             let replica = placed.replica;
             excluded.push(replica.id.clone());
+            let placement = placement_at(call, &replica);
+            if let Some(reservation) = reservation
+                && told.map(|told| told.replica) != Some(placement.replica)
+            {
+                reservation.place(placement);
+                told = Some(placement);
+            }
             set_may_have_run(reservation, true);
             let sending = attempt::send(&call.outbound, &replica, &self.names);
             let outcome = tokio::time::timeout_at(call.outbound.deadline, sending).await;
@@ -309,13 +324,36 @@
             zone: &self.zone,
             excluded,
             prompt: &call.figures.prompt,
+            group: self.history.stores.group_number(&call.figures.program),
             repeatable: call.route.repeatable(),
         }
     }
 
-    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Placed> {
+    /// Where a turn of a program is going to run, by what is known before its
+    /// reservation.
+    fn expected_placement(&self, call: &Call) -> Option<Placement> {
+        call.figures.budget?;
+        call.service.engine.as_ref()?;
+        let replica = self.choose_engine(call, &self.wanted(call, &[]))?;
+        Some(placement_at(call, &replica))
+    }
+
+    fn choose_engine(&self, call: &Call, wanted: &Wanted<'_>) -> Option<Rc<Replica>> {
         let figures = &call.figures;
-        let prompt = &figures.prompt;
+        let tokens = figures.prompt.tokens();
+        let affinity = match figures.program.is_empty() {
+            true => placement::hash_text(&figures.request),
+            false => placement::hash_text(&figures.program),
+        };
+        let rates = self.fleet.rates(&call.service.name);
+        let choose = |candidates: &[Candidate]| {
+            placement::choose_engine(candidates, tokens, affinity, &rates)
+        };
+        self.fleet.choose(wanted, choose)
+    }
+
+    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Placed> {
+        let prompt = &call.figures.prompt;
         let wanted = self.wanted(call, excluded);
         let Some(engine) = &call.service.engine else {
             let tie = rand::random();
@@ -327,15 +365,8 @@
                 explanation: String::new(),
             });
         };
-        let affinity = match figures.program.is_empty() {
-            true => placement::hash_text(&figures.request),
-            false => placement::hash_text(&figures.program),
-        };
+        let replica = self.choose_engine(call, &wanted)?;
         let rates = self.fleet.rates(&call.service.name);
-        let choose = |candidates: &[Candidate]| {
-            placement::choose_engine(candidates, prompt.tokens(), affinity, &rates)
-        };
-        let replica = self.fleet.choose(&wanted, choose)?;
         let missing_tokens = replica.reads(prompt, engine.cache_tokens);
         let explanation = format!(
             "beside={} missing={missing_tokens} of={} slowness={:.2} {rates}",
@@ -439,6 +470,18 @@
     }
 }
 
+/// A turn's placement at a replica, until its deadline.
+fn placement_at(call: &Call, replica: &Replica) -> Placement {
+    let left = call
+        .outbound
+        .deadline
+        .saturating_duration_since(Instant::now());
+    Placement {
+        replica: replica.short_hash(),
+        lasting_milliseconds: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
 /// An answer on its way to the caller.
 enum Served {
     /// Read whole.
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use stageyoke_observe::metrics;
 use stageyoke_store::keys::TurnKey;
-use stageyoke_store::message::ChainPart;
+use stageyoke_store::message::{ChainPart, Placement};
 use stageyoke_store::{
     ChainOutcome, GroupError, Groups, LedgerView, RecentTurns, Record, TurnRecord,
 };
@@ -97,6 +97,7 @@
         program: &Text,
         turn: &Text,
         most: u32,
+        placement: Option<Placement>,
         within: Duration,
     ) -> Result<LedgerView, GroupError> {
         let record = Record::Reserve {
@@ -105,7 +106,7 @@
             most,
         };
         let began = Instant::now();
-        let ledger = self.stores.append(record, within).await;
+        let ledger = self.stores.append_placed(record, placement, within).await;
         metrics()
             .reserve_seconds
             .observe(began.elapsed().as_secs_f64());
@@ -160,6 +161,7 @@
     program: Text,
     turn: Text,
     may_have_run: bool,
+    told_end: bool,
 }
 
 impl Reservation {
@@ -170,6 +172,7 @@
             program,
             turn,
             may_have_run: false,
+            told_end: false,
         }
     }
 
@@ -178,9 +181,21 @@
         self.may_have_run = may_have_run;
     }
 
+    /// The turn is to run there.
+    pub fn place(&self, placement: Placement) {
+        let stores = &self.history.stores;
+        stores.tell_placed(&self.program, &self.turn, placement);
+    }
+
+    /// The turn's record tells that it is over.
+    pub fn is_recorded(&mut self) {
+        self.told_end = true;
+    }
+
     /// Settles the turn, which has ended whole.
     pub fn settle(&mut self, used: u32) {
         self.may_have_run = true;
+        self.told_end = true;
         self.history.settle(&self.program, &self.turn, used);
     }
 }
@@ -189,6 +204,9 @@
     fn drop(&mut self) {
         if !self.may_have_run {
             self.history.settle(&self.program, &self.turn, 0);
+        } else if !self.told_end {
+            let stores = &self.history.stores;
+            stores.tell_ended(&self.program, &self.turn);
         }
     }
 }
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -19,6 +19,9 @@
     pub failure: f64,
     /// Tokens from the prompt's start that it is believed to hold.
     pub held_tokens: u32,
+    /// Whether it serves the programs of the request's store group first: what
+    /// is in flight there is known best.
+    pub in_cell: bool,
     /// Whether a kept connection to it is free.
     pub connected: bool,
     /// Whether it may be chosen at all.
@@ -55,6 +58,13 @@
     affinity: u64,
     rates: &CurrentRates,
 ) -> Option<usize> {
+    let cell_has_room = candidates.iter().any(|candidate| {
+        candidate.in_cell && candidate.usable && candidate.in_flight < candidate.slots
+    });
+    let allowed = |candidate: &Candidate| {
+        let holds_most = candidate.held_tokens * 2 > prompt_tokens;
+        candidate.usable && (!cell_has_room || candidate.in_cell || holds_most)
+    };
     let home = home_of(candidates, affinity)?;
     let known = candidates.iter().map(|candidate| candidate.held_tokens);
     let someone_holds_most = known.max().unwrap_or_default() * 2 > prompt_tokens;
@@ -69,7 +79,7 @@
     candidates
         .iter()
         .enumerate()
-        .filter(|(_, candidate)| candidate.usable)
+        .filter(|(_, candidate)| allowed(candidate))
         .min_by(|(one, first), (other, second)| cost(*one, first).total_cmp(&cost(*other, second)))
         .map(|(index, _)| index)
 }
@@ -109,11 +119,15 @@
 /// The engine that a program's hash ranks first: among the zone's own, which
 /// spares connections and the way, where they are enough for the zone's bursts.
 fn home_of(candidates: &[Candidate], affinity: u64) -> Option<usize> {
-    let own = |candidate: &Candidate| candidate.local && candidate.usable;
+    let divided = candidates
+        .iter()
+        .any(|candidate| candidate.in_cell && candidate.usable);
+    let in_reach = |candidate: &Candidate| candidate.in_cell || !divided;
+    let own = |candidate: &Candidate| candidate.local && candidate.usable && in_reach(candidate);
     let own_engines = candidates.iter().filter(|candidate| own(candidate)).count();
     let zone_only = own_engines >= ENGINES_OF_A_ZONE;
     best_by_affinity(candidates, affinity, |candidate| {
-        candidate.local || !zone_only
+        in_reach(candidate) && (candidate.local || !zone_only)
     })
 }
 
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -192,6 +192,9 @@
         let began = Instant::now();
         let kept = self.keeping.history.commit(record, self.deadline).await;
         self.story.keeping = began.elapsed().as_millis() as u64;
+        if let Some(reservation) = &mut self.keeping.reservation {
+            reservation.is_recorded();
+        }
         match kept {
             Ok(()) => End::Whole,
             Err(_) => End::Cut("not_kept"),
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::ReplicaRecord;
+use stageyoke_directory::{GroupNumber, ReplicaRecord};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
 use stageyoke_types::{Event, Text};
@@ -46,6 +46,7 @@
     suspended: Cell<bool>,
     gone: Cell<bool>,
     lapsed_until: Cell<Option<Instant>>,
+    cell: Cell<Option<GroupNumber>>,
 }
 
 impl Replica {
@@ -65,6 +66,7 @@
             suspended: Cell::new(false),
             gone: Cell::new(false),
             lapsed_until: Cell::new(None),
+            cell: Cell::new(None),
         }
     }
 
@@ -111,6 +113,30 @@
         self.load.under_way(self.short_hash())
     }
 
+    /// The store group whose programs it serves first.
+    pub fn set_cell(&self, cell: Option<GroupNumber>) {
+        self.cell.set(cell);
+    }
+
+    /// Order among its service's replicas that is the same on all fronts.
+    pub fn rank(&self) -> u64 {
+        mix(self.hash)
+    }
+
+    /// Requests under way there as a program of this group sees them: where the
+    /// group's own programs are served first its stores count them.
+    fn in_flight(&self, group: Option<GroupNumber>) -> u32 {
+        let replica = self.short_hash();
+        let counted = match (group, self.cell.get()) {
+            (Some(group), Some(cell)) if group == cell => self.load.placed(group, replica),
+            _ => None,
+        };
+        match counted {
+            Some(counted) => counted.max(self.load.own(replica)),
+            None => self.under_way(),
+        }
+    }
+
     /// Its deviation from the rates of its service's engines.
     pub fn slowness(&self) -> f64 {
         self.slowness.get().factor(Instant::now())
@@ -188,7 +214,8 @@
         self.pool.clear();
     }
 
-    fn short_hash(&self) -> u32 {
+    /// Its identifier's hash, as fronts and stores tell it.
+    pub fn short_hash(&self) -> u32 {
         mix(self.hash) as u32
     }
 
@@ -203,7 +230,8 @@
         Candidate {
             hash: self.hash,
             local: self.record.zone.as_str() == wanted.zone,
-            in_flight: self.under_way(),
+            in_flight: self.in_flight(wanted.group),
+            in_cell: wanted.group.is_some() && self.cell.get() == wanted.group,
             slowness: self.slowness(),
             failure: self.failure(Instant::now()),
             held_tokens: self.held_parts.borrow().held(wanted.prompt),
--- a/crates/stageyoke-front/src/turns.rs
+++ b/crates/stageyoke-front/src/turns.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
 use stageyoke_store::GroupError;
+use stageyoke_store::message::Placement;
 use stageyoke_types::ErrorKind;
 use tokio::time::Instant;
 
@@ -68,6 +69,7 @@
     pub(crate) async fn reserve(
         &self,
         call: &Call,
+        placement: Option<Placement>,
         note: &RefCell<String>,
     ) -> Result<Option<Reservation>, Failure> {
         let figures = &call.figures;
@@ -91,9 +93,13 @@
         let within = left.mul_f64(RESERVE_PART).min(RESERVE_WITHIN);
         let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let most = figures.most_tokens;
-        let mut ledger = self.history.reserve(&program, &turn, most, within).await;
+        let reserve = || {
+            let history = &self.history;
+            history.reserve(&program, &turn, most, placement, within)
+        };
+        let mut ledger = reserve().await;
         if matches!(ledger, Err(GroupError::StaleMembers)) {
-            ledger = self.history.reserve(&program, &turn, most, within).await;
+            ledger = reserve().await;
         }
         let ledger = ledger.map_err(|error| {
             *note.borrow_mut() = format!("budget={budget} most={most} error={error}");
--- a/crates/stageyoke-front/tests/engine_rates_test.rs
+++ b/crates/stageyoke-front/tests/engine_rates_test.rs
@@ -144,6 +144,7 @@
 
 fn candidate(hash: u64, in_flight: u32, held_tokens: u32) -> Candidate {
     Candidate {
+        in_cell: false,
         hash,
         local: true,
         in_flight,
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use stageyoke_directory::{ReplicaRecord, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState};
 use stageyoke_front::fleet::{Fleet, Wanted};
 use stageyoke_front::health::{CAUTION, Evidence, Health, SUSPENSION, combined};
 use stageyoke_front::placement::{self, Candidate};
@@ -48,6 +48,7 @@
 
 fn find(fleet: &Fleet, repeatable: bool, tie: u64) -> Option<Rc<Replica>> {
     let wanted = Wanted {
+        group: None,
         service: SERVICE,
         zone: "zone",
         excluded: &[],
@@ -162,7 +163,7 @@
     let (own, board) = fleet(3);
     let bad = choose(&own, false, 0);
     let store = LoadReports::default();
-    let hear = || board.hear(store.of_others(1));
+    let hear = || board.hear(GroupNumber(0), store.of_others(1));
     let mut offered = Vec::new();
     for front in 2..=4 {
         let other = Rc::new(LoadBoard::new(front));
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -86,6 +86,7 @@
 
 fn candidate(hash: u64) -> Candidate {
     Candidate {
+        in_cell: false,
         hash,
         local: true,
         in_flight: 0,
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -17,7 +17,7 @@
 use crate::client::{CallError, StoreClient};
 use crate::frame::Encoded;
 use crate::load::LoadBoard;
-use crate::message::{ChainPart, Record, Reply, Request};
+use crate::message::{ChainPart, Placement, Record, Reply, Request};
 use crate::quorum::{AppendTally, ChainStep, ChainTally, LedgerView};
 
 /// How long a member may take before others are asked as well.
@@ -198,8 +198,13 @@
     /// Writes a record to every active member; done once a write quorum has it
     /// on disk. For reservations the quorum's members are complete ones, and
     /// the merged ledger is returned.
-    pub async fn append(&self, record: Record, within: Duration) -> Result<LedgerView, GroupError> {
-        let outcome = self.append_once(record, within).await;
+    pub async fn append(
+        &self,
+        record: Record,
+        placement: Option<Placement>,
+        within: Duration,
+    ) -> Result<LedgerView, GroupError> {
+        let outcome = self.append_once(record, placement, within).await;
         self.judge(outcome.is_ok());
         outcome
     }
@@ -207,6 +212,7 @@
     async fn append_once(
         &self,
         record: Record,
+        placement: Option<Placement>,
         within: Duration,
     ) -> Result<LedgerView, GroupError> {
         let members = self.members();
@@ -218,6 +224,7 @@
             group: self.number,
             members_version: members.version,
             load: self.shared.load.report(),
+            placement,
             record,
         });
         for member in active(&members) {
@@ -261,7 +268,22 @@
             own.hear(*directory, sent);
         }
         if reads_ledger {
-            self.shared.load.hear(std::mem::take(others));
+            self.shared.load.hear(self.number, std::mem::take(others));
+        }
+    }
+
+    /// Tells all active members something that is only a hint, without waiting.
+    pub fn tell(&self, request: &Request, within: Duration) {
+        let request = Encoded::of(request);
+        for member in active(&self.members()) {
+            let Some(client) = self.client(&member.node) else {
+                continue;
+            };
+            let request = request.clone();
+            tokio::task::spawn_local(async move {
+                // A hint that is lost fades by itself.
+                let _ = client.call_encoded(request, within).await;
+            });
         }
     }
 
--- a/crates/stageyoke-store/src/groups.rs
+++ b/crates/stageyoke-store/src/groups.rs
@@ -14,7 +14,7 @@
 use crate::group::{ChainOutcome, Group, GroupError, Shared};
 use crate::keys::TurnKey;
 use crate::load::LoadBoard;
-use crate::message::{ChainPart, Record};
+use crate::message::{ChainPart, Placement, Record, Request};
 use crate::quorum::{ChainStep, LedgerView};
 
 /// How long the group that a program belongs to may take before the others are
@@ -22,6 +22,9 @@
 /// made it. A few ways to a store and back.
 const OTHERS_AFTER: Duration = Duration::from_millis(60);
 
+/// How long a hint is tried.
+const TELL_WITHIN: Duration = Duration::from_millis(500);
+
 /// Connections to the store groups, following their map.
 pub struct Groups {
     shared: Shared,
@@ -129,6 +132,15 @@
         self.groups.borrow().get(number as usize).cloned()
     }
 
+    /// The number of a program's group; none for what has no program.
+    pub fn group_number(&self, program: &str) -> Option<GroupNumber> {
+        if program.is_empty() {
+            return None;
+        }
+        let TurnKey(hash) = TurnKey::of(program);
+        self.stores().group_of_hash(hash)
+    }
+
     fn group_of_record(&self, record: &Record) -> Option<Rc<Group>> {
         match record {
             Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
@@ -166,16 +178,48 @@
     /// Writes a record to the members of its program's group; done once a write
     /// quorum has it on disk. A reservation gives the program's ledger.
     pub async fn append(&self, record: Record, within: Duration) -> Result<LedgerView, GroupError> {
+        self.append_placed(record, None, within).await
+    }
+
+    /// The same for the reservation of a turn that is to run there.
+    pub async fn append_placed(
+        &self,
+        record: Record,
+        placement: Option<Placement>,
+        within: Duration,
+    ) -> Result<LedgerView, GroupError> {
         let Some(group) = self.group_of_record(&record) else {
             let since = self.unknown_since.get().unwrap_or_else(Instant::now);
             self.unknown_since.set(Some(since));
             return Err(GroupError::NoGroup);
         };
-        let outcome = group.append(record, within).await;
+        let outcome = group.append(record, placement, within).await;
         self.follow_newer();
         outcome
     }
 
+    /// Tells a program's group that its turn runs there after all.
+    pub fn tell_placed(&self, program: &str, turn: &str, placement: Placement) {
+        let TurnKey(key) = TurnKey::of(turn);
+        let request = Request::Placed {
+            turn: key,
+            placement,
+        };
+        self.tell(program, turn, &request);
+    }
+
+    /// Tells a program's group that its turn is over.
+    pub fn tell_ended(&self, program: &str, turn: &str) {
+        let TurnKey(key) = TurnKey::of(turn);
+        self.tell(program, turn, &Request::Ended { turn: key });
+    }
+
+    fn tell(&self, program: &str, turn: &str, request: &Request) {
+        if let Some(group) = self.group_of(program, turn) {
+            group.tell(request, TELL_WITHIN);
+        }
+    }
+
     /// Sends a record without waiting.
     pub fn append_in_background(self: &Rc<Self>, record: Record, within: Duration) {
         let groups = self.clone();
--- a/crates/stageyoke-store/src/load.rs
+++ b/crates/stageyoke-store/src/load.rs
@@ -6,10 +6,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use stageyoke_directory::GroupNumber;
 use stageyoke_types::List;
 use tokio::time::Instant;
 
-use crate::message::{LoadEntry, LoadReport, OthersReport, Suspicion};
+use crate::message::{LoadEntry, LoadReport, OthersReport, Placement, Suspicion};
 
 /// Replicas in one report.
 pub const MAX_ENTRIES: usize = 64;
@@ -21,6 +22,14 @@
 /// few records hears seldom, and a fault lasts longer than a moment's load.
 pub const SUSPICION_LIFE: Duration = Duration::from_millis(1200);
 
+/// What a group's store told of the group's turns counts for this long: a turn's
+/// next tries go by it too.
+const PLACED_LIFE: Duration = Duration::from_millis(300);
+/// Turns under way that a store counts at most, some 50 bytes each.
+const MOST_PLACED: usize = 20_000;
+/// Time between two looks for turns that have lasted too long.
+const SWEEP_PAUSE: Duration = Duration::from_millis(200);
+
 /// A front's own counts and what it last heard of all others.
 #[derive(Debug)]
 pub struct LoadBoard {
@@ -28,6 +37,14 @@
     own: RefCell<HashMap<u32, u16>>,
     suspects: RefCell<HashMap<u32, Instant>>,
     others: RefCell<Heard>,
+    placed: RefCell<HashMap<GroupNumber, Placed>>,
+}
+
+/// A group's turns under way by replica, as one of its stores told.
+#[derive(Debug)]
+struct Placed {
+    counts: HashMap<u32, u16>,
+    at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +68,7 @@
             own: RefCell::default(),
             suspects: RefCell::default(),
             others: RefCell::default(),
+            placed: RefCell::default(),
         }
     }
 
@@ -101,8 +119,15 @@
         }
     }
 
-    /// Takes what a store knows of all other fronts.
-    pub fn hear(&self, others: OthersReport) {
+    /// Takes what a store of this group knows of all other fronts.
+    pub fn hear(&self, group: GroupNumber, others: OthersReport) {
+        let counts = others.placed.iter();
+        let counts = counts.map(|entry| (entry.replica, entry.under_way));
+        let placed = Placed {
+            counts: counts.collect(),
+            at: Instant::now(),
+        };
+        self.placed.borrow_mut().insert(group, placed);
         let load = |entry: LoadEntry| (entry.replica, entry.under_way);
         let suspicion = |entry: Suspicion| (entry.replica, entry.fronts);
         *self.others.borrow_mut() = Heard {
@@ -121,6 +146,20 @@
         }
     }
 
+    /// Turns of a group under way at a replica, if one of the group's stores has
+    /// told of them just now.
+    pub fn placed(&self, group: GroupNumber, replica: u32) -> Option<u32> {
+        let placed = self.placed.borrow();
+        let heard = placed.get(&group)?;
+        let counts = heard.at.elapsed() < PLACED_LIFE;
+        counts.then(|| u32::from(heard.counts.get(&replica).copied().unwrap_or_default()))
+    }
+
+    /// Requests of this front under way at a replica.
+    pub fn own(&self, replica: u32) -> u32 {
+        u32::from(self.own.borrow().get(&replica).copied().unwrap_or_default())
+    }
+
     /// Requests under way at a replica, as far as known.
     pub fn under_way(&self, replica: u32) -> u32 {
         let own = self.own.borrow().get(&replica).copied().unwrap_or_default();
@@ -174,6 +213,7 @@
         OthersReport {
             entries: List(entries),
             suspects: most_suspected(suspecting),
+            placed: List::default(),
         }
     }
 }
@@ -195,3 +235,90 @@
         entries.truncate(MAX_ENTRIES);
     }
 }
+
+/// A turn that runs at a replica.
+#[derive(Clone, Copy, Debug)]
+struct RunningTurn {
+    replica: u32,
+    until: Instant,
+}
+
+/// A store's count of its group's turns under way: from their reservations, which
+/// name the replica, to their ends.
+#[derive(Debug, Default)]
+pub struct PlacedTurns {
+    turns: HashMap<u64, RunningTurn>,
+    counts: HashMap<u32, u16>,
+    swept_at: Option<Instant>,
+}
+
+impl PlacedTurns {
+    /// A turn is to run there; it may have been counted elsewhere before.
+    pub fn begin(&mut self, turn: u64, placement: Placement) {
+        self.end(turn);
+        if self.turns.len() >= MOST_PLACED {
+            return;
+        }
+        let lasting = Duration::from_millis(u64::from(placement.lasting_milliseconds));
+        let running = RunningTurn {
+            replica: placement.replica,
+            until: Instant::now() + lasting,
+        };
+        self.turns.insert(turn, running);
+        *self.counts.entry(placement.replica).or_default() += 1;
+    }
+
+    /// A turn is over.
+    pub fn end(&mut self, turn: u64) {
+        if let Some(running) = self.turns.remove(&turn) {
+            self.count_down(running.replica);
+        }
+    }
+
+    fn count_down(&mut self, replica: u32) {
+        if let Some(count) = self.counts.get_mut(&replica) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&replica);
+            }
+        }
+    }
+
+    /// Turns that run now, without this one, by replica.
+    pub fn others(&mut self, turn: u64) -> List<LoadEntry> {
+        self.sweep();
+        let own = self.turns.get(&turn).map(|running| running.replica);
+        let entries = self.counts.iter().map(|(replica, count)| LoadEntry {
+            replica: *replica,
+            under_way: count - u16::from(own == Some(*replica)),
+        });
+        entries.filter(|entry| entry.under_way > 0).collect()
+    }
+
+    /// Turns that are counted.
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// Forgets turns whose front has gone without a word.
+    fn sweep(&mut self) {
+        let now = Instant::now();
+        if self.swept_at.is_some_and(|at| now < at + SWEEP_PAUSE) {
+            return;
+        }
+        self.swept_at = Some(now);
+        let over = self
+            .turns
+            .iter()
+            .filter(|(_, running)| running.until <= now);
+        let over: Vec<u64> = over.map(|(turn, _)| *turn).collect();
+        for turn in over {
+            self.end(turn);
+        }
+    }
+}
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -151,6 +151,15 @@
     pub under_way: u16,
 }
 
+/// Where a turn runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Placement {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// How long it may run at most, in milliseconds.
+    pub lasting_milliseconds: u32,
+}
+
 /// What a front has seen of replicas, told along with its records.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct LoadReport {
@@ -178,6 +187,8 @@
     pub entries: List<LoadEntry>,
     /// Replicas that failed other fronts of late.
     pub suspects: List<Suspicion>,
+    /// The group's other turns that run now, by replica.
+    pub placed: List<LoadEntry>,
 }
 
 /// What a caller asks of a store.
@@ -191,6 +202,8 @@
         members_version: u64,
         /// What the front has under way.
         load: LoadReport,
+        /// For reservations: where the turn is to run.
+        placement: Option<Placement>,
         /// What to keep.
         record: Record,
     },
@@ -216,6 +229,18 @@
         /// Position up to which the asker holds everything on its own disk.
         held: JournalPosition,
     },
+    /// A turn of the group is to run elsewhere than was said.
+    Placed {
+        /// The turn, by its key (`TurnKey`).
+        turn: u64,
+        /// Where it runs.
+        placement: Placement,
+    },
+    /// A turn of the group is over, and no record says so.
+    Ended {
+        /// The turn, by its key (`TurnKey`).
+        turn: u64,
+    },
     /// Whether the store is there.
     Ping,
     /// Items of the key-value service, for a front that starts while the
@@ -226,6 +251,8 @@
         /// Up to where the asker knows it.
         after: u64,
     },
+    /// The configuration, from a linearizable read of a moment ago.
+    Routes,
     /// The whole directory.
     Directory,
     /// Records by their digests.
@@ -275,7 +302,7 @@
         /// In journal order.
         digests: List<RecordDigest>,
     },
-    /// The store is there.
+    /// The store is there, and has heard.
     Pong,
     /// Items as last seen.
     Items(List<SeenItem>),
@@ -288,6 +315,13 @@
         /// Up to where they go.
         mark: CopyMark,
     },
+    /// The configuration.
+    Routes {
+        /// Its item.
+        item: SeenItem,
+        /// How long ago the read began that it rests on, in milliseconds.
+        age_milliseconds: u32,
+    },
     /// The whole directory.
     Directory {
         /// All items.
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -101,6 +101,7 @@
             | Reply::Pong
             | Reply::Items(_)
             | Reply::Changes { .. }
+            | Reply::Routes { .. }
             | Reply::Directory { .. }
             | Reply::DirectoryUnknown
             | Reply::Records(_) => {}
--- a/crates/stageyoke-store/src/relay.rs
+++ b/crates/stageyoke-store/src/relay.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Change, DirectoryRelay, Item, Relayed, Telling, ToldChanges, ToldItems};
+use stageyoke_directory::{
+    Change, DirectoryRelay, Item, Relayed, Telling, ToldChanges, ToldItems, ToldRoutes,
+};
 use stageyoke_types::{Blob, List, Text};
 use tokio::time::Instant;
 
@@ -27,6 +29,14 @@
     }
 }
 
+/// A store's answer to a question for the configuration.
+pub fn routes_reply(told: ToldRoutes) -> Reply {
+    Reply::Routes {
+        item: seen_item(told.item),
+        age_milliseconds: rounded_up(told.age),
+    }
+}
+
 /// A store's answer to a question for everything.
 pub fn directory_reply(told: ToldItems) -> Reply {
     let mark = mark(told.revision, told.age);
@@ -37,14 +47,17 @@
 }
 
 fn mark(revision: u64, age: Duration) -> CopyMark {
-    // Rounded up: a copy must not look younger than it is.
-    let age_milliseconds = u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX);
     CopyMark {
         revision,
-        age_milliseconds,
+        age_milliseconds: rounded_up(age),
     }
 }
 
+/// Milliseconds, rounded up: a copy must not look younger than it is.
+fn rounded_up(age: Duration) -> u32 {
+    u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX)
+}
+
 /// An item as stores keep and tell it.
 pub fn seen_item(item: Item) -> SeenItem {
     SeenItem {
@@ -137,7 +150,10 @@
             let sent = Instant::now();
             let left = deadline.saturating_duration_since(sent).min(share);
             match client.call(request.clone(), left).await {
-                Ok(reply @ (Reply::Changes { .. } | Reply::Directory { .. })) => {
+                Ok(
+                    reply
+                    @ (Reply::Changes { .. } | Reply::Directory { .. } | Reply::Routes { .. }),
+                ) => {
                     *self.preferred.borrow_mut() = Some(client);
                     return Some(Relayed { told: reply, sent });
                 }
@@ -175,6 +191,25 @@
         })
     }
 
+    fn routes(&self, within: Duration) -> Telling<'_, ToldRoutes> {
+        Box::pin(async move {
+            let relayed = self.ask(Request::Routes, within).await?;
+            let Reply::Routes {
+                item,
+                age_milliseconds,
+            } = relayed.told
+            else {
+                return None;
+            };
+            let told = ToldRoutes {
+                item: told_item(item),
+                age: Duration::from_millis(u64::from(age_milliseconds)),
+            };
+            let sent = relayed.sent;
+            Some(Relayed { told, sent })
+        })
+    }
+
     fn items(&self, within: Duration) -> Telling<'_, ToldItems> {
         Box::pin(async move {
             let relayed = self.ask(Request::Directory, within).await?;
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -21,11 +21,12 @@
 use crate::completeness::Completeness;
 use crate::frame;
 use crate::journal::{Appended, Journal};
+use crate::keys::TurnKey;
 use crate::limits::StoreLimits;
-use crate::load::LoadReports;
+use crate::load::{LoadReports, PlacedTurns};
 use crate::message::{
-    ChainPart, JournalPosition, LoadReport, Numbered, Record, RecordDigest, Refusal, Reply,
-    Request, SeenItem, TurnRecord,
+    ChainPart, JournalPosition, Numbered, OthersReport, Placement, Record, RecordDigest, Refusal,
+    Reply, Request, SeenItem, TurnRecord,
 };
 use crate::reader::RecordReader;
 use crate::relay;
@@ -65,6 +66,7 @@
     members_since: Cell<Instant>,
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
+    placed: RefCell<PlacedTurns>,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
     directory: Rc<Freshness>,
     source: RefCell<Option<Rc<dyn DirectorySource>>>,
@@ -105,6 +107,7 @@
             members_since: Cell::new(Instant::now()),
             items: RefCell::default(),
             loads: LoadReports::default(),
+            placed: RefCell::default(),
             held_by_peers: RefCell::default(),
             directory: Rc::new(Freshness::new(AgeLimits::default(), false)),
             source: RefCell::default(),
@@ -217,6 +220,15 @@
         told.map_or(Reply::DirectoryUnknown, relay::changes_reply)
     }
 
+    async fn tell_routes(&self) -> Reply {
+        let source = self.source.borrow().clone();
+        let Some(source) = source else {
+            return Reply::DirectoryUnknown;
+        };
+        let told = source.tell_routes().await;
+        told.map_or(Reply::DirectoryUnknown, relay::routes_reply)
+    }
+
     fn tell_directory(&self) -> Reply {
         let source = self.source.borrow();
         let told = source.as_ref().and_then(|source| source.tell_items());
@@ -411,8 +423,22 @@
                 group,
                 members_version,
                 load,
+                placement,
                 record,
-            } => self.append(group, members_version, load, record).await,
+            } => {
+                self.loads.take(load.clone());
+                self.count_turn(&record, placement);
+                self.append(group, members_version, load.front, record)
+                    .await
+            }
+            Request::Placed { turn, placement } => {
+                self.placed.borrow_mut().begin(turn, placement);
+                Reply::Pong
+            }
+            Request::Ended { turn } => {
+                self.placed.borrow_mut().end(turn);
+                Reply::Pong
+            }
             Request::Chain {
                 group,
                 members_version,
@@ -432,6 +458,7 @@
             }
             Request::Ping => Reply::Pong,
             Request::Changes { after } => self.tell_changes(after),
+            Request::Routes => self.tell_routes().await,
             Request::Directory => self.tell_directory(),
             Request::Items => Reply::Items(self.items.borrow().clone()),
             Request::Fetch { digests } => self.fetch(&digests).await,
@@ -504,11 +531,9 @@
         &self,
         group: GroupNumber,
         members_version: u64,
-        load: LoadReport,
+        front: u32,
         record: Record,
     ) -> Reply {
-        let front = load.front;
-        self.loads.take(load);
         let refusal = self.standing.borrow().refusal(group, members_version);
         if let Some(refusal) = refusal {
             return refusal;
@@ -516,17 +541,20 @@
         if let Some(refusal) = self.no_room_for(&record) {
             return Reply::Refused(refusal);
         }
-        let program = match &record {
-            Record::Reserve { program, .. } => Some(program.clone()),
+        let reserved = match &record {
+            Record::Reserve { program, turn, .. } => Some((program.clone(), TurnKey::of(turn))),
             Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
         };
         if !self.keep(record).await {
             return Reply::Refused(Refusal::DiskRefused);
         }
-        let (ledger, others) = match program {
-            Some(program) => (
+        let (ledger, others) = match reserved {
+            Some((program, TurnKey(turn))) => (
                 self.state.borrow().ledger_entries(&program),
-                self.loads.of_others(front),
+                OthersReport {
+                    placed: self.placed.borrow_mut().others(turn),
+                    ..self.loads.of_others(front)
+                },
             ),
             None => Default::default(),
         };
@@ -538,6 +566,19 @@
         }
     }
 
+    /// Counts the turn that a record begins or ends.
+    fn count_turn(&self, record: &Record, placement: Option<Placement>) {
+        let mut placed = self.placed.borrow_mut();
+        match (record, placement) {
+            (Record::Reserve { turn, .. }, Some(placement)) => {
+                placed.begin(TurnKey::of(turn).0, placement);
+            }
+            (Record::Settle { turn, .. }, _) => placed.end(TurnKey::of(turn).0),
+            (Record::Turn(record), _) => placed.end(TurnKey::of(&record.turn).0),
+            (Record::Reserve { .. } | Record::Clock { .. }, _) => {}
+        }
+    }
+
     /// Why this record is not taken. New turns are refused before the ends of
     /// those that have begun, so that these can still be kept.
     fn no_room_for(&self, record: &Record) -> Option<Refusal> {
--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -67,6 +67,7 @@
         group: GroupNumber(0),
         members_version: 1,
         load: Default::default(),
+        placement: None,
         record,
     };
     keeper.answer(request).await
--- /dev/null
+++ b/crates/stageyoke-store/tests/load_test.rs
@@ -0,0 +1,103 @@
+//! A store's count of its group's turns under way.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use stageyoke_directory::GroupNumber;
+use stageyoke_store::LoadBoard;
+use stageyoke_store::load::PlacedTurns;
+use stageyoke_store::message::{OthersReport, Placement};
+
+fn at(replica: u32, lasting_milliseconds: u32) -> Placement {
+    Placement {
+        replica,
+        lasting_milliseconds,
+    }
+}
+
+fn count(placed: &mut PlacedTurns, turn: u64, replica: u32) -> u16 {
+    let others = placed.others(turn);
+    let entry = others.iter().find(|entry| entry.replica == replica);
+    entry.map_or(0, |entry| entry.under_way)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_turn_counts_where_it_runs_until_it_ends() {
+    let mut placed = PlacedTurns::default();
+    placed.begin(1, at(7, 4_000));
+    placed.begin(2, at(7, 4_000));
+    assert_eq!(count(&mut placed, 9, 7), 2);
+    assert_eq!(count(&mut placed, 1, 7), 1, "a turn is not beside itself");
+    placed.begin(2, at(8, 4_000));
+    assert_eq!(count(&mut placed, 9, 7), 1, "it runs elsewhere after all");
+    assert_eq!(count(&mut placed, 9, 8), 1);
+    placed.end(2);
+    placed.end(2);
+    assert_eq!(count(&mut placed, 9, 8), 0);
+}
+
+/// A front that dies says nothing: what it had placed fades with its deadline.
+#[tokio::test(start_paused = true)]
+async fn turns_without_an_end_fade() {
+    let mut placed = PlacedTurns::default();
+    placed.begin(1, at(7, 1_000));
+    placed.begin(2, at(7, 5_000));
+    tokio::time::advance(Duration::from_millis(1_300)).await;
+    assert_eq!(count(&mut placed, 9, 7), 1);
+    assert_eq!(placed.len(), 1);
+}
+
+/// What is counted has a bound; turns beyond it are not counted.
+#[tokio::test(start_paused = true)]
+async fn the_count_has_a_bound() {
+    let mut placed = PlacedTurns::default();
+    for turn in 0..30_000 {
+        placed.begin(turn, at(7, 60_000));
+    }
+    assert_eq!(placed.len(), 20_000);
+}
+
+/// What a store told of its group is used for a moment only.
+#[tokio::test(start_paused = true)]
+async fn what_was_told_gets_old() {
+    let board = LoadBoard::new(1);
+    let mut placed = PlacedTurns::default();
+    placed.begin(1, at(7, 4_000));
+    let told = OthersReport {
+        placed: placed.others(9),
+        ..Default::default()
+    };
+    board.hear(GroupNumber(2), told);
+    assert_eq!(board.placed(GroupNumber(2), 7), Some(1));
+    assert_eq!(board.placed(GroupNumber(2), 8), Some(0));
+    assert_eq!(board.placed(GroupNumber(1), 7), None);
+    tokio::time::advance(Duration::from_millis(400)).await;
+    assert_eq!(board.placed(GroupNumber(2), 7), None);
+}
+
+proptest! {
+    /// The counts are those of the turns, in whatever order they begin and end.
+    #[test]
+    fn counts_are_those_of_the_turns(
+        steps in proptest::collection::vec((0..12_u64, 0..4_u32, any::<bool>()), 0..80)
+    ) {
+        let mut placed = PlacedTurns::default();
+        let mut model = std::collections::BTreeMap::new();
+        for (turn, replica, begins) in steps {
+            match begins {
+                true => {
+                    placed.begin(turn, at(replica, 60_000));
+                    model.insert(turn, replica);
+                }
+                false => {
+                    placed.end(turn);
+                    model.remove(&turn);
+                }
+            }
+            for replica in 0..4 {
+                let expected = model.values().filter(|other| **other == replica).count();
+                prop_assert_eq!(usize::from(count(&mut placed, 99, replica)), expected);
+            }
+        }
+    }
+}
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -195,6 +195,7 @@
         group: GroupNumber(0),
         members_version: 3,
         load: Default::default(),
+        placement: None,
         record: turn("one", ""),
     };
     let encoded = Encoded::of(&content);
