Idle fronts are told the directory too

Change: stores are asked at the usual age also while a front is idle; the service is not, unless there are no routes yet. Test: an_idle_front_is_told_too.

--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -218,7 +218,8 @@
         old && !self.unreachable.get()
     }
 
-    fn idle(&self) -> bool {
+    /// Whether nobody acts on the directory, so that it may age.
+    pub fn idle(&self) -> bool {
         let used = self.used_at.get();
         self.only_by_requests && used.is_none_or(|used| used.elapsed() > self.limits.idle_after)
     }
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -429,12 +429,20 @@
         revision: u64,
         report: &mut impl FnMut(MirrorEvent),
     ) -> Result<Step, KeyValueError> {
-        tokio::select! {
-            () = self.freshness.overdue() => {}
-            () = self.freshness.behind() => {}
-        }
-        if let Some(step) = self.take_told(revision, report).await {
-            return Ok(step);
+        loop {
+            // An idle process is told as well: it costs the service nothing, and
+            // what has no routes yet can't be ready for its first request.
+            tokio::select! {
+                () = self.freshness.overdue() => {}
+                () = self.freshness.behind() => {}
+                () = tokio::time::sleep(self.freshness.limits().renew_after) => {}
+            }
+            if let Some(step) = self.take_told(revision, report).await {
+                return Ok(step);
+            }
+            if !self.freshness.idle() || self.view().routes.is_none() {
+                break;
+            }
         }
         let began = Instant::now();
         let outcome = self.ask(revision, 1).await?;
--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -155,6 +155,24 @@
     .await;
 }
 
+/// A front that nobody asks yet learns the configuration all the same: it is not
+/// ready before. On the quiet day of fbhs-warn two of eight fronts never were.
+#[tokio::test(start_paused = true)]
+async fn an_idle_front_is_told_too() {
+    local(async {
+        let pair = Pair::start().await;
+        for version in 2..5 {
+            pair.set_version(version);
+            tokio::time::sleep(BOUND * 2).await;
+            assert_eq!(pair.version(), version);
+        }
+        pair.way_silent.set(true);
+        tokio::time::sleep(BOUND * 10).await;
+        assert_eq!(pair.front_service.asked.get(), 0, "nobody acts on it");
+    })
+    .await;
+}
+
 /// The service is silent towards the store, or the way to the store is: what the
 /// front is told gets old or does not come, and it asks the service itself.
 #[rstest]
