Long files split by job: keeper and its answers, offers, what the mirror is told

Change: moves only. store::keeper (state) with keeper::answers, store::server (connections); front::offer (which replica, how often, what an answer shows) beside front::handler (a request's way); mirror::told.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -9,31 +9,23 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Response, StatusCode};
-use stageyoke_directory::{
-    Interpreter, KeyValueService, Route, RouteKind, RouteTable, ServiceSpec,
-};
-use stageyoke_store::message::Placement;
-use stageyoke_types::{ErrorKind, Text};
+use hyper::{Request, Response};
+use stageyoke_directory::{Interpreter, KeyValueService, Route, RouteTable, ServiceSpec};
+use stageyoke_types::ErrorKind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::answer::{self, Failure};
-use crate::attempt::{self, Answer, Outbound, Outcome, end_to_end_headers};
+use crate::attempt::{Outbound, end_to_end_headers};
 use crate::body::FrontBody;
-use crate::fleet::Wanted;
 use crate::front::Front;
-use crate::health::Evidence;
 use crate::history::Reservation;
 use crate::memory::Held;
-use crate::placement::{self, Candidate};
+use crate::offer::Served;
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
-use crate::replica::Replica;
 use crate::request::{Figures, host};
 use stageyoke_observe::{self as observe, RequestStory as Story};
 
-/// Replicas that one request is offered to at most.
-const MAX_OFFERS: usize = 5;
 /// How long a doubtful route or chain is looked up.
 pub(crate) const LOOK_UP_WITHIN: Duration = Duration::from_millis(800);
 /// When to come back after a refusal for want of room.
@@ -41,10 +33,6 @@
 /// When to come back after a refusal for want of something that is down: such
 /// faults last seconds.
 pub(crate) const AFTER_RECOVERY: Duration = Duration::from_millis(1000);
-/// Outcome of a plain answer that did not come whole.
-const BROKE_OFF: &str = "answer_broke_off";
-/// Largest plain answer.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// A request with everything that was found out about it.
 pub(crate) struct Call {
@@ -231,192 +219,6 @@
         Ok(self.pass_on(call, served, story, reservation))
     }
 
-    /// Offers the request to replicas until one answers or none is left that
-    /// may be tried.
-    async fn offer(
-        &self,
-        call: &mut Call,
-        story: &mut Story,
-        reservation: &mut Option<Reservation>,
-        mut told: Option<Placement>,
-    ) -> Result<Served, Failure> {
-        let mut excluded: Vec<Text> = Vec::new();
-        let most_runs = match call.route.repeatable() {
-            true => call.route.max_attempts.max(1),
-            false => 1,
-        };
-        let mut runs = 0;
-        for _ in 0..MAX_OFFERS {
-            let Some(placed) = self.choose(call, &excluded) else {
-                break;
-            };
-            story.placement = placed.explanation;
-            let replica = placed.replica;
-            excluded.push(replica.id.clone());
-            let placement = placement_at(call, &replica);
-            if let Some(reservation) = reservation
-                && told.map(|told| told.replica) != Some(placement.replica)
-            {
-                reservation.place(placement);
-                told = Some(placement);
-            }
-            set_may_have_run(reservation, true);
-            let sending = attempt::send(&call.outbound, &replica, &self.names);
-            let outcome = tokio::time::timeout_at(call.outbound.deadline, sending).await;
-            let cause = match outcome {
-                Err(_) => {
-                    note(story, &replica.id, "time_out");
-                    return Err(Failure::last(ErrorKind::DeadlineExceeded, "time_out"));
-                }
-                Ok(Outcome::Answered(answer)) => {
-                    story.head_after = call.arrived.elapsed().as_millis() as u64;
-                    let missing_tokens = placed.missing_tokens;
-                    let may_retry = runs + 1 < most_runs;
-                    match self.complete(call, answer, missing_tokens, may_retry).await {
-                        Ok(served) => {
-                            note(story, &replica.id, "answered");
-                            replica.note(evidence_of(&served));
-                            return Ok(served);
-                        }
-                        Err(cause) => {
-                            replica.note(match cause {
-                                BROKE_OFF => Evidence::Lost,
-                                _ => Evidence::Failed,
-                            });
-                            cause
-                        }
-                    }
-                }
-                Ok(Outcome::Lost(cause)) => cause,
-                Ok(Outcome::NotSent(cause)) => {
-                    note(story, &replica.id, cause);
-                    set_may_have_run(reservation, runs > 0);
-                    continue;
-                }
-                Ok(Outcome::NotRun(status)) => {
-                    note(story, &replica.id, status.as_str());
-                    set_may_have_run(reservation, runs > 0);
-                    continue;
-                }
-            };
-            note(story, &replica.id, cause);
-            runs += 1;
-            if runs >= most_runs {
-                break;
-            }
-        }
-        if runs == 0 {
-            return Err(Failure::come_back(
-                ErrorKind::Overloaded,
-                "no_replica",
-                SOON,
-            ));
-        }
-        match call.route.repeatable() {
-            true => Err(Failure::last(ErrorKind::BackEndFailed, "replicas_failed")),
-            false => Err(Failure::last(ErrorKind::OutcomeUnknown, "outcome_unknown")),
-        }
-    }
-
-    fn wanted<'a>(&'a self, call: &'a Call, excluded: &'a [Text]) -> Wanted<'a> {
-        Wanted {
-            service: call.service.name.as_str(),
-            zone: &self.zone,
-            excluded,
-            prompt: &call.figures.prompt,
-            group: self.history.stores.group_number(&call.figures.program),
-            repeatable: call.route.repeatable(),
-        }
-    }
-
-    /// Where a turn of a program is going to run, by what is known before its
-    /// reservation.
-    fn expected_placement(&self, call: &Call) -> Option<Placement> {
-        call.figures.budget?;
-        call.service.engine.as_ref()?;
-        let replica = self.choose_engine(call, &self.wanted(call, &[]))?;
-        Some(placement_at(call, &replica))
-    }
-
-    fn choose_engine(&self, call: &Call, wanted: &Wanted<'_>) -> Option<Rc<Replica>> {
-        let figures = &call.figures;
-        let tokens = figures.prompt.tokens();
-        let affinity = match figures.program.is_empty() {
-            true => placement::hash_text(&figures.request),
-            false => placement::hash_text(&figures.program),
-        };
-        let rates = self.fleet.rates(&call.service.name);
-        let choose = |candidates: &[Candidate]| {
-            placement::choose_engine(candidates, tokens, affinity, &rates)
-        };
-        self.fleet.choose(wanted, choose)
-    }
-
-    fn choose(&self, call: &Call, excluded: &[Text]) -> Option<Placed> {
-        let prompt = &call.figures.prompt;
-        let wanted = self.wanted(call, excluded);
-        let Some(engine) = &call.service.engine else {
-            let tie = rand::random();
-            let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
-            let replica = self.fleet.choose(&wanted, choose)?;
-            return Some(Placed {
-                replica,
-                missing_tokens: 0,
-                explanation: String::new(),
-            });
-        };
-        let replica = self.choose_engine(call, &wanted)?;
-        let rates = self.fleet.rates(&call.service.name);
-        let missing_tokens = replica.reads(prompt, engine.cache_tokens);
-        let explanation = format!(
-            "beside={} missing={missing_tokens} of={} slowness={:.2} {rates}",
-            replica.under_way(),
-            prompt.tokens(),
-            replica.slowness()
-        );
-        Some(Placed {
-            replica,
-            missing_tokens,
-            explanation,
-        })
-    }
-
-    /// Checks an answer; a plain one is read whole. `may_retry` says whether a
-    /// failed answer is better tried elsewhere.
-    async fn complete(
-        &self,
-        call: &mut Call,
-        mut answer: Box<Answer>,
-        missing_tokens: u32,
-        may_retry: bool,
-    ) -> Result<Served, &'static str> {
-        let status = answer.response.status();
-        let signed = answer
-            .response
-            .headers()
-            .contains_key(&self.names.signature);
-        if status.is_success() && !signed {
-            return Err("unsigned_answer");
-        }
-        if status.is_server_error() && may_retry {
-            return Err("server_error");
-        }
-        if call.route.kind == RouteKind::Stream && status == StatusCode::OK {
-            return Ok(Served::Stream(answer, missing_tokens));
-        }
-        let reading = Limited::new(answer.response.body_mut(), MAX_ANSWER_BYTES).collect();
-        let content = match tokio::time::timeout_at(call.outbound.deadline, reading).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(_)) => return Err(BROKE_OFF),
-            Err(_) => return Err("time_out"),
-        };
-        call.held.take_anyway(content.len());
-        let answer = *answer;
-        let (head, _) = answer.response.into_parts();
-        answer.replica.pool.give(answer.connection);
-        Ok(Served::Whole(head, content))
-    }
-
     fn pass_on(
         self: &Rc<Self>,
         call: Call,
@@ -470,44 +272,6 @@
     }
 }
 
-/// A turn's placement at a replica, until its deadline.
-fn placement_at(call: &Call, replica: &Replica) -> Placement {
-    let left = call
-        .outbound
-        .deadline
-        .saturating_duration_since(Instant::now());
-    Placement {
-        replica: replica.short_hash(),
-        lasting_milliseconds: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-    }
-}
-
-/// An answer on its way to the caller.
-enum Served {
-    /// Read whole.
-    Whole(hyper::http::response::Parts, Bytes),
-    /// A stream whose pieces are still to come, and the tokens of its prompt
-    /// that the replica was believed not to hold.
-    Stream(Box<Answer>, u32),
-}
-
-/// A replica that was chosen.
-struct Placed {
-    replica: Rc<Replica>,
-    /// Tokens of the prompt that it was believed not to hold.
-    missing_tokens: u32,
-    /// What decided the choice, for the request's line.
-    explanation: String,
-}
-
-/// What an answer shows of its replica: failures of its own count against it.
-fn evidence_of(served: &Served) -> Evidence {
-    match served {
-        Served::Whole(head, _) if head.status.is_server_error() => Evidence::Failed,
-        Served::Whole(..) | Served::Stream(..) => Evidence::Sound,
-    }
-}
-
 fn from_replica(head: &hyper::http::response::Parts, body: FrontBody) -> Response<FrontBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
@@ -515,21 +279,6 @@
     response
 }
 
-fn set_may_have_run(reservation: &mut Option<Reservation>, may_have_run: bool) {
-    if let Some(reservation) = reservation {
-        reservation.set_may_have_run(may_have_run);
-    }
-}
-
-fn note(story: &mut Story, replica: &str, outcome: &str) {
-    if !story.attempts.is_empty() {
-        story.attempts.push(' ');
-    }
-    story.attempts.push_str(replica);
-    story.attempts.push('=');
-    story.attempts.push_str(outcome);
-}
-
 /// Reads a request's body. Memory is taken for its whole length at once where
 /// it is told, else as it comes.
 async fn read_body(body: Incoming, limit: usize, held: &mut Held) -> Result<Bytes, Failure> {
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod history;
 pub mod memory;
 pub mod names;
+mod offer;
 pub mod placement;
 pub mod prompt;
 pub mod relay;
--- /dev/null
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -0,0 +1,231 @@
+//! A store's answers to fronts and other stores.
+
+use stageyoke_directory::GroupNumber;
+use stageyoke_types::{List, Text};
+
+use super::Keeper;
+use crate::keys::TurnKey;
+use crate::message::{
+    ChainPart, OthersReport, Placement, Record, RecordDigest, Refusal, Reply, Request, TurnRecord,
+};
+use crate::relay;
+use crate::state::ChainStep;
+
+impl Keeper {
+    /// Answers one request.
+    pub async fn answer(&self, request: Request) -> Reply {
+        match request {
+            Request::Append {
+                group,
+                members_version,
+                load,
+                placement,
+                record,
+            } => {
+                self.loads.take(load.clone());
+                self.count_turn(&record, placement);
+                self.append(group, members_version, load.front, record)
+                    .await
+            }
+            Request::Placed { turn, placement } => {
+                self.placed.borrow_mut().begin(turn, placement);
+                Reply::Pong
+            }
+            Request::Ended { turn } => {
+                self.placed.borrow_mut().end(turn);
+                Reply::Pong
+            }
+            Request::Chain {
+                group,
+                members_version,
+                turn,
+            } => self.chain(group, members_version, &turn).await,
+            Request::Digests {
+                group,
+                members_version,
+                node,
+                from,
+                held,
+            } => {
+                self.held_by_peers.borrow_mut().insert(node, held);
+                let directory = self.directory.mark();
+                let standing = self.standing.borrow().for_peer(group, members_version);
+                self.state.borrow().digests(from, standing, directory)
+            }
+            Request::Ping => Reply::Pong,
+            Request::Changes { after } => self.tell_changes(after),
+            Request::Routes => self.tell_routes().await,
+            Request::Directory => self.tell_directory(),
+            Request::Items => Reply::Items(self.items.borrow().clone()),
+            Request::Fetch { digests } => self.fetch(&digests).await,
+        }
+    }
+
+    /// Records by their digests; those that can't be read are left out, and the
+    /// asker, which still misses them, asks again or elsewhere.
+    async fn fetch(&self, digests: &[RecordDigest]) -> Reply {
+        let places = self.state.borrow().places(digests);
+        let read = self.reader.records(places).await;
+        Reply::Records(read.into_iter().filter_map(Result::ok).collect())
+    }
+
+    /// The chain that ends in a turn. A turn that is held and can't be read is
+    /// never told as missing: the caller must ask another store.
+    async fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
+        let complete = {
+            let standing = self.standing.borrow();
+            standing.vouches_for(group, members_version)
+        };
+        let refusal = self.standing.borrow().refusal(group, members_version);
+        let steps = self.state.borrow().chain(turn);
+        let Some(parts) = self.read_chain(turn, steps).await else {
+            return Reply::Refused(Refusal::DiskRefused);
+        };
+        if parts.is_empty()
+            && let Some(Reply::StaleMembers(newer)) = refusal
+        {
+            return Reply::StaleMembers(newer);
+        }
+        let missing = parts.last().map_or(turn, |last| &last.previous).clone();
+        Reply::Chain {
+            complete,
+            parts: List(parts),
+            missing,
+        }
+    }
+
+    /// The parts of a chain, those from the disk in one go; `None` if one can't
+    /// be read or is another turn than the one before it names.
+    async fn read_chain(&self, turn: &Text, steps: Vec<ChainStep>) -> Option<Vec<ChainPart>> {
+        let places = steps.iter().filter_map(|step| match step {
+            ChainStep::OnDisk(place) => Some(*place),
+            ChainStep::Known(_) => None,
+        });
+        let places: Vec<_> = places.collect();
+        let read = match places.is_empty() {
+            true => Vec::new(),
+            false => self.reader.records(places).await,
+        };
+        let mut read = read.into_iter();
+        let mut parts = Vec::new();
+        let mut expected = turn.clone();
+        for step in steps {
+            let part = match step {
+                ChainStep::Known(part) => part,
+                ChainStep::OnDisk(_) => part_of(read.next()?.ok()?)?,
+            };
+            if part.turn != expected {
+                return None;
+            }
+            expected = part.previous.clone();
+            parts.push(part);
+        }
+        Some(parts)
+    }
+
+    async fn append(
+        &self,
+        group: GroupNumber,
+        members_version: u64,
+        front: u32,
+        record: Record,
+    ) -> Reply {
+        let refusal = self.standing.borrow().refusal(group, members_version);
+        if let Some(refusal) = refusal {
+            return refusal;
+        }
+        if let Some(refusal) = self.no_room_for(&record) {
+            return Reply::Refused(refusal);
+        }
+        let reserved = match &record {
+            Record::Reserve { program, turn, .. } => Some((program.clone(), TurnKey::of(turn))),
+            Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
+        };
+        if !self.keep(record).await {
+            return Reply::Refused(Refusal::DiskRefused);
+        }
+        let (ledger, others) = match reserved {
+            Some((program, TurnKey(turn))) => (
+                self.state.borrow().ledger_entries(&program),
+                OthersReport {
+                    placed: self.placed.borrow_mut().others(turn),
+                    ..self.loads.of_others(front)
+                },
+            ),
+            None => Default::default(),
+        };
+        Reply::Kept {
+            complete: self.standing.borrow().complete_for(group),
+            ledger,
+            others,
+            directory: self.directory.mark(),
+        }
+    }
+
+    /// Counts the turn that a record begins or ends.
+    fn count_turn(&self, record: &Record, placement: Option<Placement>) {
+        let mut placed = self.placed.borrow_mut();
+        match (record, placement) {
+            (Record::Reserve { turn, .. }, Some(placement)) => {
+                placed.begin(TurnKey::of(turn).0, placement);
+            }
+            (Record::Settle { turn, .. }, _) => placed.end(TurnKey::of(turn).0),
+            (Record::Turn(record), _) => placed.end(TurnKey::of(&record.turn).0),
+            (Record::Reserve { .. } | Record::Clock { .. }, _) => {}
+        }
+    }
+
+    /// Why this record is not taken. New turns are refused before the ends of
+    /// those that have begun, so that these can still be kept.
+    fn no_room_for(&self, record: &Record) -> Option<Refusal> {
+        let most = match record {
+            Record::Reserve { .. } => self.limits.reserve_below(),
+            Record::Settle { .. } | Record::Turn(_) => self.limits.state_bytes,
+            // A store's own; no caller may send it.
+            Record::Clock { .. } => return Some(Refusal::NotActive),
+        };
+        self.no_room_below(most)
+    }
+
+    fn tell_changes(&self, after: u64) -> Reply {
+        let source = self.source.borrow();
+        let told = source
+            .as_ref()
+            .and_then(|source| source.tell_changes(after));
+        told.map_or(Reply::DirectoryUnknown, relay::changes_reply)
+    }
+
+    async fn tell_routes(&self) -> Reply {
+        let source = self.source.borrow().clone();
+        let Some(source) = source else {
+            return Reply::DirectoryUnknown;
+        };
+        let told = source.tell_routes().await;
+        told.map_or(Reply::DirectoryUnknown, relay::routes_reply)
+    }
+
+    fn tell_directory(&self) -> Reply {
+        let source = self.source.borrow();
+        let told = source.as_ref().and_then(|source| source.tell_items());
+        told.map_or(Reply::DirectoryUnknown, relay::directory_reply)
+    }
+}
+
+/// The part of a chain that a record is.
+fn part_of(record: Record) -> Option<ChainPart> {
+    match record {
+        Record::Turn(TurnRecord {
+            turn,
+            previous,
+            input,
+            output,
+            ..
+        }) => Some(ChainPart {
+            turn,
+            previous,
+            input,
+            output,
+        }),
+        Record::Reserve { .. } | Record::Settle { .. } | Record::Clock { .. } => None,
+    }
+}
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod group;
 pub mod groups;
 pub mod journal;
+pub mod keeper;
 pub mod keys;
 pub mod limits;
 pub mod load;
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -19,13 +19,14 @@
 use tokio::time::Instant;
 
 use crate::formation::{self, Registered};
+use crate::keeper::Keeper;
 use crate::limits::StoreLimits;
 use crate::membership::{
     Oneself, PeerHealth, REMOVE_AFTER, SharedEnd, Step, decide, fenced, nothing_kept_yet,
 };
 use crate::relay::seen_item;
 use crate::segment::DataFolder;
-use crate::server::{self, Keeper};
+use crate::server;
 use crate::spare::Survey;
 use crate::sync::Peers;
 use stageyoke_observe as observe;
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -13,9 +13,9 @@
 
 use crate::client::StoreClient;
 use crate::exchange::{Exchange, Page};
+use crate::keeper::Keeper;
 use crate::membership::caught_up_with_group;
 use crate::message::{RecordDigest, Reply, Request};
-use crate::server::Keeper;
 use stageyoke_observe as observe;
 
 /// Pause between rounds with a peer.
--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -10,10 +10,10 @@
 
 use rstest::rstest;
 use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups};
+use stageyoke_store::keeper::Keeper;
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{ChainPart, JournalPosition, Record, Refusal, Reply, Request};
 use stageyoke_store::segment::{DataFolder, encode_clock, encode_record};
-use stageyoke_store::server::Keeper;
 use stageyoke_store::{RecentTurns, StoreLimits};
 use stageyoke_types::{Blob, Text};
 use support::turn;
