--- /dev/null
+++ b/crates/stageyoke-directory/tests/groups_test.rs
@@ -0,0 +1,145 @@
+//! The store groups: how many there are, who is in them, and who fills a gap.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rstest::rstest;
+use stageyoke_directory::groups::{group_in_need, group_size};
+use stageyoke_directory::{GroupNumber, Member, MemberState, StoreGroups, Tolerance};
+use stageyoke_types::Text;
+
+fn store(number: usize, zones: usize) -> Member {
+    Member {
+        node: Text::from(format!("store-{number:02}")),
+        address: Text::from(format!("10.0.0.{number}:7000")),
+        zone: Text::from(format!("zone-{}", number % zones)),
+        state: MemberState::Active,
+    }
+}
+
+fn registered(count: usize, zones: usize) -> StoreGroups {
+    (0..count).fold(StoreGroups::default(), |groups, number| {
+        groups.with_candidate(store(number, zones))
+    })
+}
+
+fn tolerance(machines: usize, zones: usize) -> Tolerance {
+    Tolerance {
+        machines,
+        zones,
+        ..Tolerance::default()
+    }
+}
+
+/// Stores, zones, machines and zones that may be lost; groups and their members.
+#[rstest]
+#[case::three_is_one_group(3, 3, 1, 0, Some((1, 3)))]
+#[case::four_too(4, 4, 1, 0, Some((1, 4)))]
+#[case::five_too(5, 5, 1, 0, Some((1, 5)))]
+#[case::two_groups_and_two_spares(8, 4, 1, 0, Some((2, 3)))]
+#[case::two_lost_disks(12, 6, 2, 0, Some((2, 5)))]
+#[case::seven_of_five_and_a_spare(36, 6, 2, 0, Some((7, 5)))]
+#[case::sixteen(84, 7, 2, 0, Some((16, 5)))]
+#[case::a_lost_zone_of_three(21, 3, 1, 1, Some((7, 3)))]
+#[case::a_lost_zone_or_two_disks(21, 3, 2, 1, Some((4, 5)))]
+#[case::two_lost_zones_of_three_need_all(21, 3, 1, 2, Some((1, 21)))]
+#[case::two_lost_zones_of_five(20, 5, 1, 2, Some((4, 5)))]
+#[case::too_few_for_two_lost_disks(2, 2, 2, 0, None)]
+#[case::just_enough(3, 3, 2, 0, Some((1, 3)))]
+fn groups_are_as_large_as_the_losses_need(
+    #[case] stores: usize,
+    #[case] zones: usize,
+    #[case] machines: usize,
+    #[case] lost_zones: usize,
+    #[case] expected: Option<(usize, usize)>,
+) {
+    let tolerance = tolerance(machines, lost_zones);
+    let formed = registered(stores, zones).form(&tolerance);
+    let shape = formed.as_ref().map(|formed| {
+        let sizes: BTreeSet<usize> = formed.groups.iter().map(|group| group.list.len()).collect();
+        assert_eq!(sizes.len(), 1, "{sizes:?}");
+        (formed.groups.len(), sizes.into_iter().next().unwrap_or(0))
+    });
+    assert_eq!(shape, expected);
+    for group in formed.iter().flat_map(|formed| formed.groups.iter()) {
+        assert!(group.write_quorum(&tolerance).is_some());
+    }
+}
+
+#[test]
+fn members_stand_in_as_many_zones_as_they_can() {
+    for (stores, zones) in [(12, 6), (36, 6), (10, 5), (20, 4)] {
+        let formed = registered(stores, zones)
+            .form(&tolerance(2, 0))
+            .expect("groups");
+        assert!(formed.candidates.is_empty());
+        for group in formed.groups.iter() {
+            let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+            for member in group.list.iter() {
+                *counts.entry(member.zone.as_str()).or_default() += 1;
+            }
+            let most = counts.values().max().copied().unwrap_or_default();
+            assert!(most <= 5_usize.div_ceil(zones) + 1, "{counts:?}");
+            assert!(counts.len() >= zones.min(5) - 1, "{counts:?}");
+        }
+    }
+}
+
+#[test]
+fn each_store_is_in_one_group_at_most_and_each_hash_in_one() {
+    let formed = registered(36, 6).form(&tolerance(2, 0)).expect("groups");
+    let nodes: BTreeSet<&str> = formed
+        .members()
+        .map(|member| member.node.as_str())
+        .collect();
+    assert_eq!(nodes.len(), 35);
+    assert_eq!(formed.members().count(), 35);
+    let mut counts = [0; 7];
+    for hash in 0..7_000_u64 {
+        let GroupNumber(number) = formed.group_of_hash(hash * 0x9e37_79b9).expect("a group");
+        counts[number as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 800), "{counts:?}");
+    assert_eq!(StoreGroups::default().group_of_hash(1), None);
+}
+
+#[test]
+fn a_change_of_one_group_leaves_the_others_alone() {
+    let formed = registered(12, 6).form(&tolerance(2, 0)).expect("groups");
+    let first = GroupNumber(0);
+    let members = formed.group(first).expect("group");
+    let changed = formed.with_group(first, members.with(store(99, 6)));
+    assert_eq!(changed.version, formed.version + 1);
+    assert_eq!(changed.group(GroupNumber(1)), formed.group(GroupNumber(1)));
+    assert_eq!(changed.group_of_node("store-99"), Some(first));
+}
+
+#[test]
+fn a_spare_goes_where_most_is_missing() {
+    let formed = registered(36, 6).form(&tolerance(2, 0)).expect("groups");
+    let members: Vec<Member> = formed.members().cloned().collect();
+    let size = group_size(&tolerance(2, 0), &members).expect("size");
+    let in_need = |lost: &[&str], node: &str| {
+        group_in_need(&formed, size, node, |member| {
+            !lost.contains(&member.node.as_str())
+        })
+    };
+    assert_eq!(in_need(&[], "spare"), None);
+    let second = &formed.groups[2].list;
+    let fourth = &formed.groups[4].list;
+    let one = [second[0].node.as_str()];
+    assert_eq!(in_need(&one, "spare"), Some(GroupNumber(2)));
+    let three = [one[0], fourth[1].node.as_str(), fourth[3].node.as_str()];
+    assert_eq!(in_need(&three, "spare"), Some(GroupNumber(4)));
+    let even = [one[0], fourth[1].node.as_str()];
+    let chosen: BTreeSet<_> = (0..20)
+        .map(|spare| in_need(&even, &format!("spare-{spare}")))
+        .collect();
+    assert_eq!(
+        chosen.len(),
+        2,
+        "spares spread over groups that lack as many"
+    );
+    let single = registered(4, 4).form(&tolerance(1, 0)).expect("one group");
+    let always = group_in_need(&single, 3, "spare", |_| true);
+    assert_eq!(always, Some(GroupNumber(0)), "one group takes every store");
+}
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -19,7 +19,7 @@
     pub routes_version: u64,
     /// Milliseconds since the key-value service last answered.
     pub directory_age: u64,
-    /// Version of the store group's member list.
+    /// Version of the store groups.
     pub members_version: u64,
     /// Replicas that were tried, each with its outcome.
     pub attempts: String,
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -50,7 +50,7 @@
     pub under_way: IntGauge,
     /// Configuration in force.
     pub routes_version: IntGauge,
-    /// Version of the store group's member list.
+    /// Version of the store groups.
     pub members_version: IntGauge,
     /// Replicas that take work.
     pub replicas: IntGauge,
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -62,7 +62,7 @@
     DependencyRegained, 700, "info", "A dependency that had been lost answers again.";
     ViewChanged, 701, "info", "Routes, replicas or store members in use changed.";
     ItemUnreadable, 702, "error", "An item of the key-value service could not be read and is ignored.";
-    MembersProposed, 703, "info", "This store proposed a change of the store group's member list.";
+    MembersProposed, 703, "info", "This store proposed a change of the store groups.";
     SeededByStores, 704, "info", "The key-value service does not answer at this start; the stores' copy of its items is used.";
     GroupFailing, 705, "warn", "No quorum of stores is reached; turns with a budget or a history are refused.";
     MetricsUnavailable, 706, "error", "The metrics page could not be served at its address.";
