Read again: a spare forgets what it shared with another group; reads for fronts end

A read of the configuration for a front could keep a store's connection owing an answer for longer than it is given. Change: the shared end goes when a store is a spare; such reads end after 0.3 s.

--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -1,5 +1,7 @@
 //! A store's answers to fronts and other stores.
 
+use std::time::Duration;
+
 use stageyoke_directory::GroupNumber;
 use stageyoke_types::{List, Text};
 
@@ -11,6 +13,10 @@
 use crate::relay;
 use crate::state::ChainStep;
 
+/// Time for a read of the configuration on behalf of fronts: a connection that
+/// owes an answer for twice as long is given up (`client`).
+const TELL_ROUTES_WITHIN: Duration = Duration::from_millis(300);
+
 impl Keeper {
     /// Answers one request.
     pub async fn answer(&self, request: Request) -> Reply {
@@ -22,10 +28,10 @@
                 placement,
                 record,
             } => {
-                self.loads.take(load.clone());
+                let front = load.front;
+                self.loads.take(load);
                 self.count_turn(&record, placement);
-                self.append(group, members_version, load.front, record)
-                    .await
+                self.append(group, members_version, front, record).await
             }
             Request::Placed { turn, placement } => {
                 self.placed.borrow_mut().begin(turn, placement);
@@ -200,7 +206,9 @@
         let Some(source) = source else {
             return Reply::DirectoryUnknown;
         };
-        let told = source.tell_routes().await;
+        // A front asks the service itself where this takes longer.
+        let telling = tokio::time::timeout(TELL_ROUTES_WITHIN, source.tell_routes()).await;
+        let told = telling.ok().flatten();
         told.map_or(Reply::DirectoryUnknown, relay::routes_reply)
     }
 
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -201,6 +201,8 @@
         let Some(stores) = self.spare_among() else {
             return;
         };
+        // Another group's list may have the same version.
+        self.shared_end.set(None);
         let group = self.ordinary_size(&stores).and_then(|size| {
             self.survey
                 .group_in_need(&stores, size, &self.settings.node)
--- a/crates/stageyoke-store/tests/plans/store.rs
+++ b/crates/stageyoke-store/tests/plans/store.rs
@@ -276,6 +276,7 @@
             self.target = None;
             return;
         }
+        self.shared_end = None;
         let members: Vec<Member> = stores.members().cloned().collect();
         let size = group_size(tolerance, &members);
         let node = self.entry.node.clone();
