The last piece of a body is never lost between two looks of its reader

The front's line of the request shows one replica that answered to its end and a record kept in 12 ms: the front was given five events and a proper end. They came from the laboratory's replica: http-body-util's channel (0.1.5) looks at the queue and then at its end, and a sender that sends and goes between the two looks loses what it sent. Ruled out: the proxies (a connection that ends within a chunked body is an error at the front), the front's own body (one queue for both). The same channel carried the answers of stageyoked (callers::chat) to its callers and the scripted engines': there too an answer could end early and look complete. Change: node::pieces, one queue for pieces and failures, in all three places.

--- a/crates/stageyoke-lab/src/standins/engine.rs
+++ b/crates/stageyoke-lab/src/standins/engine.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
-use http_body_util::channel::{Channel, Sender};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
@@ -19,6 +18,7 @@
     CompletionRequest, Delta, LOAD_PATH, LoadReport, RELEASE_PATH, ReleaseRequest, WireUsage,
     program_key, program_name,
 };
+use stageyoke_node::pieces::{self, PieceSender};
 use stageyoke_sim::batch_engine::{BatchEngine, EngineCall, EngineSpeed};
 use stageyoke_sim::engine::AttemptId;
 use stageyoke_types::{Attempt, NodeId, ProgramKey, RequestId, Time};
@@ -186,7 +186,7 @@
         if !self.take_up(&request, &identity) {
             return respond(StatusCode::CONFLICT, "a later attempt is known");
         }
-        let (sender, body) = Channel::<Bytes, Infallible>::new(CHUNKS_WAITING);
+        let (sender, body) = pieces::channel::<Infallible>(CHUNKS_WAITING);
         tokio::spawn(self.clone().generate(request, program, sender));
         Response::new(body.map_err(|never| match never {}).boxed())
     }
@@ -218,7 +218,7 @@
         self: Arc<Self>,
         request: CompletionRequest,
         program: ProgramKey,
-        mut sender: Sender<Bytes, Infallible>,
+        mut sender: PieceSender<Infallible>,
     ) {
         let prompt: Vec<PromptMessage<'_>> = request
             .messages
@@ -313,7 +313,7 @@
 
 struct ReaderGone;
 
-async fn send_text(sender: &mut Sender<Bytes, Infallible>, text: String) -> Result<(), ReaderGone> {
+async fn send_text(sender: &mut PieceSender<Infallible>, text: String) -> Result<(), ReaderGone> {
     let chunk = Chunk {
         choices: vec![ChunkChoice {
             index: 0,
@@ -328,7 +328,7 @@
 }
 
 async fn send_end(
-    sender: &mut Sender<Bytes, Infallible>,
+    sender: &mut PieceSender<Infallible>,
     usage: WireUsage,
 ) -> Result<(), ReaderGone> {
     let chunk = Chunk {
@@ -344,14 +344,14 @@
 }
 
 async fn send_event(
-    sender: &mut Sender<Bytes, Infallible>,
+    sender: &mut PieceSender<Infallible>,
     body: &impl Serialize,
 ) -> Result<(), ReaderGone> {
     let json = serde_json::to_string(body).unwrap_or_default();
     send(sender, format!("data: {json}\n\n")).await
 }
 
-async fn send(sender: &mut Sender<Bytes, Infallible>, text: String) -> Result<(), ReaderGone> {
+async fn send(sender: &mut PieceSender<Infallible>, text: String) -> Result<(), ReaderGone> {
     let sent = sender.send_data(Bytes::from(text)).await;
     sent.map_err(|_| ReaderGone)
 }
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use http_body_util::channel::{Channel, Sender};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use stageyoke_node::backends::{Body, BodyError};
+use stageyoke_node::pieces::{self, PieceSender};
 use tokio::time::Instant;
 
 use super::{TOKENS_PER_EVENT, names};
@@ -102,7 +102,7 @@
     }
 
     fn stream(&self, request: String, events: u32) -> Response<Body> {
-        let (sender, body) = Channel::<Bytes, BodyError>::new(PIECES_WAITING);
+        let (sender, body) = pieces::channel::<BodyError>(PIECES_WAITING);
         let cut_at = strikes(&self.trouble.cut).then(|| rand::random_range(0..events.max(1)));
         tokio::spawn(send_events(sender, request.clone(), events, cut_at));
         let mut response = Response::new(body.boxed());
@@ -117,7 +117,7 @@
 }
 
 async fn send_events(
-    mut sender: Sender<Bytes, BodyError>,
+    mut sender: PieceSender<BodyError>,
     request: String,
     events: u32,
     cut_at: Option<u32>,
@@ -125,7 +125,7 @@
     for number in 0..events {
         tokio::time::sleep(EVENT_PAUSE).await;
         if cut_at == Some(number) {
-            sender.abort("cut".into());
+            sender.abort("cut".into()).await;
             return;
         }
         let data = event_data(&request, number);
--- a/crates/stageyoke-node/src/callers/chat.rs
+++ b/crates/stageyoke-node/src/callers/chat.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use http_body_util::channel::{Channel, Sender};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
@@ -25,6 +24,7 @@
 use super::sink::{self, CallSource};
 use crate::backends::Body;
 use crate::driver::{Command, DriverHandle};
+use crate::pieces::{self, PieceSender};
 
 /// Names the program a call belongs to.
 pub const PROGRAM_HEADER: &str = "x-program-id";
@@ -307,7 +307,7 @@
             Next::Final(answer @ CallAnswer::Failed(_)) => return self.whole_response(&answer),
             next => next,
         };
-        let (sender, body) = Channel::<Bytes, Infallible>::new(CHUNKS_WAITING);
+        let (sender, body) = pieces::channel::<Infallible>(CHUNKS_WAITING);
         tokio::spawn(self.write_stream(sender, first));
         let body = body.map_err(|never| match never {}).boxed();
         let mut response = Response::new(body);
@@ -319,7 +319,7 @@
         response
     }
 
-    async fn write_stream(mut self, mut sender: Sender<Bytes, Infallible>, first: Next) {
+    async fn write_stream(mut self, mut sender: PieceSender<Infallible>, first: Next) {
         let opening = DeltaBody {
             role: Some("assistant"),
             content: None,
@@ -374,7 +374,7 @@
 struct ReaderGone;
 
 struct StreamWriter<'s> {
-    sender: &'s mut Sender<Bytes, Infallible>,
+    sender: &'s mut PieceSender<Infallible>,
     written: usize,
 }
 
--- a/crates/stageyoke-node/src/lib.rs
+++ b/crates/stageyoke-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod peers;
+pub mod pieces;
 pub mod platform;
 pub mod server;
 pub mod settings;
