--- a/crates/stageyoke-directory/src/groups.rs
+++ b/crates/stageyoke-directory/src/groups.rs
@@ -13,8 +13,9 @@
 
 use crate::members::{Member, MemberState, Members, Tolerance};
 
-/// Smallest group: one store can be lost and a majority is left.
-const SMALLEST_GROUP: usize = 3;
+/// Smallest group: one store can be lost and a majority is left. No group shrinks
+/// below this by itself.
+pub const SMALLEST_GROUP: usize = 3;
 
 /// A group's place among the groups, from zero on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
--- a/crates/stageyoke-directory/src/members.rs
+++ b/crates/stageyoke-directory/src/members.rs
@@ -65,7 +65,7 @@
 
     /// Disks that may be lost at once, by the tolerance and by where the
     /// members stand.
-    pub fn losses(&self, tolerance: &Tolerance) -> usize {
+    fn losses(&self, tolerance: &Tolerance) -> usize {
         let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
         for member in self.list.iter() {
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -301,27 +301,7 @@
         }
     }
 
-    /// Gathers the chain that ends in `turn`, nearest member first.
-    pub async fn chain(&self, turn: &Text, within: Duration) -> ChainOutcome {
-        let deadline = Instant::now() + within;
-        let mut parts: Vec<ChainPart> = Vec::new();
-        let mut next = turn.clone();
-        loop {
-            match self.chain_step(&next, deadline).await {
-                ChainStep::Parts { found, missing } => {
-                    parts.extend(found);
-                    if missing.is_empty() {
-                        return ChainOutcome::Whole(parts);
-                    }
-                    next = missing;
-                }
-                ChainStep::Absent => return ChainOutcome::Absent(next),
-                ChainStep::Unsure => return ChainOutcome::Unsure,
-            }
-        }
-    }
-
-    /// What the group knows of one turn and those before it.
+    /// What the group knows of one turn and those before it, nearest member first.
     pub async fn chain_step(&self, turn: &Text, deadline: Instant) -> ChainStep {
         let members = self.members();
         let Some(mut tally) = ChainTally::new(&members, &self.shared.tolerance) else {
--- a/crates/stageyoke-store/src/groups.rs
+++ b/crates/stageyoke-store/src/groups.rs
@@ -126,19 +126,22 @@
     /// The group that keeps what a program does. A turn that names no program
     /// is its own.
     pub fn group_of(&self, program: &str, turn: &str) -> Option<Rc<Group>> {
-        let identifier = if program.is_empty() { turn } else { program };
-        let TurnKey(hash) = TurnKey::of(identifier);
-        let GroupNumber(number) = self.stores().group_of_hash(hash)?;
+        let own = || self.number_of(turn);
+        let GroupNumber(number) = self.group_number(program).or_else(own)?;
         self.groups.borrow().get(number as usize).cloned()
     }
 
     /// The number of a program's group; none for what has no program.
     pub fn group_number(&self, program: &str) -> Option<GroupNumber> {
-        if program.is_empty() {
-            return None;
+        match program.is_empty() {
+            true => None,
+            false => self.number_of(program),
         }
-        let TurnKey(hash) = TurnKey::of(program);
-        self.stores().group_of_hash(hash)
+    }
+
+    fn number_of(&self, identifier: &str) -> Option<GroupNumber> {
+        let TurnKey(hash) = TurnKey::of(identifier);
+        self.stores.borrow().group_of_hash(hash)
     }
 
     fn group_of_record(&self, record: &Record) -> Option<Rc<Group>> {
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use stageyoke_directory::groups::SMALLEST_GROUP;
 use stageyoke_directory::{Member, MemberState, Members, Tolerance};
 use stageyoke_types::Text;
 
@@ -21,9 +22,6 @@
 /// How long the list must have stood before a member too many leaves: whoever
 /// was away may be so again.
 pub const SURPLUS_AFTER: Duration = Duration::from_secs(10);
-/// A group never shrinks below this many members by itself.
-const SMALLEST_GROUP: usize = 3;
-
 /// This store, as it should stand in the list.
 #[derive(Clone, Debug)]
 pub struct Oneself {
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -27,7 +27,7 @@
 use crate::relay::seen_item;
 use crate::segment::DataFolder;
 use crate::server;
-use crate::spare::Survey;
+use crate::spare::{LOST_AFTER, Survey};
 use crate::sync::Peers;
 use stageyoke_observe as observe;
 
@@ -43,9 +43,6 @@
 /// of the member list: one more than the disks that any deployment may lose.
 const ASKING_FIRST: usize = 3;
 
-/// A peer that answered within this time is there: two rounds and a bit.
-const PRESENT_WITHIN: Duration = Duration::from_millis(2300);
-
 /// Settings of the role.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
@@ -225,7 +222,7 @@
         let mut others = self.others(members);
         is_newest
             && self.ordinary_size(stores).is_some_and(larger)
-            && others.all(|member| self.silent_for(member) < PRESENT_WITHIN)
+            && others.all(|member| self.silent_for(member) < LOST_AFTER)
     }
 
     /// Keeps the items of the service, for fronts that start while it is down:
--- a/crates/stageyoke-store/src/spare.rs
+++ b/crates/stageyoke-store/src/spare.rs
@@ -20,7 +20,7 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// A member that has not answered for this long is taken as lost: two rounds
 /// and a bit. It stays a member until its peers remove it.
-const LOST_AFTER: Duration = Duration::from_millis(2300);
+pub const LOST_AFTER: Duration = Duration::from_millis(2300);
 
 struct Asked {
     client: StoreClient,
--- a/crates/stageyoke-store/tests/plans/store.rs
+++ b/crates/stageyoke-store/tests/plans/store.rs
@@ -14,6 +14,7 @@
 };
 use stageyoke_store::message::{ChainPart, JournalPosition, Record, RecordDigest, Reply};
 use stageyoke_store::segment::Place;
+use stageyoke_store::spare::LOST_AFTER;
 use stageyoke_store::standing::Standing;
 use stageyoke_store::state::{ChainStep, State};
 use stageyoke_types::{List, Text};
@@ -499,7 +500,7 @@
             .iter()
             .filter(|member| member.node != self.entry.node);
         let mut silent = others.map(|member| self.silent_for(&member.node, now));
-        let all_there = silent.all(|silent| silent < Duration::from_millis(2_300));
+        let all_there = silent.all(|silent| silent < LOST_AFTER);
         stores.groups.len() > 1 && is_newest && larger && all_there
     }
 
