--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -44,10 +44,6 @@
     pub node: Text,
     /// Zone.
     pub zone: Text,
-    /// Where callers connect.
-    pub listen: SocketAddr,
-    /// Where readiness is asked.
-    pub ready: SocketAddr,
     /// Addresses of some stores, for a start while the service is down.
     pub seeds: Vec<String>,
     /// What of the store group may be lost at once.
@@ -60,6 +56,25 @@
     pub memory_bytes: u64,
 }
 
+/// Where a front is reached.
+#[derive(Debug)]
+pub struct FrontListeners {
+    /// Callers' connections.
+    pub callers: TcpListener,
+    /// The readiness question.
+    pub readiness: TcpListener,
+}
+
+impl FrontListeners {
+    /// Opens both addresses.
+    pub async fn open(callers: SocketAddr, readiness: SocketAddr) -> io::Result<Self> {
+        Ok(Self {
+            callers: TcpListener::bind(callers).await?,
+            readiness: TcpListener::bind(readiness).await?,
+        })
+    }
+}
+
 /// Everything that a front's tasks share.
 pub struct Front<S, I> {
     /// Header names and paths.
@@ -147,6 +162,7 @@
 /// comes from the stores where they can tell it, and from the service otherwise.
 pub async fn run<S: KeyValueService + 'static, I: Interpreter + 'static>(
     settings: FrontSettings,
+    listeners: FrontListeners,
     names: Names,
     mirror: Mirror<S, I>,
     stop: impl Future<Output = ()>,
@@ -167,8 +183,7 @@
         closing: Closing::default(),
         draining: Cell::new(false),
     });
-    let callers = TcpListener::bind(settings.listen).await?;
-    let readiness = TcpListener::bind(settings.ready).await?;
+    let FrontListeners { callers, readiness } = listeners;
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
     tokio::task::spawn_local(server::serve_readiness(front.clone(), readiness));
     let following = front.clone();
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -28,5 +28,5 @@
 pub mod turns;
 pub mod upstream;
 
-pub use front::{FrontSettings, run};
+pub use front::{FrontListeners, FrontSettings, run};
 pub use names::Names;
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -12,7 +12,7 @@
     ReplicaState, Route, RouteKind, RouteTable, ServiceSpec, Target, Transaction,
     TransactionOutcome, Update, WatchOutcome, Write,
 };
-use stageyoke_front::{FrontSettings, Names};
+use stageyoke_front::{FrontListeners, FrontSettings, Names};
 use stageyoke_types::Text;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -234,11 +234,6 @@
     reachable: Rc<RefCell<bool>>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address")
-}
-
 async fn start(replicas: &[&Replica]) -> Bench {
     let reachable = Rc::new(RefCell::new(true));
     let directory = Directory {
@@ -246,12 +241,13 @@
         reachable: reachable.clone(),
     };
     let mirror = Mirror::new(directory, Words);
-    let (front, ready) = (free_address(), free_address());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listeners = FrontListeners::open(any, any).await.expect("listeners");
+    let front = listeners.callers.local_addr().expect("address");
+    let ready = listeners.readiness.local_addr().expect("address");
     let settings = FrontSettings {
         node: Text::from("front"),
         zone: Text::from("zone"),
-        listen: front,
-        ready,
         seeds: Vec::new(),
         tolerance: Default::default(),
         grace: Duration::from_secs(8),
@@ -259,7 +255,13 @@
         memory_bytes: MEMORY_BYTES,
     };
     let stop = std::future::pending();
-    tokio::task::spawn_local(stageyoke_front::run(settings, names(), mirror, stop));
+    tokio::task::spawn_local(stageyoke_front::run(
+        settings,
+        listeners,
+        names(),
+        mirror,
+        stop,
+    ));
     let bench = Bench {
         front,
         ready,
--- a/crates/stageyoke-lab/src/cluster.rs
+++ b/crates/stageyoke-lab/src/cluster.rs
@@ -1,7 +1,7 @@
 //! A small cluster of real nodes and stand-ins in one process, on loopback
 //! sockets with ports given by the system.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,7 +12,7 @@
 use stageyoke_node::platform::config_source::{Applied, ConfigRecord, apply};
 use stageyoke_node::platform::key_value::KeyValueClient;
 use stageyoke_node::settings::{Settings, TlsFiles};
-use stageyoke_node::{RunningNode, start};
+use stageyoke_node::{Listeners, RunningNode, start, start_on};
 use stageyoke_types::ConfigVersion;
 
 use crate::standins::application::ApplicationStandIn;
@@ -54,6 +54,9 @@
     pub settings: Settings,
     /// The node, while it runs.
     pub running: Option<RunningNode>,
+    /// Its ports until its first start: a port that is given back before the
+    /// node opens it may be taken by another socket.
+    listeners: Option<Listeners>,
 }
 
 /// A running lab cluster.
@@ -126,13 +129,14 @@
             false => None,
         };
         for index in 0..self.shape.nodes {
+            let listeners = Listeners::open_free(Ipv4Addr::LOCALHOST.into()).await?;
             let settings = Settings {
                 name: format!("node-{index}"),
                 zone: ZONES[index % ZONES.len()].to_owned(),
                 region: "lab".to_owned(),
-                peer_address: free_address()?,
-                caller_address: free_address()?,
-                operator_address: free_address()?,
+                peer_address: listeners.peer_address,
+                caller_address: listeners.caller_address,
+                operator_address: listeners.operator_address,
                 seeds: Vec::new(),
                 store_addresses: vec![self.store_address],
                 machine_list_address: Some(machine_list),
@@ -148,6 +152,7 @@
             self.nodes.push(NodeSlot {
                 settings,
                 running: None,
+                listeners: Some(listeners),
             });
         }
         let seeds: Vec<SocketAddr> = self
@@ -182,6 +187,10 @@
     /// Starts a node that is down.
     pub async fn start_node(&mut self, index: usize) -> miette::Result<()> {
         let settings = self.nodes[index].settings.clone();
+        if let Some(listeners) = self.nodes[index].listeners.take() {
+            self.nodes[index].running = Some(start_on(listeners, settings).await?);
+            return Ok(());
+        }
         // The ports of a node that was just killed may close a little later.
         let deadline = Instant::now() + PATIENCE;
         let node = loop {
@@ -375,12 +384,6 @@
     }
 }
 
-/// A loopback port that is free now.
-fn free_address() -> miette::Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").into_diagnostic()?;
-    listener.local_addr().into_diagnostic()
-}
-
 /// Makes an authority and one certificate for the lab's nodes.
 fn make_certificates(folder: &Path) -> miette::Result<TlsFiles> {
     use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
--- a/crates/stageyoke-node/src/lib.rs
+++ b/crates/stageyoke-node/src/lib.rs
@@ -17,5 +17,5 @@
 pub mod settings;
 pub mod store;
 
-pub use server::{RunningNode, start};
+pub use server::{Listeners, RunningNode, start, start_on};
 pub use settings::Settings;
--- a/crates/stageyoke-node/src/server.rs
+++ b/crates/stageyoke-node/src/server.rs
@@ -1,6 +1,6 @@
 //! Starts and stops a node.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -34,6 +34,9 @@
 use crate::{events, operator, settings};
 
 /// File that keeps the configuration in force.
+/// Ports that are tried for one that is free for connections and datagrams: each
+/// is taken for one of them seldom, and all of them hardly ever.
+const PAIR_TRIES: usize = 16;
 const CONFIG_FILE: &str = "configuration.json";
 /// How often a stopping node looks whether it has finished.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -145,8 +148,14 @@
 
 /// Starts a node. Returns once its listeners are open.
 pub async fn start(settings: Settings) -> miette::Result<RunningNode> {
-    let name: Arc<str> = Arc::from(settings.name.as_str());
     let listeners = Listeners::open(&settings).await?;
+    start_on(listeners, settings).await
+}
+
+/// Starts a node on listeners that are open already, whatever addresses its
+/// settings name.
+pub async fn start_on(listeners: Listeners, settings: Settings) -> miette::Result<RunningNode> {
+    let name: Arc<str> = Arc::from(settings.name.as_str());
     let beginning = begin(&settings, &name)?;
     let clock = Clock::start();
     let metrics = Metrics::new();
@@ -245,27 +254,56 @@
 }
 
 /// Everything a node listens on.
-struct Listeners {
+pub struct Listeners {
     callers: TcpListener,
     operators: TcpListener,
     peers: TcpListener,
     datagrams: Arc<std::net::UdpSocket>,
-    caller_address: SocketAddr,
-    operator_address: SocketAddr,
-    peer_address: SocketAddr,
+    /// Address for callers, with the port the system gave.
+    pub caller_address: SocketAddr,
+    /// Address for operators.
+    pub operator_address: SocketAddr,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
 }
 
 impl Listeners {
-    async fn open(settings: &Settings) -> miette::Result<Self> {
-        let callers = bind(settings.caller_address).await?;
-        let operators = bind(settings.operator_address).await?;
-        let peers = bind(settings.peer_address).await?;
+    /// Opens the addresses that the settings name.
+    pub async fn open(settings: &Settings) -> miette::Result<Self> {
+        let (peers, datagrams) = bind_peers(settings.peer_address).await?;
+        Self::with_peers(
+            settings.caller_address,
+            settings.operator_address,
+            peers,
+            datagrams,
+        )
+        .await
+    }
+
+    /// Opens ports that the system gives, on one address.
+    pub async fn open_free(ip: IpAddr) -> miette::Result<Self> {
+        let any = SocketAddr::new(ip, 0);
+        // A port that is free for connections may be taken for datagrams.
+        let mut tries = 1;
+        let (peers, datagrams) = loop {
+            match bind_peers(any).await {
+                Ok(bound) => break bound,
+                Err(error) if tries == PAIR_TRIES => return Err(error),
+                Err(_) => tries += 1,
+            }
+        };
+        Self::with_peers(any, any, peers, datagrams).await
+    }
+
+    async fn with_peers(
+        caller_address: SocketAddr,
+        operator_address: SocketAddr,
+        peers: TcpListener,
+        datagrams: std::net::UdpSocket,
+    ) -> miette::Result<Self> {
+        let callers = bind(caller_address).await?;
+        let operators = bind(operator_address).await?;
         let peer_address = peers.local_addr().into_diagnostic()?;
-        // Datagrams use the same port as connections.
-        let datagrams = std::net::UdpSocket::bind(peer_address)
-            .into_diagnostic()
-            .wrap_err_with(|| format!("cannot open {peer_address} for datagrams"))?;
-        datagrams.set_nonblocking(true).into_diagnostic()?;
         Ok(Self {
             caller_address: callers.local_addr().into_diagnostic()?,
             operator_address: operators.local_addr().into_diagnostic()?,
@@ -278,6 +316,17 @@
     }
 }
 
+/// Opens one port for connections and datagrams of other nodes.
+async fn bind_peers(address: SocketAddr) -> miette::Result<(TcpListener, std::net::UdpSocket)> {
+    let peers = bind(address).await?;
+    let address = peers.local_addr().into_diagnostic()?;
+    let datagrams = std::net::UdpSocket::bind(address)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot open {address} for datagrams"))?;
+    datagrams.set_nonblocking(true).into_diagnostic()?;
+    Ok((peers, datagrams))
+}
+
 async fn bind(address: SocketAddr) -> miette::Result<TcpListener> {
     TcpListener::bind(address)
         .await
