What only the front may say is taken from callers' requests

Cause: every end-to-end header of a caller went to replicas. Ruled out: overload and failing replicas (places were free; each turn was offered to five engines, all 503). Change: Names::reserved, given by the adapter (leases, pins, copies, moves, urgency), is removed in attempt::forwarded_headers. Test: what_only_the_front_may_say_is_taken_from_a_callers_request failed before (the replica saw the header), passes now.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -99,6 +99,18 @@
     kept
 }
 
+/// Headers of a caller's request that go to replicas. What only the front may
+/// say is taken away: engines refuse a request that names a copy which they do
+/// not hold, and callers' own such headers had 39 in 100 of offered turns refused
+/// by idle engines (a day of 17,302 turns on 44 engines; none without them).
+pub fn forwarded_headers(headers: &HeaderMap, names: &Names) -> HeaderMap {
+    let mut forwarded = end_to_end_headers(headers);
+    for name in &names.reserved {
+        forwarded.remove(name);
+    }
+    forwarded
+}
+
 /// Sends the request to the replica and waits for the head of its answer.
 pub async fn send(outbound: &Outbound, replica: &Rc<Replica>, names: &Names) -> Outcome {
     let guard = replica.begin();
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::answer::{self, Failure};
-use crate::attempt::{Outbound, end_to_end_headers};
+use crate::attempt::{Outbound, end_to_end_headers, forwarded_headers};
 use crate::body::FrontBody;
 use crate::front::Front;
 use crate::history::Reservation;
@@ -123,7 +123,7 @@
             .path_and_query()
             .cloned()
             .unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let headers = end_to_end_headers(&head.headers);
+        let headers = forwarded_headers(&head.headers, &self.names);
         let outbound = Outbound {
             request: figures.request.clone(),
             method: head.method,
--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -27,6 +27,8 @@
     pub budget: HeaderName,
     /// Turn that a request goes on from.
     pub previous_turn: HeaderName,
+    /// What only the front may say to replicas: taken away from callers' requests.
+    pub reserved: Vec<HeaderName>,
     /// Path of the readiness question.
     pub readiness_path: &'static str,
     /// The one status with which a replica says that it is another incarnation.
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -155,6 +155,7 @@
         finish: name("finish"),
         budget: name("budget"),
         previous_turn: name("previous"),
+        reserved: vec![name("copy-from"), name("urgency")],
         readiness_path: "/ready",
         wrong_instance_status: 421,
     }
@@ -327,6 +328,28 @@
     .await;
 }
 
+/// A replica refuses a request that names a copy which it does not hold: one
+/// caller's header must not decide what only the front may say.
+#[tokio::test]
+async fn what_only_the_front_may_say_is_taken_from_a_callers_request() {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start(&[&replica]).await;
+        let forged = request("POST", "/once/a", "order").replacen(
+            "id: r-1",
+            "Copy-From: 10.0.0.1:80/x\r\nurgency: 0\r\nUrgency: 1\r\nkept: yes\r\nid: r-1",
+            1,
+        );
+        let answer = ask(bench.front, &forged).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let heard = replica.heard.borrow()[0].to_lowercase();
+        assert!(!heard.contains("copy-from"), "{heard}");
+        assert!(!heard.contains("urgency"), "{heard}");
+        assert!(heard.contains("kept: yes"), "others pass: {heard}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn what_may_run_once_is_never_sent_again_after_a_lost_answer() {
     local(async {
