Keys of tenants: who calls is known by the configuration in force

Cause: the front read no tenants. Ruled out: 401 by the directory at hand: a newer configuration may hold the key, so that an unknown key, as an unknown route, is refused only after a read that began after the request arrived, and with 503 where there is none. Change: directory::Tenants (digests of keys, no key is kept), front::access, the key stays here and the tenant is told, whatever the caller says of it; a tenant's priority goes before its route's (told in each line; nothing acts on it yet); turns and budgets are kept under a tenant's own identifiers; a contested key is told (805). A front that relays the directory passes over stores whose copy is old, and asks beyond its zone: the service may turn some machines away and serve others.

--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod mirror;
 pub mod model;
 pub mod relay;
+pub mod tenants;
 pub mod view;
 
 pub use freshness::{AgeLimits, DirectoryMark, Freshness};
@@ -24,7 +25,8 @@
     ServiceSpec, Target,
 };
 pub use relay::{
-    Confirming, DirectoryRelay, DirectorySource, Relayed, Telling, ToldChanges, ToldItems,
-    ToldRoutes,
+    Acceptable, Confirming, DirectoryRelay, DirectorySource, Relayed, Telling, ToldChanges,
+    ToldItems, ToldRoutes,
 };
+pub use tenants::{KeyDigest, RequestLimit, Tenant, Tenants};
 pub use view::{Interpreter, Update, View};
--- a/crates/stageyoke-directory/src/mirror/told.rs
+++ b/crates/stageyoke-directory/src/mirror/told.rs
@@ -7,7 +7,7 @@
 
 use super::{GATHER_PART, Mirror, MirrorEvent, Step};
 use crate::key_value::{KeyValueError, KeyValueService, RangePage, WatchOutcome};
-use crate::relay::{Confirming, DirectorySource, ToldChanges, ToldItems, ToldRoutes};
+use crate::relay::{Acceptable, Confirming, DirectorySource, ToldChanges, ToldItems, ToldRoutes};
 use crate::view::{Changed, Interpreter};
 
 /// Parts of the bound on changes: how old a copy that other processes tell may
@@ -30,16 +30,23 @@
         self.pace.gather.mul_f64(part / GATHER_PART)
     }
 
+    fn acceptable(&self) -> Acceptable {
+        Acceptable {
+            within: self.freshness.limits().answer_within,
+            oldest: self.bound_part(TOLD_PART),
+        }
+    }
+
     /// Reads everything from another process that follows the service. At a
     /// start that is tried for a while, until the service itself is asked.
     pub(super) async fn read_told(&self, report: &mut impl FnMut(MirrorEvent)) -> Option<Step> {
         let relay = self.relay.as_ref()?;
         let starting = self.last_contact.get().is_none();
         let until = Instant::now() + TOLD_START;
-        let within = self.freshness.limits().answer_within;
         loop {
-            if let Some(relayed) = relay.items(within).await
-                && relayed.told.age < self.bound_part(TOLD_PART)
+            let acceptable = self.acceptable();
+            if let Some(relayed) = relay.items(acceptable).await
+                && relayed.told.age < acceptable.oldest
             {
                 let as_of = relayed.as_of(relayed.told.age);
                 let ToldItems {
@@ -100,10 +107,10 @@
         report: &mut impl FnMut(MirrorEvent),
     ) -> Option<Step> {
         let relay = self.relay.as_ref()?;
-        let within = self.freshness.limits().answer_within;
-        let relayed = relay.changes(revision, within).await?;
+        let acceptable = self.acceptable();
+        let relayed = relay.changes(revision, acceptable).await?;
         let as_of = relayed.as_of(relayed.told.age);
-        if as_of.elapsed() > self.bound_part(TOLD_PART) {
+        if as_of.elapsed() > acceptable.oldest {
             return None;
         }
         let ToldChanges {
--- a/crates/stageyoke-directory/src/model.rs
+++ b/crates/stageyoke-directory/src/model.rs
@@ -4,6 +4,8 @@
 
 use stageyoke_types::Text;
 
+use crate::tenants::Tenants;
+
 /// Whether and how a route's requests may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -51,6 +53,10 @@
     pub retention: Duration,
     /// Whether a broken stream may continue at another replica.
     pub resumable: bool,
+    /// Whether requests need no key even where the configuration has tenants.
+    pub keyless: bool,
+    /// Whether a replica serves an object faster that it has seen lately.
+    pub affinity: bool,
 }
 
 impl Route {
@@ -110,6 +116,8 @@
     pub services: Vec<ServiceSpec>,
     /// Limits towards callers.
     pub limits: Limits,
+    /// Who may call; none where callers need no key.
+    pub tenants: Option<Tenants>,
 }
 
 impl RouteTable {
--- a/crates/stageyoke-directory/src/relay.rs
+++ b/crates/stageyoke-directory/src/relay.rs
@@ -71,16 +71,25 @@
 /// A read that is waited for.
 pub type Confirming<'a> = Pin<Box<dyn Future<Output = Option<ToldRoutes>> + 'a>>;
 
+/// What a process accepts of others.
+#[derive(Clone, Copy, Debug)]
+pub struct Acceptable {
+    /// Time for the answer.
+    pub within: Duration,
+    /// How old a copy may be; who has only an older one is passed over.
+    pub oldest: Duration,
+}
+
 /// Processes that follow the service, as seen by one that does not.
 pub trait DirectoryRelay {
     /// Whether any such process is known.
     fn knows_any(&self) -> bool;
     /// What has changed after a revision.
-    fn changes(&self, after: u64, within: Duration) -> Telling<'_, ToldChanges>;
+    fn changes(&self, after: u64, acceptable: Acceptable) -> Telling<'_, ToldChanges>;
     /// The configuration, from a linearizable read of a moment ago.
     fn routes(&self, within: Duration) -> Telling<'_, ToldRoutes>;
     /// Everything.
-    fn items(&self, within: Duration) -> Telling<'_, ToldItems>;
+    fn items(&self, acceptable: Acceptable) -> Telling<'_, ToldItems>;
 }
 
 /// A process that follows the service, as it tells others.
--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -14,8 +14,8 @@
 use service::{Link, Service};
 use stageyoke_directory::relay::RecentChanges;
 use stageyoke_directory::{
-    Change, DirectoryRelay, DirectorySource, Item, Mirror, Relayed, Telling, ToldChanges,
-    ToldItems, ToldRoutes,
+    Acceptable, Change, DirectoryRelay, DirectorySource, Item, Mirror, Relayed, Telling,
+    ToldChanges, ToldItems, ToldRoutes,
 };
 use support::Words;
 use tokio::time::Instant;
@@ -55,8 +55,8 @@
         true
     }
 
-    fn changes(&self, after: u64, within: Duration) -> Telling<'_, ToldChanges> {
-        Box::pin(self.answer(within, move |store| store.tell_changes(after)))
+    fn changes(&self, after: u64, acceptable: Acceptable) -> Telling<'_, ToldChanges> {
+        Box::pin(self.answer(acceptable.within, move |store| store.tell_changes(after)))
     }
 
     fn routes(&self, within: Duration) -> Telling<'_, ToldRoutes> {
@@ -72,8 +72,8 @@
         })
     }
 
-    fn items(&self, within: Duration) -> Telling<'_, ToldItems> {
-        Box::pin(self.answer(within, |store| store.tell_items()))
+    fn items(&self, acceptable: Acceptable) -> Telling<'_, ToldItems> {
+        Box::pin(self.answer(acceptable.within, |store| store.tell_items()))
     }
 }
 
--- a/crates/stageyoke-directory/tests/support/mod.rs
+++ b/crates/stageyoke-directory/tests/support/mod.rs
@@ -64,5 +64,6 @@
             header_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
+        tenants: None,
     }
 }
--- /dev/null
+++ b/crates/stageyoke-front/src/access.rs
@@ -0,0 +1,79 @@
+//! Who calls: the tenant that holds a request's key, by the configuration in
+//! force. Pure.
+
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use stageyoke_directory::{Route, RouteTable, Tenant};
+
+/// Scheme of the header that carries a key.
+const SCHEME: &str = "bearer";
+
+/// Who makes a request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Access {
+    /// Holder of the request's key; none where no key is needed and none of a
+    /// tenant's was given.
+    pub tenant: Option<Tenant>,
+    /// Whether the configuration has tenants, so that keys are for the front.
+    pub keyed: bool,
+}
+
+/// Why a request is not let in, by this configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Locked {
+    /// It carries no key, or more than one.
+    NoKey,
+    /// No tenant holds its key.
+    UnknownKey,
+}
+
+impl Locked {
+    /// The cause as logs name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoKey => "no_key",
+            Self::UnknownKey => "unknown_key",
+        }
+    }
+}
+
+impl Access {
+    /// Who makes a request on this route.
+    pub fn of(routes: &RouteTable, route: &Route, headers: &HeaderMap) -> Result<Self, Locked> {
+        let Some(tenants) = &routes.tenants else {
+            return Ok(Self::default());
+        };
+        let key = key(headers);
+        let holder = key.and_then(|key| tenants.holder(key));
+        if holder.is_none() && !route.keyless {
+            return Err(match key {
+                Some(_) => Locked::UnknownKey,
+                None => Locked::NoKey,
+            });
+        }
+        Ok(Self {
+            tenant: holder.cloned(),
+            keyed: true,
+        })
+    }
+
+    /// Rank of a request on this route; zero is the highest.
+    pub fn priority(&self, route: &Route) -> u8 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        own.unwrap_or(route.priority)
+    }
+}
+
+/// The one key that a request carries.
+fn key(headers: &HeaderMap) -> Option<&[u8]> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let value = values.next()?.as_bytes();
+    if values.next().is_some() {
+        return None;
+    }
+    let (scheme, rest) = value.split_at_checked(SCHEME.len())?;
+    let key = rest.trim_ascii();
+    let separated = rest.first().is_some_and(u8::is_ascii_whitespace);
+    let named = scheme.eq_ignore_ascii_case(SCHEME.as_bytes());
+    (named && separated && !key.is_empty()).then_some(key)
+}
--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -6,12 +6,15 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, HeaderValue,
+};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
+use crate::access::Access;
 use crate::health::Evidence;
 use crate::names::Names;
 use crate::replica::{InFlight, Replica};
@@ -103,12 +106,22 @@
 /// say is taken away: engines refuse a request that names a copy which they do
 /// not hold, and callers' own such headers had 39 in 100 of offered turns refused
 /// by idle engines (a day of 17,302 turns on 44 engines; none without them).
-pub fn forwarded_headers(headers: &HeaderMap, names: &Names) -> HeaderMap {
+/// The key of a caller stays here as well; the replica is told its tenant. `None`
+/// where the tenant's name can't stand in a header.
+pub fn forwarded_headers(headers: &HeaderMap, names: &Names, access: &Access) -> Option<HeaderMap> {
     let mut forwarded = end_to_end_headers(headers);
     for name in &names.reserved {
         forwarded.remove(name);
     }
-    forwarded
+    forwarded.remove(&names.tenant);
+    if access.keyed {
+        forwarded.remove(AUTHORIZATION);
+    }
+    if let Some(tenant) = &access.tenant {
+        let name = HeaderValue::from_str(&tenant.name).ok()?;
+        forwarded.insert(names.tenant.clone(), name);
+    }
+    Some(forwarded)
 }
 
 /// Sends the request to the replica and waits for the head of its answer.
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance};
+use stageyoke_directory::{
+    GroupNumber, Interpreter, KeyValueService, Mirror, RouteTable, Tenants, Tolerance,
+};
 use stageyoke_store::Groups;
 use stageyoke_store::relay::StoreRelay;
 use stageyoke_store::role::report_mirror_event;
@@ -34,6 +36,8 @@
 /// A front that has reached no quorum of any store group for this long is not
 /// ready.
 const UNREADY_AFTER: Duration = Duration::from_millis(600);
+/// Tenants that one line names.
+const MOST_CONTESTED: usize = 8;
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 const PROBE_WITHIN: Duration = Duration::from_millis(300);
 
@@ -96,6 +100,8 @@
     /// Tells the listeners and connections to close.
     pub closing: Closing,
     draining: Cell<bool>,
+    /// Configuration whose contested keys were told last.
+    contested_in: Cell<u64>,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
@@ -139,6 +145,23 @@
         }
     }
 
+    /// Tells once for a configuration which tenants name others' keys.
+    fn report_contested(&self, routes: &RouteTable) {
+        let contested = routes.tenants.as_ref().map_or(&[][..], Tenants::contested);
+        if contested.is_empty() || self.contested_in.replace(routes.version) == routes.version {
+            return;
+        }
+        let named = contested.iter().take(MOST_CONTESTED);
+        let named: Vec<&str> = named.map(Text::as_str).collect();
+        let detail = format!(
+            "version={} count={} tenants={}",
+            routes.version,
+            contested.len(),
+            named.join(",")
+        );
+        observe::event(Event::KeyContested, &detail);
+    }
+
     fn follow(&self) {
         let view = self.mirror.view();
         // Changes are reported before their answer confirms the directory: this
@@ -151,6 +174,7 @@
         metrics.members_version.set(view.stores.version as i64);
         if let Some(routes) = &view.routes {
             self.shares.follow(routes);
+            self.report_contested(routes);
         }
         let version = view.routes.as_ref().map_or(0, |routes| routes.version);
         metrics.routes_version.set(version as i64);
@@ -182,6 +206,7 @@
         memory: Rc::new(MemoryBudget::within(settings.memory_bytes)),
         closing: Closing::default(),
         draining: Cell::new(false),
+        contested_in: Cell::new(0),
     });
     let FrontListeners { callers, readiness } = listeners;
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
 use stageyoke_directory::{Interpreter, KeyValueService, Route, RouteTable, ServiceSpec};
@@ -15,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::access::{Access, Locked};
 use crate::answer::{self, Failure};
 use crate::attempt::{Outbound, end_to_end_headers, forwarded_headers};
 use crate::body::FrontBody;
@@ -23,7 +25,7 @@
 use crate::memory::Held;
 use crate::offer::Served;
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
-use crate::request::{Figures, host};
+use crate::request::{Figures, KeptIdentifiers, host};
 use stageyoke_observe::{self as observe, RequestStory as Story};
 
 /// How long a doubtful route or chain is looked up.
@@ -37,6 +39,8 @@
 /// A request with everything that was found out about it.
 pub(crate) struct Call {
     pub(crate) figures: Figures,
+    pub(crate) kept: KeptIdentifiers,
+    pub(crate) access: Access,
     pub(crate) route: Route,
     pub(crate) service: ServiceSpec,
     pub(crate) outbound: Outbound,
@@ -107,9 +111,15 @@
         let ages = &observe::metrics().directory_age_seconds;
         ages.observe(age.as_secs_f64());
         story.members_version = self.history.stores.stores().version;
-        let host = host(&head.headers).unwrap_or_default();
-        let (routes, route) = self.find_route(host, head.uri.path()).await?;
+        let Admitted {
+            routes,
+            route,
+            access,
+        } = self.admit(&head).await?;
         story.route = route.name.to_string();
+        if let Some(tenant) = &access.tenant {
+            story.tenant = tenant.name.to_string();
+        }
         story.routes_version = routes.version;
         let service = self.pick_service(&routes, &route)?;
         let mut held = self.memory.begin();
@@ -123,7 +133,9 @@
             .path_and_query()
             .cloned()
             .unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let headers = forwarded_headers(&head.headers, &self.names);
+        let headers = forwarded_headers(&head.headers, &self.names, &access)
+            .ok_or(Failure::last(ErrorKind::Internal, "tenant_name"))?;
+        let kept = KeptIdentifiers::of(&figures, access.tenant.as_ref());
         let outbound = Outbound {
             request: figures.request.clone(),
             method: head.method,
@@ -135,6 +147,8 @@
         };
         let call = Call {
             figures,
+            kept,
+            access,
             route,
             service,
             outbound,
@@ -145,17 +159,18 @@
         self.run(call, story).await
     }
 
-    async fn find_route(&self, host: &str, path: &str) -> Result<(Rc<RouteTable>, Route), Failure> {
+    /// Finds the route of a request and who makes it. What the configuration in
+    /// force doesn't allow, a newer one may: that it doesn't is only known from a
+    /// read that began after the request arrived.
+    async fn admit(&self, head: &Parts) -> Result<Admitted, Failure> {
         let unknown =
             Failure::come_back(ErrorKind::Unavailable, "no_configuration", AFTER_RECOVERY);
         let routes = self.mirror.view().routes.clone();
         if let Some(routes) = routes
-            && let Some(route) = routes.find(host, path)
+            && let Ok(admitted) = admitted_by(routes, head)
         {
-            return Ok((routes.clone(), route.clone()));
+            return Ok(admitted);
         }
-        // A newer configuration may hold the route: absence is only known from
-        // a read that began after the request arrived.
         let confirmed = tokio::time::timeout(LOOK_UP_WITHIN, self.mirror.confirm_routes()).await;
         if !matches!(confirmed, Ok(Ok(()))) {
             let cause = "route_not_confirmed";
@@ -166,10 +181,10 @@
             ));
         }
         let routes = self.mirror.view().routes.clone().ok_or(unknown)?;
-        match routes.find(host, path) {
-            Some(route) => Ok((routes.clone(), route.clone())),
-            None => Err(Failure::last(ErrorKind::NotFound, "no_such_route")),
-        }
+        admitted_by(routes, head).map_err(|barred| match barred {
+            Barred::NoRoute => Failure::last(ErrorKind::NotFound, "no_such_route"),
+            Barred::Locked(locked) => Failure::last(ErrorKind::Unauthorized, locked.name()),
+        })
     }
 
     fn pick_service(&self, routes: &RouteTable, route: &Route) -> Result<ServiceSpec, Failure> {
@@ -183,6 +198,7 @@
         mut call: Call,
         story: &mut Story,
     ) -> Result<Response<FrontBody>, Failure> {
+        story.priority = call.access.priority(&call.route);
         let ledger: RefCell<String> = RefCell::default();
         // What the stores answer may show a better one.
         let expected = self.expected_placement(&call);
@@ -250,7 +266,8 @@
         let relay = Relay {
             deadline: call.outbound.deadline,
             keeping,
-            figures: call.figures,
+            kept: call.kept,
+            most_tokens: call.figures.most_tokens,
             answer: Carrier {
                 connection: answer.connection,
                 replica: answer.replica,
@@ -272,6 +289,31 @@
     }
 }
 
+/// What a configuration says of a request that it allows.
+struct Admitted {
+    routes: Rc<RouteTable>,
+    route: Route,
+    access: Access,
+}
+
+/// Why a configuration doesn't allow a request.
+enum Barred {
+    NoRoute,
+    Locked(Locked),
+}
+
+fn admitted_by(routes: Rc<RouteTable>, head: &Parts) -> Result<Admitted, Barred> {
+    let host = host(&head.headers).unwrap_or_default();
+    let route = routes.find(host, head.uri.path()).ok_or(Barred::NoRoute)?;
+    let access = Access::of(&routes, route, &head.headers).map_err(Barred::Locked)?;
+    let route = route.clone();
+    Ok(Admitted {
+        routes,
+        route,
+        access,
+    })
+}
+
 fn from_replica(head: &hyper::http::response::Parts, body: FrontBody) -> Response<FrontBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -15,6 +15,8 @@
 use stageyoke_types::{Blob, Text};
 use tokio::time::Instant;
 
+use crate::request::KeptIdentifiers;
+
 /// Bytes of recent turns that a front keeps to spare reads.
 const CACHE_BYTES: usize = 6 * 1024 * 1024;
 /// One try of a commit.
@@ -213,16 +215,16 @@
 
 /// The record of a turn.
 pub fn turn_record(
-    figures: &crate::request::Figures,
+    kept: &KeptIdentifiers,
     input: Bytes,
     output: Vec<u8>,
     used: u32,
     retention: Duration,
 ) -> TurnRecord {
     TurnRecord {
-        turn: figures.request.clone(),
-        program: figures.program.clone(),
-        previous: figures.previous.clone().unwrap_or_default(),
+        turn: kept.turn.clone(),
+        program: kept.program.clone(),
+        previous: kept.previous.clone().unwrap_or_default(),
         input: Blob(input),
         output: Blob::from(output),
         used,
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -2,6 +2,7 @@
 //! replica, relays plain answers and event streams, and keeps the history and
 //! the token budgets of programs through the store group.
 
+pub mod access;
 pub mod activity;
 pub mod answer;
 pub mod attempt;
--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -27,6 +27,10 @@
     pub budget: HeaderName,
     /// Turn that a request goes on from.
     pub previous_turn: HeaderName,
+    /// Name of the caller's tenant, as replicas are told it.
+    pub tenant: HeaderName,
+    /// Cookie whose value names the object that a request concerns.
+    pub object_cookie: &'static str,
     /// What only the front may say to replicas: taken away from callers' requests.
     pub reserved: Vec<HeaderName>,
     /// Path of the readiness question.
--- a/crates/stageyoke-front/src/offer.rs
+++ b/crates/stageyoke-front/src/offer.rs
@@ -122,7 +122,7 @@
             zone: &self.zone,
             excluded,
             prompt: &call.figures.prompt,
-            group: self.history.stores.group_number(&call.figures.program),
+            group: self.history.stores.group_number(&call.kept.program),
             repeatable: call.route.repeatable(),
         }
     }
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::history::{History, Reservation, turn_record};
 use crate::memory::Held;
 use crate::replica::{InFlight, Replica};
-use crate::request::Figures;
+use crate::request::KeptIdentifiers;
 use crate::upstream::Connection;
 use stageyoke_observe::{self as observe, RequestStory as Story};
 
@@ -80,8 +80,10 @@
 
 /// A stream on its way to the caller.
 pub struct Relay {
-    /// The request.
-    pub figures: Figures,
+    /// Identifiers under which the turn is kept.
+    pub kept: KeptIdentifiers,
+    /// Most tokens of the turn.
+    pub most_tokens: u32,
     /// The replica's answer; its body is relayed apart.
     pub answer: Carrier,
     /// What is kept.
@@ -177,7 +179,7 @@
     /// Keeps what must be kept before the caller sees the end.
     async fn keep(&mut self, heard: Heard) -> End {
         let generated = heard.events.saturating_mul(self.keeping.tokens_per_event);
-        let used = match self.figures.most_tokens {
+        let used = match self.most_tokens {
             0 => generated,
             most => generated.min(most),
         };
@@ -188,7 +190,7 @@
             return End::Whole;
         };
         let retention = self.keeping.retention;
-        let record = turn_record(&self.figures, input, heard.output, used, retention);
+        let record = turn_record(&self.kept, input, heard.output, used, retention);
         let began = Instant::now();
         let kept = self.keeping.history.commit(record, self.deadline).await;
         self.story.keeping = began.elapsed().as_millis() as u64;
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -4,6 +4,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
+use stageyoke_directory::Tenant;
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
@@ -69,6 +70,37 @@
     }
 }
 
+/// Identifiers under which stores keep what a request does. They are a tenant's
+/// own: no tenant goes on from another's turn, or spends another's budget, by
+/// naming it.
+#[derive(Clone, Debug)]
+pub struct KeptIdentifiers {
+    /// Program; empty if none.
+    pub program: Text,
+    /// The request's own turn.
+    pub turn: Text,
+    /// Turn that it goes on from.
+    pub previous: Option<Text>,
+}
+
+impl KeptIdentifiers {
+    /// The identifiers of a request of this tenant.
+    pub fn of(figures: &Figures, tenant: Option<&Tenant>) -> Self {
+        let own = |identifier: &Text| match tenant {
+            // Identifiers come from headers, which hold no line feed.
+            Some(tenant) if !identifier.is_empty() => {
+                Text::from(format!("{}\n{identifier}", tenant.name))
+            }
+            _ => identifier.clone(),
+        };
+        Self {
+            program: own(&figures.program),
+            turn: own(&figures.request),
+            previous: figures.previous.as_ref().map(own),
+        }
+    }
+}
+
 fn text(headers: &HeaderMap, name: &HeaderName) -> Option<Text> {
     let value = headers.get(name)?.to_str().ok()?.trim();
     (!value.is_empty()).then(|| Text::from(value))
--- a/crates/stageyoke-front/src/turns.rs
+++ b/crates/stageyoke-front/src/turns.rs
@@ -25,7 +25,7 @@
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
     /// What was said before this turn, if it goes on from one that is kept.
     pub(crate) async fn transcript(&self, call: &Call) -> Result<Option<Bytes>, Failure> {
-        let Some(previous) = &call.figures.previous else {
+        let Some(previous) = &call.kept.previous else {
             return Ok(None);
         };
         if !call.route.keeps_history {
@@ -38,7 +38,7 @@
         let within = left.min(LOOK_UP_WITHIN);
         match self
             .history
-            .transcript(&call.figures.program, previous, within)
+            .transcript(&call.kept.program, previous, within)
             .await
         {
             Transcript::Found(text) => Ok(Some(text)),
@@ -53,9 +53,8 @@
 
     /// How long the store group that this request needs has not served.
     fn group_failing_for(&self, call: &Call) -> Duration {
-        let figures = &call.figures;
         let stores = &self.history.stores;
-        let failing = stores.failing_for(&figures.program, &figures.request);
+        let failing = stores.failing_for(&call.kept.program, &call.kept.turn);
         failing.unwrap_or_default()
     }
 
@@ -79,7 +78,7 @@
         if figures.program.is_empty() || call.route.kind != RouteKind::Stream {
             return Ok(None);
         }
-        let (program, turn) = (figures.program.clone(), figures.request.clone());
+        let (program, turn) = (call.kept.program.clone(), call.kept.turn.clone());
         let left = call
             .outbound
             .deadline
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -1,21 +1,24 @@
 //! A front in process, against replicas that answer as scripted, on loopback.
 
+mod support;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderName;
 use stageyoke_directory::{
-    Interpreter, Item, KeyValueError, KeyValueService, Limits, Mirror, RangePage, ReplicaRecord,
-    ReplicaState, Route, RouteKind, RouteTable, ServiceSpec, Target, Transaction,
-    TransactionOutcome, Update, WatchOutcome, Write,
+    Change, Interpreter, Item, KeyDigest, KeyValueError, KeyValueService, Limits, Mirror,
+    RangePage, ReplicaRecord, ReplicaState, Route, RouteKind, RouteTable, ServiceSpec, Target,
+    Tenant, Tenants, Transaction, TransactionOutcome, Update, WatchOutcome, Write,
 };
-use stageyoke_front::{FrontListeners, FrontSettings, Names};
+use stageyoke_front::{FrontListeners, FrontSettings};
 use stageyoke_types::Text;
+use support::names;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
 /// Memory of the front's machine: its requests may hold a third of it.
@@ -25,10 +28,28 @@
 const SIGNED: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 4\r\n\r\nbody";
 const NOT_RUN: &str = "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
+/// What the key-value service holds; `routes` names a table of `table`.
 #[derive(Clone)]
 struct Directory {
     replicas: Vec<SocketAddr>,
     reachable: Rc<RefCell<bool>>,
+    routes: Rc<RefCell<Versioned>>,
+    written: Rc<Notify>,
+}
+
+struct Versioned {
+    revision: u64,
+    text: String,
+}
+
+impl Directory {
+    fn routes(&self) -> Item {
+        let routes = self.routes.borrow();
+        Item {
+            revision: routes.revision,
+            ..item("routes", &format!("{} {}", routes.revision, routes.text))
+        }
+    }
 }
 
 impl KeyValueService for Directory {
@@ -36,21 +57,42 @@
         if !*self.reachable.borrow() {
             return Err(KeyValueError::NoAnswer);
         }
-        Ok(Some(item(key, "")))
+        Ok(Some(match key {
+            "routes" => self.routes(),
+            other => item(other, ""),
+        }))
     }
     async fn range(&self, _: &str, _: Option<&str>) -> Result<RangePage, KeyValueError> {
-        let mut items = vec![item("routes", "")];
+        let mut items = vec![self.routes()];
         for (number, address) in self.replicas.iter().enumerate() {
             items.push(item(&format!("replica-{number}"), &address.to_string()));
         }
         Ok(RangePage {
             items,
             more: false,
-            revision: 1,
+            revision: self.routes.borrow().revision,
         })
     }
-    async fn watch(&self, _: &str, _: u64, _: Duration) -> Result<WatchOutcome, KeyValueError> {
-        std::future::pending().await
+    async fn watch(
+        &self,
+        _: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchOutcome, KeyValueError> {
+        if !*self.reachable.borrow() {
+            return Err(KeyValueError::NoAnswer);
+        }
+        let written = self.written.notified();
+        if self.routes.borrow().revision <= after && !wait.is_zero() {
+            written.await;
+        }
+        let routes = self.routes();
+        let revision = routes.revision;
+        let changes = match revision > after {
+            true => vec![Change::Written(routes)],
+            false => Vec::new(),
+        };
+        Ok(WatchOutcome::Changes { changes, revision })
     }
     async fn transact(&self, _: &Transaction) -> Result<TransactionOutcome, KeyValueError> {
         Err(KeyValueError::Refused)
@@ -71,7 +113,7 @@
     fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
         let text = value.and_then(|value| std::str::from_utf8(value).ok());
         match (key, text) {
-            ("routes", _) => Update::Routes(table()),
+            ("routes", Some(text)) => Update::Routes(table(text)),
             (id, Some(address)) => Update::Replica {
                 id: Text::from(id),
                 record: Some(ReplicaRecord {
@@ -102,7 +144,20 @@
     }
 }
 
-fn table() -> RouteTable {
+/// A table by its version and the keys of its tenants, `key=tenant`; without any
+/// it has no tenants.
+fn table(text: &str) -> RouteTable {
+    let (version, keys) = text.split_once(' ').expect("version and keys");
+    let mut tenants = Tenants::default();
+    for pair in keys.split_whitespace() {
+        let (key, name) = pair.split_once('=').expect("key and tenant");
+        let tenant = Tenant {
+            name: Text::from(name),
+            priority: None,
+            limit: None,
+        };
+        tenants.add(tenant, [KeyDigest::of(key.as_bytes())]);
+    }
     let route = |name: &str, kind| Route {
         name: Text::from(name),
         host: Text::from("host"),
@@ -119,10 +174,13 @@
         keeps_history: false,
         retention: Duration::ZERO,
         resumable: false,
+        keyless: name == "open",
+        affinity: false,
     };
     RouteTable {
-        version: 1,
+        version: version.parse().expect("version"),
         routes: vec![
+            route("open", RouteKind::Once),
             route("safe", RouteKind::Repeatable),
             route("once", RouteKind::Once),
             route("stream", RouteKind::Stream),
@@ -138,26 +196,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
-    }
-}
-
-fn names() -> Names {
-    let name = HeaderName::from_static;
-    Names {
-        request_id: name("id"),
-        deadline: name("deadline"),
-        signature: name("signed"),
-        instance: name("instance"),
-        not_run: name("not-run"),
-        token_counts: name("tokens"),
-        prompt_parts: name("parts"),
-        program: name("program"),
-        finish: name("finish"),
-        budget: name("budget"),
-        previous_turn: name("previous"),
-        reserved: vec![name("copy-from"), name("urgency")],
-        readiness_path: "/ready",
-        wrong_instance_status: 421,
+        tenants: (!tenants.is_empty()).then_some(tenants),
     }
 }
 
@@ -233,14 +272,36 @@
     front: SocketAddr,
     ready: SocketAddr,
     reachable: Rc<RefCell<bool>>,
+    directory: Directory,
+}
+
+impl Bench {
+    /// Puts another table into the key-value service.
+    fn configure(&self, text: &str) {
+        let mut routes = self.directory.routes.borrow_mut();
+        routes.revision += 1;
+        routes.text = text.to_owned();
+        self.directory.written.notify_waiters();
+    }
 }
 
 async fn start(replicas: &[&Replica]) -> Bench {
+    start_with(replicas, "").await
+}
+
+/// Starts a front with the tenants of a table.
+async fn start_with(replicas: &[&Replica], routes: &str) -> Bench {
     let reachable = Rc::new(RefCell::new(true));
     let directory = Directory {
         replicas: replicas.iter().map(|replica| replica.address).collect(),
         reachable: reachable.clone(),
+        routes: Rc::new(RefCell::new(Versioned {
+            revision: 1,
+            text: routes.to_owned(),
+        })),
+        written: Rc::default(),
     };
+    let kept = directory.clone();
     let mirror = Mirror::new(directory, Words);
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let listeners = FrontListeners::open(any, any).await.expect("listeners");
@@ -267,6 +328,7 @@
         front,
         ready,
         reachable,
+        directory: kept,
     };
     while !ask(
         bench.ready,
@@ -468,6 +530,131 @@
     .await;
 }
 
+fn with_fields(method: &str, path: &str, fields: &str) -> String {
+    request(method, path, "").replacen("id: r-1", &format!("{fields}id: r-1"), 1)
+}
+
+/// The key stays here, the tenant is told, whatever the caller says of it.
+#[tokio::test]
+async fn a_key_is_exchanged_for_its_tenants_name() {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start_with(&[&replica], "k-1=ann k-2=bob").await;
+        let fields = "tenant: ann\r\nTenant: eve\r\nAuthorization: bearer  k-2\r\n";
+        let answer = ask(bench.front, &with_fields("POST", "/once/a", fields)).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let heard = replica.heard.borrow()[0].to_lowercase();
+        let told: Vec<&str> = heard
+            .lines()
+            .filter(|line| line.starts_with("tenant:"))
+            .collect();
+        assert_eq!(told, ["tenant: bob"]);
+        assert!(
+            !heard.contains("k-2") && !heard.contains("authorization"),
+            "{heard}"
+        );
+    })
+    .await;
+}
+
+#[rstest::rstest]
+#[case("", "401", "401", "200")]
+#[case("Authorization: Bearer k-9\r\n", "401", "401", "200")]
+#[case("Authorization: Bearer\r\n", "401", "401", "200")]
+#[case("Authorization: Basic k-1\r\n", "401", "401", "200")]
+#[case(
+    "Authorization: Bearer k-1\r\nAuthorization: Bearer k-2\r\n",
+    "401",
+    "401",
+    "200"
+)]
+#[case("Authorization: Bearer k-1\r\n", "200", "200", "200")]
+#[tokio::test]
+async fn without_a_known_key_only_open_routes_are_served(
+    #[case] fields: &str,
+    #[case] once: &str,
+    #[case] safe: &str,
+    #[case] open: &str,
+) {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start_with(&[&replica], "k-1=ann k-2=bob").await;
+        for (path, status) in [("/once/a", once), ("/safe/a", safe), ("/open/a", open)] {
+            let answer = ask(bench.front, &with_fields("POST", path, fields)).await;
+            assert!(
+                answer.starts_with(&format!("HTTP/1.1 {status}")),
+                "{path}: {answer}"
+            );
+            assert!(!answer.contains("k-"), "no key is told: {answer}");
+        }
+        let expected = [once, safe, open]
+            .iter()
+            .filter(|status| **status == "200")
+            .count();
+        assert_eq!(replica.count(), expected);
+    })
+    .await;
+}
+
+/// A key may stand in a newer configuration than this front has heard of; that it
+/// doesn't is only known from the service, and "unknown" must not be guessed.
+#[tokio::test]
+async fn an_unknown_key_is_refused_only_once_the_service_has_confirmed_it() {
+    local(async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start_with(&[&replica], "k-1=ann").await;
+        let asked = with_fields("POST", "/once/a", "Authorization: Bearer k-2\r\n");
+        *bench.reachable.borrow_mut() = false;
+        let answer = ask(bench.front, &asked).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        *bench.reachable.borrow_mut() = true;
+        assert!(ask(bench.front, &asked).await.starts_with("HTTP/1.1 401"));
+        // No watch tells of this one.
+        let mut routes = bench.directory.routes.borrow_mut();
+        routes.revision += 1;
+        routes.text = "k-1=ann k-2=bob".to_owned();
+        drop(routes);
+        let answer = loop {
+            let answer = ask(bench.front, &asked).await;
+            if !answer.starts_with("HTTP/1.1 401") {
+                break answer;
+            }
+        };
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    })
+    .await;
+}
+
+/// A key that is taken away ends on connections that are open already.
+#[tokio::test]
+async fn a_removed_key_ends_on_an_open_connection() {
+    let test = async {
+        let replica = Replica::start(&[SIGNED]).await;
+        let bench = start_with(&[&replica], "k-1=ann k-2=bob").await;
+        let kept = with_fields("POST", "/once/a", "Authorization: Bearer k-2\r\n")
+            .replace("connection: close\r\n", "");
+        let mut caller = TcpStream::connect(bench.front).await.expect("connection");
+        let mut removed = false;
+        loop {
+            caller.write_all(kept.as_bytes()).await.expect("request");
+            let answer = read_message(&mut caller).await.expect("an answer");
+            match (answer.starts_with("HTTP/1.1 200"), removed) {
+                (true, false) => {
+                    bench.configure("k-1=ann");
+                    removed = true;
+                }
+                (true, true) => {}
+                (false, _) => {
+                    assert!(removed && answer.starts_with("HTTP/1.1 401"), "{answer}");
+                    return;
+                }
+            }
+        }
+    };
+    let in_time = local(tokio::time::timeout(PATIENCE, test)).await;
+    in_time.expect("in time");
+}
+
 #[tokio::test]
 async fn bad_requests_get_their_own_answers() {
     local(async {
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -156,6 +156,8 @@
         keeps_history: false,
         retention: std::time::Duration::ZERO,
         resumable: false,
+        keyless: false,
+        affinity: false,
     }
 }
 
--- /dev/null
+++ b/crates/stageyoke-front/tests/support/mod.rs
@@ -0,0 +1,27 @@
+//! Names that the front's tests use.
+
+use hyper::header::HeaderName;
+use stageyoke_front::Names;
+
+/// Short header names and paths.
+pub fn names() -> Names {
+    let name = HeaderName::from_static;
+    Names {
+        request_id: name("id"),
+        deadline: name("deadline"),
+        signature: name("signed"),
+        instance: name("instance"),
+        not_run: name("not-run"),
+        token_counts: name("tokens"),
+        prompt_parts: name("parts"),
+        program: name("program"),
+        finish: name("finish"),
+        budget: name("budget"),
+        previous_turn: name("previous"),
+        tenant: name("tenant"),
+        object_cookie: "object",
+        reserved: vec![name("copy-from"), name("urgency")],
+        readiness_path: "/ready",
+        wrong_instance_status: 421,
+    }
+}
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -13,6 +13,10 @@
     pub request: String,
     /// Program, if any.
     pub program: String,
+    /// Tenant that holds the request's key, if any.
+    pub tenant: String,
+    /// Rank among other requests; zero is the highest.
+    pub priority: u8,
     /// Route, once found.
     pub route: String,
     /// Version of the configuration.
@@ -56,6 +60,8 @@
         ordinary = ordinary,
         request = story.request.as_str(),
         program = story.program.as_str(),
+        tenant = story.tenant.as_str(),
+        priority = story.priority,
         route = story.route.as_str(),
         routes_version = story.routes_version,
         directory_age = story.directory_age,
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -1,6 +1,8 @@
 //! The story of one request or program, from the lines of several processes.
 
 use std::fmt;
+use std::io;
+use std::path::PathBuf;
 
 use serde_json::{Map, Value};
 use stageyoke_types::Event;
@@ -36,7 +38,41 @@
     pub left_out: u64,
 }
 
+/// A log file that can't be read.
+#[derive(Debug)]
+pub struct UnreadableFile {
+    path: PathBuf,
+    error: io::Error,
+}
+
+impl fmt::Display for UnreadableFile {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.path.display(), self.error)
+    }
+}
+
+impl std::error::Error for UnreadableFile {}
+
 impl Logs {
+    /// The lines of these files, or of standard input where there are none.
+    pub fn read(files: &[PathBuf]) -> Result<Self, UnreadableFile> {
+        let unreadable = |path: &PathBuf, error| UnreadableFile {
+            path: path.clone(),
+            error,
+        };
+        let mut logs = Self::default();
+        for path in files {
+            let bytes = std::fs::read(path).map_err(|error| unreadable(path, error))?;
+            logs.add(&String::from_utf8_lossy(&bytes));
+        }
+        if files.is_empty() {
+            let input = io::read_to_string(io::stdin());
+            let text = input.map_err(|error| unreadable(&PathBuf::from("-"), error))?;
+            logs.add(&text);
+        }
+        Ok(logs)
+    }
+
     /// Adds the lines of one process's log; torn and foreign ones are counted.
     pub fn add(&mut self, text: &str) {
         for line in text.lines().filter(|line| !line.trim().is_empty()) {
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -15,6 +15,7 @@
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use stageyoke_types::Event;
 use tokio::net::TcpListener;
 
 /// Path of the metrics page.
@@ -177,8 +178,15 @@
     metric
 }
 
-/// Serves the page until the task is dropped. Needs a local task set.
-pub async fn serve(address: SocketAddr) -> std::io::Result<()> {
+/// Serves the page until the task is dropped, and tells in a line if it can't. Needs
+/// a local task set.
+pub async fn serve(address: SocketAddr) {
+    if let Err(error) = listen(address).await {
+        crate::event(Event::MetricsUnavailable, &format!("{address}: {error}"));
+    }
+}
+
+async fn listen(address: SocketAddr) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     loop {
         let (stream, _) = listener.accept().await?;
--- a/crates/stageyoke-store/src/groups.rs
+++ b/crates/stageyoke-store/src/groups.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Freshness, GroupNumber, StoreGroups, Tolerance};
+use stageyoke_directory::{Freshness, GroupNumber, Member, StoreGroups, Tolerance};
 use stageyoke_types::Text;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
@@ -100,27 +100,20 @@
         }
     }
 
-    /// Connections to some stores, those of the front's zone first, in random
-    /// order otherwise.
-    pub fn clients_by_distance(&self, most: usize) -> Vec<Rc<StoreClient>> {
+    /// Connections to some stores: one of the front's zone, as its way is short,
+    /// and others at random, as what ails one may ail its whole zone.
+    pub fn clients_to_ask(&self, most: usize) -> Vec<Rc<StoreClient>> {
         let stores = self.stores();
-        let mut members: Vec<_> = stores
-            .members()
-            .map(|member| {
-                (
-                    member.zone != self.shared.zone,
-                    rand::random::<u32>(),
-                    member,
-                )
-            })
-            .collect();
-        members.sort_by_key(|(remote, tie, _)| (*remote, *tie));
+        let mut members: Vec<&Member> = stores.members().collect();
+        members.sort_by_cached_key(|_| rand::random::<u32>());
+        let near = |member: &&Member| member.zone == self.shared.zone;
+        if let Some(nearest) = members.iter().position(near) {
+            members.swap(0, nearest);
+        }
         let groups = self.groups.borrow();
         let client = |node: &Text| groups.iter().find_map(|group| group.client(node));
-        let nearest = members.into_iter().take(most);
-        nearest
-            .filter_map(|(_, _, member)| client(&member.node))
-            .collect()
+        let asked = members.into_iter().take(most);
+        asked.filter_map(|member| client(&member.node)).collect()
     }
 
     /// The group that keeps what a program does. A turn that names no program
--- a/crates/stageyoke-store/src/relay.rs
+++ b/crates/stageyoke-store/src/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use stageyoke_directory::{
-    Change, DirectoryRelay, Item, Relayed, Telling, ToldChanges, ToldItems, ToldRoutes,
+    Acceptable, Change, DirectoryRelay, Item, Relayed, Telling, ToldChanges, ToldItems, ToldRoutes,
 };
 use stageyoke_types::{Blob, List, Text};
 use tokio::time::Instant;
@@ -129,9 +129,9 @@
         }
     }
 
-    /// Stores to ask, the one that answered last before all others.
+    /// Stores to ask: the one that answered last, one near, and others.
     fn candidates(&self) -> Vec<Rc<StoreClient>> {
-        let mut clients = self.groups.clients_by_distance(ASKED);
+        let mut clients = self.groups.clients_to_ask(ASKED);
         if clients.is_empty() {
             let seeds = self.seeds.iter();
             clients = seeds.map(|seed| Rc::new(StoreClient::new(seed))).collect();
@@ -142,7 +142,11 @@
         preferred.into_iter().chain(clients).collect()
     }
 
-    async fn ask(&self, request: Request, within: Duration) -> Option<Relayed<Reply>> {
+    /// Asks stores until one has a copy that is young enough. One that has not
+    /// is asked no more before others: the service may have turned it away while
+    /// it serves them.
+    async fn ask(&self, request: Request, acceptable: Acceptable) -> Option<Relayed<Reply>> {
+        let Acceptable { within, oldest } = acceptable;
         let deadline = Instant::now() + within;
         let candidates = self.candidates();
         let share = within / u32::try_from(candidates.len().max(1)).unwrap_or(1);
@@ -150,10 +154,7 @@
             let sent = Instant::now();
             let left = deadline.saturating_duration_since(sent).min(share);
             match client.call(request.clone(), left).await {
-                Ok(
-                    reply
-                    @ (Reply::Changes { .. } | Reply::Directory { .. } | Reply::Routes { .. }),
-                ) => {
+                Ok(reply) if copy_age(&reply).is_some_and(|age| age < oldest) => {
                     *self.preferred.borrow_mut() = Some(client);
                     return Some(Relayed { told: reply, sent });
                 }
@@ -164,14 +165,25 @@
     }
 }
 
+/// How old the copy was that a reply tells; `None` where it tells none.
+fn copy_age(reply: &Reply) -> Option<Duration> {
+    match reply {
+        Reply::Changes { mark, .. } | Reply::Directory { mark, .. } => Some(age(*mark)),
+        Reply::Routes {
+            age_milliseconds, ..
+        } => Some(Duration::from_millis(u64::from(*age_milliseconds))),
+        _ => None,
+    }
+}
+
 impl DirectoryRelay for StoreRelay {
     fn knows_any(&self) -> bool {
         !self.seeds.is_empty() || self.groups.stores().formed()
     }
 
-    fn changes(&self, after: u64, within: Duration) -> Telling<'_, ToldChanges> {
+    fn changes(&self, after: u64, acceptable: Acceptable) -> Telling<'_, ToldChanges> {
         Box::pin(async move {
-            let relayed = self.ask(Request::Changes { after }, within).await?;
+            let relayed = self.ask(Request::Changes { after }, acceptable).await?;
             let Reply::Changes {
                 known,
                 changes: List(changes),
@@ -193,7 +205,12 @@
 
     fn routes(&self, within: Duration) -> Telling<'_, ToldRoutes> {
         Box::pin(async move {
-            let relayed = self.ask(Request::Routes, within).await?;
+            // Whoever tells the configuration has read it for this question.
+            let acceptable = Acceptable {
+                within,
+                oldest: Duration::MAX,
+            };
+            let relayed = self.ask(Request::Routes, acceptable).await?;
             let Reply::Routes {
                 item,
                 age_milliseconds,
@@ -210,9 +227,9 @@
         })
     }
 
-    fn items(&self, within: Duration) -> Telling<'_, ToldItems> {
+    fn items(&self, acceptable: Acceptable) -> Telling<'_, ToldItems> {
         Box::pin(async move {
-            let relayed = self.ask(Request::Directory, within).await?;
+            let relayed = self.ask(Request::Directory, acceptable).await?;
             let Reply::Directory {
                 items: List(items),
                 mark,
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -71,4 +71,6 @@
     ReplicaSuspended, 802, "warn", "A replica is not offered work for a while.";
     ReplicaResumed, 803, "info", "A replica is offered work again.";
     ReplicasLapsed, 804, "warn", "Many of a service's replicas left the list at once; they are used a little longer.";
+    KeyContested, 805, "error", "A tenant names a key that another tenant holds; the key stays with the other.";
+    QuotaUnknown, 806, "warn", "No store tells what a tenant has used of its limit; this front goes by its own share.";
 }
