--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -278,10 +278,15 @@
 impl Bench {
     /// Puts another table into the key-value service.
     fn configure(&self, text: &str) {
+        self.write_silently(text);
+        self.directory.written.notify_waiters();
+    }
+
+    /// The same, and no watch tells of it.
+    fn write_silently(&self, text: &str) {
         let mut routes = self.directory.routes.borrow_mut();
         routes.revision += 1;
         routes.text = text.to_owned();
-        self.directory.written.notify_waiters();
     }
 }
 
@@ -609,11 +614,7 @@
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
         *bench.reachable.borrow_mut() = true;
         assert!(ask(bench.front, &asked).await.starts_with("HTTP/1.1 401"));
-        // No watch tells of this one.
-        let mut routes = bench.directory.routes.borrow_mut();
-        routes.revision += 1;
-        routes.text = "k-1=ann k-2=bob".to_owned();
-        drop(routes);
+        bench.write_silently("k-1=ann k-2=bob");
         let answer = loop {
             let answer = ask(bench.front, &asked).await;
             if !answer.starts_with("HTTP/1.1 401") {
