A caller that leaves early leaves a line; refusals by idle replicas have a cause

Ruled out: telling it where the connection is served: nothing there knows the story. Tests: both new ones in front_test; the first fails on the code before (no line).

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -63,8 +63,10 @@
     pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<FrontBody> {
         let arrived = Instant::now();
         let _active = self.activity.begin();
-        let mut story = Story::default();
-        let mut response = match self.serve(request, arrived, &mut story).await {
+        let mut unanswered = Unanswered::new(arrived);
+        let served = self.serve(request, arrived, &mut unanswered.story).await;
+        let mut story = unanswered.answered();
+        let mut response = match served {
             Ok(response) => response,
             Err(failure) => {
                 story.outcome = failure.cause;
@@ -334,6 +336,39 @@
     }
 }
 
+/// A request that has no answer yet. Its caller may leave: then nothing of it is
+/// polled any more, and its end is told here.
+struct Unanswered {
+    story: Story,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Unanswered {
+    fn new(arrived: Instant) -> Self {
+        Self {
+            story: Story::default(),
+            arrived,
+            answered: false,
+        }
+    }
+
+    /// It has an answer, whose end is told elsewhere.
+    fn answered(mut self) -> Story {
+        self.answered = true;
+        std::mem::take(&mut self.story)
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.story.outcome = "caller_left";
+            observe::request_ended(&self.story, self.arrived.elapsed());
+        }
+    }
+}
+
 /// What a configuration says of a request that it allows.
 struct Admitted {
     routes: Rc<RouteTable>,
--- a/crates/stageyoke-front/src/offer.rs
+++ b/crates/stageyoke-front/src/offer.rs
@@ -23,6 +23,9 @@
 
 /// Replicas that one request is offered to at most.
 const MAX_OFFERS: usize = 5;
+/// Idle replicas whose refusals show that the request itself is at fault: one may
+/// refuse for a reason of its own.
+const SEVERAL: usize = 2;
 /// Outcome of a plain answer that did not come whole.
 const BROKE_OFF: &str = "answer_broke_off";
 /// Largest plain answer.
@@ -44,6 +47,7 @@
             false => 1,
         };
         let mut runs = 0;
+        let mut refusals = Refusals::default();
         for _ in 0..MAX_OFFERS {
             let Some(placed) = self.choose(call, &excluded) else {
                 break;
@@ -92,6 +96,7 @@
                     continue;
                 }
                 Ok(Outcome::NotRun(status)) => {
+                    refusals.count(&replica);
                     note(story, &replica.id, status.as_str());
                     set_may_have_run(reservation, runs > 0);
                     continue;
@@ -104,11 +109,8 @@
             }
         }
         if runs == 0 {
-            return Err(Failure::come_back(
-                ErrorKind::Overloaded,
-                "no_replica",
-                SOON,
-            ));
+            let cause = refusals.cause();
+            return Err(Failure::come_back(ErrorKind::Overloaded, cause, SOON));
         }
         match call.route.repeatable() {
             true => Err(Failure::last(ErrorKind::BackEndFailed, "replicas_failed")),
@@ -216,6 +218,30 @@
     }
 }
 
+/// Replicas that refused one request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Refusals {
+    all: usize,
+    idle: usize,
+}
+
+impl Refusals {
+    /// A replica refused; it is idle if under half of its places are taken.
+    fn count(&mut self, replica: &Replica) {
+        self.all += 1;
+        self.idle += usize::from(replica.under_way() * 2 < replica.record.slots);
+    }
+
+    /// Why no replica took the request. What several idle ones refuse is at fault
+    /// itself; it is told apart from a want of room.
+    fn cause(self) -> &'static str {
+        match self.all >= SEVERAL && self.idle == self.all {
+            true => "refused_while_idle",
+            false => "no_replica",
+        }
+    }
+}
+
 /// A turn's placement at a replica, until its deadline.
 fn placement_at(call: &Call, replica: &Replica) -> Placement {
     let left = call
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -684,6 +684,58 @@
     .await;
 }
 
+fn ended(outcome: &str) -> u64 {
+    let requests = &stageyoke_observe::metrics().requests;
+    requests.with_label_values(&["once", outcome]).get()
+}
+
+/// Its end is told though nothing of the request goes on.
+#[tokio::test]
+async fn a_caller_that_leaves_before_the_answer_leaves_a_line() {
+    let test = async {
+        let silent = "";
+        let replica = Replica::start(&[silent]).await;
+        let bench = start(&[&replica]).await;
+        let before = ended("caller_left");
+        let mut caller = TcpStream::connect(bench.front).await.expect("connection");
+        let asked = request("POST", "/once/a", "order");
+        caller.write_all(asked.as_bytes()).await.expect("request");
+        while replica.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        drop(caller);
+        while ended("caller_left") == before {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let in_time = local(tokio::time::timeout(Duration::from_secs(1), test)).await;
+    in_time.expect("told before the request's own deadline");
+}
+
+/// A refusal by idle replicas is told apart from a want of room, and counts against
+/// none of them.
+#[tokio::test]
+async fn what_several_idle_replicas_refuse_has_a_cause_of_its_own() {
+    local(async {
+        let first = Replica::start(&[NOT_RUN, NOT_RUN, SIGNED]).await;
+        let second = Replica::start(&[NOT_RUN, NOT_RUN, SIGNED]).await;
+        let bench = start(&[&first, &second]).await;
+        let before = ended("refused_while_idle");
+        let asked = request("POST", "/once/a", "order");
+        for _ in 0..2 {
+            assert!(ask(bench.front, &asked).await.starts_with("HTTP/1.1 503"));
+        }
+        assert_eq!(ended("refused_while_idle"), before + 2);
+        assert!(ask(bench.front, &asked).await.starts_with("HTTP/1.1 200"));
+        let single = Replica::start(&[NOT_RUN]).await;
+        let bench = start(&[&single]).await;
+        let before = ended("no_replica");
+        assert!(ask(bench.front, &asked).await.starts_with("HTTP/1.1 503"));
+        assert_eq!(ended("no_replica"), before + 1);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn bad_requests_get_their_own_answers() {
     local(async {
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -175,6 +175,15 @@
             "may have run: the replica's answer was lost, and it may not run twice"
         }
         "replicas_failed" => "every replica that might be tried failed",
+        "refused_while_idle" => {
+            "not run: several replicas refused it while under half of their places were taken"
+        }
+        "no_key" | "unknown_key" => {
+            "refused: no tenant of the confirmed configuration holds its key"
+        }
+        "key_not_confirmed" => "not run: the directory was too old to know that its key holds",
+        "quota_spent" => "not run: its tenant's limit was not enough for it",
+        "quota_share_spent" => "not run: no owner answered, and this front's share was used up",
         "no_replica" => "not run: every replica that was offered it refused, or none is known",
         "time_out" => "its time, or its route's, was over",
         "replica_broke_off" => "the replica broke its stream off",
