A lowered limit counts from the change on

Ruled out: taking the lower limit a window later: what the operator orders holds at once. Change: an owner holds the former limit beside the new one for a window: the new one counts from the change on, and no window holds more than the former one allowed. Test: quota_test (a_lowered_limit_counts_from_the_change_on, two cases).

--- a/crates/stageyoke-policy/src/quota.rs
+++ b/crates/stageyoke-policy/src/quota.rs
@@ -31,6 +31,9 @@
 const MOST_TENANTS: usize = 10_000;
 /// Programs that an owner knows, some 40 bytes each; those beyond count as known.
 const MOST_PROGRAMS: usize = 50_000;
+/// Limits that are held at once for one tenant: more are lowered within a window only
+/// in a storm of configurations, and the lowest ones bind.
+const MOST_HELD: usize = 4;
 /// Moments of a program's expected life at which its requests must fit.
 const LOOKS: u32 = 4;
 /// Time between two looks for what has ended.
@@ -144,11 +147,26 @@
     active: bool,
 }
 
+/// A limit with the requests that it has granted.
+#[derive(Clone, Debug)]
+struct Held {
+    limit: Limit,
+    requests: Window,
+    /// When it ends to hold, once it was lowered.
+    until: Option<Duration>,
+}
+
+impl Held {
+    fn allowed(&self) -> f64 {
+        self.requests.allowed(self.limit)
+    }
+}
+
 /// One tenant's requests.
 #[derive(Debug)]
 struct Account {
-    requests: Window,
-    limit: Limit,
+    /// The limit in force, then those that were lowered less than a window ago.
+    held: Vec<Held>,
     version: u64,
     programs: HashMap<u64, Program>,
     active: usize,
@@ -187,19 +205,25 @@
         let Some(account) = self.accounts.get_mut(&question.tenant) else {
             return Verdict::Unknown;
         };
-        let allowed = account.requests.allowed(account.limit);
-        let overdraft = self.tolerance.overdraft(allowed);
-        let wait = match begins {
-            true => account.wait_for_program(self.habits.of_one(), overdraft, now),
-            false => account.wait_for_one(allowed + overdraft, now),
-        };
+        account.drop_ended(now);
+        let programs = account.active + 1;
+        let (habits, tolerance) = (&self.habits, self.tolerance);
+        let demand = habits.of_one().filter(|_| programs > 1);
+        let waits = account.held.iter_mut().filter_map(|held| {
+            let overdraft = tolerance.overdraft(held.allowed());
+            match begins {
+                true => held.wait_for_program(programs, demand, overdraft, now),
+                false => held.wait_for_one(overdraft, now),
+            }
+        });
+        let wait = waits.max();
         if let Some(wait) = wait {
             if let Some(program) = account.programs.get_mut(&question.program) {
                 program.refused = true;
             }
             return Verdict::Refused(wait.clamp(RETURN.0, RETURN.1));
         }
-        account.requests.add(now);
+        account.add(now);
         self.note_program(question, begins, now);
         Verdict::Granted
     }
@@ -211,7 +235,7 @@
             return;
         };
         if let Some(account) = self.accounts.get_mut(&question.tenant) {
-            account.requests.add(now);
+            account.add(now);
         }
         self.note_program(question, begins, now);
     }
@@ -230,9 +254,13 @@
             let mut requests = Window::new(self.tolerance.window(), now);
             let allowed = requests.allowed(question.limit);
             requests.assume(allowed * ASSUMED_PART, counted, now);
-            let account = Account {
-                requests,
+            let held = Held {
                 limit: question.limit,
+                requests,
+                until: None,
+            };
+            let account = Account {
+                held: vec![held],
                 version: question.version,
                 programs: HashMap::new(),
                 active: 0,
@@ -242,7 +270,7 @@
         let account = self.accounts.get_mut(&question.tenant)?;
         if question.version > account.version {
             account.version = question.version;
-            account.limit = question.limit;
+            account.set_limit(question.limit, now);
         }
         let known = question.program == 0 || account.programs.contains_key(&question.program);
         Some(!known && self.programs < MOST_PROGRAMS)
@@ -302,7 +330,7 @@
         self.accounts.retain(|_, account| {
             account.sweep(&mut self.habits, now);
             self.programs += account.programs.len();
-            !account.programs.is_empty() || account.requests.count(now) > 0
+            !account.programs.is_empty() || account.count(now) > 0
         });
     }
 }
@@ -315,31 +343,90 @@
 }
 
 impl Account {
+    /// Another limit is in force. A lower one counts from now on; what was granted
+    /// before, and both together, must keep to the former one for a window: else a
+    /// tenant would get nothing until its former requests have left the window.
+    fn set_limit(&mut self, limit: Limit, now: Duration) {
+        let Some(current) = self.held.first_mut() else {
+            return;
+        };
+        let length = current.requests.length();
+        let lower = current.requests.allowed(limit) < current.allowed();
+        if !lower {
+            current.limit = limit;
+            return;
+        }
+        current.until = Some(now + length);
+        let lowered = Held {
+            limit,
+            requests: Window::new(length, now),
+            until: None,
+        };
+        self.held.insert(0, lowered);
+        self.held.truncate(MOST_HELD);
+    }
+
+    fn drop_ended(&mut self, now: Duration) {
+        self.held
+            .retain(|held| held.until.is_none_or(|until| until > now));
+    }
+
+    fn add(&mut self, now: Duration) {
+        for held in &mut self.held {
+            held.requests.add(now);
+        }
+    }
+
+    fn count(&mut self, now: Duration) -> u32 {
+        let counts = self.held.iter_mut().map(|held| held.requests.count(now));
+        counts.max().unwrap_or_default()
+    }
+
+    /// Programs that ask no more have ended; later they are forgotten.
+    fn sweep(&mut self, habits: &mut Habits, now: Duration) {
+        self.programs
+            .retain(|_, program| program.at + PROGRAM_KNOWN > now);
+        self.active = 0;
+        for program in self.programs.values_mut() {
+            let active = program.at + PROGRAM_IDLE > now;
+            if program.active && !active && !program.refused {
+                habits.ended += 1.0;
+                habits.requests += f64::from(program.made);
+            }
+            program.active = active;
+            self.active += usize::from(active);
+        }
+    }
+}
+
+impl Held {
     /// Time until one more request fits; `None` if it does now.
-    fn wait_for_one(&mut self, allowed: f64, now: Duration) -> Option<Duration> {
+    fn wait_for_one(&mut self, overdraft: f64, now: Duration) -> Option<Duration> {
+        let allowed = self.allowed() + overdraft;
         let fits = f64::from(self.requests.count(now)) + 1.0 <= allowed;
         (!fits).then(|| self.requests.time_until((allowed - 1.0) as u32, now))
     }
 
-    /// Time until the limit is enough for what this tenant's programs, and one more,
-    /// are expected to ask for; `None` if it is now.
+    /// Time until the limit is enough for what so many programs are expected to ask
+    /// for; `None` if it is now. Without a demand one request must fit: a tenant runs
+    /// one program at a time however small its limit.
     fn wait_for_program(
         &mut self,
+        programs: usize,
         demand: Option<Demand>,
         overdraft: f64,
         now: Duration,
     ) -> Option<Duration> {
-        let allowed = self.requests.allowed(self.limit);
-        let one = self.wait_for_one(allowed, now);
-        let Some(demand) = demand.filter(|_| self.active > 0) else {
-            // However small the limit: one program at a time.
+        let one = self.wait_for_one(0.0, now);
+        let Some(demand) = demand else {
             return one;
         };
+        let allowed = self.allowed() + overdraft;
         let horizon = demand.seconds.min(self.requests.length().as_secs_f64());
-        let per_second = (self.active + 1) as f64 * demand.per_second;
+        let per_second = programs as f64 * demand.per_second;
         let waits = (1..=LOOKS).filter_map(|look| {
             let ahead = horizon * f64::from(look) / f64::from(LOOKS);
-            let room = allowed + overdraft - per_second * ahead;
+            let room = allowed - per_second * ahead;
             let ahead = Duration::from_secs_f64(ahead);
             let staying = f64::from(self.requests.count_after(ahead, now));
             (staying > room).then(|| {
@@ -349,20 +436,4 @@
         });
         waits.max().or(one)
     }
-
-    /// Programs that ask no more have ended; later they are forgotten.
-    fn sweep(&mut self, habits: &mut Habits, now: Duration) {
-        self.programs
-            .retain(|_, program| program.at + PROGRAM_KNOWN > now);
-        self.active = 0;
-        for program in self.programs.values_mut() {
-            let active = program.at + PROGRAM_IDLE > now;
-            if program.active && !active && !program.refused {
-                habits.ended += 1.0;
-                habits.requests += f64::from(program.made);
-            }
-            program.active = active;
-            self.active += usize::from(active);
-        }
-    }
 }
--- a/crates/stageyoke-policy/tests/quota_test.rs
+++ b/crates/stageyoke-policy/tests/quota_test.rs
@@ -252,7 +252,7 @@
     assert_eq!(ledger.ask(&small, later(4_000)), Verdict::Granted);
 }
 
-/// A newer configuration lowers the limit at once; an older one changes nothing.
+/// The newest configuration's limit holds; an older one changes nothing.
 #[test]
 fn the_newest_configurations_limit_holds() {
     let mut ledger = ledger();
@@ -266,11 +266,50 @@
         ..question(0)
     };
     assert_eq!(ledger.ask(&question(0), now), Verdict::Granted);
-    assert_eq!(ledger.ask(&lower, now), Verdict::Granted);
-    assert_eq!(ledger.ask(&question(0), now), Verdict::Granted);
+    for asked in [&lower, &question(0), &lower] {
+        assert_eq!(ledger.ask(asked, now), Verdict::Granted);
+    }
     assert!(matches!(ledger.ask(&question(0), now), Verdict::Refused(_)));
 }
 
+/// A limit is lowered while much of the former one was used: the lower one is there
+/// at once, from the moment of the change on, and no window holds more than the
+/// former one allowed.
+#[rstest]
+#[case::little(60, 90, 90)]
+#[case::nearly_all(220, 90, 20)]
+fn a_lowered_limit_counts_from_the_change_on(
+    #[case] before: usize,
+    #[case] lowered: usize,
+    #[case] granted_at_once: usize,
+) {
+    let mut ledger = ledger();
+    let mut grants = Vec::new();
+    for _ in 0..before {
+        assert_eq!(ledger.ask(&question(0), later(0)), Verdict::Granted);
+        grants.push(later(0));
+    }
+    let lower = Question {
+        version: 2,
+        limit: Limit {
+            per_second: 15.0,
+            burst: 15.0,
+        },
+        ..question(0)
+    };
+    let mut at_once = 0;
+    for time in 0..20_000 {
+        if ledger.ask(&lower, later(100 + time)) == Verdict::Granted {
+            at_once += usize::from(time < 400);
+            grants.push(later(100 + time));
+        }
+    }
+    assert_eq!(at_once, granted_at_once);
+    assert!(most_in_window(&grants) <= allowed(LIMIT));
+    let after: Vec<Duration> = grants.split_off(before);
+    assert!(most_in_window(&after) <= lowered);
+}
+
 /// What an owner holds does not grow with the tenants and programs it has met.
 #[test]
 fn what_has_ended_is_forgotten_and_what_is_held_is_bounded() {
