Stores register under a key each; the groups are formed within a bounded time

Cause: all stores of a start registered in one key by compare-and-swap. Change: formation::Formation (pure); view.registered; a registration is written under no condition and again while it is not seen; the groups are formed after 2 s without a new one, 5 s after the first at the latest.

--- a/crates/stageyoke-directory/src/groups.rs
+++ b/crates/stageyoke-directory/src/groups.rs
@@ -34,8 +34,6 @@
     pub version: u64,
     /// The groups; none until they are formed.
     pub groups: List<Members>,
-    /// Stores that registered before the groups were formed.
-    pub candidates: List<Member>,
 }
 
 impl StoreGroups {
@@ -44,7 +42,6 @@
         Self {
             version: members.version,
             groups: List(vec![members]),
-            candidates: List::default(),
         }
     }
 
@@ -92,23 +89,6 @@
         next
     }
 
-    /// The next version with this store among those that have registered.
-    pub fn with_candidate(&self, store: Member) -> Self {
-        let mut next = self.next();
-        next.candidates
-            .retain(|candidate| candidate.node != store.node);
-        next.candidates.push(store);
-        next
-    }
-
-    /// The next version without this store among those that have registered.
-    pub fn without_candidate(&self, node: &str) -> Self {
-        let mut next = self.next();
-        next.candidates
-            .retain(|candidate| candidate.node.as_str() != node);
-        next
-    }
-
     /// The next version, with nothing else changed.
     pub fn next(&self) -> Self {
         Self {
@@ -117,13 +97,15 @@
         }
     }
 
-    /// The groups that the registered stores form: as many as there are whole
+    /// The groups that these registered stores form: as many as there are whole
     /// ones, each over as many zones as can be; the stores beyond them are
     /// spares. Where there is one group only it takes all stores. `None` while
     /// they are too few for the tolerance.
-    pub fn form(&self, tolerance: &Tolerance) -> Option<Self> {
-        let size = group_size(tolerance, &self.candidates)?;
-        let mut stores: Vec<&Member> = self.candidates.iter().collect();
+    pub fn form(&self, registered: &[Member], tolerance: &Tolerance) -> Option<Self> {
+        let active = |member: &&Member| member.state == MemberState::Active;
+        let registered: Vec<Member> = registered.iter().filter(active).cloned().collect();
+        let size = group_size(tolerance, &registered)?;
+        let mut stores: Vec<&Member> = registered.iter().collect();
         stores.sort_by(|one, other| (&one.zone, &one.node).cmp(&(&other.zone, &other.node)));
         let count = (stores.len() / size).max(1);
         if count > 1 {
@@ -140,7 +122,6 @@
         Some(Self {
             version: self.version + 1,
             groups: List(groups),
-            candidates: List::default(),
         })
     }
 }
--- a/crates/stageyoke-directory/src/view.rs
+++ b/crates/stageyoke-directory/src/view.rs
@@ -7,6 +7,7 @@
 use stageyoke_types::Text;
 
 use crate::groups::StoreGroups;
+use crate::members::Member;
 use crate::model::{ReplicaRecord, Retirement, RouteTable};
 
 /// What one item means to the product.
@@ -23,6 +24,8 @@
     },
     /// The store groups.
     Stores(StoreGroups),
+    /// A store has registered for the groups that are to be formed.
+    Registered(Member),
     /// An order to empty a store, or its withdrawal.
     Retire {
         /// Machine name.
@@ -46,6 +49,8 @@
     fn routes_key(&self) -> &str;
     /// Key of the store groups.
     fn stores_key(&self) -> &str;
+    /// The write by which a store registers.
+    fn registration(&self, store: &Member) -> crate::key_value::Write;
     /// The write that reports the state of a store's retirement.
     fn retirement_report(&self, node: &str, completed: bool) -> crate::key_value::Write;
 }
@@ -61,6 +66,9 @@
     pub stores: Rc<StoreGroups>,
     /// Revision of the store groups' key; zero while absent.
     pub stores_revision: u64,
+    /// Stores that have registered, by machine name. Each writes a key of its own:
+    /// stores that start together would undo one another's changes of a common one.
+    pub registered: BTreeMap<Text, Member>,
     /// Stores that are to be emptied.
     pub retirements: BTreeMap<Text, Retirement>,
 }
@@ -83,6 +91,7 @@
             Update::Routes(table) => self.apply_routes(table, changed),
             Update::Replica { id, record } => self.apply_replica(id, record, changed),
             Update::Stores(stores) => self.apply_stores(stores, revision, changed),
+            Update::Registered(store) => self.apply_registration(store, changed),
             Update::Retire { node, order } => self.apply_retirement(node, order, changed),
             Update::Ignored | Update::Unreadable(_) => {}
         }
@@ -115,6 +124,11 @@
         }
     }
 
+    fn apply_registration(&mut self, store: Member, changed: &mut Changed) {
+        let before = self.registered.insert(store.node.clone(), store.clone());
+        changed.stores |= before != Some(store);
+    }
+
     fn apply_retirement(&mut self, node: Text, order: Option<Retirement>, changed: &mut Changed) {
         let before = match &order {
             Some(order) => self.retirements.insert(node, order.clone()),
--- a/crates/stageyoke-store/src/formation.rs
+++ b/crates/stageyoke-store/src/formation.rs
@@ -1,78 +1,109 @@
-//! How the store groups come about at the first start of a deployment: stores
-//! register, and once no more of them come one of them forms the groups. Pure:
-//! the caller makes the change under the condition that nothing has changed.
+//! How the store groups come about at the first start of a deployment: each store
+//! registers under a key of its own, and once no more of them come one of them forms
+//! the groups. Pure: the caller makes the change under the condition that no groups
+//! are formed yet.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use stageyoke_directory::{Member, StoreGroups, Tolerance};
+use stageyoke_types::Text;
 use tokio::time::Instant;
 
-/// Stores of one start register spread over so long: all write the same key.
+/// Stores of one start register spread over so long: the service takes some hundred
+/// writes a second.
 const REGISTER_SPREAD: Duration = Duration::from_millis(800);
+/// A store that does not see its registration writes it again: the service may have
+/// refused it, or is away.
+const REGISTER_AGAIN: Duration = Duration::from_millis(1500);
 /// The groups are formed when no store has registered for so long: machines
 /// start within 0.3 s of one another, and changes are heard within 1.2 s.
 const FORM_AFTER: Duration = Duration::from_millis(2000);
+/// They are formed at the latest so long after the first registration was seen,
+/// though stores still come: programs wait for them.
+const FORM_WITHIN: Duration = Duration::from_millis(5000);
 /// The first of the registered stores forms the groups; each further one waits
 /// so much longer, in case those before it are gone.
 const FORM_STAGGER: Duration = Duration::from_millis(500);
 
-/// When a store may register.
-#[derive(Clone, Copy, Debug)]
-pub struct Start {
+/// Stores that have registered, by machine name.
+pub type Registered = BTreeMap<Text, Member>;
+
+/// What a store is to do before the groups are formed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FormationStep {
+    /// Wait.
+    Rest,
+    /// Write its registration.
+    Register,
+    /// Form these groups.
+    Form(StoreGroups),
+}
+
+/// What one store has seen of the registrations since its start.
+#[derive(Clone, Debug)]
+pub struct Formation {
     register_at: Instant,
+    seen: Registered,
+    first_at: Option<Instant>,
+    changed_at: Instant,
 }
 
-impl Start {
+impl Formation {
     /// The process has just started.
-    pub fn now() -> Self {
+    pub fn new() -> Self {
         let part: f64 = rand::random();
+        let now = Instant::now();
         Self {
-            register_at: Instant::now() + REGISTER_SPREAD.mul_f64(part),
+            register_at: now + REGISTER_SPREAD.mul_f64(part),
+            seen: Registered::new(),
+            first_at: None,
+            changed_at: now,
         }
     }
-}
 
-/// The version of the store groups that was seen last, and since when.
-#[derive(Clone, Copy, Debug)]
-pub struct Registered {
-    version: u64,
-    since: Instant,
-}
-
-impl Registered {
-    /// This version is seen now.
-    pub fn now(version: u64) -> Self {
-        Self {
-            version,
-            since: Instant::now(),
+    /// The registrations are these now.
+    pub fn follow(&mut self, registered: &Registered) {
+        if self.seen == *registered {
+            return;
         }
+        let now = Instant::now();
+        self.seen.clone_from(registered);
+        self.first_at.get_or_insert(now);
+        self.changed_at = now;
     }
 
-    /// A look at the groups shows this version.
-    pub fn seen(self, version: u64) -> Self {
-        match self.version == version {
-            true => self,
-            false => Self::now(version),
+    /// What this store is to do next.
+    pub fn next(
+        &mut self,
+        stores: &StoreGroups,
+        oneself: &Member,
+        tolerance: &Tolerance,
+    ) -> FormationStep {
+        let now = Instant::now();
+        let position = self.seen.values().position(|store| store == oneself);
+        let (Some(position), Some(first_at)) = (position, self.first_at) else {
+            if now < self.register_at {
+                return FormationStep::Rest;
+            }
+            self.register_at = now + REGISTER_AGAIN;
+            return FormationStep::Register;
+        };
+        let quiet = self.changed_at + FORM_AFTER;
+        let due = quiet.min(first_at + FORM_WITHIN);
+        let stagger = FORM_STAGGER.saturating_mul(u32::try_from(position).unwrap_or(u32::MAX));
+        if now < due + stagger {
+            return FormationStep::Rest;
         }
+        let registered: Vec<Member> = self.seen.values().cloned().collect();
+        stores
+            .form(&registered, tolerance)
+            .map_or(FormationStep::Rest, FormationStep::Form)
     }
 }
 
-/// The next change before the groups are formed, if this store is to make one.
-pub fn next(
-    stores: &StoreGroups,
-    oneself: &Member,
-    start: Start,
-    registered: Registered,
-    tolerance: &Tolerance,
-) -> Option<StoreGroups> {
-    let mut candidates = stores.candidates.iter();
-    let Some(position) = candidates.position(|candidate| candidate == oneself) else {
-        let may_register = Instant::now() >= start.register_at;
-        return may_register.then(|| stores.with_candidate(oneself.clone()));
-    };
-    let stagger = FORM_STAGGER * u32::try_from(position).unwrap_or(u32::MAX);
-    match registered.since.elapsed() >= FORM_AFTER.saturating_add(stagger) {
-        true => stores.form(tolerance),
-        false => None,
+impl Default for Formation {
+    fn default() -> Self {
+        Self::new()
     }
 }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -1,7 +1,7 @@
 //! The store role: recovers the disk, serves, and keeps its place in the
 //! member list.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -18,7 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use crate::formation::{self, Registered};
+use crate::formation::{Formation, FormationStep};
 use crate::keeper::Keeper;
 use crate::limits::StoreLimits;
 use crate::membership::{
@@ -67,23 +67,28 @@
     pub quota_tolerance: QuotaTolerance,
 }
 
-/// The next change of the store groups, and what it tells of this store's
-/// retirement.
-struct Proposal {
-    stores: StoreGroups,
-    retired: Option<bool>,
+/// What a store writes next.
+enum Proposal {
+    /// The next store groups, under the condition that nothing has changed, and what
+    /// they mean for this store's retirement.
+    Groups {
+        stores: StoreGroups,
+        retired: Option<bool>,
+    },
+    /// Its registration; one that is leaving takes no part in the groups.
+    Registration(Member),
 }
 
 impl Proposal {
     fn change(stores: StoreGroups) -> Self {
-        Self {
+        Self::Groups {
             stores,
             retired: None,
         }
     }
 
     fn retirement(stores: StoreGroups, completed: bool) -> Self {
-        Self {
+        Self::Groups {
             stores,
             retired: Some(completed),
         }
@@ -106,8 +111,7 @@
     keeper: Rc<Keeper>,
     peers: Rc<Peers>,
     survey: Survey,
-    started: formation::Start,
-    registered: Cell<Registered>,
+    formation: RefCell<Formation>,
     shared_end: Cell<Option<SharedEnd>>,
     retiring_since: Cell<Option<Instant>>,
     items_kept: Cell<KeptItems>,
@@ -150,8 +154,7 @@
             keeper,
             peers,
             survey: Survey::default(),
-            started: formation::Start::now(),
-            registered: Cell::new(Registered::now(0)),
+            formation: RefCell::default(),
             shared_end: Cell::new(None),
             retiring_since: Cell::new(None),
             items_kept: Cell::default(),
@@ -179,8 +182,7 @@
     fn follow(&self) {
         let view = self.mirror.view();
         self.keeper.set_stores(view.stores.clone());
-        let registered = self.registered.get();
-        self.registered.set(registered.seen(view.stores.version));
+        self.formation.borrow_mut().follow(&view.registered);
         self.choose_group();
         let members = self.keeper.members();
         self.peers.follow(&members);
@@ -333,17 +335,29 @@
         // Nothing can have been kept by anybody yet, whatever became of a disk.
         self.keeper.set_complete();
         if self.retiring() {
-            let rest = stores.without_candidate(&self.settings.node);
-            return Some(Proposal::retirement(rest, true));
+            return self.before_leaving(stores);
         }
-        let next = formation::next(
-            stores,
-            &self.entry(),
-            self.started,
-            self.registered.get(),
-            &self.settings.tolerance,
-        );
-        next.map(Proposal::change)
+        let mut formation = self.formation.borrow_mut();
+        match formation.next(stores, &self.entry(), &self.settings.tolerance) {
+            FormationStep::Rest => None,
+            FormationStep::Register => Some(Proposal::Registration(self.entry())),
+            FormationStep::Form(groups) => Some(Proposal::change(groups)),
+        }
+    }
+
+    /// A store that leaves before the groups are formed takes its registration back,
+    /// and has nothing to hand over.
+    fn before_leaving(&self, stores: &StoreGroups) -> Option<Proposal> {
+        let view = self.mirror.view();
+        let own = view.registered.get(&self.settings.node);
+        if own.is_some_and(|own| own.state == MemberState::Active) {
+            let leaving = Member {
+                state: MemberState::Leaving,
+                ..self.entry()
+            };
+            return Some(Proposal::Registration(leaving));
+        }
+        Some(Proposal::retirement(stores.next(), true))
     }
 
     /// This store, as an active member.
@@ -427,7 +441,10 @@
     }
 
     async fn propose(&self, proposal: Proposal) {
-        let Proposal { stores, retired } = proposal;
+        let (stores, retired) = match proposal {
+            Proposal::Groups { stores, retired } => (stores, retired),
+            Proposal::Registration(store) => return self.register(&store).await,
+        };
         let mut writes = vec![self.stores_write(&stores)];
         if let Some(completed) = retired {
             let report = self
@@ -459,6 +476,18 @@
         }
     }
 
+    /// Writes this store's registration under no condition: the key is its own. The
+    /// directory shows whether it was taken.
+    async fn register(&self, store: &Member) {
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            writes: vec![self.mirror.interpreter.registration(store)],
+        };
+        let outcome = self.mirror.service.transact(&transaction).await;
+        let detail = format!("state={:?} outcome={outcome:?}", store.state);
+        observe::event(Event::StoreRegistered, &detail);
+    }
+
     fn stores_write(&self, stores: &StoreGroups) -> Write {
         Write {
             key: self.mirror.interpreter.stores_key().to_owned(),
@@ -478,8 +507,7 @@
         .iter()
         .map(|members| format!("{}:{}", members.version, names(&members.list)))
         .collect();
-    let candidates = names(&stores.candidates);
-    format!("groups={} candidates={candidates}", groups.join("|"))
+    format!("groups={}", groups.join("|"))
 }
 
 /// Logs what the mirror reports.
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -66,6 +66,7 @@
     SeededByStores, 704, "info", "The key-value service does not answer at this start; the stores' copy of its items is used.";
     GroupFailing, 705, "warn", "No quorum of stores is reached; turns with a budget or a history are refused.";
     MetricsUnavailable, 706, "error", "The metrics page could not be served at its address.";
+    StoreRegistered, 707, "info", "This store registered for the groups that are to be formed.";
     RequestEnded, 800, "info", "A request was answered or given up; its decisive inputs and outcome follow.";
     SettingsReloaded, 801, "info", "The settings file was read again.";
     ReplicaSuspended, 802, "warn", "A replica is not offered work for a while.";
