Slow replicas of plain services are told among fronts

Calls that end at their deadline fail whole programs. Weighed: two choices by the counted load (stands: it sees queues, not speed) against times of answers, told with records as suspicions are. Change: front::pace (usual time of a route, a low quantile), store::pace (what fronts tell of a replica, against the replica that a quarter is faster than; few answers keep a slow one slow), told with each record and heard with each reservation; the choice counts the work, the request itself included, as fast as the replica does it. Test changed: plans/store.rs's append returns Option in place of Result, since the linter finds a reply too large for an error; nothing else of it.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -24,6 +24,7 @@
 use crate::history::History;
 use crate::memory::MemoryBudget;
 use crate::names::Names;
+use crate::pace::UsualTimes;
 use crate::quota::Quotas;
 use crate::server;
 use crate::shares::Shares;
@@ -94,6 +95,8 @@
     pub mirror: Rc<Mirror<S, I>>,
     /// Replicas with what this front has seen of them.
     pub fleet: Fleet,
+    /// What answers of plain services take.
+    pub usual_times: UsualTimes,
     /// Weighted splits.
     pub shares: Shares,
     /// Turns and budgets.
@@ -209,6 +212,7 @@
         zone: settings.zone.clone(),
         mirror,
         fleet: Fleet::new(stores.load().clone()).bounded(settings.change_bound),
+        usual_times: UsualTimes::default(),
         shares: Shares::new(rand::random()),
         key_trust: KeyTrust::new(settings.change_bound, settings.key_age_limit),
         quotas: Quotas::new(stores.clone()),
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod names;
 mod offer;
+pub mod pace;
 pub mod placement;
 pub mod prompt;
 pub mod quota;
--- a/crates/stageyoke-front/src/offer.rs
+++ b/crates/stageyoke-front/src/offer.rs
@@ -63,11 +63,13 @@
                 told = Some(placement);
             }
             set_may_have_run(reservation, true);
+            let sent = Instant::now();
             let sending = attempt::send(&call.outbound, &replica, &self.names);
             let outcome = tokio::time::timeout_at(call.outbound.deadline, sending).await;
             let cause = match outcome {
                 Err(_) => {
                     note(story, &replica.id, "time_out");
+                    self.note_pace(call, &replica, sent);
                     return Err(Failure::last(ErrorKind::DeadlineExceeded, "time_out"));
                 }
                 Ok(Outcome::Answered(answer)) => {
@@ -77,6 +79,7 @@
                     match self.complete(call, answer, missing_tokens, may_retry).await {
                         Ok(served) => {
                             note(story, &replica.id, "answered");
+                            self.note_pace(call, &replica, sent);
                             replica.note(evidence_of(&served));
                             return Ok(served);
                         }
@@ -118,6 +121,14 @@
         }
     }
 
+    /// Tells how long a replica of a plain service took, at least.
+    fn note_pace(&self, call: &Call, replica: &Replica, sent: Instant) {
+        if call.service.engine.is_none() {
+            let ratio = self.usual_times.ratio(&call.route.name, sent.elapsed());
+            replica.note_pace(ratio);
+        }
+    }
+
     fn wanted<'a>(&'a self, call: &'a Call, excluded: &'a [Text]) -> Wanted<'a> {
         Wanted {
             service: call.service.name.as_str(),
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -131,7 +131,8 @@
     })
 }
 
-/// Chooses a replica of a plain service: the least loaded, nearest first.
+/// Chooses a replica of a plain service: the one with the least work, the request
+/// itself included, as fast as it does it; nearest first.
 pub fn choose_plain(candidates: &[Candidate], tie: u64) -> Option<usize> {
     least_loaded(candidates, tie)
 }
@@ -160,7 +161,8 @@
             true => 0.0,
             false => CONNECTION_HANDICAP,
         };
-        (f64::from(candidate.in_flight) + handicap + connection) / f64::from(candidate.slots.max(1))
+        let work = (f64::from(candidate.in_flight) + 1.0) * candidate.slowness;
+        (work + handicap + connection) / f64::from(candidate.slots.max(1))
     };
     candidates
         .iter()
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -153,6 +153,11 @@
         self.rates.set(rates);
     }
 
+    /// An answer took so many times as long as such answers do; others are told.
+    pub fn note_pace(&self, ratio: f64) {
+        self.load.note_pace(self.short_hash(), ratio);
+    }
+
     /// Takes what a request showed of it, and tells other fronts of a failure.
     pub fn note(&self, evidence: Evidence) {
         let now = Instant::now();
@@ -232,7 +237,7 @@
             local: self.record.zone.as_str() == wanted.zone,
             in_flight: self.in_flight(wanted.group),
             in_cell: wanted.group.is_some() && self.cell.get() == wanted.group,
-            slowness: self.slowness(),
+            slowness: self.slowness() * self.load.slowness(self.short_hash()),
             failure: self.failure(Instant::now()),
             held_tokens: self.held_parts.borrow().held(wanted.prompt),
             slots: self.record.slots,
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -124,7 +124,11 @@
         offers(&fleet, &bad, true) > 0,
         "what may be repeated asks it"
     );
-    assert_eq!(board.report().suspects.len(), 1, "and others are told");
+    assert_eq!(
+        board.report(GroupNumber(0)).suspects.len(),
+        1,
+        "and others are told"
+    );
     bad.note(Evidence::Reset);
     assert_eq!(offers(&fleet, &bad, true), 0);
 }
@@ -171,7 +175,7 @@
         let record = bad.record.clone();
         others.follow(&BTreeMap::from([(bad.id.clone(), record)]), Duration::ZERO);
         lose(&choose(&others, false, 0), 2);
-        store.take(other.report());
+        store.take(other.report(GroupNumber(0)));
         hear();
         offered.push((offers(&own, &bad, false) > 0, offers(&own, &bad, true) > 0));
     }
@@ -190,7 +194,7 @@
     for replica in 0..10_000 {
         board.suspect(replica, Duration::from_secs(1));
     }
-    let report = board.report();
+    let report = board.report(GroupNumber(0));
     assert_eq!(report.suspects.len(), stageyoke_store::load::MAX_SUSPECTS);
     let store = LoadReports::default();
     for front in 2..100 {
@@ -198,13 +202,14 @@
             front,
             entries: List(Vec::new()),
             suspects: List((0..100).map(|number| number * front).collect()),
+            paces: Default::default(),
         });
     }
     let OthersReport { suspects, .. } = store.of_others(1);
     assert_eq!(suspects.len(), stageyoke_store::load::MAX_SUSPECTS);
     board.suspect(1, Duration::ZERO);
     tokio::time::advance(Duration::from_secs(2)).await;
-    assert!(board.report().suspects.is_empty());
+    assert!(board.report(GroupNumber(0)).suspects.is_empty());
 }
 
 /// Entries go while the key-value service is down, and come back after it.
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -223,7 +223,7 @@
         let request = Encoded::of(&Request::Append {
             group: self.number,
             members_version: members.version,
-            load: self.shared.load.report(),
+            load: self.shared.load.report(self.number),
             placement,
             record,
         });
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod message;
 pub mod owners;
+pub mod pace;
 pub mod quorum;
 pub mod reader;
 pub mod recent;
--- a/crates/stageyoke-store/src/load.rs
+++ b/crates/stageyoke-store/src/load.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::message::{LoadEntry, LoadReport, OthersReport, Placement, Suspicion};
+use crate::pace::{HeardPaces, Paces, UntoldPaces};
 
 /// Replicas in one report.
 pub const MAX_ENTRIES: usize = 64;
@@ -38,6 +39,8 @@
     suspects: RefCell<HashMap<u32, Instant>>,
     others: RefCell<Heard>,
     placed: RefCell<HashMap<GroupNumber, Placed>>,
+    untold_paces: UntoldPaces,
+    heard_paces: HeardPaces,
 }
 
 /// A group's turns under way by replica, as one of its stores told.
@@ -69,9 +72,21 @@
             suspects: RefCell::default(),
             others: RefCell::default(),
             placed: RefCell::default(),
+            untold_paces: UntoldPaces::default(),
+            heard_paces: HeardPaces::default(),
         }
     }
 
+    /// A plain answer of a replica took so many times as long as such answers do.
+    pub fn note_pace(&self, replica: u32, ratio: f64) {
+        self.untold_paces.note(replica, ratio);
+    }
+
+    /// How many times as long as others a replica takes, by what all fronts see.
+    pub fn slowness(&self, replica: u32) -> f64 {
+        self.heard_paces.slowness(replica)
+    }
+
     /// Counts a request as begun at a replica.
     pub fn begin(&self, replica: u32) {
         *self.own.borrow_mut().entry(replica).or_default() += 1;
@@ -98,8 +113,8 @@
         }
     }
 
-    /// What this front tells.
-    pub fn report(&self) -> LoadReport {
+    /// What this front tells a group.
+    pub fn report(&self, group: GroupNumber) -> LoadReport {
         let mut entries: Vec<LoadEntry> = self
             .own
             .borrow()
@@ -116,11 +131,13 @@
             front: self.front,
             entries: List(entries),
             suspects: suspects.keys().copied().take(MAX_SUSPECTS).collect(),
+            paces: self.untold_paces.take(group),
         }
     }
 
     /// Takes what a store of this group knows of all other fronts.
     pub fn hear(&self, group: GroupNumber, others: OthersReport) {
+        self.heard_paces.hear(&others.slow);
         let counts = others.placed.iter();
         let counts = counts.map(|entry| (entry.replica, entry.under_way));
         let placed = Placed {
@@ -176,11 +193,13 @@
 #[derive(Debug, Default)]
 pub struct LoadReports {
     fronts: RefCell<HashMap<u32, (LoadReport, Instant)>>,
+    paces: RefCell<Paces>,
 }
 
 impl LoadReports {
     /// Takes a front's report in place of its former one.
     pub fn take(&self, report: LoadReport) {
+        self.paces.borrow_mut().take(&report.paces);
         let heard = (report, Instant::now());
         self.fronts.borrow_mut().insert(heard.0.front, heard);
     }
@@ -219,6 +238,7 @@
             entries: List(entries),
             suspects: most_suspected(suspecting),
             placed: List::default(),
+            slow: self.paces.borrow_mut().slow(),
         }
     }
 }
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -162,6 +162,26 @@
     pub lasting_milliseconds: u32,
 }
 
+/// How long a replica's answers took one front, against what such answers take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct PaceEntry {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// Hundredths of the logarithm of that ratio, summed over the answers.
+    pub log_ratio: i32,
+    /// Answers.
+    pub answers: u16,
+}
+
+/// A replica that takes longer than most of those that fronts tell of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct SlowReplica {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// How many times as long, in tenths.
+    pub tenths: u16,
+}
+
 /// What a front has seen of replicas, told along with its records.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct LoadReport {
@@ -171,6 +191,8 @@
     pub entries: List<LoadEntry>,
     /// Hashes of the replicas that have failed this front of late.
     pub suspects: List<u32>,
+    /// Times of answers since the group was told last.
+    pub paces: List<PaceEntry>,
 }
 
 /// How many other fronts a replica has failed of late.
@@ -191,6 +213,8 @@
     pub suspects: List<Suspicion>,
     /// The group's other turns that run now, by replica.
     pub placed: List<LoadEntry>,
+    /// Slow replicas, by what all fronts have told.
+    pub slow: List<SlowReplica>,
 }
 
 /// May one more request of a tenant be made?
--- a/crates/stageyoke-store/tests/plans/store.rs
+++ b/crates/stageyoke-store/tests/plans/store.rs
@@ -163,7 +163,7 @@
         self.target = None;
     }
 
-    /// A front's append arrives. `Err` is the answer at once; else it is
+    /// A front's append arrives. A refusal is answered at once; else it is
     /// answered by `synced`.
     pub fn append(
         &mut self,
@@ -171,12 +171,12 @@
         members_version: u64,
         record: &Record,
         now: u64,
-    ) -> Result<(), Reply> {
-        if let Some(refusal) = self.standing.refusal(group, members_version) {
-            return Err(refusal);
+    ) -> Option<Reply> {
+        let refusal = self.standing.refusal(group, members_version);
+        if refusal.is_none() {
+            self.write(record.clone(), now);
         }
-        self.write(record.clone(), now);
-        Ok(())
+        refusal
     }
 
     fn write(&mut self, record: Record, now: u64) {
--- a/crates/stageyoke-store/tests/plans/world.rs
+++ b/crates/stageyoke-store/tests/plans/world.rs
@@ -589,8 +589,8 @@
             Some(Work::Append { record, .. }) => {
                 let record = record.clone();
                 match self.stores[store].append(group, version, &record, self.now) {
-                    Err(refusal) => self.send(Event::Answer(call, node, refusal)),
-                    Ok(()) => {
+                    Some(refusal) => self.send(Event::Answer(call, node, refusal)),
+                    None => {
                         let delay = self.draw(1, 25);
                         self.after(delay, Event::Synced(call, store));
                     }
