--- a/crates/stageyoke-front/src/offer.rs
+++ b/crates/stageyoke-front/src/offer.rs
@@ -168,9 +168,7 @@
         let wanted = self.wanted(call, excluded);
         let Some(engine) = &call.service.engine else {
             let tie = rand::random();
-            let object = call.figures.object.filter(|_| call.route.affinity);
-            let choose =
-                |candidates: &[Candidate]| placement::choose_plain(candidates, tie, object);
+            let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
             let replica = self.fleet.choose(&wanted, choose)?;
             return Some(Placed {
                 replica,
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -48,13 +48,6 @@
 /// Requests in flight that a replica of another zone counts as having more.
 const REMOTE_HANDICAP: f64 = 2.5;
 
-/// Requests in flight that the replica which an object's hash ranks first counts as
-/// having fewer. With it 43 of 100 calls meet a replica that has seen their object
-/// within 20 s, without it 3 (4,000 objects, 180 calls a second, 27 replicas,
-/// `objects_test`); with 2.5, 57, and a replica with two more requests than all
-/// others still gets the object.
-const OBJECT_BONUS: f64 = 1.5;
-
 /// Chooses a model engine: the least time that the turn takes there together
 /// with the time that it takes from the turns beside it, by the rates learnt
 /// from earlier turns. Fronts that know nothing of a program agree on its home,
@@ -139,13 +132,9 @@
 }
 
 /// Chooses a replica of a plain service: the one with the least work, the request
-/// itself included, as fast as it does it; nearest first. Requests for one object go
-/// to the replica that its hash ranks first, which is faster where it has seen the
-/// object, while that one has little more to do than others. All fronts rank alike,
-/// so nothing is remembered.
-pub fn choose_plain(candidates: &[Candidate], tie: u64, object: Option<u64>) -> Option<usize> {
-    let home = object.and_then(|object| best_by_affinity(candidates, object, |_| true));
-    least_loaded(candidates, tie, home)
+/// itself included, as fast as it does it; nearest first.
+pub fn choose_plain(candidates: &[Candidate], tie: u64) -> Option<usize> {
+    least_loaded(candidates, tie)
 }
 
 fn best_by_affinity(
@@ -161,11 +150,9 @@
         .map(|(index, _)| index)
 }
 
-fn least_loaded(candidates: &[Candidate], tie: u64, home: Option<usize>) -> Option<usize> {
-    let load = |index: usize, candidate: &Candidate| {
-        let handicap = if home == Some(index) {
-            -OBJECT_BONUS
-        } else if candidate.local {
+fn least_loaded(candidates: &[Candidate], tie: u64) -> Option<usize> {
+    let load = |candidate: &Candidate| {
+        let handicap = if candidate.local {
             0.0
         } else {
             REMOTE_HANDICAP
@@ -181,9 +168,9 @@
         .iter()
         .enumerate()
         .filter(|(_, candidate)| candidate.usable)
-        .min_by(|(first, one), (second, other)| {
-            load(*first, one)
-                .total_cmp(&load(*second, other))
+        .min_by(|(_, one), (_, other)| {
+            load(one)
+                .total_cmp(&load(other))
                 .then_with(|| mix(one.hash ^ tie).cmp(&mix(other.hash ^ tie)))
         })
         .map(|(index, _)| index)
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -3,13 +3,12 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::{COOKIE, HeaderName};
+use hyper::header::HeaderName;
 use stageyoke_directory::Tenant;
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
 use crate::names::Names;
-use crate::placement::hash_text;
 use crate::prompt::Prompt;
 
 /// Time for requests that name none.
@@ -48,8 +47,6 @@
     pub prompt: Prompt,
     /// Turn that it goes on from.
     pub previous: Option<Text>,
-    /// Hash of the object that it concerns, if it names one.
-    pub object: Option<u64>,
 }
 
 impl Figures {
@@ -69,7 +66,6 @@
                 .map(|parts| Prompt::parse(&parts))
                 .unwrap_or_default(),
             previous: text(headers, &names.previous_turn),
-            object: object(headers, names.object_cookie),
         })
     }
 }
@@ -114,17 +110,6 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-/// The value of a cookie, hashed.
-fn object(headers: &HeaderMap, cookie: &str) -> Option<u64> {
-    let pairs = headers.get_all(COOKIE).iter();
-    let pairs = pairs.filter_map(|value| value.to_str().ok());
-    pairs
-        .flat_map(|value| value.split(';'))
-        .filter_map(|pair| pair.trim().split_once('='))
-        .find(|(name, _)| *name == cookie)
-        .map(|(_, value)| hash_text(value))
-}
-
 fn most_tokens(headers: &HeaderMap, names: &Names) -> Option<u32> {
     let counts = headers.get(&names.token_counts)?.to_str().ok()?;
     counts.split(',').nth(1)?.trim().parse().ok()
