Answers that don't come are asked for elsewhere, where that may be

Cause: replicas of the tools' service run a call and its answer is lost (answer_lost, hanging and mute replicas). Weighed: a constant time for a try (fits one route), the first answer of two sent at once (doubles the load), another try after twelve times what a quarter of the route's answers take, 0.15 s at least, a third of what is left at most, within a budget of one request in ten, so that it can't multiply an overload. Change: UsualTimes::patience, policy::RetryBudget, Front::await_answer; only plain services, only what may run more than once, only within the route's attempts. The line of a request names the replica that it waited for (pending). check refuses keys that two tenants hold and tenants without keys. Tests: front_test (an_answer_that_does_not_come..., fails before: 504 after the whole time), retry_budget_test (proptest), check_test.

--- a/crates/stageyoke-config/src/check.rs
+++ b/crates/stageyoke-config/src/check.rs
@@ -65,6 +65,7 @@
 }
 
 struct RawTenant {
+    key_hashes: Vec<Located<String>>,
     programs: Vec<Located<String>>,
     tenant: Tenant,
 }
@@ -178,7 +179,11 @@
     };
     Named {
         name,
-        body: RawTenant { programs, tenant },
+        body: RawTenant {
+            key_hashes: hashes,
+            programs,
+            tenant,
+        },
     }
 }
 
@@ -352,6 +357,7 @@
     check_unique(document, "tool", &raw.tools);
     check_unique(document, "pool", &raw.pools);
     check_unique(document, "route", &raw.routes);
+    check_keys(document, raw);
 }
 
 fn check_unique<T>(document: &mut Document<'_>, what: &str, items: &[Named<T>]) {
@@ -365,6 +371,29 @@
     }
 }
 
+/// A key must tell one tenant, and a tenant without any can't call.
+fn check_keys(document: &mut Document<'_>, raw: &Raw) {
+    let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
+    for tenant in &raw.tenants {
+        let name = tenant.name.value.as_str();
+        for hash in &tenant.body.key_hashes {
+            let Some(holder) = holders.insert(hash.value.as_str(), name) else {
+                continue;
+            };
+            let message = format!("tenant `{holder}` holds this key already");
+            document.error(
+                hash.span.clone(),
+                message,
+                "give each tenant keys of its own",
+            );
+        }
+        if tenant.body.key_hashes.is_empty() && !name.is_empty() {
+            let message = format!("tenant `{name}` has no key and can't call");
+            document.error(tenant.name.span.clone(), message, "add a key, or remove it");
+        }
+    }
+}
+
 fn check_references(document: &mut Document<'_>, raw: &Raw) {
     let mut references: Vec<(&str, &Located<String>, bool)> = Vec::new();
     let known = |names: Vec<&str>, name: &str| names.contains(&name);
--- a/crates/stageyoke-config/tests/check_test.rs
+++ b/crates/stageyoke-config/tests/check_test.rs
@@ -131,3 +131,25 @@
     );
     assert!(changes[0].risk.is_some());
 }
+
+/// One key for two tenants, twice in one, and a tenant without any: each is told with
+/// its line.
+#[test]
+fn keys_tell_one_tenant_each() {
+    let hash = |digit: &str| format!("\"b3:{}\"", digit.repeat(64));
+    let tenant =
+        |name: &str, keys: &str| format!("[[tenant]]\nname = \"{name}\"\nkey_hashes = [{keys}]\n");
+    let sound = tenant("x-ann", &hash("a")) + &tenant("x-bob", &hash("b"));
+    let text = format!("{FLOOD_WARNING}\n{sound}");
+    assert!(check("sound", &text).is_ok());
+    let twice = format!("{}, {}", hash("c"), hash("c"));
+    let faults = tenant("x-cat", &hash("a")) + &tenant("x-dan", &twice) + &tenant("x-eve", "");
+    let problems = check("faulty", &format!("{text}{faults}")).expect_err("three faults");
+    let first = text.lines().count();
+    let lines: Vec<usize> = problems
+        .list()
+        .iter()
+        .map(|problem| problems.line_of(problem))
+        .collect();
+    assert_eq!(lines, [first + 3, first + 6, first + 8], "{problems}");
+}
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -11,6 +11,7 @@
 use stageyoke_directory::{
     GroupNumber, Interpreter, KeyValueService, Mirror, RouteTable, Tenants, Tolerance,
 };
+use stageyoke_policy::retry_budget::RetryBudget;
 use stageyoke_store::Groups;
 use stageyoke_store::relay::StoreRelay;
 use stageyoke_store::role::report_mirror_event;
@@ -97,6 +98,8 @@
     pub fleet: Fleet,
     /// What answers of plain services take.
     pub usual_times: UsualTimes,
+    /// Requests that may be tried again since their answer has not come.
+    pub retry_budget: Cell<RetryBudget>,
     /// Weighted splits.
     pub shares: Shares,
     /// Turns and budgets.
@@ -213,6 +216,7 @@
         mirror,
         fleet: Fleet::new(stores.load().clone()).bounded(settings.change_bound),
         usual_times: UsualTimes::default(),
+        retry_budget: Cell::default(),
         shares: Shares::new(rand::random()),
         key_trust: KeyTrust::new(settings.change_bound, settings.key_age_limit),
         quotas: Quotas::new(stores.clone()),
--- a/crates/stageyoke-front/src/offer.rs
+++ b/crates/stageyoke-front/src/offer.rs
@@ -26,6 +26,8 @@
 /// Idle replicas whose refusals show that the request itself is at fault: one may
 /// refuse for a reason of its own.
 const SEVERAL: usize = 2;
+/// Outcome of a try whose answer took far longer than answers do.
+const NO_ANSWER: &str = "no_answer";
 /// Outcome of a plain answer that did not come whole.
 const BROKE_OFF: &str = "answer_broke_off";
 /// Largest plain answer.
@@ -47,6 +49,9 @@
             false => 1,
         };
         let mut runs = 0;
+        let mut budget = self.retry_budget.get();
+        budget.deposit();
+        self.retry_budget.set(budget);
         let mut refusals = Refusals::default();
         for _ in 0..MAX_OFFERS {
             let Some(placed) = self.choose(call, &excluded) else {
@@ -65,9 +70,17 @@
             set_may_have_run(reservation, true);
             let sent = Instant::now();
             let sending = attempt::send(&call.outbound, &replica, &self.names);
-            let outcome = tokio::time::timeout_at(call.outbound.deadline, sending).await;
+            let may_try_another = runs + 1 < most_runs;
+            story.pending = replica.id.to_string();
+            let outcome = self.await_answer(call, sending, may_try_another).await;
+            story.pending.clear();
             let cause = match outcome {
-                Err(_) => {
+                Err(Late::TryAnother) => {
+                    self.note_pace(call, &replica, sent);
+                    replica.note(Evidence::Lost);
+                    NO_ANSWER
+                }
+                Err(Late::Deadline) => {
                     note(story, &replica.id, "time_out");
                     self.note_pace(call, &replica, sent);
                     return Err(Failure::last(ErrorKind::DeadlineExceeded, "time_out"));
@@ -75,8 +88,10 @@
                 Ok(Outcome::Answered(answer)) => {
                     story.head_after = call.arrived.elapsed().as_millis() as u64;
                     let missing_tokens = placed.missing_tokens;
-                    let may_retry = runs + 1 < most_runs;
-                    match self.complete(call, answer, missing_tokens, may_retry).await {
+                    match self
+                        .complete(call, answer, missing_tokens, may_try_another)
+                        .await
+                    {
                         Ok(served) => {
                             note(story, &replica.id, "answered");
                             self.note_pace(call, &replica, sent);
@@ -121,6 +136,35 @@
         }
     }
 
+    /// Waits for the head of an answer; not to the end where another replica may be
+    /// tried and the answer takes far longer than answers do.
+    async fn await_answer(
+        &self,
+        call: &Call,
+        sending: impl Future<Output = Outcome>,
+        may_try_another: bool,
+    ) -> Result<Outcome, Late> {
+        let deadline = call.outbound.deadline;
+        let mut sending = std::pin::pin!(sending);
+        if may_try_another && call.service.engine.is_none() {
+            let now = Instant::now();
+            let left = deadline.saturating_duration_since(now);
+            let patience = self.usual_times.patience(&call.route.name);
+            let patience = patience.map_or(left, |patience| patience.min(left / 3));
+            if let Ok(outcome) = tokio::time::timeout_at(now + patience, &mut sending).await {
+                return Ok(outcome);
+            }
+            let mut budget = self.retry_budget.get();
+            let allowed = budget.withdraw();
+            self.retry_budget.set(budget);
+            if allowed {
+                return Err(Late::TryAnother);
+            }
+        }
+        let outcome = tokio::time::timeout_at(deadline, sending).await;
+        outcome.map_err(|_| Late::Deadline)
+    }
+
     /// Tells how long a replica of a plain service took, at least.
     fn note_pace(&self, call: &Call, replica: &Replica, sent: Instant) {
         if call.service.engine.is_none() {
@@ -229,6 +273,15 @@
     }
 }
 
+/// An answer has not come in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Late {
+    /// Another replica is tried instead.
+    TryAnother,
+    /// The request's time is over.
+    Deadline,
+}
+
 /// Replicas that refused one request.
 #[derive(Clone, Copy, Debug, Default)]
 struct Refusals {
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -690,6 +690,38 @@
     .await;
 }
 
+/// A replica runs a request and its answer is lost: what may be repeated is tried at
+/// another one in time; what may not is not.
+#[tokio::test]
+async fn an_answer_that_does_not_come_is_asked_for_elsewhere_where_that_may_be() {
+    let test = async {
+        // Each answers once. The second request goes to the one that has a connection.
+        let replicas = [
+            Replica::start(&[SIGNED, ""]).await,
+            Replica::start(&[SIGNED, ""]).await,
+        ];
+        let bench = start(&[&replicas[0], &replicas[1]]).await;
+        for _ in 0..2 {
+            let began = tokio::time::Instant::now();
+            let answer = ask(bench.front, &request("GET", "/safe/a", "")).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            assert!(
+                began.elapsed() < Duration::from_millis(700),
+                "{:?}",
+                began.elapsed()
+            );
+        }
+        assert_eq!(replicas[0].count() + replicas[1].count(), 3);
+        let lone = Replica::start(&[""]).await;
+        let bench = start(&[&lone]).await;
+        let answer = ask(bench.front, &request("POST", "/once/a", "order")).await;
+        assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+        assert_eq!(lone.count(), 1);
+    };
+    let in_time = local(tokio::time::timeout(PATIENCE, test)).await;
+    in_time.expect("in time");
+}
+
 fn ended(outcome: &str) -> u64 {
     let requests = &stageyoke_observe::metrics().requests;
     requests.with_label_values(&["once", outcome]).get()
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -29,6 +29,8 @@
     pub members_version: u64,
     /// Replicas that were tried, each with its outcome.
     pub attempts: String,
+    /// Replica whose answer was waited for when the request ended, if any.
+    pub pending: String,
     /// What placed the request: load, tokens to read and the rates of the chosen
     /// replica.
     pub placement: String,
@@ -70,6 +72,7 @@
         directory_age = story.directory_age,
         members_version = story.members_version,
         attempts = story.attempts.as_str(),
+        pending = story.pending.as_str(),
         placement = story.placement.as_str(),
         ledger = story.ledger.as_str(),
         history = story.history.as_str(),
--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod bucket;
 pub mod quota;
+pub mod retry_budget;
 pub mod window;
