--- a/crates/stageyoke-front/tests/slow_replicas_test.rs
+++ b/crates/stageyoke-front/tests/slow_replicas_test.rs
@@ -77,15 +77,15 @@
     let began = Instant::now();
     for time in 0..LENGTH {
         tokio::time::sleep_until(began + Duration::from_millis(time)).await;
-        for front in 0..FRONTS {
+        for (front, board) in boards.iter().enumerate() {
             if (time + front as u64 * 13).is_multiple_of(EXCHANGE_MILLISECONDS) {
                 let group = random.random_range(0..GROUPS.len());
-                stores[group].take(boards[front].report(GROUPS[group]));
+                stores[group].take(board.report(GROUPS[group]));
                 let mut others = stores[group].of_others(front as u32);
                 if !told {
                     others.slow = Default::default();
                 }
-                boards[front].hear(GROUPS[group], others);
+                board.hear(GROUPS[group], others);
             }
         }
         if random.random_bool(CALLS_PER_SECOND / 1_000.0) {
