Stores that settings name tell which others there are

Ruled out: the changes themselves (the middle store tells as many). Change: a front that knows no groups asks one such store which others there are (members, or who has registered), and these for the directory; a store is preferred only once the groups are known. Tests: relay_test: of 60 fronts that start with one store named, that one is asked for the directory by 25 at most (all 60 before); platform's and store's tests passed.

--- a/crates/stageyoke-store/src/keeper.rs
+++ b/crates/stageyoke-store/src/keeper.rs
@@ -57,6 +57,8 @@
     loads: LoadReports,
     placed: RefCell<PlacedTurns>,
     quotas: RefCell<QuotaLedger>,
+    /// Addresses of the stores that have registered.
+    registered: RefCell<List<Text>>,
     started: Instant,
     held_by_peers: RefCell<HashMap<Text, JournalPosition>>,
     directory: Rc<Freshness>,
@@ -100,6 +102,7 @@
             loads: LoadReports::default(),
             placed: RefCell::default(),
             quotas: RefCell::default(),
+            registered: RefCell::default(),
             started: Instant::now(),
             held_by_peers: RefCell::default(),
             directory: Rc::new(Freshness::new(AgeLimits::default(), false)),
@@ -163,6 +166,11 @@
         self.members_since.get()
     }
 
+    /// These stores have registered.
+    pub fn set_registered(&self, addresses: List<Text>) {
+        self.registered.replace(addresses);
+    }
+
     /// Takes newer store groups.
     pub fn set_stores(&self, stores: Rc<StoreGroups>) {
         let before = self.members();
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -69,6 +69,7 @@
             Request::Changes { after } => self.tell_changes(after),
             Request::Routes => self.tell_routes().await,
             Request::Directory => self.tell_directory(),
+            Request::Stores => Reply::Stores(self.known_stores()),
             Request::Items => Reply::Items(self.items.borrow().clone()),
             Request::Fetch { digests } => self.fetch(&digests).await,
         }
@@ -247,6 +248,16 @@
         told.map_or(Reply::DirectoryUnknown, relay::routes_reply)
     }
 
+    /// The members of the groups, or who has registered while there are none.
+    fn known_stores(&self) -> List<Text> {
+        let stores = self.stores();
+        if stores.formed() {
+            let members = stores.members();
+            return members.map(|member| member.address.clone()).collect();
+        }
+        self.registered.borrow().clone()
+    }
+
     fn tell_directory(&self) -> Reply {
         let source = self.source.borrow();
         let told = source.as_ref().and_then(|source| source.tell_items());
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -347,6 +347,9 @@
     Routes,
     /// The whole directory.
     Directory,
+    /// Which other stores there are, for a front that knows only those that its
+    /// settings name.
+    Stores,
     /// Records by their digests.
     Fetch {
         /// Which records.
@@ -425,6 +428,8 @@
     },
     /// This store does not know the directory yet.
     DirectoryUnknown,
+    /// Addresses of all stores that this one knows.
+    Stores(List<Text>),
     /// Records that were found.
     Records(List<Record>),
     /// Nothing was done, or the store misses the turn and can't vouch for its
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -105,6 +105,7 @@
             | Reply::Routes { .. }
             | Reply::Directory { .. }
             | Reply::DirectoryUnknown
+            | Reply::Stores(_)
             | Reply::Records(_) => {}
         }
     }
--- a/crates/stageyoke-store/src/relay.rs
+++ b/crates/stageyoke-store/src/relay.rs
@@ -17,6 +17,9 @@
 /// Stores that are asked one after the other for one answer.
 const ASKED: usize = 3;
 
+/// Part of the time for an answer in which a store may name others.
+const LEARN_PART: u32 = 4;
+
 /// A store's answer to a question for changes.
 pub fn changes_reply(told: ToldChanges) -> Reply {
     let mark = mark(told.revision, told.age);
@@ -110,12 +113,17 @@
     Duration::from_millis(u64::from(mark.age_milliseconds))
 }
 
-/// The stores that a front asks: members of the groups, those of its own zone
-/// first; before it knows any, those that its settings name.
+/// The stores that a front asks: members of the groups; before it knows any, those
+/// that the stores which its settings name know. Settings name the same few stores to
+/// all fronts: were these asked for everything, they would send the whole directory to
+/// each front that starts, and its changes for as long as it runs (4.1 MB a second at
+/// 200 fronts, where the middle one of 100 stores sent 0.04).
 pub struct StoreRelay {
     groups: Rc<Groups>,
     seeds: Vec<String>,
-    /// The store that answered last.
+    /// Stores that those of the settings have named.
+    named: RefCell<Vec<Text>>,
+    /// The store that answered last, once the groups are known.
     preferred: RefCell<Option<Rc<StoreClient>>>,
 }
 
@@ -125,18 +133,42 @@
         Self {
             groups,
             seeds,
+            named: RefCell::default(),
             preferred: RefCell::default(),
         }
     }
 
+    /// Asks a store that the settings name which others there are.
+    async fn learn_stores(&self, within: Duration) {
+        let count = self.seeds.len();
+        if count == 0 || self.groups.stores().formed() {
+            return;
+        }
+        let client = StoreClient::new(&self.seeds[rand::random_range(0..count)]);
+        if let Ok(Reply::Stores(List(named))) = client.call(Request::Stores, within).await {
+            self.named.replace(named);
+        }
+    }
+
+    /// Stores to ask while the groups are not known: some that were named, and one of
+    /// the settings.
+    fn first_stores(&self) -> Vec<Rc<StoreClient>> {
+        let named = self.named.borrow();
+        let mut addresses: Vec<&str> = named.iter().map(Text::as_str).collect();
+        addresses.sort_by_cached_key(|_| rand::random::<u32>());
+        addresses.truncate(ASKED - 1);
+        let mut seeds: Vec<&str> = self.seeds.iter().map(String::as_str).collect();
+        seeds.sort_by_cached_key(|_| rand::random::<u32>());
+        addresses.extend(seeds.into_iter().take(ASKED - addresses.len()));
+        let clients = addresses.into_iter().map(StoreClient::new);
+        clients.map(Rc::new).collect()
+    }
+
     /// Stores to ask: the one that answered last, one near, and others.
     fn candidates(&self) -> Vec<Rc<StoreClient>> {
-        let mut clients = self.groups.clients_to_ask(ASKED);
+        let clients = self.groups.clients_to_ask(ASKED);
         if clients.is_empty() {
-            let seeds = self.seeds.iter();
-            clients = seeds.map(|seed| Rc::new(StoreClient::new(seed))).collect();
-            let count = clients.len().max(1);
-            clients.sort_by_cached_key(|_| rand::random_range(0..count));
+            return self.first_stores();
         }
         let preferred = self.preferred.borrow().clone();
         preferred.into_iter().chain(clients).collect()
@@ -148,14 +180,17 @@
     async fn ask(&self, request: Request, acceptable: Acceptable) -> Option<Relayed<Reply>> {
         let Acceptable { within, oldest } = acceptable;
         let deadline = Instant::now() + within;
+        self.learn_stores(within / LEARN_PART).await;
         let candidates = self.candidates();
-        let share = within / u32::try_from(candidates.len().max(1)).unwrap_or(1);
+        let formed = self.groups.stores().formed();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let share = left / u32::try_from(candidates.len().max(1)).unwrap_or(1);
         for client in candidates {
             let sent = Instant::now();
             let left = deadline.saturating_duration_since(sent).min(share);
             match client.call(request.clone(), left).await {
                 Ok(reply) if copy_age(&reply).is_some_and(|age| age < oldest) => {
-                    *self.preferred.borrow_mut() = Some(client);
+                    *self.preferred.borrow_mut() = formed.then_some(client);
                     return Some(Relayed { told: reply, sent });
                 }
                 Ok(_) | Err(_) => *self.preferred.borrow_mut() = None,
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -182,7 +182,12 @@
     fn follow(&self) {
         let view = self.mirror.view();
         self.keeper.set_stores(view.stores.clone());
-        self.formation.borrow_mut().follow(&view.registered);
+        if !view.stores.formed() {
+            self.formation.borrow_mut().follow(&view.registered);
+            let registered = view.registered.values();
+            let addresses = registered.map(|store| store.address.clone());
+            self.keeper.set_registered(addresses.collect());
+        }
         self.choose_group();
         let members = self.keeper.members();
         self.peers.follow(&members);
--- a/crates/stageyoke-store/tests/relay_test.rs
+++ b/crates/stageyoke-store/tests/relay_test.rs
@@ -1,5 +1,6 @@
 //! Which stores a front asks for the directory.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,18 +23,36 @@
 const OLD: u32 = 5_000;
 const YOUNG: u32 = 100;
 
-/// A store whose copy of the directory is so many milliseconds old.
-async fn tell(listener: TcpListener, age_milliseconds: u32) {
+/// A store whose copy of the directory is so many milliseconds old; it names these
+/// other stores, and counts the questions for the directory.
+async fn tell_among(
+    listener: TcpListener,
+    age_milliseconds: u32,
+    named: Vec<Text>,
+    asked_for: Rc<Cell<usize>>,
+) {
     while let Ok((stream, _)) = listener.accept().await {
         let (mut reader, mut writer) = stream.into_split();
+        let (named, asked_for) = (named.clone(), asked_for.clone());
         tokio::task::spawn_local(async move {
             while let Ok(asked) = frame::read::<Numbered<Request>>(&mut reader).await {
-                let content = Reply::Changes {
-                    known: true,
-                    changes: List::default(),
-                    mark: CopyMark {
-                        revision: u64::from(age_milliseconds),
-                        age_milliseconds,
+                let mark = CopyMark {
+                    revision: u64::from(age_milliseconds),
+                    age_milliseconds,
+                };
+                let content = match asked.content {
+                    Request::Stores => Reply::Stores(List(named.clone())),
+                    Request::Directory => {
+                        asked_for.set(asked_for.get() + 1);
+                        Reply::Directory {
+                            items: List::default(),
+                            mark,
+                        }
+                    }
+                    _ => Reply::Changes {
+                        known: true,
+                        changes: List::default(),
+                        mark,
                     },
                 };
                 let number = asked.number;
@@ -46,6 +65,10 @@
     }
 }
 
+async fn tell(listener: TcpListener, age_milliseconds: u32) {
+    tell_among(listener, age_milliseconds, Vec::new(), Rc::default()).await;
+}
+
 async fn relay(ages: &[(&str, u32)]) -> StoreRelay {
     let mut members = Members::default();
     for (number, (zone, age)) in ages.iter().enumerate() {
@@ -105,3 +128,35 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Many fronts start before the groups are formed, and their settings name one store:
+/// it names the others, and these tell the directory as well.
+#[tokio::test]
+async fn the_stores_of_the_settings_do_not_tell_everybody_everything() {
+    let test = async {
+        let mut listeners = Vec::new();
+        let mut addresses = Vec::new();
+        for _ in 0..8 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let address = listener.local_addr().expect("address").to_string();
+            addresses.push(Text::from(address));
+            listeners.push(listener);
+        }
+        let counts: Vec<Rc<Cell<usize>>> = (0..8).map(|_| Rc::default()).collect();
+        for (listener, count) in listeners.into_iter().zip(&counts) {
+            let telling = tell_among(listener, YOUNG, addresses.clone(), count.clone());
+            tokio::task::spawn_local(telling);
+        }
+        let seed = addresses[0].to_string();
+        for _ in 0..60 {
+            let groups = Groups::new(Text::from("near"), Tolerance::of_machines(1));
+            let relay = StoreRelay::new(Rc::new(groups), vec![seed.clone()]);
+            let told = relay.items(ACCEPTABLE).await;
+            assert!(told.is_some());
+        }
+        let counts: Vec<usize> = counts.iter().map(|count| count.get()).collect();
+        assert_eq!(counts.iter().sum::<usize>(), 60);
+        assert!(counts[0] <= 25, "{counts:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
