A raised limit is there at once and counts everything

Cause: found on reading: after a limit was lowered and raised again within a window, the former limit still bound, and what had been granted since the change alone counted. Change: a raised limit goes on with the longest count and drops the former ones. Test: quota_test (a_raised_limit_is_there_at_once_and_counts_everything); the code before binds the former limit for 5 s.

--- a/crates/stageyoke-policy/src/quota.rs
+++ b/crates/stageyoke-policy/src/quota.rs
@@ -345,25 +345,31 @@
 impl Account {
     /// Another limit is in force. A lower one counts from now on; what was granted
     /// before, and both together, must keep to the former one for a window: else a
-    /// tenant would get nothing until its former requests have left the window.
+    /// tenant would get nothing until its former requests have left the window. A
+    /// higher one counts everything, and no former one binds any more.
     fn set_limit(&mut self, limit: Limit, now: Duration) {
         let Some(current) = self.held.first_mut() else {
             return;
         };
         let length = current.requests.length();
-        let lower = current.requests.allowed(limit) < current.allowed();
-        if !lower {
-            current.limit = limit;
+        if current.requests.allowed(limit) < current.allowed() {
+            current.until = Some(now + length);
+            let lowered = Held {
+                limit,
+                requests: Window::new(length, now),
+                until: None,
+            };
+            self.held.insert(0, lowered);
+            self.held.truncate(MOST_HELD);
             return;
         }
-        current.until = Some(now + length);
-        let lowered = Held {
+        let oldest = self.held.pop();
+        let raised = oldest.map(|oldest| Held {
             limit,
-            requests: Window::new(length, now),
+            requests: oldest.requests,
             until: None,
-        };
-        self.held.insert(0, lowered);
-        self.held.truncate(MOST_HELD);
+        });
+        self.held = raised.into_iter().collect();
     }
 
     fn drop_ended(&mut self, now: Duration) {
--- a/crates/stageyoke-policy/tests/quota_test.rs
+++ b/crates/stageyoke-policy/tests/quota_test.rs
@@ -310,6 +310,34 @@
     assert!(most_in_window(&after) <= lowered);
 }
 
+/// A limit is lowered by mistake and raised again: the tenant has the higher one at
+/// once, and what it was granted meanwhile counts against it.
+#[test]
+fn a_raised_limit_is_there_at_once_and_counts_everything() {
+    let mut ledger = ledger();
+    let limited = |version: u64, per_second: f64| Question {
+        version,
+        limit: Limit {
+            per_second,
+            burst: per_second,
+        },
+        ..question(0)
+    };
+    let mut granted = |asked: &Question, time: u64, count: usize| {
+        let asks = 0..count;
+        asks.filter(|_| ledger.ask(asked, later(time)) == Verdict::Granted)
+            .count()
+    };
+    assert_eq!(granted(&limited(1, 40.0), 0, 200), 200);
+    assert_eq!(granted(&limited(2, 5.0), 100, 100), 30);
+    assert_eq!(granted(&limited(3, 50.0), 200, 200), 70, "300 in all");
+    assert_eq!(
+        granted(&limited(3, 50.0), 5_150, 400),
+        230,
+        "70 are in the window"
+    );
+}
+
 /// What an owner holds does not grow with the tenants and programs it has met.
 #[test]
 fn what_has_ended_is_forgotten_and_what_is_held_is_bounded() {
