--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -8,7 +8,6 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
 use stageyoke_directory::{Interpreter, KeyValueService, Route, RouteTable, ServiceSpec};
@@ -17,7 +16,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::access::{Access, Locked};
+use crate::access::Access;
+use crate::admission::Admitted;
 use crate::answer::{self, Failure};
 use crate::attempt::{Outbound, end_to_end_headers, forwarded_headers};
 use crate::body::FrontBody;
@@ -27,7 +27,8 @@
 use crate::offer::Served;
 use crate::quota::Asked;
 use crate::relay::{Carrier, Keeping, PIECES_AHEAD, Relay};
-use crate::request::{Figures, KeptIdentifiers, host};
+use crate::request::{Figures, KeptIdentifiers};
+use crate::unanswered::Unanswered;
 use stageyoke_observe::{self as observe, RequestStory as Story};
 
 /// How long a doubtful route or chain is looked up.
@@ -181,34 +182,6 @@
         self.run(call, story).await
     }
 
-    /// Finds the route of a request and who makes it. What the configuration in
-    /// force doesn't allow, a newer one may: that it doesn't is only known from a
-    /// read that began after the request arrived.
-    async fn admit(&self, head: &Parts) -> Result<Admitted, Failure> {
-        let unknown =
-            Failure::come_back(ErrorKind::Unavailable, "no_configuration", AFTER_RECOVERY);
-        let routes = self.mirror.view().routes.clone();
-        if let Some(routes) = routes
-            && let Ok(admitted) = admitted_by(routes, head)
-        {
-            return Ok(admitted);
-        }
-        let confirmed = tokio::time::timeout(LOOK_UP_WITHIN, self.mirror.confirm_routes()).await;
-        if !matches!(confirmed, Ok(Ok(()))) {
-            let cause = "route_not_confirmed";
-            return Err(Failure::come_back(
-                ErrorKind::Unavailable,
-                cause,
-                AFTER_RECOVERY,
-            ));
-        }
-        let routes = self.mirror.view().routes.clone().ok_or(unknown)?;
-        admitted_by(routes, head).map_err(|barred| match barred {
-            Barred::NoRoute => Failure::last(ErrorKind::NotFound, "no_such_route"),
-            Barred::Locked(locked) => Failure::last(ErrorKind::Unauthorized, locked.name()),
-        })
-    }
-
     fn pick_service(&self, routes: &RouteTable, route: &Route) -> Result<ServiceSpec, Failure> {
         let missing = Failure::come_back(ErrorKind::Unavailable, "no_such_service", AFTER_RECOVERY);
         let target = self.shares.pick(route).ok_or(missing)?;
@@ -336,64 +309,6 @@
     }
 }
 
-/// A request that has no answer yet. Its caller may leave: then nothing of it is
-/// polled any more, and its end is told here.
-struct Unanswered {
-    story: Story,
-    arrived: Instant,
-    answered: bool,
-}
-
-impl Unanswered {
-    fn new(arrived: Instant) -> Self {
-        Self {
-            story: Story::default(),
-            arrived,
-            answered: false,
-        }
-    }
-
-    /// It has an answer, whose end is told elsewhere.
-    fn answered(mut self) -> Story {
-        self.answered = true;
-        std::mem::take(&mut self.story)
-    }
-}
-
-impl Drop for Unanswered {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.story.outcome = "caller_left";
-            observe::request_ended(&self.story, self.arrived.elapsed());
-        }
-    }
-}
-
-/// What a configuration says of a request that it allows.
-struct Admitted {
-    routes: Rc<RouteTable>,
-    route: Route,
-    access: Access,
-}
-
-/// Why a configuration doesn't allow a request.
-enum Barred {
-    NoRoute,
-    Locked(Locked),
-}
-
-fn admitted_by(routes: Rc<RouteTable>, head: &Parts) -> Result<Admitted, Barred> {
-    let host = host(&head.headers).unwrap_or_default();
-    let route = routes.find(host, head.uri.path()).ok_or(Barred::NoRoute)?;
-    let access = Access::of(&routes, route, &head.headers).map_err(Barred::Locked)?;
-    let route = route.clone();
-    Ok(Admitted {
-        routes,
-        route,
-        access,
-    })
-}
-
 fn from_replica(head: &hyper::http::response::Parts, body: FrontBody) -> Response<FrontBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod access;
 pub mod activity;
+mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod body;
@@ -29,6 +30,7 @@
 pub mod server;
 pub mod shares;
 pub mod turns;
+mod unanswered;
 pub mod upstream;
 
 pub use front::{FrontListeners, FrontSettings, run};
