A slow answer is waited for where no other replica is left to ask

Cause: found on reading: a try was given up for its silence before it was known whether another replica could be tried; with a single one the request ended with 502 while its answer might still come. Change: the choice is asked first, and only then the retry taken from the budget. Test: front_test (an_answer_that_does_not_come..., its new last part fails before: 502 after 0.47 s; 504 at the deadline now).

--- a/crates/stageyoke-front/src/offer.rs
+++ b/crates/stageyoke-front/src/offer.rs
@@ -72,7 +72,8 @@
             let sending = attempt::send(&call.outbound, &replica, &self.names);
             let may_try_another = runs + 1 < most_runs;
             story.pending = replica.id.to_string();
-            let outcome = self.await_answer(call, sending, may_try_another).await;
+            let another = || may_try_another && self.choose(call, &excluded).is_some();
+            let outcome = self.await_answer(call, sending, another).await;
             story.pending.clear();
             let cause = match outcome {
                 Err(Late::TryAnother) => {
@@ -136,17 +137,24 @@
         }
     }
 
-    /// Waits for the head of an answer; not to the end where another replica may be
-    /// tried and the answer takes far longer than answers do.
+    fn withdraw_retry(&self) -> bool {
+        let mut budget = self.retry_budget.get();
+        let allowed = budget.withdraw();
+        self.retry_budget.set(budget);
+        allowed
+    }
+
+    /// Waits for the head of an answer; not to the end where there is another replica
+    /// to try and the answer takes far longer than answers do.
     async fn await_answer(
         &self,
         call: &Call,
         sending: impl Future<Output = Outcome>,
-        may_try_another: bool,
+        another: impl Fn() -> bool,
     ) -> Result<Outcome, Late> {
         let deadline = call.outbound.deadline;
         let mut sending = std::pin::pin!(sending);
-        if may_try_another && call.service.engine.is_none() {
+        if call.route.repeatable() && call.service.engine.is_none() {
             let now = Instant::now();
             let left = deadline.saturating_duration_since(now);
             let patience = self.usual_times.patience(&call.route.name);
@@ -154,10 +162,7 @@
             if let Ok(outcome) = tokio::time::timeout_at(now + patience, &mut sending).await {
                 return Ok(outcome);
             }
-            let mut budget = self.retry_budget.get();
-            let allowed = budget.withdraw();
-            self.retry_budget.set(budget);
-            if allowed {
+            if another() && self.withdraw_retry() {
                 return Err(Late::TryAnother);
             }
         }
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -717,6 +717,11 @@
         let answer = ask(bench.front, &request("POST", "/once/a", "order")).await;
         assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
         assert_eq!(lone.count(), 1);
+        // Nobody else is there to ask: the answer may still come.
+        let began = tokio::time::Instant::now();
+        let answer = ask(bench.front, &request("GET", "/safe/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+        assert!(began.elapsed() > Duration::from_millis(1200));
     };
     let in_time = local(tokio::time::timeout(PATIENCE, test)).await;
     in_time.expect("in time");
