A store begins to leave only where the others serve without it

Ruled out: the formation by keys (three stores, formed as before). Change: membership::leave begins only if enough living active members are left for the next list's write quorum; until then the dead one is removed first. Test: membership_test (a_store_begins_to_leave_only_where_the_others_serve; its first case fails before); plans_test passes.

--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -154,7 +154,7 @@
     let leaving = current.state == MemberState::Leaving;
     let begins = oneself.surplus && oneself.list_age >= SURPLUS_AFTER;
     if oneself.retiring || begins || (leaving && oneself.surplus) {
-        return leave(members, current, oneself, tolerance);
+        return leave(members, current, oneself, peers, tolerance);
     }
     if *current != entry {
         return Step::Change(members.with(entry));
@@ -174,13 +174,26 @@
     Step::Rest
 }
 
-fn leave(members: &Members, current: &Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
+fn leave(
+    members: &Members,
+    current: &Member,
+    oneself: &Oneself,
+    peers: &[PeerHealth],
+    tolerance: &Tolerance,
+) -> Step {
     if current.state == MemberState::Active {
         let leaving = Member {
             state: MemberState::Leaving,
             ..current.clone()
         };
-        return Step::BeginLeaving(members.with(leaving));
+        let next = members.with(leaving);
+        // Members that are leaving or dead take no records, and count for the quorum
+        // as long as they are listed: a group of three whose dead member was still in
+        // the list refused every turn for 4.3 s while a fourth left it.
+        return match serves(&next, peers, tolerance) {
+            true => Step::BeginLeaving(next),
+            false => Step::Rest,
+        };
     }
     let rest = members.without(&oneself.entry.node);
     let Some(needed) = rest.write_quorum(tolerance) else {
@@ -198,6 +211,20 @@
     Step::Rest
 }
 
+/// Whether enough members of a list take records for a write quorum: active ones that
+/// are not known to be dead.
+fn serves(members: &Members, peers: &[PeerHealth], tolerance: &Tolerance) -> bool {
+    let dead = |member: &Member| {
+        let mut peers = peers.iter();
+        let peer = peers.find(|peer| peer.node == member.node);
+        peer.is_some_and(|peer| peer.silent_for > REMOVE_AFTER)
+    };
+    let serving = members.list.iter();
+    let serving = serving.filter(|member| member.state == MemberState::Active && !dead(member));
+    let needed = members.write_quorum(tolerance);
+    needed.is_some_and(|needed| needed <= serving.count())
+}
+
 /// Removes one dead member in two steps, if those that are left can keep records
 /// and hold everything together: so many complete ones that no kept record can
 /// stand on dead members only (`fenced`), however many these are. What it acknowledged to fronts that don't know of the first step
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -200,6 +200,42 @@
     assert_eq!(step, Step::Change(marked.with(member(2))));
 }
 
+/// A hunted day of sabarmati-online: a store was lost and another had taken its place;
+/// while the lost one was still in the list, the new one was told to leave. The two
+/// that were left are no quorum of four: every turn was refused.
+#[rstest]
+#[case::a_dead_one_still_listed(true, Step::Rest)]
+#[case::all_alive(false, Step::BeginLeaving(leaving_of(4, 3)))]
+fn a_store_begins_to_leave_only_where_the_others_serve(
+    #[case] one_is_dead: bool,
+    #[case] expected: Step,
+) {
+    let mut list = members(4);
+    let mut silent = Vec::new();
+    if one_is_dead {
+        list = leaving_of(4, 1);
+        silent.push(1);
+    }
+    let peers = peers(&list, 3, &silent, &[]);
+    let told_to_leave = Oneself {
+        retiring: true,
+        ..oneself(3)
+    };
+    assert_eq!(
+        decide(&list, &told_to_leave, &peers, &tolerance()),
+        expected
+    );
+}
+
+/// A list of so many members, of which this one is leaving.
+fn leaving_of(count: usize, leaving: usize) -> Members {
+    let leaving = Member {
+        state: MemberState::Leaving,
+        ..member(leaving)
+    };
+    members(count).with(leaving)
+}
+
 #[test]
 fn retirement_first_refuses_records_then_waits_for_the_others() {
     let list = members(4);
