In a group of two a lost disk is filled from the other

Ruled out: keeping the operator's store: it is told to leave, and two can bear the loss of one. Change: Members::absence_quorum is one where a write quorum is all members and a smaller list could keep nothing: every complete member holds everything then. Fences keep the former number (fence_quorum): the list before may have been larger. Argument: what was kept under the list of two is on both; what was kept under the list before is on all that stay, as a store leaves only when a quorum of the rest, here both, holds what it holds, and refuses records from the moment it is marked.

--- a/crates/stageyoke-directory/src/members.rs
+++ b/crates/stageyoke-directory/src/members.rs
@@ -92,8 +92,24 @@
 
     /// Complete members that must miss a record before it is known not to be
     /// kept: every set of this size meets every write quorum of this list and
-    /// of the one before it, which may have been smaller by one.
+    /// of the one before it, which may have been smaller by one. Where a write
+    /// quorum is all members and a smaller list has none, every complete member
+    /// holds everything: without that a group of two, one of which has lost its
+    /// disk, could never vouch for anything again.
     pub fn absence_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
+        let count = self.list.len();
+        let needed = self.write_quorum(tolerance)?;
+        let smaller_keeps_nothing = tolerance.machines >= count - 1;
+        if needed == count && smaller_keeps_nothing {
+            return Some(1);
+        }
+        self.fence_quorum(tolerance)
+    }
+
+    /// Members that must go by this list, and refuse whoever goes by an older one,
+    /// before no older list can reach a write quorum any more. The one before may
+    /// have been larger by one as well.
+    pub fn fence_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
         let count = self.list.len();
         let needed = self.write_quorum(tolerance)?;
         let before = majority(count - 1).max(1);
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -86,7 +86,7 @@
 /// a store that leaves it is enough that they know that list: what it does not
 /// hold stays where it is.
 pub fn fenced(members: &Members, tolerance: &Tolerance, in_step: impl Fn(&Member) -> bool) -> bool {
-    let Some(needed) = members.absence_quorum(tolerance) else {
+    let Some(needed) = members.fence_quorum(tolerance) else {
         return false;
     };
     let in_step = members.list.iter().filter(|member| in_step(member));
