One mixing function, one pause between lines; owners without copies

Cause: a reading of the whole change. The tenants' owners had a mixing function of their own, word for word that of the front's placement. The front kept the pause between two lines on a lasting condition twice, for keys and for quotas. For each question on a tenant's limit the identifiers of all stores were copied and dropped again but for three.

Ruled out: stageyoke-core's mixing function. It adds a constant first, so its values differ, and neither crate depends on it.

Change: store keys hold the one mixing function, the front's line_pause the pause, and owners are ranked by reference. Behaviour is the same: the same owners, the same pauses of 1 s. Of a test only an import line has changed.

Conclusion: kept for one piece of code in place of two.

--- a/crates/stageyoke-front/src/access.rs
+++ b/crates/stageyoke-front/src/access.rs
@@ -1,7 +1,6 @@
 //! Who calls: the tenant that holds a request's key, by the configuration in
 //! force.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -9,21 +8,19 @@
 use stageyoke_directory::{Route, RouteTable, Tenant};
 use stageyoke_observe as observe;
 use stageyoke_types::Event;
-use tokio::time::Instant;
+
+use crate::line_pause::LinePause;
 
 /// Scheme of the header that carries a key.
 const SCHEME: &str = "bearer";
 
-/// Time between two lines that tell of keys which may have been taken away.
-const TELL_PAUSE: Duration = Duration::from_millis(1000);
-
 /// Whether a front can know that a key still holds: the directory tells when one is
 /// taken away, and may have got old.
 #[derive(Debug)]
 pub struct KeyTrust {
     bound: Duration,
     limit: Option<Duration>,
-    told_at: Cell<Option<Instant>>,
+    lines: LinePause,
 }
 
 impl KeyTrust {
@@ -33,7 +30,7 @@
         Self {
             bound,
             limit,
-            told_at: Cell::new(None),
+            lines: LinePause::default(),
         }
     }
 
@@ -42,10 +39,7 @@
         if age <= self.bound {
             return true;
         }
-        let now = Instant::now();
-        let told_at = self.told_at.get();
-        if told_at.is_none_or(|at| at + TELL_PAUSE <= now) {
-            self.told_at.set(Some(now));
+        if self.lines.take() {
             let detail = format!("directory_age={} limit={:?}", age.as_millis(), self.limit);
             observe::event(Event::KeysUnconfirmed, &detail);
         }
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod handler;
 pub mod health;
 pub mod history;
+mod line_pause;
 pub mod memory;
 pub mod names;
 mod offer;
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -1,5 +1,7 @@
 //! Chooses a replica. Pure.
 
+use stageyoke_store::keys::mix;
+
 use crate::engine_rates::CurrentRates;
 
 /// What is known of one replica at the moment of the choice.
@@ -176,13 +178,6 @@
         .map(|(index, _)| index)
 }
 
-/// Spreads a hash's bits (the finaliser of SplitMix64).
-pub fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 /// Hash of a text (FNV-1a).
 pub fn hash_text(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/crates/stageyoke-front/src/quota.rs
+++ b/crates/stageyoke-front/src/quota.rs
@@ -18,6 +18,7 @@
 
 use crate::answer::Failure;
 use crate::handler::SOON;
+use crate::line_pause::LinePause;
 
 /// Part of its limit that a tenant has through fronts which reach no owner, all of
 /// them together: what they grant comes on top of what owners grant to others.
@@ -30,8 +31,6 @@
 const TIGHT_FOR: Duration = Duration::from_millis(1000);
 /// Tenants that are remembered; the longest unused go.
 const MOST_TENANTS: usize = 4096;
-/// Time between two lines that tell of owners which do not answer.
-const TELL_PAUSE: Duration = Duration::from_millis(1000);
 
 /// What this front knows of a tenant.
 #[derive(Debug)]
@@ -48,7 +47,7 @@
     started: Instant,
     fronts: Cell<u16>,
     tenants: RefCell<HashMap<u64, Known>>,
-    told_at: Cell<Option<Duration>>,
+    lines: LinePause,
 }
 
 /// One request, as its tenant's limit sees it.
@@ -70,7 +69,7 @@
             started: Instant::now(),
             fronts: Cell::new(FRONTS_UNTOLD),
             tenants: RefCell::default(),
-            told_at: Cell::new(None),
+            lines: LinePause::default(),
         }
     }
 
@@ -127,7 +126,7 @@
     }
 
     fn take_share(&self, question: &Question, now: Duration) -> Result<(), Failure> {
-        self.tell_unknown(now);
+        self.tell_unknown();
         let granted = self.known(question, now, |known| known.share.take(now));
         match granted {
             true => Ok(()),
@@ -135,14 +134,11 @@
         }
     }
 
-    fn tell_unknown(&self, now: Duration) {
-        let told_at = self.told_at.get();
-        if told_at.is_some_and(|at| at + TELL_PAUSE > now) {
-            return;
+    fn tell_unknown(&self) {
+        if self.lines.take() {
+            let detail = format!("fronts={}", self.fronts.get());
+            observe::event(Event::QuotaUnknown, &detail);
         }
-        self.told_at.set(Some(now));
-        let detail = format!("fronts={}", self.fronts.get());
-        observe::event(Event::QuotaUnknown, &detail);
     }
 
     fn known<T>(&self, question: &Question, now: Duration, act: impl FnOnce(&mut Known) -> T) -> T {
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -7,13 +7,14 @@
 use stageyoke_directory::{GroupNumber, ReplicaRecord};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
+use stageyoke_store::keys::mix;
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
 use crate::engine_rates::{EngineRates, Slowness, TurnTiming};
 use crate::fleet::Wanted;
 use crate::health::{self, Evidence, Health};
-use crate::placement::{Candidate, hash_text, mix};
+use crate::placement::{Candidate, hash_text};
 use crate::prompt::{HeldParts, Prompt};
 use crate::rest::RestLimit;
 use crate::upstream::{Connection, Pool};
--- a/crates/stageyoke-front/src/shares.rs
+++ b/crates/stageyoke-front/src/shares.rs
@@ -9,9 +9,10 @@
 use std::collections::{HashMap, HashSet};
 
 use stageyoke_directory::{Route, RouteTable, Target};
+use stageyoke_store::keys::mix;
 use stageyoke_types::Text;
 
-use crate::placement::{hash_text, mix};
+use crate::placement::hash_text;
 
 /// Places of a cycle that a front may start at; longer cycles start within
 /// their first part.
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -4,9 +4,10 @@
 use stageyoke_directory::{Route, RouteKind, Target};
 use stageyoke_front::engine_rates::{CurrentRates, EngineRates};
 use stageyoke_front::events::{EventSplitter, collect_data};
-use stageyoke_front::placement::{Candidate, choose_engine, choose_plain, mix};
+use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
 use stageyoke_front::prompt::{HeldParts, Prompt};
 use stageyoke_front::shares::Shares;
+use stageyoke_store::keys::mix;
 use stageyoke_types::Text;
 
 proptest! {
--- a/crates/stageyoke-store/src/owners.rs
+++ b/crates/stageyoke-store/src/owners.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::client::StoreClient;
-use crate::keys::TurnKey;
+use crate::keys::{TurnKey, mix};
 use crate::message::{QuotaAnswer, QuotaQuestion, Reply, Request};
 
 /// How long an owner may take before the next is asked: several ways there and
@@ -68,15 +68,14 @@
 
     /// A tenant's owners, the first first.
     pub fn of(&self, tenant: u64) -> Vec<Text> {
-        let mut ranked: Vec<(u64, Text)> = self
-            .stores
-            .borrow()
+        let stores = self.stores.borrow();
+        let weighed = stores
             .iter()
-            .map(|store| (mix(store.hash ^ tenant), store.node.clone()))
-            .collect();
+            .map(|store| (mix(store.hash ^ tenant), &store.node));
+        let mut ranked: Vec<(u64, &Text)> = weighed.collect();
         ranked.sort_unstable();
-        ranked.truncate(ASKED);
-        ranked.into_iter().map(|(_, node)| node).collect()
+        let first = ranked.into_iter().take(ASKED);
+        first.map(|(_, node)| node.clone()).collect()
     }
 
     fn distrusts(&self, node: &Text) -> bool {
@@ -146,10 +145,3 @@
         }
     }
 }
-
-/// Spreads a hash over all its bits (the finalizer of splitmix64).
-fn mix(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
