Hashes of placement in one module

Cause: a reading of the whole change. The order of groups for a spare store wrote out the hash (FNV-1a) that the front's placement had already, and the mixing function stood among the keys of stores, which it is no part of.

Ruled out: the front's function called from the directory: the front depends on the directory.

Change: stageyoke-types has a module for both functions; placement, owners of limits and the order of groups call it. All values are the same. Of a test only an import line has changed.

Conclusion: kept for one piece of code in place of two.

--- a/crates/stageyoke-directory/src/groups.rs
+++ b/crates/stageyoke-directory/src/groups.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 use nanoserde::{DeBin, SerBin};
-use stageyoke_types::List;
+use stageyoke_types::{List, hash};
 
 use crate::members::{Member, MemberState, Members, Tolerance};
 
@@ -192,10 +192,7 @@
         .map(|(_, _, number)| number)
 }
 
-/// Order of the groups for one spare (FNV-1a over both).
+/// Order of the groups for one spare.
 fn preference(node: &str, number: GroupNumber) -> u64 {
-    let bytes = node.bytes().chain(number.0.to_le_bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    hash::of_bytes(node.bytes().chain(number.0.to_le_bytes()))
 }
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -1,6 +1,6 @@
 //! Chooses a replica. Pure.
 
-use stageyoke_store::keys::mix;
+use stageyoke_types::hash::{self, mix};
 
 use crate::engine_rates::CurrentRates;
 
@@ -178,9 +178,7 @@
         .map(|(index, _)| index)
 }
 
-/// Hash of a text (FNV-1a).
+/// Hash of a text.
 pub fn hash_text(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    hash::of_bytes(text.bytes())
 }
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -7,7 +7,7 @@
 use stageyoke_directory::{GroupNumber, ReplicaRecord};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
-use stageyoke_store::keys::mix;
+use stageyoke_types::hash::mix;
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
--- a/crates/stageyoke-front/src/shares.rs
+++ b/crates/stageyoke-front/src/shares.rs
@@ -9,8 +9,8 @@
 use std::collections::{HashMap, HashSet};
 
 use stageyoke_directory::{Route, RouteTable, Target};
-use stageyoke_store::keys::mix;
 use stageyoke_types::Text;
+use stageyoke_types::hash::mix;
 
 use crate::placement::hash_text;
 
--- a/crates/stageyoke-front/tests/pure_test.rs
+++ b/crates/stageyoke-front/tests/pure_test.rs
@@ -7,8 +7,8 @@
 use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
 use stageyoke_front::prompt::{HeldParts, Prompt};
 use stageyoke_front::shares::Shares;
-use stageyoke_store::keys::mix;
 use stageyoke_types::Text;
+use stageyoke_types::hash::mix;
 
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
--- a/crates/stageyoke-store/src/keys.rs
+++ b/crates/stageyoke-store/src/keys.rs
@@ -1,6 +1,6 @@
-//! Short keys for identifiers in memory and on the wire, and their mixing. Identifiers
-//! are chosen by callers: whoever reads a record by such a key compares the identifier
-//! in it as well.
+//! Short keys for identifiers in memory and on the wire. Identifiers are chosen
+//! by callers: whoever reads a record by such a key compares the identifier in
+//! it as well.
 
 /// Key of a turn, by its identifier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -30,10 +30,3 @@
         Self(u128::from_le_bytes(bytes))
     }
 }
-
-/// Spreads a hash over all its bits (the finaliser of SplitMix64).
-pub fn mix(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
--- a/crates/stageyoke-store/src/owners.rs
+++ b/crates/stageyoke-store/src/owners.rs
@@ -12,10 +12,11 @@
 use stageyoke_directory::{Member, MemberState, StoreGroups};
 use stageyoke_policy::quota::{Question, Verdict};
 use stageyoke_types::Text;
+use stageyoke_types::hash::mix;
 use tokio::time::Instant;
 
 use crate::client::StoreClient;
-use crate::keys::{TurnKey, mix};
+use crate::keys::TurnKey;
 use crate::message::{QuotaAnswer, QuotaQuestion, Reply, Request};
 
 /// How long an owner may take before the next is asked: several ways there and
--- /dev/null
+++ b/crates/stageyoke-types/src/hash.rs
@@ -0,0 +1,18 @@
+//! Hashes for placement, the same in every process and build. They are not for
+//! secrets.
+
+/// Hash of bytes (FNV-1a, 64 bits).
+pub fn of_bytes(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    bytes
+        .into_iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        })
+}
+
+/// Spreads a hash over all its bits (the finaliser of SplitMix64).
+pub fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- a/crates/stageyoke-types/src/lib.rs
+++ b/crates/stageyoke-types/src/lib.rs
@@ -1,10 +1,11 @@
 //! Vocabulary shared by every crate: identifiers, the closed list of error
-//! kinds, the catalogue of numbered events, and the bounded collection types
+//! kinds, the catalogue of numbered events, hashes, and the bounded collection types
 //! that are safe to decode from a peer's bytes.
 
 pub mod bounded;
 pub mod error;
 pub mod event;
+pub mod hash;
 pub mod identifiers;
 
 pub use bounded::{Blob, List, Text};
