--- a/crates/stageyoke-directory/src/groups.rs
+++ b/crates/stageyoke-directory/src/groups.rs
@@ -3,18 +3,17 @@
 //! key of the product's own in the key-value service.
 //!
 //! How many groups there are is settled once, when the stores have registered,
-//! and never changes: no program ever moves to another group. A group's members
-//! change one at a time, each group by versions of its own.
+//! and never changes: no program ever moves to another group. Each group's list
+//! has versions of its own.
 
 use std::collections::BTreeMap;
 
 use nanoserde::{DeBin, SerBin};
 use stageyoke_types::{List, hash};
 
-use crate::members::{Member, MemberState, Members, Tolerance};
+use crate::members::{Member, MemberState, Members, Tolerance, write_quorum};
 
-/// Smallest group: one store can be lost and a majority is left. No group shrinks
-/// below this by itself.
+/// Smallest group to be formed: one store can be lost and a majority is left.
 pub const SMALLEST_GROUP: usize = 3;
 
 /// A group's place among the groups, from zero on.
@@ -75,9 +74,9 @@
             .map(|(number, _)| number)
     }
 
-    /// Members of all groups.
+    /// Members of all groups, also those that a change under way removes.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.groups.iter().flat_map(|members| members.list.iter())
+        self.groups.iter().flat_map(Members::all)
     }
 
     /// The next version with another list for one group.
@@ -138,11 +137,7 @@
         }
         size += 2;
     }
-    let all = Members {
-        version: 0,
-        list: List(stores.to_vec()),
-    };
-    all.write_quorum(tolerance).map(|_| stores.len())
+    write_quorum(stores, tolerance).map(|_| stores.len())
 }
 
 /// Disks of a group of this size that may be lost at once, if its members stand
@@ -167,7 +162,7 @@
 }
 
 /// The group that the store on this machine, a member of none, should fill up
-/// for: the one that lacks the most living active members of an ordinary group.
+/// for: the one that lacks the most living members of an ordinary group.
 /// Of several that lack as many each spare chooses one of its own, as far as
 /// hashes go. Where there is one group only, it takes every store.
 pub fn group_in_need(
@@ -179,11 +174,7 @@
     if groups.groups.len() == 1 {
         return Some(GroupNumber(0));
     }
-    let serving = |members: &Members| {
-        let active = |member: &&Member| member.state == MemberState::Active;
-        let serving = members.list.iter().filter(active);
-        serving.filter(|member| lives(member)).count()
-    };
+    let serving = |members: &Members| members.list.iter().filter(|member| lives(member)).count();
     groups
         .numbered()
         .map(|(number, members)| (serving(members), preference(node, number), number))
--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -18,7 +18,7 @@
     Change, Condition, Item, KeyValueError, KeyValueService, RangePage, Transaction,
     TransactionOutcome, WatchOutcome, Write,
 };
-pub use members::{Member, MemberState, Members, Tolerance};
+pub use members::{Member, MemberState, Members, Quorums, Tolerance, write_quorum};
 pub use mirror::{Mirror, MirrorEvent, Pace};
 pub use model::{
     EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
--- a/crates/stageyoke-directory/src/members.rs
+++ b/crates/stageyoke-directory/src/members.rs
@@ -1,17 +1,21 @@
-//! The list of one store group's members. It changes one member at a time, so
-//! that the quorums of neighbouring versions intersect.
+//! The list of one store group's members, and its quorums.
+//!
+//! A change of the list is a joint one: the value holds the members from now on
+//! beside those before, and what is kept or known to be absent needs a quorum of
+//! both, until the change is settled. So any members may be replaced by any
+//! others in one change: quorums of the two lists need not intersect.
 
 use std::collections::BTreeMap;
 
 use nanoserde::{DeBin, SerBin};
 use stageyoke_types::{List, Text};
 
-/// Whether a member takes new records.
+/// Whether a store that has registered takes part in the groups.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum MemberState {
-    /// Takes and keeps records.
+    /// It does.
     Active,
-    /// Being emptied: serves reads, refuses records.
+    /// It leaves before the groups are formed.
     Leaving,
 }
 
@@ -35,84 +39,183 @@
     pub version: u64,
     /// All members, in the order of their joining.
     pub list: List<Member>,
+    /// The members before, while the change to `list` is not settled; else none.
+    pub before: List<Member>,
 }
 
 impl Members {
-    /// The member on this machine.
+    /// The member on this machine, also one that the change under way removes.
     pub fn get(&self, node: &str) -> Option<&Member> {
-        self.list.iter().find(|member| member.node.as_str() == node)
+        self.all().find(|member| member.node.as_str() == node)
     }
 
-    /// The next version with `member` added or replaced.
+    /// Whether the machine stays a member once the list is settled.
+    pub fn stays(&self, node: &str) -> bool {
+        contains(&self.list, node)
+    }
+
+    /// All members, also those that the change under way removes.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        let removed = self.before.iter();
+        let removed = removed.filter(|member| !self.stays(&member.node));
+        self.list.iter().chain(removed)
+    }
+
+    /// Whether no change is under way.
+    pub fn settled(&self) -> bool {
+        self.before.is_empty()
+    }
+
+    /// The next version with `member` added, or its entry replaced wherever it
+    /// stands. A member may be added so only while nothing can be kept.
     pub fn with(&self, member: Member) -> Self {
-        let mut next = self.without(&member.node);
-        match self.list.iter().position(|old| old.node == member.node) {
-            Some(position) => next.list.insert(position, member),
-            None => next.list.push(member),
+        let mut next = Self {
+            version: self.version + 1,
+            ..self.clone()
+        };
+        if self.get(&member.node).is_none() {
+            next.list.push(member);
+            return next;
+        }
+        let entries = next.list.iter_mut().chain(next.before.iter_mut());
+        for entry in entries.filter(|entry| entry.node == member.node) {
+            *entry = member.clone();
         }
         next
     }
 
-    /// The next version without the member on this machine.
-    pub fn without(&self, node: &str) -> Self {
-        let mut list = self.list.clone();
-        list.retain(|member| member.node.as_str() != node);
+    /// The next version, in which a change to this list is under way. A change
+    /// that is under way already gets another aim: what was kept meanwhile has a
+    /// quorum of the members before.
+    pub fn changing_to(&self, list: List<Member>) -> Self {
+        let before = match self.settled() {
+            true => self.list.clone(),
+            false => self.before.clone(),
+        };
         Self {
             version: self.version + 1,
             list,
+            before,
+        }
+    }
+
+    /// The next version, in which the change under way is settled.
+    pub fn settle(&self) -> Self {
+        Self {
+            version: self.version + 1,
+            list: self.list.clone(),
+            before: List::default(),
+        }
+    }
+
+    /// The next version, in which the change under way is given up.
+    pub fn give_up(&self) -> Self {
+        Self {
+            version: self.version + 1,
+            list: self.before.clone(),
+            before: List::default(),
         }
     }
 
-    /// Disks that may be lost at once, by the tolerance and by where the
-    /// members stand.
-    fn losses(&self, tolerance: &Tolerance) -> usize {
-        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
-        let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
-        for member in self.list.iter() {
-            let zone = member.zone.as_str();
-            let region = tolerance.regions_of_zones.get(zone);
-            *zones.entry(zone).or_default() += 1;
-            *regions
-                .entry(region.map_or(zone, String::as_str))
-                .or_default() += 1;
+    /// The list without the member on this machine.
+    pub fn list_without(&self, node: &str) -> List<Member> {
+        let mut list = self.list.clone();
+        list.retain(|member| member.node.as_str() != node);
+        list
+    }
+
+    /// The list with another member in the place of the one on this machine.
+    pub fn list_replacing(&self, node: &str, member: Member) -> List<Member> {
+        let mut list = self.list.clone();
+        for entry in list.iter_mut().filter(|entry| entry.node.as_str() == node) {
+            *entry = member.clone();
         }
-        let in_zones = largest(zones.into_values(), tolerance.zones);
-        let in_regions = largest(regions.into_values(), tolerance.regions);
-        tolerance.machines.max(in_zones).max(in_regions)
+        list
     }
 
-    /// Copies that a record needs before it counts as kept: a majority, and
-    /// more than the disks that may be lost. `None` while the group is too
-    /// small for that.
+    /// Copies that a record needs of the list before it counts as kept. `None`
+    /// while the group is too small for that.
     pub fn write_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
-        let count = self.list.len();
-        let needed = majority(count).max(self.losses(tolerance) + 1);
-        (needed <= count).then_some(needed)
-    }
-
-    /// Complete members that must miss a record before it is known not to be
-    /// kept: every set of this size meets every write quorum of this list and
-    /// of the one before it, which may have been smaller by one. That one's was
-    /// above the losses as well, or it could keep nothing: with its majority alone a
-    /// group of two, one of which has lost its disk, or of four, two of which have,
-    /// could never vouch for anything again.
-    pub fn absence_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
-        let count = self.list.len();
-        let needed = self.write_quorum(tolerance)?;
-        let smaller = majority(count - 1).max(tolerance.machines + 1);
-        let before = if smaller < count { smaller } else { needed };
-        Some(count - needed.min(before) + 1)
-    }
-
-    /// Members that must go by this list, and refuse whoever goes by an older one,
-    /// before no older list can reach a write quorum any more. The one before may
-    /// have been larger by one as well.
-    pub fn fence_quorum(&self, tolerance: &Tolerance) -> Option<usize> {
-        let count = self.list.len();
-        let needed = self.write_quorum(tolerance)?;
-        let before = majority(count - 1).max(1);
-        Some(count - needed.min(before) + 1)
+        write_quorum(&self.list, tolerance)
+    }
+
+    /// The write quorums in force. `None` while the group is too small for one.
+    pub fn quorums(&self, tolerance: &Tolerance) -> Option<Quorums> {
+        let before = match self.settled() {
+            true => 0,
+            false => write_quorum(&self.before, tolerance)?,
+        };
+        Some(Quorums {
+            of_list: write_quorum(&self.list, tolerance)?,
+            of_before: before,
+        })
+    }
+
+    /// Whether these members are a write quorum of the list and, during a change, of
+    /// the members before. A record that is on them is kept; one that so many
+    /// complete members miss is known not to be.
+    pub fn reach(&self, quorums: Quorums, counts: impl Fn(&Member) -> bool) -> bool {
+        let counted = |list: &[Member]| list.iter().filter(|member| counts(member)).count();
+        counted(&self.list) >= quorums.of_list && counted(&self.before) >= quorums.of_before
+    }
+
+    /// Whether these members meet every write quorum that a kept record may be on:
+    /// of the members before during a change, else of the list. Any record that
+    /// is kept then stands on one of them.
+    pub fn meets_every_quorum(
+        &self,
+        tolerance: &Tolerance,
+        counts: impl Fn(&Member) -> bool,
+    ) -> bool {
+        let list = match self.settled() {
+            true => &self.list,
+            false => &self.before,
+        };
+        let Some(quorum) = write_quorum(list, tolerance) else {
+            return false;
+        };
+        list.iter().filter(|member| counts(member)).count() > list.len() - quorum
+    }
+}
+
+/// Members that a write quorum consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quorums {
+    /// Of the list.
+    of_list: usize,
+    /// Of the members before a change that is under way; else nought.
+    of_before: usize,
+}
+
+fn contains(list: &[Member], node: &str) -> bool {
+    list.iter().any(|member| member.node.as_str() == node)
+}
+
+/// Copies that a record needs of these members before it counts as kept: a
+/// majority, and more than the disks that may be lost. `None` where they are too
+/// few for that.
+pub fn write_quorum(list: &[Member], tolerance: &Tolerance) -> Option<usize> {
+    let count = list.len();
+    let needed = majority(count).max(losses(list, tolerance) + 1);
+    (needed <= count).then_some(needed)
+}
+
+/// Disks that may be lost at once, by the tolerance and by where the members
+/// stand.
+fn losses(list: &[Member], tolerance: &Tolerance) -> usize {
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut regions: BTreeMap<&str, usize> = BTreeMap::new();
+    for member in list {
+        let zone = member.zone.as_str();
+        let region = tolerance.regions_of_zones.get(zone);
+        *zones.entry(zone).or_default() += 1;
+        *regions
+            .entry(region.map_or(zone, String::as_str))
+            .or_default() += 1;
     }
+    let in_zones = largest(zones.into_values(), tolerance.zones);
+    let in_regions = largest(regions.into_values(), tolerance.regions);
+    tolerance.machines.max(in_zones).max(in_regions)
 }
 
 /// What may be lost at once while nothing that was kept is.
--- a/crates/stageyoke-store/src/exchange.rs
+++ b/crates/stageyoke-store/src/exchange.rs
@@ -11,8 +11,7 @@
     late: Vec<RecordDigest>,
     compared: Option<u64>,
     in_step: Option<u64>,
-    known: Option<u64>,
-    caught_up: bool,
+    caught_up: Option<u64>,
 }
 
 /// A page of a peer's digests.
@@ -66,9 +65,6 @@
         let missing = page.digests.iter().copied();
         self.late.extend(missing.filter(|digest| !holds(*digest)));
         self.position = page.next;
-        if page.complete {
-            self.known = self.known.max(Some(page.members_version));
-        }
         let whole = !page.more && page.complete;
         self.compared = whole.then_some(page.members_version);
     }
@@ -76,17 +72,21 @@
     /// After a page: a complete peer is caught up with at its journal's end,
     /// unless something is missing.
     pub fn note_end(&mut self) {
-        self.caught_up |= self.compared.is_some() && self.nothing_missing();
+        if self.nothing_missing() {
+            self.caught_up = self.compared.max(self.caught_up);
+        }
     }
 
-    /// Whether everything that a complete peer held was held here once.
+    /// Whether everything that the peer, complete, held was held here once.
     pub fn caught_up(&self) -> bool {
-        self.caught_up
+        self.caught_up.is_some()
     }
 
-    /// Whether the peer, complete, goes by this version of the member list.
-    pub fn knows(&self, members_version: u64) -> bool {
-        self.known.is_some_and(|version| version >= members_version)
+    /// The same while the peer went by this version of the member list, or a newer
+    /// one: an older one may still let records be kept that stand nowhere else.
+    pub fn caught_up_under(&self, members_version: u64) -> bool {
+        self.caught_up
+            .is_some_and(|version| version >= members_version)
     }
 
     /// Whether everything is held here that the peer, complete, held when it
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -2,14 +2,12 @@
 //! over members, chains gathered from whoever holds them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{
-    Freshness, GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance,
-};
+use stageyoke_directory::{Freshness, GroupNumber, Member, Members, StoreGroups, Tolerance};
 use stageyoke_types::Text;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
@@ -139,7 +137,7 @@
                 .get(node)
                 .is_some_and(|member| member.address.as_str() == client.address())
         });
-        for member in members.list.iter() {
+        for member in members.all() {
             clients
                 .entry(member.node.clone())
                 .or_insert_with(|| Rc::new(StoreClient::new(&member.address)));
@@ -171,31 +169,34 @@
     /// write quorum is.
     pub async fn probe(&self, within: Duration) {
         let members = self.members();
-        let Some(needed) = members.write_quorum(&self.shared.tolerance) else {
+        let Some(quorums) = members.quorums(&self.shared.tolerance) else {
             return;
         };
         let (answers, mut inbox) = unbounded_channel();
-        for member in active(&members) {
+        for member in members.all() {
             let Some(client) = self.client(&member.node) else {
                 continue;
             };
             let answers = answers.clone();
+            let node = member.node.clone();
             tokio::task::spawn_local(async move {
-                let _ = answers.send(client.call(Request::Ping, within).await.is_ok());
+                if client.call(Request::Ping, within).await.is_ok() {
+                    let _ = answers.send(node);
+                }
             });
         }
         drop(answers);
-        let mut present = 0;
-        while let Some(there) = inbox.recv().await {
-            present += usize::from(there);
-            if present >= needed {
+        let mut present = BTreeSet::new();
+        while let Some(node) = inbox.recv().await {
+            present.insert(node);
+            if members.reach(quorums, |member| present.contains(&member.node)) {
                 self.judge(true);
                 return;
             }
         }
     }
 
-    /// Writes a record to every active member; done once a write quorum has it
+    /// Writes a record to every member; done once a write quorum has it
     /// on disk. For reservations the quorum's members are complete ones, and
     /// the merged ledger is returned.
     pub async fn append(
@@ -227,7 +228,7 @@
             placement,
             record,
         });
-        for member in active(&members) {
+        for member in members.all() {
             let Some(client) = self.client(&member.node) else {
                 continue;
             };
@@ -272,10 +273,10 @@
         }
     }
 
-    /// Tells all active members something that is only a hint, without waiting.
+    /// Tells all members something that is only a hint, without waiting.
     pub fn tell(&self, request: &Request, within: Duration) {
         let request = Encoded::of(request);
-        for member in active(&self.members()) {
+        for member in self.members().all() {
             let Some(client) = self.client(&member.node) else {
                 continue;
             };
@@ -308,7 +309,7 @@
             return ChainStep::Unsure;
         };
         let (answers, mut inbox) = unbounded_channel();
-        let mut order: Vec<&Member> = members.list.iter().collect();
+        let mut order: Vec<&Member> = members.all().collect();
         order.sort_by_key(|member| member.zone != self.shared.zone);
         let mut waiting = order.into_iter();
         let mut asked = 0;
@@ -396,10 +397,3 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
-
-fn active(members: &Members) -> impl Iterator<Item = &Member> {
-    members
-        .list
-        .iter()
-        .filter(|member| member.state == MemberState::Active)
-}
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -3,13 +3,16 @@
 
 use std::fs::File;
 use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::time::Instant;
 
 use stageyoke_directory::StoreGroups;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use stageyoke_types::List;
+use stageyoke_observe as observe;
+use stageyoke_types::{Event, List};
 
 use crate::clock::DiskClock;
 use crate::completeness::Completeness;
@@ -45,6 +48,7 @@
 #[derive(Clone, Debug)]
 pub struct Journal {
     commands: mpsc::Sender<Command>,
+    stores_saved: Arc<AtomicU64>,
 }
 
 impl Journal {
@@ -58,7 +62,9 @@
     ) -> io::Result<(Self, UnboundedReceiver<Vec<Appended>>)> {
         let (commands, inbox) = mpsc::channel();
         let (results, outbox) = unbounded_channel();
+        let stores_saved = Arc::new(AtomicU64::new(0));
         let writer = Writer {
+            stores_saved: stores_saved.clone(),
             folder,
             next_segment,
             segment_bytes,
@@ -70,7 +76,11 @@
             .name("journal".to_owned())
             .stack_size(256 * 1024)
             .spawn(move || writer.run(&inbox))?;
-        Ok((Self { commands }, outbox))
+        let journal = Self {
+            commands,
+            stores_saved,
+        };
+        Ok((journal, outbox))
     }
 
     /// Writes a record; the result carries the ticket. Returns the bytes that
@@ -88,6 +98,12 @@
         let _ = self.commands.send(Command::Remove { segment });
     }
 
+    /// The newest version of the store groups that this life of the process has put on
+    /// the disk.
+    pub fn stores_saved(&self) -> u64 {
+        self.stores_saved.load(Ordering::Acquire)
+    }
+
     /// Keeps the store groups.
     pub fn save_stores(&self, stores: &StoreGroups) {
         let _ = self.commands.send(Command::Stores(stores.clone()));
@@ -118,6 +134,7 @@
 }
 
 struct Writer {
+    stores_saved: Arc<AtomicU64>,
     folder: DataFolder,
     next_segment: u64,
     segment_bytes: u64,
@@ -155,13 +172,23 @@
     }
 
     fn housekeeping(&self, command: Command) {
-        let _ = match command {
+        let outcome = match command {
             Command::Remove { segment } => self.folder.remove_segment(segment),
-            Command::Stores(stores) => self.folder.save_stores(&stores),
+            Command::Stores(stores) => self.save_stores(&stores),
             Command::Items(items) => self.folder.save_items(&items),
             Command::Complete(completeness) => self.folder.mark_complete(completeness),
             Command::Append { .. } => Ok(()),
         };
+        if let Err(error) = outcome {
+            // What was to be kept is known to the process; only its next life may lack it.
+            observe::event(Event::DiskRefuses, &format!("housekeeping error={error}"));
+        }
+    }
+
+    fn save_stores(&self, stores: &StoreGroups) -> io::Result<()> {
+        self.folder.save_stores(stores)?;
+        self.stores_saved.store(stores.version, Ordering::Release);
+        Ok(())
     }
 
     fn write_batch(&mut self, entries: &[BatchEntry], bytes: &[u8]) {
--- a/crates/stageyoke-store/src/keeper.rs
+++ b/crates/stageyoke-store/src/keeper.rs
@@ -52,6 +52,8 @@
     next_ticket: Cell<u64>,
     disk_refuses: Cell<bool>,
     standing: RefCell<Standing>,
+    /// Version of the store groups that the disk held at the start.
+    stores_recovered: u64,
     members_since: Cell<Instant>,
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
@@ -81,6 +83,7 @@
         let mut state = recovered.state;
         state.keep_recent(limits.recent_bytes);
         let stores = recovered.stores.unwrap_or_default();
+        let stores_recovered = stores.version;
         let standing = Standing::new(node.clone(), stores, recovered.completeness);
         let keeper = Self {
             node,
@@ -97,6 +100,7 @@
             next_ticket: Cell::new(0),
             disk_refuses: Cell::new(false),
             standing: RefCell::new(standing),
+            stores_recovered,
             members_since: Cell::new(Instant::now()),
             items: RefCell::default(),
             loads: LoadReports::default(),
@@ -123,6 +127,20 @@
         Self { directory, ..self }
     }
 
+    /// Whether the store groups in use are on the disk, so that a list that was told to
+    /// a peer is not forgotten: the fence of a change counts on it.
+    pub fn stores_saved(&self) -> bool {
+        let saved = self.journal.stores_saved().max(self.stores_recovered);
+        saved >= self.stores().version
+    }
+
+    /// Puts the store groups on the disk if it refused them before.
+    pub fn save_stores_again(&self) {
+        if !self.stores_saved() {
+            self.journal.save_stores(&self.stores());
+        }
+    }
+
     /// Whether this store holds everything that it ever acknowledged as a
     /// member of its group; before there are groups, of any.
     pub fn complete(&self) -> bool {
@@ -141,11 +159,6 @@
         }
     }
 
-    /// Whether this store is being emptied.
-    pub fn leaving(&self) -> bool {
-        self.standing.borrow().leaving()
-    }
-
     /// The store groups that this store goes by.
     pub fn stores(&self) -> Rc<StoreGroups> {
         self.standing.borrow().stores()
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -13,6 +13,7 @@
     Reply, Request, TurnRecord,
 };
 use crate::relay;
+use crate::standing::PeerStanding;
 use crate::state::ChainStep;
 
 /// Time for a read of the configuration on behalf of fronts: a connection that
@@ -57,7 +58,7 @@
             } => {
                 self.held_by_peers.borrow_mut().insert(node, held);
                 let directory = self.directory.mark();
-                let standing = self.standing.borrow().for_peer(group, members_version);
+                let standing = self.standing_for_peer(group, members_version);
                 self.state.borrow().digests(from, standing, directory)
             }
             Request::Quota(question) => self.rule(question),
@@ -75,6 +76,14 @@
         }
     }
 
+    fn standing_for_peer(&self, group: GroupNumber, members_version: u64) -> PeerStanding {
+        let standing = self.standing.borrow().for_peer(group, members_version);
+        PeerStanding {
+            complete: standing.complete && self.stores_saved(),
+            ..standing
+        }
+    }
+
     /// Records by their digests; those that can't be read are left out, and the
     /// asker, which still misses them, asks again or elsewhere.
     async fn fetch(&self, digests: &[RecordDigest]) -> Reply {
@@ -224,7 +233,7 @@
             Record::Reserve { .. } => self.limits.reserve_below(),
             Record::Settle { .. } | Record::Turn(_) => self.limits.state_bytes,
             // A store's own; no caller may send it.
-            Record::Clock { .. } => return Some(Refusal::NotActive),
+            Record::Clock { .. } => return Some(Refusal::NotAMember),
         };
         self.no_room_below(most)
     }
--- a/crates/stageyoke-store/src/limits.rs
+++ b/crates/stageyoke-store/src/limits.rs
@@ -1,5 +1,7 @@
 //! What a store's memory is given to, worked out from its machine's limit.
 
+use std::time::Duration;
+
 use crate::journal::DEFAULT_SEGMENT_BYTES;
 
 /// Part of the memory for the index. The rest holds the program (10 MB on a
@@ -16,6 +18,10 @@
 /// deployments.
 pub const DEFAULT_MEMORY_BYTES: u64 = 58 * 1024 * 1024;
 
+/// Time from the start of a lost store's successor until the group must bear the next
+/// loss, where the settings name none: the shortest among the deployments.
+pub const DEFAULT_CATCH_UP: Duration = Duration::from_secs(4);
+
 /// Bounds of one store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreLimits {
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -1,27 +1,31 @@
 //! Decides a member's next step in the list of its group. Pure: the caller makes
 //! the change under the condition that the list has not moved meanwhile.
 //!
-//! Quorums of neighbouring lists intersect; those of lists further apart need
-//! not. So before a list is followed by one with other members, the one before
-//! it is *fenced*: so many complete members go by the current list, and refuse
-//! whoever goes by an older one, that no older quorum can be reached any more;
-//! and whoever proposes the next list holds all that they held then
-//! (`docs/GROUPS.md` has the argument).
+//! A change is joint: from its proposal on records need a quorum of the members
+//! before and of those from now on. It is settled once it is *fenced* (so many
+//! complete members before go by it, and refuse whoever goes by an older list,
+//! that no older quorum can be reached), and a write quorum of the new members
+//! holds all that these held then (`docs/GROUPS.md` has the argument). Any
+//! member may be replaced so, as soon as a successor has filled up; what can be
+//! lost is borne again from then on.
 
 use std::time::Duration;
 
-use stageyoke_directory::groups::SMALLEST_GROUP;
-use stageyoke_directory::{Member, MemberState, Members, Tolerance};
-use stageyoke_types::Text;
+use stageyoke_directory::{Member, Members, Tolerance, write_quorum};
+use stageyoke_types::{List, Text};
 
 use crate::message::JournalPosition;
 
-/// A member that nobody hears for this long may be dropped from the list once
-/// all others have caught up with one another.
+/// A member that nobody hears for this long leaves the list if no successor has
+/// taken its place: those that are left can be healed with fewer of them alive.
 pub const REMOVE_AFTER: Duration = Duration::from_secs(6);
 /// How long the list must have stood before a member too many leaves: whoever
 /// was away may be so again.
 pub const SURPLUS_AFTER: Duration = Duration::from_secs(10);
+/// The first living member of the list makes the next step; the others after
+/// this time, if it has not. Saves proposals that lose against one another.
+pub const OTHERS_STEP_AFTER: Duration = Duration::from_secs(1);
+
 /// This store, as it should stand in the list.
 #[derive(Clone, Debug)]
 pub struct Oneself {
@@ -36,19 +40,19 @@
     pub retiring: bool,
     /// Whether it is a member too many, and should become a spare.
     pub surplus: bool,
-    /// Whether half of the time for the retirement is over.
-    pub retirement_is_late: bool,
-    /// Whether the lists before the current one are fenced.
+    /// Whether the group takes one more member.
+    pub room: bool,
+    /// Whether this store holds what the fence of the change under way held.
     pub fenced: bool,
-    /// Active peers that hold everything that this store holds.
-    pub peers_holding_all: usize,
     /// How long the current list has been in use here.
     pub list_age: Duration,
+    /// A member that is silent for so long may be replaced.
+    pub replace_after: Duration,
 }
 
-/// Where a store's journal ended when it was first seen to hold everything that
-/// its living peers held under a member list. A peer that holds the journal up
-/// to there holds what all of them held.
+/// Where a store's journal ended when it was first seen to hold all that must
+/// last under a version of the member list. A peer that holds the journal up to
+/// there holds all of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharedEnd {
     members_version: u64,
@@ -57,18 +61,17 @@
 
 impl SharedEnd {
     /// The end that was known, if it is this list's; else the journal's end
-    /// now, provided that this store holds what its living peers held since the
-    /// list came into use.
+    /// now, provided that this store is fenced.
     pub fn under(
         members: &Members,
         known: Option<Self>,
-        holds_living_peers: impl FnOnce() -> bool,
+        fenced: bool,
         end: JournalPosition,
     ) -> Option<Self> {
         let members_version = members.version;
         let known = known.filter(|known| known.members_version == members_version);
         known.or_else(|| {
-            holds_living_peers().then_some(Self {
+            fenced.then_some(Self {
                 members_version,
                 end,
             })
@@ -81,16 +84,11 @@
     }
 }
 
-/// Whether the lists before the current one are fenced, by members that are in
-/// step: this store holds what they held, complete, under the current list. For
-/// a store that leaves it is enough that they know that list: what it does not
-/// hold stays where it is.
+/// Whether no older list can be used any more: this store holds what so many
+/// members held, complete, when they went by the current list already, that every
+/// quorum before is met.
 pub fn fenced(members: &Members, tolerance: &Tolerance, in_step: impl Fn(&Member) -> bool) -> bool {
-    let Some(needed) = members.fence_quorum(tolerance) else {
-        return false;
-    };
-    let in_step = members.list.iter().filter(|member| in_step(member));
-    in_step.count() >= needed
+    members.meets_every_quorum(tolerance, in_step)
 }
 
 /// Whether so many members have been caught up with that no kept record can
@@ -100,12 +98,7 @@
     tolerance: &Tolerance,
     caught_up_with: impl Fn(&str) -> bool,
 ) -> bool {
-    let Some(needed) = members.absence_quorum(tolerance) else {
-        return false;
-    };
-    let caught_up = members.list.iter();
-    let caught_up = caught_up.filter(|member| caught_up_with(&member.node));
-    caught_up.count() >= needed
+    members.meets_every_quorum(tolerance, |member| caught_up_with(&member.node))
 }
 
 /// What this store knows of a peer.
@@ -115,8 +108,8 @@
     pub node: Text,
     /// How long it has not answered.
     pub silent_for: Duration,
-    /// Whether this store holds what its living peers held under the current
-    /// list, and the peer holds all of that.
+    /// Whether this store holds what the fence held, and the peer holds all of
+    /// that.
     pub caught_up: bool,
 }
 
@@ -127,17 +120,15 @@
     Rest,
     /// Put this list in place of the current one.
     Change(Members),
-    /// Mark oneself as leaving: a retirement, if there is one, is under way.
+    /// Begin to leave: a retirement, if there is one, is under way.
     BeginLeaving(Members),
-    /// Leave the list: a retirement, if there is one, is complete.
-    Leave(Members),
 }
 
 /// Whether no record can have been kept by anybody: a group too small for a
 /// write quorum has never had one, since no list shrinks below it. Every disk is
 /// complete then, whatever became of it.
 pub fn nothing_kept_yet(members: &Members, tolerance: &Tolerance) -> bool {
-    members.write_quorum(tolerance).is_none()
+    members.quorums(tolerance).is_none()
 }
 
 /// The next step.
@@ -147,129 +138,147 @@
     peers: &[PeerHealth],
     tolerance: &Tolerance,
 ) -> Step {
-    let entry = oneself.entry.clone();
-    let Some(current) = members.get(&entry.node) else {
-        return join(members, entry, oneself, tolerance);
+    let view = View {
+        members,
+        oneself,
+        peers,
+        tolerance,
     };
-    let leaving = current.state == MemberState::Leaving;
-    let begins = oneself.surplus && oneself.list_age >= SURPLUS_AFTER;
-    if oneself.retiring || begins || (leaving && oneself.surplus) {
-        return leave(members, current, oneself, peers, tolerance);
-    }
-    if *current != entry {
-        return Step::Change(members.with(entry));
+    match members.get(&oneself.entry.node) {
+        None => view.join(),
+        Some(current) if *current != oneself.entry => {
+            Step::Change(members.with(oneself.entry.clone()))
+        }
+        Some(_) if members.settled() => view.begin(),
+        Some(_) => view.conclude(),
     }
-    remove_dead(members, oneself, peers, tolerance)
 }
 
-fn join(members: &Members, entry: Member, oneself: &Oneself, tolerance: &Tolerance) -> Step {
-    if oneself.retiring {
-        return Step::Rest;
-    }
-    let holds_all = oneself.caught_up && oneself.fenced;
-    let ready = holds_all || nothing_kept_yet(members, tolerance);
-    if oneself.complete && ready {
-        return Step::Change(members.with(entry));
-    }
-    Step::Rest
+/// What a step is decided by.
+struct View<'a> {
+    members: &'a Members,
+    oneself: &'a Oneself,
+    peers: &'a [PeerHealth],
+    tolerance: &'a Tolerance,
 }
 
-fn leave(
-    members: &Members,
-    current: &Member,
-    oneself: &Oneself,
-    peers: &[PeerHealth],
-    tolerance: &Tolerance,
-) -> Step {
-    if current.state == MemberState::Active {
-        let leaving = Member {
-            state: MemberState::Leaving,
-            ..current.clone()
+impl View<'_> {
+    /// A store that is no member takes the place of one that is silent, or one
+    /// more where there is room.
+    fn join(&self) -> Step {
+        let (members, oneself) = (self.members, self.oneself);
+        if oneself.retiring || !oneself.complete {
+            return Step::Rest;
+        }
+        let entry = oneself.entry.clone();
+        if nothing_kept_yet(members, self.tolerance) {
+            return Step::Change(members.with(entry));
+        }
+        if !oneself.caught_up {
+            return Step::Rest;
+        }
+        if let Some(silent) = self.longest_silent(&members.list, oneself.replace_after) {
+            let list = members.list_replacing(&silent, entry);
+            return Step::Change(members.changing_to(list));
+        }
+        // While a change is under way a new one waits, unless it replaces somebody.
+        if !(oneself.room && members.settled()) {
+            return Step::Rest;
+        }
+        let mut list = members.list.clone();
+        list.push(entry);
+        Step::Change(members.changing_to(list))
+    }
+
+    /// What a member does while no change is under way.
+    fn begin(&self) -> Step {
+        let oneself = self.oneself;
+        let too_many = oneself.surplus && oneself.list_age >= SURPLUS_AFTER;
+        if oneself.retiring || too_many {
+            return self.leave();
+        }
+        if !oneself.complete || !self.acts_first() {
+            return Step::Rest;
+        }
+        let Some(silent) = self.longest_silent(&self.members.list, REMOVE_AFTER) else {
+            return Step::Rest;
         };
-        let next = members.with(leaving);
-        // Members that are leaving or dead take no records, and count for the quorum
-        // as long as they are listed: a group of three whose dead member was still in
-        // the list refused every turn for 4.3 s while a fourth left it.
-        return match serves(&next, peers, tolerance) {
-            true => Step::BeginLeaving(next),
+        let list = self.members.list_without(&silent);
+        match self.serves(&list, REMOVE_AFTER) {
+            true => Step::Change(self.members.changing_to(list)),
+            false => Step::Rest,
+        }
+    }
+
+    /// Leaves the list, if the others can serve without it.
+    fn leave(&self) -> Step {
+        let list = self.members.list_without(&self.oneself.entry.node);
+        match self.serves(&list, self.oneself.replace_after) {
+            true => Step::BeginLeaving(self.members.changing_to(list)),
             false => Step::Rest,
+        }
+    }
+
+    /// Settles the change under way, or gives it up where those from now on can't
+    /// serve and those before can.
+    fn conclude(&self) -> Step {
+        let (members, oneself) = (self.members, self.oneself);
+        if !self.acts_first() {
+            return Step::Rest;
+        }
+        if oneself.complete && oneself.fenced && self.holders_suffice() {
+            return Step::Change(members.settle());
+        }
+        let within = oneself.replace_after;
+        if !self.serves(&members.list, within) && self.serves(&members.before, within) {
+            return Step::Change(members.give_up());
+        }
+        Step::Rest
+    }
+
+    /// Whether a write quorum of the new members holds all that the fence held.
+    fn holders_suffice(&self) -> bool {
+        let holds = |member: &&Member| match self.peer(&member.node) {
+            Some(peer) => peer.caught_up,
+            None => member.node == self.oneself.entry.node,
         };
+        let holders = self.members.list.iter().filter(holds).count();
+        let needed = self.members.write_quorum(self.tolerance);
+        needed.is_some_and(|needed| needed <= holders)
     }
-    let rest = members.without(&oneself.entry.node);
-    let Some(needed) = rest.write_quorum(tolerance) else {
-        return Step::Rest;
-    };
-    // All of the rest are to hold everything; once time runs short, as many as
-    // a quorum needs, since one of them may be down.
-    let holders = match oneself.retirement_is_late {
-        true => needed,
-        false => needed.max(rest.list.len()),
-    };
-    if oneself.fenced && oneself.peers_holding_all >= holders {
-        return Step::Leave(rest);
+
+    /// Whether these members are enough for a write quorum, without those that
+    /// are silent for longer than that.
+    fn serves(&self, list: &List<Member>, silence: Duration) -> bool {
+        let living = |member: &&Member| !self.silent(&member.node, silence);
+        let living = list.iter().filter(living).count();
+        write_quorum(list, self.tolerance).is_some_and(|needed| needed <= living)
     }
-    Step::Rest
-}
 
-/// Whether enough members of a list take records for a write quorum: active ones that
-/// are not known to be dead.
-fn serves(members: &Members, peers: &[PeerHealth], tolerance: &Tolerance) -> bool {
-    let dead = |member: &Member| {
-        let mut peers = peers.iter();
-        let peer = peers.find(|peer| peer.node == member.node);
-        peer.is_some_and(|peer| peer.silent_for > REMOVE_AFTER)
-    };
-    let serving = members.list.iter();
-    let serving = serving.filter(|member| member.state == MemberState::Active && !dead(member));
-    let needed = members.write_quorum(tolerance);
-    needed.is_some_and(|needed| needed <= serving.count())
-}
+    fn longest_silent(&self, list: &List<Member>, silence: Duration) -> Option<Text> {
+        let listed = |peer: &&PeerHealth| list.iter().any(|member| member.node == peer.node);
+        let silent = self.peers.iter().filter(listed);
+        let silent = silent.filter(|peer| peer.silent_for > silence);
+        let longest = silent.max_by_key(|peer| peer.silent_for);
+        longest.map(|peer| peer.node.clone())
+    }
 
-/// Removes one dead member in two steps, if those that are left can keep records
-/// and hold everything together: so many complete ones that no kept record can
-/// stand on dead members only (`fenced`), however many these are. What it acknowledged to fronts that don't know of the first step
-/// is held by others too before the second.
-fn remove_dead(
-    members: &Members,
-    oneself: &Oneself,
-    peers: &[PeerHealth],
-    tolerance: &Tolerance,
-) -> Step {
-    let dead = |peer: &&PeerHealth| peer.silent_for > REMOVE_AFTER;
-    let dead_count = peers.iter().filter(dead).count();
-    let is_leaving = |peer: &PeerHealth| {
-        let member = members.get(&peer.node);
-        member.is_some_and(|member| member.state == MemberState::Leaving)
-    };
-    let longest_dead = peers
-        .iter()
-        .filter(dead)
-        .max_by_key(|peer| (is_leaving(peer), peer.silent_for));
-    let Some(gone) = longest_dead else {
-        return Step::Rest;
-    };
-    let rest = members.without(&gone.node);
-    let living = members.list.len() - dead_count;
-    let serves = rest
-        .write_quorum(tolerance)
-        .is_some_and(|needed| needed <= living);
-    let large_enough = rest.list.len() >= SMALLEST_GROUP;
-    let mut living = peers.iter().filter(|peer| !dead(peer));
-    let caught_up = living.all(|peer| peer.caught_up);
-    if !(serves && large_enough && caught_up && oneself.fenced) {
-        return Step::Rest;
+    fn silent(&self, node: &str, silence: Duration) -> bool {
+        let peer = self.peer(node);
+        peer.is_some_and(|peer| peer.silent_for > silence)
     }
-    // First nobody counts on it any more; it goes once the list that says so is
-    // fenced in its turn, and no front can that does.
-    match members.get(&gone.node) {
-        Some(member) if member.state == MemberState::Active => {
-            let leaving = Member {
-                state: MemberState::Leaving,
-                ..member.clone()
-            };
-            Step::Change(members.with(leaving))
-        }
-        Some(_) => Step::Change(rest),
-        None => Step::Rest,
+
+    fn peer(&self, node: &str) -> Option<&PeerHealth> {
+        self.peers.iter().find(|peer| peer.node.as_str() == node)
+    }
+
+    /// Whether this store makes the step now: it is the first of the list that is
+    /// not silent, or the first has had its time.
+    fn acts_first(&self) -> bool {
+        let oneself = self.oneself;
+        let living = |member: &&Member| !self.silent(&member.node, oneself.replace_after);
+        let first = self.members.list.iter().find(living);
+        first.is_none_or(|first| first.node == oneself.entry.node)
+            || oneself.list_age >= OTHERS_STEP_AFTER
     }
 }
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -443,8 +443,8 @@
 /// Why a store refused a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum Refusal {
-    /// This store is not a member, or is being emptied.
-    NotActive,
+    /// This store is not a member.
+    NotAMember,
     /// The disk takes no more.
     DiskRefused,
     /// The store's memory holds no more until older records have expired.
--- a/crates/stageyoke-store/src/owners.rs
+++ b/crates/stageyoke-store/src/owners.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Member, MemberState, StoreGroups};
+use stageyoke_directory::StoreGroups;
 use stageyoke_policy::quota::{Question, Verdict};
 use stageyoke_types::Text;
 use stageyoke_types::hash::mix;
@@ -58,8 +58,7 @@
 impl Owners {
     /// Follows the members of the store groups.
     pub fn follow(&self, stores: &StoreGroups) {
-        let active = |member: &&Member| member.state == MemberState::Active;
-        let ranked = stores.members().filter(active).map(|member| Ranked {
+        let ranked = stores.members().map(|member| Ranked {
             node: member.node.clone(),
             hash: TurnKey::of(&member.node).0,
         });
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -2,8 +2,9 @@
 //! calls and hands their answers in.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
-use stageyoke_directory::{Members, StoreGroups, Tolerance};
+use stageyoke_directory::{Members, Quorums, StoreGroups, Tolerance};
 
 use crate::group::GroupError;
 use crate::keys::TurnKey;
@@ -46,11 +47,13 @@
 }
 
 /// The answers to one append. It is kept once a write quorum of the member list
-/// by which it was sent has it on disk; a reservation's quorum consists of
-/// complete members, since their ledgers decide.
+/// by which it was sent, and of the members before while that list is being
+/// changed, has it on disk; a reservation's quorum consists of complete members,
+/// since their ledgers decide.
 #[derive(Debug)]
 pub struct AppendTally {
-    needed: usize,
+    members: Rc<Members>,
+    quorums: Quorums,
     reads_ledger: bool,
     keeping: BTreeSet<Text>,
     ledger: LedgerView,
@@ -61,12 +64,13 @@
 impl AppendTally {
     /// No answer yet. Fails where the list is too small for the tolerance.
     pub fn new(
-        members: &Members,
+        members: &Rc<Members>,
         tolerance: &Tolerance,
         reads_ledger: bool,
     ) -> Result<Self, GroupError> {
         Ok(Self {
-            needed: members.write_quorum(tolerance).ok_or(GroupError::NoGroup)?,
+            members: members.clone(),
+            quorums: members.quorums(tolerance).ok_or(GroupError::NoGroup)?,
             reads_ledger,
             keeping: BTreeSet::new(),
             ledger: LedgerView::default(),
@@ -95,7 +99,7 @@
             }
             Reply::Refused(Refusal::DiskRefused) => self.error = GroupError::DiskRefused,
             Reply::Refused(Refusal::MemoryFull) => self.error = GroupError::MemoryFull,
-            Reply::Refused(Refusal::NotActive)
+            Reply::Refused(Refusal::NotAMember)
             | Reply::Chain { .. }
             | Reply::Digests { .. }
             | Reply::Quota(_)
@@ -112,7 +116,8 @@
 
     /// Whether a write quorum has kept it.
     pub fn kept(&self) -> bool {
-        self.keeping.len() >= self.needed
+        self.members
+            .reach(self.quorums, |member| self.keeping.contains(&member.node))
     }
 
     /// Newer store groups that came with a refusal.
@@ -146,10 +151,12 @@
 }
 
 /// The answers to the question for one chain. Absence is known once so many
-/// complete members miss the turn that no write quorum can have kept it.
+/// complete members miss the turn, of the list and of the members before, that no
+/// write quorum can have kept it, by this list or by a newer one.
 #[derive(Debug)]
 pub struct ChainTally {
-    needed: usize,
+    members: Rc<Members>,
+    quorums: Quorums,
     missing: BTreeSet<Text>,
     found: Option<(Vec<ChainPart>, Text)>,
     newer: Option<StoreGroups>,
@@ -157,9 +164,10 @@
 
 impl ChainTally {
     /// No answer yet; `None` where the list is too small for the tolerance.
-    pub fn new(members: &Members, tolerance: &Tolerance) -> Option<Self> {
+    pub fn new(members: &Rc<Members>, tolerance: &Tolerance) -> Option<Self> {
         Some(Self {
-            needed: members.absence_quorum(tolerance)?,
+            members: members.clone(),
+            quorums: members.quorums(tolerance)?,
             missing: BTreeSet::new(),
             found: None,
             newer: None,
@@ -194,11 +202,16 @@
         self.newer.take()
     }
 
+    fn absent(&self) -> bool {
+        self.members
+            .reach(self.quorums, |member| self.missing.contains(&member.node))
+    }
+
     /// What is known now.
     pub fn step(&mut self) -> ChainStep {
         match self.found.take() {
             Some((found, missing)) => ChainStep::Parts { found, missing },
-            None if self.missing.len() >= self.needed => ChainStep::Absent,
+            None if self.absent() => ChainStep::Absent,
             None => ChainStep::Unsure,
         }
     }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -21,9 +21,7 @@
 use crate::formation::{Formation, FormationStep};
 use crate::keeper::Keeper;
 use crate::limits::StoreLimits;
-use crate::membership::{
-    Oneself, PeerHealth, REMOVE_AFTER, SharedEnd, Step, decide, fenced, nothing_kept_yet,
-};
+use crate::membership::{Oneself, PeerHealth, SharedEnd, Step, decide, fenced, nothing_kept_yet};
 use crate::relay::seen_item;
 use crate::segment::DataFolder;
 use crate::server;
@@ -63,6 +61,9 @@
     pub first_start: bool,
     /// What may be lost at once.
     pub tolerance: Tolerance,
+    /// Time from the start of a lost store's successor until the group must bear the
+    /// next loss.
+    pub catch_up: Duration,
     /// What is tolerated beyond tenants' limits.
     pub quota_tolerance: QuotaTolerance,
 }
@@ -113,7 +114,6 @@
     survey: Survey,
     formation: RefCell<Formation>,
     shared_end: Cell<Option<SharedEnd>>,
-    retiring_since: Cell<Option<Instant>>,
     items_kept: Cell<KeptItems>,
 }
 
@@ -156,7 +156,6 @@
             survey: Survey::default(),
             formation: RefCell::default(),
             shared_end: Cell::new(None),
-            retiring_since: Cell::new(None),
             items_kept: Cell::default(),
         });
         host.follow();
@@ -165,6 +164,7 @@
             loop {
                 tokio::time::sleep(EXPIRE_PAUSE).await;
                 forgetting.expire().await;
+                forgetting.save_stores_again();
             }
         });
         let asking = host.clone();
@@ -236,6 +236,14 @@
             && others.all(|member| self.silent_for(member) < LOST_AFTER)
     }
 
+    /// Whether the group takes one more member: it has less than an ordinary one, or
+    /// is the only one. A spare first learns whether there is somebody to replace.
+    fn room(&self, stores: &StoreGroups, members: &Members) -> bool {
+        let smaller = |size| members.list.len() < size;
+        let takes_all = stores.groups.len() == 1;
+        self.survey.has_asked() && (takes_all || self.ordinary_size(stores).is_some_and(smaller))
+    }
+
     /// Keeps the items of the service, for fronts that start while it is down:
     /// at once when routes or members have changed, while a group of changes of
     /// the replica list is kept together.
@@ -281,28 +289,16 @@
         }
     }
 
-    /// Whether nothing is to be done soon: a complete member, or a spare that
-    /// no group needs.
+    /// Whether nothing is to be done soon: a complete member of a list that is not
+    /// being changed, or a spare that no group needs.
     fn settled(&self) -> bool {
         let stores = self.keeper.stores();
         let member = stores.group_of_node(&self.settings.node).is_some();
-        let settled_member = member && self.keeper.complete();
+        let settled_member = member && self.keeper.complete() && self.keeper.members().settled();
         let idle_spare = stores.formed() && !member && self.keeper.group().is_none();
         (settled_member || idle_spare) && !self.retiring()
     }
 
-    /// Whether half of the time for a retirement is over.
-    fn retirement_is_late(&self) -> bool {
-        let view = self.mirror.view();
-        let Some(order) = view.retirements.get(&self.settings.node) else {
-            self.retiring_since.set(None);
-            return false;
-        };
-        let since = self.retiring_since.get().unwrap_or_else(Instant::now);
-        self.retiring_since.set(Some(since));
-        since.elapsed() > order.within / 2
-    }
-
     fn retiring(&self) -> bool {
         self.mirror
             .view()
@@ -326,12 +322,12 @@
         let change = |members| stores.with_group(group, members);
         match self.next_step(&stores, stores.group(group)?) {
             Step::Rest => None,
-            Step::Change(members) => Some(Proposal::change(change(members))),
-            Step::BeginLeaving(members) | Step::Leave(members) if !self.retiring() => {
+            Step::BeginLeaving(members) if self.retiring() => {
+                Some(Proposal::retirement(change(members), false))
+            }
+            Step::Change(members) | Step::BeginLeaving(members) => {
                 Some(Proposal::change(change(members)))
             }
-            Step::BeginLeaving(members) => Some(Proposal::retirement(change(members), false)),
-            Step::Leave(members) => Some(Proposal::retirement(change(members), true)),
         }
     }
 
@@ -381,52 +377,41 @@
         if nothing_kept_yet(members, &self.settings.tolerance) {
             self.keeper.set_complete();
         }
-        let end = self.keeper.end();
-        let holds_all = |member: &&Member| {
-            let active = member.state == MemberState::Active;
-            active && self.keeper.held_by(&member.node) == end
-        };
-        let peers_holding_all = self.others(members).filter(holds_all).count();
+        let fenced = self.fenced(members);
         let oneself = Oneself {
             entry: self.entry(),
             complete: self.keeper.complete(),
             caught_up: self.peers.caught_up_with_group(),
             retiring: self.retiring(),
             surplus: self.surplus(stores, members),
-            retirement_is_late: self.retirement_is_late(),
-            fenced: self.fenced(members),
-            peers_holding_all,
+            room: self.room(stores, members),
+            fenced,
             list_age: self.keeper.members_since().elapsed(),
+            replace_after: replace_after(self.settings.catch_up),
         };
-        let peers = self.peer_health(members);
+        let peers = self.peer_health(members, fenced);
         decide(members, &oneself, &peers, &self.settings.tolerance)
     }
 
     fn others<'a>(&'a self, members: &'a Members) -> impl Iterator<Item = &'a Member> {
-        let others = members.list.iter();
-        others.filter(|member| member.node != self.settings.node)
+        members
+            .all()
+            .filter(|member| member.node != self.settings.node)
     }
 
     fn fenced(&self, members: &Members) -> bool {
         fenced(members, &self.settings.tolerance, |member| {
             match member.node == self.settings.node {
-                true => self.keeper.complete(),
-                false if self.keeper.leaving() => self.peers.knows(&member.node, members.version),
+                true => self.keeper.complete() && self.keeper.stores_saved(),
                 false => self.peers.in_step(&member.node, members.version),
             }
         })
     }
 
-    fn peer_health(&self, members: &Members) -> Vec<PeerHealth> {
-        let holds_living_peers = || {
-            let mut living = self
-                .others(members)
-                .filter(|member| self.silent_for(member) <= REMOVE_AFTER);
-            living.all(|member| self.peers.in_step(&member.node, members.version))
-        };
+    fn peer_health(&self, members: &Members, fenced: bool) -> Vec<PeerHealth> {
         let known = self.shared_end.get();
         let end = self.keeper.end();
-        let shared_end = SharedEnd::under(members, known, holds_living_peers, end);
+        let shared_end = SharedEnd::under(members, known, fenced, end);
         self.shared_end.set(shared_end);
         let holds_it = |node: &str| {
             let held = self.keeper.held_by(node);
@@ -441,8 +426,11 @@
             .collect()
     }
 
+    /// How long a member has not answered, as a peer or, before this store was one,
+    /// when it asked whether it is there.
     fn silent_for(&self, member: &Member) -> Duration {
-        self.peers.silent_for(&member.node).unwrap_or_default()
+        let as_peer = self.peers.silent_for(&member.node).unwrap_or_default();
+        as_peer.max(self.survey.silent_for(&member.node))
     }
 
     async fn propose(&self, proposal: Proposal) {
@@ -501,20 +489,31 @@
     }
 }
 
-/// The groups' members in one line.
+/// How long a member may be silent before a spare takes its place: half of the time
+/// that the group has to heal, so that the change itself has the other half, and no
+/// longer than a survey needs.
+fn replace_after(catch_up: Duration) -> Duration {
+    LOST_AFTER.min(catch_up / 2)
+}
+
+/// The groups' members in one line; those before a change that is under way behind.
 fn describe(stores: &StoreGroups) -> String {
-    let names = |list: &[Member]| {
-        let names: Vec<&str> = list.iter().map(|member| member.node.as_str()).collect();
-        names.join(",")
-    };
-    let groups: Vec<String> = stores
-        .groups
-        .iter()
-        .map(|members| format!("{}:{}", members.version, names(&members.list)))
-        .collect();
+    let groups = stores.groups.iter().map(|members| {
+        let before = match members.settled() {
+            true => String::new(),
+            false => format!("<{}", names(&members.before)),
+        };
+        format!("{}:{}{before}", members.version, names(&members.list))
+    });
+    let groups: Vec<String> = groups.collect();
     format!("groups={}", groups.join("|"))
 }
 
+fn names(list: &[Member]) -> String {
+    let names: Vec<&str> = list.iter().map(|member| member.node.as_str()).collect();
+    names.join(",")
+}
+
 /// Logs what the mirror reports.
 pub fn report_mirror_event(event: MirrorEvent) {
     match event {
--- a/crates/stageyoke-store/src/spare.rs
+++ b/crates/stageyoke-store/src/spare.rs
@@ -44,21 +44,30 @@
         size: usize,
         node: &str,
     ) -> Option<GroupNumber> {
-        let since = self.asked_since.get();
-        let asked_long_enough = since.is_some_and(|since| since.elapsed() >= LOST_AFTER);
-        if stores.groups.len() > 1 && !asked_long_enough {
+        if stores.groups.len() > 1 && !self.has_asked() {
             return None;
         }
         group_in_need(stores, size, node, |member| self.lives(member))
     }
 
     fn lives(&self, member: &Member) -> bool {
+        self.silent_for(&member.node) < LOST_AFTER
+    }
+
+    /// How long the member on this machine has not answered this spare's questions.
+    pub fn silent_for(&self, node: &str) -> Duration {
         let asked = self.asked.borrow();
         let heard_at = asked
-            .get(&member.node)
+            .get(node)
             .map(|asked| asked.answered_at.get().unwrap_or(asked.since));
         // One that has just joined has not been asked yet: it was there then.
-        heard_at.is_none_or(|at| at.elapsed() < LOST_AFTER)
+        heard_at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Whether every member has had the time to answer.
+    pub fn has_asked(&self) -> bool {
+        let since = self.asked_since.get();
+        since.is_some_and(|since| since.elapsed() >= LOST_AFTER)
     }
 
     /// Asks all members once, without waiting, unless that was done just now.
--- a/crates/stageyoke-store/src/sync.rs
+++ b/crates/stageyoke-store/src/sync.rs
@@ -57,7 +57,7 @@
                 .get(node)
                 .is_some_and(|member| member.address.as_str() == peer.client.address())
         });
-        for member in members.list.iter() {
+        for member in members.all() {
             if member.node == self.keeper.node || peers.contains_key(&member.node) {
                 continue;
             }
@@ -88,9 +88,10 @@
         Some(peer.last_answer.get().unwrap_or(peer.since).elapsed())
     }
 
-    /// Whether everything that this peer held is held here, since it was met.
-    pub fn caught_up_with(&self, node: &str) -> bool {
-        self.exchange_with(node, Exchange::caught_up)
+    /// Whether everything that this peer held is held here, since it was met, when
+    /// it went by this version of the member list already.
+    pub fn caught_up_with(&self, node: &str, members_version: u64) -> bool {
+        self.exchange_with(node, |exchange| exchange.caught_up_under(members_version))
     }
 
     /// Whether everything is held here that this peer held when it went by this
@@ -99,11 +100,6 @@
         self.exchange_with(node, |exchange| exchange.in_step(members_version))
     }
 
-    /// Whether this peer goes by this version of the member list.
-    pub fn knows(&self, node: &str, members_version: u64) -> bool {
-        self.exchange_with(node, |exchange| exchange.knows(members_version))
-    }
-
     fn exchange_with(&self, node: &str, holds: impl Fn(&Exchange) -> bool) -> bool {
         let peers = self.peers.borrow();
         let peer = peers.get(node);
@@ -113,11 +109,17 @@
     async fn round(&self, peer: &Peer) -> Duration {
         match self.compare(peer).await {
             Some(true) => CATCH_UP_PAUSE,
-            Some(false) if !self.keeper.complete() => CATCH_UP_PAUSE,
+            Some(false) if self.in_haste() => CATCH_UP_PAUSE,
             Some(false) | None => ROUND_PAUSE,
         }
     }
 
+    /// Whether a lost disk or a change of the list waits for the comparisons: until
+    /// they are done the group may be unable to bear the next loss.
+    fn in_haste(&self) -> bool {
+        !self.keeper.complete() || !self.keeper.members().settled()
+    }
+
     /// One page; whether there is more at once.
     async fn compare(&self, peer: &Peer) -> Option<bool> {
         let group = self.keeper.group()?;
@@ -169,11 +171,6 @@
             peer.exchange.borrow_mut().missing(holds)
         };
         let digests = missing();
-        // A store that is being emptied takes nothing new: its end stands
-        // still, so that its peers can be seen to hold all of it.
-        if self.keeper.leaving() {
-            return Some(());
-        }
         let outcome = self.fetch(peer, &digests).await;
         missing();
         outcome
@@ -213,7 +210,9 @@
     /// stand only elsewhere.
     pub fn caught_up_with_group(&self) -> bool {
         let members = self.keeper.members();
-        caught_up_with_group(&members, &self.tolerance, |node| self.caught_up_with(node))
+        caught_up_with_group(&members, &self.tolerance, |node| {
+            self.caught_up_with(node, members.version)
+        })
     }
 
     /// A disk that lost its content is complete again once it has caught up
