A store says what it waits for in its group's list

Cause: a group that couldn't heal said nothing: no proposal, no line, and turns refused for want of a quorum with all machines up. Ruled out: a line for each look (ten a second); only a state that lasts a second is told, and only when it changes. Change: Step::Rest carries the cause, a closed list (waiting.rs); ListWaits (708) tells it with the counts that decide: members, living, needed, holding, the same of the members before a change, who is silent since when. Metrics stageyoke_group_whole and stageyoke_heal_seconds (from a store's first notice of a loss until its group is whole). explain shows what stores still waited for when a turn was refused, however long before they said so. Tests: membership_test names what is waited for in each case; explain_test.

--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -1,5 +1,6 @@
 //! The story of one request or program, from the lines of several processes.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
 use std::path::PathBuf;
@@ -10,6 +11,9 @@
 /// How long before and after a request's end other events are shown, ms.
 const AROUND_MILLISECONDS: u64 = 3_000;
 
+/// How a store says that its group is whole.
+const WAITS_FOR_NOTHING: &str = "waits_for=nothing";
+
 /// One line that could be read.
 #[derive(Clone, Debug, PartialEq)]
 struct Line {
@@ -108,6 +112,10 @@
                 shown.push(line);
             }
         }
+        if let Some(last) = ends.last() {
+            let waits = self.open_waits(last.time);
+            shown.extend(waits.filter(|line| !ends.iter().any(|end| near(line, end))));
+        }
         shown.sort_by_key(|line| line.time);
         Explanation {
             story: shown.iter().map(|line| show(line)).collect(),
@@ -118,6 +126,27 @@
     }
 }
 
+impl Logs {
+    /// What each store still waited for at that time, however long before it said so:
+    /// a group that can't heal says why once.
+    fn open_waits(&self, time: u64) -> impl Iterator<Item = &Line> {
+        let mut newest: BTreeMap<&str, &Line> = BTreeMap::new();
+        let told = self.lines.iter().filter(|line| is_wait(line));
+        for line in told.filter(|line| line.time <= time) {
+            let known = newest.entry(text(line, "node")).or_insert(line);
+            if known.time <= line.time {
+                *known = line;
+            }
+        }
+        let open = newest.into_values();
+        open.filter(|line| !text(line, "detail").starts_with(WAITS_FOR_NOTHING))
+    }
+}
+
+fn is_wait(line: &Line) -> bool {
+    number(line, "event") == u64::from(Event::ListWaits.number())
+}
+
 fn near(line: &Line, end: &Line) -> bool {
     let began = end.time.saturating_sub(number(end, "milliseconds"));
     line.time + AROUND_MILLISECONDS >= began && line.time <= end.time + AROUND_MILLISECONDS
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -25,6 +25,9 @@
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
 ];
 
+/// Buckets of the time until a group of stores is whole again, s.
+const HEAL_BUCKETS: &[f64] = &[0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 8.0, 10.0, 20.0, 60.0];
+
 /// Every metric of one process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -59,6 +62,10 @@
     pub records: IntGauge,
     /// Whether a store holds everything that it ever acknowledged.
     pub complete: IntGauge,
+    /// Whether the store's group is settled and all its members are there.
+    pub group_whole: IntGauge,
+    /// Time from a store's first notice of a loss in its group until it is whole, s.
+    pub heal_seconds: Histogram,
     /// Age of the directory when a request was routed by it, s.
     pub directory_age_seconds: Histogram,
     /// Bytes of turns' inputs and outputs that a store keeps in memory.
@@ -101,10 +108,11 @@
             register(&registry, IntCounterVec::new(Opts::new(name, help), labels))
         };
         let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
-        let seconds = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             register(&registry, Histogram::with_opts(options))
         };
+        let seconds = |name: &str, help: &str| histogram(name, help, LATENCY_BUCKETS);
         Self {
             requests: counters(
                 "stageyoke_requests_total",
@@ -141,6 +149,15 @@
                 "stageyoke_store_complete",
                 "1 once a store's disk is complete.",
             ),
+            group_whole: gauge(
+                "stageyoke_group_whole",
+                "1 while the store's group is settled and all its members are there.",
+            ),
+            heal_seconds: histogram(
+                "stageyoke_heal_seconds",
+                "Until a store's group is whole again.",
+                HEAL_BUCKETS,
+            ),
             directory_age_seconds: seconds(
                 "stageyoke_directory_age_seconds",
                 "Age of the directory when a request was routed by it.",
--- a/crates/stageyoke-observe/tests/explain_test.rs
+++ b/crates/stageyoke-observe/tests/explain_test.rs
@@ -45,3 +45,24 @@
     let told = Logs::default().explain("r-9");
     assert!(told.to_string().contains("nothing was logged"));
 }
+
+/// A group of stores that can't heal says once what it waits for, maybe long before a
+/// turn is refused for it; what is over by then is left out.
+#[test]
+fn what_stores_wait_for_is_part_of_the_story() {
+    let waits = |time: u64, node: &str, detail: &str| {
+        format!(
+            r#"{{"time":{time},"node":"{node}","name":"ListWaits","event":708,"detail":"{detail}"}}"#
+        )
+    };
+    let mut logs = Logs::default();
+    logs.add(&waits(1_000, "store-1", "waits_for=completeness version=3"));
+    logs.add(&waits(2_000, "store-1", "waits_for=successor version=3"));
+    logs.add(&waits(1_500, "store-2", "waits_for=fence version=4"));
+    logs.add(&waits(2_500, "store-2", "waits_for=nothing version=5"));
+    logs.add(&waits(90_000, "store-3", "waits_for=fence version=9"));
+    logs.add(&ended(60_000, "front-1", "r-1", "store_group_failing", 503));
+    let told = logs.explain("r-1");
+    assert_eq!(told.story.len(), 2, "{:#?}", told.story);
+    assert!(told.story[0].contains("store-1 ListWaits detail=waits_for=successor"));
+}
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod frame;
 pub mod group;
 pub mod groups;
+pub mod healing;
 pub mod journal;
 pub mod keeper;
 pub mod keys;
@@ -36,6 +37,7 @@
 pub mod standing;
 pub mod state;
 pub mod sync;
+pub mod waiting;
 
 pub use client::StoreClient;
 pub use group::{ChainOutcome, Group, GroupError};
--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -15,6 +15,7 @@
 use stageyoke_types::{List, Text};
 
 use crate::message::JournalPosition;
+use crate::waiting::Waiting;
 
 /// A member that nobody hears for this long leaves the list if no successor has
 /// taken its place: those that are left can be healed with fewer of them alive.
@@ -116,8 +117,8 @@
 /// A step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Nothing to do.
-    Rest,
+    /// Nothing to do before this.
+    Rest(Waiting),
     /// Put this list in place of the current one.
     Change(Members),
     /// Begin to leave: a retirement, if there is one, is under way.
@@ -167,23 +168,29 @@
     /// more where there is room.
     fn join(&self) -> Step {
         let (members, oneself) = (self.members, self.oneself);
-        if oneself.retiring || !oneself.complete {
-            return Step::Rest;
+        if oneself.retiring {
+            return Step::Rest(Waiting::Nothing);
+        }
+        if !oneself.complete {
+            return Step::Rest(Waiting::Completeness);
         }
         let entry = oneself.entry.clone();
         if nothing_kept_yet(members, self.tolerance) {
             return Step::Change(members.with(entry));
         }
         if !oneself.caught_up {
-            return Step::Rest;
+            return Step::Rest(Waiting::CatchUp);
         }
         if let Some(silent) = self.longest_silent(&members.list, oneself.replace_after) {
             let list = members.list_replacing(&silent, entry);
             return Step::Change(members.changing_to(list));
         }
         // While a change is under way a new one waits, unless it replaces somebody.
-        if !(oneself.room && members.settled()) {
-            return Step::Rest;
+        if !members.settled() {
+            return Step::Rest(Waiting::Settling);
+        }
+        if !oneself.room {
+            return Step::Rest(Waiting::Room);
         }
         let mut list = members.list.clone();
         list.push(entry);
@@ -197,17 +204,24 @@
         if oneself.retiring || too_many {
             return self.leave();
         }
-        if !oneself.complete || !self.acts_first() {
-            return Step::Rest;
+        if !oneself.complete {
+            return Step::Rest(Waiting::Completeness);
         }
-        let Some(silent) = self.longest_silent(&self.members.list, REMOVE_AFTER) else {
-            return Step::Rest;
-        };
-        let list = self.members.list_without(&silent);
-        match self.serves(&list, REMOVE_AFTER) {
-            true => Step::Change(self.members.changing_to(list)),
-            false => Step::Rest,
+        if self.all_there() {
+            return Step::Rest(Waiting::Nothing);
         }
+        let removable = self.longest_silent(&self.members.list, REMOVE_AFTER);
+        let list = removable.map(|silent| self.members.list_without(&silent));
+        match list.filter(|list| self.serves(list, REMOVE_AFTER)) {
+            Some(_) if !self.acts_first() => Step::Rest(Waiting::FirstMember),
+            Some(list) => Step::Change(self.members.changing_to(list)),
+            None => Step::Rest(Waiting::Successor),
+        }
+    }
+
+    fn all_there(&self) -> bool {
+        let silent = self.longest_silent(&self.members.list, self.oneself.replace_after);
+        silent.is_none()
     }
 
     /// Leaves the list, if the others can serve without it.
@@ -215,7 +229,7 @@
         let list = self.members.list_without(&self.oneself.entry.node);
         match self.serves(&list, self.oneself.replace_after) {
             true => Step::BeginLeaving(self.members.changing_to(list)),
-            false => Step::Rest,
+            false => Step::Rest(Waiting::OthersToServe),
         }
     }
 
@@ -224,16 +238,27 @@
     fn conclude(&self) -> Step {
         let (members, oneself) = (self.members, self.oneself);
         if !self.acts_first() {
-            return Step::Rest;
+            return Step::Rest(Waiting::FirstMember);
         }
-        if oneself.complete && oneself.fenced && self.holders_suffice() {
+        let Some(missing) = self.missing_to_settle() else {
             return Step::Change(members.settle());
-        }
+        };
         let within = oneself.replace_after;
         if !self.serves(&members.list, within) && self.serves(&members.before, within) {
             return Step::Change(members.give_up());
         }
-        Step::Rest
+        Step::Rest(missing)
+    }
+
+    /// What the change under way lacks to be settled.
+    fn missing_to_settle(&self) -> Option<Waiting> {
+        if !self.oneself.complete {
+            return Some(Waiting::Completeness);
+        }
+        if !self.oneself.fenced {
+            return Some(Waiting::Fence);
+        }
+        (!self.holders_suffice()).then_some(Waiting::Holders)
     }
 
     /// Whether a write quorum of the new members holds all that the fence held.
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::formation::{Formation, FormationStep};
+use crate::healing::Healing;
 use crate::keeper::Keeper;
 use crate::limits::StoreLimits;
 use crate::membership::{Oneself, PeerHealth, SharedEnd, Step, decide, fenced, nothing_kept_yet};
@@ -27,6 +28,7 @@
 use crate::server;
 use crate::spare::{LOST_AFTER, Survey};
 use crate::sync::Peers;
+use crate::waiting::Counts;
 use stageyoke_observe as observe;
 use stageyoke_policy::quota::Tolerance as QuotaTolerance;
 
@@ -114,6 +116,7 @@
     survey: Survey,
     formation: RefCell<Formation>,
     shared_end: Cell<Option<SharedEnd>>,
+    healing: Healing,
     items_kept: Cell<KeptItems>,
 }
 
@@ -156,6 +159,7 @@
             survey: Survey::default(),
             formation: RefCell::default(),
             shared_end: Cell::new(None),
+            healing: Healing::default(),
             items_kept: Cell::default(),
         });
         host.follow();
@@ -321,7 +325,7 @@
         let group = self.keeper.group()?;
         let change = |members| stores.with_group(group, members);
         match self.next_step(&stores, stores.group(group)?) {
-            Step::Rest => None,
+            Step::Rest(_) => None,
             Step::BeginLeaving(members) if self.retiring() => {
                 Some(Proposal::retirement(change(members), false))
             }
@@ -390,7 +394,11 @@
             replace_after: replace_after(self.settings.catch_up),
         };
         let peers = self.peer_health(members, fenced);
-        decide(members, &oneself, &peers, &self.settings.tolerance)
+        let tolerance = &self.settings.tolerance;
+        let step = decide(members, &oneself, &peers, tolerance);
+        let counts = || Counts::of(members, &oneself, &peers, tolerance);
+        self.healing.take(&step, members.version, counts);
+        step
     }
 
     fn others<'a>(&'a self, members: &'a Members) -> impl Iterator<Item = &'a Member> {
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -7,6 +7,7 @@
 use stageyoke_store::membership::{
     OTHERS_STEP_AFTER, Oneself, PeerHealth, REMOVE_AFTER, SURPLUS_AFTER, Step, decide, fenced,
 };
+use stageyoke_store::waiting::Waiting;
 use stageyoke_types::Text;
 
 const REPLACE_AFTER: Duration = Duration::from_secs(2);
@@ -83,7 +84,7 @@
     let later = decide(&Members::default(), &wiped, &[], &tolerance());
     assert_eq!(
         later,
-        Step::Rest,
+        Step::Rest(Waiting::Completeness),
         "a store that may lack something never does"
     );
 }
@@ -118,15 +119,15 @@
 }
 
 #[rstest]
-#[case(true, true, true, true)]
-#[case::its_disk_may_lack_something(false, true, true, false)]
-#[case::it_has_not_caught_up(true, false, true, false)]
-#[case::the_group_is_whole(true, true, false, false)]
+#[case(true, true, true, None)]
+#[case::its_disk_may_lack_something(false, true, true, Some(Waiting::Completeness))]
+#[case::it_has_not_caught_up(true, false, true, Some(Waiting::CatchUp))]
+#[case::the_group_is_whole(true, true, false, Some(Waiting::Room))]
 fn a_new_store_joins_once_it_has_caught_up(
     #[case] complete: bool,
     #[case] caught_up: bool,
     #[case] room: bool,
-    #[case] joins: bool,
+    #[case] waits_for: Option<Waiting>,
 ) {
     let list = members(3);
     let newcomer = Oneself {
@@ -136,9 +137,9 @@
         ..oneself(3)
     };
     let step = decide(&list, &newcomer, &peers(&list, 3, &[], &[]), &tolerance());
-    let expected = match joins {
-        true => Step::Change(list.changing_to(members(4).list)),
-        false => Step::Rest,
+    let expected = match waits_for {
+        None => Step::Change(list.changing_to(members(4).list)),
+        Some(waiting) => Step::Rest(waiting),
     };
     assert_eq!(step, expected);
 }
@@ -151,7 +152,7 @@
     let during = list.changing_to(members(4).list);
     let health = peers(&during, 4, &[], &[]);
     let step = decide(&during, &oneself(4), &health, &tolerance());
-    assert_eq!(step, Step::Rest);
+    assert_eq!(step, Step::Rest(Waiting::Settling));
 }
 
 /// A lost member counted for the quorums until it was removed, some 10 s after its loss;
@@ -173,7 +174,8 @@
         ..successor
     };
     let step = decide(&list, &whole, &short, &tolerance());
-    assert_eq!(step, Step::Rest, "not silent for long enough");
+    let waits = Step::Rest(Waiting::Room);
+    assert_eq!(step, waits, "not silent for long enough");
 }
 
 /// Also while a change is under way: whoever was to become a member may be lost.
@@ -207,16 +209,16 @@
 /// A change is settled once it is fenced and a write quorum of the new members holds
 /// what the fence held; else the next list's quorums could miss a kept record.
 #[rstest]
-#[case::all_hold_it(true, true, &[], true)]
-#[case::a_quorum_holds_it(true, true, &[2], true)]
-#[case::too_few_hold_it(true, true, &[2, 3], false)]
-#[case::an_older_list_may_be_in_use(true, false, &[], false)]
-#[case::its_disk_may_lack_something(false, true, &[], false)]
+#[case::all_hold_it(true, true, &[], None)]
+#[case::a_quorum_holds_it(true, true, &[2], None)]
+#[case::too_few_hold_it(true, true, &[2, 3], Some(Waiting::Holders))]
+#[case::an_older_list_may_be_in_use(true, false, &[], Some(Waiting::Fence))]
+#[case::its_disk_may_lack_something(false, true, &[], Some(Waiting::Completeness))]
 fn a_change_is_settled_once_the_new_members_hold_everything(
     #[case] complete: bool,
     #[case] fenced: bool,
     #[case] behind: &[usize],
-    #[case] settles: bool,
+    #[case] waits_for: Option<Waiting>,
 ) {
     let list = members(3);
     let during = list.changing_to(list.list_replacing("store-1", member(3)));
@@ -227,9 +229,9 @@
     };
     let health = peers(&during, 0, &[dead(1)], behind);
     let step = decide(&during, &proposer, &health, &tolerance());
-    let expected = match settles {
-        true => Step::Change(during.settle()),
-        false => Step::Rest,
+    let expected = match waits_for {
+        None => Step::Change(during.settle()),
+        Some(waiting) => Step::Rest(waiting),
     };
     assert_eq!(step, expected);
 }
@@ -251,7 +253,8 @@
         &peers(&during, 2, &[], &[1]),
         &tolerance(),
     );
-    assert_eq!(step, Step::Rest, "store-0 alone holds it");
+    let waits = Step::Rest(Waiting::Holders);
+    assert_eq!(step, waits, "store-0 alone holds it");
     let step = decide(&during, &leaver, &peers(&during, 2, &[], &[]), &tolerance());
     assert_eq!(step, Step::Change(during.settle()));
 }
@@ -283,7 +286,8 @@
     let during = list.changing_to(members(4).list);
     let health = peers(&during, 1, &[], &[]);
     let second = oneself(1);
-    assert_eq!(decide(&during, &second, &health, &tolerance()), Step::Rest);
+    let step = decide(&during, &second, &health, &tolerance());
+    assert_eq!(step, Step::Rest(Waiting::FirstMember));
     let first_is_silent = peers(&during, 1, &[gone(0)], &[]);
     let settled = Step::Change(during.settle());
     let step = decide(&during, &second, &first_is_silent, &tolerance());
@@ -322,7 +326,7 @@
     let health = peers(&during, 2, &silent, &[]);
     let expected = match given_up {
         true => Step::Change(during.give_up()),
-        false => Step::Rest,
+        false => Step::Rest(Waiting::Fence),
     };
     assert_eq!(decide(&during, &proposer, &health, &tolerance()), expected);
 }
@@ -348,7 +352,8 @@
             let rest = list.list_without(&format!("store-{number}"));
             Step::Change(list.changing_to(rest))
         }
-        None => Step::Rest,
+        None if silent.is_empty() => Step::Rest(Waiting::Nothing),
+        None => Step::Rest(Waiting::Successor),
     };
     assert_eq!(step, expected);
     let wiped = Oneself {
@@ -356,7 +361,8 @@
         ..oneself(0)
     };
     let step = decide(&list, &wiped, &health, &tolerance());
-    assert_eq!(step, Step::Rest, "a store that may lack something waits");
+    let waits = Step::Rest(Waiting::Completeness);
+    assert_eq!(step, waits, "a store that may lack something");
 }
 
 /// Two disks may be lost: of two dead members the longer silent goes first, the other
@@ -383,7 +389,8 @@
     assert_eq!(step, Step::Change(without));
     let three = peers(&list, 0, &[dead(1), dead(2), dead(3)], &[]);
     let step = decide(&list, &oneself(0), &three, &tolerance);
-    assert_eq!(step, Step::Rest, "more than may be lost");
+    let waits = Step::Rest(Waiting::Successor);
+    assert_eq!(step, waits, "more than may be lost");
 }
 
 /// A hunted day: a store was lost and another had taken its place; while the lost one
@@ -412,7 +419,7 @@
     let rest = list.list_without(&format!("store-{}", count - 1));
     let expected = match begins {
         true => Step::BeginLeaving(list.changing_to(rest)),
-        false => Step::Rest,
+        false => Step::Rest(Waiting::OthersToServe),
     };
     assert_eq!(decide(&list, &leaver, &health, &tolerance()), expected);
 }
@@ -428,7 +435,8 @@
         caught_up: false,
         ..oneself(1)
     };
-    assert_eq!(decide(&rest, &back, &health, &tolerance()), Step::Rest);
+    let step = decide(&rest, &back, &health, &tolerance());
+    assert_eq!(step, Step::Rest(Waiting::CatchUp));
     let step = decide(&rest, &oneself(1), &health, &tolerance());
     let mut whole = rest.list.clone();
     whole.push(member(1));
@@ -444,7 +452,8 @@
         ..oneself(3)
     };
     let health = peers(&list, 3, &[], &[]);
-    assert_eq!(decide(&list, &extra, &health, &tolerance()), Step::Rest);
+    let step = decide(&list, &extra, &health, &tolerance());
+    assert_eq!(step, Step::Rest(Waiting::Nothing));
     extra.list_age = SURPLUS_AFTER;
     let step = decide(&list, &extra, &health, &tolerance());
     let rest = list.changing_to(members(3).list);
--- a/crates/stageyoke-store/tests/plans/world.rs
+++ b/crates/stageyoke-store/tests/plans/world.rs
@@ -605,7 +605,7 @@
         let now = self.now;
         let (group, step) = self.stores[store].step(now, &tolerance, hasty);
         let members = match step {
-            Step::Rest => return,
+            Step::Rest(_) => return,
             Step::Change(members) | Step::BeginLeaving(members) => members,
         };
         let Some(group) = group else {
