A store that hears of a newer list reads it at once

Ruled out: a shorter survey of silent members (it makes needless replacements likelier). Change: a request that carries a newer version of the own group's list makes the store read it from the service. Plans model the store's quick looks while its list changes, as the product makes them, and this read; they replace a silent member after half of catch_up.

--- a/crates/stageyoke-store/src/keeper.rs
+++ b/crates/stageyoke-store/src/keeper.rs
@@ -14,7 +14,7 @@
 use stageyoke_policy::quota::{QuotaLedger, Tolerance as QuotaTolerance};
 use stageyoke_types::{Event, List, Text};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
 use crate::clock::DiskClock;
@@ -54,6 +54,7 @@
     standing: RefCell<Standing>,
     /// Version of the store groups that the disk held at the start.
     stores_recovered: u64,
+    newer_list: Notify,
     members_since: Cell<Instant>,
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
@@ -101,6 +102,7 @@
             disk_refuses: Cell::new(false),
             standing: RefCell::new(standing),
             stores_recovered,
+            newer_list: Notify::new(),
             members_since: Cell::new(Instant::now()),
             items: RefCell::default(),
             loads: LoadReports::default(),
@@ -141,6 +143,18 @@
         }
     }
 
+    /// A caller went by a newer list of the group: it is worth a read of the service.
+    /// A change waits for the members that have not heard of it.
+    pub async fn newer_list_heard(&self) {
+        self.newer_list.notified().await;
+    }
+
+    fn note_version(&self, group: GroupNumber, members_version: u64) {
+        if self.standing.borrow().is_behind(group, members_version) {
+            self.newer_list.notify_one();
+        }
+    }
+
     /// Whether this store holds everything that it ever acknowledged as a
     /// member of its group; before there are groups, of any.
     pub fn complete(&self) -> bool {
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -56,6 +56,7 @@
                 from,
                 held,
             } => {
+                self.note_version(group, members_version);
                 self.held_by_peers.borrow_mut().insert(node, held);
                 let directory = self.directory.mark();
                 let standing = self.standing_for_peer(group, members_version);
@@ -153,6 +154,7 @@
         front: u32,
         record: Record,
     ) -> Reply {
+        self.note_version(group, members_version);
         let refusal = self.standing.borrow().refusal(group, members_version);
         if let Some(refusal) = refusal {
             return refusal;
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -26,7 +26,7 @@
 use crate::relay::seen_item;
 use crate::segment::DataFolder;
 use crate::server;
-use crate::spare::{LOST_AFTER, Survey};
+use crate::spare::{LOST_AFTER, Survey, replace_after};
 use crate::sync::Peers;
 use crate::waiting::Counts;
 use stageyoke_observe as observe;
@@ -289,10 +289,20 @@
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 () = self.mirror.changed() => {}
+                () = self.keeper.newer_list_heard() => self.read_newer_list().await,
             }
         }
     }
 
+    /// Reads the list that others go by already, rather than wait for the watch: until
+    /// this store knows of a change, the change may be unable to go on.
+    async fn read_newer_list(&self) {
+        if self.mirror.confirm_stores().await.is_err() {
+            // The mirror tells of the service's silence; who asks next tries again.
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
     /// Whether nothing is to be done soon: a complete member of a list that is not
     /// being changed, or a spare that no group needs.
     fn settled(&self) -> bool {
@@ -497,13 +507,6 @@
     }
 }
 
-/// How long a member may be silent before a spare takes its place: half of the time
-/// that the group has to heal, so that the change itself has the other half, and no
-/// longer than a survey needs.
-fn replace_after(catch_up: Duration) -> Duration {
-    LOST_AFTER.min(catch_up / 2)
-}
-
 /// The groups' members in one line; those before a change that is under way behind.
 fn describe(stores: &StoreGroups) -> String {
     let groups = stores.groups.iter().map(|members| {
--- a/crates/stageyoke-store/src/spare.rs
+++ b/crates/stageyoke-store/src/spare.rs
@@ -22,6 +22,13 @@
 /// and a bit. It stays a member until its peers remove it.
 pub const LOST_AFTER: Duration = Duration::from_millis(2300);
 
+/// How long a member may be silent before a spare takes its place: half of the time
+/// that the group has to heal, so that the change itself has the other half, and no
+/// longer than a survey needs.
+pub fn replace_after(catch_up: Duration) -> Duration {
+    LOST_AFTER.min(catch_up / 2)
+}
+
 struct Asked {
     client: StoreClient,
     since: Instant,
--- a/crates/stageyoke-store/src/standing.rs
+++ b/crates/stageyoke-store/src/standing.rs
@@ -103,6 +103,11 @@
         members_version < self.version_of(group)
     }
 
+    /// Whether a caller goes by a newer list of this store's group than the store.
+    pub fn is_behind(&self, group: GroupNumber, members_version: u64) -> bool {
+        self.group == Some(group) && members_version > self.version_of(group)
+    }
+
     /// Declares the disk complete for the store's group; returns the mark that
     /// the disk needs if it has another.
     pub fn declare_complete(&mut self) -> Option<Completeness> {
--- a/crates/stageyoke-store/tests/plans/store.rs
+++ b/crates/stageyoke-store/tests/plans/store.rs
@@ -50,6 +50,8 @@
     pub refuses_until: u64,
     /// Whether the operator wants it emptied.
     pub retiring: bool,
+    /// How long a member may be silent before it is replaced.
+    pub replace_after: Duration,
     /// Whether the retirement is complete: the machine is gone.
     pub gone: bool,
     disk: Disk,
@@ -93,6 +95,7 @@
             cut_until: 0,
             refuses_until: 0,
             retiring: false,
+            replace_after: LOST_AFTER,
             gone: false,
             unsynced: Vec::new(),
             state: State::new(identity),
@@ -372,6 +375,11 @@
         Some((group, self.standing.members().version))
     }
 
+    /// Whether another goes by a newer list of its group.
+    pub fn is_behind(&self, group: GroupNumber, members_version: u64) -> bool {
+        self.standing.is_behind(group, members_version)
+    }
+
     /// Takes a peer's digests.
     pub fn compared(&mut self, peer: &Text, answered: &Answered, now: u64) {
         self.heard_at.insert(peer.clone(), now);
@@ -459,7 +467,7 @@
             room: self.room(&members, now, tolerance),
             fenced,
             list_age: Duration::from_millis(now - self.members_since),
-            replace_after: LOST_AFTER,
+            replace_after: self.replace_after,
         };
         let step = decide(&members, &oneself, &peers, tolerance);
         (self.standing.group(), step)
--- a/crates/stageyoke-store/tests/plans/world.rs
+++ b/crates/stageyoke-store/tests/plans/world.rs
@@ -5,6 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -14,6 +15,7 @@
 use stageyoke_store::membership::Step;
 use stageyoke_store::message::{Record, Reply, TurnRecord};
 use stageyoke_store::quorum::{AppendTally, ChainStep, ChainTally};
+use stageyoke_store::spare::{LOST_AFTER, replace_after};
 use stageyoke_types::{Blob, Text};
 
 use super::losses::{Losses, Presence};
@@ -33,6 +35,8 @@
 /// Time after the faults in which everything comes back.
 const QUIET_MILLISECONDS: u64 = 30_000;
 const MEMBER_PAUSE: u64 = 500;
+/// The same of a store whose list changes, or whose disk may lack something.
+const HASTY_MEMBER_PAUSE: u64 = 150;
 const ROUND_PAUSE: u64 = 1_000;
 const FILLING_PAUSE: u64 = 100;
 const FRONT_PAUSE: u64 = 400;
@@ -209,6 +213,12 @@
     }
 }
 
+/// How long a member may be silent before it is replaced.
+fn silence_borne(plan: &Plan) -> Duration {
+    let catch_up = plan.catch_up.map(Duration::from_millis);
+    catch_up.map_or(LOST_AFTER, replace_after)
+}
+
 impl World {
     /// A plan's world at its beginning: the groups are formed.
     pub fn new(plan: &Plan, flaw: Flaw) -> Self {
@@ -220,6 +230,7 @@
             .map(|number| Store::new(entry(number), number as u64 + 1, true))
             .collect();
         for store in &mut stores {
+            store.replace_after = silence_borne(plan);
             store.follow(&registry, 0);
         }
         let borne = machines_borne(&registry, plan.losses);
@@ -457,7 +468,8 @@
 
     fn add(&mut self) {
         let number = self.stores.len();
-        let store = Store::new(entry(number), number as u64 + 1, false);
+        let mut store = Store::new(entry(number), number as u64 + 1, false);
+        store.replace_after = silence_borne(&self.plan);
         self.stores.push(store);
         self.begin(number);
         self.observe();
@@ -559,6 +571,11 @@
         self.service_down_until <= self.now && self.stores[store].cut_until <= self.now
     }
 
+    /// Whether a read that it makes now is answered.
+    fn reads_service(&self, store: usize) -> bool {
+        self.reaches_service(store) && !self.chance(2 * self.plan.lost)
+    }
+
     fn reaches(&self, one: usize, other: usize) -> bool {
         let reached = |store: &Store| store.cut_until <= self.now && store.acts(self.now);
         reached(&self.stores[one]) && reached(&self.stores[other])
@@ -571,7 +588,11 @@
     }
 
     fn keep_place(&mut self, store: usize) {
-        let pause = self.draw(MEMBER_PAUSE / 2, MEMBER_PAUSE * 2);
+        let pause = match self.stores[store].in_haste() {
+            true => HASTY_MEMBER_PAUSE,
+            false => MEMBER_PAUSE,
+        };
+        let pause = self.draw(pause / 2, pause * 2);
         self.after(pause, Event::FollowGroups(store));
         if !self.stores[store].acts(self.now) || !self.reaches_service(store) {
             return;
@@ -650,6 +671,10 @@
         }
         let (group, version) = self.stores[store].asks_as()?;
         let asker = self.stores[store].entry.node.clone();
+        if self.stores[number].is_behind(group, version) && self.reads_service(number) {
+            let registry = self.registry.clone();
+            self.stores[number].follow(&registry, self.now);
+        }
         let answered = self.stores[number].compare(&asker, group, version, from, held)?;
         if !self.call_succeeds(store, number) {
             return None;
