--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -81,7 +81,7 @@
 
     /// Whether a peer that holds the journal up to there holds all of it.
     pub fn held_by(&self, held: JournalPosition) -> bool {
-        held.disk == self.end.disk && held.next >= self.end.next
+        held.journal == self.end.journal && held.next >= self.end.next
     }
 }
 
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -104,11 +104,12 @@
     pub output: Blob,
 }
 
-/// A position in one disk's journal.
+/// A position in the journal of one life of a store's process. A restart counts anew:
+/// what was forgotten before it is not there to be counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct JournalPosition {
-    /// Identifier of the disk.
-    pub disk: u64,
+    /// Identifier of the journal, drawn at each start.
+    pub journal: u64,
     /// Number of the next record to read.
     pub next: u64,
 }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -128,14 +128,14 @@
         let segments = recovered.segments.iter();
         let records: usize = segments.map(|segment| segment.records).sum();
         let detail = format!(
-            "records={records} segments={} bytes={} memory={} clock={} torn={} complete={:?} disk={:016x}",
+            "records={records} segments={} bytes={} memory={} clock={} torn={} complete={:?} journal={:016x}",
             recovered.segments.len(),
             recovered.bytes,
             recovered.state.memory(),
             recovered.clock,
             recovered.torn,
             recovered.completeness,
-            recovered.state.end().disk
+            recovered.state.end().journal
         );
         observe::event(Event::LogRecovered, &detail);
         let kept_items = folder.read_items();
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -212,9 +212,9 @@
         })
     }
 
-    /// Reads everything. `new_disk` is the identity given to an empty folder,
-    /// which counts as complete only where `first_start` holds.
-    pub fn recover(&self, new_disk: u64, first_start: bool) -> io::Result<Recovered> {
+    /// Reads everything. `drawn` names the journal of this life; an empty folder counts as
+    /// complete only where `first_start` holds.
+    pub fn recover(&self, drawn: u64, first_start: bool) -> io::Result<Recovered> {
         let identity = self.read_identity()?;
         let numbers = self.segment_numbers()?;
         let fresh = identity.is_none() && numbers.is_empty();
@@ -224,14 +224,14 @@
         // The identity comes last: a start that is cut short before it has
         // acknowledged nothing, and its mark of completeness holds.
         if identity.is_none() {
-            self.replace(IDENTITY_FILE, &new_disk.to_le_bytes())?;
+            self.replace(IDENTITY_FILE, &drawn.to_le_bytes())?;
         }
         let marked = match identity.is_some() || fresh {
             true => self.read_completeness()?,
             false => Completeness::Incomplete,
         };
         let mut recovered = Recovered {
-            state: State::new(identity.unwrap_or(new_disk)),
+            state: State::new(drawn),
             completeness: marked,
             segments: Vec::new(),
             torn: 0,
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -76,7 +76,7 @@
 /// Index of turns, ledgers and digests.
 #[derive(Debug)]
 pub struct State {
-    disk: u64,
+    journal_identifier: u64,
     first: u64,
     journal: VecDeque<RecordDigest>,
     held: HashMap<RecordDigest, Holding>,
@@ -88,10 +88,10 @@
 }
 
 impl State {
-    /// An empty state for the disk with this identifier.
-    pub fn new(disk: u64) -> Self {
+    /// An empty state; its journal has this identifier.
+    pub fn new(journal_identifier: u64) -> Self {
         Self {
-            disk,
+            journal_identifier,
             first: 0,
             journal: VecDeque::new(),
             held: HashMap::new(),
@@ -150,7 +150,7 @@
     /// Number of the record that will be added next.
     pub fn end(&self) -> JournalPosition {
         JournalPosition {
-            disk: self.disk,
+            journal: self.journal_identifier,
             next: self.first + self.journal.len() as u64,
         }
     }
@@ -281,7 +281,7 @@
         steps
     }
 
-    /// A page of digests from a position on; a position on another disk, or
+    /// A page of digests from a position on; a position in another journal, or
     /// before the journal's start, begins at the start.
     pub fn digests(
         &self,
@@ -289,7 +289,7 @@
         standing: PeerStanding,
         directory: DirectoryMark,
     ) -> Reply {
-        let start = if from.disk == self.disk {
+        let start = if from.journal == self.journal_identifier {
             from.next.clamp(self.first, self.end().next)
         } else {
             self.first
@@ -305,7 +305,7 @@
         let next = start + page.len() as u64;
         Reply::Digests {
             next: JournalPosition {
-                disk: self.disk,
+                journal: self.journal_identifier,
                 next,
             },
             more: next < self.end().next,
--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -45,8 +45,13 @@
 }
 
 fn open(path: &Path, limits: StoreLimits) -> Rc<Keeper> {
+    open_disk(path, limits, 2)
+}
+
+/// The same for a start that draws this number.
+fn open_disk(path: &Path, limits: StoreLimits, drawn: u64) -> Rc<Keeper> {
     let folder = DataFolder::open(path).expect("folder");
-    let recovered = folder.recover(2, false).expect("recover");
+    let recovered = folder.recover(drawn, false).expect("recover");
     let node = Text::from(NODE);
     let (keeper, results) = Keeper::open(node, folder, recovered, limits).expect("threads");
     let keeper = Rc::new(keeper);
@@ -121,6 +126,48 @@
     .await;
 }
 
+async fn digests_from(keeper: &Keeper, from: JournalPosition) -> (Vec<u64>, JournalPosition) {
+    let request = Request::Digests {
+        group: GroupNumber(0),
+        members_version: 1,
+        node: Text::from("peer"),
+        from,
+        held: JournalPosition::default(),
+    };
+    match keeper.answer(request).await {
+        Reply::Digests { digests, next, .. } => (digests.0, next),
+        other => panic!("digests: {other:?}"),
+    }
+}
+
+/// A store that had forgotten old records and started again counted its journal from
+/// nought, under the same name as before. A peer went on from a place beyond the new end,
+/// was told that there was nothing more, and never saw what was written in between: it
+/// took itself as in step, and a list could be settled on it.
+#[tokio::test]
+async fn a_peer_sees_what_was_written_after_a_restart() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        let old = [turn("old", ""), turn("older", ""), turn("oldest", "")];
+        write_segments(
+            path.path(),
+            &[(0, &old), (10, &[]), (490, &[turn("young", "")])],
+        );
+        let keeper = open(path.path(), StoreLimits::default());
+        let (_, compared_up_to) = digests_from(&keeper, JournalPosition::default()).await;
+        keeper.expire().await;
+        let folder = DataFolder::open(path.path()).expect("folder");
+        while folder.segment_numbers().expect("numbers").contains(&0) {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let again = open_disk(path.path(), StoreLimits::default(), 3);
+        append(&again, turn("written", "")).await;
+        let (seen, _) = digests_from(&again, compared_up_to).await;
+        assert!(seen.contains(&turn("written", "").digest()));
+    })
+    .await;
+}
+
 /// A clock that was set back by a lost tail never lets a record go too early.
 #[rstest]
 #[case(&[0, 10, 20], 20)]
@@ -230,7 +277,10 @@
         let path = tempfile::tempdir().expect("folder");
         write_segments(path.path(), &[]);
         let keeper = open(path.path(), StoreLimits::default());
-        let held = JournalPosition { disk: 5, next: 7 };
+        let held = JournalPosition {
+            journal: 5,
+            next: 7,
+        };
         let request = Request::Digests {
             group: GroupNumber(0),
             members_version: 1,
--- a/crates/stageyoke-store/tests/disk_test.rs
+++ b/crates/stageyoke-store/tests/disk_test.rs
@@ -74,7 +74,11 @@
         Completeness::SinceFormation,
         "a restart keeps it"
     );
-    assert_eq!(again.state.end().disk, 1, "and the disk's identity");
+    assert_eq!(
+        again.state.end().journal,
+        2,
+        "its journal counts anew, under a name of its own"
+    );
     let wiped = tempfile::tempdir().expect("folder");
     let folder = DataFolder::open(wiped.path()).expect("open");
     assert_eq!(
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -366,7 +366,10 @@
             while let Ok(asked) = frame::read::<Numbered<Request>>(&mut reader).await {
                 let content = match asked.content {
                     Request::Digests { .. } => Reply::Digests {
-                        next: JournalPosition { disk: 9, next: 1 },
+                        next: JournalPosition {
+                            journal: 9,
+                            next: 1,
+                        },
                         more: false,
                         complete: true,
                         members_version: 3,
--- a/crates/stageyoke-store/tests/plans/store.rs
+++ b/crates/stageyoke-store/tests/plans/store.rs
@@ -55,6 +55,8 @@
     /// Whether the retirement is complete: the machine is gone.
     pub gone: bool,
     disk: Disk,
+    /// Starts of the process: each counts its journal anew.
+    lives: u64,
     unsynced: Vec<Unsynced>,
     state: State,
     standing: Standing,
@@ -108,6 +110,7 @@
             shared_end: None,
             target: None,
             disk,
+            lives: 0,
             entry,
         }
     }
@@ -149,7 +152,8 @@
     /// The process starts on what its disk holds.
     pub fn start(&mut self, now: u64) {
         self.running = true;
-        self.state = State::new(self.disk.identity);
+        self.lives += 1;
+        self.state = State::new(self.disk.identity ^ self.lives.rotate_right(8));
         for record in &self.disk.records {
             if !self.state.holds(record.digest()) {
                 self.state.add(record, Place::default(), 0);
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -154,10 +154,13 @@
 }
 
 #[test]
-fn a_position_on_another_disk_starts_anew() {
+fn a_position_in_another_journal_starts_anew() {
     let mut state = State::new(8);
     state.add(&turn("one", ""), place(0), 0);
-    let elsewhere = JournalPosition { disk: 9, next: 1 };
+    let elsewhere = JournalPosition {
+        journal: 9,
+        next: 1,
+    };
     let Reply::Digests { digests, .. } =
         state.digests(elsewhere, VOUCHING, DirectoryMark::default())
     else {
