--- a/crates/stageyoke-store/tests/plans/losses.rs
+++ b/crates/stageyoke-store/tests/plans/losses.rs
@@ -136,7 +136,7 @@
         others.count() < self.disks_tolerated
     }
 
-    /// This store's disk is lost.
+    /// This store's disk is lost; it may be.
     pub fn lose(&mut self, store: usize, now: u64) {
         self.changed_at = now;
         self.machines[store].present_since = None;
@@ -151,6 +151,7 @@
                 counted_from: None,
             }),
         }
+        assert!(self.lost_disks.len() <= self.disks_tolerated);
     }
 
     /// A machine is added: it comes in the place of one that has no successor,
