--- a/crates/stageyoke-store/tests/plans/world.rs
+++ b/crates/stageyoke-store/tests/plans/world.rs
@@ -81,10 +81,11 @@
     pub asked: u64,
     /// Appends that were kept.
     pub kept: u64,
-    /// Groups that served nothing though all was calm for long enough.
+    /// Groups that served nothing of some kind at the end, or though nothing had
+    /// become of any machine for long enough.
     pub rests: Vec<String>,
-    /// Windows in which a group served nothing of some kind though no more was
-    /// lost than it bears.
+    /// Groups that served nothing of some kind for a time in which no more was
+    /// lost than they bear.
     pub interruptions: Vec<String>,
     /// Losses of a member's disk.
     pub disks_lost: usize,
@@ -219,6 +220,17 @@
     catch_up.map_or(LOST_AFTER, replace_after)
 }
 
+impl Outcome {
+    /// Everything that was promised and did not hold.
+    pub fn broken(&self) -> Vec<String> {
+        let short = self.interruptions.iter();
+        let short = short.filter(|told| !self.rests.contains(told));
+        let short = short.map(|told| format!("for a time {told}"));
+        let lasting = self.breaches.iter().chain(&self.rests).cloned();
+        lasting.chain(short).collect()
+    }
+}
+
 impl World {
     /// A plan's world at its beginning: the groups are formed.
     pub fn new(plan: &Plan, flaw: Flaw) -> Self {
@@ -472,10 +484,10 @@
         store.replace_after = silence_borne(&self.plan);
         self.stores.push(store);
         self.begin(number);
-        self.observe();
         if let Some(losses) = &mut self.losses {
             losses.arrive(number);
         }
+        self.observe();
     }
 
     fn replace(&mut self, store: usize, later: u64) {
@@ -735,7 +747,7 @@
             began: self.now,
             work: Some(work),
         });
-        for member in members.all() {
+        for member in listed(members) {
             if let Some(store) = self.number_of(&member.node) {
                 self.send(Event::Arrive(number, store));
             }
@@ -1003,15 +1015,11 @@
                     continue;
                 }
                 let told = format!("group {} served no {ask:?}", group.0);
-                let when = format!("{begin} to {answered}: {}", self.standing_of(members));
-                self.outcome.interruptions.push(format!("{told}, {when}"));
-                let known = self
-                    .outcome
-                    .rests
-                    .iter()
-                    .any(|rest| rest.starts_with(&told));
-                if settled && !known {
-                    self.outcome.rests.push(format!("{told}, {when}"));
+                let standing = self.standing_of(members);
+                let when = format!("{begin} to {answered}: {standing}");
+                tell_once(&mut self.outcome.interruptions, &told, &when);
+                if settled {
+                    tell_once(&mut self.outcome.rests, &told, &when);
                 }
             }
         }
@@ -1019,7 +1027,7 @@
 
     /// A group's list in a line: its version, and who is not there or not complete.
     fn standing_of(&self, members: &Members) -> String {
-        let listed = members.list.iter().map(|member| {
+        let listed = listed(members).map(|member| {
             let store = self
                 .number_of(&member.node)
                 .map(|store| &self.stores[store]);
@@ -1062,16 +1070,12 @@
     /// Whether no change of the list is under way and, whichever disk is lost next, it
     /// can still be filled up again.
     fn bears_next(&self, members: &Members) -> bool {
-        let listed = members.list.iter();
         let complete = |member: &&Member| {
             let store = self.number_of(&member.node);
             let store = store.map(|store| &self.stores[store]);
             store.is_some_and(|store| store.acts(self.now) && !store.incomplete())
         };
-        let complete = listed.filter(complete).count();
-        let quorum = members.write_quorum(&self.tolerance);
-        let fills = |quorum: usize| members.list.len() - quorum + 1;
-        members.settled() && quorum.is_some_and(|quorum| complete > fills(quorum))
+        members.settled() && vouches(members, &self.tolerance, 1, complete)
     }
 
     /// Once all faults are over a store that is to leave does, if the rest can
@@ -1105,11 +1109,12 @@
                     store.acts(self.now) && !store.incomplete()
                 })
             };
-            let living = members.list.iter().filter(living).count();
             let needed = members.write_quorum(&self.tolerance);
+            let living = listed(members).filter(living).count();
+            let gone = listed(members).filter(gone).count();
             let enough = needed.is_some_and(|needed| living >= needed);
-            let gone = members.list.iter().filter(gone).count();
-            if gone > 0 && enough && living + gone == members.list.len() {
+            let all_told = living + gone == listed(members).count();
+            if gone > 0 && enough && all_told {
                 let breach = format!("{gone} lost machines of {members:?} are still members");
                 self.outcome.breaches.push(breach);
             }
@@ -1161,6 +1166,31 @@
     }
 }
 
+/// Everybody whom a group's list names.
+fn listed(members: &Members) -> impl Iterator<Item = &Member> {
+    members.all()
+}
+
+/// Whether so many members of a list are complete that even with some fewer they
+/// meet every quorum, so that a lost disk is filled again.
+fn vouches(
+    members: &Members,
+    tolerance: &Tolerance,
+    fewer: usize,
+    complete: impl Fn(&&Member) -> bool,
+) -> bool {
+    let quorum = members.write_quorum(tolerance);
+    let complete = members.list.iter().filter(complete).count();
+    quorum.is_some_and(|quorum| complete + quorum > members.list.len() + fewer)
+}
+
+/// Tells of one thing once.
+fn tell_once(told: &mut Vec<String>, what: &str, when: &str) {
+    if !told.iter().any(|told| told.starts_with(what)) {
+        told.push(format!("{what}, {when}"));
+    }
+}
+
 fn reservation(program: &Text, turn: &Text) -> Record {
     Record::Reserve {
         program: program.clone(),
