--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -9,6 +9,7 @@
 use stageyoke_node::events::{LogFormat, start_log};
 
 use crate::cluster::{LabCluster, LabShape};
+use crate::hunts::Hunts;
 use crate::lateness::Lateness;
 use crate::load::LoadPlan;
 use crate::soak::deployment::Size;
@@ -33,6 +34,7 @@
     Failover(FailoverArguments),
     Soak(SoakArguments),
     Lateness(LatenessArguments),
+    Hunts(HuntsArguments),
 }
 
 /// Run the real programs as separate processes against stand-ins of the
@@ -83,6 +85,20 @@
     files: Vec<PathBuf>,
 }
 
+/// Tell from the bench's journal which days broke a rule, had a fault, fell short
+/// of the gate or served under half; fails if there is one, or a run without an
+/// end.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "hunts")]
+struct HuntsArguments {
+    /// folder of the journal
+    #[argh(option, default = "PathBuf::from(\"journal\")")]
+    journal: PathBuf,
+    /// identifier of an entry; only those after it are judged
+    #[argh(option)]
+    since: Option<String>,
+}
+
 /// Kill leaders in virtual time and measure the time to the next answer.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "failover")]
@@ -172,6 +188,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn tell_hunts(arguments: &HuntsArguments) -> miette::Result<ExitCode> {
+    let hunts = Hunts::read(&arguments.journal, arguments.since.as_deref())?;
+    print!("{hunts}");
+    Ok(match hunts.are_clean() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
 /// Faults of the runs, by the arguments.
 fn soak_faults(arguments: &SoakArguments) -> miette::Result<Vec<Fault>> {
     match &arguments.faults {
@@ -236,6 +261,7 @@
     match command {
         Command::Soak(arguments) => soak_runs(&arguments).await,
         Command::Lateness(arguments) => tell_lateness(&arguments),
+        Command::Hunts(arguments) => tell_hunts(&arguments),
         Command::Demo(arguments) => {
             if arguments.verbose {
                 start_log(LogFormat::Text);
--- a/crates/stageyoke-lab/src/lib.rs
+++ b/crates/stageyoke-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod commands;
 pub mod demo;
 pub mod failover;
+pub mod hunts;
 pub mod lateness;
 pub mod load;
 pub mod process;
