--- a/crates/stageyoke-store/tests/bounds_test.rs
+++ b/crates/stageyoke-store/tests/bounds_test.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rstest::rstest;
 use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups};
@@ -158,7 +159,7 @@
         keeper.expire().await;
         let folder = DataFolder::open(path.path()).expect("folder");
         while folder.segment_numbers().expect("numbers").contains(&0) {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
         let again = open_disk(path.path(), StoreLimits::default(), 3);
         append(&again, turn("written", "")).await;
@@ -168,6 +169,42 @@
     .await;
 }
 
+/// A store told its peers that it went by a list before that list was on its disk. After
+/// a loss of power it would have gone by the older one again, while a change had been
+/// settled on its word. It counts for nothing until the list is kept.
+#[tokio::test]
+async fn a_list_counts_once_it_is_on_the_disk() {
+    local(async {
+        let path = tempfile::tempdir().expect("folder");
+        write_segments(path.path(), &[]);
+        let in_the_way = path.path().join("stores");
+        std::fs::create_dir(&in_the_way).expect("a folder in the file's place");
+        let keeper = open(path.path(), StoreLimits::default());
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(keeper.complete() && !keeper.stores_saved());
+        assert!(!vouches_to_peer(&keeper).await);
+        std::fs::remove_dir(&in_the_way).expect("out of the way");
+        keeper.save_stores_again();
+        while !keeper.stores_saved() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(vouches_to_peer(&keeper).await);
+    })
+    .await;
+}
+
+async fn vouches_to_peer(keeper: &Keeper) -> bool {
+    let request = Request::Digests {
+        group: GroupNumber(0),
+        members_version: 1,
+        node: Text::from("peer"),
+        from: JournalPosition::default(),
+        held: JournalPosition::default(),
+    };
+    let reply = keeper.answer(request).await;
+    matches!(reply, Reply::Digests { complete: true, .. })
+}
+
 /// A clock that was set back by a lost tail never lets a record go too early.
 #[rstest]
 #[case(&[0, 10, 20], 20)]
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
 use stageyoke_store::frame;
-use stageyoke_store::keeper::Keeper;
+use stageyoke_store::keeper::{Keeper, SilentSince};
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request};
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server;
@@ -21,6 +21,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::Instant;
 
 const PROGRAM: &str = "program";
 const WITHIN: Duration = Duration::from_secs(5);
@@ -418,3 +419,39 @@
     })
     .await;
 }
+
+/// A spare takes the place of a silent member sooner if the members that answer have
+/// missed it: it believes the one that has missed it for the shortest time.
+#[tokio::test]
+async fn members_tell_who_does_not_answer_them() {
+    local(async {
+        let (stores, _) = group_of(3).await;
+        let spare = Store::start(3, false).await;
+        let silent_for = |keeper: &Keeper, milliseconds: u64| {
+            let since = Instant::now() - Duration::from_millis(milliseconds);
+            let node = stores[2].keeper.node.clone();
+            keeper.set_silent_peers(vec![SilentSince { node, since }]);
+        };
+        silent_for(&stores[0].keeper, 9_000);
+        silent_for(&stores[1].keeper, 4_000);
+        stores[2].stop();
+        spare.keeper.set_stores(list(&stores));
+        spare.keeper.fill_up_for(Some(GroupNumber(0)));
+        let peers = Rc::new(Peers::new(spare.keeper.clone(), tolerance()));
+        assert_eq!(peers.told_silent_for("store-2"), None);
+        peers.follow(&spare.keeper.members());
+        let told = |least: u64| {
+            let told = peers.told_silent_for("store-2");
+            told.is_some_and(|told| told >= Duration::from_millis(least))
+        };
+        while !(peers.caught_up_with("store-0", 0) && peers.caught_up_with("store-1", 0)) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(told(4_000) && !told(9_000));
+        stores[1].keeper.set_silent_peers(Vec::new());
+        while peers.told_silent_for("store-2") != Some(Duration::ZERO) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .await;
+}
