A tenant's own rank reaches engines as the urgency of its turns

Cause: a tenant's priority goes before its route's and was told in the request's line only; an operator who sets one got nothing for it.

Ruled out: telling engines the rank of every turn.

Change: where a tenant names a rank of its own, its turns carry an urgency as many steps before or behind the usual one as that rank differs from its route's. Turns of tenants without a rank carry none, so nothing changes for them. The adapter gives the header and the scale; the front decides. A caller's own such header is taken away as before. Calls of plain services carry none: these know no urgency.

Tests: access_test (six ranks; plain services; a caller's own header), all tests of stageyoke-front, items_test and purity_test pass.

--- a/crates/stageyoke-front/src/access.rs
+++ b/crates/stageyoke-front/src/access.rs
@@ -5,11 +5,12 @@
 
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
-use stageyoke_directory::{Route, RouteTable, Tenant};
+use stageyoke_directory::{Route, RouteTable, ServiceSpec, Tenant};
 use stageyoke_observe as observe;
 use stageyoke_types::Event;
 
 use crate::line_pause::LinePause;
+use crate::names::UrgencyScale;
 
 /// Scheme of the header that carries a key.
 const SCHEME: &str = "bearer";
@@ -101,6 +102,23 @@
         let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
         own.unwrap_or(route.priority)
     }
+
+    /// What an engine is told of a request's urgency; nothing where its tenant has no
+    /// rank of its own. A tenant stands before or behind the others of its route by as
+    /// many steps as its rank differs from the route's. Routes' own ranks are not told:
+    /// engines that went by them served no more in time (`MEASUREMENTS.md`).
+    pub fn urgency(
+        &self,
+        route: &Route,
+        service: &ServiceSpec,
+        scale: &UrgencyScale,
+    ) -> Option<u8> {
+        service.engine.as_ref()?;
+        let own = self.tenant.as_ref()?.priority?;
+        let steps = i16::from(own) - i16::from(route.priority);
+        let urgency = (i16::from(scale.usual) + steps).clamp(0, i16::from(scale.last));
+        u8::try_from(urgency).ok()
+    }
 }
 
 /// The one key that a request carries.
--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -106,14 +106,21 @@
 /// say is taken away: engines refuse a request that names a copy which they do
 /// not hold, and callers' own such headers had 39 in 100 of offered turns refused
 /// by idle engines (a day of 17,302 turns on 44 engines; none without them).
-/// The key of a caller stays here as well; the replica is told its tenant. `None`
-/// where the tenant's name can't stand in a header.
-pub fn forwarded_headers(headers: &HeaderMap, names: &Names, access: &Access) -> Option<HeaderMap> {
+/// The key of a caller stays here as well; the replica is told its tenant, and the
+/// urgency that the tenant's rank gives the request, if any. `None` where the
+/// tenant's name can't stand in a header.
+pub fn forwarded_headers(
+    headers: &HeaderMap,
+    names: &Names,
+    access: &Access,
+    urgency: Option<u8>,
+) -> Option<HeaderMap> {
     let mut forwarded = end_to_end_headers(headers);
     for name in &names.reserved {
         forwarded.remove(name);
     }
     forwarded.remove(&names.tenant);
+    forwarded.remove(&names.urgency.header);
     if access.keyed {
         forwarded.remove(AUTHORIZATION);
     }
@@ -121,6 +128,12 @@
         let name = HeaderValue::from_str(&tenant.name).ok()?;
         forwarded.insert(names.tenant.clone(), name);
     }
+    if let Some(urgency) = urgency {
+        forwarded.insert(
+            names.urgency.header.clone(),
+            HeaderValue::from(u16::from(urgency)),
+        );
+    }
     Some(forwarded)
 }
 
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -155,7 +155,8 @@
             .path_and_query()
             .cloned()
             .unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let headers = forwarded_headers(&head.headers, &self.names, &access)
+        let urgency = access.urgency(&route, &service, &self.names.urgency);
+        let headers = forwarded_headers(&head.headers, &self.names, &access, urgency)
             .ok_or(Failure::last(ErrorKind::Internal, "tenant_name"))?;
         let kept = KeptIdentifiers::of(&figures, access.tenant.as_ref());
         let outbound = Outbound {
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -35,4 +35,4 @@
 pub mod upstream;
 
 pub use front::{FrontListeners, FrontSettings, run};
-pub use names::Names;
+pub use names::{Names, UrgencyScale};
--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -2,6 +2,18 @@
 
 use hyper::header::HeaderName;
 
+/// How engines are told a request's urgency: they admit the lower number first, and
+/// take places from the higher one.
+#[derive(Clone, Debug)]
+pub struct UrgencyScale {
+    /// Header that carries it; a caller's own is taken away.
+    pub header: HeaderName,
+    /// Urgency of requests that carry none.
+    pub usual: u8,
+    /// The highest number, which is the least urgent.
+    pub last: u8,
+}
+
 /// Names that the front reads and writes.
 #[derive(Clone, Debug)]
 pub struct Names {
@@ -29,6 +41,8 @@
     pub previous_turn: HeaderName,
     /// Name of the caller's tenant, as replicas are told it.
     pub tenant: HeaderName,
+    /// Urgency of a request, as engines are told it.
+    pub urgency: UrgencyScale,
     /// Cookie whose value names the object that a request concerns.
     pub object_cookie: &'static str,
     /// What only the front may say to replicas: taken away from callers' requests.
--- a/crates/stageyoke-front/tests/access_test.rs
+++ b/crates/stageyoke-front/tests/access_test.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
 use rstest::rstest;
-use stageyoke_directory::Tenant;
-use stageyoke_front::access::KeyTrust;
+use stageyoke_directory::{EngineShape, Route, RouteKind, ServiceSpec, Tenant};
+use stageyoke_front::access::{Access, KeyTrust};
+use stageyoke_front::attempt::forwarded_headers;
 use stageyoke_front::request::{Figures, KeptIdentifiers};
 use stageyoke_types::Text;
 use support::names;
@@ -71,3 +74,84 @@
     let trust = KeyTrust::new(bound, limit.map(Duration::from_millis));
     assert_eq!(trust.holds(Duration::from_millis(age)), taken);
 }
+
+fn tenant(priority: Option<u8>) -> Tenant {
+    Tenant {
+        name: Text::from("ann"),
+        priority,
+        limit: None,
+    }
+}
+
+fn route(priority: u8) -> Route {
+    Route {
+        name: Text::from("route"),
+        host: Text::from("host"),
+        path_prefix: Text::from("/"),
+        kind: RouteKind::Stream,
+        timeout: Duration::ZERO,
+        objective: Duration::ZERO,
+        priority,
+        targets: Vec::new(),
+        max_attempts: 1,
+        keeps_history: false,
+        retention: Duration::ZERO,
+        resumable: false,
+        keyless: false,
+        affinity: false,
+    }
+}
+
+fn service(engine: bool) -> ServiceSpec {
+    ServiceSpec {
+        name: Text::from("service"),
+        max_connections: 10,
+        engine: engine.then_some(EngineShape {
+            slots: 8,
+            cache_tokens: 1_000,
+            tokens_per_event: 1,
+        }),
+    }
+}
+
+/// A tenant's rank puts it before or behind the others of its route; whoever has none
+/// stays where all are.
+#[rstest]
+#[case::none_of_its_own(None, 1, None)]
+#[case::before_the_others(Some(0), 1, Some(4))]
+#[case::as_its_route(Some(1), 1, Some(5))]
+#[case::behind_the_others(Some(3), 1, Some(7))]
+#[case::no_further_than_last(Some(200), 0, Some(9))]
+#[case::no_further_than_first(Some(0), 200, Some(0))]
+fn engines_are_told_how_a_tenants_rank_differs_from_its_routes(
+    #[case] own: Option<u8>,
+    #[case] of_route: u8,
+    #[case] told: Option<u8>,
+) {
+    let scale = names().urgency;
+    let access = Access {
+        tenant: Some(tenant(own)),
+        keyed: true,
+    };
+    let urgency = |engine| access.urgency(&route(of_route), &service(engine), &scale);
+    assert_eq!(urgency(true), told);
+    assert_eq!(urgency(false), None, "plain services know no urgency");
+}
+
+/// A caller's own urgency never passes, whether its tenant has a rank or not.
+#[rstest]
+#[case(None, None)]
+#[case(Some(4), Some("4"))]
+fn only_the_front_tells_the_urgency(
+    #[case] urgency: Option<u8>,
+    #[case] told: Option<&'static str>,
+) {
+    let mut headers = HeaderMap::new();
+    headers.append("urgency", HeaderValue::from_static("0"));
+    headers.append("urgency", HeaderValue::from_static("1"));
+    let access = Access::default();
+    let sent = forwarded_headers(&headers, &names(), &access, urgency).expect("headers");
+    let heard: Vec<&HeaderValue> = sent.get_all("urgency").iter().collect();
+    let expected: Vec<HeaderValue> = told.into_iter().map(HeaderValue::from_static).collect();
+    assert_eq!(heard, expected.iter().collect::<Vec<_>>());
+}
--- a/crates/stageyoke-front/tests/support/mod.rs
+++ b/crates/stageyoke-front/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Names that the front's tests use.
 
 use hyper::header::HeaderName;
-use stageyoke_front::Names;
+use stageyoke_front::{Names, UrgencyScale};
 
 /// Short header names and paths.
 pub fn names() -> Names {
@@ -19,8 +19,13 @@
         budget: name("budget"),
         previous_turn: name("previous"),
         tenant: name("tenant"),
+        urgency: UrgencyScale {
+            header: name("urgency"),
+            usual: 5,
+            last: 9,
+        },
         object_cookie: "object",
-        reserved: vec![name("copy-from"), name("urgency")],
+        reserved: vec![name("copy-from")],
         readiness_path: "/ready",
         wrong_instance_status: 421,
     }
