A request that was granted and not run is given back to its tenant's limit

Cause: a turn is granted beside its reservation; where its budget, its history or its replicas refuse it afterwards, it stayed counted for a whole window, and what a tenant is refused beneath its limit loses its credit.

Ruled out: giving back by the tenant alone, from any slot. A request that is taken back from a younger slot than its own frees its place later than it was counted, and one that has left the window already would free the place of one that ran.

Change: a grant carries a receipt: the slot of the owner's window, the version of the limit, the owner's life. A front gives it back where its refusal says that nothing ran (503 of its own, 402, 404); the owner takes it out of that slot, if it is still in the window of the same limit and life. Owners that were only told of the grant keep it counted, which is on the safe side. What owners did not hear of (a grant told, one given back) is counted now (stageyoke_quota_untold_total); before it was dropped without a trace. Failures of tenants are counted by tenant and outcome, 64 tenants at most (stageyoke_tenant_failures_total).

Tests: what_is_given_back_never_lets_more_run (random returns, late, lost, across versions and restarts: what ran stays within rate x window + burst), two tests of the ledger, one with real connections, one of which refusals count as not run; all tests of stageyoke-front, -observe, -policy; owners_test and quota_error_test of -store.

--- a/crates/stageyoke-front/src/answer.rs
+++ b/crates/stageyoke-front/src/answer.rs
@@ -39,6 +39,19 @@
     }
 }
 
+impl Failure {
+    /// Whether the request has not run at any replica, and will not.
+    pub fn not_run(&self) -> bool {
+        matches!(
+            self.kind,
+            ErrorKind::Overloaded
+                | ErrorKind::Unavailable
+                | ErrorKind::NotFound
+                | ErrorKind::TokenBudgetSpent
+        )
+    }
+}
+
 /// The answer that belongs to a failure.
 pub fn respond(failure: &Failure) -> Response<FrontBody> {
     let answer = failure.kind.answer();
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use stageyoke_directory::{Interpreter, KeyValueService, Route, RouteTable, ServiceSpec};
 use stageyoke_store::message::Placement;
+use stageyoke_store::owners::Grant;
 use stageyoke_types::ErrorKind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -180,7 +181,15 @@
             arrived,
             held,
         };
-        self.run(call, story).await
+        let granted = RefCell::default();
+        let outcome = self.run(call, story, &granted).await;
+        if let Err(failure) = &outcome
+            && failure.not_run()
+            && let Some(grant) = granted.take()
+        {
+            self.quotas.give_back(&grant);
+        }
+        outcome
     }
 
     fn pick_service(&self, routes: &RouteTable, route: &Route) -> Result<ServiceSpec, Failure> {
@@ -193,12 +202,13 @@
         self: &Rc<Self>,
         mut call: Call,
         story: &mut Story,
+        granted: &RefCell<Option<Grant>>,
     ) -> Result<Response<FrontBody>, Failure> {
         story.priority = call.access.priority(&call.route);
         let ledger: RefCell<String> = RefCell::default();
         // What the stores answer may show a better one.
         let expected = self.expected_placement(&call);
-        let (reservation, transcript) = self.prepare(&call, expected, &ledger).await?;
+        let (reservation, transcript) = self.prepare(&call, expected, &ledger, granted).await?;
         story.ledger = ledger.into_inner();
         let mut reservation = match reservation {
             Ok(granted) => granted,
@@ -236,17 +246,22 @@
         call: &Call,
         expected: Option<Placement>,
         ledger: &RefCell<String>,
+        granted: &RefCell<Option<Grant>>,
     ) -> Result<(Reserved, Found), Failure> {
         let needs =
             async { tokio::join!(self.reserve(call, expected, ledger), self.transcript(call)) };
         let Some(tenant) = &call.access.tenant else {
             return Ok(needs.await);
         };
-        let leave = self.quotas.admit(Asked {
+        let asked = Asked {
             tenant,
             program: &call.kept.program,
             version: call.routes_version,
-        });
+        };
+        let leave = async {
+            granted.replace(self.quotas.admit(asked).await?);
+            Ok(())
+        };
         if self.quotas.tight(tenant) {
             leave.await?;
             return Ok(needs.await);
--- a/crates/stageyoke-front/src/quota.rs
+++ b/crates/stageyoke-front/src/quota.rs
@@ -13,6 +13,7 @@
 use stageyoke_policy::quota::{Question, Verdict};
 use stageyoke_store::Groups;
 use stageyoke_store::keys::TurnKey;
+use stageyoke_store::owners::Grant;
 use stageyoke_types::{ErrorKind, Event, Text};
 use tokio::time::Instant;
 
@@ -81,10 +82,11 @@
         refused_at.is_some_and(|at| at + TIGHT_FOR > self.started.elapsed())
     }
 
-    /// Counts a request, or refuses it: it was not run then.
-    pub async fn admit(&self, asked: Asked<'_>) -> Result<(), Failure> {
+    /// Counts a request, or refuses it: it was not run then. Tells the grant, where an
+    /// owner has given one.
+    pub async fn admit(&self, asked: Asked<'_>) -> Result<Option<Grant>, Failure> {
         let Some(limit) = asked.tenant.limit else {
-            return Ok(());
+            return Ok(None);
         };
         let limit = Limit {
             per_second: limit.per_second,
@@ -100,29 +102,34 @@
             version: asked.version,
             standby: false,
         };
-        let verdict = self.ask_owners(question).await;
+        let (verdict, grant) = self.ask_owners(question).await;
         let now = self.started.elapsed();
         match verdict {
-            Verdict::Granted => Ok(()),
+            Verdict::Granted => Ok(grant),
             Verdict::Refused(after) => {
                 self.known(&question, now, |known| known.refused_at = Some(now));
                 Err(refusal("quota_spent", after))
             }
-            Verdict::Unknown => self.take_share(&question, now),
+            Verdict::Unknown => self.take_share(&question, now).map(|()| None),
         }
     }
 
-    async fn ask_owners(&self, question: Question) -> Verdict {
+    /// A request that was granted has not run: its tenant may make another one.
+    pub fn give_back(&self, grant: &Grant) {
+        self.stores.give_back(grant);
+    }
+
+    async fn ask_owners(&self, question: Question) -> (Verdict, Option<Grant>) {
         if self.stores.all_failing_for().is_some() {
-            return Verdict::Unknown;
+            return (Verdict::Unknown, None);
         }
         let Some(ruling) = self.stores.ask_quota(question).await else {
-            return Verdict::Unknown;
+            return (Verdict::Unknown, None);
         };
         if ruling.fronts > 0 {
             self.fronts.set(ruling.fronts);
         }
-        ruling.verdict
+        (ruling.verdict, ruling.grant)
     }
 
     fn take_share(&self, question: &Question, now: Duration) -> Result<(), Failure> {
--- a/crates/stageyoke-front/tests/access_test.rs
+++ b/crates/stageyoke-front/tests/access_test.rs
@@ -9,9 +9,10 @@
 use rstest::rstest;
 use stageyoke_directory::{EngineShape, Route, RouteKind, ServiceSpec, Tenant};
 use stageyoke_front::access::{Access, KeyTrust};
+use stageyoke_front::answer::Failure;
 use stageyoke_front::attempt::forwarded_headers;
 use stageyoke_front::request::{Figures, KeptIdentifiers};
-use stageyoke_types::Text;
+use stageyoke_types::{ErrorKind, Text};
 use support::names;
 use tokio::time::Instant;
 
@@ -114,6 +115,19 @@
     }
 }
 
+/// What a front refuses by itself has run nowhere; what replicas failed may have.
+#[rstest]
+#[case(ErrorKind::Overloaded, true)]
+#[case(ErrorKind::Unavailable, true)]
+#[case(ErrorKind::TokenBudgetSpent, true)]
+#[case(ErrorKind::NotFound, true)]
+#[case(ErrorKind::OutcomeUnknown, false)]
+#[case(ErrorKind::BackEndFailed, false)]
+#[case(ErrorKind::DeadlineExceeded, false)]
+fn only_what_has_not_run_is_given_back(#[case] kind: ErrorKind, #[case] given_back: bool) {
+    assert_eq!(Failure::last(kind, "cause").not_run(), given_back);
+}
+
 /// A tenant's rank puts it before or behind the others of its route; whoever has none
 /// stays where all are.
 #[rstest]
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -4,7 +4,7 @@
 
 use stageyoke_types::Event;
 
-use crate::metrics::{metrics, route_label};
+use crate::metrics::{metrics, route_label, tenant_label};
 
 /// What decided a request.
 #[derive(Clone, Debug, Default)]
@@ -92,6 +92,11 @@
         .requests
         .with_label_values(&[route_label(&story.route), story.outcome])
         .inc();
+    if !story.tenant.is_empty() && story.status >= 400 {
+        let tenant = tenant_label(&story.tenant);
+        let failures = &metrics.tenant_failures;
+        failures.with_label_values(&[tenant, story.outcome]).inc();
+    }
     metrics.request_seconds.observe(elapsed.as_secs_f64());
     if story.head_after > 0 {
         let head = Duration::from_millis(story.head_after);
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -45,6 +45,10 @@
     pub events: IntCounterVec,
     /// Calls to the key-value service, by outcome.
     pub service_calls: IntCounterVec,
+    /// Grants of requests, and their returns, that an owner of a limit did not hear of.
+    pub quota_untold: IntCounter,
+    /// Requests of tenants that ended with a refusal or failure, by tenant and outcome.
+    pub tenant_failures: IntCounterVec,
     /// Connections opened to replicas.
     pub connections_opened: IntCounter,
     /// Requests and streams under way.
@@ -70,22 +74,38 @@
 /// Routes that have a label of their own; the rest share one, since a long
 /// life meets more names than a page can hold.
 pub const LABELLED_ROUTES: usize = 256;
-const OTHER_ROUTES: &str = "other";
+/// Tenants that have a label of their own, the first that are refused something; the
+/// rest share one. Each has a line for each outcome.
+pub const LABELLED_TENANTS: usize = 64;
+const OTHERS: &str = "other";
+
+/// Names that have a label of their own.
+type Labelled = OnceLock<Mutex<HashSet<String>>>;
 
 /// The label of a route.
 pub fn route_label(route: &str) -> &str {
-    static SEEN: OnceLock<Mutex<HashSet<String>>> = OnceLock::new();
-    let Ok(mut seen) = SEEN.get_or_init(Mutex::default).lock() else {
-        return OTHER_ROUTES;
+    static SEEN: Labelled = OnceLock::new();
+    label(&SEEN, LABELLED_ROUTES, route)
+}
+
+/// The label of a tenant.
+pub fn tenant_label(tenant: &str) -> &str {
+    static SEEN: Labelled = OnceLock::new();
+    label(&SEEN, LABELLED_TENANTS, tenant)
+}
+
+fn label<'a>(seen: &Labelled, most: usize, name: &'a str) -> &'a str {
+    let Ok(mut seen) = seen.get_or_init(Mutex::default).lock() else {
+        return OTHERS;
     };
-    if seen.contains(route) {
-        return route;
+    if seen.contains(name) {
+        return name;
     }
-    if seen.len() >= LABELLED_ROUTES {
-        return OTHER_ROUTES;
+    if seen.len() >= most {
+        return OTHERS;
     }
-    seen.insert(route.to_owned());
-    route
+    seen.insert(name.to_owned());
+    name
 }
 
 /// The metrics of this process.
@@ -125,6 +145,18 @@
                 "Calls to the key-value service.",
                 &["outcome"],
             ),
+            quota_untold: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_quota_untold_total",
+                    "Grants and returns that an owner of a limit did not hear of.",
+                ),
+            ),
+            tenant_failures: counters(
+                "stageyoke_tenant_failures_total",
+                "Requests of tenants that ended with status 400 or above.",
+                &["tenant", "outcome"],
+            ),
             connections_opened: register(
                 &registry,
                 IntCounter::new(
--- a/crates/stageyoke-policy/src/quota/account.rs
+++ b/crates/stageyoke-policy/src/quota/account.rs
@@ -165,6 +165,25 @@
         };
     }
 
+    /// The slot of a request that was granted just now, and the version of the limit
+    /// that it counts against.
+    pub(super) fn slot(&mut self, now: Duration) -> Option<(u64, u64)> {
+        let current = self.held.first_mut()?;
+        Some((current.requests.slot(now), self.version))
+    }
+
+    /// Takes back a request that was granted in this slot under this version's limit
+    /// and was not run. Under another version's it stays counted: windows that began
+    /// since don't hold it.
+    pub(super) fn take_back(&mut self, slot: u64, version: u64, now: Duration) {
+        if version != self.version {
+            return;
+        }
+        for held in &mut self.held {
+            held.requests.take_back(slot, now);
+        }
+    }
+
     /// Another limit is in force. A lower one counts from now on; what was granted
     /// before, and both together, must keep to the former one for a window: else a
     /// tenant would get nothing until its former requests have left the window. A
--- a/crates/stageyoke-policy/src/quota/mod.rs
+++ b/crates/stageyoke-policy/src/quota/mod.rs
@@ -88,9 +88,22 @@
     Unknown,
 }
 
+/// Where a granted request was counted, by which it can be given back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Receipt {
+    /// Slot of the window.
+    pub slot: u64,
+    /// Version of the limit.
+    pub version: u64,
+    /// Life of the owner.
+    pub life: u64,
+}
+
 /// Limits of the tenants that one store owns.
 #[derive(Debug, Default)]
 pub struct QuotaLedger {
+    /// Tells this owner from the one that it was before a restart.
+    life: u64,
     tolerance: Tolerance,
     accounts: HashMap<u64, Account>,
     /// Since when this owner counts.
@@ -106,6 +119,11 @@
         Self { tolerance, ..self }
     }
 
+    /// The same ledger in this life of its owner, drawn at random at each start.
+    pub fn living(self, life: u64) -> Self {
+        Self { life, ..self }
+    }
+
     /// Who owns which tenant has changed: for tenants that are new to it this owner
     /// begins to count now.
     pub fn owners_changed(&mut self, now: Duration) {
@@ -137,6 +155,29 @@
         Verdict::Granted
     }
 
+    /// Where the request of a tenant that was granted just now is counted.
+    pub fn receipt(&mut self, tenant: u64, now: Duration) -> Option<Receipt> {
+        let account = self.accounts.get_mut(&tenant)?;
+        let (slot, version) = account.slot(now)?;
+        Some(Receipt {
+            slot,
+            version,
+            life: self.life,
+        })
+    }
+
+    /// Takes back a request that was granted here and then not run: its tenant may
+    /// make another one. What has left the window changes nothing, and what another
+    /// owner granted is not known here.
+    pub fn take_back(&mut self, tenant: u64, receipt: Receipt, now: Duration) {
+        if receipt.life != self.life {
+            return;
+        }
+        if let Some(account) = self.accounts.get_mut(&tenant) {
+            account.take_back(receipt.slot, receipt.version, now);
+        }
+    }
+
     /// Counts a request that another owner has granted.
     pub fn count(&mut self, question: &Question, now: Duration) {
         let Some(begins) = self.open(question, now) else {
--- a/crates/stageyoke-policy/src/window.rs
+++ b/crates/stageyoke-policy/src/window.rs
@@ -83,6 +83,25 @@
         }
     }
 
+    /// Number of the slot in which a request counts that is added now.
+    pub fn slot(&mut self, now: Duration) -> u64 {
+        self.slide(now);
+        self.current
+    }
+
+    /// Takes back one request that was added in this slot; nothing where the slot has
+    /// left the window.
+    pub fn take_back(&mut self, slot: u64, now: Duration) {
+        self.slide(now);
+        let inside = slot <= self.current && self.current - slot < RING as u64;
+        let count = &mut self.slots[(slot % RING as u64) as usize];
+        // A full slot may have met more requests than it counted.
+        if inside && *count > 0 && *count < u16::MAX {
+            *count -= 1;
+            self.total -= 1;
+        }
+    }
+
     /// Takes so many requests as made evenly over the window, but for its newest
     /// part, of which everything is known.
     pub fn assume(&mut self, requests: f64, known: Duration, now: Duration) {
--- a/crates/stageyoke-policy/tests/quota_test.rs
+++ b/crates/stageyoke-policy/tests/quota_test.rs
@@ -1,13 +1,14 @@
 //! Owners of tenants' limits: what they grant in any time, who goes first where a
 //! limit is short, and what fails with them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use stageyoke_policy::bucket::Limit;
-use stageyoke_policy::quota::{Question, QuotaLedger, Tolerance, Verdict};
+use stageyoke_policy::quota::{Question, QuotaLedger, Receipt, Tolerance, Verdict};
 use stageyoke_policy::window::Window;
 
 const WINDOW: Duration = Duration::from_secs(5);
@@ -113,6 +114,47 @@
         prop_assert!(most_in_window(&grants) <= allowed(LIMIT) + lost);
     }
 
+    /// Requests that were granted and not run are given back, some late, some never,
+    /// under one version of the limit or the next, before a restart of the owner or
+    /// after it: what did run stays within the limit.
+    #[test]
+    fn what_is_given_back_never_lets_more_run(
+        requests in proptest::collection::vec((0_u64..12, 0_u64..4, 0_u64..8_000), 200..2500),
+        versions in 1_u64..4,
+        restarted in any::<bool>(),
+    ) {
+        let mut ledger = ledger().living(1);
+        let mut now = later(0);
+        let mut ran = Vec::new();
+        let mut returns: BTreeMap<(Duration, usize), Receipt> = BTreeMap::new();
+        for (number, (pause, fate, delay)) in requests.into_iter().enumerate() {
+            now += milliseconds(pause);
+            while let Some(((at, _), receipt)) = returns.first_key_value()
+                && *at <= now
+            {
+                ledger.take_back(1, *receipt, now);
+                returns.pop_first();
+            }
+            let asked = Question {
+                version: 1 + number as u64 * versions / 2500,
+                ..question(0)
+            };
+            if ledger.ask(&asked, now) != Verdict::Granted {
+                continue;
+            }
+            let receipt = ledger.receipt(1, now).expect("a receipt");
+            // One request in four is refused elsewhere, and in eight its return is lost.
+            let (runs, life) = (fate > 0, u64::from(restarted && delay % 2 == 0));
+            if runs {
+                ran.push(now);
+            } else if delay % 8 != 0 {
+                let receipt = Receipt { life: 1 + life, ..receipt };
+                returns.insert((now + milliseconds(delay), number), receipt);
+            }
+        }
+        prop_assert!(most_in_window(&ran) <= allowed(LIMIT));
+    }
+
     /// A window counts what it was given, in any order of looks, and nothing that has
     /// left it.
     #[test]
@@ -159,6 +201,30 @@
     assert_eq!(granted_at_once(true), 24);
 }
 
+/// What was not run makes room at once, but only for as long as it was counted.
+#[test]
+fn a_request_that_was_not_run_is_there_again() {
+    let mut ledger = ledger().living(7);
+    let granted = |ledger: &mut QuotaLedger, time: u64| {
+        let asks = 0..300;
+        asks.filter(|_| ledger.ask(&question(0), later(time)) == Verdict::Granted)
+            .count()
+    };
+    assert_eq!(granted(&mut ledger, 0), 240);
+    let receipt = ledger.receipt(1, later(0)).expect("a receipt");
+    let of_another_life = Receipt { life: 8, ..receipt };
+    ledger.take_back(1, of_another_life, later(100));
+    assert_eq!(granted(&mut ledger, 100), 0);
+    for _ in 0..3 {
+        ledger.take_back(1, receipt, later(100));
+    }
+    assert_eq!(granted(&mut ledger, 100), 3);
+    // Its slot has left the window: nothing is there to be taken back.
+    assert_eq!(granted(&mut ledger, 5_060), 237);
+    ledger.take_back(1, receipt, later(5_060));
+    assert_eq!(granted(&mut ledger, 5_060), 0);
+}
+
 /// Programs of a run.
 #[derive(Debug, Default)]
 struct Programs {
--- a/crates/stageyoke-store/src/groups.rs
+++ b/crates/stageyoke-store/src/groups.rs
@@ -16,7 +16,7 @@
 use crate::keys::TurnKey;
 use crate::load::LoadBoard;
 use crate::message::{ChainPart, Placement, Record, Request};
-use crate::owners::{Owners, Ruling};
+use crate::owners::{self, Grant, Owners, Ruling};
 use crate::quorum::{ChainStep, LedgerView};
 
 /// How long the group that a program belongs to may take before the others are
@@ -106,6 +106,11 @@
         self.owners.ask(question, client).await
     }
 
+    /// Gives back a request that an owner has granted and that was not run.
+    pub fn give_back(&self, grant: &Grant) {
+        owners::give_back(grant, self.client(&grant.owner));
+    }
+
     /// Takes what refusals have brought; true if there was any.
     fn follow_newer(&self) -> bool {
         let newer = self.shared.newer.borrow_mut().take();
--- a/crates/stageyoke-store/src/keeper.rs
+++ b/crates/stageyoke-store/src/keeper.rs
@@ -114,6 +114,7 @@
     /// The same, where the operator tolerates so much beyond tenants' limits.
     pub fn tolerating(self, tolerance: QuotaTolerance) -> Self {
         let quotas = self.quotas.take().tolerating(tolerance);
+        let quotas = quotas.living(rand::random());
         self.quotas.replace(quotas);
         self
     }
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -65,6 +65,12 @@
                 self.count_granted(question);
                 Reply::Pong
             }
+            Request::QuotaReturned { tenant, receipt } => {
+                let now = self.started.elapsed();
+                let mut quotas = self.quotas.borrow_mut();
+                quotas.take_back(tenant, receipt.into(), now);
+                Reply::Pong
+            }
             Request::Ping => Reply::Pong,
             Request::Changes { after } => self.tell_changes(after),
             Request::Routes => self.tell_routes().await,
@@ -192,11 +198,16 @@
             Verdict::Refused(after) => after,
             Verdict::Granted | Verdict::Unknown => Duration::ZERO,
         };
+        let receipt = match verdict {
+            Verdict::Granted => quotas.receipt(question.tenant, now),
+            Verdict::Refused(_) | Verdict::Unknown => None,
+        };
         Reply::Quota(QuotaAnswer {
             known: verdict != Verdict::Unknown,
             granted: verdict == Verdict::Granted,
             retry_after_milliseconds: u32::try_from(after.as_millis()).unwrap_or(u32::MAX),
             fronts: u16::try_from(self.loads.fronts()).unwrap_or(u16::MAX),
+            receipt: receipt.unwrap_or_default().into(),
         })
     }
 
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -3,7 +3,7 @@
 use nanoserde::{DeBin, SerBin};
 use stageyoke_directory::{DirectoryMark, GroupNumber, StoreGroups};
 use stageyoke_policy::bucket::Limit;
-use stageyoke_policy::quota::Question;
+use stageyoke_policy::quota::{Question, Receipt};
 use stageyoke_types::{Blob, List, Text};
 
 /// One finished turn of a program whose history is kept. Immutable.
@@ -282,6 +282,39 @@
     pub retry_after_milliseconds: u32,
     /// Fronts that this store hears from.
     pub fronts: u16,
+    /// Where a granted request was counted.
+    pub receipt: QuotaReceipt,
+}
+
+/// Where a granted request was counted, by which it can be given back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct QuotaReceipt {
+    /// Slot of the owner's window.
+    pub slot: u64,
+    /// Version of the limit.
+    pub version: u64,
+    /// Life of the owner.
+    pub life: u64,
+}
+
+impl From<Receipt> for QuotaReceipt {
+    fn from(receipt: Receipt) -> Self {
+        Self {
+            slot: receipt.slot,
+            version: receipt.version,
+            life: receipt.life,
+        }
+    }
+}
+
+impl From<QuotaReceipt> for Receipt {
+    fn from(receipt: QuotaReceipt) -> Self {
+        Self {
+            slot: receipt.slot,
+            version: receipt.version,
+            life: receipt.life,
+        }
+    }
 }
 
 /// What a caller asks of a store.
@@ -338,6 +371,13 @@
     Quota(QuotaQuestion),
     /// Another owner has granted it.
     QuotaGranted(QuotaQuestion),
+    /// A request that this store has granted was not run.
+    QuotaReturned {
+        /// Hash of the tenant's name.
+        tenant: u64,
+        /// Where it was counted.
+        receipt: QuotaReceipt,
+    },
     /// Whether the store is there.
     Ping,
     /// Items of the key-value service, for a front that starts while the
--- a/crates/stageyoke-store/src/owners.rs
+++ b/crates/stageyoke-store/src/owners.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use stageyoke_directory::{Member, MemberState, StoreGroups, Tolerance};
+use stageyoke_observe::metrics;
 use stageyoke_policy::quota::{Question, Verdict};
 use stageyoke_types::Text;
 use stageyoke_types::hash::mix;
@@ -19,7 +20,7 @@
 
 use crate::client::StoreClient;
 use crate::keys::TurnKey;
-use crate::message::{QuotaAnswer, QuotaQuestion, Reply, Request};
+use crate::message::{QuotaAnswer, QuotaQuestion, QuotaReceipt, Reply, Request};
 
 /// How long an owner may take before the next is asked: several ways there and
 /// back between zones, and the longest pauses of a store that is only busy.
@@ -60,13 +61,26 @@
     Standby,
 }
 
+/// A request that an owner has granted, by which it can be given back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Who granted it.
+    pub owner: Text,
+    /// Hash of the tenant's name.
+    pub tenant: u64,
+    /// Where it is counted.
+    pub receipt: QuotaReceipt,
+}
+
 /// What an owner has said.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Ruling {
     /// Whether the request may be made.
     pub verdict: Verdict,
     /// Fronts that the owner hears from.
     pub fronts: u16,
+    /// The grant, if it is one.
+    pub grant: Option<Grant>,
 }
 
 /// The stores as owners of tenants' limits.
@@ -199,13 +213,14 @@
         client: &impl Fn(&Text) -> Option<Rc<StoreClient>>,
     ) -> Option<Ruling> {
         let asked = client(node)?;
+        let tenant = question.tenant;
         let question = QuotaQuestion {
             standby: asking == Asking::Standby,
             pressed: asking == Asking::Pressed,
             ..QuotaQuestion::from(question)
         };
         match asked.call(Request::Quota(question), ANSWER_WITHIN).await {
-            Ok(Reply::Quota(answer)) => Some(Ruling::from(answer)),
+            Ok(Reply::Quota(answer)) => Some(Ruling::of(answer, node, tenant)),
             Ok(_) | Err(_) => {
                 let until = Instant::now() + DISTRUST;
                 self.distrusted.borrow_mut().insert(node.clone(), until);
@@ -237,23 +252,48 @@
 fn tell_granted(question: Question, others: impl Iterator<Item = Rc<StoreClient>>) {
     for other in others {
         let request = Request::QuotaGranted(QuotaQuestion::from(question));
-        tokio::task::spawn_local(async move {
-            let _ = other.call(request, TELL_WITHIN).await;
-        });
+        tokio::task::spawn_local(tell(other, request));
     }
 }
 
-impl From<QuotaAnswer> for Ruling {
-    fn from(answer: QuotaAnswer) -> Self {
+/// Gives back a request that an owner has granted and that was not run. One that does
+/// not hear of it counts it until it leaves the window.
+pub(crate) fn give_back(grant: &Grant, client: Option<Rc<StoreClient>>) {
+    let Some(owner) = client else {
+        metrics().quota_untold.inc();
+        return;
+    };
+    let request = Request::QuotaReturned {
+        tenant: grant.tenant,
+        receipt: grant.receipt,
+    };
+    tokio::task::spawn_local(tell(owner, request));
+}
+
+/// Tells an owner something that it may miss; how often it does is counted.
+async fn tell(owner: Rc<StoreClient>, request: Request) {
+    if owner.call(request, TELL_WITHIN).await.is_err() {
+        metrics().quota_untold.inc();
+    }
+}
+
+impl Ruling {
+    fn of(answer: QuotaAnswer, owner: &Text, tenant: u64) -> Self {
         let after = Duration::from_millis(u64::from(answer.retry_after_milliseconds));
         let verdict = match (answer.known, answer.granted) {
             (false, _) => Verdict::Unknown,
             (true, true) => Verdict::Granted,
             (true, false) => Verdict::Refused(after),
         };
+        let grant = (verdict == Verdict::Granted).then(|| Grant {
+            owner: owner.clone(),
+            tenant,
+            receipt: answer.receipt,
+        });
         Self {
             verdict,
             fronts: answer.fronts,
+            grant,
         }
     }
 }
--- a/crates/stageyoke-store/tests/owners_test.rs
+++ b/crates/stageyoke-store/tests/owners_test.rs
@@ -60,9 +60,11 @@
                     false => Verdict::Unknown,
                 };
                 let granted = verdict == Verdict::Granted;
+                let receipt = ledger.receipt(question.tenant, now);
                 let answer = QuotaAnswer {
                     known: verdict != Verdict::Unknown,
                     granted,
+                    receipt: receipt.unwrap_or_default().into(),
                     ..QuotaAnswer::default()
                 };
                 (!self.silent.get()).then_some(Reply::Quota(answer))
@@ -72,6 +74,11 @@
                 self.ledger.borrow_mut().count(&question.checked()?, now);
                 Some(Reply::Pong)
             }
+            Request::QuotaReturned { tenant, receipt } => {
+                let mut ledger = self.ledger.borrow_mut();
+                ledger.take_back(tenant, receipt.into(), now);
+                Some(Reply::Pong)
+            }
             _ => Some(Reply::Pong),
         }
     }
@@ -284,6 +291,21 @@
     }
 }
 
+/// A request that was refused after its grant lost its tenant a place for a whole window.
+#[tokio::test]
+async fn what_was_granted_and_not_run_is_given_back_to_the_owner_that_granted_it() {
+    let test = async {
+        let world = world().await;
+        assert_eq!(world.granted(9).await, 9);
+        let last = world.groups.ask_quota(QUESTION).await.expect("a ruling");
+        assert_eq!(world.granted(1).await, 0);
+        world.groups.give_back(&last.grant.expect("a grant"));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(world.granted(5).await, 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 #[tokio::test]
 async fn without_any_store_nothing_is_known() {
     let test = async {
