A hot tenant takes nothing from the worst served of the others: a test

What programs ask for is learnt from all tenants of an owner, so a large one might make the others' programs look as if they did not fit.

--- a/crates/stageyoke-policy/tests/program_quota_test.rs
+++ b/crates/stageyoke-policy/tests/program_quota_test.rs
@@ -9,7 +9,7 @@
 use stageyoke_policy::bucket::Limit;
 use stageyoke_policy::quota::{Question, QuotaLedger, Tolerance, Verdict};
 use stageyoke_policy::window::Window;
-use support::{Gate, Load, Seen, play};
+use support::{Gate, Load, Seen, play, play_all};
 
 const SEEDS: u64 = 12;
 const TOLERANCE: Tolerance = Tolerance {
@@ -162,6 +162,42 @@
     }
 }
 
+/// The share of programs that end of the worst tenth of the tenants but the hot one.
+fn worst_tenth(factor: f64) -> f64 {
+    let load = Load {
+        tenants: 80,
+        ..load(22.0, factor)
+    };
+    let mut others = vec![Seen::default(); load.tenants as usize - 1];
+    for seed in 0..3 {
+        let limit = load.limit;
+        let ledger = QuotaLedger::default().tolerating(TOLERANCE);
+        let all = play_all(load, &mut Ledger { limit, ledger }, seed);
+        for (sum, seen) in others.iter_mut().zip(&all[1..]) {
+            sum.begun += seen.begun;
+            sum.ended += seen.ended;
+        }
+    }
+    let share = |seen: &Seen| seen.ended as f64 / seen.begun.max(1) as f64;
+    let mut shares: Vec<f64> = others.iter().map(share).collect();
+    shares.sort_unstable_by(f64::total_cmp);
+    let tenth = &shares[..shares.len() / 10];
+    tenth.iter().sum::<f64>() / tenth.len() as f64
+}
+
+/// What programs ask for is learnt from all tenants of an owner: a large one that sends
+/// 7.5 times its usual must not make the others' programs look as if they did not fit.
+#[test]
+fn a_hot_tenant_takes_nothing_from_the_worst_served_of_the_others() {
+    let (calm, beside_a_hot_one) = (worst_tenth(1.0), worst_tenth(7.5));
+    println!("worst tenth of 79 tenants: {calm:.3}, beside a hot one {beside_a_hot_one:.3}");
+    assert!(calm > 0.85, "{calm}");
+    assert!(
+        beside_a_hot_one > calm - 0.02,
+        "{beside_a_hot_one} of {calm}"
+    );
+}
+
 /// Without a tolerance nothing runs beyond the limit.
 #[test]
 fn without_a_tolerance_the_limit_is_exact() {
--- a/crates/stageyoke-policy/tests/support/mod.rs
+++ b/crates/stageyoke-policy/tests/support/mod.rs
@@ -97,12 +97,17 @@
     }
 }
 
-/// Plays a load against a gate.
+/// Plays a load against a gate; what became of the watched tenant.
 pub fn play(load: Load, gate: &mut impl Gate, seed: u64) -> Seen {
+    play_all(load, gate, seed).remove(0)
+}
+
+/// Plays a load against a gate; what became of each tenant, the watched one first.
+pub fn play_all(load: Load, gate: &mut impl Gate, seed: u64) -> Vec<Seen> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut running: Vec<Program> = Vec::new();
-    let mut grants: Vec<u64> = Vec::new();
-    let mut seen = Seen::default();
+    let mut grants: Vec<Vec<u64>> = vec![Vec::new(); load.tenants as usize];
+    let mut all = vec![Seen::default(); load.tenants as usize];
     let mut number = 0;
     for time in 0..load.length {
         for tenant in 0..load.tenants {
@@ -122,8 +127,9 @@
             if program.next > time {
                 return true;
             }
-            let watched = program.tenant == 0;
-            let counted = watched && program.began + 12_000 < load.length;
+            let tenant = program.tenant as usize;
+            let seen = &mut all[tenant];
+            let counted = program.began + 12_000 < load.length;
             if program.made == 0 && program.tries == 0 && program.resent == 0 {
                 seen.begun += usize::from(counted);
             }
@@ -132,10 +138,8 @@
                     program.made += 1;
                     program.tries = 0;
                     program.resent = 0;
-                    if watched {
-                        grants.push(time);
-                        seen.granted += 1;
-                    }
+                    grants[tenant].push(time);
+                    seen.granted += 1;
                     if go_on(program, time) {
                         return true;
                     }
@@ -157,11 +161,13 @@
         });
     }
     let allowed = load.limit.per_second * 5.0 + load.limit.burst;
-    let until = |at: u64| grants.partition_point(|other| *other < at);
-    let in_window = |at: &u64| until(at + 5_000) - until(*at);
-    let most = grants.iter().map(in_window).max();
-    seen.excess = most.unwrap_or_default() as i64 - allowed as i64;
-    seen
+    for (seen, grants) in all.iter_mut().zip(&grants) {
+        let until = |at: u64| grants.partition_point(|other| *other < at);
+        let in_window = |at: &u64| until(at + 5_000) - until(*at);
+        let most = grants.iter().map(in_window).max();
+        seen.excess = most.unwrap_or_default() as i64 - allowed as i64;
+    }
+    all
 }
 
 /// The next request of a program; false once it has made its last.
