An operator is told of tenants that can't call or are not limited

Cause: a key that two tenants name was told at each configuration of each front; tenants without keys and limits of nought were told nowhere. From a 401 or 429 the explanation named neither the tenant nor its limit.

Change: one report (front::tenant_report, pure) of contested keys and of tenants without keys or without a limit, told only when it says something else than last time (TenantsUnusual is new; eight names a list). Explanations name tenant and limit.

Ruled out: a verb that checks a configuration before it is applied; the platform's configurations don't pass through this product.

--- a/crates/stageyoke-directory/src/tenants.rs
+++ b/crates/stageyoke-directory/src/tenants.rs
@@ -50,6 +50,7 @@
     list: Vec<Tenant>,
     holders: HashMap<KeyDigest, usize>,
     contested: Vec<Text>,
+    keyless: Vec<Text>,
 }
 
 impl Tenants {
@@ -57,6 +58,10 @@
     /// stays with that one, and this tenant is noted as contested.
     pub fn add(&mut self, tenant: Tenant, keys: impl IntoIterator<Item = KeyDigest>) {
         let index = self.list.len();
+        let mut keys = keys.into_iter().peekable();
+        if keys.peek().is_none() {
+            self.keyless.push(tenant.name.clone());
+        }
         for key in keys {
             let holder = *self.holders.entry(key).or_insert(index);
             if holder != index {
@@ -77,6 +82,17 @@
         &self.contested
     }
 
+    /// Tenants that name no key, and so can't call.
+    pub fn keyless(&self) -> &[Text] {
+        &self.keyless
+    }
+
+    /// Tenants that may ask as often as they like.
+    pub fn unlimited(&self) -> impl Iterator<Item = &Text> {
+        let unlimited = self.list.iter().filter(|tenant| tenant.limit.is_none());
+        unlimited.map(|tenant| &tenant.name)
+    }
+
     /// Number of tenants.
     pub fn len(&self) -> usize {
         self.list.len()
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -8,9 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{
-    GroupNumber, Interpreter, KeyValueService, Mirror, RouteTable, Tenants, Tolerance,
-};
+use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance};
 use stageyoke_policy::retry_budget::RetryBudget;
 use stageyoke_store::Groups;
 use stageyoke_store::relay::StoreRelay;
@@ -29,6 +27,7 @@
 use crate::quota::Quotas;
 use crate::server;
 use crate::shares::Shares;
+use crate::tenant_report::TenantReport;
 use stageyoke_observe as observe;
 
 /// A planned stop takes connections and requests this long, until the entry
@@ -40,8 +39,6 @@
 /// A front that has reached no quorum of any store group for this long is not
 /// ready.
 const UNREADY_AFTER: Duration = Duration::from_millis(600);
-/// Tenants that one line names.
-const MOST_CONTESTED: usize = 8;
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 const PROBE_WITHIN: Duration = Duration::from_millis(300);
 
@@ -115,8 +112,7 @@
     /// Tells the listeners and connections to close.
     pub closing: Closing,
     draining: Cell<bool>,
-    /// Configuration whose contested keys were told last.
-    contested_in: Cell<u64>,
+    tenant_report: TenantReport,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
@@ -160,23 +156,6 @@
         }
     }
 
-    /// Tells once for a configuration which tenants name others' keys.
-    fn report_contested(&self, routes: &RouteTable) {
-        let contested = routes.tenants.as_ref().map_or(&[][..], Tenants::contested);
-        if contested.is_empty() || self.contested_in.replace(routes.version) == routes.version {
-            return;
-        }
-        let named = contested.iter().take(MOST_CONTESTED);
-        let named: Vec<&str> = named.map(Text::as_str).collect();
-        let detail = format!(
-            "version={} count={} tenants={}",
-            routes.version,
-            contested.len(),
-            named.join(",")
-        );
-        observe::event(Event::KeyContested, &detail);
-    }
-
     fn follow(&self) {
         let view = self.mirror.view();
         // Changes are reported before their answer confirms the directory: this
@@ -189,7 +168,9 @@
         metrics.members_version.set(view.stores.version as i64);
         if let Some(routes) = &view.routes {
             self.shares.follow(routes);
-            self.report_contested(routes);
+            for (event, detail) in self.tenant_report.follow(routes) {
+                observe::event(event, &detail);
+            }
         }
         let version = view.routes.as_ref().map_or(0, |routes| routes.version);
         metrics.routes_version.set(version as i64);
@@ -225,7 +206,7 @@
         memory: Rc::new(MemoryBudget::within(settings.memory_bytes)),
         closing: Closing::default(),
         draining: Cell::new(false),
-        contested_in: Cell::new(0),
+        tenant_report: TenantReport::default(),
     });
     let FrontListeners { callers, readiness } = listeners;
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod rest;
 pub mod server;
 pub mod shares;
+pub mod tenant_report;
 pub mod turns;
 mod unanswered;
 pub mod upstream;
--- /dev/null
+++ b/crates/stageyoke-front/src/tenant_report.rs
@@ -0,0 +1,64 @@
+//! What an operator may have got wrong about tenants: told in lines when it changes.
+
+use std::cell::RefCell;
+
+use stageyoke_directory::{RouteTable, Tenants};
+use stageyoke_types::{Event, Text};
+
+/// Tenants that one list of a line names.
+const MOST_NAMED: usize = 8;
+
+/// What was told last of the tenants in force.
+#[derive(Debug, Default)]
+pub struct TenantReport {
+    contested: RefCell<String>,
+    unusual: RefCell<String>,
+}
+
+impl TenantReport {
+    /// Events that this configuration gives rise to, each with its detail: none where
+    /// it says what the former one said. A key that two tenants name opens the door to
+    /// the first of them only; tenants without keys can't call; tenants without a
+    /// limit, or with one of nought, are not limited.
+    pub fn follow(&self, routes: &RouteTable) -> Vec<(Event, String)> {
+        let Some(tenants) = &routes.tenants else {
+            self.contested.take();
+            self.unusual.take();
+            return Vec::new();
+        };
+        let contested = match tenants.contested() {
+            [] => String::new(),
+            contested => named("", contested),
+        };
+        let lines = [
+            (Event::KeyContested, &self.contested, contested),
+            (Event::TenantsUnusual, &self.unusual, unusual(tenants)),
+        ];
+        let changed = lines.into_iter().filter(|(_, told, found)| {
+            let former = told.replace(found.clone());
+            !found.is_empty() && former != *found
+        });
+        changed
+            .map(|(event, _, found)| (event, format!("version={} {found}", routes.version)))
+            .collect()
+    }
+}
+
+/// Tenants that can't call or are not limited; empty if there are none.
+fn unusual(tenants: &Tenants) -> String {
+    let keyless = tenants.keyless();
+    let unlimited: Vec<Text> = tenants.unlimited().cloned().collect();
+    if keyless.is_empty() && unlimited.is_empty() {
+        return String::new();
+    }
+    let keyless = named("without_keys_", keyless);
+    let unlimited = named("without_limit_", &unlimited);
+    format!("{keyless} {unlimited}")
+}
+
+fn named(prefix: &str, tenants: &[Text]) -> String {
+    let shown = tenants.iter().take(MOST_NAMED).map(Text::as_str);
+    let shown: Vec<&str> = shown.collect();
+    let count = tenants.len();
+    format!("{prefix}count={count} {prefix}tenants={}", shown.join(","))
+}
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -195,11 +195,13 @@
         other => other,
     };
     format!(
-        "{}: status {} after {} ms: {meaning}. attempts [{}] ledger [{}] history [{}] \
-         routes version {} of {} ms ago, members version {}",
+        "{}: status {} after {} ms: {meaning}. tenant [{}] limit [{}] attempts [{}] \
+         ledger [{}] history [{}] routes version {} of {} ms ago, members version {}",
         text(line, "request"),
         number(line, "status"),
         number(line, "milliseconds"),
+        text(line, "tenant"),
+        text(line, "limit"),
         text(line, "attempts"),
         text(line, "ledger"),
         text(line, "history"),
--- a/crates/stageyoke-observe/tests/explain_test.rs
+++ b/crates/stageyoke-observe/tests/explain_test.rs
@@ -45,3 +45,41 @@
     let told = Logs::default().explain("r-9");
     assert!(told.to_string().contains("nothing was logged"));
 }
+
+/// From a refusal for a tenant's sake to its cause, with what happened around it: who it
+/// was, by which limit and which configuration, and whether a store decided.
+#[rstest::rstest]
+#[case(
+    "quota_spent",
+    429,
+    "its tenant's limit was not enough",
+    "QuotaUnknown"
+)]
+#[case("quota_share_spent", 429, "no owner answered", "QuotaUnknown")]
+#[case(
+    "unknown_key",
+    401,
+    "no tenant of the confirmed configuration",
+    "KeyContested"
+)]
+#[case("key_not_confirmed", 503, "too old to know", "KeysUnconfirmed")]
+fn a_refusal_for_a_tenants_sake_is_traced_to_its_cause(
+    #[case] outcome: &str,
+    #[case] status: u16,
+    #[case] meaning: &str,
+    #[case] around: &str,
+) {
+    let line = ended(5_000, "front-1", "r-1", outcome, status);
+    let known = r#""tenant":"ann","limit":"22+22","routes_version":9,"directory_age":700,"#;
+    let line = line.replacen('{', &format!("{{{known}"), 1);
+    let event = format!(r#"{{"time":4800,"node":"front-1","name":"{around}","detail":"x=1"}}"#);
+    let mut logs = Logs::default();
+    logs.add(&format!("{line}\n{event}\n"));
+    let told = logs.explain("r-1");
+    let cause = &told.causes[0];
+    assert!(cause.contains(&format!("status {status}")), "{cause}");
+    assert!(cause.contains(meaning), "{cause}");
+    assert!(cause.contains("tenant [ann] limit [22+22]"), "{cause}");
+    assert!(cause.contains("routes version 9 of 700 ms ago"), "{cause}");
+    assert!(told.story.iter().any(|line| line.contains(around)));
+}
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -75,4 +75,5 @@
     KeyContested, 805, "error", "A tenant names a key that another tenant holds; the key stays with the other.";
     QuotaUnknown, 806, "warn", "No store tells what a tenant has used of its limit; this front goes by its own share.";
     KeysUnconfirmed, 807, "warn", "Keys are taken by a directory that is older than the bound on changes: one may have been taken away since.";
+    TenantsUnusual, 808, "info", "Tenants of the configuration hold no key, or have no limit.";
 }
