--- a/crates/stageyoke-observe/tests/observe_test.rs
+++ b/crates/stageyoke-observe/tests/observe_test.rs
@@ -114,3 +114,15 @@
     assert!(labels.len() <= LABELLED_ROUTES + 1);
     assert_eq!(route_label(&names[0]), names[0], "the first keep theirs");
 }
+
+#[test]
+fn tenants_beyond_the_labelled_ones_share_a_label() {
+    use stageyoke_observe::metrics::{LABELLED_TENANTS, tenant_label};
+    let names: Vec<String> = (0..4 * LABELLED_TENANTS)
+        .map(|number| format!("t-{number}"))
+        .collect();
+    let labels: std::collections::HashSet<&str> =
+        names.iter().map(|name| tenant_label(name)).collect();
+    assert!(labels.len() <= LABELLED_TENANTS + 1);
+    assert_eq!(tenant_label(&names[0]), names[0], "the first keep theirs");
+}
