A front gives leave back for what has not run: a test with a store

Cause: the return of a grant was shown at the owner and at the connection, not from a caller's request on.

Change: front_test has a store that grants; a request that its only replica refused is given back, one that ran and one whose answer was lost are not.

--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -2,19 +2,23 @@
 
 mod support;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use stageyoke_directory::{
-    Change, Interpreter, Item, KeyDigest, KeyValueError, KeyValueService, Limits, Member, Mirror,
-    RangePage, ReplicaRecord, ReplicaState, RequestLimit, Route, RouteKind, RouteTable,
-    ServiceSpec, Target, Tenant, Tenants, Transaction, TransactionOutcome, Update, WatchOutcome,
-    Write,
+    Change, Interpreter, Item, KeyDigest, KeyValueError, KeyValueService, Limits, Member,
+    MemberState, Members, Mirror, RangePage, ReplicaRecord, ReplicaState, RequestLimit, Route,
+    RouteKind, RouteTable, ServiceSpec, StoreGroups, Target, Tenant, Tenants, Transaction,
+    TransactionOutcome, Update, WatchOutcome, Write,
 };
 use stageyoke_front::{FrontListeners, FrontSettings};
+use stageyoke_store::frame;
+use stageyoke_store::message::{
+    Numbered, QuotaAnswer, QuotaReceipt, Reply, Request as StoreRequest,
+};
 use stageyoke_types::Text;
 use support::names;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,6 +37,7 @@
 #[derive(Clone)]
 struct Directory {
     replicas: Vec<SocketAddr>,
+    store: Option<SocketAddr>,
     reachable: Rc<RefCell<bool>>,
     routes: Rc<RefCell<Versioned>>,
     written: Rc<Notify>,
@@ -68,6 +73,9 @@
         for (number, address) in self.replicas.iter().enumerate() {
             items.push(item(&format!("replica-{number}"), &address.to_string()));
         }
+        if let Some(store) = self.store {
+            items.push(item("members", &store.to_string()));
+        }
         Ok(RangePage {
             items,
             more: false,
@@ -108,6 +116,73 @@
     }
 }
 
+fn one_store(address: &str) -> StoreGroups {
+    StoreGroups::single(Members::default().with(Member {
+        node: Text::from("store"),
+        address: Text::from(address),
+        zone: Text::from("zone"),
+        state: MemberState::Active,
+    }))
+}
+
+/// A store that grants every request, and hears which are given back.
+struct Granting {
+    address: SocketAddr,
+    granted: Rc<Cell<u64>>,
+    returned: Rc<RefCell<Vec<u64>>>,
+}
+
+impl Granting {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let granted: Rc<Cell<u64>> = Rc::default();
+        let returned: Rc<RefCell<Vec<u64>>> = Rc::default();
+        let counts = (granted.clone(), returned.clone());
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(grant_all(stream, counts.0.clone(), counts.1.clone()));
+            }
+        });
+        Self {
+            address,
+            granted,
+            returned,
+        }
+    }
+}
+
+async fn grant_all(stream: TcpStream, granted: Rc<Cell<u64>>, returned: Rc<RefCell<Vec<u64>>>) {
+    let (mut reader, mut writer) = stream.into_split();
+    while let Ok(asked) = frame::read::<Numbered<StoreRequest>>(&mut reader).await {
+        let content = match asked.content {
+            StoreRequest::Quota(_) => {
+                granted.set(granted.get() + 1);
+                let receipt = QuotaReceipt {
+                    slot: granted.get(),
+                    ..QuotaReceipt::default()
+                };
+                Reply::Quota(QuotaAnswer {
+                    known: true,
+                    granted: true,
+                    receipt,
+                    ..QuotaAnswer::default()
+                })
+            }
+            StoreRequest::QuotaReturned { receipt, .. } => {
+                returned.borrow_mut().push(receipt.slot);
+                Reply::Pong
+            }
+            _ => Reply::Pong,
+        };
+        let number = asked.number;
+        let bytes = frame::encode(&Numbered { number, content });
+        if writer.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
 struct Words;
 
 impl Interpreter for Words {
@@ -115,6 +190,8 @@
         let text = value.and_then(|value| std::str::from_utf8(value).ok());
         match (key, text) {
             ("routes", Some(text)) => Update::Routes(table(text)),
+            ("members", Some(address)) if !address.is_empty() => Update::Stores(one_store(address)),
+            ("members", _) => Update::Ignored,
             (id, Some(address)) => Update::Replica {
                 id: Text::from(id),
                 record: Some(ReplicaRecord {
@@ -308,9 +385,15 @@
 
 /// Starts a front with the tenants of a table.
 async fn start_with(replicas: &[&Replica], routes: &str) -> Bench {
+    start_beside(replicas, routes, None).await
+}
+
+/// The same beside a store.
+async fn start_beside(replicas: &[&Replica], routes: &str, store: Option<SocketAddr>) -> Bench {
     let reachable = Rc::new(RefCell::new(true));
     let directory = Directory {
         replicas: replicas.iter().map(|replica| replica.address).collect(),
+        store,
         reachable: reachable.clone(),
         routes: Rc::new(RefCell::new(Versioned {
             revision: 1,
@@ -690,6 +773,30 @@
     .await;
 }
 
+/// A request whose leave was granted ran nowhere: it is given back, so that its tenant
+/// may make another one. One that ran, or may have, is not.
+#[tokio::test]
+async fn leave_is_given_back_for_what_has_not_run_and_for_nothing_else() {
+    let test = async {
+        let replica = Replica::start(&[NOT_RUN, SIGNED, "CLOSE"]).await;
+        let store = Granting::start().await;
+        let bench = start_beside(&[&replica], "k-1=ann/2", Some(store.address)).await;
+        let asked = with_fields("POST", "/once/a", "Authorization: Bearer k-1\r\n");
+        for status in ["503", "200", "502"] {
+            let answer = ask(bench.front, &asked).await;
+            assert_eq!(&answer[9..12], status, "{answer}");
+        }
+        while store.returned.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(store.granted.get(), 3);
+        assert_eq!(*store.returned.borrow(), [1]);
+    };
+    let in_time = local(tokio::time::timeout(PATIENCE, test)).await;
+    in_time.expect("in time");
+}
+
 /// A replica runs a request and its answer is lost: what may be repeated is tried at
 /// another one in time; what may not is not.
 #[tokio::test]
