--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -30,9 +30,10 @@
 pub mod rest;
 pub mod server;
 pub mod shares;
+pub mod tenant_report;
 pub mod turns;
 mod unanswered;
 pub mod upstream;
 
 pub use front::{FrontListeners, FrontSettings, run};
-pub use names::Names;
+pub use names::{Names, UrgencyScale};
--- a/crates/stageyoke-policy/src/quota/account.rs
+++ b/crates/stageyoke-policy/src/quota/account.rs
@@ -48,13 +48,21 @@
     /// The limit in force, then those that were lowered less than a window ago.
     held: Vec<Held>,
     version: u64,
+    /// Since when every request is known here.
+    complete_since: Duration,
     programs: HashMap<u64, Program>,
     active: usize,
 }
 
 impl Account {
-    /// A tenant with this limit, of which these requests are known.
-    pub(super) fn new(limit: Limit, requests: Window, version: u64) -> Self {
+    /// A tenant with this limit, of which these requests are known, all of those since
+    /// then.
+    pub(super) fn new(
+        limit: Limit,
+        requests: Window,
+        version: u64,
+        complete_since: Duration,
+    ) -> Self {
         let held = Held {
             limit,
             requests,
@@ -63,6 +71,7 @@
         Self {
             held: vec![held],
             version,
+            complete_since,
             programs: HashMap::new(),
             active: 0,
         }
@@ -76,6 +85,11 @@
         }
     }
 
+    /// Since when every request is known here.
+    pub(super) fn complete_since(&self) -> Duration {
+        self.complete_since
+    }
+
     /// Whether a program is known.
     pub(super) fn knows(&self, program: u64) -> bool {
         self.programs.contains_key(&program)
@@ -151,6 +165,25 @@
         };
     }
 
+    /// The slot of a request that was granted just now, and the version of the limit
+    /// that it counts against.
+    pub(super) fn slot(&mut self, now: Duration) -> Option<(u64, u64)> {
+        let current = self.held.first_mut()?;
+        Some((current.requests.slot(now), self.version))
+    }
+
+    /// Takes back a request that was granted in this slot under this version's limit
+    /// and was not run. Under another version's it stays counted: windows that began
+    /// since don't hold it.
+    pub(super) fn take_back(&mut self, slot: u64, version: u64, now: Duration) {
+        if version != self.version {
+            return;
+        }
+        for held in &mut self.held {
+            held.requests.take_back(slot, now);
+        }
+    }
+
     /// Another limit is in force. A lower one counts from now on; what was granted
     /// before, and both together, must keep to the former one for a window: else a
     /// tenant would get nothing until its former requests have left the window. A
