--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -165,19 +165,6 @@
         rates.unwrap_or_default().current()
     }
 
-    /// Requests under way at a service's replicas for each of their places, as far
-    /// as known; none without a replica that takes work.
-    pub fn taken_part(&self, service: &str) -> Option<f64> {
-        let services = self.services.borrow();
-        let replicas = services.get(service)?.iter();
-        let (mut under_way, mut places) = (0, 0);
-        for replica in replicas.filter(|replica| replica.taking_work()) {
-            under_way += replica.under_way();
-            places += replica.record.slots;
-        }
-        (places > 0).then(|| f64::from(under_way) / f64::from(places))
-    }
-
     /// Chooses a replica of a service with `choose` for a request that may run
     /// more than once or not. Failing replicas only where there is no other.
     pub fn choose(
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -20,7 +20,6 @@
 
 use crate::access::KeyTrust;
 use crate::activity::{Activity, Closing};
-use crate::beginnings::Beginnings;
 use crate::bootstrap;
 use crate::fleet::Fleet;
 use crate::history::History;
@@ -99,8 +98,6 @@
     pub fleet: Fleet,
     /// What answers of plain services take.
     pub usual_times: UsualTimes,
-    /// Programs that began here.
-    pub beginnings: Rc<Beginnings>,
     /// Requests that may be tried again since their answer has not come.
     pub retry_budget: Cell<RetryBudget>,
     /// Weighted splits.
@@ -219,7 +216,6 @@
         mirror,
         fleet: Fleet::new(stores.load().clone()).bounded(settings.change_bound),
         usual_times: UsualTimes::default(),
-        beginnings: Rc::default(),
         retry_budget: Cell::default(),
         shares: Shares::new(rand::random()),
         key_trust: KeyTrust::new(settings.change_bound, settings.key_age_limit),
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -179,12 +179,7 @@
             arrived,
             held,
         };
-        let program = call.kept.program.clone();
-        let answered = self.run(call, story).await;
-        if answered.is_err() {
-            self.beginnings.forget(&program);
-        }
-        answered
+        self.run(call, story).await
     }
 
     fn pick_service(&self, routes: &RouteTable, route: &Route) -> Result<ServiceSpec, Failure> {
@@ -208,7 +203,6 @@
             Ok(granted) => granted,
             Err(failure) => return Err(failure),
         };
-        self.let_begin(&call, story, reservation.as_ref())?;
         if let Some(previous) = &call.figures.previous {
             let found = match &transcript {
                 Ok(Some(text)) => format!("{} bytes", text.len()),
@@ -284,7 +278,6 @@
         let engine = call.service.engine.as_ref();
         let keeping = Keeping {
             history: self.history.clone(),
-            beginnings: self.beginnings.clone(),
             input: call.route.keeps_history.then(|| call.input.clone()),
             retention: call.route.retention,
             reservation,
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -162,7 +162,6 @@
     history: Rc<History>,
     program: Text,
     turn: Text,
-    begins_program: bool,
     may_have_run: bool,
     told_end: bool,
 }
@@ -174,22 +173,11 @@
             history,
             program,
             turn,
-            begins_program: false,
             may_have_run: false,
             told_end: false,
         }
     }
 
-    /// The ledger shows no token of any other turn of the program.
-    pub fn begin_program(&mut self) {
-        self.begins_program = true;
-    }
-
-    /// Whether no turn of the program has run yet.
-    pub fn begins_program(&self) -> bool {
-        self.begins_program
-    }
-
     /// Says whether a replica may have run the turn.
     pub fn set_may_have_run(&mut self, may_have_run: bool) {
         self.may_have_run = may_have_run;
--- a/crates/stageyoke-front/src/relay.rs
+++ b/crates/stageyoke-front/src/relay.rs
@@ -10,7 +10,6 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::beginnings::Beginnings;
 use crate::body::{CutShort, Piece};
 use crate::engine_rates::TurnTiming;
 use crate::events::{EventSplitter, collect_data};
@@ -21,7 +20,6 @@
 use crate::request::KeptIdentifiers;
 use crate::upstream::Connection;
 use stageyoke_observe::{self as observe, RequestStory as Story};
-use stageyoke_policy::bearable::Turn;
 
 /// Pieces that wait for a caller who reads slowly.
 pub const PIECES_AHEAD: usize = 16;
@@ -33,8 +31,6 @@
 pub struct Keeping {
     /// Where turns are kept.
     pub history: Rc<History>,
-    /// Where turns of programs are followed.
-    pub beginnings: Rc<Beginnings>,
     /// The turn's own input, if its history is kept.
     pub input: Option<Bytes>,
     /// How long it is kept.
@@ -138,13 +134,6 @@
         let generated = later_events.saturating_mul(self.keeping.tokens_per_event);
         let timing = self.answer.timing(first, generated);
         self.answer.replica.note_turn(&timing);
-        let turn = Turn {
-            took: timing.to_first_event + timing.generating,
-            tokens: heard.events.saturating_mul(self.keeping.tokens_per_event),
-        };
-        let service = &self.answer.replica.record.service;
-        let beginnings = &self.keeping.beginnings;
-        beginnings.turn_ended(&self.kept.program, service, &turn);
     }
 
     async fn pass_on(
@@ -222,7 +211,6 @@
             End::Cut(reason) => reason,
         };
         if !matches!(end, End::Whole) {
-            self.keeping.beginnings.forget(&self.kept.program);
             story.status = 0;
         }
         observe::request_ended(&story, self.arrived.elapsed());
--- a/crates/stageyoke-front/src/turns.rs
+++ b/crates/stageyoke-front/src/turns.rs
@@ -90,7 +90,7 @@
             return Err(Failure::come_back(ErrorKind::Unavailable, cause, after));
         }
         let within = left.mul_f64(RESERVE_PART).min(RESERVE_WITHIN);
-        let mut reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
+        let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let most = figures.most_tokens;
         let reserve = || {
             let history = &self.history;
@@ -116,9 +116,6 @@
         if others + u64::from(most) > budget {
             return Err(Failure::last(ErrorKind::TokenBudgetSpent, "budget_spent"));
         }
-        if others == 0 {
-            reservation.begin_program();
-        }
         Ok(Some(reservation))
     }
 }
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -184,9 +184,6 @@
         "key_not_confirmed" => "not run: the directory was too old to know that its key holds",
         "quota_spent" => "not run: its tenant's limit was not enough for it",
         "quota_share_spent" => "not run: no owner answered, and this front's share was used up",
-        "turned_away" => {
-            "not run: turns are so slow that the program, or those beside it, would end late"
-        }
         "no_replica" => "not run: every replica that was offered it refused, or none is known",
         "time_out" => "its time, or its route's, was over",
         "replica_broke_off" => "the replica broke its stream off",
--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -1,9 +1,7 @@
 //! Decisions as pure state: without sockets, clocks or tasks. Time is given as
 //! what has passed since the process started.
 
-pub mod bearable;
 pub mod bucket;
 pub mod quota;
 pub mod retry_budget;
-pub mod turning_away;
 pub mod window;
