The soak knows partial silences, and slopes

Cause: the service was silent or refused for all processes at once, stores were cut off from fronts and stores alike, and memory was judged at its peak only.

Change: - Each process reaches the service through a proxy of its own. Fault `TroubleServiceForSome`: the service is silent, answers nothing (requests pass) or answers 503 for about half of the processes, 0.3 to 5 s; then the configuration changes, a replica leaves, and bounds are judged as after a silence for all. - Fault `SilenceBetweenStores`: a store's proxy holds only what other stores send to it, or only its answers to them; fronts reach it and its own calls pass. Whose a connection is, is looked up in /proc among the run's own processes. Counts as a store's fault: no other store is struck until the catch-up is over. - Memory, descriptors and sockets of each process are read each second from /proc by its identifier. What still rises beyond the retention, by more than 4 MiB or 24 descriptors, and does not level off (later half of the growth under half of the earlier), is a breach with first, last and growth a second. Only lives of the retention and 30 s are judged; the summary says how many were. Both faults are in the default set, last, so that old cases draw the same faults.

Shown to bite: slopes_test (rising, rising faster; levels, noise, levelling off and falling pass; a look at this process sees 50 files and 50 sockets it opens), soak_checks_test (a silence strikes a connection of the named process, open before or opened meanwhile, and no other; a refusing proxy).

Ruled out for slow disks: without privileges nothing slows a disk alone. A pipe in place of a segment refuses to be synchronised; duty-cycled stops slow the process; load on the file system strikes other work on the machine.

--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -223,6 +223,7 @@
         };
         let report = soak::run(&plan).await.into_diagnostic()?;
         println!("seed {seed}: {:?}", report.counts);
+        println!("  slopes judged: {}", report.judged);
         println!("  faults: {}", report.faults.join(", "));
         for breach in &report.breaches {
             println!("  BREACH {breach}");
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -16,9 +16,10 @@
 use super::processes::{MEMORY_MB, Process, ProcessRole, Shared};
 use super::promises::Promises;
 use super::proxy::Proxy;
+use super::slopes::Lives;
 use crate::standins::platform::replica::{ReplicaStandIn, ReplicaTrouble};
 use crate::standins::platform::store::PlatformStoreStandIn;
-use crate::standins::platform::{configuration, names};
+use crate::standins::platform::{RETENTION_SECONDS, configuration, names};
 use crate::standins::{StandInServer, serve};
 
 /// Fronts, where nothing else is asked for.
@@ -83,8 +84,8 @@
     pub size: Size,
     /// The platform's key-value service.
     pub service: Arc<PlatformStoreStandIn>,
-    /// The proxy before it.
-    pub service_proxy: Proxy,
+    /// A proxy before it for each process, in their order.
+    pub service_proxies: Vec<Proxy>,
     /// Proxies before the stores, in their order.
     pub store_proxies: Vec<Proxy>,
     /// Proxies before the replicas.
@@ -103,6 +104,8 @@
     pub versions: Arc<Versions>,
     /// Time in which a store's successor catches up.
     pub catch_up: Duration,
+    /// Lives of all processes.
+    pub lives: Lives,
     /// When callers stop.
     pub until: Instant,
     shared: Shared,
@@ -129,7 +132,7 @@
         let promises = Arc::new(Promises::default());
         let service = Arc::new(PlatformStoreStandIn::default());
         let server = serve(service.clone(), None).await?;
-        let service_proxy = Proxy::start(server.address).await?;
+        let service_address = server.address;
         let mut servers = vec![server];
         let trouble = Arc::new(ReplicaTrouble::default());
         let mut replica_proxies = Vec::new();
@@ -155,17 +158,19 @@
         let folder = tempfile::tempdir()?;
         let mut machines = Machines::draw()?;
         let addresses: Vec<_> = (0..size.processes()).map(|_| machines.give()).collect();
-        let shared = Shared {
+        let mut shared = Shared {
             program: program.to_owned(),
             folder: folder.path().to_owned(),
-            platform: service_proxy.address,
+            platform: service_address,
             seeds: addresses[size.fronts..]
                 .iter()
                 .take(SEEDS)
                 .map(|machine| machine[2])
                 .collect(),
             catch_up,
+            lives: Lives::default(),
         };
+        let mut service_proxies = Vec::new();
         let mut processes = Vec::new();
         let mut store_proxies = Vec::new();
         for (number, machine) in addresses.iter().enumerate() {
@@ -176,6 +181,9 @@
                     format!("store-{}", number - size.fronts),
                 ),
             };
+            let proxy = Proxy::start(service_address).await?;
+            shared.platform = proxy.address;
+            service_proxies.push(proxy);
             let mut process = Process::new(&shared, node, role, *machine);
             if role == ProcessRole::Store {
                 let proxy = Proxy::start(machine[2]).await?;
@@ -194,7 +202,8 @@
         let deployment = Self {
             size,
             service,
-            service_proxy,
+            service_proxies,
+            lives: shared.lives.clone(),
             store_proxies,
             replica_proxies,
             trouble,
@@ -238,6 +247,7 @@
         let stores = &self.processes[self.size.fronts..];
         let living = stores.iter().filter(|store| store.runs());
         self.shared.seeds = living.map(Process::inner).take(SEEDS).collect();
+        self.shared.platform = self.service_proxies[number].address;
         let proxy = Proxy::start(machine[2]).await?;
         let process = Process::new(&self.shared, node, ProcessRole::Store, machine);
         self.processes[number] = process.behind(proxy.address);
@@ -287,6 +297,16 @@
         }
     }
 
+    /// Whether memory, descriptors or connections of a process rise without end;
+    /// returns how many lives were long enough to tell.
+    pub fn check_slopes(&self) -> usize {
+        let retention = Duration::from_secs(RETENTION_SECONDS);
+        for breach in self.lives.breaches(retention) {
+            self.promises.breach(breach);
+        }
+        self.lives.judged(retention)
+    }
+
     /// Keeps the folder with settings, data and logs, and names it.
     pub fn keep_folder(self) -> std::path::PathBuf {
         self.folder.keep()
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -12,6 +12,7 @@
 
 use super::calm::{CHANGE_BOUND, IN_TOUCH_AFTER};
 use super::deployment::{Deployment, MODELS};
+use super::processes::Process;
 use super::proxy::Mode;
 
 /// What is done to the deployment.
@@ -53,11 +54,17 @@
     /// Stores are lost one after the other, each when the one before has a successor
     /// that had its time to catch up.
     Losses,
+    /// The platform's service is silent, one way only, or refuses, for some processes;
+    /// soon after its return the configuration changes and a replica leaves.
+    TroubleServiceForSome,
+    /// A store hears nothing from the other stores, or they hear no answers of it;
+    /// fronts reach it, and it reaches them.
+    SilenceBetweenStores,
 }
 
 /// Kinds that strike where none is named; new ones come last, as cases draw from
 /// the first of them.
-pub const FAULTS: [Fault; 16] = [
+pub const FAULTS: [Fault; 18] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -74,6 +81,8 @@
     Fault::FillDisk,
     Fault::SilenceService,
     Fault::ReplaceReplicas,
+    Fault::TroubleServiceForSome,
+    Fault::SilenceBetweenStores,
 ];
 
 /// Kinds that strike only where they are named.
@@ -103,7 +112,12 @@
     fn strikes_a_store(self) -> bool {
         matches!(
             self,
-            Self::KillStore | Self::PauseStore | Self::WipeStore | Self::CutStore | Self::FillDisk
+            Self::KillStore
+                | Self::PauseStore
+                | Self::WipeStore
+                | Self::CutStore
+                | Self::FillDisk
+                | Self::SilenceBetweenStores
         )
     }
 }
@@ -164,6 +178,11 @@
             Fault::FillDisk => self.fill_disk(store, lasting).await,
             Fault::SilenceService => self.silence_service(random).await,
             Fault::ReplaceReplicas => self.replace_replicas(random).await,
+            Fault::TroubleServiceForSome => self.trouble_service_for_some(random).await,
+            Fault::SilenceBetweenStores => {
+                self.silence_between_stores(store - self.size.fronts, random, lasting)
+                    .await
+            }
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.disturbs() {
@@ -250,9 +269,13 @@
     async fn cut_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
         let mode = draw_mode(random);
         let delay = milliseconds(random, 0, 100);
-        self.service_proxy.weather.set(mode, delay);
+        for proxy in &self.service_proxies {
+            proxy.weather.set(mode, delay);
+        }
         tokio::time::sleep(lasting).await;
-        self.service_proxy.weather.set(Mode::Pass, Duration::ZERO);
+        for proxy in &self.service_proxies {
+            proxy.weather.set(Mode::Pass, Duration::ZERO);
+        }
     }
 
     async fn trouble_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
@@ -277,6 +300,53 @@
         tokio::time::sleep(milliseconds(random, 300, 5000)).await;
         self.service.speak_again();
         self.promises.calm.settle();
+        self.change_after_trouble(random).await;
+    }
+
+    async fn trouble_service_for_some(&mut self, random: &mut ChaCha8Rng) {
+        self.promises.calm.disturb();
+        let mode = match random.random_range(0..3) {
+            0 => Mode::Silence,
+            1 => Mode::OneWay,
+            _ => Mode::Refuse,
+        };
+        let certain = random.random_range(0..self.service_proxies.len());
+        let mut struck = Vec::new();
+        for (number, proxy) in self.service_proxies.iter().enumerate() {
+            if random.random_bool(0.5) || number == certain {
+                proxy.weather.set(mode, Duration::ZERO);
+                struck.push(proxy.weather.clone());
+            }
+        }
+        tokio::time::sleep(milliseconds(random, 300, 5000)).await;
+        for weather in struck {
+            weather.set(Mode::Pass, Duration::ZERO);
+        }
+        self.promises.calm.settle();
+        self.change_after_trouble(random).await;
+    }
+
+    /// Cuts the way from the other stores to this one, both ways or for answers only;
+    /// its own calls to them pass.
+    async fn silence_between_stores(
+        &mut self,
+        store: usize,
+        random: &mut ChaCha8Rng,
+        lasting: Duration,
+    ) {
+        let stores = self.processes[self.size.fronts..].iter();
+        let stores = stores.filter_map(Process::identifier).collect();
+        let weather = self.store_proxies[store].weather.clone();
+        let mode = match random.random_bool(0.5) {
+            true => Mode::Silence,
+            false => Mode::OneWay,
+        };
+        weather.set_for(mode, Duration::ZERO, stores);
+        tokio::time::sleep(lasting).await;
+        weather.set(Mode::Pass, Duration::ZERO);
+    }
+
+    async fn change_after_trouble(&mut self, random: &mut ChaCha8Rng) {
         tokio::time::sleep(milliseconds(random, 0, 1000)).await;
         self.reconfigure();
         let leaving = random.random_range(0..MODELS);
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod calm;
 pub mod changes;
+pub mod connections;
 pub mod deployment;
 pub mod faults;
 pub mod losses;
@@ -11,6 +12,7 @@
 pub mod processes;
 pub mod promises;
 pub mod proxy;
+pub mod slopes;
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -74,6 +76,8 @@
     pub counts: Counts,
     /// Faults in their order, with the second of each.
     pub faults: Vec<String>,
+    /// Lives of processes that were long enough for their slopes to be judged.
+    pub judged: usize,
     /// Where settings, data and logs are kept, after a breach.
     pub folder: Option<PathBuf>,
 }
@@ -116,6 +120,7 @@
         deployment.versions.clone(),
         deployment.promises.clone(),
     ));
+    let watching = tokio::spawn(deployment.lives.clone().watch());
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
     while !plan.faults.is_empty() && Instant::now() < until {
@@ -132,14 +137,17 @@
         deployment.promises.breach(breach);
     }
     probing.abort();
+    watching.abort();
     go_on(&deployment, plan.seed, kept).await;
     deployment.check_memory();
+    let judged = deployment.check_slopes();
     let (breaches, counts) = deployment.promises.judge();
     let folder = (!breaches.is_empty()).then(|| deployment.keep_folder());
     Ok(SoakReport {
         breaches,
         counts,
         faults,
+        judged,
         folder,
     })
 }
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -14,6 +14,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::Instant;
 
+use super::slopes::Lives;
 use crate::standins::platform::names;
 
 /// Small segments, so that a disk which takes no new file is noticed at once.
@@ -52,6 +53,7 @@
     platform: SocketAddr,
     seeds: Vec<SocketAddr>,
     catch_up: Duration,
+    lives: Lives,
     advertised: Option<SocketAddr>,
     child: Option<Child>,
 }
@@ -69,6 +71,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time in which a store's successor catches up.
     pub catch_up: Duration,
+    /// Where its life is watched.
+    pub lives: Lives,
 }
 
 impl Process {
@@ -92,6 +96,7 @@
             platform: shared.platform,
             seeds: shared.seeds.clone(),
             catch_up: shared.catch_up,
+            lives: shared.lives.clone(),
             advertised: None,
             child: None,
         }
@@ -133,6 +138,9 @@
             .stderr(errors)
             .kill_on_drop(true)
             .spawn()?;
+        if let Some(identifier) = child.id() {
+            self.lives.begin(&self.node, identifier);
+        }
         self.child = Some(child);
         self.started_at = Some(Instant::now());
         Ok(())
@@ -178,10 +186,14 @@
         self.folder.join("data")
     }
 
+    /// Its process identifier while it runs.
+    pub fn identifier(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        let identifier = self.child.as_ref().and_then(Child::id);
-        if let Some(identifier) = identifier {
+        if let Some(identifier) = self.identifier() {
             let _ = kill(Pid::from_raw(identifier as i32), signal);
         }
     }
@@ -189,7 +201,7 @@
     /// Bytes of memory that the running process has had at most, as the kernel
     /// tells them.
     pub fn peak_memory(&self) -> io::Result<u64> {
-        let identifier = self.child.as_ref().and_then(Child::id);
+        let identifier = self.identifier();
         let identifier = identifier.ok_or(io::ErrorKind::NotFound)?;
         let status = std::fs::read_to_string(format!("/proc/{identifier}/status"))?;
         let kilobytes = status
@@ -204,7 +216,11 @@
     /// Waits for the process's end; it must have been told to end.
     pub async fn ended(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let identifier = child.id();
             let _ = child.wait().await;
+            if let Some(identifier) = identifier {
+                self.lives.end(identifier);
+            }
         }
     }
 
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -2,8 +2,8 @@
 //! silence.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,8 +11,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
+use super::connections::held_by;
+
 const BUFFER_BYTES: usize = 16 * 1024;
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
+    connection: close\r\n\r\n";
 
 /// What the proxy does to what passes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +30,9 @@
     OneWay = 2,
     /// Ends all connections, and new ones at once.
     Reset = 3,
+    /// Ends all connections, and answers what comes on new ones that it is not
+    /// available.
+    Refuse = 4,
 }
 
 /// What a proxy does now; changed while it runs.
@@ -33,11 +40,22 @@
 pub struct Weather {
     mode: AtomicU8,
     delay_ms: AtomicU64,
+    /// Processes whose connections are struck; all where there is none.
+    only: Mutex<Vec<u32>>,
+    /// Changes so far.
+    changes: AtomicU64,
 }
 
 impl Weather {
     /// Sets what happens to what passes.
     pub fn set(&self, mode: Mode, delay: Duration) {
+        self.set_for(mode, delay, Vec::new());
+    }
+
+    /// Sets what happens to what passes from and to these processes.
+    pub fn set_for(&self, mode: Mode, delay: Duration, processes: Vec<u32>) {
+        *self.only.lock().unwrap_or_else(PoisonError::into_inner) = processes;
+        self.changes.fetch_add(1, Ordering::Relaxed);
         self.mode.store(mode as u8, Ordering::Relaxed);
         let delay = delay.as_millis() as u64;
         self.delay_ms.store(delay, Ordering::Relaxed);
@@ -48,6 +66,7 @@
             1 => Mode::Silence,
             2 => Mode::OneWay,
             3 => Mode::Reset,
+            4 => Mode::Refuse,
             _ => Mode::Pass,
         }
     }
@@ -81,10 +100,11 @@
         let passing = weather.clone();
         let task = tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                if passing.mode() == Mode::Reset {
-                    continue;
+                match passing.mode() {
+                    Mode::Reset => {}
+                    Mode::Refuse => drop(tokio::spawn(refuse(caller))),
+                    _ => drop(tokio::spawn(pass(caller, target, passing.clone()))),
                 }
-                tokio::spawn(pass(caller, target, passing.clone()));
             }
         })
         .abort_handle();
@@ -96,16 +116,62 @@
     }
 }
 
+async fn refuse(mut caller: TcpStream) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    if caller.read(&mut buffer).await.is_ok() {
+        let _ = caller.write_all(REFUSAL).await;
+    }
+}
+
+/// One connection through a proxy, as the weather sees it.
+struct Passage {
+    weather: Arc<Weather>,
+    caller: Option<SocketAddr>,
+    proxy: Option<SocketAddr>,
+    /// Whether it was struck, by the change of the weather at which that was found.
+    found: Mutex<Option<(u64, bool)>>,
+}
+
+impl Passage {
+    fn mode(&self) -> Mode {
+        match self.struck() {
+            true => self.weather.mode(),
+            false => Mode::Pass,
+        }
+    }
+
+    fn struck(&self) -> bool {
+        let changes = self.weather.changes.load(Ordering::Relaxed);
+        let mut found = self.found.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, struck)) = found.filter(|(change, _)| *change == changes) {
+            return struck;
+        }
+        let only = &self.weather.only;
+        let only = only.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let ends = self.caller.zip(self.proxy);
+        let struck =
+            only.is_empty() || ends.is_some_and(|(caller, proxy)| held_by(&only, caller, proxy));
+        *found = Some((changes, struck));
+        struck
+    }
+}
+
 async fn pass(caller: TcpStream, target: SocketAddr, weather: Arc<Weather>) {
+    let passage = Arc::new(Passage {
+        weather,
+        caller: caller.peer_addr().ok(),
+        proxy: caller.local_addr().ok(),
+        found: Mutex::default(),
+    });
     let Ok(back_end) = TcpStream::connect(target).await else {
         return;
     };
     let (from_caller, to_caller) = caller.into_split();
     let (from_back_end, to_back_end) = back_end.into_split();
-    let requests = copy(from_caller, to_back_end, weather.clone(), false);
-    let answers = copy(from_back_end, to_caller, weather.clone(), true);
+    let requests = copy(from_caller, to_back_end, passage.clone(), false);
+    let answers = copy(from_back_end, to_caller, passage.clone(), true);
     let reset = async {
-        while weather.mode() != Mode::Reset {
+        while !matches!(passage.mode(), Mode::Reset | Mode::Refuse) {
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     };
@@ -118,7 +184,7 @@
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    weather: Arc<Weather>,
+    passage: Arc<Passage>,
     answers: bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
@@ -126,12 +192,12 @@
         if count == 0 {
             break;
         }
-        tokio::time::sleep(weather.delay()).await;
+        tokio::time::sleep(passage.weather.delay()).await;
         loop {
-            let held = match weather.mode() {
+            let held = match passage.mode() {
                 Mode::Silence => true,
                 Mode::OneWay => answers,
-                Mode::Pass | Mode::Reset => false,
+                Mode::Pass | Mode::Reset | Mode::Refuse => false,
             };
             if !held {
                 break;
--- /dev/null
+++ b/crates/stageyoke-lab/tests/slopes_test.rs
@@ -0,0 +1,87 @@
+//! Slopes of memory, descriptors and connections are told, and levels are not.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use stageyoke_lab::soak::slopes::{Lives, Quantity, SPAN, Sample, slopes};
+
+const RETENTION: Duration = Duration::from_secs(60);
+const BASE: u64 = 20 * 1024 * 1024;
+
+/// Looks of two and a half minutes, with this memory at each second.
+fn life(memory: impl Fn(u64) -> u64) -> Vec<Sample> {
+    let sample = |second| Sample {
+        at: Duration::from_secs(second),
+        memory: memory(second),
+        descriptors: 40 + second % 7,
+        connections: 20 + second % 5,
+    };
+    (0..150).map(sample).collect()
+}
+
+#[rstest]
+#[case::level(|_| BASE, 0)]
+#[case::noisy(|second: u64| BASE + second % 3 * 1024 * 1024, 0)]
+#[case::rises_until_the_retention(|second: u64| BASE + second.min(60) * 1024 * 1024, 0)]
+#[case::levels_off_soon_after(|second: u64| BASE + second.min(80) * 1024 * 1024, 0)]
+#[case::falls(|second: u64| BASE * 10 - second * 1024 * 1024, 0)]
+#[case::rises_without_end(|second: u64| BASE + second * 256 * 1024, 1)]
+#[case::rises_ever_faster(|second: u64| BASE + second * second * 4096, 1)]
+fn memory_that_does_not_level_off_is_told(#[case] memory: fn(u64) -> u64, #[case] told: usize) {
+    let found = slopes(&life(memory), RETENTION);
+    assert_eq!(found.len(), told, "{found:?}");
+    assert!(found.iter().all(|slope| slope.quantity == Quantity::Memory));
+}
+
+#[test]
+fn the_figure_of_a_slope_is_its_growth_a_second() {
+    let found = slopes(&life(|second| BASE + second * 1_000_000), RETENTION);
+    let per_second = found[0].per_second;
+    assert!(
+        (950_000.0..1_050_000.0).contains(&per_second),
+        "{per_second}"
+    );
+}
+
+#[test]
+fn a_life_that_is_too_short_is_not_judged() {
+    let samples = life(|second| BASE + second * 1024 * 1024);
+    let short = RETENTION.as_secs() + SPAN.as_secs() - 1;
+    assert!(slopes(&samples[..short as usize], RETENTION).is_empty());
+}
+
+/// Descriptors and connections of a real process: this one.
+#[test]
+fn a_look_sees_what_a_process_opens() {
+    let process = std::process::id();
+    let before = Sample::take(process, Duration::ZERO).expect("this process");
+    let files: Vec<_> = (0..50)
+        .map(|_| std::fs::File::open("/dev/null").expect("file"))
+        .collect();
+    let listeners: Vec<_> = (0..50)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("listener"))
+        .collect();
+    let after = Sample::take(process, Duration::ZERO).expect("this process");
+    assert!(after.memory > 0);
+    // Other tests of this program open and close a few meanwhile.
+    assert!(
+        after.descriptors >= before.descriptors + 90,
+        "{before:?} {after:?}"
+    );
+    assert!(
+        after.connections >= before.connections + 45,
+        "{before:?} {after:?}"
+    );
+    drop((files, listeners));
+}
+
+#[test]
+fn lives_end_with_their_processes() {
+    let lives = Lives::default();
+    lives.begin("this", std::process::id());
+    lives.look();
+    lives.end(std::process::id());
+    lives.look();
+    assert_eq!(lives.judged(Duration::ZERO), 0, "too short");
+    assert!(lives.breaches(Duration::ZERO).is_empty());
+}
--- a/crates/stageyoke-lab/tests/soak_checks_test.rs
+++ b/crates/stageyoke-lab/tests/soak_checks_test.rs
@@ -8,6 +8,7 @@
 use stageyoke_lab::soak::calm::{CHANGE_BOUND, Calm, IN_TOUCH_AFTER};
 use stageyoke_lab::soak::changes::{Versions, probe};
 use stageyoke_lab::soak::promises::Promises;
+use stageyoke_lab::soak::proxy::{Mode, Proxy};
 use stageyoke_lab::standins::platform::replica::{ReplicaStandIn, ReplicaTrouble};
 use stageyoke_lab::standins::serve;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -137,3 +138,59 @@
     let many = "a: x\nb: x\nc: x\nd: x\n";
     assert!(!passes("test one ... ok\n", many, "0"), "too many");
 }
+
+/// A service that answers each line with itself.
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _ = tokio::io::copy(&mut from, &mut to).await;
+            });
+        }
+    });
+    address
+}
+
+/// What a caller hears within a moment.
+async fn heard(stream: &mut TcpStream) -> String {
+    let mut buffer = [0; 256];
+    stream.write_all(b"hello").await.expect("request");
+    let reading = tokio::time::timeout(BEYOND, stream.read(&mut buffer));
+    let count = reading.await.map_or(0, |count| count.unwrap_or(0));
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
+
+#[rstest]
+#[case::of_this_process(std::process::id(), "")]
+#[case::of_another(1, "hello")]
+#[tokio::test]
+async fn a_silence_strikes_connections_of_the_named_processes_only(
+    #[case] process: u32,
+    #[case] expected: &str,
+) {
+    let proxy = Proxy::start(echo().await).await.expect("proxy");
+    let mut open = TcpStream::connect(proxy.address).await.expect("open");
+    assert_eq!(heard(&mut open).await, "hello");
+    let named = vec![process];
+    proxy.weather.set_for(Mode::Silence, Duration::ZERO, named);
+    assert_eq!(heard(&mut open).await, expected, "open before");
+    let mut new = TcpStream::connect(proxy.address).await.expect("new");
+    assert_eq!(heard(&mut new).await, expected, "opened meanwhile");
+    proxy.weather.set(Mode::Pass, Duration::ZERO);
+    assert!(heard(&mut new).await.starts_with("hello"));
+}
+
+#[tokio::test]
+async fn a_refusing_proxy_ends_what_is_open_and_refuses_what_is_new() {
+    let proxy = Proxy::start(echo().await).await.expect("proxy");
+    let mut open = TcpStream::connect(proxy.address).await.expect("open");
+    assert_eq!(heard(&mut open).await, "hello");
+    proxy.weather.set(Mode::Refuse, Duration::ZERO);
+    tokio::time::sleep(BEYOND).await;
+    assert_eq!(open.read(&mut [0; 8]).await.unwrap_or(0), 0, "ended");
+    let mut new = TcpStream::connect(proxy.address).await.expect("new");
+    assert!(heard(&mut new).await.starts_with("HTTP/1.1 503 "));
+}
