The soak has tenants: keys that go, a limit that holds

Cause: the soak's configurations had no tenants, so no long run under faults asked whether a key that was taken away ends, or whether limits hold.

Change: the soak's configurations have four tenants: the callers of programs (no limit), a steady one far under its limit, a hot one over it (5 a second and 5 more, asked for some thirty a second), and a guest whose key only one version has, so that each new configuration takes a key away. Breaches: a removed key is taken more than the bound (2 s) after its removal while processes are in touch; a tenant under its limit gets 429, or a kept key 401, at any time, also under faults; the hot tenant is granted more than twice its limit in a window (owners that don't know of each other for a moment grant one each, QUOTAS.md). Deployments that tests start themselves keep configurations without tenants.

Shown to bite: keys_test, eight cases, a front that takes removed keys, refuses under the limit, forgets kept keys or has no limit is told, an honest one and the excused ones are not.

--- a/crates/stageyoke-lab/src/soak/changes.rs
+++ b/crates/stageyoke-lab/src/soak/changes.rs
@@ -12,12 +12,14 @@
 
 use super::calm::CHANGE_BOUND;
 use super::promises::{Expected, Promises};
+use crate::standins::platform::tenants::CALLERS_KEY;
 use crate::standins::platform::{HOST, names, version_path};
 
 const PAUSE: Duration = Duration::from_millis(100);
 /// Time that a request tells the front; shorter than the wait for its answer.
 const DEADLINE: Duration = Duration::from_millis(1000);
-const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
+/// Time in which a probe's request is answered, or counts as not answered.
+pub const ANSWER_WITHIN: Duration = Duration::from_millis(1500);
 
 /// Configurations of a run, with the moments at which they were accepted.
 #[derive(Debug, Default)]
@@ -32,7 +34,7 @@
 
     /// The newest configuration that no front may go by any more, and how long
     /// ago the next one was accepted.
-    fn superseded(&self) -> Option<(u64, Duration)> {
+    pub fn superseded(&self) -> Option<(u64, Duration)> {
         let versions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let pairs = versions.windows(2).rev();
         let ages = pairs.map(|pair| (pair[0].0, pair[1].1.elapsed()));
@@ -58,7 +60,8 @@
             repeatable: true,
         };
         promises.sends(&request, expected);
-        let asking = ask(front, &request, version);
+        let path = version_path(version);
+        let asking = ask(front, &request, &path, CALLERS_KEY);
         let status = tokio::time::timeout(ANSWER_WITHIN, asking).await;
         if matches!(status, Ok(Some(200))) && promises.calm.holds() {
             let late = age.as_millis();
@@ -69,14 +72,14 @@
     }
 }
 
-async fn ask(front: SocketAddr, request: &str, version: u64) -> Option<u16> {
+/// Asks for a path with a key; the status, if there is an answer.
+pub async fn ask(front: SocketAddr, request: &str, path: &str, key: &str) -> Option<u16> {
     let mut stream = TcpStream::connect(front).await.ok()?;
-    let path = version_path(version);
     let (identifier, deadline) = (names::REQUEST, names::DEADLINE);
     let milliseconds = DEADLINE.as_millis();
     let text = format!(
         "GET {path} HTTP/1.1\r\nhost: {HOST}\r\n{identifier}: {request}\r\n\
-         {deadline}: {milliseconds}\r\nconnection: close\r\n\r\n"
+         {deadline}: {milliseconds}\r\nauthorization: Bearer {key}\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(text.as_bytes()).await.ok()?;
     let mut answer = String::new();
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -108,6 +108,7 @@
     pub lives: Lives,
     /// When callers stop.
     pub until: Instant,
+    configuration: fn(u64) -> Value,
     shared: Shared,
     machines: Machines,
     stores_named: usize,
@@ -124,11 +125,17 @@
 
     /// Starts everything and waits until the fronts listen.
     pub async fn start_sized(program: &Path, size: Size) -> io::Result<Self> {
-        Self::start_with(program, size, CATCH_UP).await
+        Self::start_with(program, size, CATCH_UP, configuration).await
     }
 
-    /// Starts everything with this time for successors to catch up.
-    pub async fn start_with(program: &Path, size: Size, catch_up: Duration) -> io::Result<Self> {
+    /// Starts everything with this time for successors to catch up, and with what the
+    /// operator configures in each version.
+    pub async fn start_with(
+        program: &Path,
+        size: Size,
+        catch_up: Duration,
+        configuration: fn(u64) -> Value,
+    ) -> io::Result<Self> {
         let promises = Arc::new(Promises::default());
         let service = Arc::new(PlatformStoreStandIn::default());
         let server = serve(service.clone(), None).await?;
@@ -212,6 +219,7 @@
             fronts,
             version: 1,
             versions,
+            configuration,
             catch_up,
             until: Instant::now(),
             shared,
@@ -258,7 +266,7 @@
     /// Puts the next configuration in force.
     pub fn reconfigure(&mut self) {
         self.version += 1;
-        let configuration = configuration(self.version).to_string();
+        let configuration = (self.configuration)(self.version).to_string();
         self.service
             .put(names::CONFIG_KEY, configuration.as_bytes());
         self.versions.accepted(self.version);
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 pub mod connections;
 pub mod deployment;
 pub mod faults;
+pub mod keys;
 pub mod losses;
 pub mod machines;
 pub mod processes;
@@ -25,8 +26,10 @@
 
 use crate::standins::platform::RETENTION_SECONDS;
 use crate::standins::platform::caller::{Caller, KeptTurn};
+use crate::standins::platform::tenants::tenanted;
 use deployment::{Deployment, Size};
 use faults::{FAULTS, Fault};
+use keys::Tenants;
 use promises::{Counts, Promises};
 
 /// Callers at once; one for each front where there are more of these.
@@ -105,7 +108,7 @@
 
 /// Plays a run.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
-    let started = Deployment::start_with(&plan.program, plan.size, plan.catch_up);
+    let started = Deployment::start_with(&plan.program, plan.size, plan.catch_up, tenanted);
     let mut deployment = started.await?;
     let began = Instant::now();
     let until = began + plan.lasting;
@@ -120,6 +123,13 @@
         deployment.versions.clone(),
         deployment.promises.clone(),
     ));
+    let tenants = Tenants {
+        fronts: deployment.fronts.clone(),
+        versions: deployment.versions.clone(),
+        promises: deployment.promises.clone(),
+    };
+    let asking = tokio::spawn(tenants.clone().probe_keys());
+    let asking_much = tokio::spawn(tenants.probe_a_limit());
     let watching = tokio::spawn(deployment.lives.clone().watch());
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
@@ -136,7 +146,9 @@
         let breach = "no program was served to its end".to_owned();
         deployment.promises.breach(breach);
     }
-    probing.abort();
+    for task in [&probing, &asking, &asking_much] {
+        task.abort();
+    }
     watching.abort();
     go_on(&deployment, plan.seed, kept).await;
     deployment.check_memory();
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -14,6 +14,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::Instant;
 
+use super::keys::QUOTA_WINDOW;
 use super::slopes::Lives;
 use crate::standins::platform::names;
 
@@ -176,7 +177,8 @@
             "DataDir": data,
             "FaultTolerance": {"Machines": 1},
             "Limits": {"MemoryMb": MEMORY_MB},
-            "Bounds": {"GraceS": 8, "CatchUpS": self.catch_up.as_secs_f64()},
+            "Bounds": {"GraceS": 8, "CatchUpS": self.catch_up.as_secs_f64(),
+                "QuotaWindowS": QUOTA_WINDOW.as_secs_f64()},
             "Platform": {"Addr": self.platform},
         })
     }
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::replica::event_data;
+use super::tenants::CALLERS_KEY;
 use super::{HOST, KEPT_PATH, ONCE_PATH, SAFE_PATH, TOKENS_PER_EVENT, names};
 use crate::soak::promises::{Expected, Promises};
 
@@ -193,10 +194,12 @@
             *request.uri_mut() = uri;
         }
         let deadline = DEADLINE.as_millis().to_string();
+        let key = format!("Bearer {CALLERS_KEY}");
         let fields = [
             ("host", HOST),
             (names::REQUEST, id),
             (names::DEADLINE, &deadline),
+            ("authorization", &key),
         ];
         for (name, value) in fields {
             if let Ok(value) = value.parse() {
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod replica;
 pub mod store;
+pub mod tenants;
 
 /// Header names of the platform.
 pub mod names {
