--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -2,6 +2,7 @@
 //! a seed. At most one store is in trouble at a time, as the deployment
 //! tolerates the loss of one; a front may be at any time.
 
+use std::fmt;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use super::calm::{CHANGE_BOUND, IN_TOUCH_AFTER};
 use super::deployment::{Deployment, MODELS};
+use super::processes::Process;
 use super::proxy::Mode;
 
 /// What is done to the deployment.
@@ -49,10 +51,20 @@
     SilenceService,
     /// Replicas are replaced, one after the other.
     ReplaceReplicas,
+    /// Stores are lost one after the other, each when the one before has a successor
+    /// that had its time to catch up.
+    Losses,
+    /// The platform's service is silent, one way only, or refuses, for some processes;
+    /// soon after its return the configuration changes and a replica leaves.
+    TroubleServiceForSome,
+    /// A store hears nothing from the other stores, or they hear no answers of it;
+    /// fronts reach it, and it reaches them.
+    SilenceBetweenStores,
 }
 
-/// All kinds; new ones come last, as cases draw from the first of them.
-pub const FAULTS: [Fault; 16] = [
+/// Kinds that strike where none is named; new ones come last, as cases draw from
+/// the first of them.
+pub const FAULTS: [Fault; 18] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -69,12 +81,17 @@
     Fault::FillDisk,
     Fault::SilenceService,
     Fault::ReplaceReplicas,
+    Fault::TroubleServiceForSome,
+    Fault::SilenceBetweenStores,
 ];
 
+/// Kinds that strike only where they are named.
+pub const NAMED_FAULTS: [Fault; 1] = [Fault::Losses];
+
 impl Fault {
     /// The fault of this name.
     pub fn named(name: &str) -> Option<Self> {
-        let mut faults = FAULTS.into_iter();
+        let mut faults = FAULTS.into_iter().chain(NAMED_FAULTS);
         faults.find(|fault| format!("{fault:?}").eq_ignore_ascii_case(name))
     }
 
@@ -95,22 +112,44 @@
     fn strikes_a_store(self) -> bool {
         matches!(
             self,
-            Self::KillStore | Self::PauseStore | Self::WipeStore | Self::CutStore | Self::FillDisk
+            Self::KillStore
+                | Self::PauseStore
+                | Self::WipeStore
+                | Self::CutStore
+                | Self::FillDisk
+                | Self::SilenceBetweenStores
         )
     }
 }
 
-/// Time for a store to catch up before another may fail.
-const CATCH_UP: Duration = Duration::from_millis(4500);
 const DOWN: Duration = Duration::from_millis(400);
 
-fn milliseconds(random: &mut ChaCha8Rng, from: u64, to: u64) -> Duration {
+pub(super) fn milliseconds(random: &mut ChaCha8Rng, from: u64, to: u64) -> Duration {
     Duration::from_millis(random.random_range(from..to))
 }
 
+/// A fault that was played.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Strike {
+    /// Its kind.
+    pub fault: Fault,
+    /// What it did, where its kind alone does not say that.
+    pub details: Vec<String>,
+}
+
+impl fmt::Display for Strike {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}", self.fault)?;
+        match self.details.is_empty() {
+            true => Ok(()),
+            false => write!(formatter, " ({})", self.details.join("; ")),
+        }
+    }
+}
+
 impl Deployment {
     /// Draws one of the faults, does it and undoes it; returns which.
-    pub async fn strike(&mut self, random: &mut ChaCha8Rng, faults: &[Fault]) -> Fault {
+    pub async fn strike(&mut self, random: &mut ChaCha8Rng, faults: &[Fault]) -> Strike {
         let fault = faults[random.random_range(0..faults.len())];
         let front = random.random_range(0..self.size.fronts);
         let store = self.size.fronts + random.random_range(0..self.size.stores);
@@ -118,6 +157,7 @@
         if fault.disturbs() {
             self.promises.calm.disturb();
         }
+        let mut details = Vec::new();
         match fault {
             Fault::KillFront => self.restart(front, Signal::SIGKILL).await,
             Fault::StopFront => self.restart(front, Signal::SIGTERM).await,
@@ -138,17 +178,23 @@
             Fault::FillDisk => self.fill_disk(store, lasting).await,
             Fault::SilenceService => self.silence_service(random).await,
             Fault::ReplaceReplicas => self.replace_replicas(random).await,
+            Fault::TroubleServiceForSome => self.trouble_service_for_some(random).await,
+            Fault::SilenceBetweenStores => {
+                self.silence_between_stores(store - self.size.fronts, random, lasting)
+                    .await
+            }
+            Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.disturbs() {
             self.promises.calm.settle();
         }
         if fault.strikes_a_store() {
-            tokio::time::sleep(CATCH_UP).await;
+            tokio::time::sleep(self.catch_up).await;
         }
-        fault
+        Strike { fault, details }
     }
 
-    async fn restart(&mut self, number: usize, signal: Signal) {
+    pub(super) async fn restart(&mut self, number: usize, signal: Signal) {
         let process = &mut self.processes[number];
         process.signal(signal);
         process.ended().await;
@@ -223,9 +269,13 @@
     async fn cut_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
         let mode = draw_mode(random);
         let delay = milliseconds(random, 0, 100);
-        self.service_proxy.weather.set(mode, delay);
+        for proxy in &self.service_proxies {
+            proxy.weather.set(mode, delay);
+        }
         tokio::time::sleep(lasting).await;
-        self.service_proxy.weather.set(Mode::Pass, Duration::ZERO);
+        for proxy in &self.service_proxies {
+            proxy.weather.set(Mode::Pass, Duration::ZERO);
+        }
     }
 
     async fn trouble_service(&mut self, random: &mut ChaCha8Rng, lasting: Duration) {
@@ -250,6 +300,53 @@
         tokio::time::sleep(milliseconds(random, 300, 5000)).await;
         self.service.speak_again();
         self.promises.calm.settle();
+        self.change_after_trouble(random).await;
+    }
+
+    async fn trouble_service_for_some(&mut self, random: &mut ChaCha8Rng) {
+        self.promises.calm.disturb();
+        let mode = match random.random_range(0..3) {
+            0 => Mode::Silence,
+            1 => Mode::OneWay,
+            _ => Mode::Refuse,
+        };
+        let certain = random.random_range(0..self.service_proxies.len());
+        let mut struck = Vec::new();
+        for (number, proxy) in self.service_proxies.iter().enumerate() {
+            if random.random_bool(0.5) || number == certain {
+                proxy.weather.set(mode, Duration::ZERO);
+                struck.push(proxy.weather.clone());
+            }
+        }
+        tokio::time::sleep(milliseconds(random, 300, 5000)).await;
+        for weather in struck {
+            weather.set(Mode::Pass, Duration::ZERO);
+        }
+        self.promises.calm.settle();
+        self.change_after_trouble(random).await;
+    }
+
+    /// Cuts the way from the other stores to this one, both ways or for answers only;
+    /// its own calls to them pass.
+    async fn silence_between_stores(
+        &mut self,
+        store: usize,
+        random: &mut ChaCha8Rng,
+        lasting: Duration,
+    ) {
+        let stores = self.processes[self.size.fronts..].iter();
+        let stores = stores.filter_map(Process::identifier).collect();
+        let weather = self.store_proxies[store].weather.clone();
+        let mode = match random.random_bool(0.5) {
+            true => Mode::Silence,
+            false => Mode::OneWay,
+        };
+        weather.set_for(mode, Duration::ZERO, stores);
+        tokio::time::sleep(lasting).await;
+        weather.set(Mode::Pass, Duration::ZERO);
+    }
+
+    async fn change_after_trouble(&mut self, random: &mut ChaCha8Rng) {
         tokio::time::sleep(milliseconds(random, 0, 1000)).await;
         self.reconfigure();
         let leaving = random.random_range(0..MODELS);
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -4,11 +4,16 @@
 
 pub mod calm;
 pub mod changes;
+pub mod connections;
 pub mod deployment;
 pub mod faults;
+pub mod keys;
+pub mod losses;
+pub mod machines;
 pub mod processes;
 pub mod promises;
 pub mod proxy;
+pub mod slopes;
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -21,8 +26,10 @@
 
 use crate::standins::platform::RETENTION_SECONDS;
 use crate::standins::platform::caller::{Caller, KeptTurn};
+use crate::standins::platform::tenants::tenanted;
 use deployment::{Deployment, Size};
 use faults::{FAULTS, Fault};
+use keys::Tenants;
 use promises::{Counts, Promises};
 
 /// Callers at once; one for each front where there are more of these.
@@ -48,6 +55,8 @@
     pub faults: Vec<Fault>,
     /// How many processes there are.
     pub size: Size,
+    /// Time in which a store's successor catches up.
+    pub catch_up: Duration,
 }
 
 /// A seed that once showed a breach.
@@ -70,6 +79,8 @@
     pub counts: Counts,
     /// Faults in their order, with the second of each.
     pub faults: Vec<String>,
+    /// Lives of processes that were long enough for their slopes to be judged.
+    pub judged: usize,
     /// Where settings, data and logs are kept, after a breach.
     pub folder: Option<PathBuf>,
 }
@@ -97,9 +108,11 @@
 
 /// Plays a run.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
-    let mut deployment = Deployment::start_sized(&plan.program, plan.size).await?;
+    let started = Deployment::start_with(&plan.program, plan.size, plan.catch_up, tenanted);
+    let mut deployment = started.await?;
     let began = Instant::now();
     let until = began + plan.lasting;
+    deployment.until = until;
     let mut callers = JoinSet::new();
     for number in 0..CALLERS.max(plan.size.fronts as u64) {
         let caller = caller(&deployment, plan.seed ^ (number + 1));
@@ -110,11 +123,20 @@
         deployment.versions.clone(),
         deployment.promises.clone(),
     ));
+    let tenants = Tenants {
+        fronts: deployment.fronts.clone(),
+        versions: deployment.versions.clone(),
+        promises: deployment.promises.clone(),
+    };
+    let asking = tokio::spawn(tenants.clone().probe_keys());
+    let asking_much = tokio::spawn(tenants.probe_a_limit());
+    let watching = tokio::spawn(deployment.lives.clone().watch());
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
     while !plan.faults.is_empty() && Instant::now() < until {
-        let fault = deployment.strike(&mut random, &plan.faults).await;
-        faults.push(format!("{:.1} {fault:?}", began.elapsed().as_secs_f64()));
+        let strike = deployment.strike(&mut random, &plan.faults).await;
+        let at = began.elapsed().as_secs_f64();
+        faults.push(format!("{at:.1} {strike}"));
     }
     let mut kept = Vec::new();
     while let Some(turns) = callers.join_next().await {
@@ -124,15 +146,20 @@
         let breach = "no program was served to its end".to_owned();
         deployment.promises.breach(breach);
     }
-    probing.abort();
+    for task in [&probing, &asking, &asking_much] {
+        task.abort();
+    }
+    watching.abort();
     go_on(&deployment, plan.seed, kept).await;
     deployment.check_memory();
+    let judged = deployment.check_slopes();
     let (breaches, counts) = deployment.promises.judge();
     let folder = (!breaches.is_empty()).then(|| deployment.keep_folder());
     Ok(SoakReport {
         breaches,
         counts,
         faults,
+        judged,
         folder,
     })
 }
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -6,12 +6,16 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::json;
 use tokio::process::{Child, Command};
+use tokio::time::Instant;
 
+use super::keys::QUOTA_WINDOW;
+use super::slopes::Lives;
 use crate::standins::platform::names;
 
 /// Small segments, so that a disk which takes no new file is noticed at once.
@@ -41,12 +45,16 @@
     pub role: ProcessRole,
     /// Where callers connect, for fronts.
     pub front: SocketAddr,
+    /// When it was started last.
+    pub started_at: Option<Instant>,
     inner: SocketAddr,
     ready: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
     platform: SocketAddr,
     seeds: Vec<SocketAddr>,
+    catch_up: Duration,
+    lives: Lives,
     advertised: Option<SocketAddr>,
     child: Option<Child>,
 }
@@ -62,6 +70,10 @@
     pub platform: SocketAddr,
     /// Inner addresses of the stores.
     pub seeds: Vec<SocketAddr>,
+    /// Time in which a store's successor catches up.
+    pub catch_up: Duration,
+    /// Where its life is watched.
+    pub lives: Lives,
 }
 
 impl Process {
@@ -78,11 +90,14 @@
             node,
             role,
             front,
+            started_at: None,
             ready,
             inner,
             program: shared.program.clone(),
             platform: shared.platform,
             seeds: shared.seeds.clone(),
+            catch_up: shared.catch_up,
+            lives: shared.lives.clone(),
             advertised: None,
             child: None,
         }
@@ -124,10 +139,24 @@
             .stderr(errors)
             .kill_on_drop(true)
             .spawn()?;
+        if let Some(identifier) = child.id() {
+            self.lives.begin(&self.node, identifier);
+        }
         self.child = Some(child);
+        self.started_at = Some(Instant::now());
         Ok(())
     }
 
+    /// Where fronts and stores reach it, without a proxy.
+    pub fn inner(&self) -> SocketAddr {
+        self.inner
+    }
+
+    /// Whether it was started and not ended since.
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Where its lines go.
     pub fn log_file(&self) -> PathBuf {
         self.folder.join("log.jsonl")
@@ -148,7 +177,8 @@
             "DataDir": data,
             "FaultTolerance": {"Machines": 1},
             "Limits": {"MemoryMb": MEMORY_MB},
-            "Bounds": {"GraceS": 8},
+            "Bounds": {"GraceS": 8, "CatchUpS": self.catch_up.as_secs_f64(),
+                "QuotaWindowS": QUOTA_WINDOW.as_secs_f64()},
             "Platform": {"Addr": self.platform},
         })
     }
@@ -158,10 +188,14 @@
         self.folder.join("data")
     }
 
+    /// Its process identifier while it runs.
+    pub fn identifier(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        let identifier = self.child.as_ref().and_then(Child::id);
-        if let Some(identifier) = identifier {
+        if let Some(identifier) = self.identifier() {
             let _ = kill(Pid::from_raw(identifier as i32), signal);
         }
     }
@@ -169,7 +203,7 @@
     /// Bytes of memory that the running process has had at most, as the kernel
     /// tells them.
     pub fn peak_memory(&self) -> io::Result<u64> {
-        let identifier = self.child.as_ref().and_then(Child::id);
+        let identifier = self.identifier();
         let identifier = identifier.ok_or(io::ErrorKind::NotFound)?;
         let status = std::fs::read_to_string(format!("/proc/{identifier}/status"))?;
         let kilobytes = status
@@ -184,7 +218,11 @@
     /// Waits for the process's end; it must have been told to end.
     pub async fn ended(&mut self) {
         if let Some(mut child) = self.child.take() {
+            let identifier = child.id();
             let _ = child.wait().await;
+            if let Some(identifier) = identifier {
+                self.lives.end(identifier);
+            }
         }
     }
 
