--- a/crates/stageyoke-store/src/keeper.rs
+++ b/crates/stageyoke-store/src/keeper.rs
@@ -1,12 +1,12 @@
 //! A store's state with its journal, shared by the tasks of the process.
 
 mod answers;
+mod heard;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 
 use stageyoke_directory::{
     AgeLimits, DirectoryMark, DirectorySource, Freshness, GroupNumber, Members, StoreGroups,
@@ -15,15 +15,17 @@
 use stageyoke_policy::quota::{QuotaLedger, Tolerance as QuotaTolerance};
 use stageyoke_types::{Event, List, Text};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use self::heard::Heard;
+pub use self::heard::SilentSince;
 use crate::clock::DiskClock;
 use crate::completeness::Completeness;
 use crate::journal::{Appended, Journal};
 use crate::limits::StoreLimits;
 use crate::load::{LoadReports, PlacedTurns};
-use crate::message::{JournalPosition, Record, RecordDigest, Refusal, SeenItem, SilentPeer};
+use crate::message::{JournalPosition, Record, RecordDigest, Refusal, SeenItem};
 use crate::reader::RecordReader;
 use crate::segment::{DataFolder, Recovered, SegmentUse};
 use crate::standing::Standing;
@@ -36,25 +38,6 @@
     waiting: Vec<oneshot::Sender<bool>>,
 }
 
-/// A member that does not answer this store.
-#[derive(Clone, Debug)]
-pub struct SilentSince {
-    /// Its machine.
-    pub node: Text,
-    /// When it answered last.
-    pub since: Instant,
-}
-
-impl SilentSince {
-    fn told_now(&self) -> SilentPeer {
-        let milliseconds = self.since.elapsed().as_millis();
-        SilentPeer {
-            node: self.node.clone(),
-            milliseconds: u32::try_from(milliseconds).unwrap_or(u32::MAX),
-        }
-    }
-}
-
 /// A store's state with its journal; shared by the tasks of the process.
 pub struct Keeper {
     /// Machine name of this store.
@@ -75,12 +58,7 @@
     standing: RefCell<Standing>,
     /// Version of the store groups that the disk held at the start.
     stores_recovered: u64,
-    newer_list: Notify,
-    heard_stores: RefCell<Option<StoreGroups>>,
-    /// When a store that is no member compared with this one.
-    spare_heard_at: Cell<Option<Instant>>,
-    /// Members that don't answer this store, told to others.
-    silent_peers: RefCell<Vec<SilentSince>>,
+    heard: Heard,
     members_since: Cell<Instant>,
     items: RefCell<List<SeenItem>>,
     loads: LoadReports,
@@ -129,10 +107,7 @@
             disk_refuses: Cell::new(false),
             standing: RefCell::new(standing),
             stores_recovered,
-            newer_list: Notify::new(),
-            heard_stores: RefCell::default(),
-            spare_heard_at: Cell::new(None),
-            silent_peers: RefCell::default(),
+            heard: Heard::default(),
             members_since: Cell::new(Instant::now()),
             items: RefCell::default(),
             loads: LoadReports::default(),
@@ -187,55 +162,6 @@
         }
     }
 
-    fn note_asker(&self, group: GroupNumber, node: &Text) {
-        let own_group = self.group() == Some(group);
-        if own_group && self.members().get(node).is_none() {
-            self.spare_heard_at.set(Some(Instant::now()));
-        }
-    }
-
-    /// How long ago a store that is no member of the group compared with this one.
-    pub fn spare_heard(&self) -> Option<Duration> {
-        self.spare_heard_at.get().map(|at| at.elapsed())
-    }
-
-    /// Another store goes by these groups. A store whose group's list is not known here
-    /// takes none: a lost disk may have known newer ones.
-    fn hear_stores(&self, stores: StoreGroups) {
-        let newer = stores.version > self.stores().version;
-        if newer && self.group().is_some() && self.members().version > 0 {
-            self.heard_stores.replace(Some(stores));
-            self.newer_list.notify_one();
-        }
-    }
-
-    /// Newer store groups that another store told of.
-    pub fn take_heard_stores(&self) -> Option<StoreGroups> {
-        self.heard_stores.take()
-    }
-
-    /// These members don't answer this store.
-    pub fn set_silent_peers(&self, silent: Vec<SilentSince>) {
-        self.silent_peers.replace(silent);
-    }
-
-    fn silent_peers(&self) -> List<SilentPeer> {
-        let silent = self.silent_peers.borrow();
-        silent.iter().map(SilentSince::told_now).collect()
-    }
-
-    /// A caller went by a newer list of the group: it is worth a read of the service.
-    /// A change waits for the members that have not heard of it.
-    pub async fn newer_list_heard(&self) {
-        self.newer_list.notified().await;
-    }
-
-    fn note_version(&self, group: GroupNumber, members_version: u64) {
-        if self.standing.borrow().is_behind(group, members_version) {
-            self.newer_list.notify_one();
-        }
-    }
-
     /// Whether this store holds everything that it ever acknowledged as a
     /// member of its group; before there are groups, of any.
     pub fn complete(&self) -> bool {
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -1,6 +1,8 @@
 //! The store role: recovers the disk, serves, and keeps its place in the
 //! member list.
 
+mod report;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -11,13 +13,15 @@
 use nanoserde::SerBin;
 use stageyoke_directory::groups::group_size;
 use stageyoke_directory::{
-    Condition, Interpreter, KeyValueService, Member, MemberState, Members, Mirror, MirrorEvent,
-    StoreGroups, Tolerance, Transaction, TransactionOutcome, Write,
+    Condition, Interpreter, KeyValueService, Member, MemberState, Members, Mirror, StoreGroups,
+    Tolerance, Transaction, TransactionOutcome, Write,
 };
 use stageyoke_types::{Event, Text};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use self::report::describe;
+pub use self::report::report_mirror_event;
 use crate::formation::{Formation, FormationStep};
 use crate::healing::Healing;
 use crate::keeper::{Keeper, SilentSince};
@@ -542,35 +546,3 @@
         }
     }
 }
-
-/// The groups' members in one line; those before a change that is under way behind.
-fn describe(stores: &StoreGroups) -> String {
-    let groups = stores.groups.iter().map(|members| {
-        let before = match members.settled() {
-            true => String::new(),
-            false => format!("<{}", names(&members.before)),
-        };
-        format!("{}:{}{before}", members.version, names(&members.list))
-    });
-    let groups: Vec<String> = groups.collect();
-    format!("groups={}", groups.join("|"))
-}
-
-fn names(list: &[Member]) -> String {
-    let names: Vec<&str> = list.iter().map(|member| member.node.as_str()).collect();
-    names.join(",")
-}
-
-/// Logs what the mirror reports.
-pub fn report_mirror_event(event: MirrorEvent) {
-    match event {
-        MirrorEvent::Changed(changed) => {
-            observe::event(Event::ViewChanged, &format!("{changed:?}"));
-        }
-        MirrorEvent::Lost(error) => {
-            observe::event(Event::StoreUnreachable, &format!("error={error}"));
-        }
-        MirrorEvent::Regained => observe::event(Event::DependencyRegained, "key-value service"),
-        MirrorEvent::Unreadable(reason) => observe::event(Event::ItemUnreadable, &reason),
-    }
-}
