--- a/crates/stageyoke-store/tests/joint_lists_test.rs
+++ b/crates/stageyoke-store/tests/joint_lists_test.rs
@@ -278,27 +278,7 @@
 
 async fn caught_up(with: &Keeper, holder: &Keeper, version: u64) -> Exchange {
     let mut exchange = Exchange::default();
-    exchange.note_fetched();
-    let Reply::Digests {
-        digests: page,
-        next,
-        more,
-        complete,
-        members_version,
-        ..
-    } = with.answer(digests(version)).await
-    else {
-        panic!("digests");
-    };
-    let page = Page {
-        digests: &page,
-        next,
-        more,
-        complete,
-        members_version,
-    };
-    exchange.take(page, |digest| holder.holds(digest));
-    exchange.note_end();
+    page_of(with, &mut exchange, holder, version).await;
     exchange
 }
 
