A spare does not join beside a member that may be lost

Cause: where a member had been silent for exactly as long as it takes to replace it, a spare found room and joined beside it; the dead member counted for the quorums, and the next loss stopped the group for good (series plan: change at 20.8 s, the loss at 23.9 s). Ruled out: a later look at the room alone (any two clocks can tie). Change: a list grows only while every member has been heard within half of that time. Tests: membership_test (a_new_store_waits_while_a_member_may_be_lost); plans_test has the plan.

--- a/crates/stageyoke-store/src/membership.rs
+++ b/crates/stageyoke-store/src/membership.rs
@@ -195,6 +195,14 @@
         if !oneself.room {
             return Step::Rest(Waiting::Room);
         }
+        // One more beside a member that is lost would count it for the quorums: whoever has
+        // not answered for a while is heard or replaced first.
+        if self
+            .longest_silent(&members.list, oneself.replace_after / 2)
+            .is_some()
+        {
+            return Step::Rest(Waiting::Successor);
+        }
         let mut list = members.list.clone();
         list.push(entry);
         self.change_if_it_keeps(list)
--- a/crates/stageyoke-store/tests/membership_test.rs
+++ b/crates/stageyoke-store/tests/membership_test.rs
@@ -146,6 +146,22 @@
     assert_eq!(step, expected);
 }
 
+/// A spare joined beside a lost member at the very moment at which it would have replaced
+/// it: two of three were left, and the next loss stopped the group for good.
+#[test]
+fn a_new_store_waits_while_a_member_may_be_lost() {
+    let list = members(3);
+    let newcomer = oneself(3);
+    let quiet = (1, REPLACE_AFTER / 2 + Duration::from_millis(1));
+    let step = decide(
+        &list,
+        &newcomer,
+        &peers(&list, 3, &[quiet], &[]),
+        &tolerance(),
+    );
+    assert_eq!(step, Step::Rest(Waiting::Successor));
+}
+
 /// While a change is under way a new store waits: the list changes one time after the
 /// other.
 #[test]
--- a/crates/stageyoke-store/tests/plans_test.rs
+++ b/crates/stageyoke-store/tests/plans_test.rs
@@ -379,7 +379,8 @@
 /// (`change v3` at 13.3 s, `change v5` at 17.1 s, the next loss between them). In the third
 /// a spare that compared each second only took two lost answers for a member's silence, and
 /// its place (`change v6 store-4,store-3<store-1,store-3` at 11.9 s); spares compare ten times
-/// as often.
+/// as often. In the fourth a spare joined beside a member that was lost (`change v3
+/// store-0,store-1,store-2<store-0,store-1` at 20.8 s), in place of taking its place.
 #[test]
 fn a_spare_takes_its_place_in_time() {
     let first = Plan {
@@ -433,10 +434,30 @@
             ],
         )
     };
+    let fourth = Plan {
+        seed: 1108476045972058434,
+        stores: 2,
+        lost: 2,
+        doubled: 40,
+        late: 9,
+        catch_up: Some(5_652),
+        ..three_stores(
+            0,
+            vec![
+                (3_783, Fault::Wipe(2, 1_517)),
+                (11_584, Fault::Deaf(24, 4_064)),
+                (17_703, Fault::Replace(53, 386)),
+                (23_905, Fault::Replace(28, 2_231)),
+                (26_721, Fault::Replace(27, 1_294)),
+                (34_217, Fault::Retire(49)),
+            ],
+        )
+    };
     assert_all_borne(vec![
         ("a spare while fronts write", first),
         ("a removal before a successor", second),
         ("two lost answers are no silence", third),
+        ("not beside a lost member", fourth),
     ]);
 }
 
