Sight: a line when requests go by an old list, and which replicas come and go

Cause: the record's hypotheses differ in when a front's list changed and by how old a list it sent; RequestEnded has the age per request, but no line told that it was beyond the bound, and ViewChanged names no replica. Change: OldListUsed (809, once a second at most, with age and reason) and stageyoke_old_list_requests_total; ReplicasChanged (810) with up to four names. No change of logic. Conclusion: a replica's end at a front is now one line.

--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -146,6 +146,11 @@
         self.settled.notify_waiters();
     }
 
+    /// Whether the last try to get an answer failed.
+    pub fn unreachable(&self) -> bool {
+        self.unreachable.get()
+    }
+
     /// Another process told of its directory, in answer to a message that was
     /// sent at `sent`. One that has seen no later change than this one, and
     /// heard from the service since, shows that there is none.
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::engine_rates::{CurrentRates, EngineRates};
 use crate::health;
+use crate::list_report;
 use crate::placement::Candidate;
 use crate::prompt::Prompt;
 use crate::replica::{Replica, Shared};
@@ -91,6 +92,7 @@
         let mut replicas = self.replicas.borrow_mut();
         let lapsed = lapsed_services(&replicas, records);
         let until = Instant::now() + self.lapse_grace(unseen);
+        let (mut added, mut dropped) = (Vec::new(), Vec::new());
         replicas.retain(|id, replica| {
             let stays = match records.get(id) {
                 Some(record) => {
@@ -106,15 +108,18 @@
             };
             if !stays {
                 replica.mark_gone();
+                dropped.push(id.clone());
             }
             stays
         });
         for (id, record) in records.iter().filter(|(_, record)| ready(record)) {
             replicas.entry(id.clone()).or_insert_with(|| {
+                added.push(id.clone());
                 let shared = self.shared(&record.service);
                 Rc::new(Replica::new(id.clone(), record.clone(), shared))
             });
         }
+        list_report::replicas_changed(&added, &dropped, replicas.len());
         let mut services: HashMap<Text, Vec<Rc<Replica>>> = HashMap::new();
         for replica in replicas.values() {
             let list = services.entry(replica.record.service.clone()).or_default();
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -21,6 +21,7 @@
 use crate::bootstrap;
 use crate::fleet::Fleet;
 use crate::history::History;
+use crate::list_report::ListAge;
 use crate::memory::MemoryBudget;
 use crate::names::Names;
 use crate::pace::UsualTimes;
@@ -103,6 +104,8 @@
     pub history: Rc<History>,
     /// Whether keys can be told from those that were taken away.
     pub key_trust: KeyTrust,
+    /// Tells when the list of replicas is old.
+    pub(crate) list_age: ListAge,
     /// Limits of tenants.
     pub quotas: Quotas,
     /// Requests under way.
@@ -200,6 +203,7 @@
         retry_budget: Cell::default(),
         shares: Shares::new(rand::random()),
         key_trust: KeyTrust::new(settings.change_bound, settings.key_age_limit),
+        list_age: ListAge::within(settings.change_bound),
         quotas: Quotas::new(stores.clone()),
         history: Rc::new(History::new(stores)),
         activity: Activity::default(),
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -122,6 +122,7 @@
         story.directory_age = age.as_millis().min(u128::from(u32::MAX)) as u64;
         let ages = &observe::metrics().directory_age_seconds;
         ages.observe(age.as_secs_f64());
+        self.list_age.note(age, freshness.unreachable());
         story.members_version = self.history.stores.stores().version;
         let Admitted {
             routes,
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod health;
 pub mod history;
 mod line_pause;
+mod list_report;
 pub mod memory;
 pub mod names;
 mod offer;
--- /dev/null
+++ b/crates/stageyoke-front/src/list_report.rs
@@ -0,0 +1,68 @@
+//! Lines on the list of replicas: when requests are placed by an old one, and which
+//! replicas come and go.
+
+use std::time::Duration;
+
+use stageyoke_observe as observe;
+use stageyoke_types::{Event, Text};
+
+use crate::line_pause::LinePause;
+
+/// Replicas that one line names; the others are counted.
+const NAMED: usize = 4;
+
+/// Tells when requests are placed by a list that may miss changes which must be in
+/// force.
+#[derive(Debug)]
+pub(crate) struct ListAge {
+    bound: Duration,
+    lines: LinePause,
+}
+
+impl ListAge {
+    /// Changes must be in force within `bound`.
+    pub(crate) fn within(bound: Duration) -> Self {
+        Self {
+            bound,
+            lines: LinePause::default(),
+        }
+    }
+
+    /// A request goes by a list of this age.
+    pub(crate) fn note(&self, age: Duration, unreachable: bool) {
+        if age <= self.bound {
+            return;
+        }
+        observe::metrics().old_list_requests.inc();
+        if self.lines.take() {
+            let reason = match unreachable {
+                true => "nobody tells a younger one",
+                false => "no answer in time",
+            };
+            let detail = format!("age={} reason={reason}", age.as_millis());
+            observe::event(Event::OldListUsed, &detail);
+        }
+    }
+}
+
+/// Tells which replicas one reading of the list took up and dropped.
+pub(crate) fn replicas_changed(added: &[Text], dropped: &[Text], now: usize) {
+    if added.is_empty() && dropped.is_empty() {
+        return;
+    }
+    let detail = format!(
+        "added={} dropped={} now={now}",
+        named(added),
+        named(dropped)
+    );
+    observe::event(Event::ReplicasChanged, &detail);
+}
+
+fn named(replicas: &[Text]) -> String {
+    let names: Vec<&str> = replicas.iter().take(NAMED).map(Text::as_str).collect();
+    let others = replicas.len() - names.len();
+    match others {
+        0 => format!("[{}]", names.join(",")),
+        _ => format!("[{},+{others}]", names.join(",")),
+    }
+}
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -72,6 +72,8 @@
     pub heal_seconds: Histogram,
     /// Age of the directory when a request was routed by it, s.
     pub directory_age_seconds: Histogram,
+    /// Requests that were placed by a list of replicas beyond the bound on changes.
+    pub old_list_requests: IntCounter,
     /// Bytes of turns' inputs and outputs that a store keeps in memory.
     pub turn_bytes: IntGauge,
     /// Entries of all ledgers that a store keeps in memory.
@@ -160,6 +162,13 @@
                     "Grants and returns that an owner of a limit did not hear of.",
                 ),
             ),
+            old_list_requests: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_old_list_requests_total",
+                    "Requests placed by a list of replicas beyond the bound on changes.",
+                ),
+            ),
             tenant_failures: counters(
                 "stageyoke_tenant_failures_total",
                 "Requests of tenants that ended with status 400 or above.",
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -77,4 +77,6 @@
     QuotaUnknown, 806, "warn", "No store tells what a tenant has used of its limit; this front goes by its own share.";
     KeysUnconfirmed, 807, "warn", "Keys are taken by a directory that is older than the bound on changes: one may have been taken away since.";
     TenantsUnusual, 808, "info", "Tenants of the configuration hold no key, or have no limit.";
+    OldListUsed, 809, "warn", "Requests are placed by a list of replicas that is older than the bound on changes.";
+    ReplicasChanged, 810, "info", "Replicas were taken up or are offered nothing more.";
 }
