Replicas that start again under their identifier; entries from other writers

Cause: a front kept what it had for an identifier, so one that started again kept its old address, what it was believed to hold, its failures and connections. An entry that could not be read changed nothing by a watch and took the replica away in a complete read; one bad entry of an answer failed the whole page or watch. Change: an incarnation is identifier and birth, the orders counted up in it, and its place. Another one is another replica, with another number towards other fronts and stores. Entries are read whole and strictly; one that can't be read names no replica, in the same way by watch, complete read and told copy. Answers are read entry by entry. Lines on unreadable entries name key and reason, both cut short.

--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -22,8 +22,8 @@
 pub use members::{Member, MemberState, Members, Quorums, Tolerance, write_quorum};
 pub use mirror::{Mirror, MirrorEvent, Pace};
 pub use model::{
-    EngineShape, Limits, ReplicaRecord, ReplicaState, Retirement, Route, RouteKind, RouteTable,
-    ServiceSpec, Target,
+    EngineShape, Limits, ReplicaRecord, ReplicaStart, ReplicaState, Retirement, Route, RouteKind,
+    RouteTable, ServiceSpec, Target,
 };
 pub use relay::{
     Acceptable, Confirming, DirectoryRelay, DirectorySource, Relayed, Telling, ToldChanges,
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -476,7 +476,7 @@
                 Change::Removed { key, revision } => (key, None, revision),
             };
             let update = self.apply_item(&key, item, revision, &mut changed);
-            if let Update::Unreadable(reason) = update {
+            if let Update::Unreadable(reason) | Update::Unusable { reason, .. } = update {
                 report(MirrorEvent::Unreadable(reason));
             }
         }
@@ -534,7 +534,9 @@
             match self.apply_item(&key, Some(item), 0, &mut changed) {
                 Update::Replica { id, .. } => drop(replicas.insert(id)),
                 Update::Retire { node, .. } => drop(retirements.insert(node)),
-                Update::Unreadable(reason) => report(MirrorEvent::Unreadable(reason)),
+                Update::Unreadable(reason) | Update::Unusable { reason, .. } => {
+                    report(MirrorEvent::Unreadable(reason));
+                }
                 _ => {}
             }
         }
--- a/crates/stageyoke-directory/src/model.rs
+++ b/crates/stageyoke-directory/src/model.rs
@@ -149,7 +149,25 @@
     Draining,
 }
 
-/// One incarnation of a replica.
+/// What tells one start of a replica from another under the same identifier.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaStart {
+    /// When it started, in Unix milliseconds by its own clock; none from a replica of
+    /// an older version.
+    pub born: Option<u64>,
+    /// Orders that it has taken since.
+    pub orders: Option<u64>,
+}
+
+impl ReplicaStart {
+    /// Whether something said later is of the same start. The clock may have jumped
+    /// either way in between; orders are counted anew from each start.
+    pub fn continues_in(self, later: Self) -> bool {
+        self.born == later.born && (self.orders.is_none() || self.orders <= later.orders)
+    }
+}
+
+/// What a replica says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaRecord {
     /// Service that it belongs to.
@@ -162,6 +180,20 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: ReplicaState,
+    /// Which of its starts says so.
+    pub start: ReplicaStart,
+}
+
+impl ReplicaRecord {
+    /// Whether a later record is of the same incarnation: what was believed of this
+    /// one holds for it.
+    pub fn continues_in(&self, later: &Self) -> bool {
+        let same_place = self.service == later.service
+            && self.address == later.address
+            && self.zone == later.zone
+            && self.slots == later.slots;
+        same_place && self.start.continues_in(later.start)
+    }
 }
 
 /// The operator's order to empty a store.
--- a/crates/stageyoke-directory/src/view.rs
+++ b/crates/stageyoke-directory/src/view.rs
@@ -22,6 +22,13 @@
         /// `None`: it is gone.
         record: Option<ReplicaRecord>,
     },
+    /// An entry that names no replica to use, whatever it named before.
+    Unusable {
+        /// Its identifier.
+        id: Text,
+        /// Why.
+        reason: String,
+    },
     /// The store groups.
     Stores(StoreGroups),
     /// A store has registered for the groups that are to be formed.
@@ -90,6 +97,7 @@
         match update {
             Update::Routes(table) => self.apply_routes(table, changed),
             Update::Replica { id, record } => self.apply_replica(id, record, changed),
+            Update::Unusable { id, .. } => self.apply_replica(id, None, changed),
             Update::Stores(stores) => self.apply_stores(stores, revision, changed),
             Update::Registered(store) => self.apply_registration(store, changed),
             Update::Retire { node, order } => self.apply_retirement(node, order, changed),
--- a/crates/stageyoke-directory/tests/support/mod.rs
+++ b/crates/stageyoke-directory/tests/support/mod.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use stageyoke_directory::{
-    Interpreter, Limits, Member, ReplicaRecord, ReplicaState, RouteTable, Update, Write,
+    Interpreter, Limits, Member, ReplicaRecord, ReplicaStart, ReplicaState, RouteTable, Update,
+    Write,
 };
 use stageyoke_types::Text;
 
@@ -56,6 +57,7 @@
         zone: Text::from("zone"),
         slots: 1,
         state: ReplicaState::Ready,
+        start: ReplicaStart::default(),
     }
 }
 
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -80,10 +80,7 @@
         let mut dropped = Vec::new();
         replicas.retain(|id, replica| {
             let stays = match records.get(id) {
-                Some(record) => {
-                    replica.restore();
-                    ready(record)
-                }
+                Some(record) => replica.continues_in(record) && ready(record),
                 None => replica.lapsed_until().is_some() && replica.taking_work(),
             };
             if !stays {
--- a/crates/stageyoke-front/src/list_report.rs
+++ b/crates/stageyoke-front/src/list_report.rs
@@ -28,9 +28,10 @@
         }
     }
 
-    /// A request goes by a list of this age.
+    /// A request goes by a list of this age; the longest stands for no list at all,
+    /// where nothing is placed.
     pub(crate) fn note(&self, age: Duration, unreachable: bool) {
-        if age <= self.bound {
+        if age <= self.bound || age == Duration::MAX {
             return;
         }
         observe::metrics().old_list_requests.inc();
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{GroupNumber, ReplicaRecord};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
 use stageyoke_types::hash::mix;
@@ -31,7 +31,7 @@
 
 /// One incarnation of a replica.
 pub struct Replica {
-    /// Incarnation.
+    /// Its identifier, which a later incarnation may have again.
     pub id: Text,
     /// Its record when it was first seen.
     pub record: ReplicaRecord,
@@ -47,6 +47,8 @@
     suspended: Cell<bool>,
     gone: Cell<bool>,
     lapsed_until: Cell<Option<Instant>>,
+    /// The newest that was said of its start: orders are counted up in it.
+    start: Cell<ReplicaStart>,
     cell: Cell<Option<GroupNumber>>,
 }
 
@@ -54,7 +56,8 @@
     /// A replica that nothing was seen of yet.
     pub fn new(id: Text, record: ReplicaRecord, shared: Shared) -> Self {
         Self {
-            hash: hash_text(&id),
+            hash: incarnation_hash(&id, &record),
+            start: Cell::new(record.start),
             load: shared.load,
             rest_limit: shared.rest_limit,
             rates: shared.rates,
@@ -82,9 +85,15 @@
         self.lapsed_until.get()
     }
 
-    /// It is listed.
-    pub fn restore(&self) {
+    /// It is listed so. False where that is another incarnation, of which nothing is
+    /// known: it shares no more than the identifier.
+    pub fn continues_in(&self, listed: &ReplicaRecord) -> bool {
+        if !self.record.continues_in(listed) || !self.start.get().continues_in(listed.start) {
+            return false;
+        }
+        self.start.set(listed.start);
         self.lapsed_until.set(None);
+        true
     }
 
     /// It is not listed; it takes work until then, unless that was set before.
@@ -220,7 +229,7 @@
         self.pool.clear();
     }
 
-    /// Its identifier's hash, as fronts and stores tell it.
+    /// Its incarnation's hash, as fronts and stores tell it.
     pub fn short_hash(&self) -> u32 {
         mix(self.hash) as u32
     }
@@ -256,3 +265,10 @@
         self.0.load.end(self.0.short_hash());
     }
 }
+
+/// A number that is the same on all fronts, and another one for each incarnation: what
+/// fronts and stores tell one another of one is not believed of the next.
+fn incarnation_hash(id: &str, record: &ReplicaRecord) -> u64 {
+    let born = record.start.born.unwrap_or_default();
+    mix(hash_text(id) ^ mix(hash_text(&record.address) ^ born))
+}
--- a/crates/stageyoke-front/tests/cells_test.rs
+++ b/crates/stageyoke-front/tests/cells_test.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use rstest::rstest;
-use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart, ReplicaState};
 use stageyoke_front::engine_rates::{CurrentRates, EngineRates};
 use stageyoke_front::fleet::{Fleet, Wanted};
 use stageyoke_front::placement::{Candidate, choose_engine};
@@ -81,6 +81,7 @@
         zone: Text::from("zone"),
         slots: SLOTS,
         state: ReplicaState::Ready,
+        start: ReplicaStart::default(),
     };
     (0..count)
         .map(|number| (Text::from(format!("engine-{number}")), record(number)))
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -10,9 +10,9 @@
 use bytes::Bytes;
 use stageyoke_directory::{
     Change, Interpreter, Item, KeyDigest, KeyValueError, KeyValueService, Limits, Member,
-    MemberState, Members, Mirror, RangePage, ReplicaRecord, ReplicaState, RequestLimit, Route,
-    RouteKind, RouteTable, ServiceSpec, StoreGroups, Target, Tenant, Tenants, Transaction,
-    TransactionOutcome, Update, WatchOutcome, Write,
+    MemberState, Members, Mirror, RangePage, ReplicaRecord, ReplicaStart, ReplicaState,
+    RequestLimit, Route, RouteKind, RouteTable, ServiceSpec, StoreGroups, Target, Tenant, Tenants,
+    Transaction, TransactionOutcome, Update, WatchOutcome, Write,
 };
 use stageyoke_front::{FrontListeners, FrontSettings};
 use stageyoke_store::frame;
@@ -201,6 +201,7 @@
                     zone: Text::from("zone"),
                     slots: 4,
                     state: ReplicaState::Ready,
+                    start: ReplicaStart::default(),
                 }),
             },
             _ => Update::Ignored,
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart, ReplicaState};
 use stageyoke_front::fleet::{Fleet, Wanted};
 use stageyoke_front::health::{CAUTION, Evidence, Health, SUSPENSION, combined};
 use stageyoke_front::placement::{self, Candidate};
@@ -28,6 +28,7 @@
         zone: Text::from("zone"),
         slots: 4,
         state: ReplicaState::Ready,
+        start: ReplicaStart::default(),
     };
     (0..replicas)
         .map(|number| (Text::from(format!("replica-{number}")), record(number)))
--- a/crates/stageyoke-front/tests/support/list.rs
+++ b/crates/stageyoke-front/tests/support/list.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use stageyoke_directory::{
-    Limits, ReplicaRecord, ReplicaState, Route, RouteKind, RouteTable, ServiceSpec, Target,
+    Limits, ReplicaRecord, ReplicaStart, ReplicaState, Route, RouteKind, RouteTable, ServiceSpec,
+    Target,
 };
 use stageyoke_types::Text;
 
@@ -18,6 +19,7 @@
         zone: Text::from("zone"),
         slots: 4,
         state: ReplicaState::Ready,
+        start: ReplicaStart::default(),
     }
 }
 
--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -2,6 +2,8 @@
 //! of them is trusted any more once a call got no answer: what silenced one may
 //! have silenced all.
 
+mod lenient;
+
 use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
@@ -13,9 +15,12 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use percent_encoding::{NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+pub use lenient::LenientList;
+
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -136,3 +141,8 @@
 fn no_answer<E>(_: E) -> CallError {
     CallError::NoAnswer
 }
+
+/// Escapes what has a meaning in a query.
+pub fn escape(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, NON_ALPHANUMERIC)
+}
--- a/crates/stageyoke-observe/src/lib.rs
+++ b/crates/stageyoke-observe/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod lines;
 pub mod metrics;
+pub mod signals;
 pub mod writer;
 
 pub use events::{RequestStory, event, request_ended};
--- /dev/null
+++ b/crates/stageyoke-observe/src/signals.rs
@@ -0,0 +1,36 @@
+//! Signals by which an operator speaks to a process.
+
+use stageyoke_types::Event;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::events::event;
+
+/// Returns once the process is asked to stop; never where that can't be heard, and the
+/// log says so.
+pub async fn terminated() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut signal) => drop(signal.recv().await),
+        Err(error) => {
+            event(
+                Event::SignalUnheard,
+                &format!("signal=terminate error={error}"),
+            );
+            std::future::pending().await
+        }
+    }
+}
+
+/// Calls `reload` at each hang-up signal, which says that settings have changed.
+pub async fn at_each_hang_up(reload: impl Fn()) {
+    match signal(SignalKind::hangup()) {
+        Ok(mut signal) => {
+            while signal.recv().await.is_some() {
+                reload();
+            }
+        }
+        Err(error) => event(
+            Event::SignalUnheard,
+            &format!("signal=hangup error={error}"),
+        ),
+    }
+}
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -38,6 +38,7 @@
     NodeReady, 101, "info", "The node knows a configuration and its peers, and serves callers.";
     NodeDraining, 102, "info", "The node was told to stop; it hands over and finishes its streams.";
     NodeStopped, 103, "info", "The node has finished every stream and closed its listeners.";
+    SignalUnheard, 104, "error", "A signal of the operator can't be heard.";
     MemberJoined, 200, "info", "A node joined the member list.";
     MemberSuspected, 201, "warn", "A node did not answer probes and may be declared dead.";
     MemberDead, 202, "warn", "A node was declared dead.";
