The soak spoils the replica list; restarts of replicas have a line

Cause: the soak knew replicas that drain and return, always at the same address, and nobody else wrote entries; it cut the service for a front, never the stores with it. Change: three faults, last in the list so that kept cases draw as before: a front cut off from everything while a replica leaves, with a word or without; a replica that starts again under its identifier at another port, at times with a birth before the one it had; entries spoilt by another writer. Entries carry a birth. ReplicaRestarted (811) names both incarnations. A configuration that a request's own read brought is taken up by metrics and the lines on tenants too.

--- a/crates/stageyoke-front/src/admission.rs
+++ b/crates/stageyoke-front/src/admission.rs
@@ -51,7 +51,13 @@
         {
             return Ok(admitted);
         }
+        let changes = self.mirror.changes();
         let confirmed = tokio::time::timeout(LOOK_UP_WITHIN, self.mirror.confirm_routes()).await;
+        if self.mirror.changes() != changes {
+            // No event of the mirror tells of a configuration that is read here: metrics
+            // and the lines on tenants stayed behind until the next change.
+            self.follow();
+        }
         if !matches!(confirmed, Ok(Ok(()))) {
             let cause = "route_not_confirmed";
             return Err(Failure::come_back(
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -80,7 +80,7 @@
         let mut dropped = Vec::new();
         replicas.retain(|id, replica| {
             let stays = match records.get(id) {
-                Some(record) => replica.continues_in(record) && ready(record),
+                Some(record) => continues(replica, record) && ready(record),
                 None => replica.lapsed_until().is_some() && replica.taking_work(),
             };
             if !stays {
@@ -197,6 +197,15 @@
     }
 }
 
+/// Whether a replica is listed as the incarnation that it is here; says if not.
+fn continues(replica: &Replica, listed: &ReplicaRecord) -> bool {
+    let continues = replica.continues_in(listed);
+    if !continues {
+        list_report::restarted(&replica.id, &replica.record, listed);
+    }
+    continues
+}
+
 fn ready(record: &ReplicaRecord) -> bool {
     record.state == ReplicaState::Ready
 }
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -164,7 +164,8 @@
         }
     }
 
-    fn follow(&self) {
+    /// Takes up what the view holds now.
+    pub(crate) fn follow(&self) {
         let view = self.mirror.view();
         self.fleet.set_groups(view.stores.groups.len());
         self.fleet
--- a/crates/stageyoke-front/src/list_report.rs
+++ b/crates/stageyoke-front/src/list_report.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use stageyoke_directory::{ReplicaRecord, ReplicaStart};
 use stageyoke_observe as observe;
 use stageyoke_types::{Event, Text};
 
@@ -59,6 +60,23 @@
     observe::event(Event::ReplicasChanged, &detail);
 }
 
+/// Tells that a replica is listed as another incarnation.
+pub(crate) fn restarted(id: &Text, before: &ReplicaRecord, after: &ReplicaRecord) {
+    let detail = format!(
+        "replica={id} before=[{}] after=[{}]",
+        incarnation(before),
+        incarnation(after)
+    );
+    observe::event(Event::ReplicaRestarted, &detail);
+}
+
+fn incarnation(record: &ReplicaRecord) -> String {
+    let ReplicaStart { born, orders } = record.start;
+    let number = |number: Option<u64>| number.map_or_else(|| "none".to_owned(), |n| n.to_string());
+    let (born, orders) = (number(born), number(orders));
+    format!("address={} born={born} orders={orders}", record.address)
+}
+
 fn named(replicas: &[Text]) -> String {
     let names: Vec<&str> = replicas.iter().take(NAMED).map(Text::as_str).collect();
     let others = replicas.len() - names.len();
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use super::processes::{MEMORY_MB, Process, ProcessRole, Shared};
 use super::promises::Promises;
 use super::proxy::Proxy;
+use super::replicas::unix_milliseconds;
 use super::slopes::Lives;
 use crate::standins::platform::replica::{ReplicaStandIn, ReplicaTrouble};
 use crate::standins::platform::store::PlatformStoreStandIn;
@@ -112,7 +114,7 @@
     shared: Shared,
     machines: Machines,
     stores_named: usize,
-    replicas: Vec<Arc<ReplicaStandIn>>,
+    pub(super) replicas: Vec<Arc<ReplicaStandIn>>,
     _servers: Vec<StandInServer>,
     folder: TempDir,
 }
@@ -150,6 +152,7 @@
                 model: number < MODELS,
                 trouble: trouble.clone(),
                 promises: promises.clone(),
+                born: AtomicU64::new(unix_milliseconds()),
                 leaving_since: Mutex::default(),
             });
             let server = serve(replica.clone(), None).await?;
@@ -280,6 +283,25 @@
         replica.leaves(true);
     }
 
+    /// A replica's entry goes without a word, and it serves on.
+    pub fn replica_goes(&self, number: usize) {
+        let replica = &self.replicas[number];
+        self.service.remove(&entry_key(&replica.id));
+        replica.leaves(true);
+    }
+
+    /// Another writer puts this in place of a replica's entry, which names none then.
+    pub fn replica_is_spoilt(&self, number: usize, value: &[u8]) {
+        let replica = &self.replicas[number];
+        self.put_entry(&replica.id, value);
+        replica.leaves(true);
+    }
+
+    /// Writes an entry as it is.
+    pub fn put_entry(&self, id: &str, value: &[u8]) {
+        self.service.put(&entry_key(id), value);
+    }
+
     /// Another takes its place.
     pub fn replica_returns(&self, number: usize) {
         let replica = &self.replicas[number];
@@ -332,7 +354,11 @@
         "Service": if replica.model { "models" } else { "tools" },
         "Addr": address, "Zone": "lab", "Version": "v1",
         "Slots": 12, "State": state, "ColdLeftMs": 0, "CallSeq": 1,
+        "born": replica.born.load(Ordering::Relaxed),
     });
-    let key = format!("{}{}", names::SERVERS, replica.id);
-    service.put(&key, entry.to_string().as_bytes());
+    service.put(&entry_key(&replica.id), entry.to_string().as_bytes());
+}
+
+fn entry_key(id: &str) -> String {
+    format!("{}{id}", names::SERVERS)
 }
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -60,11 +60,17 @@
     /// A store hears nothing from the other stores, or they hear no answers of it;
     /// fronts reach it, and it reaches them.
     SilenceBetweenStores,
+    /// A front is cut off from everything, and a replica leaves meanwhile.
+    CutFront,
+    /// A replica starts again under its identifier, at another address.
+    RestartReplica,
+    /// Another writer spoils entries of the replica list.
+    SpoilEntries,
 }
 
 /// Kinds that strike where none is named; new ones come last, as cases draw from
 /// the first of them.
-pub const FAULTS: [Fault; 18] = [
+pub const FAULTS: [Fault; 21] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -83,6 +89,9 @@
     Fault::ReplaceReplicas,
     Fault::TroubleServiceForSome,
     Fault::SilenceBetweenStores,
+    Fault::CutFront,
+    Fault::RestartReplica,
+    Fault::SpoilEntries,
 ];
 
 /// Kinds that strike only where they are named.
@@ -183,6 +192,9 @@
                 self.silence_between_stores(store - self.size.fronts, random, lasting)
                     .await
             }
+            Fault::CutFront => self.cut_front_off(front, random).await,
+            Fault::RestartReplica => self.restart_replica(random).await,
+            Fault::SpoilEntries => self.spoil_entries(random).await,
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.disturbs() {
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -13,6 +13,7 @@
 pub mod processes;
 pub mod promises;
 pub mod proxy;
+pub mod replicas;
 pub mod slopes;
 
 use std::path::{Path, PathBuf};
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -80,6 +80,8 @@
 pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Before which address it stands.
+    pub target: SocketAddr,
     /// What it does.
     pub weather: Arc<Weather>,
     task: AbortHandle,
@@ -110,6 +112,7 @@
         .abort_handle();
         Ok(Self {
             address,
+            target,
             weather,
             task,
         })
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -1,7 +1,7 @@
 //! A replica of the platform: streams turns or answers tools, and reports every
 //! run to the promises' record.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -35,7 +35,7 @@
 
 /// One replica.
 pub struct ReplicaStandIn {
-    /// Incarnation.
+    /// Its identifier, which it has again where it starts again.
     pub id: String,
     /// Whether it is a model engine.
     pub model: bool,
@@ -43,6 +43,8 @@
     pub trouble: Arc<ReplicaTrouble>,
     /// Where runs are reported.
     pub promises: Arc<Promises>,
+    /// When it started, in Unix milliseconds.
+    pub born: AtomicU64,
     /// When it said that it leaves.
     pub leaving_since: Mutex<Option<Instant>>,
 }
--- a/crates/stageyoke-lab/tests/soak_checks_test.rs
+++ b/crates/stageyoke-lab/tests/soak_checks_test.rs
@@ -56,6 +56,7 @@
         model: false,
         trouble: Arc::new(ReplicaTrouble::default()),
         promises: promises.clone(),
+        born: Default::default(),
         leaving_since: Mutex::default(),
     });
     let server = serve(replica.clone(), None).await.expect("server");
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -80,4 +80,5 @@
     TenantsUnusual, 808, "info", "Tenants of the configuration hold no key, or have no limit.";
     OldListUsed, 809, "warn", "Requests are placed by a list of replicas that is older than the bound on changes.";
     ReplicasChanged, 810, "info", "Replicas were taken up or are offered nothing more.";
+    ReplicaRestarted, 811, "info", "A replica started again under its identifier; nothing is believed of it that was before.";
 }
