--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -3,10 +3,11 @@
 //! pending watch is no proof that nothing has changed: beside it the service is
 //! asked for an answer as often as the directory's age limits demand.
 
+mod apply;
 mod told;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -190,31 +191,6 @@
         changed != Changed::default()
     }
 
-    fn apply_item(
-        &self,
-        key: &str,
-        item: Option<Item>,
-        revision: u64,
-        changed: &mut Changed,
-    ) -> Update {
-        let value = item.as_ref().map(|item| &item.value);
-        let revision = item.as_ref().map_or(revision, |item| item.revision);
-        let update = self.interpreter.interpret(key, value);
-        if let Some(items) = &self.items
-            && !matches!(update, Update::Ignored)
-        {
-            match item {
-                Some(item) => drop(items.borrow_mut().insert(key.to_owned(), item)),
-                None => drop(items.borrow_mut().remove(key)),
-            }
-        }
-        self.edit(
-            |view, changed| view.apply(update.clone(), revision, changed),
-            changed,
-        );
-        update
-    }
-
     /// The current view.
     pub fn view(&self) -> Rc<View> {
         self.view.borrow().clone()
@@ -467,24 +443,6 @@
         }
     }
 
-    fn apply_changes(&self, changes: Vec<Change>, report: &mut impl FnMut(MirrorEvent)) {
-        let mut changed = Changed::default();
-        for change in changes {
-            self.keep_recent(&change);
-            let (key, item, revision) = match change {
-                Change::Written(item) => (item.key.clone(), Some(item), 0),
-                Change::Removed { key, revision } => (key, None, revision),
-            };
-            let update = self.apply_item(&key, item, revision, &mut changed);
-            if let Update::Unreadable(reason) | Update::Unusable { reason, .. } = update {
-                report(MirrorEvent::Unreadable(reason));
-            }
-        }
-        if changed != Changed::default() {
-            report(MirrorEvent::Changed(changed));
-        }
-    }
-
     async fn read_all(&self, report: &mut impl FnMut(MirrorEvent)) -> Result<u64, KeyValueError> {
         let began = Instant::now();
         let mut pages: Vec<RangePage> = Vec::new();
@@ -513,52 +471,4 @@
         self.apply_pages(pages, report);
         Ok(revision)
     }
-
-    /// Keeps a change to hand it on, where items are kept.
-    fn keep_recent(&self, change: &Change) {
-        if self.items.is_some() {
-            self.recent.borrow_mut().push(change.clone());
-        }
-    }
-
-    fn apply_pages(&self, pages: Vec<RangePage>, report: &mut impl FnMut(MirrorEvent)) {
-        let mut changed = Changed::default();
-        let mut replicas = BTreeSet::new();
-        let mut retirements = BTreeSet::new();
-        let mut keys: BTreeSet<String> = BTreeSet::new();
-        let revision = pages.first().map_or(0, |page| page.revision);
-        self.recent.borrow_mut().restart(revision);
-        for item in pages.into_iter().flat_map(|page| page.items) {
-            let key = item.key.clone();
-            keys.insert(key.clone());
-            match self.apply_item(&key, Some(item), 0, &mut changed) {
-                Update::Replica { id, .. } => drop(replicas.insert(id)),
-                Update::Retire { node, .. } => drop(retirements.insert(node)),
-                Update::Unreadable(reason) | Update::Unusable { reason, .. } => {
-                    report(MirrorEvent::Unreadable(reason));
-                }
-                _ => {}
-            }
-        }
-        if let Some(items) = &self.items {
-            items.borrow_mut().retain(|key, _| keys.contains(key));
-        }
-        self.edit(
-            |view, changed| view.retain_seen(&replicas, &retirements, changed),
-            &mut changed,
-        );
-        if changed != Changed::default() {
-            report(MirrorEvent::Changed(changed));
-        }
-    }
-
-    fn edit(&self, change: impl FnOnce(&mut View, &mut Changed), changed: &mut Changed) {
-        let mut slot = self.view.borrow_mut();
-        change(Rc::make_mut(&mut slot), changed);
-        drop(slot);
-        if *changed != Changed::default() {
-            self.changes.set(self.changes.get() + 1);
-            self.changed.notify_waiters();
-        }
-    }
 }
