Short absences count too where the bound on changes is long

Cause: with bounds of 3 and 4 s an absence had to last 0.9 of the bound to be told from the calm, and a front that asked nobody meanwhile had no failure to count from: entries that ran out in 2.4 to 3.6 s were dropped at once there. Change: two heartbeats, or somewhat more than answers are apart in calm, make an absence; entries may be used, at any rate, for 0.9 of the bound after they were last known to hold, as before.

--- a/crates/stageyoke-directory/src/absence.rs
+++ b/crates/stageyoke-directory/src/absence.rs
@@ -27,26 +27,44 @@
 pub struct Absence {
     /// The last moment before it for which anybody had an answer.
     pub known_until: Instant,
-    /// A moment in it after which the service returned, as late as is known.
-    pub returned_after: Instant,
     /// The first moment after it for which the service's state is known.
     pub ended_by: Instant,
+    /// When the last exchange in it began that failed: the service returned after it.
+    pub failed_at: Option<Instant>,
     /// Whether another process was heard meanwhile that had no answer either.
     pub witnessed: bool,
 }
 
-impl Absence {
-    /// Until when entries that ran out in it may come back. Learning late shortens
-    /// that: it lies within `BACK_WITHIN` of the service's return.
-    pub fn entries_back_until(&self) -> Instant {
-        self.returned_after + BACK_WITHIN
+/// How an absence is told from the calm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AbsenceLimits {
+    /// Pause between two heartbeats of those who write entries.
+    pub heartbeat: Duration,
+    /// Longest time that passes in calm between two answers.
+    pub usual: Duration,
+    /// How long entries may be used, at any rate, after they were last known to hold.
+    pub usable_for: Duration,
+}
+
+impl AbsenceLimits {
+    fn shortest(&self) -> Duration {
+        self.usual.max(self.heartbeat * HEARTBEATS_TO_RUN_OUT)
+    }
+
+    /// Until when entries that ran out in an absence may come back. Learning late
+    /// shortens that: it lies within `BACK_WITHIN` of the service's return, or within
+    /// the bound on changes of when they were last known to hold.
+    pub fn entries_back_until(&self, absence: &Absence) -> Instant {
+        let at_any_rate = absence.known_until + self.usable_for;
+        let after_return = absence.failed_at.map(|failed| failed + BACK_WITHIN);
+        after_return.map_or(at_any_rate, |until| until.max(at_any_rate))
     }
 }
 
 /// Finds absences in what a process sees and hears.
 #[derive(Clone, Copy, Debug)]
 pub struct AbsenceWatch {
-    shortest: Duration,
+    limits: AbsenceLimits,
     answered_at: Option<Instant>,
     witnessed_at: Option<Instant>,
     failed_at: Option<Instant>,
@@ -54,11 +72,10 @@
 }
 
 impl AbsenceWatch {
-    /// Nothing was seen yet. Entries are renewed with this pause; in calm nobody is
-    /// without an answer for as long as `usual`.
-    pub fn new(heartbeat: Duration, usual: Duration) -> Self {
+    /// Nothing was seen yet.
+    pub fn new(limits: AbsenceLimits) -> Self {
         Self {
-            shortest: usual.max(heartbeat * HEARTBEATS_TO_RUN_OUT),
+            limits,
             answered_at: None,
             witnessed_at: None,
             failed_at: None,
@@ -66,14 +83,19 @@
         }
     }
 
+    /// How an absence is told from the calm.
+    pub fn limits(&self) -> AbsenceLimits {
+        self.limits
+    }
+
     /// What this process asked the service at that moment failed.
     pub fn note_failed(&mut self, asked_at: Instant) {
         self.failed_at = self.failed_at.max(Some(asked_at));
         // What was asked before the end may fail after others had an answer.
         if let Some(absence) = &mut self.absence
-            && asked_at < absence.ended_by
+            && (absence.known_until..absence.ended_by).contains(&asked_at)
         {
-            absence.returned_after = absence.returned_after.max(asked_at);
+            absence.failed_at = absence.failed_at.max(Some(asked_at));
         }
     }
 
@@ -87,12 +109,12 @@
         let Some(known_until) = before else {
             return;
         };
-        if at.saturating_duration_since(known_until) >= self.shortest {
-            let failed_at = self.failed_at.filter(|failed| *failed < at);
+        if at.saturating_duration_since(known_until) >= self.limits.shortest() {
+            let within = |failed: &Instant| (known_until..at).contains(failed);
             self.absence = Some(Absence {
                 known_until,
                 ended_by: at,
-                returned_after: known_until.max(failed_at.unwrap_or(known_until)),
+                failed_at: self.failed_at.filter(within),
                 witnessed: self.witnessed_at.is_some_and(|heard| heard > known_until),
             });
         }
@@ -104,7 +126,7 @@
         let without = self
             .answered_at
             .map(|known| now.saturating_duration_since(known));
-        if without >= Some(self.shortest) {
+        if without >= Some(self.limits.shortest()) {
             self.witnessed_at = Some(now);
         }
     }
--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::absence::{Absence, AbsenceWatch};
+use crate::absence::{Absence, AbsenceLimits, AbsenceWatch};
 
 /// Part of the bound on changes after which an answer is asked for.
 const RENEW_PART: f64 = 0.6;
@@ -20,6 +20,8 @@
 /// Part of the bound that one such answer may take; with the part above it
 /// leaves a tenth of the bound for a request's way to its replica.
 const ANSWER_PART: f64 = 0.3;
+/// Part of the time for an answer that one takes at most in calm.
+const USUAL_ANSWER_PART: f64 = 0.33;
 /// Part of the bound beyond which a request waits for a younger directory.
 const ACT_PART: f64 = 0.8;
 /// Part of the bound that lies at most between two tries to reach the service.
@@ -63,11 +65,13 @@
 }
 
 impl AgeLimits {
-    /// Finds absences of the service, where entries are renewed with this pause. In
-    /// calm the service's answers are no older than they get until one is asked for
-    /// and has come.
+    /// Finds absences of the service, where entries are renewed with this pause.
     fn absence_watch(&self, heartbeat: Duration) -> AbsenceWatch {
-        AbsenceWatch::new(heartbeat, self.renew_after + self.answer_within)
+        AbsenceWatch::new(AbsenceLimits {
+            heartbeat,
+            usual: self.renew_after + self.answer_within.mul_f64(USUAL_ANSWER_PART),
+            usable_for: self.act_within + self.answer_within.mul_f64(USUAL_ANSWER_PART),
+        })
     }
 }
 
@@ -182,22 +186,23 @@
     /// Until when entries that are missing may come back, since the service was away;
     /// `None` where they have ended. The service has just answered as of that moment.
     pub fn entries_back_until(&self, as_of: Instant) -> Option<Instant> {
-        let absence = self.absence_until(as_of)?;
-        let until = absence.entries_back_until();
+        let (absence, until) = self.absence_until(as_of)?;
         (absence.witnessed && until > Instant::now()).then_some(until)
     }
 
     /// The same where another process has told until when it takes them to come back:
     /// not beyond what this one knows, had it an answer meanwhile or had it none.
     pub fn told_entries_back_until(&self, as_of: Instant, told: Instant) -> Option<Instant> {
-        let absence = self.absence_until(as_of)?;
-        let until = absence.entries_back_until().min(told);
+        let (_, until) = self.absence_until(as_of)?;
+        let until = until.min(told);
         (until > Instant::now()).then_some(until)
     }
 
-    fn absence_until(&self, as_of: Instant) -> Option<Absence> {
+    fn absence_until(&self, as_of: Instant) -> Option<(Absence, Instant)> {
         self.watch_absence(|absence| absence.note_answered(as_of));
-        self.absence.get().last()
+        let watch = self.absence.get();
+        let absence = watch.last()?;
+        Some((absence, watch.limits().entries_back_until(&absence)))
     }
 
     /// Another process was heard, which last had an answer of the service then.
