--- a/crates/stageyoke-front/tests/left_replica_test.rs
+++ b/crates/stageyoke-front/tests/left_replica_test.rs
@@ -27,10 +27,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use list::{record, table};
+use list::Words;
 use stageyoke_directory::{
-    Change, Interpreter, Item, KeyValueError, KeyValueService, Mirror, RangePage, Transaction,
-    TransactionOutcome, Update, WatchOutcome, Write,
+    Change, Item, KeyValueError, KeyValueService, Mirror, RangePage, Transaction,
+    TransactionOutcome, WatchOutcome,
 };
 use stageyoke_front::{FrontListeners, FrontSettings};
 use stageyoke_types::Text;
@@ -133,38 +133,6 @@
     }
 }
 
-/// Reads `replica-N`, whose value is its address, and `routes`.
-struct Words;
-
-impl Interpreter for Words {
-    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
-        let text = value.and_then(|value| std::str::from_utf8(value).ok());
-        match (key, text) {
-            ("routes", Some(_)) => Update::Routes(table()),
-            ("routes", None) => Update::Ignored,
-            (id, address) => Update::Replica {
-                id: Text::from(id),
-                record: address.map(record),
-            },
-        }
-    }
-    fn prefix(&self) -> &str {
-        ""
-    }
-    fn routes_key(&self) -> &str {
-        "routes"
-    }
-    fn stores_key(&self) -> &str {
-        "members"
-    }
-    fn registration(&self, _: &stageyoke_directory::Member) -> Write {
-        unreachable!("no store runs here")
-    }
-    fn retirement_report(&self, _: &str, _: bool) -> Write {
-        unreachable!("no store runs here")
-    }
-}
-
 /// A replica that answers everything, and remembers when it was asked.
 struct Replica {
     address: SocketAddr,
--- a/crates/stageyoke-front/tests/list_end/world.rs
+++ b/crates/stageyoke-front/tests/list_end/world.rs
@@ -6,10 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use stageyoke_directory::{
-    Acceptable, DirectoryRelay, DirectorySource, Freshness, Interpreter, Member, Mirror, Relayed,
-    Telling, ToldChanges, ToldItems, ToldRoutes, Update, Write,
+    Acceptable, DirectoryRelay, DirectorySource, Freshness, Mirror, Relayed, Telling, ToldChanges,
+    ToldItems, ToldRoutes,
 };
 use stageyoke_front::fleet::{Fleet, Wanted};
 use stageyoke_front::placement::Candidate;
@@ -18,51 +17,38 @@
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
-use crate::list::{record, table};
+use crate::list::Words;
 use crate::service::{Link, Service};
 
-/// Time in which a change of the list must be in force.
-pub const BOUND: Duration = Duration::from_secs(2);
-/// Pause between two heartbeats of a replica.
-pub const HEARTBEAT: Duration = Duration::from_millis(700);
+/// What a deployment's settings say of time.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Time in which a change of the list must be in force.
+    pub bound: Duration,
+    /// Pause between two heartbeats of a replica.
+    pub heartbeat: Duration,
+    /// Time from which a process that returned is bound again.
+    pub in_touch_after: Duration,
+}
+
+/// The tightest deployments'.
+pub const TIGHT: Times = Times {
+    bound: Duration::from_secs(2),
+    heartbeat: Duration::from_millis(700),
+    in_touch_after: Duration::from_secs(3),
+};
+/// The widest deployments'.
+pub const WIDE: Times = Times {
+    bound: Duration::from_secs(4),
+    heartbeat: Duration::from_millis(1_200),
+    in_touch_after: Duration::from_secs(5),
+};
 /// Pause between two rounds in which the stores of a group hear one another.
 const ROUND_PAUSE: Duration = Duration::from_millis(1_000);
 const WAY: Duration = Duration::from_millis(1);
 
 type Follower = Mirror<Link, Words>;
 
-/// Reads `replica-N`, whose value is its address, and `routes`.
-pub struct Words;
-
-impl Interpreter for Words {
-    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
-        let text = value.and_then(|value| std::str::from_utf8(value).ok());
-        match (key, text) {
-            ("routes", Some(_)) => Update::Routes(table()),
-            ("routes", None) => Update::Ignored,
-            (id, address) => Update::Replica {
-                id: Text::from(id),
-                record: address.map(record),
-            },
-        }
-    }
-    fn prefix(&self) -> &str {
-        ""
-    }
-    fn routes_key(&self) -> &str {
-        "routes"
-    }
-    fn stores_key(&self) -> &str {
-        "members"
-    }
-    fn registration(&self, _: &Member) -> Write {
-        unreachable!("the stores of this world register nowhere")
-    }
-    fn retirement_report(&self, _: &str, _: bool) -> Write {
-        unreachable!("the stores of this world stay")
-    }
-}
-
 /// A front's ways to the stores, which it asks one after the other.
 struct Ways {
     stores: Vec<Rc<Follower>>,
@@ -127,14 +113,14 @@
 }
 
 impl Front {
-    fn start(service: &Rc<Service>, stores: Vec<Rc<Follower>>) -> Self {
+    fn start(times: Times, service: &Rc<Service>, stores: Vec<Rc<Follower>>) -> Self {
         let cut: Rc<Cell<bool>> = Rc::default();
         let link = Link {
             service: service.clone(),
             cut: cut.clone(),
         };
-        let mirror = Mirror::new(link, Words).bounded(BOUND);
-        let mirror = mirror.with_heartbeat(HEARTBEAT);
+        let mirror = Mirror::new(link, Words).bounded(times.bound);
+        let mirror = mirror.with_heartbeat(times.heartbeat);
         let ways = Ways {
             stores: stores.clone(),
             cut: cut.clone(),
@@ -212,7 +198,7 @@
 
 impl World {
     /// Starts everything with these replicas listed, and waits until it is calm.
-    pub async fn start(replicas: usize) -> Self {
+    pub async fn start(times: Times, replicas: usize) -> Self {
         let service = Rc::new(Service::default());
         service.write("routes", Some("1"));
         for number in 0..replicas {
@@ -226,8 +212,8 @@
                 service: service.clone(),
                 cut: cut.clone(),
             };
-            let store = Mirror::keeping_items(link, Words).bounded(BOUND);
-            let store = Rc::new(store.with_heartbeat(HEARTBEAT));
+            let store = Mirror::keeping_items(link, Words).bounded(times.bound);
+            let store = Rc::new(store.with_heartbeat(times.heartbeat));
             let following = store.clone();
             tokio::task::spawn_local(async move { following.run(|_| {}).await });
             stores.push(store);
@@ -237,9 +223,9 @@
         let mut turned = stores.clone();
         turned.reverse();
         let fronts = [stores, turned]
-            .map(|stores| Rc::new(Front::start(&service, stores)))
+            .map(|stores| Rc::new(Front::start(times, &service, stores)))
             .into();
-        tokio::time::sleep(BOUND).await;
+        tokio::time::sleep(times.bound).await;
         Self {
             service,
             store_cuts,
--- a/crates/stageyoke-front/tests/list_end_test.rs
+++ b/crates/stageyoke-front/tests/list_end_test.rs
@@ -3,9 +3,9 @@
 //! that are turned away, and histories that are forgotten, in any order.
 //!
 //! The sum that must hold: a front learns of a change within the bound while it is in
-//! touch, and within `LEARNS_WITHIN` of its return otherwise; entries that may have run
-//! out in an absence of the service are used until 2.7 s after its return at the most.
-//! Both lie within the 3 s from which a front that returned counts as in touch.
+//! touch, and within 1.15 of it from its return otherwise; entries that may have run out
+//! in an absence of the service are used until 2.7 s after its return at the most. Both
+//! lie within the time from which a front that returned counts as in touch.
 
 #[path = "support/list.rs"]
 mod list;
@@ -22,21 +22,17 @@
 use stageyoke_directory::absence::BACK_WITHIN;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
-use world::{BOUND, Front, HEARTBEAT, World, address_of, key_of};
+use world::{Front, TIGHT, Times, WIDE, World, address_of, key_of};
 
-/// Time from which a front that returned, or any after the service's return, is bound
-/// by the rule on replicas that left.
-const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
 /// What passes between a moment and the next look at the fronts.
 const LOOK: Duration = Duration::from_millis(20);
-/// Longest time from a front's return until it has the list: one round of questions to
-/// the stores (0.3 of the bound), one patient one to the service (0.6), one pause
-/// (0.25), and the round that succeeds. `BACK_WITHIN` bounds the use of a lapse to the
-/// same time after the service's return.
-const LEARNS_WITHIN: Duration = BACK_WITHIN.saturating_add(LOOK.saturating_mul(2));
-/// Entries that ran out are back so long after the service: a heartbeat, and the call
+/// Parts of the bound from a front's return until it has the list, at the longest: one
+/// round of questions to the stores (0.3), one patient one to the service (0.6), one
+/// pause (0.25).
+const LEARNS_PART: f64 = 1.15;
+/// Entries that ran out are back so long after the service beyond a heartbeat: the call
 /// that writes the entry.
-const BACK: Duration = Duration::from_millis(1_200);
+const WRITTEN_WITHIN: Duration = Duration::from_millis(500);
 const REPLICAS: usize = 3;
 
 /// One thing that happens, a while after the one before.
@@ -72,6 +68,7 @@
 
 /// What has happened so far.
 struct Play {
+    times: Times,
     world: World,
     /// When each replica left, as the service acknowledged it.
     left_at: RefCell<Vec<Option<Instant>>>,
@@ -86,9 +83,10 @@
 }
 
 impl Play {
-    async fn start(steps: Vec<Step>) -> Rc<Self> {
+    async fn start(times: Times, steps: Vec<Step>) -> Rc<Self> {
         let play = Rc::new(Self {
-            world: World::start(REPLICAS).await,
+            times,
+            world: World::start(times, REPLICAS).await,
             left_at: RefCell::new(vec![None; REPLICAS]),
             disturbed_at: vec![Cell::new(None), Cell::new(None)],
             away: Cell::new(false),
@@ -130,15 +128,22 @@
         }
     }
 
+    /// Longest time from a front's return, or the service's, until what left meanwhile
+    /// gets nothing more.
+    fn dropped_within(&self) -> Duration {
+        let learns_within = self.times.bound.mul_f64(LEARNS_PART);
+        learns_within.max(BACK_WITHIN) + LOOK * 2
+    }
+
     fn check(&self, number: usize) {
         let now = Instant::now();
         let offered = self.front(number).offered();
         let disturbed_at = self.disturbed_at[number].get();
-        let calm = disturbed_at.is_none_or(|at| now > at + IN_TOUCH_AFTER);
-        let learned = disturbed_at.is_none_or(|at| now > at + LEARNS_WITHIN);
+        let calm = disturbed_at.is_none_or(|at| now > at + self.times.in_touch_after);
+        let learned = disturbed_at.is_none_or(|at| now > at + self.dropped_within());
         for (replica, left_at) in self.left_at.borrow().iter().enumerate() {
             let Some(left_at) = left_at else { continue };
-            let long_gone = now > *left_at + BOUND;
+            let long_gone = now > *left_at + self.times.bound;
             let used = offered.contains(&key_of(replica));
             let wrong = used && long_gone && (calm || learned);
             if wrong && self.breach.borrow().is_none() {
@@ -159,7 +164,7 @@
         for step in &self.steps {
             self.take(*step).await;
         }
-        tokio::time::sleep(IN_TOUCH_AFTER * 2).await;
+        tokio::time::sleep(self.times.in_touch_after * 2).await;
         assert_eq!(*self.breach.borrow(), None);
     }
 
@@ -197,7 +202,7 @@
         self.away.set(true);
         self.world.service.set_away(true);
         tokio::time::sleep(span).await;
-        let run_out = span >= HEARTBEAT * 3;
+        let run_out = span >= self.times.heartbeat * 3;
         let living = |replica: &usize| self.left_at.borrow()[*replica].is_none();
         let lapsed: Vec<usize> = (0..REPLICAS).filter(living).filter(|_| run_out).collect();
         for replica in &lapsed {
@@ -207,7 +212,7 @@
         self.away.set(false);
         let cuts = self.world.store_cuts.iter().filter(|cut| cut.get());
         self.still_away.borrow_mut().extend(cuts.cloned());
-        tokio::time::sleep(BACK).await;
+        tokio::time::sleep(self.times.heartbeat + WRITTEN_WITHIN).await;
         for replica in lapsed {
             let address = address_of(replica);
             self.world.service.write(&key_of(replica), Some(&address));
@@ -238,9 +243,10 @@
     #[test]
     fn nobody_in_touch_uses_a_replica_that_left(
         steps in proptest::collection::vec(step(), 1..12),
+        times in proptest::sample::select(vec![TIGHT, WIDE]),
     ) {
         in_virtual_time(async move {
-            Play::start(steps).await.run().await;
+            Play::start(times, steps).await.run().await;
         });
     }
 }
@@ -257,7 +263,7 @@
     let used_for = BACK_WITHIN - FAILS_WITHIN - LOOK;
     for milliseconds in [2_200, 3_000, 4_500, 6_000, 9_000] {
         in_virtual_time(async move {
-            let play = Play::start(vec![Step::Away { milliseconds }]).await;
+            let play = Play::start(TIGHT, vec![Step::Away { milliseconds }]).await;
             let playing = play.clone();
             tokio::task::spawn_local(async move { playing.run().await });
             let returns_at = Instant::now() + Duration::from_millis(milliseconds);
@@ -272,7 +278,7 @@
                 }
                 tokio::time::sleep(LOOK).await;
             }
-            tokio::time::sleep(BOUND * 2).await;
+            tokio::time::sleep(TIGHT.bound * 2).await;
             for front in &play.world.fronts {
                 assert_eq!(front.offered().len(), REPLICAS, "all are back");
             }
@@ -286,7 +292,7 @@
 fn a_front_that_returns_drops_at_once_what_it_learns_to_be_gone() {
     for milliseconds in [3_000, 4_130, 5_270, 6_410, 10_000] {
         in_virtual_time(async move {
-            let play = Play::start(Vec::new()).await;
+            let play = Play::start(TIGHT, Vec::new()).await;
             play.front(0).cut.set(true);
             tokio::time::sleep(Duration::from_millis(milliseconds / 2)).await;
             play.leave(0);
--- a/crates/stageyoke-front/tests/support/list.rs
+++ b/crates/stageyoke-front/tests/support/list.rs
@@ -1,10 +1,12 @@
-//! One service behind one route, for tests of the replica list.
+//! One service behind one route, and how its entries are read, for tests of the
+//! replica list.
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use stageyoke_directory::{
-    Limits, ReplicaRecord, ReplicaStart, ReplicaState, Route, RouteKind, RouteTable, ServiceSpec,
-    Target,
+    Interpreter, Limits, Member, ReplicaRecord, ReplicaStart, ReplicaState, Route, RouteKind,
+    RouteTable, ServiceSpec, Target, Update, Write,
 };
 use stageyoke_types::Text;
 
@@ -12,7 +14,7 @@
 pub const SERVICE: &str = "service";
 
 /// A ready replica of the service at this address.
-pub fn record(address: &str) -> ReplicaRecord {
+fn record(address: &str) -> ReplicaRecord {
     ReplicaRecord {
         service: Text::from(SERVICE),
         address: Text::from(address),
@@ -24,7 +26,7 @@
 }
 
 /// Requests to `/safe/` go to the service, and may be repeated.
-pub fn table() -> RouteTable {
+fn table() -> RouteTable {
     RouteTable {
         version: 1,
         routes: vec![Route {
@@ -60,3 +62,35 @@
         tenants: None,
     }
 }
+
+/// Reads `replica-N`, whose value is its address, and `routes`.
+pub struct Words;
+
+impl Interpreter for Words {
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
+        let text = value.and_then(|value| std::str::from_utf8(value).ok());
+        match (key, text) {
+            ("routes", Some(_)) => Update::Routes(table()),
+            ("routes", None) => Update::Ignored,
+            (id, address) => Update::Replica {
+                id: Text::from(id),
+                record: address.map(record),
+            },
+        }
+    }
+    fn prefix(&self) -> &str {
+        ""
+    }
+    fn routes_key(&self) -> &str {
+        "routes"
+    }
+    fn stores_key(&self) -> &str {
+        "members"
+    }
+    fn registration(&self, _: &Member) -> Write {
+        unreachable!("no store registers in these tests")
+    }
+    fn retirement_report(&self, _: &str, _: bool) -> Write {
+        unreachable!("no store is retired in these tests")
+    }
+}
