--- a/crates/stageyoke-front/tests/list_end_test.rs
+++ b/crates/stageyoke-front/tests/list_end_test.rs
@@ -11,6 +11,8 @@
 mod list;
 #[path = "list_end/service.rs"]
 mod service;
+#[path = "support/virtual_time.rs"]
+mod virtual_time;
 #[path = "list_end/world.rs"]
 mod world;
 
@@ -20,8 +22,8 @@
 
 use proptest::prelude::*;
 use stageyoke_directory::absence::BACK_WITHIN;
-use tokio::task::LocalSet;
 use tokio::time::Instant;
+use virtual_time::in_virtual_time;
 use world::{Front, TIGHT, Times, WIDE, World, address_of, key_of};
 
 /// What passes between a moment and the next look at the fronts.
@@ -228,15 +230,6 @@
     });
 }
 
-fn in_virtual_time(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(40))]
 
