Version 1 of messages, records and entries is frozen; fields behind messages; builds side by side in the soak

Cause: a frame is a value by position without a version, so that a field added in one build ends each connection with the build before. Machines are replaced one after the other, and builds run side by side meanwhile.

Ruled out: a version in each frame (the build before can't read it); new variants of requests or records (the build before ends the connection, or takes the segment's rest for damage).

Both ends greet with their version in a field behind their first message, which a reader of version 1 leaves; other fields go only to a peer that has greeted. Bytes that can't be read have a line.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -11,6 +11,7 @@
 use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance};
 use stageyoke_policy::retry_budget::RetryBudget;
 use stageyoke_store::Groups;
+use stageyoke_store::extension::describe_build;
 use stageyoke_store::relay::StoreRelay;
 use stageyoke_store::role::report_mirror_event;
 use stageyoke_types::{Event, Text};
@@ -236,7 +237,8 @@
         bootstrap::run(&seeding.mirror, &seeds).await;
         seeding.follow();
     });
-    observe::event(Event::NodeStarted, &format!("node={}", settings.node));
+    let detail = format!("node={} {}", settings.node, describe_build());
+    observe::event(Event::NodeStarted, &detail);
     stop.await;
     front.draining.set(true);
     let detail = format!("under_way={}", front.activity.count());
--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -70,6 +70,10 @@
     /// the program; the one beside this one where none is given
     #[argh(option)]
     program: Option<PathBuf>,
+    /// another build of the program that runs first; machines are moved from it to
+    /// the program one after the other, some 9 seconds each
+    #[argh(option)]
+    upgrade_from: Option<PathBuf>,
 }
 
 /// Tell from fronts' logs which programs ended late, by the window in which they
@@ -238,6 +242,7 @@
     for (seed, faults) in runs {
         let plan = SoakPlan {
             program: program.clone(),
+            upgrade_from: arguments.upgrade_from.clone(),
             seed,
             lasting: Duration::from_secs(arguments.seconds),
             faults,
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -266,6 +266,12 @@
         self.processes[number].start(false)
     }
 
+    /// From its next start on, this process and stores that are new run this program.
+    pub(super) fn use_program(&mut self, number: usize, program: PathBuf) {
+        self.processes[number].run_program(program.clone());
+        self.shared.program = program;
+    }
+
     /// Puts the next configuration in force.
     pub fn reconfigure(&mut self) {
         self.version += 1;
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -15,6 +15,7 @@
 pub mod proxy;
 pub mod replicas;
 pub mod slopes;
+pub mod upgrade;
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 use faults::{FAULTS, Fault};
 use keys::Tenants;
 use promises::{Counts, Promises};
+use upgrade::Upgrade;
 
 /// Callers at once; one for each front where there are more of these.
 const CALLERS: u64 = 8;
@@ -40,6 +42,8 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Time in which all of them are asked for.
 const GO_ON_WITHIN: Duration = Duration::from_secs(90);
+/// Pause between two looks at the time of a run without faults.
+const NO_FAULT: Duration = Duration::from_millis(500);
 /// Budget that never binds, for the turns after the end.
 const FREE_BUDGET: u32 = 1_000_000;
 
@@ -48,6 +52,9 @@
 pub struct SoakPlan {
     /// The program.
     pub program: PathBuf,
+    /// Another build of it that runs first; machines are moved from it one after the
+    /// other.
+    pub upgrade_from: Option<PathBuf>,
     /// Draws callers and faults.
     pub seed: u64,
     /// Time of the run.
@@ -109,7 +116,8 @@
 
 /// Plays a run.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
-    let started = Deployment::start_with(&plan.program, plan.size, plan.catch_up, tenanted);
+    let first = plan.upgrade_from.as_ref().unwrap_or(&plan.program);
+    let started = Deployment::start_with(first, plan.size, plan.catch_up, tenanted);
     let mut deployment = started.await?;
     let began = Instant::now();
     let until = began + plan.lasting;
@@ -134,11 +142,29 @@
     let watching = tokio::spawn(deployment.lives.clone().watch());
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
-    while !plan.faults.is_empty() && Instant::now() < until {
+    let mut upgrade = plan.upgrade_from.clone().map(|first| {
+        let processes = plan.size.processes();
+        Upgrade::draw(first, plan.program.clone(), processes, &mut random)
+    });
+    while Instant::now() < until {
+        if let Some(upgrade) = &mut upgrade
+            && let Some(moved) = deployment.move_next(upgrade, &mut random).await
+        {
+            let at = began.elapsed().as_secs_f64();
+            faults.push(format!("{at:.1} {moved}"));
+        }
+        if plan.faults.is_empty() {
+            tokio::time::sleep(NO_FAULT).await;
+            continue;
+        }
         let strike = deployment.strike(&mut random, &plan.faults).await;
         let at = began.elapsed().as_secs_f64();
         faults.push(format!("{at:.1} {strike}"));
     }
+    if upgrade.as_ref().is_some_and(|upgrade| !upgrade.over()) {
+        let breach = "the run ended before all machines were moved".to_owned();
+        deployment.promises.breach(breach);
+    }
     let mut kept = Vec::new();
     while let Some(turns) = callers.join_next().await {
         kept.extend(turns.unwrap_or_default());
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// It runs this program from its next start on.
+    pub fn run_program(&mut self, program: PathBuf) {
+        self.program = program;
+    }
+
     /// Starts it; `first_start` is true only when the whole system starts for
     /// the first time.
     pub fn start(&mut self, first_start: bool) -> io::Result<()> {
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -78,6 +78,8 @@
     pub turn_bytes: IntGauge,
     /// Entries of all ledgers that a store keeps in memory.
     pub ledger_entries: IntGauge,
+    /// Connections with peers that speak an older version of the messages.
+    pub older_peers: IntGauge,
 }
 
 /// Routes that have a label of their own; the rest share one, since a long
@@ -211,6 +213,10 @@
                 "stageyoke_ledger_entries",
                 "Ledger entries that a store keeps in memory.",
             ),
+            older_peers: gauge(
+                "stageyoke_older_peers",
+                "Connections with peers that speak an older version.",
+            ),
             registry,
         }
     }
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -15,7 +15,8 @@
 use tokio::time::Instant;
 
 use crate::frame::{self, Encoded};
-use crate::message::{Numbered, Reply, Request};
+use crate::message::{Reply, Request};
+use crate::peer_version::PeerVersion;
 use crate::socket;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -154,15 +155,23 @@
         let _sending = AbortOnDrop(tokio::task::spawn_local(async move {
             let _ = frame::write_waiting(writer, outbox).await;
         }));
-        let receiving = receive(reader, pending.clone(), self.last_heard.clone(), ended);
+        let peer = Rc::new(PeerVersion::unknown(self.address.clone()));
+        let receiving = receive(
+            self.address.clone(),
+            reader,
+            peer.clone(),
+            pending.clone(),
+            self.last_heard.clone(),
+            ended,
+        );
         let _receiving = AbortOnDrop(tokio::task::spawn_local(receiving));
         self.last_heard.set(Some(Instant::now()));
-        self.send(first, &pending, &frames);
+        self.send(first, &peer, &pending, &frames);
         loop {
             let silence = self.silence_deadline(&pending);
             tokio::select! {
                 next = self.inbox.recv() => match next {
-                    Some(outgoing) => self.send(outgoing, &pending, &frames),
+                    Some(outgoing) => self.send(outgoing, &peer, &pending, &frames),
                     None => return,
                 },
                 _ = &mut reader_ended => return,
@@ -185,7 +194,13 @@
         heard + SILENCE_LIMIT
     }
 
-    fn send(&mut self, outgoing: Outgoing, pending: &Pending, frames: &UnboundedSender<Vec<u8>>) {
+    fn send(
+        &mut self,
+        outgoing: Outgoing,
+        peer: &PeerVersion,
+        pending: &Pending,
+        frames: &UnboundedSender<Vec<u8>>,
+    ) {
         self.next_number += 1;
         let mut waiting = pending.borrow_mut();
         // Calls whose caller has gone are not waited for.
@@ -194,22 +209,31 @@
             self.owing_since = Instant::now();
         }
         waiting.insert(self.next_number, outgoing.answer);
-        let _ = frames.send(outgoing.request.frame(self.next_number));
+        let frame = outgoing.request.frame(self.next_number, &peer.greet());
+        let _ = frames.send(frame);
     }
 }
 
 async fn receive(
+    address: String,
     reader: OwnedReadHalf,
+    peer: Rc<PeerVersion>,
     pending: Pending,
     last_heard: Rc<Cell<Option<Instant>>>,
     ended: oneshot::Sender<()>,
 ) {
     let mut reader = BufReader::new(reader);
-    while let Ok(reply) = frame::read::<Numbered<Reply>>(&mut reader).await {
+    let error = loop {
+        let received = match frame::read_extended::<Reply>(&mut reader).await {
+            Ok(received) => received,
+            Err(error) => break error,
+        };
         last_heard.set(Some(Instant::now()));
-        if let Some(answer) = pending.borrow_mut().remove(&reply.number) {
-            let _ = answer.send(reply.content);
+        peer.hear(&received.extensions);
+        if let Some(answer) = pending.borrow_mut().remove(&received.message.number) {
+            let _ = answer.send(received.message.content);
         }
-    }
+    };
+    frame::report_end(&address, &error);
     let _ = ended.send(());
 }
--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -1,25 +1,40 @@
-//! Frames on a connection: a length and a binary message.
+//! Frames on a connection: a length, a binary message, and the fields behind it.
 
 use std::io;
 use std::rc::Rc;
 
 use nanoserde::{DeBin, SerBin};
+use stageyoke_observe as observe;
+use stageyoke_types::Event;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::extension::Extensions;
+use crate::message::Numbered;
+
 const LENGTH_BYTES: usize = 4;
 /// Longest frame accepted.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
 /// Encodes one message as a frame.
 pub fn encode<T: SerBin>(message: &T) -> Vec<u8> {
+    encode_extended(message, &Extensions::default())
+}
+
+/// Encodes one message as a frame, with fields behind it.
+pub fn encode_extended<T: SerBin>(message: &T, extensions: &Extensions) -> Vec<u8> {
     let mut bytes = vec![0_u8; LENGTH_BYTES];
     message.ser_bin(&mut bytes);
-    let length = (bytes.len() - LENGTH_BYTES) as u32;
-    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+    extensions.encode(&mut bytes);
+    note_length(&mut bytes);
     bytes
 }
 
+fn note_length(frame: &mut [u8]) {
+    let length = (frame.len() - LENGTH_BYTES) as u32;
+    frame[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+}
+
 /// A message's content, encoded once for several connections.
 #[derive(Clone, Debug)]
 pub struct Encoded(Rc<[u8]>);
@@ -30,18 +45,27 @@
         Self(content.serialize_bin().into())
     }
 
-    /// The frame of this content under a number: what `encode` makes of
-    /// `Numbered`.
-    pub fn frame(&self, number: u64) -> Vec<u8> {
-        let length = size_of::<u64>() + self.0.len();
-        let mut bytes = Vec::with_capacity(LENGTH_BYTES + length);
-        bytes.extend_from_slice(&(length as u32).to_le_bytes());
+    /// The frame of this content under a number, with fields behind it.
+    pub fn frame(&self, number: u64, extensions: &Extensions) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(LENGTH_BYTES + size_of::<u64>() + self.0.len());
+        bytes.extend_from_slice(&[0; LENGTH_BYTES]);
         number.ser_bin(&mut bytes);
         bytes.extend_from_slice(&self.0);
+        extensions.encode(&mut bytes);
+        note_length(&mut bytes);
         bytes
     }
 }
 
+/// A message with the fields behind it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received<T> {
+    /// The message.
+    pub message: Numbered<T>,
+    /// What travelled behind it.
+    pub extensions: Extensions,
+}
+
 /// Writes what waits, all of it in one go. What holds a frame's bytes is dropped
 /// once they are written.
 pub async fn write_waiting<T: AsRef<[u8]>>(
@@ -64,8 +88,27 @@
     Ok(())
 }
 
-/// Reads one frame.
+/// Reads one frame, and leaves what stands behind its message.
 pub async fn read<T: DeBin>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
+    let content = read_content(stream).await?;
+    T::deserialize_bin(&content).map_err(|_| malformed())
+}
+
+/// Reads one frame with the fields behind its message.
+pub async fn read_extended<T: DeBin>(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> io::Result<Received<T>> {
+    let content = read_content(stream).await?;
+    let mut offset = 0;
+    let message = Numbered::de_bin(&mut offset, &content).map_err(|_| malformed())?;
+    let extensions = Extensions::decode(offset, &content).map_err(|_| malformed())?;
+    Ok(Received {
+        message,
+        extensions,
+    })
+}
+
+async fn read_content(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Vec<u8>> {
     let mut prefix = [0_u8; LENGTH_BYTES];
     stream.read_exact(&mut prefix).await?;
     let length = u32::from_le_bytes(prefix) as usize;
@@ -77,6 +120,17 @@
     if content.len() < length {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
-    T::deserialize_bin(&content)
-        .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "malformed frame"))
+    Ok(content)
+}
+
+fn malformed() -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, "malformed frame")
+}
+
+/// Says why a connection with a peer ends, if what came from it could not be read.
+pub fn report_end(peer: &str, error: &io::Error) {
+    if error.kind() == io::ErrorKind::InvalidData {
+        let detail = format!("peer={peer} reason={error}");
+        observe::event(Event::PeerRefused, &detail);
+    }
 }
--- a/crates/stageyoke-store/src/role.rs
+++ b/crates/stageyoke-store/src/role.rs
@@ -22,6 +22,7 @@
 
 use self::report::describe;
 pub use self::report::report_mirror_event;
+use crate::extension::describe_build;
 use crate::formation::{Formation, FormationStep};
 use crate::healing::Healing;
 use crate::keeper::{Keeper, SilentSince};
@@ -155,6 +156,8 @@
         let keeper = Rc::new(keeper.tolerating(settings.quota_tolerance));
         let peers = Rc::new(Peers::new(keeper.clone(), settings.tolerance.clone()));
         let listener = TcpListener::bind(settings.listen).await?;
+        let detail = format!("node={} {}", settings.node, describe_build());
+        observe::event(Event::NodeStarted, &detail);
         tokio::task::spawn_local(server::serve(keeper.clone(), listener));
         let collector = keeper.clone();
         tokio::task::spawn_local(async move { collector.collect(results).await });
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -1,5 +1,6 @@
 //! Answers fronts and other stores over their connections.
 
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -8,9 +9,11 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::frame;
+use crate::extension::Extensions;
+use crate::frame::{self, Received};
 use crate::keeper::Keeper;
 use crate::message::{Numbered, Request};
+use crate::peer_version::PeerVersion;
 use crate::socket;
 
 /// Requests of one connection that are answered at once; more wait in the
@@ -31,18 +34,31 @@
 }
 
 async fn serve_connection(keeper: Rc<Keeper>, stream: TcpStream) {
+    let address = stream
+        .peer_addr()
+        .map_or_else(|error| error.to_string(), |peer| peer.to_string());
+    let peer = Rc::new(PeerVersion::unknown(address.clone()));
     let (reader, writer) = stream.into_split();
     let (replies, outbox) = unbounded_channel();
     let sending = tokio::task::spawn_local(frame::write_waiting(writer, outbox));
     let under_way = Arc::new(Semaphore::new(MOST_UNDER_WAY));
     let mut reader = BufReader::new(reader);
-    while let Ok(request) = frame::read::<Numbered<Request>>(&mut reader).await {
+    let error = loop {
+        let Received {
+            message,
+            extensions,
+        } = match frame::read_extended::<Request>(&mut reader).await {
+            Ok(received) => received,
+            Err(error) => break error,
+        };
+        peer.hear(&extensions);
         let Ok(room) = under_way.clone().acquire_owned().await else {
-            break;
+            break io::ErrorKind::ConnectionAborted.into();
         };
-        let answering = answer_one(keeper.clone(), request, room, replies.clone());
+        let answering = answer_one(keeper.clone(), message, peer.clone(), room, replies.clone());
         tokio::task::spawn_local(answering);
-    }
+    };
+    frame::report_end(&address, &error);
     sending.abort();
 }
 
@@ -62,14 +78,19 @@
 async fn answer_one(
     keeper: Rc<Keeper>,
     request: Numbered<Request>,
+    peer: Rc<PeerVersion>,
     room: OwnedSemaphorePermit,
     replies: UnboundedSender<Outgoing>,
 ) {
     let content = keeper.answer(request.content).await;
+    let extensions = match peer.reads_extensions() {
+        true => peer.greet(),
+        false => Extensions::default(),
+    };
     let reply = Numbered {
         number: request.number,
         content,
     };
-    let bytes = frame::encode(&reply);
+    let bytes = frame::encode_extended(&reply, &extensions);
     let _ = replies.send(Outgoing { bytes, _room: room });
 }
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -2,6 +2,7 @@
 
 use stageyoke_directory::{DirectoryMark, GroupNumber};
 use stageyoke_store::LedgerView;
+use stageyoke_store::extension::Extensions;
 use stageyoke_store::frame::{self, Encoded};
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{
@@ -205,6 +206,6 @@
     for number in [0, 1, u64::MAX] {
         let content = content.clone();
         let whole = frame::encode(&Numbered { number, content });
-        assert_eq!(encoded.frame(number), whole);
+        assert_eq!(encoded.frame(number, &Extensions::default()), whole);
     }
 }
