Programs begin only where engines have room, by counts and an order that all fronts share

Cause: where more programs come than engines can work on, all began; turns waited in the engines' queues until their callers had gone (callers leave a stream that is silent for two seconds), and the queues outlived the burst by ten seconds. Second cause, found by the ranks in the fronts' lines: each tenant of that deployment has rank 1, and engines were told the distance between the tenant's rank and the route's, which put the urgent route (0) behind the other (2): engines took the urgent turns' places for others.

Change: behind its records a front tells stores its turns under way by service and rank; they tell it those of all others (fields behind messages of version 1). While the turns as urgent as a program or more fill the places, a share of first turns is turned away by an order that all fronts share, before anything is reserved; the stores are asked whether a program has begun. Engines are told the order: the tenant's rank, then the route's.

--- a/crates/stageyoke-front/src/access.rs
+++ b/crates/stageyoke-front/src/access.rs
@@ -14,6 +14,10 @@
 
 /// Scheme of the header that carries a key.
 const SCHEME: &str = "bearer";
+/// Ranks of routes that are told apart among tenants of one rank; lower ones go last.
+const RANKS_OF_ROUTES: u8 = 3;
+/// Ranks of tenants that are told apart.
+const MOST_TENANT_RANK: u8 = u8::MAX / RANKS_OF_ROUTES - 1;
 
 /// Whether a front can know that a key still holds: the directory tells when one is
 /// taken away, and may have got old.
@@ -103,21 +107,28 @@
         own.unwrap_or(route.priority)
     }
 
-    /// What an engine is told of a request's urgency; nothing where its tenant has no
-    /// rank of its own. A tenant stands before or behind the others of its route by as
-    /// many steps as its rank differs from the route's. Routes' own ranks are not told:
-    /// engines that went by them served no more in time (`MEASUREMENTS.md`).
+    /// Order of requests among engines' turns; zero goes first. A tenant's rank goes before
+    /// its route's; among tenants of one rank, as where all have the same, the route's
+    /// decides.
+    pub fn order(&self, route: &Route) -> u8 {
+        let own = self.priority(route).min(MOST_TENANT_RANK);
+        own * RANKS_OF_ROUTES + route.priority.min(RANKS_OF_ROUTES - 1)
+    }
+
+    /// What an engine is told of a request's urgency: its order, as far as the engine's
+    /// scale goes; nothing where its tenant has no rank of its own, unless all are
+    /// `ordered`. Told as the distance between the two ranks, one tenant's urgent routes
+    /// went behind its others.
     pub fn urgency(
         &self,
         route: &Route,
         service: &ServiceSpec,
         scale: &UrgencyScale,
+        ordered: bool,
     ) -> Option<u8> {
         service.engine.as_ref()?;
-        let own = self.tenant.as_ref()?.priority?;
-        let steps = i16::from(own) - i16::from(route.priority);
-        let urgency = (i16::from(scale.usual) + steps).clamp(0, i16::from(scale.last));
-        u8::try_from(urgency).ok()
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        (ordered || own.is_some()).then(|| self.order(route).min(scale.last))
     }
 }
 
--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -11,6 +11,7 @@
 };
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use stageyoke_store::load::Ranked;
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
@@ -53,6 +54,8 @@
     pub deadline: Instant,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// For turns at engines: under what they are counted there.
+    pub ranked: Option<Ranked>,
 }
 
 /// An answer whose body is still to be read.
@@ -139,7 +142,7 @@
 
 /// Sends the request to the replica and waits for the head of its answer.
 pub async fn send(outbound: &Outbound, replica: &Rc<Replica>, names: &Names) -> Outcome {
-    let guard = replica.begin();
+    let guard = replica.begin(outbound.ranked);
     let mut request = build(outbound, replica, names);
     loop {
         let limit = replica.rest_limit(outbound.repeatable);
--- a/crates/stageyoke-front/src/fleet.rs
+++ b/crates/stageyoke-front/src/fleet.rs
@@ -167,6 +167,19 @@
         rates.unwrap_or_default().current()
     }
 
+    /// What is under way at all replicas, as this front and others count it.
+    pub fn load(&self) -> &LoadBoard {
+        &self.load
+    }
+
+    /// Requests that a service's replicas work on at once.
+    pub fn places(&self, service: &str) -> u32 {
+        let services = self.services.borrow();
+        let replicas = services.get(service).into_iter().flatten();
+        let taking_work = replicas.filter(|replica| replica.taking_work());
+        taking_work.map(|replica| replica.record.slots).sum()
+    }
+
     /// Chooses a replica of a service with `choose` for a request that may run
     /// more than once or not. Failing replicas only where there is no other.
     pub fn choose(
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -19,6 +19,7 @@
 
 use crate::access::KeyTrust;
 use crate::activity::{Activity, Closing};
+use crate::beginnings::BegunPrograms;
 use crate::bootstrap;
 use crate::fleet::Fleet;
 use crate::history::History;
@@ -64,6 +65,8 @@
     pub key_age_limit: Option<Duration>,
     /// Memory beyond which the process is killed, in bytes.
     pub memory_bytes: u64,
+    /// Whether programs are turned away while engines have no room for them.
+    pub admission_control: bool,
 }
 
 /// Where a front is reached.
@@ -97,6 +100,10 @@
     pub fleet: Fleet,
     /// What answers of plain services take.
     pub usual_times: UsualTimes,
+    /// Whether programs are turned away while engines have no room for them.
+    pub admission_control: bool,
+    /// Programs that have begun.
+    pub begun: BegunPrograms,
     /// Requests that may be tried again since their answer has not come.
     pub retry_budget: Cell<RetryBudget>,
     /// Weighted splits.
@@ -205,6 +212,8 @@
         mirror,
         fleet: Fleet::new(stores.load().clone()),
         usual_times: UsualTimes::default(),
+        admission_control: settings.admission_control,
+        begun: BegunPrograms::default(),
         retry_budget: Cell::default(),
         shares: Shares::new(rand::random()),
         key_trust: KeyTrust::new(settings.change_bound, settings.key_age_limit),
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -11,6 +11,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
 use stageyoke_directory::{Interpreter, KeyValueService, Route, RouteTable, ServiceSpec};
+use stageyoke_store::load::Ranked;
 use stageyoke_store::message::Placement;
 use stageyoke_store::owners::Grant;
 use stageyoke_types::ErrorKind;
@@ -21,6 +22,7 @@
 use crate::admission::Admitted;
 use crate::answer::{self, Failure};
 use crate::attempt::{Outbound, end_to_end_headers, forwarded_headers};
+use crate::beginnings::service_number;
 use crate::body::FrontBody;
 use crate::front::Front;
 use crate::history::Reservation;
@@ -157,7 +159,8 @@
             .path_and_query()
             .cloned()
             .unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let urgency = access.urgency(&route, &service, &self.names.urgency);
+        let ordered = self.admission_control;
+        let urgency = access.urgency(&route, &service, &self.names.urgency, ordered);
         let headers = forwarded_headers(&head.headers, &self.names, &access, urgency)
             .ok_or(Failure::last(ErrorKind::Internal, "tenant_name"))?;
         let kept = KeptIdentifiers::of(&figures, access.tenant.as_ref());
@@ -169,6 +172,10 @@
             body: input.clone(),
             deadline,
             repeatable: route.repeatable(),
+            ranked: service.engine.as_ref().map(|_| Ranked {
+                service: service_number(&service.name),
+                rank: access.order(&route),
+            }),
         };
         let call = Call {
             figures,
@@ -207,6 +214,7 @@
     ) -> Result<Response<FrontBody>, Failure> {
         story.priority = call.access.priority(&call.route);
         let ledger: RefCell<String> = RefCell::default();
+        self.let_begin(&call, story).await?;
         // What the stores answer may show a better one.
         let expected = self.expected_placement(&call);
         let (reservation, transcript) = self.prepare(&call, expected, &ledger, granted).await?;
@@ -232,6 +240,7 @@
             body.extend_from_slice(&call.input);
             call.outbound.body = Bytes::from(body);
         }
+        self.begun.note(&call.kept.program);
         story.offered_after = call.arrived.elapsed().as_millis() as u64;
         let served = self
             .offer(&mut call, story, &mut reservation, expected)
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 pub mod answer;
 pub mod attempt;
+pub mod beginnings;
 pub mod body;
 pub mod bootstrap;
 pub mod engine_rates;
--- a/crates/stageyoke-front/src/names.rs
+++ b/crates/stageyoke-front/src/names.rs
@@ -8,8 +8,6 @@
 pub struct UrgencyScale {
     /// Header that carries it; a caller's own is taken away.
     pub header: HeaderName,
-    /// Urgency of requests that carry none.
-    pub usual: u8,
     /// The highest number, which is the least urgent.
     pub last: u8,
 }
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -7,6 +7,7 @@
 use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
+use stageyoke_store::load::Ranked;
 use stageyoke_types::hash::mix;
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
@@ -104,9 +105,15 @@
     }
 
     /// Counts a request as under way until the guard is dropped.
-    pub fn begin(self: &Rc<Self>) -> InFlight {
+    pub fn begin(self: &Rc<Self>, ranked: Option<Ranked>) -> InFlight {
         self.load.begin(self.short_hash());
-        InFlight(self.clone())
+        if let Some(ranked) = ranked {
+            self.load.begin_ranked(ranked);
+        }
+        InFlight {
+            replica: self.clone(),
+            ranked,
+        }
     }
 
     /// It is given this prompt to read; returns the tokens that it was believed
@@ -258,11 +265,18 @@
 }
 
 /// A request under way at a replica.
-pub struct InFlight(Rc<Replica>);
+pub struct InFlight {
+    replica: Rc<Replica>,
+    ranked: Option<Ranked>,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.load.end(self.0.short_hash());
+        let load = &self.replica.load;
+        load.end(self.replica.short_hash());
+        if let Some(ranked) = self.ranked {
+            load.end_ranked(ranked);
+        }
     }
 }
 
--- a/crates/stageyoke-front/tests/left_replica_test.rs
+++ b/crates/stageyoke-front/tests/left_replica_test.rs
@@ -221,6 +221,7 @@
             change_bound: CHANGE_BOUND,
             key_age_limit: None,
             memory_bytes: 100_000_000,
+            admission_control: false,
         };
         let never = std::future::pending();
         tokio::task::spawn_local(stageyoke_front::run(
--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -2,6 +2,7 @@
 //! of them is trusted any more once a call got no answer: what silenced one may
 //! have silenced all.
 
+pub mod durations;
 mod lenient;
 
 use std::cell::RefCell;
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -52,6 +52,8 @@
     pub quota_untold: IntCounter,
     /// Requests of tenants that ended with a refusal or failure, by tenant and outcome.
     pub tenant_failures: IntCounterVec,
+    /// First turns that were turned away for want of room at engines.
+    pub turned_away: IntCounter,
     /// Connections opened to replicas.
     pub connections_opened: IntCounter,
     /// Requests and streams under way.
@@ -176,6 +178,13 @@
                 "Requests of tenants that ended with status 400 or above.",
                 &["tenant", "outcome"],
             ),
+            turned_away: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_turned_away_total",
+                    "First turns turned away for want of room at engines.",
+                ),
+            ),
             connections_opened: register(
                 &registry,
                 IntCounter::new(
--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! what has passed since the process started.
 
 pub mod bucket;
+pub mod contention;
 pub mod quota;
 pub mod retry_budget;
 pub mod window;
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::extension::Extensions;
 use crate::frame::{self, Encoded};
 use crate::message::{Reply, Request};
 use crate::peer_version::PeerVersion;
@@ -44,11 +45,21 @@
 
 impl std::error::Error for CallError {}
 
-type Pending = Rc<RefCell<HashMap<u64, oneshot::Sender<Reply>>>>;
+/// A reply with the fields behind it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The reply.
+    pub reply: Reply,
+    /// What travelled behind it; nothing from a store that reads no fields.
+    pub extensions: Extensions,
+}
+
+type Pending = Rc<RefCell<HashMap<u64, oneshot::Sender<Answer>>>>;
 
 struct Outgoing {
     request: Encoded,
-    answer: oneshot::Sender<Reply>,
+    extensions: Rc<Extensions>,
+    answer: oneshot::Sender<Answer>,
 }
 
 /// One store, with a connection that is opened when it is first needed.
@@ -92,8 +103,23 @@
         request: Encoded,
         within: Duration,
     ) -> Result<Reply, CallError> {
+        let answer = self.call_extended(request, Rc::default(), within).await?;
+        Ok(answer.reply)
+    }
+
+    /// The same with fields behind the request, which a store that reads none is not sent.
+    pub async fn call_extended(
+        &self,
+        request: Encoded,
+        extensions: Rc<Extensions>,
+        within: Duration,
+    ) -> Result<Answer, CallError> {
         let (answer, reply) = oneshot::channel();
-        let outgoing = Outgoing { request, answer };
+        let outgoing = Outgoing {
+            request,
+            extensions,
+            answer,
+        };
         self.commands
             .send(outgoing)
             .map_err(|_| CallError::NotConnected)?;
@@ -209,7 +235,8 @@
             self.owing_since = Instant::now();
         }
         waiting.insert(self.next_number, outgoing.answer);
-        let frame = outgoing.request.frame(self.next_number, &peer.greet());
+        let extensions = peer.behind(&outgoing.extensions);
+        let frame = outgoing.request.frame(self.next_number, &extensions);
         let _ = frames.send(frame);
     }
 }
@@ -231,7 +258,10 @@
         last_heard.set(Some(Instant::now()));
         peer.hear(&received.extensions);
         if let Some(answer) = pending.borrow_mut().remove(&received.message.number) {
-            let _ = answer.send(received.message.content);
+            let _ = answer.send(Answer {
+                reply: received.message.content,
+                extensions: received.extensions,
+            });
         }
     };
     frame::report_end(&address, &error);
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -7,7 +7,7 @@
 //! only to a peer that has told one.
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
-use stageyoke_types::Blob;
+use stageyoke_types::{Blob, List, Text};
 
 /// The version of a peer that tells none.
 pub const FIRST_VERSION: u16 = 1;
@@ -21,6 +21,10 @@
 
 /// Tags are never used again for other content.
 const VERSION_TAG: u8 = 1;
+const RANK_LOADS_TAG: u8 = 2;
+const PROGRAM_TAG: u8 = 3;
+const BEGUN_TAG: u8 = 4;
+const FRONT_TAG: u8 = 5;
 
 /// One field as it stands behind a message.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -29,11 +33,31 @@
     content: Blob,
 }
 
+/// Turns under way at a service's engines, of one rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct RankLoad {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Their rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Turns.
+    pub under_way: u16,
+}
+
 /// What travels behind a message.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Extensions {
     /// The sender's version; told in the first message of a connection.
     pub version: Option<u16>,
+    /// Behind an append: what this front has under way. Behind the answers to
+    /// reservations and to questions after programs: what all other fronts have.
+    pub rank_loads: Option<List<RankLoad>>,
+    /// Behind a ping: has any turn of this program begun?
+    pub program: Option<Text>,
+    /// Behind the answer to it.
+    pub begun: Option<bool>,
+    /// Behind a ping: the asking front's number, as in its reports.
+    pub front: Option<u32>,
 }
 
 impl Extensions {
@@ -41,12 +65,17 @@
     pub fn greeting() -> Self {
         Self {
             version: Some(VERSION),
+            ..Self::default()
         }
     }
 
     /// Appends the fields that there are.
     pub fn encode(&self, output: &mut Vec<u8>) {
         append(VERSION_TAG, self.version.as_ref(), output);
+        append(RANK_LOADS_TAG, self.rank_loads.as_ref(), output);
+        append(PROGRAM_TAG, self.program.as_ref(), output);
+        append(BEGUN_TAG, self.begun.as_ref(), output);
+        append(FRONT_TAG, self.front.as_ref(), output);
     }
 
     /// Reads all fields to the end; those with an unknown tag are skipped.
@@ -54,8 +83,14 @@
         let mut extensions = Self::default();
         while offset < bytes.len() {
             let field = Field::de_bin(&mut offset, bytes)?;
-            if field.tag == VERSION_TAG {
-                extensions.version = Some(u16::deserialize_bin(&field.content)?);
+            let content = &field.content;
+            match field.tag {
+                VERSION_TAG => extensions.version = Some(DeBin::deserialize_bin(content)?),
+                RANK_LOADS_TAG => extensions.rank_loads = Some(DeBin::deserialize_bin(content)?),
+                PROGRAM_TAG => extensions.program = Some(DeBin::deserialize_bin(content)?),
+                BEGUN_TAG => extensions.begun = Some(DeBin::deserialize_bin(content)?),
+                FRONT_TAG => extensions.front = Some(DeBin::deserialize_bin(content)?),
+                _ => {}
             }
         }
         Ok(extensions)
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -12,7 +12,8 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
 
-use crate::client::{CallError, StoreClient};
+use crate::client::{Answer, CallError, StoreClient};
+use crate::extension::Extensions;
 use crate::frame::Encoded;
 use crate::load::LoadBoard;
 use crate::message::{ChainPart, Placement, Record, Reply, Request};
@@ -21,6 +22,9 @@
 /// How long a member may take before others are asked as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(40);
 
+/// Members that are asked whether a program has begun.
+const ASKED_OF_BEGINNINGS: usize = 2;
+
 /// Pause before a call is repeated on a new connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
@@ -228,6 +232,10 @@
             placement,
             record,
         });
+        let extensions = Rc::new(Extensions {
+            rank_loads: Some(self.shared.load.rank_loads()),
+            ..Extensions::default()
+        });
         for member in members.all() {
             let Some(client) = self.client(&member.node) else {
                 continue;
@@ -236,17 +244,19 @@
             let answers = answers.clone();
             let node = member.node.clone();
             // The append goes on when this caller leaves: copies spread.
+            let extensions = extensions.clone();
             tokio::task::spawn_local(async move {
-                let _ = answers.send((node, call_until(&client, request, within).await));
+                let called = call_until(&client, request, extensions, within);
+                let _ = answers.send((node, called.await));
             });
         }
         drop(answers);
         while let Some(answer) = inbox.recv().await {
-            let (node, Ok(mut reply)) = answer else {
+            let (node, Ok(mut answer)) = answer else {
                 continue;
             };
-            self.hear(&mut reply, reads_ledger, sent);
-            tally.take(&node, reply);
+            self.hear(&mut answer, reads_ledger, sent);
+            tally.take(&node, answer.reply);
             if let Some(newer) = tally.take_newer() {
                 self.take_newer(newer);
             }
@@ -258,10 +268,11 @@
     }
 
     /// Takes what comes along with an answer.
-    fn hear(&self, reply: &mut Reply, reads_ledger: bool, sent: Instant) {
+    fn hear(&self, answer: &mut Answer, reads_ledger: bool, sent: Instant) {
+        self.hear_ranks(&answer.extensions);
         let Reply::Kept {
             others, directory, ..
-        } = reply
+        } = &mut answer.reply
         else {
             return;
         };
@@ -273,6 +284,48 @@
         }
     }
 
+    fn hear_ranks(&self, extensions: &Extensions) {
+        if let Some(rank_loads) = &extensions.rank_loads {
+            self.shared.load.hear_ranks(rank_loads);
+        }
+    }
+
+    /// Whether any turn of a program has begun, by what some members know: the nearest,
+    /// and others, as one may have missed the last records. `None` where none can tell.
+    pub async fn has_begun(&self, program: &Text, within: Duration) -> Option<bool> {
+        let members = self.members();
+        let mut order: Vec<&Member> = members.all().collect();
+        order.sort_by_cached_key(|member| (member.zone != self.shared.zone, rand::random::<u32>()));
+        let extensions = Rc::new(Extensions {
+            program: Some(program.clone()),
+            front: Some(self.shared.load.front()),
+            ..Extensions::default()
+        });
+        let (answers, mut inbox) = unbounded_channel();
+        for member in order.into_iter().take(ASKED_OF_BEGINNINGS) {
+            let Some(client) = self.client(&member.node) else {
+                continue;
+            };
+            let (extensions, answers) = (extensions.clone(), answers.clone());
+            tokio::task::spawn_local(async move {
+                let ping = Encoded::of(&Request::Ping);
+                let called = client.call_extended(ping, extensions, within).await;
+                let _ = answers.send(called.ok().map(|answer| answer.extensions));
+            });
+        }
+        drop(answers);
+        let mut told = None;
+        while let Some(answer) = inbox.recv().await {
+            let answer = answer.unwrap_or_default();
+            self.hear_ranks(&answer);
+            if answer.begun == Some(true) {
+                return answer.begun;
+            }
+            told = told.or(answer.begun);
+        }
+        told
+    }
+
     /// Tells all members something that is only a hint, without waiting.
     pub fn tell(&self, request: &Request, within: Duration) {
         let request = Encoded::of(request);
@@ -385,13 +438,15 @@
 async fn call_until(
     client: &StoreClient,
     request: Encoded,
+    extensions: Rc<Extensions>,
     within: Duration,
-) -> Result<Reply, CallError> {
+) -> Result<Answer, CallError> {
     let deadline = Instant::now() + within;
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
-        let error = match client.call_encoded(request.clone(), left).await {
-            Ok(reply) => return Ok(reply),
+        let called = client.call_extended(request.clone(), extensions.clone(), left);
+        let error = match called.await {
+            Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
         if Instant::now() + RETRY_PAUSE >= deadline {
--- a/crates/stageyoke-store/src/groups.rs
+++ b/crates/stageyoke-store/src/groups.rs
@@ -222,6 +222,12 @@
         outcome
     }
 
+    /// Whether any turn of a program has begun; `None` where no store can tell.
+    pub async fn has_begun(&self, program: &Text, within: Duration) -> Option<bool> {
+        let group = self.group_of(program, "")?;
+        group.has_begun(program, within).await
+    }
+
     /// Tells a program's group that its turn runs there after all.
     pub fn tell_placed(&self, program: &str, turn: &str, placement: Placement) {
         let TurnKey(key) = TurnKey::of(turn);
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -7,6 +7,8 @@
 use stageyoke_types::{List, Text};
 
 use super::Keeper;
+use crate::client::Answer;
+use crate::extension::Extensions;
 use crate::keys::TurnKey;
 use crate::message::{
     ChainPart, JournalPosition, OthersReport, Placement, QuotaAnswer, QuotaQuestion, Record,
@@ -21,6 +23,30 @@
 const TELL_ROUTES_WITHIN: Duration = Duration::from_millis(300);
 
 impl Keeper {
+    /// Answers one request with the fields behind it.
+    pub async fn answer_extended(&self, request: Request, extensions: Extensions) -> Answer {
+        let hears_loads = match &request {
+            Request::Append { load, record, .. } => {
+                let rank_loads = extensions.rank_loads.unwrap_or_default();
+                self.loads.take_ranks(load.front, rank_loads);
+                matches!(record, Record::Reserve { .. }).then_some(load.front)
+            }
+            _ => extensions.front,
+        };
+        let reply = self.answer(request).await;
+        let rank_loads = hears_loads.map(|front| self.loads.ranks_of_others(front));
+        let begun = extensions.program.map(|program| {
+            let entries = self.state.borrow().ledger_entries(&program);
+            entries.iter().any(|entry| entry.amount > 0)
+        });
+        let extensions = Extensions {
+            rank_loads,
+            begun,
+            ..Extensions::default()
+        };
+        Answer { reply, extensions }
+    }
+
     /// Answers one request.
     pub async fn answer(&self, request: Request) -> Reply {
         match request {
--- a/crates/stageyoke-store/src/peer_version.rs
+++ b/crates/stageyoke-store/src/peer_version.rs
@@ -48,11 +48,19 @@
             .is_some_and(|version| version > FIRST_VERSION)
     }
 
-    /// The greeting, for the first message that is sent; a reader of version 1 leaves it.
-    pub fn greet(&self) -> Extensions {
-        match self.greeted.replace(true) {
-            true => Extensions::default(),
-            false => Extensions::greeting(),
+    /// What goes behind a message to the peer: the greeting behind the first one, which
+    /// a reader of version 1 leaves, and these fields if the peer reads any.
+    pub fn behind(&self, fields: &Extensions) -> Extensions {
+        let version = (!self.greeted.replace(true)).then_some(VERSION);
+        match self.reads_extensions() {
+            true => Extensions {
+                version,
+                ..fields.clone()
+            },
+            false => Extensions {
+                version,
+                ..Extensions::default()
+            },
         }
     }
 }
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -44,18 +44,21 @@
     let under_way = Arc::new(Semaphore::new(MOST_UNDER_WAY));
     let mut reader = BufReader::new(reader);
     let error = loop {
-        let Received {
-            message,
-            extensions,
-        } = match frame::read_extended::<Request>(&mut reader).await {
+        let received = match frame::read_extended::<Request>(&mut reader).await {
             Ok(received) => received,
             Err(error) => break error,
         };
-        peer.hear(&extensions);
+        peer.hear(&received.extensions);
         let Ok(room) = under_way.clone().acquire_owned().await else {
             break io::ErrorKind::ConnectionAborted.into();
         };
-        let answering = answer_one(keeper.clone(), message, peer.clone(), room, replies.clone());
+        let answering = answer_one(
+            keeper.clone(),
+            received,
+            peer.clone(),
+            room,
+            replies.clone(),
+        );
         tokio::task::spawn_local(answering);
     };
     frame::report_end(&address, &error);
@@ -77,19 +80,20 @@
 
 async fn answer_one(
     keeper: Rc<Keeper>,
-    request: Numbered<Request>,
+    request: Received<Request>,
     peer: Rc<PeerVersion>,
     room: OwnedSemaphorePermit,
     replies: UnboundedSender<Outgoing>,
 ) {
-    let content = keeper.answer(request.content).await;
+    let Numbered { number, content } = request.message;
+    let answer = keeper.answer_extended(content, request.extensions).await;
     let extensions = match peer.reads_extensions() {
-        true => peer.greet(),
+        true => peer.behind(&answer.extensions),
         false => Extensions::default(),
     };
     let reply = Numbered {
-        number: request.number,
-        content,
+        number,
+        content: answer.reply,
     };
     let bytes = frame::encode_extended(&reply, &extensions);
     let _ = replies.send(Outgoing { bytes, _room: room });
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -10,6 +10,7 @@
 use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
 use stageyoke_store::frame;
 use stageyoke_store::keeper::{Keeper, SilentSince};
+use stageyoke_store::load::Ranked;
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request};
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server;
@@ -461,3 +462,45 @@
     })
     .await;
 }
+
+/// Whether a program has begun is told without a record, and with it what other fronts
+/// have under way.
+#[tokio::test]
+async fn a_front_hears_whether_a_program_has_begun() {
+    local(async {
+        let (stores, group) = group_of(3).await;
+        let other = Groups::new(Text::from("zone"), tolerance());
+        other.follow(&list(&stores));
+        let ranked = Ranked {
+            service: 5,
+            rank: 2,
+        };
+        other.load().begin_ranked(ranked);
+        other.append(reserve("one"), WITHIN).await.expect("kept");
+        // The greeting is heard with the first answer; reports go behind later requests.
+        other.append(reserve("two"), WITHIN).await.expect("kept");
+        group
+            .append(turn("of-another", ""), WITHIN)
+            .await
+            .expect("kept");
+        let asked = Text::from(PROGRAM);
+        assert_eq!(group.has_begun(&asked, WITHIN).await, Some(true));
+        let unknown = Text::from("unknown");
+        assert_eq!(group.has_begun(&unknown, WITHIN).await, Some(false));
+        assert_eq!(group.load().as_urgent(ranked), Some(1));
+        let more_urgent = Ranked { rank: 1, ..ranked };
+        assert_eq!(group.load().as_urgent(more_urgent), Some(0));
+    })
+    .await;
+}
+
+/// Nothing is known where no store answers.
+#[tokio::test]
+async fn without_stores_nothing_is_known_of_a_program() {
+    local(async {
+        let group = Groups::new(Text::from("zone"), tolerance());
+        let asked = Text::from(PROGRAM);
+        assert_eq!(group.has_begun(&asked, SHORT).await, None);
+    })
+    .await;
+}
--- a/crates/stageyoke-types/src/hash.rs
+++ b/crates/stageyoke-types/src/hash.rs
@@ -16,3 +16,9 @@
     let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
 }
+
+/// The place of a hash between 0 and 1, below 1.
+pub fn unit(hash: u64) -> f64 {
+    const BITS: u32 = f64::MANTISSA_DIGITS;
+    (hash >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
+}
