Fronts tell one another how long engines take; plumbing leaves the adapter

Cause: engines of one service are of several builds (0.6, 1.0 and 1.6 of the middle one's time). A front meets each of 60 engines once in some seconds, so in a burst's first seconds all counted as ordinary (slowness 1.02 in the lines of 33 fronts, seconds 0 to 4).

Change: behind appends fronts tell stores the times of turns at engines; stores tell each front once a second at most how far engines lie from the middle, an engine of which little is known being taken for ordinary.

--- a/crates/stageyoke-front/src/engine_rates.rs
+++ b/crates/stageyoke-front/src/engine_rates.rs
@@ -61,6 +61,12 @@
 }
 
 impl TurnTiming {
+    /// How many times as long as at an ordinary engine it took, if it generated anything.
+    pub fn ratio(&self, rates: &CurrentRates) -> Option<f64> {
+        let token = self.token_milliseconds()?;
+        Some(token / rates.token_beside(self.running))
+    }
+
     fn token_milliseconds(&self) -> Option<f64> {
         let tokens = f64::from(self.generated_tokens);
         (tokens > 0.0).then(|| milliseconds(self.generating) / tokens)
@@ -233,10 +239,9 @@
 impl Slowness {
     /// Takes a turn that ran to its end there.
     pub fn note(&mut self, timing: &TurnTiming, rates: &CurrentRates, now: Instant) {
-        let Some(token) = timing.token_milliseconds() else {
+        let Some(ratio) = timing.ratio(rates) else {
             return;
         };
-        let ratio = token / rates.token_beside(timing.running);
         let (least, most) = SLOWNESS_RANGE;
         let seen = ratio.clamp(least, most).log2();
         let before = self.factor(now).log2();
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -67,6 +67,8 @@
     pub memory_bytes: u64,
     /// Whether programs are turned away while engines have no room for them.
     pub admission_control: bool,
+    /// Whether fronts tell one another how long engines take.
+    pub uneven_engines: bool,
 }
 
 /// Where a front is reached.
@@ -204,6 +206,9 @@
 ) -> io::Result<()> {
     let stores = Groups::new(settings.zone.clone(), settings.tolerance.clone());
     let stores = Rc::new(stores.confirming(mirror.freshness().clone()));
+    if settings.uneven_engines {
+        stores.load().tell_engine_paces();
+    }
     let relay = StoreRelay::new(stores.clone(), settings.seeds.clone());
     let mirror = Rc::new(mirror.relayed(Rc::new(relay)));
     let front = Rc::new(Front {
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -154,9 +154,11 @@
         }
     }
 
-    /// Its deviation from the rates of its service's engines.
+    /// Its deviation from the rates of its service's engines: by what all fronts see of
+    /// it, or else this one alone.
     pub fn slowness(&self) -> f64 {
-        self.slowness.get().factor(Instant::now())
+        let told = self.load.engine_times(self.short_hash());
+        told.unwrap_or_else(|| self.slowness.get().factor(Instant::now()))
     }
 
     /// Takes the times of a turn that it ran to the end.
@@ -164,7 +166,11 @@
         let now = Instant::now();
         let mut rates = self.rates.get();
         let mut slowness = self.slowness.get();
-        slowness.note(timing, &rates.current(), now);
+        let current = rates.current();
+        if let Some(ratio) = timing.ratio(&current) {
+            self.load.note_engine_pace(self.short_hash(), ratio);
+        }
+        slowness.note(timing, &current, now);
         rates.note(timing, slowness.factor(now), now);
         self.slowness.set(slowness);
         self.rates.set(rates);
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -509,6 +509,7 @@
         key_age_limit: None,
         memory_bytes: MEMORY_BYTES,
         admission_control,
+        uneven_engines: false,
     };
     let stop = std::future::pending();
     tokio::task::spawn_local(stageyoke_front::run(
--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -3,6 +3,7 @@
 //! have silenced all.
 
 pub mod durations;
+pub mod json_file;
 mod lenient;
 
 use std::cell::RefCell;
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -9,6 +9,8 @@
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use stageyoke_types::{Blob, List, Text};
 
+use crate::message::PaceEntry;
+
 /// The version of a peer that tells none.
 pub const FIRST_VERSION: u16 = 1;
 /// The version that this build speaks: it reads fields behind messages.
@@ -25,6 +27,8 @@
 const PROGRAM_TAG: u8 = 3;
 const BEGUN_TAG: u8 = 4;
 const FRONT_TAG: u8 = 5;
+const ENGINE_PACES_TAG: u8 = 6;
+const DEVIATIONS_TAG: u8 = 7;
 
 /// One field as it stands behind a message.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -44,6 +48,15 @@
     pub under_way: u16,
 }
 
+/// How far an engine lies from the middle of all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Deviation {
+    /// Hash of the replica's identifier.
+    pub replica: u32,
+    /// Hundredths of the logarithm of its time against the middle.
+    pub log_ratio: i16,
+}
+
 /// What travels behind a message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Extensions {
@@ -58,6 +71,10 @@
     pub begun: Option<bool>,
     /// Behind a ping: the asking front's number, as in its reports.
     pub front: Option<u32>,
+    /// Behind an append: times of turns at engines since the group was told last.
+    pub engine_paces: Option<List<PaceEntry>>,
+    /// Behind an answer: engines by what all fronts have told.
+    pub deviations: Option<List<Deviation>>,
 }
 
 impl Extensions {
@@ -76,6 +93,8 @@
         append(PROGRAM_TAG, self.program.as_ref(), output);
         append(BEGUN_TAG, self.begun.as_ref(), output);
         append(FRONT_TAG, self.front.as_ref(), output);
+        append(ENGINE_PACES_TAG, self.engine_paces.as_ref(), output);
+        append(DEVIATIONS_TAG, self.deviations.as_ref(), output);
     }
 
     /// Reads all fields to the end; those with an unknown tag are skipped.
@@ -90,6 +109,10 @@
                 PROGRAM_TAG => extensions.program = Some(DeBin::deserialize_bin(content)?),
                 BEGUN_TAG => extensions.begun = Some(DeBin::deserialize_bin(content)?),
                 FRONT_TAG => extensions.front = Some(DeBin::deserialize_bin(content)?),
+                ENGINE_PACES_TAG => {
+                    extensions.engine_paces = Some(DeBin::deserialize_bin(content)?);
+                }
+                DEVIATIONS_TAG => extensions.deviations = Some(DeBin::deserialize_bin(content)?),
                 _ => {}
             }
         }
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -234,6 +234,7 @@
         });
         let extensions = Rc::new(Extensions {
             rank_loads: Some(self.shared.load.rank_loads()),
+            engine_paces: self.shared.load.engine_paces(self.number),
             ..Extensions::default()
         });
         for member in members.all() {
@@ -288,6 +289,9 @@
         if let Some(rank_loads) = &extensions.rank_loads {
             self.shared.load.hear_ranks(rank_loads);
         }
+        if let Some(deviations) = &extensions.deviations {
+            self.shared.load.hear_deviations(deviations);
+        }
     }
 
     /// Whether any turn of a program has begun, by what some members know: the nearest,
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -25,6 +25,10 @@
 impl Keeper {
     /// Answers one request with the fields behind it.
     pub async fn answer_extended(&self, request: Request, extensions: Extensions) -> Answer {
+        let tells_paces = extensions.engine_paces.is_some();
+        if let Some(paces) = &extensions.engine_paces {
+            self.loads.take_engine_paces(paces);
+        }
         let hears_loads = match &request {
             Request::Append { load, record, .. } => {
                 let rank_loads = extensions.rank_loads.unwrap_or_default();
@@ -35,6 +39,8 @@
         };
         let reply = self.answer(request).await;
         let rank_loads = hears_loads.map(|front| self.loads.ranks_of_others(front));
+        let hears_paces = hears_loads.filter(|_| tells_paces);
+        let deviations = hears_paces.and_then(|front| self.loads.deviations(front));
         let begun = extensions.program.map(|program| {
             let entries = self.state.borrow().ledger_entries(&program);
             entries.iter().any(|entry| entry.amount > 0)
@@ -42,6 +48,7 @@
         let extensions = Extensions {
             rank_loads,
             begun,
+            deviations,
             ..Extensions::default()
         };
         Answer { reply, extensions }
--- a/crates/stageyoke-store/src/load.rs
+++ b/crates/stageyoke-store/src/load.rs
@@ -2,7 +2,7 @@
 //! travels with the records that fronts send to stores anyway, and is a hint:
 //! placement uses it, nothing that must hold depends on it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::time::Duration;
@@ -11,9 +11,9 @@
 use stageyoke_types::List;
 use tokio::time::Instant;
 
-use crate::extension::RankLoad;
-use crate::message::{LoadEntry, LoadReport, OthersReport, Placement, Suspicion};
-use crate::pace::{HeardPaces, Paces, UntoldPaces};
+use crate::extension::{Deviation, RankLoad};
+use crate::message::{LoadEntry, LoadReport, OthersReport, PaceEntry, Placement, Suspicion};
+use crate::pace::{HeardDeviations, HeardPaces, Paces, TellingTimes, UntoldPaces};
 
 /// Replicas in one report.
 pub const MAX_ENTRIES: usize = 64;
@@ -54,6 +54,9 @@
     placed: RefCell<HashMap<GroupNumber, Placed>>,
     untold_paces: UntoldPaces,
     heard_paces: HeardPaces,
+    tells_engine_paces: Cell<bool>,
+    untold_engine_paces: UntoldPaces,
+    heard_deviations: HeardDeviations,
 }
 
 /// A group's turns under way by replica, as one of its stores told.
@@ -89,6 +92,9 @@
             placed: RefCell::default(),
             untold_paces: UntoldPaces::default(),
             heard_paces: HeardPaces::default(),
+            tells_engine_paces: Cell::new(false),
+            untold_engine_paces: UntoldPaces::default(),
+            heard_deviations: HeardDeviations::default(),
         }
     }
 
@@ -102,6 +108,33 @@
         self.untold_paces.note(replica, ratio);
     }
 
+    /// From now on other fronts are told how long engines take.
+    pub fn tell_engine_paces(&self) {
+        self.tells_engine_paces.set(true);
+    }
+
+    /// A turn at an engine took so many times as long as turns do.
+    pub fn note_engine_pace(&self, replica: u32, ratio: f64) {
+        self.untold_engine_paces.note(replica, ratio);
+    }
+
+    /// What a group has not been told of engines yet; nothing where none is told.
+    pub fn engine_paces(&self, group: GroupNumber) -> Option<List<PaceEntry>> {
+        let tells = self.tells_engine_paces.get();
+        tells.then(|| self.untold_engine_paces.take(group))
+    }
+
+    /// Takes how far engines lie from the middle of all.
+    pub fn hear_deviations(&self, deviations: &List<Deviation>) {
+        self.heard_deviations.hear(deviations);
+    }
+
+    /// How many times as long as the middle an engine takes, by what all fronts see; none
+    /// where that is not known.
+    pub fn engine_times(&self, replica: u32) -> Option<f64> {
+        self.heard_deviations.times(replica)
+    }
+
     /// How many times as long as others a replica takes, by what all fronts see.
     pub fn slowness(&self, replica: u32) -> f64 {
         self.heard_paces.slowness(replica)
@@ -292,14 +325,39 @@
 }
 
 /// A store's collection of reports.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadReports {
     fronts: RefCell<HashMap<u32, (LoadReport, Instant)>>,
     ranks: RefCell<HashMap<u32, FrontRanks>>,
     paces: RefCell<Paces>,
+    engine_paces: RefCell<Paces>,
+    told_deviations: RefCell<TellingTimes>,
+}
+
+impl Default for LoadReports {
+    fn default() -> Self {
+        Self {
+            fronts: RefCell::default(),
+            ranks: RefCell::default(),
+            paces: RefCell::default(),
+            engine_paces: RefCell::new(Paces::of_engines()),
+            told_deviations: RefCell::default(),
+        }
+    }
 }
 
 impl LoadReports {
+    /// Takes what a front tells of engines.
+    pub fn take_engine_paces(&self, paces: &List<PaceEntry>) {
+        self.engine_paces.borrow_mut().take(paces);
+    }
+
+    /// How far engines lie from the middle of all; none where this front was told just now.
+    pub fn deviations(&self, front: u32) -> Option<List<Deviation>> {
+        let due = self.told_deviations.borrow_mut().due(front);
+        due.then(|| self.engine_paces.borrow().deviations())
+    }
+
     /// Takes a front's report in place of its former one.
     pub fn take(&self, report: LoadReport) {
         self.paces.borrow_mut().take(&report.paces);
--- a/crates/stageyoke-store/src/pace.rs
+++ b/crates/stageyoke-store/src/pace.rs
@@ -6,6 +6,7 @@
 //! for seconds. A hint, as all that fronts tell of replicas.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use stageyoke_types::List;
 use tokio::time::Instant;
 
+use crate::extension::Deviation;
 use crate::message::{PaceEntry, SlowReplica};
 
 /// Replicas in one message.
@@ -24,6 +26,12 @@
 /// Answers fade with this time: some ten of a replica are left of it, and a replica
 /// that has recovered is found out as soon.
 const FADE: Duration = Duration::from_millis(700);
+/// Turns at engines fade with this time: an engine's build stays, and one that turns slow
+/// or recovers shall be found out within seconds.
+const ENGINE_FADE: Duration = Duration::from_secs(2);
+/// An engine counts as if so many turns of an ordinary one had been seen of it as well:
+/// few turns tell little.
+const ORDINARY_TURNS: f64 = 3.0;
 /// Answers from which on a replica is judged: single ones take several times as long
 /// as others at sound replicas too.
 const ENOUGH: f64 = 3.0;
@@ -36,6 +44,30 @@
 const USUAL_PART: f64 = 0.25;
 /// What was heard of slow replicas counts for this long.
 const HEARD_LIFE: Duration = Duration::from_millis(1000);
+/// A store tells a front of deviations so often at most: the list is some hundred bytes.
+const TELL_DEVIATIONS_PAUSE: Duration = Duration::from_millis(1000);
+/// What was heard of deviations counts for this long: two tellings may be lost.
+const DEVIATION_LIFE: Duration = Duration::from_millis(2500);
+
+/// When fronts were told of deviations last.
+#[derive(Debug, Default)]
+pub struct TellingTimes {
+    fronts: HashMap<u32, Instant>,
+}
+
+impl TellingTimes {
+    /// Whether this front is told now; notes it if so.
+    pub fn due(&mut self, front: u32) -> bool {
+        let now = Instant::now();
+        self.fronts
+            .retain(|_, at| now.duration_since(*at) < TELL_DEVIATIONS_PAUSE);
+        let due = !self.fronts.contains_key(&front);
+        if due {
+            self.fronts.insert(front, now);
+        }
+        due
+    }
+}
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Answers {
@@ -102,10 +134,48 @@
     }
 }
 
-/// A store's collection of what fronts tell.
+/// How long engines take against the middle of all, by what all fronts see: some are
+/// faster than others by their build, and a front alone meets each too seldom to know.
 #[derive(Debug, Default)]
+pub struct HeardDeviations {
+    times: RefCell<HashMap<u32, (f64, Instant)>>,
+}
+
+impl HeardDeviations {
+    /// A store has told of these.
+    pub fn hear(&self, deviations: &[Deviation]) {
+        let mut heard = self.times.borrow_mut();
+        heard.retain(|_, (_, at)| at.elapsed() < DEVIATION_LIFE);
+        for deviation in deviations {
+            let times = (f64::from(deviation.log_ratio) / HUNDREDTHS).exp();
+            heard.insert(deviation.replica, (times, Instant::now()));
+        }
+    }
+
+    /// How many times as long as the middle an engine takes; none where it is not known.
+    pub fn times(&self, replica: u32) -> Option<f64> {
+        let heard = self.times.borrow();
+        let known = heard.get(&replica);
+        let known = known.filter(|(_, at)| at.elapsed() < DEVIATION_LIFE);
+        known.map(|(times, _)| *times)
+    }
+}
+
+/// A store's collection of what fronts tell.
+#[derive(Debug)]
 pub struct Paces {
     replicas: HashMap<u32, Told>,
+    fade: Duration,
+}
+
+impl Default for Paces {
+    /// Of replicas of plain services.
+    fn default() -> Self {
+        Self {
+            replicas: HashMap::new(),
+            fade: FADE,
+        }
+    }
 }
 
 /// What was told of one replica.
@@ -117,19 +187,27 @@
 }
 
 impl Told {
-    fn now(&self, now: Instant) -> Answers {
-        faded(self.answers, self.at, now)
+    fn now(&self, now: Instant, fade: Duration) -> Answers {
+        faded(self.answers, self.at, now, fade)
     }
 
     /// The mean logarithm, where enough answers tell it.
-    fn mean(&self, now: Instant) -> Option<f64> {
-        let answers = self.now(now);
+    fn mean(&self, now: Instant, fade: Duration) -> Option<f64> {
+        let answers = self.now(now, fade);
         let enough = if self.slow { ENOUGH_TO_STAY } else { ENOUGH };
         (answers.count >= enough).then(|| answers.log_ratio / answers.count)
     }
 }
 
 impl Paces {
+    /// Of engines.
+    pub fn of_engines() -> Self {
+        Self {
+            fade: ENGINE_FADE,
+            ..Self::default()
+        }
+    }
+
     /// Takes what a front tells.
     pub fn take(&mut self, entries: &[PaceEntry]) {
         let now = Instant::now();
@@ -138,7 +216,7 @@
                 self.forget_faded(now);
             }
             let told = self.replicas.entry(entry.replica).or_default();
-            told.answers = told.now(now);
+            told.answers = told.now(now, self.fade);
             told.answers.log_ratio += f64::from(entry.log_ratio) / HUNDREDTHS;
             told.answers.count += f64::from(entry.answers);
             told.at = Some(now);
@@ -148,7 +226,10 @@
     /// Replicas that take longer than the others now.
     pub fn slow(&mut self) -> List<SlowReplica> {
         let now = Instant::now();
-        let means = self.replicas.values().filter_map(|told| told.mean(now));
+        let means = self
+            .replicas
+            .values()
+            .filter_map(|told| told.mean(now, self.fade));
         let mut means: Vec<f64> = means.collect();
         means.sort_by(f64::total_cmp);
         let usual = (means.len() as f64 * USUAL_PART) as usize;
@@ -157,7 +238,7 @@
         };
         let mut slow = Vec::new();
         for (replica, told) in &mut self.replicas {
-            let times = told.mean(now).map(|mean| (mean - usual).exp());
+            let times = told.mean(now, self.fade).map(|mean| (mean - usual).exp());
             told.slow = times.is_some_and(|times| times >= SLOW);
             if let (true, Some(times)) = (told.slow, times) {
                 slow.push(SlowReplica {
@@ -171,6 +252,32 @@
         List(slow)
     }
 
+    /// How far replicas lie from the middle of all, those that do so most first.
+    pub fn deviations(&self) -> List<Deviation> {
+        let now = Instant::now();
+        let known = self.replicas.iter();
+        let known = known.filter_map(|(replica, told)| {
+            let mean = told.mean(now, self.fade)?;
+            Some((*replica, mean, told.now(now, self.fade).count))
+        });
+        let mut known: Vec<(u32, f64, f64)> = known.collect();
+        known.sort_by(|(_, one, _), (_, other, _)| one.total_cmp(other));
+        let Some((_, middle, _)) = known.get(known.len() / 2).copied() else {
+            return List::default();
+        };
+        let deviations = known.into_iter().map(|(replica, mean, count)| {
+            let certainty = count / (count + ORDINARY_TURNS);
+            Deviation {
+                replica,
+                log_ratio: ((mean - middle) * certainty * HUNDREDTHS) as i16,
+            }
+        });
+        let mut deviations: Vec<Deviation> = deviations.collect();
+        deviations.sort_by_key(|deviation| Reverse(deviation.log_ratio.unsigned_abs()));
+        deviations.truncate(MOST_TOLD);
+        List(deviations)
+    }
+
     /// Replicas that are remembered.
     pub fn len(&self) -> usize {
         self.replicas.len()
@@ -183,16 +290,16 @@
 
     fn forget_faded(&mut self, now: Instant) {
         self.replicas
-            .retain(|_, told| told.now(now).count >= ENOUGH_TO_STAY);
+            .retain(|_, told| told.now(now, self.fade).count >= ENOUGH_TO_STAY);
         if self.replicas.len() >= MOST_REPLICAS {
             self.replicas.clear();
         }
     }
 }
 
-fn faded(answers: Answers, at: Option<Instant>, now: Instant) -> Answers {
+fn faded(answers: Answers, at: Option<Instant>, now: Instant, fade: Duration) -> Answers {
     let passed = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-    let kept = (-passed.as_secs_f64() / FADE.as_secs_f64()).exp();
+    let kept = (-passed.as_secs_f64() / fade.as_secs_f64()).exp();
     Answers {
         log_ratio: answers.log_ratio * kept,
         count: answers.count * kept,
