Turns by rank and engines' paces have files of their own; one turn's ratio is bounded

Beside it: a stream that comes in one piece has a generating time near nought, and the logarithm of its ratio, told to all, would have moved an engine's mean without end. Change: rank_load and engine_pace hold a front's and a store's side each; a turn's ratio is told between 0.25 and 8, as an engine's own slowness takes it. The soak's processes run with the new parts on.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -11,7 +11,7 @@
 };
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use stageyoke_store::load::Ranked;
+use stageyoke_store::rank_load::Ranked;
 use stageyoke_types::Text;
 use tokio::time::Instant;
 
--- a/crates/stageyoke-front/src/beginnings.rs
+++ b/crates/stageyoke-front/src/beginnings.rs
@@ -102,7 +102,7 @@
         let ranked = call.outbound.ranked?;
         Some(Contention {
             places: self.fleet.places(&call.service.name),
-            as_urgent: self.fleet.load().as_urgent(ranked)?,
+            as_urgent: self.fleet.load().ranks.as_urgent(ranked)?,
         })
     }
 }
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -207,7 +207,7 @@
     let stores = Groups::new(settings.zone.clone(), settings.tolerance.clone());
     let stores = Rc::new(stores.confirming(mirror.freshness().clone()));
     if settings.uneven_engines {
-        stores.load().tell_engine_paces();
+        stores.load().engines.tell_others();
     }
     let relay = StoreRelay::new(stores.clone(), settings.seeds.clone());
     let mirror = Rc::new(mirror.relayed(Rc::new(relay)));
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -7,7 +7,7 @@
 use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadBoard;
-use stageyoke_store::load::Ranked;
+use stageyoke_store::rank_load::Ranked;
 use stageyoke_types::hash::mix;
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
@@ -108,7 +108,7 @@
     pub fn begin(self: &Rc<Self>, ranked: Option<Ranked>) -> InFlight {
         self.load.begin(self.short_hash());
         if let Some(ranked) = ranked {
-            self.load.begin_ranked(ranked);
+            self.load.ranks.begin(ranked);
         }
         InFlight {
             replica: self.clone(),
@@ -157,7 +157,7 @@
     /// Its deviation from the rates of its service's engines: by what all fronts see of
     /// it, or else this one alone.
     pub fn slowness(&self) -> f64 {
-        let told = self.load.engine_times(self.short_hash());
+        let told = self.load.engines.times(self.short_hash());
         told.unwrap_or_else(|| self.slowness.get().factor(Instant::now()))
     }
 
@@ -168,7 +168,7 @@
         let mut slowness = self.slowness.get();
         let current = rates.current();
         if let Some(ratio) = timing.ratio(&current) {
-            self.load.note_engine_pace(self.short_hash(), ratio);
+            self.load.engines.note(self.short_hash(), ratio);
         }
         slowness.note(timing, &current, now);
         rates.note(timing, slowness.factor(now), now);
@@ -281,7 +281,7 @@
         let load = &self.replica.load;
         load.end(self.replica.short_hash());
         if let Some(ranked) = self.ranked {
-            load.end_ranked(ranked);
+            load.ranks.end(ranked);
         }
     }
 }
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -25,6 +25,8 @@
 /// Memory of a process's machine, in megabytes: that of the smallest store
 /// machine among the deployments.
 pub const MEMORY_MB: u64 = 58;
+/// Parts of the rules that switch parts of the product on; all of them run.
+const PARTS: [&str; 2] = ["pressure", "pool"];
 /// A file that refuses every write.
 const FULL_DEVICE: &str = "/dev/full";
 
@@ -181,6 +183,7 @@
             "Bootstrap": first_start,
             "DataDir": data,
             "FaultTolerance": {"Machines": 1},
+            "Contracts": PARTS,
             "Limits": {"MemoryMb": MEMORY_MB},
             "Bounds": {"GraceS": 8, "CatchUpS": self.catch_up.as_secs_f64(),
                 "QuotaWindowS": QUOTA_WINDOW.as_secs_f64()},
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -233,8 +233,8 @@
             record,
         });
         let extensions = Rc::new(Extensions {
-            rank_loads: Some(self.shared.load.rank_loads()),
-            engine_paces: self.shared.load.engine_paces(self.number),
+            rank_loads: Some(self.shared.load.ranks.own()),
+            engine_paces: self.shared.load.engines.untold(self.number),
             ..Extensions::default()
         });
         for member in members.all() {
@@ -287,10 +287,10 @@
 
     fn hear_ranks(&self, extensions: &Extensions) {
         if let Some(rank_loads) = &extensions.rank_loads {
-            self.shared.load.hear_ranks(rank_loads);
+            self.shared.load.ranks.hear(rank_loads);
         }
         if let Some(deviations) = &extensions.deviations {
-            self.shared.load.hear_deviations(deviations);
+            self.shared.load.engines.hear(deviations);
         }
     }
 
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -27,20 +27,20 @@
     pub async fn answer_extended(&self, request: Request, extensions: Extensions) -> Answer {
         let tells_paces = extensions.engine_paces.is_some();
         if let Some(paces) = &extensions.engine_paces {
-            self.loads.take_engine_paces(paces);
+            self.loads.engines.take(paces);
         }
         let hears_loads = match &request {
             Request::Append { load, record, .. } => {
                 let rank_loads = extensions.rank_loads.unwrap_or_default();
-                self.loads.take_ranks(load.front, rank_loads);
+                self.loads.ranks.take(load.front, rank_loads);
                 matches!(record, Record::Reserve { .. }).then_some(load.front)
             }
             _ => extensions.front,
         };
         let reply = self.answer(request).await;
-        let rank_loads = hears_loads.map(|front| self.loads.ranks_of_others(front));
+        let rank_loads = hears_loads.map(|front| self.loads.ranks.of_others(front));
         let hears_paces = hears_loads.filter(|_| tells_paces);
-        let deviations = hears_paces.and_then(|front| self.loads.deviations(front));
+        let deviations = hears_paces.and_then(|front| self.loads.engines.deviations(front));
         let begun = extensions.program.map(|program| {
             let entries = self.state.borrow().ledger_entries(&program);
             entries.iter().any(|entry| entry.amount > 0)
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod clock;
 pub mod completeness;
+pub mod engine_pace;
 pub mod exchange;
 pub mod extension;
 pub mod formation;
@@ -28,6 +29,7 @@
 pub mod pace;
 pub mod peer_version;
 pub mod quorum;
+pub mod rank_load;
 pub mod reader;
 pub mod recent;
 pub mod relay;
--- a/crates/stageyoke-store/src/load.rs
+++ b/crates/stageyoke-store/src/load.rs
@@ -2,7 +2,7 @@
 //! travels with the records that fronts send to stores anyway, and is a hint:
 //! placement uses it, nothing that must hold depends on it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::time::Duration;
@@ -11,14 +11,13 @@
 use stageyoke_types::List;
 use tokio::time::Instant;
 
-use crate::extension::{Deviation, RankLoad};
-use crate::message::{LoadEntry, LoadReport, OthersReport, PaceEntry, Placement, Suspicion};
-use crate::pace::{HeardDeviations, HeardPaces, Paces, TellingTimes, UntoldPaces};
+use crate::engine_pace::{EngineBoard, EngineReports};
+use crate::message::{LoadEntry, LoadReport, OthersReport, Placement, Suspicion};
+use crate::pace::{HeardPaces, Paces, UntoldPaces};
+use crate::rank_load::{RankBoard, RankReports};
 
 /// Replicas in one report.
 pub const MAX_ENTRIES: usize = 64;
-/// Services and ranks of turns in one report.
-pub const MAX_RANK_LOADS: usize = 32;
 /// Suspected replicas in one report.
 pub const MAX_SUSPECTS: usize = 32;
 /// A report counts for this long.
@@ -35,28 +34,20 @@
 /// Time between two looks for turns that have lasted too long.
 const SWEEP_PAUSE: Duration = Duration::from_millis(200);
 
-/// A front's turns by rank, as it told them last.
-#[derive(Debug)]
-struct FrontRanks {
-    loads: List<RankLoad>,
-    at: Instant,
-}
-
 /// A front's own counts and what it last heard of all others.
 #[derive(Debug)]
 pub struct LoadBoard {
     front: u32,
     own: RefCell<HashMap<u32, u16>>,
-    own_ranks: RefCell<RankCounts>,
-    other_ranks: RefCell<HeardRanks>,
     suspects: RefCell<HashMap<u32, Instant>>,
     others: RefCell<Heard>,
     placed: RefCell<HashMap<GroupNumber, Placed>>,
     untold_paces: UntoldPaces,
     heard_paces: HeardPaces,
-    tells_engine_paces: Cell<bool>,
-    untold_engine_paces: UntoldPaces,
-    heard_deviations: HeardDeviations,
+    /// Turns at engines by rank.
+    pub ranks: RankBoard,
+    /// How long engines take.
+    pub engines: EngineBoard,
 }
 
 /// A group's turns under way by replica, as one of its stores told.
@@ -85,16 +76,13 @@
         Self {
             front,
             own: RefCell::default(),
-            own_ranks: RefCell::default(),
-            other_ranks: RefCell::default(),
             suspects: RefCell::default(),
             others: RefCell::default(),
             placed: RefCell::default(),
             untold_paces: UntoldPaces::default(),
             heard_paces: HeardPaces::default(),
-            tells_engine_paces: Cell::new(false),
-            untold_engine_paces: UntoldPaces::default(),
-            heard_deviations: HeardDeviations::default(),
+            ranks: RankBoard::default(),
+            engines: EngineBoard::default(),
         }
     }
 
@@ -108,78 +96,11 @@
         self.untold_paces.note(replica, ratio);
     }
 
-    /// From now on other fronts are told how long engines take.
-    pub fn tell_engine_paces(&self) {
-        self.tells_engine_paces.set(true);
-    }
-
-    /// A turn at an engine took so many times as long as turns do.
-    pub fn note_engine_pace(&self, replica: u32, ratio: f64) {
-        self.untold_engine_paces.note(replica, ratio);
-    }
-
-    /// What a group has not been told of engines yet; nothing where none is told.
-    pub fn engine_paces(&self, group: GroupNumber) -> Option<List<PaceEntry>> {
-        let tells = self.tells_engine_paces.get();
-        tells.then(|| self.untold_engine_paces.take(group))
-    }
-
-    /// Takes how far engines lie from the middle of all.
-    pub fn hear_deviations(&self, deviations: &List<Deviation>) {
-        self.heard_deviations.hear(deviations);
-    }
-
-    /// How many times as long as the middle an engine takes, by what all fronts see; none
-    /// where that is not known.
-    pub fn engine_times(&self, replica: u32) -> Option<f64> {
-        self.heard_deviations.times(replica)
-    }
-
     /// How many times as long as others a replica takes, by what all fronts see.
     pub fn slowness(&self, replica: u32) -> f64 {
         self.heard_paces.slowness(replica)
     }
 
-    /// Counts a turn of this rank as begun at an engine of a service.
-    pub fn begin_ranked(&self, ranked: Ranked) {
-        *self.own_ranks.borrow_mut().entry(ranked).or_default() += 1;
-    }
-
-    /// Counts it as ended.
-    pub fn end_ranked(&self, ranked: Ranked) {
-        count_down(&mut self.own_ranks.borrow_mut(), ranked);
-    }
-
-    /// Turns under way at engines by service and rank, for the stores: the most where
-    /// there are many.
-    pub fn rank_loads(&self) -> List<RankLoad> {
-        listed_ranks(&self.own_ranks.borrow())
-    }
-
-    /// Takes the turns that all other fronts have under way.
-    pub fn hear_ranks(&self, others: &List<RankLoad>) {
-        let mut counts = RankCounts::new();
-        for load in others.iter() {
-            *counts.entry(Ranked::of(load)).or_default() += load.under_way;
-        }
-        *self.other_ranks.borrow_mut() = HeardRanks {
-            counts,
-            at: Some(Instant::now()),
-        };
-    }
-
-    /// Turns under way at a service's engines of this rank or a more urgent one; `None`
-    /// where what other fronts have is not known or was told too long ago.
-    pub fn as_urgent(&self, ranked: Ranked) -> Option<u32> {
-        let others = self.other_ranks.borrow();
-        let heard = others.at.is_some_and(|at| at.elapsed() < REPORT_LIFE);
-        let own = self.own_ranks.borrow();
-        let all = own.iter().chain(others.counts.iter());
-        let counted =
-            all.filter(|(other, _)| other.service == ranked.service && other.rank <= ranked.rank);
-        heard.then(|| counted.map(|(_, count)| u32::from(*count)).sum())
-    }
-
     /// Counts a request as begun at a replica.
     pub fn begin(&self, replica: u32) {
         *self.own.borrow_mut().entry(replica).or_default() += 1;
@@ -276,46 +197,8 @@
     }
 }
 
-/// A service's engines and a rank of turns there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Ranked {
-    /// Hash of the service's name.
-    pub service: u32,
-    /// Rank; 0 is the most urgent.
-    pub rank: u8,
-}
-
-impl Ranked {
-    fn of(load: &RankLoad) -> Self {
-        Self {
-            service: load.service,
-            rank: load.rank,
-        }
-    }
-}
-
-type RankCounts = HashMap<Ranked, u16>;
-
-#[derive(Debug, Default)]
-struct HeardRanks {
-    counts: RankCounts,
-    at: Option<Instant>,
-}
-
-/// The highest counts, as they are told.
-fn listed_ranks(counts: &RankCounts) -> List<RankLoad> {
-    let listed = counts.iter().map(|(ranked, under_way)| RankLoad {
-        service: ranked.service,
-        rank: ranked.rank,
-        under_way: *under_way,
-    });
-    let mut listed: Vec<RankLoad> = listed.collect();
-    listed.sort_by_key(|load| std::cmp::Reverse(load.under_way));
-    listed.truncate(MAX_RANK_LOADS);
-    List(listed)
-}
-
-fn count_down<K: Eq + Hash>(counts: &mut HashMap<K, u16>, key: K) {
+/// Counts one less; what is not there any more leaves the map.
+pub(crate) fn count_down<K: Eq + Hash>(counts: &mut HashMap<K, u16>, key: K) {
     if let Some(count) = counts.get_mut(&key) {
         *count -= 1;
         if *count == 0 {
@@ -325,39 +208,17 @@
 }
 
 /// A store's collection of reports.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct LoadReports {
+    /// Turns at engines by rank.
+    pub ranks: RankReports,
+    /// How long engines take.
+    pub engines: EngineReports,
     fronts: RefCell<HashMap<u32, (LoadReport, Instant)>>,
-    ranks: RefCell<HashMap<u32, FrontRanks>>,
     paces: RefCell<Paces>,
-    engine_paces: RefCell<Paces>,
-    told_deviations: RefCell<TellingTimes>,
-}
-
-impl Default for LoadReports {
-    fn default() -> Self {
-        Self {
-            fronts: RefCell::default(),
-            ranks: RefCell::default(),
-            paces: RefCell::default(),
-            engine_paces: RefCell::new(Paces::of_engines()),
-            told_deviations: RefCell::default(),
-        }
-    }
 }
 
 impl LoadReports {
-    /// Takes what a front tells of engines.
-    pub fn take_engine_paces(&self, paces: &List<PaceEntry>) {
-        self.engine_paces.borrow_mut().take(paces);
-    }
-
-    /// How far engines lie from the middle of all; none where this front was told just now.
-    pub fn deviations(&self, front: u32) -> Option<List<Deviation>> {
-        let due = self.told_deviations.borrow_mut().due(front);
-        due.then(|| self.engine_paces.borrow().deviations())
-    }
-
     /// Takes a front's report in place of its former one.
     pub fn take(&self, report: LoadReport) {
         self.paces.borrow_mut().take(&report.paces);
@@ -365,27 +226,6 @@
         self.fronts.borrow_mut().insert(heard.0.front, heard);
     }
 
-    /// Takes a front's turns by rank in place of its former ones.
-    pub fn take_ranks(&self, front: u32, loads: List<RankLoad>) {
-        let at = Instant::now();
-        self.ranks
-            .borrow_mut()
-            .insert(front, FrontRanks { loads, at });
-    }
-
-    /// Turns by rank of all fronts but one.
-    pub fn ranks_of_others(&self, front: u32) -> List<RankLoad> {
-        let mut fronts = self.ranks.borrow_mut();
-        fronts.retain(|_, told| told.at.elapsed() < REPORT_LIFE);
-        let mut counts = RankCounts::new();
-        let others = fronts.iter().filter(|(other, _)| **other != front);
-        for load in others.flat_map(|(_, told)| told.loads.iter()) {
-            let sum = counts.entry(Ranked::of(load)).or_default();
-            *sum = sum.saturating_add(load.under_way);
-        }
-        listed_ranks(&counts)
-    }
-
     /// Fronts that have reported of late.
     pub fn fronts(&self) -> usize {
         self.fronts.borrow().len()
--- a/crates/stageyoke-store/src/pace.rs
+++ b/crates/stageyoke-store/src/pace.rs
@@ -22,7 +22,7 @@
 /// Replicas whose answers a store remembers, some 40 bytes each.
 const MOST_REPLICAS: usize = 20_000;
 /// Hundredths of a logarithm, as messages tell it.
-const HUNDREDTHS: f64 = 100.0;
+pub(crate) const HUNDREDTHS: f64 = 100.0;
 /// Answers fade with this time: some ten of a replica are left of it, and a replica
 /// that has recovered is found out as soon.
 const FADE: Duration = Duration::from_millis(700);
@@ -44,30 +44,6 @@
 const USUAL_PART: f64 = 0.25;
 /// What was heard of slow replicas counts for this long.
 const HEARD_LIFE: Duration = Duration::from_millis(1000);
-/// A store tells a front of deviations so often at most: the list is some hundred bytes.
-const TELL_DEVIATIONS_PAUSE: Duration = Duration::from_millis(1000);
-/// What was heard of deviations counts for this long: two tellings may be lost.
-const DEVIATION_LIFE: Duration = Duration::from_millis(2500);
-
-/// When fronts were told of deviations last.
-#[derive(Debug, Default)]
-pub struct TellingTimes {
-    fronts: HashMap<u32, Instant>,
-}
-
-impl TellingTimes {
-    /// Whether this front is told now; notes it if so.
-    pub fn due(&mut self, front: u32) -> bool {
-        let now = Instant::now();
-        self.fronts
-            .retain(|_, at| now.duration_since(*at) < TELL_DEVIATIONS_PAUSE);
-        let due = !self.fronts.contains_key(&front);
-        if due {
-            self.fronts.insert(front, now);
-        }
-        due
-    }
-}
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Answers {
@@ -134,33 +110,6 @@
     }
 }
 
-/// How long engines take against the middle of all, by what all fronts see: some are
-/// faster than others by their build, and a front alone meets each too seldom to know.
-#[derive(Debug, Default)]
-pub struct HeardDeviations {
-    times: RefCell<HashMap<u32, (f64, Instant)>>,
-}
-
-impl HeardDeviations {
-    /// A store has told of these.
-    pub fn hear(&self, deviations: &[Deviation]) {
-        let mut heard = self.times.borrow_mut();
-        heard.retain(|_, (_, at)| at.elapsed() < DEVIATION_LIFE);
-        for deviation in deviations {
-            let times = (f64::from(deviation.log_ratio) / HUNDREDTHS).exp();
-            heard.insert(deviation.replica, (times, Instant::now()));
-        }
-    }
-
-    /// How many times as long as the middle an engine takes; none where it is not known.
-    pub fn times(&self, replica: u32) -> Option<f64> {
-        let heard = self.times.borrow();
-        let known = heard.get(&replica);
-        let known = known.filter(|(_, at)| at.elapsed() < DEVIATION_LIFE);
-        known.map(|(times, _)| *times)
-    }
-}
-
 /// A store's collection of what fronts tell.
 #[derive(Debug)]
 pub struct Paces {
--- a/crates/stageyoke-store/tests/engine_pace_test.rs
+++ b/crates/stageyoke-store/tests/engine_pace_test.rs
@@ -6,9 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use stageyoke_directory::GroupNumber;
+use stageyoke_store::engine_pace::{EngineBoard, EngineReports};
 use stageyoke_store::extension::Deviation;
-use stageyoke_store::load::LoadReports;
-use stageyoke_store::pace::{HeardDeviations, UntoldPaces};
 
 const GROUP: GroupNumber = GroupNumber(0);
 const FRONTS: u32 = 50;
@@ -25,9 +24,18 @@
     f64::from(random.next_u32()) / f64::from(u32::MAX)
 }
 
+/// A front tells of one turn.
+fn tell(reports: &EngineReports, engine: u32, ratio: f64) {
+    let board = EngineBoard::default();
+    board.tell_others();
+    board.untold(GROUP);
+    board.note(engine, ratio);
+    reports.take(&board.untold(GROUP).unwrap_or_default());
+}
+
 /// Plays so many turns of each front; turns differ by up to a half either way.
 async fn play(
-    reports: &LoadReports,
+    reports: &EngineReports,
     random: &mut ChaCha8Rng,
     turns: u32,
     times: impl Fn(u32) -> f64,
@@ -35,17 +43,14 @@
     for _ in 0..turns {
         for _ in 0..FRONTS {
             let engine = random.next_u32() % ENGINES;
-            let untold = UntoldPaces::default();
-            untold.take(GROUP);
-            untold.note(engine, times(engine) * (0.5 + uniform(random)));
-            reports.take_engine_paces(&untold.take(GROUP));
+            tell(reports, engine, times(engine) * (0.5 + uniform(random)));
         }
         tokio::time::advance(BETWEEN_TURNS).await;
     }
 }
 
-fn heard(reports: &LoadReports, front: u32) -> HeardDeviations {
-    let heard = HeardDeviations::default();
+fn heard(reports: &EngineReports, front: u32) -> EngineBoard {
+    let heard = EngineBoard::default();
     let deviations = reports.deviations(front).expect("due");
     heard.hear(&deviations);
     heard
@@ -54,7 +59,7 @@
 /// A front meets each engine once in 9 s; all of them know its build after three.
 #[tokio::test(start_paused = true)]
 async fn all_fronts_together_know_each_engines_build() {
-    let reports = LoadReports::default();
+    let reports = EngineReports::default();
     let mut random = ChaCha8Rng::seed_from_u64(5);
     play(&reports, &mut random, 20, build).await;
     let heard = heard(&reports, 1);
@@ -66,7 +71,7 @@
 /// An engine that turns slow is found within two seconds, and so is its recovery.
 #[tokio::test(start_paused = true)]
 async fn a_slowed_engine_is_found_and_a_recovered_one_comes_back() {
-    let reports = LoadReports::default();
+    let reports = EngineReports::default();
     let mut random = ChaCha8Rng::seed_from_u64(7);
     play(&reports, &mut random, 20, |_| 1.0).await;
     let slowed = |engine| if engine == 7 { 4.0 } else { 1.0 };
@@ -81,13 +86,13 @@
 /// The list goes to each front once a second at most, and what was told fades.
 #[tokio::test(start_paused = true)]
 async fn deviations_are_told_seldom_and_fade() {
-    let reports = LoadReports::default();
+    let reports = EngineReports::default();
     assert!(reports.deviations(1).is_some());
     assert!(reports.deviations(1).is_none());
     assert!(reports.deviations(2).is_some(), "another front");
     tokio::time::advance(Duration::from_millis(1_001)).await;
     assert!(reports.deviations(1).is_some());
-    let heard = HeardDeviations::default();
+    let heard = EngineBoard::default();
     heard.hear(&[Deviation {
         replica: 7,
         log_ratio: 100,
@@ -104,24 +109,23 @@
 proptest! {
     /// With any engines the list has a bound, and any ratio can be told.
     #[test]
-    fn the_list_has_a_bound(ratios in proptest::collection::vec(1e-9..1e9_f64, 1..200)) {
+    fn the_list_has_a_bound(ratios in proptest::collection::vec(0.0..1e9_f64, 1..200)) {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
             .start_paused(true)
             .build()
             .expect("runtime");
         runtime.block_on(async {
-            let reports = LoadReports::default();
+            let reports = EngineReports::default();
             for (engine, ratio) in ratios.iter().enumerate() {
                 for _ in 0..4 {
-                    let untold = UntoldPaces::default();
-                    untold.take(GROUP);
-                    untold.note(engine as u32, *ratio);
-                    reports.take_engine_paces(&untold.take(GROUP));
+                    tell(&reports, engine as u32, *ratio);
                 }
             }
             let told = reports.deviations(1).unwrap_or_default();
             assert!(told.len() <= 64);
+            // One turn in eight times the time, or in none, moves an engine no further.
+            assert!(told.iter().all(|deviation| deviation.log_ratio.abs() <= 347));
         });
     }
 }
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -10,8 +10,8 @@
 use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
 use stageyoke_store::frame;
 use stageyoke_store::keeper::{Keeper, SilentSince};
-use stageyoke_store::load::Ranked;
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request};
+use stageyoke_store::rank_load::Ranked;
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server;
 use stageyoke_store::sync::Peers;
@@ -475,7 +475,7 @@
             service: 5,
             rank: 2,
         };
-        other.load().begin_ranked(ranked);
+        other.load().ranks.begin(ranked);
         other.append(reserve("one"), WITHIN).await.expect("kept");
         let asked = Text::from(PROGRAM);
         let unknown = Text::from("unknown");
@@ -486,14 +486,14 @@
             .await
             .expect("kept");
         let until = Instant::now() + WITHIN;
-        while group.load().as_urgent(ranked) != Some(1) && Instant::now() < until {
+        while group.load().ranks.as_urgent(ranked) != Some(1) && Instant::now() < until {
             other.append(reserve("two"), WITHIN).await.expect("kept");
             assert_eq!(group.has_begun(&asked, WITHIN).await, Some(true));
             assert_eq!(group.has_begun(&unknown, WITHIN).await, Some(false));
         }
-        assert_eq!(group.load().as_urgent(ranked), Some(1));
+        assert_eq!(group.load().ranks.as_urgent(ranked), Some(1));
         let more_urgent = Ranked { rank: 1, ..ranked };
-        assert_ne!(group.load().as_urgent(more_urgent), Some(1));
+        assert_ne!(group.load().ranks.as_urgent(more_urgent), Some(1));
     })
     .await;
 }
--- a/crates/stageyoke-store/tests/load_test.rs
+++ b/crates/stageyoke-store/tests/load_test.rs
@@ -6,8 +6,9 @@
 use stageyoke_directory::GroupNumber;
 use stageyoke_store::LoadBoard;
 use stageyoke_store::extension::RankLoad;
-use stageyoke_store::load::{LoadReports, PlacedTurns, Ranked};
+use stageyoke_store::load::PlacedTurns;
 use stageyoke_store::message::{OthersReport, Placement};
+use stageyoke_store::rank_load::{RankBoard, RankReports, Ranked};
 use stageyoke_types::List;
 
 fn at(replica: u32, lasting_milliseconds: u32) -> Placement {
@@ -121,30 +122,30 @@
 /// says nothing more.
 #[tokio::test(start_paused = true)]
 async fn a_store_sums_what_all_other_fronts_have_under_way() {
-    let reports = LoadReports::default();
-    reports.take_ranks(1, List(vec![rank_load(0, 2), rank_load(1, 3)]));
-    reports.take_ranks(2, List(vec![rank_load(1, 4)]));
-    reports.take_ranks(1, List(vec![rank_load(1, 5)]));
-    assert_eq!(reports.ranks_of_others(2).0, [rank_load(1, 5)]);
-    assert_eq!(reports.ranks_of_others(3).0, [rank_load(1, 9)]);
+    let reports = RankReports::default();
+    reports.take(1, List(vec![rank_load(0, 2), rank_load(1, 3)]));
+    reports.take(2, List(vec![rank_load(1, 4)]));
+    reports.take(1, List(vec![rank_load(1, 5)]));
+    assert_eq!(reports.of_others(2).0, [rank_load(1, 5)]);
+    assert_eq!(reports.of_others(3).0, [rank_load(1, 9)]);
     tokio::time::advance(Duration::from_millis(501)).await;
-    assert!(reports.ranks_of_others(3).is_empty());
+    assert!(reports.of_others(3).is_empty());
 }
 
 /// A front counts its own turns beside what it was told, of its rank or a more urgent
 /// one, for as long as that is young.
 #[tokio::test(start_paused = true)]
 async fn a_front_adds_its_own_to_what_it_was_told() {
-    let board = LoadBoard::new(1);
-    board.begin_ranked(RANKED);
+    let board = RankBoard::default();
+    board.begin(RANKED);
     assert_eq!(board.as_urgent(RANKED), None, "nothing was told yet");
-    board.hear_ranks(&List(vec![
+    board.hear(&List(vec![
         rank_load(0, 2),
         rank_load(1, 3),
         rank_load(2, 9),
     ]));
     assert_eq!(board.as_urgent(RANKED), Some(6));
-    board.end_ranked(RANKED);
+    board.end(RANKED);
     assert_eq!(board.as_urgent(RANKED), Some(5));
     tokio::time::advance(Duration::from_millis(501)).await;
     assert_eq!(board.as_urgent(RANKED), None, "told too long ago");
@@ -153,13 +154,13 @@
 /// Reports stay small with many services and ranks: the fullest are told.
 #[test]
 fn a_report_of_ranks_has_a_bound() {
-    let board = LoadBoard::new(1);
+    let board = RankBoard::default();
     for service in 0..1_000 {
         for _ in 0..=service % 7 {
-            board.begin_ranked(Ranked { service, rank: 0 });
+            board.begin(Ranked { service, rank: 0 });
         }
     }
-    let told = board.rank_loads();
+    let told = board.own();
     assert_eq!(told.len(), 32);
     assert!(told.iter().all(|load| load.under_way == 7));
 }
