--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -270,7 +270,7 @@
 
     /// Takes what comes along with an answer.
     fn hear(&self, answer: &mut Answer, reads_ledger: bool, sent: Instant) {
-        self.hear_ranks(&answer.extensions);
+        self.hear_fields(&answer.extensions);
         let Reply::Kept {
             others, directory, ..
         } = &mut answer.reply
@@ -285,7 +285,7 @@
         }
     }
 
-    fn hear_ranks(&self, extensions: &Extensions) {
+    fn hear_fields(&self, extensions: &Extensions) {
         if let Some(rank_loads) = &extensions.rank_loads {
             self.shared.load.ranks.hear(rank_loads);
         }
@@ -321,7 +321,7 @@
         let mut told = None;
         while let Some(answer) = inbox.recv().await {
             let answer = answer.unwrap_or_default();
-            self.hear_ranks(&answer);
+            self.hear_fields(&answer);
             if answer.begun == Some(true) {
                 return answer.begun;
             }
--- a/crates/stageyoke-store/tests/versions_test.rs
+++ b/crates/stageyoke-store/tests/versions_test.rs
@@ -7,9 +7,10 @@
 use rstest::rstest;
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
-use stageyoke_store::extension::{Extensions, VERSION};
+use stageyoke_store::extension::{Deviation, Extensions, RankLoad, VERSION};
 use stageyoke_store::frame::{self, Encoded, Received};
-use stageyoke_store::message::{Numbered, Reply, Request};
+use stageyoke_store::message::{Numbered, PaceEntry, Reply, Request};
+use stageyoke_types::List;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -203,3 +204,62 @@
     frame.extend_from_slice(&content);
     frame
 }
+
+/// What the fields add to a frame, in bytes: a front tells its ranks with each record.
+#[test]
+fn fields_cost_few_bytes() {
+    let size = |fields: &Extensions| {
+        let mut bytes = Vec::new();
+        fields.encode(&mut bytes);
+        bytes.len()
+    };
+    assert_eq!(size(&Extensions::default()), 0);
+    assert_eq!(size(&Extensions::greeting()), 4);
+    let load = RankLoad {
+        service: 1,
+        rank: 2,
+        under_way: 3,
+    };
+    let two_ranks = Extensions {
+        rank_loads: Some(List(vec![load; 2])),
+        ..Extensions::default()
+    };
+    assert_eq!(size(&two_ranks), 17);
+    let deviation = Deviation {
+        replica: 1,
+        log_ratio: -50,
+    };
+    let sixty_engines = Extensions {
+        deviations: Some(List(vec![deviation; 60])),
+        ..Extensions::default()
+    };
+    assert_eq!(size(&sixty_engines), 364);
+}
+
+/// All fields together are read as they were written.
+#[test]
+fn what_is_written_is_read() {
+    let fields = Extensions {
+        version: Some(VERSION),
+        rank_loads: Some(List(vec![RankLoad {
+            service: 7,
+            rank: 1,
+            under_way: 9,
+        }])),
+        program: Some("program".into()),
+        begun: Some(true),
+        front: Some(11),
+        engine_paces: Some(List(vec![PaceEntry {
+            replica: 3,
+            log_ratio: -7,
+            answers: 2,
+        }])),
+        deviations: Some(List(vec![Deviation {
+            replica: 3,
+            log_ratio: -7,
+        }])),
+    };
+    let mut bytes = Vec::new();
+    fields.encode(&mut bytes);
+    assert_eq!(Extensions::decode(0, &bytes).expect("read"), fields);
+}
