Counts by rank are told only where programs are turned away

Change: a front tells ranks, and is told them, where its settings switch the part on. Shown: load_test, group_test. Conclusion: earlier deployments get the bytes that they got before, but for the greeting.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -206,6 +206,9 @@
 ) -> io::Result<()> {
     let stores = Groups::new(settings.zone.clone(), settings.tolerance.clone());
     let stores = Rc::new(stores.confirming(mirror.freshness().clone()));
+    if settings.admission_control {
+        stores.load().ranks.tell_others();
+    }
     if settings.uneven_engines {
         stores.load().engines.tell_others();
     }
--- a/crates/stageyoke-store/src/group.rs
+++ b/crates/stageyoke-store/src/group.rs
@@ -233,7 +233,7 @@
             record,
         });
         let extensions = Rc::new(Extensions {
-            rank_loads: Some(self.shared.load.ranks.own()),
+            rank_loads: self.shared.load.ranks.told(),
             engine_paces: self.shared.load.engines.untold(self.number),
             ..Extensions::default()
         });
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -29,17 +29,20 @@
         if let Some(paces) = &extensions.engine_paces {
             self.loads.engines.take(paces);
         }
-        let hears_loads = match &request {
+        let tells_ranks = extensions.rank_loads.is_some() || extensions.program.is_some();
+        let hearing = match &request {
             Request::Append { load, record, .. } => {
-                let rank_loads = extensions.rank_loads.unwrap_or_default();
-                self.loads.ranks.take(load.front, rank_loads);
+                if let Some(rank_loads) = extensions.rank_loads {
+                    self.loads.ranks.take(load.front, rank_loads);
+                }
                 matches!(record, Record::Reserve { .. }).then_some(load.front)
             }
             _ => extensions.front,
         };
         let reply = self.answer(request).await;
-        let rank_loads = hears_loads.map(|front| self.loads.ranks.of_others(front));
-        let hears_paces = hears_loads.filter(|_| tells_paces);
+        let hears_ranks = hearing.filter(|_| tells_ranks);
+        let rank_loads = hears_ranks.map(|front| self.loads.ranks.of_others(front));
+        let hears_paces = hearing.filter(|_| tells_paces);
         let deviations = hears_paces.and_then(|front| self.loads.engines.deviations(front));
         let begun = extensions.program.map(|program| {
             let entries = self.state.borrow().ledger_entries(&program);
--- a/crates/stageyoke-store/src/rank_load.rs
+++ b/crates/stageyoke-store/src/rank_load.rs
@@ -1,7 +1,7 @@
 //! Turns under way at engines by service and rank, as all fronts together have them: the
 //! view by which each front decides whether a program begins.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 
 use stageyoke_types::List;
@@ -65,11 +65,17 @@
 /// A front's own turns and what it last heard of all others'.
 #[derive(Debug, Default)]
 pub struct RankBoard {
+    tells: Cell<bool>,
     own: RefCell<RankCounts>,
     others: RefCell<Option<Heard>>,
 }
 
 impl RankBoard {
+    /// From now on other fronts are told, and tell this one.
+    pub fn tell_others(&self) {
+        self.tells.set(true);
+    }
+
     /// Counts a turn of this rank as begun at an engine of a service.
     pub fn begin(&self, ranked: Ranked) {
         let mut own = self.own.borrow_mut();
@@ -82,9 +88,9 @@
         count_down(&mut self.own.borrow_mut().0, ranked);
     }
 
-    /// The front's own turns, for its stores.
-    pub fn own(&self) -> List<RankLoad> {
-        self.own.borrow().listed()
+    /// The front's own turns, for its stores; none where nothing is told to others.
+    pub fn told(&self) -> Option<List<RankLoad>> {
+        self.tells.get().then(|| self.own.borrow().listed())
     }
 
     /// Takes the turns that all other fronts have under way.
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -475,6 +475,7 @@
             service: 5,
             rank: 2,
         };
+        other.load().ranks.tell_others();
         other.load().ranks.begin(ranked);
         other.append(reserve("one"), WITHIN).await.expect("kept");
         let asked = Text::from(PROGRAM);
