Waiting requests hold three numbers of their fields in place of all

Each held its fields and two more copies of itself in its task. Change: a store takes the fields before it spawns the answer, which keeps which front is told and whether the program has begun; a frame has room for its fields.

--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -13,6 +13,9 @@
 use crate::message::Numbered;
 
 const LENGTH_BYTES: usize = 4;
+/// Room for the fields that most frames carry: a frame that outgrew its memory would take
+/// twice as much.
+const FIELDS_ROOM: usize = 64;
 /// Longest frame accepted.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
@@ -47,7 +50,8 @@
 
     /// The frame of this content under a number, with fields behind it.
     pub fn frame(&self, number: u64, extensions: &Extensions) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(LENGTH_BYTES + size_of::<u64>() + self.0.len());
+        let message = LENGTH_BYTES + size_of::<u64>() + self.0.len();
+        let mut bytes = Vec::with_capacity(message + FIELDS_ROOM);
         bytes.extend_from_slice(&[0; LENGTH_BYTES]);
         number.ser_bin(&mut bytes);
         bytes.extend_from_slice(&self.0);
--- a/crates/stageyoke-store/src/keeper.rs
+++ b/crates/stageyoke-store/src/keeper.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+pub use self::answers::AnswerFields;
 use self::heard::Heard;
 pub use self::heard::SilentSince;
 use crate::clock::DiskClock;
--- a/crates/stageyoke-store/src/keeper/answers.rs
+++ b/crates/stageyoke-store/src/keeper/answers.rs
@@ -7,7 +7,6 @@
 use stageyoke_types::{List, Text};
 
 use super::Keeper;
-use crate::client::Answer;
 use crate::extension::Extensions;
 use crate::keys::TurnKey;
 use crate::message::{
@@ -22,39 +21,58 @@
 /// owes an answer for twice as long is given up (`client`).
 const TELL_ROUTES_WITHIN: Duration = Duration::from_millis(300);
 
+/// What an answer is to bring behind it. Requests wait by the hundred while a disk does:
+/// only this of their fields is held meanwhile.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerFields {
+    /// The front that is told what all others have under way.
+    ranks_for: Option<u32>,
+    /// The front that is told how long engines take.
+    paces_for: Option<u32>,
+    /// Whether the program that was asked for has begun.
+    begun: Option<bool>,
+}
+
 impl Keeper {
-    /// Answers one request with the fields behind it.
-    pub async fn answer_extended(&self, request: Request, extensions: Extensions) -> Answer {
-        let tells_paces = extensions.engine_paces.is_some();
-        if let Some(paces) = &extensions.engine_paces {
+    /// Takes the fields behind a request, and tells what its answer is to bring.
+    pub fn hear_fields(&self, request: &Request, fields: Extensions) -> AnswerFields {
+        let tells_paces = fields.engine_paces.is_some();
+        if let Some(paces) = &fields.engine_paces {
             self.loads.engines.take(paces);
         }
-        let tells_ranks = extensions.rank_loads.is_some() || extensions.program.is_some();
-        let hearing = match &request {
+        let tells_ranks = fields.rank_loads.is_some() || fields.program.is_some();
+        let front = match request {
             Request::Append { load, record, .. } => {
-                if let Some(rank_loads) = extensions.rank_loads {
+                if let Some(rank_loads) = fields.rank_loads {
                     self.loads.ranks.take(load.front, rank_loads);
                 }
                 matches!(record, Record::Reserve { .. }).then_some(load.front)
             }
-            _ => extensions.front,
+            _ => fields.front,
         };
-        let reply = self.answer(request).await;
-        let hears_ranks = hearing.filter(|_| tells_ranks);
-        let rank_loads = hears_ranks.map(|front| self.loads.ranks.of_others(front));
-        let hears_paces = hearing.filter(|_| tells_paces);
-        let deviations = hears_paces.and_then(|front| self.loads.engines.deviations(front));
-        let begun = extensions.program.map(|program| {
-            let entries = self.state.borrow().ledger_entries(&program);
-            entries.iter().any(|entry| entry.amount > 0)
-        });
-        let extensions = Extensions {
-            rank_loads,
-            begun,
-            deviations,
+        AnswerFields {
+            ranks_for: front.filter(|_| tells_ranks),
+            paces_for: front.filter(|_| tells_paces),
+            begun: fields.program.map(|program| self.has_begun(&program)),
+        }
+    }
+
+    /// Whether any turn of a program has begun, as far as this store knows.
+    fn has_begun(&self, program: &Text) -> bool {
+        let entries = self.state.borrow().ledger_entries(program);
+        entries.iter().any(|entry| entry.amount > 0)
+    }
+
+    /// The fields behind an answer.
+    pub fn fields_behind(&self, answer: AnswerFields) -> Extensions {
+        let ranks = answer.ranks_for;
+        let paces = answer.paces_for;
+        Extensions {
+            rank_loads: ranks.map(|front| self.loads.ranks.of_others(front)),
+            deviations: paces.and_then(|front| self.loads.engines.deviations(front)),
+            begun: answer.begun,
             ..Extensions::default()
-        };
-        Answer { reply, extensions }
+        }
     }
 
     /// Answers one request.
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -11,7 +11,7 @@
 
 use crate::extension::Extensions;
 use crate::frame::{self, Received};
-use crate::keeper::Keeper;
+use crate::keeper::{AnswerFields, Keeper};
 use crate::message::{Numbered, Request};
 use crate::peer_version::PeerVersion;
 use crate::socket;
@@ -48,23 +48,32 @@
             Ok(received) => received,
             Err(error) => break error,
         };
-        peer.hear(&received.extensions);
+        let Received {
+            message,
+            extensions,
+        } = received;
+        peer.hear(&extensions);
+        let fields = keeper.hear_fields(&message.content, extensions);
         let Ok(room) = under_way.clone().acquire_owned().await else {
             break io::ErrorKind::ConnectionAborted.into();
         };
-        let answering = answer_one(
-            keeper.clone(),
-            received,
-            peer.clone(),
-            room,
-            replies.clone(),
-        );
+        let behind = Behind {
+            fields,
+            peer: peer.clone(),
+        };
+        let answering = answer_one(keeper.clone(), message, behind, room, replies.clone());
         tokio::task::spawn_local(answering);
     };
     frame::report_end(&address, &error);
     sending.abort();
 }
 
+/// What goes behind a reply, and to whom.
+struct Behind {
+    fields: AnswerFields,
+    peer: Rc<PeerVersion>,
+}
+
 /// An encoded reply. It holds its part of the connection's room until it is
 /// written.
 struct Outgoing {
@@ -80,20 +89,19 @@
 
 async fn answer_one(
     keeper: Rc<Keeper>,
-    request: Received<Request>,
-    peer: Rc<PeerVersion>,
+    request: Numbered<Request>,
+    behind: Behind,
     room: OwnedSemaphorePermit,
     replies: UnboundedSender<Outgoing>,
 ) {
-    let Numbered { number, content } = request.message;
-    let answer = keeper.answer_extended(content, request.extensions).await;
-    let extensions = match peer.reads_extensions() {
-        true => peer.behind(&answer.extensions),
+    let content = keeper.answer(request.content).await;
+    let extensions = match behind.peer.reads_extensions() {
+        true => behind.peer.behind(&keeper.fields_behind(behind.fields)),
         false => Extensions::default(),
     };
     let reply = Numbered {
-        number,
-        content: answer.reply,
+        number: request.number,
+        content,
     };
     let bytes = frame::encode_extended(&reply, &extensions);
     let _ = replies.send(Outgoing { bytes, _room: room });
