Log the progress of exchanges with stores and the key-value service

A failed directory exchange was logged the same way whether no data or most of a large reply had been received. Three events now tell these cases apart:

- `PeerSilent`, logged when a connection is closed, contains the time since the last complete reply and since the last data.
- `DirectoryExchange`, logged for a reply that is large, too old or not received, contains the duration and the number of bytes received.
- `StoreUnreachable` contains the same values for a request to the key-value service.

No logic is changed. The HTTP client reads response bodies frame by frame to count the bytes.

--- a/crates/stageyoke-directory/src/key_value.rs
+++ b/crates/stageyoke-directory/src/key_value.rs
@@ -128,6 +128,11 @@
 
 /// Calls to the key-value service; an adapter implements them for a platform.
 pub trait KeyValueService {
+    /// Returns the total number of bytes received from the service, or zero if unknown.
+    /// Distinguishes a slow transfer from a service that does not answer.
+    fn received_bytes(&self) -> u64 {
+        0
+    }
     /// Reads one key, linearizably.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Item>, KeyValueError>>;
     /// Reads a page of the keys that start with `prefix`, after the key `after`.
--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -20,7 +20,7 @@
     TransactionOutcome, WatchOutcome, Write,
 };
 pub use members::{Member, MemberState, Members, Quorums, Tolerance, write_quorum};
-pub use mirror::{CallIntervals, Mirror, MirrorEvent};
+pub use mirror::{CallIntervals, FailedRequest, Mirror, MirrorEvent};
 pub use model::{
     EngineShape, HttpLimits, ReplicaRecord, ReplicaStart, ReplicaState, Retirement, Route,
     RouteKind, RouteTable, ServiceSpec, Target,
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -38,13 +38,24 @@
     /// The view changed.
     Changed(Changed),
     /// The service stopped answering.
-    Lost(KeyValueError),
+    Lost(FailedRequest),
     /// The service answers again.
     Regained,
     /// An item could not be parsed.
     Unreadable(String),
 }
 
+/// Failed request to the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedRequest {
+    /// Reason of the failure.
+    pub error: KeyValueError,
+    /// Time since the request was sent, or since a pending watch failed.
+    pub elapsed: Duration,
+    /// Bytes received from the service in that time, including those of concurrent calls.
+    pub received_bytes: u64,
+}
+
 /// Intervals that reduce the number of calls to the service, which charges for them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallIntervals {
@@ -98,6 +109,7 @@
     change_count: Cell<u64>,
     last_contact: Cell<Option<Instant>>,
     last_request_at: Cell<Instant>,
+    received_bytes_before_request: Cell<u64>,
     lapsed_entry_deadline: Cell<Option<Instant>>,
     last_routes_read: tokio::sync::Mutex<Option<Instant>>,
     view_changed: Notify,
@@ -118,6 +130,7 @@
             change_count: Cell::new(0),
             last_contact: Cell::new(None),
             last_request_at: Cell::new(Instant::now()),
+            received_bytes_before_request: Cell::new(0),
             lapsed_entry_deadline: Cell::new(None),
             last_routes_read: tokio::sync::Mutex::new(None),
             view_changed: Notify::new(),
@@ -293,7 +306,7 @@
                 Err(error) => {
                     self.freshness.record_failure(self.last_request_at.get());
                     if failures == 0 {
-                        report(MirrorEvent::Lost(error));
+                        report(MirrorEvent::Lost(self.failed_request(error)));
                     }
                     failures = failures.saturating_add(1);
                     let jitter = rand::rng().random_range(0.5..1.0);
@@ -307,6 +320,21 @@
         }
     }
 
+    fn failed_request(&self, error: KeyValueError) -> FailedRequest {
+        let received_bytes = self.service.received_bytes();
+        FailedRequest {
+            error,
+            elapsed: self.last_request_at.get().elapsed(),
+            received_bytes: received_bytes - self.received_bytes_before_request.get(),
+        }
+    }
+
+    fn record_request_start(&self) {
+        self.last_request_at.set(Instant::now());
+        self.received_bytes_before_request
+            .set(self.service.received_bytes());
+    }
+
     /// Does one complete read, one watch, or one attempt to reach the service again.
     async fn follow_once(
         &self,
@@ -393,7 +421,7 @@
         report: &mut impl FnMut(MirrorEvent),
     ) -> Result<Step, KeyValueError> {
         let now = Instant::now();
-        self.last_request_at.set(now);
+        self.record_request_start();
         Ok(self.apply_service_answer(outcome?, now, report))
     }
 
@@ -417,7 +445,7 @@
     ) -> Result<WatchOutcome, KeyValueError> {
         let prefix = self.interpreter.prefix();
         let answer_timeout = self.freshness.limits().answer_timeout * patience;
-        self.last_request_at.set(Instant::now());
+        self.record_request_start();
         let answer = self.service.watch(prefix, revision, Duration::ZERO);
         tokio::time::timeout(answer_timeout, answer)
             .await
@@ -463,7 +491,7 @@
                 .and_then(|page| page.items.last())
                 .map(|item| item.key.clone());
             let prefix = self.interpreter.prefix();
-            self.last_request_at.set(Instant::now());
+            self.record_request_start();
             let answer = self.service.range(prefix, after.as_deref());
             let answer_timeout = self.freshness.limits().answer_timeout * PATIENT_RETRY_FACTOR;
             let page = tokio::time::timeout(answer_timeout, answer)
--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -5,13 +5,14 @@
 pub mod json_file;
 mod lenient_list;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
@@ -56,6 +57,7 @@
 pub struct HttpClient {
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
+    received_bytes: Cell<u64>,
 }
 
 #[derive(Debug)]
@@ -85,9 +87,15 @@
         Self {
             address,
             idle: RefCell::default(),
+            received_bytes: Cell::new(0),
         }
     }
 
+    /// Returns the total number of response body bytes received.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.get()
+    }
+
     /// Sends a request with a JSON body, which may be empty, and waits at most
     /// `call_timeout` for the complete response.
     pub async fn call(
@@ -136,12 +144,23 @@
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(no_answer)?;
         let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(no_answer)?.to_bytes();
+        let body = self.read_body(response.into_body()).await?;
         std::mem::forget(close_on_failure);
         self.idle.borrow_mut().push(connection);
         Ok(HttpResponse { status, body })
     }
+
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, CallError> {
+        let mut content = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.map_err(no_answer)?.into_data() {
+                let received_bytes = self.received_bytes.get() + data.len() as u64;
+                self.received_bytes.set(received_bytes);
+                content.extend_from_slice(&data);
+            }
+        }
+        Ok(content.freeze())
+    }
 }
 
 /// Maps any connection error to `NoAnswer`, because the service may have processed the call.
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use stageyoke_observe as observe;
+use stageyoke_types::Event;
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -18,6 +20,7 @@
 use crate::frame::{self, EncodedMessage};
 use crate::message::{Reply, Request};
 use crate::peer_version::PeerVersion;
+use crate::receive_progress::{ProgressReader, ReceiveProgress};
 use crate::socket;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -67,6 +70,7 @@
 pub struct StoreClient {
     address: String,
     calls: UnboundedSender<Call>,
+    progress: Rc<ReceiveProgress>,
     task: JoinHandle<()>,
 }
 
@@ -74,9 +78,11 @@
     /// Creates a client for the store at this address. Must be called in a `LocalSet`.
     pub fn new(address: &str) -> Self {
         let (calls, queue) = unbounded_channel();
+        let progress = Rc::<ReceiveProgress>::default();
         let connection = Connection {
             address: address.to_owned(),
             queue,
+            progress: progress.clone(),
             last_received: Rc::default(),
             last_number: 0,
             outstanding_since: Instant::now(),
@@ -84,6 +90,7 @@
         Self {
             address: address.to_owned(),
             calls,
+            progress,
             task: tokio::task::spawn_local(connection.run()),
         }
     }
@@ -93,6 +100,11 @@
         &self.address
     }
 
+    /// Returns the progress of the data received from the store.
+    pub fn receive_progress(&self) -> &ReceiveProgress {
+        &self.progress
+    }
+
     /// Sends a request and waits up to `call_timeout` for its reply.
     pub async fn call(&self, request: Request, call_timeout: Duration) -> Result<Reply, CallError> {
         self.call_encoded(EncodedMessage::encode(&request), call_timeout)
@@ -142,6 +154,7 @@
 struct Connection {
     address: String,
     queue: UnboundedReceiver<Call>,
+    progress: Rc<ReceiveProgress>,
     last_received: Rc<Cell<Option<Instant>>>,
     last_number: u64,
     outstanding_since: Instant,
@@ -187,7 +200,7 @@
         let peer_version = Rc::new(PeerVersion::unknown(self.address.clone()));
         let receiving = receive(
             self.address.clone(),
-            reader,
+            ProgressReader::new(reader, self.progress.clone()),
             peer_version.clone(),
             pending.clone(),
             self.last_received.clone(),
@@ -206,6 +219,7 @@
                 _ = &mut receive_ended => return,
                 () = tokio::time::sleep_until(deadline) => {
                     if self.silence_deadline(&pending) <= Instant::now() {
+                        self.log_silence(&pending);
                         return;
                     }
                 }
@@ -227,6 +241,20 @@
         received + SILENCE_TIMEOUT
     }
 
+    /// Logs the milliseconds since the last complete reply, or since the connection was opened
+    /// if there was none, and since data was last received.
+    fn log_silence(&self, pending: &PendingCalls) {
+        let milliseconds_since = |at: Option<Instant>| at.map_or(0, |at| at.elapsed().as_millis());
+        let detail = format!(
+            "peer={} outstanding={} since_reply={} since_data={}",
+            self.address,
+            pending.borrow().len(),
+            milliseconds_since(self.last_received.get()),
+            milliseconds_since(self.progress.last_received_at()),
+        );
+        observe::record_event(Event::PeerSilent, &detail);
+    }
+
     fn send(
         &mut self,
         call: Call,
@@ -250,7 +278,7 @@
 
 async fn receive(
     address: String,
-    reader: OwnedReadHalf,
+    reader: ProgressReader<OwnedReadHalf>,
     peer_version: Rc<PeerVersion>,
     pending: PendingCalls,
     last_received: Rc<Cell<Option<Instant>>>,
--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -9,7 +9,8 @@
     Change, DirectoryRelay, Item, RelayFuture, RelayReply, RelayRequirements, RelayedChanges,
     RelayedItems, RelayedRoutes,
 };
-use stageyoke_types::{Blob, List, Text};
+use stageyoke_observe as observe;
+use stageyoke_types::{Blob, Event, List, Text};
 use tokio::time::Instant;
 
 use crate::client::{CallError, StoreClient};
@@ -19,6 +20,9 @@
 /// Maximum number of stores that are asked for one reply.
 const MAX_STORES_ASKED: usize = 3;
 
+/// Number of received bytes from which an exchange with a usable reply is logged.
+const LARGE_REPLY_BYTES: u64 = 64 * 1024;
+
 /// Divisor of the total time limit that yields the limit for asking a seed store for the
 /// addresses of others.
 const STORE_LOOKUP_DIVISOR: u32 = 4;
@@ -226,8 +230,11 @@
         let per_store = remaining / u32::try_from(candidates.len().max(1)).unwrap_or(1);
         for client in candidates {
             let sent_at = Instant::now();
+            let received_bytes_before = client.receive_progress().bytes();
             let remaining = deadline.saturating_duration_since(sent_at).min(per_store);
             let reply = client.call(request.clone(), remaining).await;
+            let received_bytes = client.receive_progress().bytes() - received_bytes_before;
+            log_exchange(&client, &reply, sent_at, received_bytes, max_age);
             self.record_peer_contact(&reply, sent_at);
             match reply {
                 Ok(reply) if copy_age(&reply).is_some_and(|age| age < max_age) => {
@@ -244,6 +251,32 @@
     }
 }
 
+/// Logs an exchange that was large or returned no recent enough copy. `received_bytes`
+/// includes concurrent replies of the same store.
+fn log_exchange(
+    client: &StoreClient,
+    reply: &Result<Reply, CallError>,
+    sent_at: Instant,
+    received_bytes: u64,
+    max_age: Duration,
+) {
+    let outcome = match reply {
+        Err(error) => error.to_string(),
+        Ok(reply) => match copy_age(reply) {
+            Some(age) if age < max_age && received_bytes < LARGE_REPLY_BYTES => return,
+            Some(age) if age < max_age => "ok".to_owned(),
+            Some(age) => format!("age_{}", age.as_millis()),
+            None => "no_copy".to_owned(),
+        },
+    };
+    let detail = format!(
+        "store={} outcome={outcome} milliseconds={} received={received_bytes}",
+        client.address(),
+        sent_at.elapsed().as_millis(),
+    );
+    observe::record_event(Event::DirectoryExchange, &detail);
+}
+
 /// Returns the age of the copy in a reply; `None` if the reply contains none.
 fn copy_age(reply: &Reply) -> Option<Duration> {
     match reply {
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod quorum;
 pub mod quota_owners;
 pub mod rank_load;
+pub mod receive_progress;
 pub mod recent_turns;
 pub mod record_reader;
 pub mod recovery_monitor;
--- a/crates/stageyoke-store/src/store_host/events.rs
+++ b/crates/stageyoke-store/src/store_host/events.rs
@@ -33,8 +33,14 @@
         MirrorEvent::Changed(changed) => {
             observe::record_event(Event::ViewChanged, &format!("{changed:?}"));
         }
-        MirrorEvent::Lost(error) => {
-            observe::record_event(Event::StoreUnreachable, &format!("error={error}"));
+        MirrorEvent::Lost(request) => {
+            let detail = format!(
+                "error={} milliseconds={} received={}",
+                request.error,
+                request.elapsed.as_millis(),
+                request.received_bytes
+            );
+            observe::record_event(Event::StoreUnreachable, &detail);
         }
         MirrorEvent::Regained => {
             observe::record_event(Event::DependencyRegained, "key-value service")
