Limit transfers by their progress instead of their time

Requests reached engines up to 4.4 s after these had announced that they leave (bound 3.0 s). This happened in the seconds in which a configuration of 1,400 to 4,200 routes was distributed, while no link was cut.

Cause: the timeouts of a directory exchange included the transfer of its reply: a quarter of 0.9 s for each store, 57 ms where a route is confirmed, and 0.9 s for the key-value service. On a link of 30 Mbit/s, the configuration alone takes 80 to 220 ms. An exchange that timed out was restarted at the next store while the abandoned reply was still arriving. Fronts saturated their links (2.7 to 3.7 MB/s for six seconds in the incident) and received no complete reply. The list of replicas is part of the same replies. Connections were closed 600 ms after the last complete reply although data was arriving, which also failed quota and budget calls on them.

The same kind of fault, a slow transfer treated as an outage, affected the records that stores fetch from each other (1.5 s, after which a peer counts as silent), a front's start from the stores' copy (0.5 s) and every call to the service (2 s).

Ruled out: the processor (1% busy at the front of the incident, which is limited by its link) and the age of the stores' copies (no exchange was refused because of it).

Fix: an exchange fails if no data arrives for its timeout, or after a much longer total timeout. A connection is closed only if no data arrives. A copy is applied regardless of its transfer time, unless it was too old when the store sent it.

--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -39,8 +39,11 @@
     /// Age at which a process starts a refresh if it refreshes early on behalf of
     /// peers.
     pub early_refresh_after: Duration,
-    /// Timeout of a refresh; after it the service counts as unreachable.
+    /// Time without any data after which a refresh fails and the service counts as
+    /// unreachable.
     pub answer_timeout: Duration,
+    /// Time after which a refresh fails although data arrives.
+    pub transfer_timeout: Duration,
     /// Age beyond which a request waits for a refresh.
     pub max_usable_age: Duration,
     /// Longest delay between two attempts while the service is unreachable.
@@ -56,6 +59,7 @@
             refresh_after: bound.mul_f64(REFRESH_FRACTION),
             early_refresh_after: bound.mul_f64(EARLY_REFRESH_FRACTION),
             answer_timeout: bound.mul_f64(ANSWER_TIMEOUT_FRACTION),
+            transfer_timeout: bound,
             max_usable_age: bound.mul_f64(MAX_USABLE_AGE_FRACTION),
             max_backoff: bound.mul_f64(MAX_BACKOFF_FRACTION),
             idle_timeout: bound * IDLE_TIMEOUT_BOUNDS,
--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod outage;
 pub mod relay;
 pub mod tenants;
+pub mod transfer;
 pub mod view;
 
 pub use freshness::{AgeLimits, DirectoryMark, Freshness};
@@ -30,4 +31,5 @@
     RelayedItems, RelayedRoutes, RoutesFuture,
 };
 pub use tenants::{KeyDigest, RateLimit, Tenant, Tenants};
+pub use transfer::{TransferTimeouts, wait_for_transfer};
 pub use view::{Interpreter, Update, View};
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -19,6 +19,7 @@
 use crate::groups::StoreGroups;
 use crate::key_value::{Change, Item, KeyValueError, KeyValueService, RangePage, WatchOutcome};
 use crate::relay::{DirectoryRelay, RecentChanges};
+use crate::transfer::{TransferTimeouts, wait_for_transfer};
 use crate::view::{Changed, Interpreter, Update, View};
 
 /// How long a watch waits at the service. It limits the number of calls; correctness
@@ -437,19 +438,33 @@
     }
 
     /// Requests the changes since a revision, on a connection separate from the pending
-    /// watch's. Fails after the answer timeout times `patience`.
+    /// watch's.
     async fn poll_service(
         &self,
         revision: u64,
         patience: u32,
     ) -> Result<WatchOutcome, KeyValueError> {
         let prefix = self.interpreter.prefix();
-        let answer_timeout = self.freshness.limits().answer_timeout * patience;
         self.record_request_start();
         let answer = self.service.watch(prefix, revision, Duration::ZERO);
-        tokio::time::timeout(answer_timeout, answer)
-            .await
-            .map_err(|_| KeyValueError::NoAnswer)?
+        self.receive_answer(answer, patience).await
+    }
+
+    /// Waits for an answer of the service. Fails if no data arrives for the answer timeout
+    /// times `patience`, or after the transfer timeout times `patience`.
+    async fn receive_answer<T>(
+        &self,
+        answer: impl Future<Output = Result<T, KeyValueError>>,
+        patience: u32,
+    ) -> Result<T, KeyValueError> {
+        let limits = self.freshness.limits();
+        let timeouts = TransferTimeouts {
+            idle: limits.answer_timeout * patience,
+            total: limits.transfer_timeout * patience,
+        };
+        let received_bytes = || self.service.received_bytes();
+        let answer = wait_for_transfer(answer, timeouts, received_bytes).await;
+        answer.ok_or(KeyValueError::NoAnswer)?
     }
 
     /// Applies an answer that was current at `as_of`. Entries that are missing in it
@@ -493,10 +508,7 @@
             let prefix = self.interpreter.prefix();
             self.record_request_start();
             let answer = self.service.range(prefix, after.as_deref());
-            let answer_timeout = self.freshness.limits().answer_timeout * PATIENT_RETRY_FACTOR;
-            let page = tokio::time::timeout(answer_timeout, answer)
-                .await
-                .map_err(|_| KeyValueError::NoAnswer)??;
+            let page = self.receive_answer(answer, PATIENT_RETRY_FACTOR).await?;
             let more = page.more;
             pages.push(page);
             if !more {
--- a/crates/stageyoke-directory/src/mirror/relayed.rs
+++ b/crates/stageyoke-directory/src/mirror/relayed.rs
@@ -36,8 +36,10 @@
     }
 
     fn relay_requirements(&self) -> RelayRequirements {
+        let limits = self.freshness.limits();
         RelayRequirements {
-            answer_timeout: self.freshness.limits().answer_timeout,
+            answer_timeout: limits.answer_timeout,
+            transfer_timeout: limits.transfer_timeout,
             max_age: self.fraction_of_bound(MAX_RELAYED_AGE_FRACTION),
         }
     }
@@ -142,12 +144,14 @@
         let relay = self.relay.as_ref()?;
         let requirements = self.relay_requirements();
         let reply = relay.fetch_changes(revision, requirements).await?;
+        if reply.payload.age > requirements.max_age {
+            return None;
+        }
+        // The transfer time is not counted: a repeated request would transfer the same
+        // changes.
         let as_of = reply.as_of(reply.payload.age);
         let lapsed_entry_deadline =
             self.relayed_lapsed_entry_deadline(&reply, reply.payload.lapsed_entry_grace, as_of);
-        if as_of.elapsed() > requirements.max_age {
-            return None;
-        }
         let RelayedChanges {
             changes,
             revision: relayed_revision,
@@ -172,12 +176,16 @@
     /// returns the latest time at which that read can have started.
     pub(super) async fn apply_relayed_routes(&self) -> Option<Instant> {
         let relay = self.relay.as_ref()?;
-        let answer_timeout = self
-            .freshness
-            .limits()
-            .answer_timeout
-            .mul_f64(RELAYED_ROUTES_TIMEOUT_FRACTION);
-        let reply = relay.fetch_routes(answer_timeout).await?;
+        let limits = self.freshness.limits();
+        let requirements = RelayRequirements {
+            answer_timeout: limits
+                .answer_timeout
+                .mul_f64(RELAYED_ROUTES_TIMEOUT_FRACTION),
+            transfer_timeout: limits.transfer_timeout,
+            // A peer reads the configuration on each request, so its age needs no limit.
+            max_age: Duration::MAX,
+        };
+        let reply = relay.fetch_routes(requirements).await?;
         let started_at = reply.as_of(reply.payload.age);
         let item = reply.payload.item;
         let key = self.interpreter.routes_key();
--- a/crates/stageyoke-directory/src/relay.rs
+++ b/crates/stageyoke-directory/src/relay.rs
@@ -82,8 +82,10 @@
 /// Requirements on a relayed copy.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayRequirements {
-    /// Timeout of the reply.
+    /// Time in which data must start to arrive, divided among the peers that are asked.
     pub answer_timeout: Duration,
+    /// Time after which a reply is abandoned although data arrives.
+    pub transfer_timeout: Duration,
     /// Maximum age of the copy; peers with an older one are skipped.
     pub max_age: Duration,
 }
@@ -99,7 +101,7 @@
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges>;
     /// Fetches the configuration, as returned by a recent linearizable read.
-    fn fetch_routes(&self, answer_timeout: Duration) -> RelayFuture<'_, RelayedRoutes>;
+    fn fetch_routes(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedRoutes>;
     /// Fetches all items.
     fn fetch_items(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedItems>;
 }
--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -29,6 +29,27 @@
 struct StoreConnection {
     store: Rc<TestMirror>,
     silent: Rc<Cell<bool>>,
+    link: Rc<Link>,
+}
+
+/// Link that transfers replies to the front.
+#[derive(Default)]
+struct Link {
+    /// Transfer time of a reply with a configuration.
+    transfer_time: Cell<Duration>,
+    /// Number of configurations transferred.
+    transfer_count: Cell<u32>,
+}
+
+impl Link {
+    /// Transfers a configuration; data arrives continuously.
+    async fn transfer_configuration(&self) {
+        self.transfer_count.set(self.transfer_count.get() + 1);
+        let end = Instant::now() + self.transfer_time.get();
+        while Instant::now() < end {
+            tokio::time::sleep(ONE_WAY_DELAY).await;
+        }
+    }
 }
 
 impl StoreConnection {
@@ -60,12 +81,18 @@
         after: u64,
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges> {
-        Box::pin(self.answer(requirements.answer_timeout, move |store| {
-            store.relay_changes(after)
-        }))
+        Box::pin(async move {
+            let relay = move |store: &TestMirror| store.relay_changes(after);
+            let reply = self.answer(requirements.answer_timeout, relay).await?;
+            if reply.payload.changes.iter().flatten().count() > 0 {
+                self.link.transfer_configuration().await;
+            }
+            Some(reply)
+        })
     }
 
-    fn fetch_routes(&self, answer_timeout: Duration) -> RelayFuture<'_, RelayedRoutes> {
+    fn fetch_routes(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedRoutes> {
+        let answer_timeout = requirements.answer_timeout;
         Box::pin(async move {
             let sent_at = Instant::now();
             if self.silent.get() {
@@ -74,6 +101,7 @@
             }
             let pending = self.store.relay_routes();
             let payload = tokio::time::timeout(answer_timeout, pending).await.ok()??;
+            self.link.transfer_configuration().await;
             Some(RelayReply { payload, sent_at })
         })
     }
@@ -89,6 +117,7 @@
     front_service: Rc<Service>,
     store_service: Rc<Service>,
     connection_silent: Rc<Cell<bool>>,
+    link: Rc<Link>,
 }
 
 fn service() -> Rc<Service> {
@@ -110,7 +139,13 @@
         let silent = connection_silent.clone();
         let front = Mirror::new(ServiceClient(front_service.clone()), TestInterpreter)
             .with_change_bound(CHANGE_BOUND);
-        let front = Rc::new(front.with_relay(Rc::new(StoreConnection { store, silent })));
+        let link = Rc::<Link>::default();
+        let connection = StoreConnection {
+            store,
+            silent,
+            link: link.clone(),
+        };
+        let front = Rc::new(front.with_relay(Rc::new(connection)));
         let following = front.clone();
         tokio::task::spawn_local(async move { following.run(|_| {}).await });
         Self {
@@ -118,6 +153,7 @@
             front_service,
             store_service,
             connection_silent,
+            link,
         }
     }
 
@@ -241,6 +277,30 @@
     .await;
 }
 
+/// A slow transfer of the configuration must neither make the directory older than its
+/// bound nor count as an outage.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_slow_transfer_keeps_the_directory_fresh(
+    #[values(100, 300, 500, 700, 900)] transfer_milliseconds: u64,
+) {
+    run_local(async {
+        let pair = FrontAndStore::start().await;
+        pair.use_for(Duration::from_millis(300)).await;
+        let transfer_time = Duration::from_millis(transfer_milliseconds).min(CHANGE_BOUND / 4);
+        pair.link.transfer_time.set(transfer_time);
+        for version in 2..8 {
+            pair.set_version(version);
+            pair.use_for(CHANGE_BOUND.mul_f64(0.6) + transfer_time * 2)
+                .await;
+            assert_eq!(pair.version(), version);
+            assert!(!pair.front.freshness().is_service_unreachable());
+        }
+        assert_eq!(pair.front_service.call_count.get(), 0);
+    })
+    .await;
+}
+
 fn change(revision: u64) -> Change {
     Change::Written(Item {
         key: "routes/all".to_owned(),
--- a/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
+++ b/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
@@ -101,7 +101,7 @@
         Box::pin(self.query(requirements, relayed, |relayed| relayed.age))
     }
 
-    fn fetch_routes(&self, _: Duration) -> RelayFuture<'_, RelayedRoutes> {
+    fn fetch_routes(&self, _: RelayRequirements) -> RelayFuture<'_, RelayedRoutes> {
         Box::pin(async { None })
     }
 
--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -18,11 +18,15 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use percent_encoding::{NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
+use stageyoke_directory::{TransferTimeouts, wait_for_transfer};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 pub use lenient_list::LenientList;
 
+/// Maximum transfer time of a response, in addition to the idle timeout of the call.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
+
 /// Error returned when a call gets no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -96,18 +100,23 @@
         self.received_bytes.get()
     }
 
-    /// Sends a request with a JSON body, which may be empty, and waits at most
-    /// `call_timeout` for the complete response.
+    /// Sends a request with a JSON body, which may be empty, and waits for the complete
+    /// response. Fails if no data arrives for `idle_timeout`, or if the transfer exceeds its
+    /// maximum time.
     pub async fn call(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
-        call_timeout: Duration,
+        idle_timeout: Duration,
     ) -> Result<HttpResponse, CallError> {
         let exchange = self.exchange(method, path, body);
-        let response = tokio::time::timeout(call_timeout, exchange).await;
-        response.map_err(no_answer)?
+        let timeouts = TransferTimeouts {
+            idle: idle_timeout,
+            total: idle_timeout + MAX_TRANSFER_TIME,
+        };
+        let response = wait_for_transfer(exchange, timeouts, || self.received_bytes.get());
+        response.await.ok_or(CallError::NoAnswer)?
     }
 
     async fn acquire_connection(&self) -> Result<Connection, CallError> {
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -1,11 +1,12 @@
 //! Client connection of a front or a store to one store.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
+use stageyoke_directory::{TransferTimeouts, wait_for_transfer};
 use stageyoke_observe as observe;
 use stageyoke_types::Event;
 use tokio::io::BufReader;
@@ -25,7 +26,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const RECONNECT_DELAY: Duration = Duration::from_millis(60);
-/// A connection is closed if nothing is received for this long while replies are
+/// A connection is closed if no data is received for this long while replies are
 /// outstanding.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -83,7 +84,6 @@
             address: address.to_owned(),
             queue,
             progress: progress.clone(),
-            last_received: Rc::default(),
             last_number: 0,
             outstanding_since: Instant::now(),
         };
@@ -111,6 +111,20 @@
             .await
     }
 
+    /// Sends a request with extension fields and waits for its reply, which may be large,
+    /// as long as data arrives from the store and up to the total timeout.
+    pub async fn call_with_transfer_timeouts(
+        &self,
+        request: Request,
+        extension_fields: Rc<ExtensionFields>,
+        timeouts: TransferTimeouts,
+    ) -> Result<Reply, CallError> {
+        let request = EncodedMessage::encode(&request);
+        let call = self.call_with_fields(request, extension_fields, timeouts.total);
+        let extended = wait_for_transfer(call, timeouts, || self.progress.bytes()).await;
+        Ok(extended.ok_or(CallError::NoAnswer)??.reply)
+    }
+
     /// Sends an encoded request and waits up to `call_timeout` for its reply.
     pub async fn call_encoded(
         &self,
@@ -155,7 +169,6 @@
     address: String,
     queue: UnboundedReceiver<Call>,
     progress: Rc<ReceiveProgress>,
-    last_received: Rc<Cell<Option<Instant>>>,
     last_number: u64,
     outstanding_since: Instant,
 }
@@ -203,11 +216,9 @@
             ProgressReader::new(reader, self.progress.clone()),
             peer_version.clone(),
             pending.clone(),
-            self.last_received.clone(),
             ended,
         );
         let _receive_task = AbortOnDrop(tokio::task::spawn_local(receiving));
-        self.last_received.set(Some(Instant::now()));
         self.send(first_call, &peer_version, &pending, &frames);
         loop {
             let deadline = self.silence_deadline(&pending);
@@ -229,28 +240,19 @@
 
     /// Returns when to close the connection unless something is received earlier.
     fn silence_deadline(&self, pending: &PendingCalls) -> Instant {
-        let now = Instant::now();
-        let received = self
-            .last_received
-            .get()
-            .unwrap_or(now)
-            .max(self.outstanding_since);
         if pending.borrow().is_empty() {
-            return now + Duration::from_secs(3600);
+            return Instant::now() + Duration::from_secs(3600);
         }
-        received + SILENCE_TIMEOUT
+        let received_at = self.progress.last_received_at();
+        received_at.map_or(self.outstanding_since, |at| at.max(self.outstanding_since))
+            + SILENCE_TIMEOUT
     }
 
-    /// Logs the milliseconds since the last complete reply, or since the connection was opened
-    /// if there was none, and since data was last received.
     fn log_silence(&self, pending: &PendingCalls) {
-        let milliseconds_since = |at: Option<Instant>| at.map_or(0, |at| at.elapsed().as_millis());
         let detail = format!(
-            "peer={} outstanding={} since_reply={} since_data={}",
+            "peer={} outstanding={}",
             self.address,
-            pending.borrow().len(),
-            milliseconds_since(self.last_received.get()),
-            milliseconds_since(self.progress.last_received_at()),
+            pending.borrow().len()
         );
         observe::record_event(Event::PeerSilent, &detail);
     }
@@ -281,7 +283,6 @@
     reader: ProgressReader<OwnedReadHalf>,
     peer_version: Rc<PeerVersion>,
     pending: PendingCalls,
-    last_received: Rc<Cell<Option<Instant>>>,
     ended: oneshot::Sender<()>,
 ) {
     let mut reader = BufReader::new(reader);
@@ -290,7 +291,6 @@
             Ok(received) => received,
             Err(error) => break error,
         };
-        last_received.set(Some(Instant::now()));
         peer_version.record_greeting(&received.extension_fields);
         if let Some(reply_sender) = pending.borrow_mut().remove(&received.message.number) {
             let _ = reply_sender.send(ExtendedReply {
--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -7,7 +7,7 @@
 
 use stageyoke_directory::{
     Change, DirectoryRelay, Item, RelayFuture, RelayReply, RelayRequirements, RelayedChanges,
-    RelayedItems, RelayedRoutes,
+    RelayedItems, RelayedRoutes, TransferTimeouts,
 };
 use stageyoke_observe as observe;
 use stageyoke_types::{Blob, Event, List, Text};
@@ -217,12 +217,8 @@
         request: Request,
         requirements: RelayRequirements,
     ) -> Option<RelayReply<Reply>> {
-        let RelayRequirements {
-            answer_timeout,
-            max_age,
-        } = requirements;
-        let deadline = Instant::now() + answer_timeout;
-        self.look_up_stores(answer_timeout / STORE_LOOKUP_DIVISOR)
+        let deadline = Instant::now() + requirements.answer_timeout;
+        self.look_up_stores(requirements.answer_timeout / STORE_LOOKUP_DIVISOR)
             .await;
         let candidates = self.candidates();
         let is_formed = self.groups.stores().is_formed();
@@ -231,13 +227,23 @@
         for client in candidates {
             let sent_at = Instant::now();
             let received_bytes_before = client.receive_progress().bytes();
-            let remaining = deadline.saturating_duration_since(sent_at).min(per_store);
-            let reply = client.call(request.clone(), remaining).await;
+            let timeouts = TransferTimeouts {
+                idle: deadline.saturating_duration_since(sent_at).min(per_store),
+                total: requirements.transfer_timeout,
+            };
+            let call = client.call_with_transfer_timeouts(request.clone(), Rc::default(), timeouts);
+            let reply = call.await;
             let received_bytes = client.receive_progress().bytes() - received_bytes_before;
-            log_exchange(&client, &reply, sent_at, received_bytes, max_age);
+            log_exchange(
+                &client,
+                &reply,
+                sent_at,
+                received_bytes,
+                requirements.max_age,
+            );
             self.record_peer_contact(&reply, sent_at);
             match reply {
-                Ok(reply) if copy_age(&reply).is_some_and(|age| age < max_age) => {
+                Ok(reply) if copy_age(&reply).is_some_and(|age| age < requirements.max_age) => {
                     *self.preferred_store.borrow_mut() = is_formed.then_some(client);
                     return Some(RelayReply {
                         payload: reply,
@@ -322,13 +328,8 @@
         })
     }
 
-    fn fetch_routes(&self, answer_timeout: Duration) -> RelayFuture<'_, RelayedRoutes> {
+    fn fetch_routes(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedRoutes> {
         Box::pin(async move {
-            // A store reads the configuration on each request, so its age needs no limit.
-            let requirements = RelayRequirements {
-                answer_timeout,
-                max_age: Duration::MAX,
-            };
             let reply = self.ask_stores(Request::Routes, requirements).await?;
             let Reply::Routes {
                 item,
--- a/crates/stageyoke-store/src/peer_sync.rs
+++ b/crates/stageyoke-store/src/peer_sync.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{GroupNumber, Members, Tolerance};
+use stageyoke_directory::{GroupNumber, Members, Tolerance, TransferTimeouts};
 use stageyoke_types::{Event, List, Text};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -22,7 +22,11 @@
 /// Interval between comparisons with a peer.
 pub const COMPARISON_INTERVAL: Duration = Duration::from_millis(1000);
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Timeouts of a call to a peer. The transfer of a page of records may be slow.
+const CALL_TIMEOUTS: TransferTimeouts = TransferTimeouts {
+    idle: Duration::from_millis(1500),
+    total: Duration::from_secs(10),
+};
 const FETCH_PAGE_RECORDS: usize = 256;
 /// Time for which a peer's report on unresponsive members is used: slightly more than a
 /// round.
@@ -123,11 +127,13 @@
         }
     }
 
-    /// Time since this peer's last answer.
+    /// Time since this peer's last answer, or since data was last received from it.
     pub fn silent_for(&self, node: &str) -> Option<Duration> {
         let peers = self.peers.borrow();
         let peer = peers.get(node)?;
-        Some(peer.last_answer.get().unwrap_or(peer.since).elapsed())
+        let answered_at = peer.last_answer.get().unwrap_or(peer.since);
+        let received_at = peer.client.receive_progress().last_received_at();
+        Some(received_at.max(Some(answered_at))?.elapsed())
     }
 
     /// Time for which the member on this machine has not answered the peers of this store;
@@ -285,7 +291,10 @@
     }
 
     async fn call(&self, peer: &Peer, request: Request) -> Option<Reply> {
-        let reply = peer.client.call(request, CALL_TIMEOUT).await.ok()?;
+        let call = peer
+            .client
+            .call_with_transfer_timeouts(request, Rc::default(), CALL_TIMEOUTS);
+        let reply = call.await.ok()?;
         peer.last_answer.set(Some(Instant::now()));
         Some(reply)
     }
--- a/crates/stageyoke-store/tests/directory_relay_test.rs
+++ b/crates/stageyoke-store/tests/directory_relay_test.rs
@@ -18,6 +18,7 @@
 
 const REQUIREMENTS: RelayRequirements = RelayRequirements {
     answer_timeout: Duration::from_secs(2),
+    transfer_timeout: Duration::from_secs(4),
     max_age: Duration::from_secs(1),
 };
 const STALE_AGE_MILLISECONDS: u32 = 5_000;
--- a/crates/stageyoke-store/tests/narrow_link_test.rs
+++ b/crates/stageyoke-store/tests/narrow_link_test.rs
@@ -1,4 +1,4 @@
-//! Large replies over a narrow link: a slow transfer must not be taken for an outage.
+//! Large replies over a slow link: a transfer that makes progress must not count as an outage.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -25,6 +25,7 @@
 const CHANGE_BOUND: Duration = Duration::from_secs(3);
 const REQUIREMENTS: RelayRequirements = RelayRequirements {
     answer_timeout: Duration::from_millis(900),
+    transfer_timeout: CHANGE_BOUND,
     max_age: Duration::from_millis(2_100),
 };
 const CONFIGURATION_BYTES: usize = 300_000;
@@ -83,7 +84,7 @@
     }
 }
 
-/// Replies in the order of the requests, as one connection of a store does.
+/// Replies in the order of the requests, like a store.
 async fn serve_connection(stream: TcpStream, link: Rc<Link>) {
     let (mut reader, mut writer) = stream.into_split();
     while let Ok(request) = frame::read::<Numbered<Request>>(&mut reader).await {
@@ -114,9 +115,9 @@
     address
 }
 
-async fn start_groups(link: &Rc<Link>, stores: usize) -> Rc<GroupClients> {
+async fn start_groups(link: &Rc<Link>, store_count: usize) -> Rc<GroupClients> {
     let mut members = Members::default();
-    for number in 0..stores {
+    for number in 0..store_count {
         members = members.with_member(Member {
             node: Text::from(format!("store-{number}")),
             address: Text::from(start_store(link).await),
@@ -125,7 +126,7 @@
             disk: 0,
         });
     }
-    let groups = GroupClients::new(Text::from("zone"), Tolerance::of_machines(stores - 1));
+    let groups = GroupClients::new(Text::from("zone"), Tolerance::of_machines(store_count - 1));
     groups.update_stores(&Rc::new(StoreGroups::single(members)));
     Rc::new(groups)
 }
@@ -134,8 +135,8 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// A transfer that takes longer than the answer timeout but makes progress must be
-/// completed: restarting it at another store takes at least as long again.
+/// A transfer that exceeds the answer timeout but makes progress must complete, since a
+/// retry at another store would transfer all data again.
 #[tokio::test]
 async fn a_slow_transfer_of_the_directory_is_not_abandoned() {
     run_local(async {
@@ -152,7 +153,7 @@
     .await;
 }
 
-/// Closing the connection would fail every other call on it.
+/// Closing the connection would fail all other calls on it.
 #[tokio::test]
 async fn a_connection_is_not_closed_while_it_receives_a_large_reply() {
     run_local(async {
@@ -165,7 +166,7 @@
     .await;
 }
 
-/// Quota requests time out after some ten milliseconds, so their replies must not queue
+/// Quota requests time out after tens of milliseconds, so their replies must not queue
 /// behind a large reply.
 #[tokio::test]
 async fn quota_is_granted_while_the_directory_is_transferred() {
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -71,7 +71,7 @@
     MetricsUnavailable, 706, "error", "The metrics page could not be served at its address.";
     StoreRegistered, 707, "info", "This store registered for the groups that are to be formed.";
     ListWaits, 708, "info", "What this store waits for in the list of its group has changed; `nothing` once the group is whole.";
-    PeerSilent, 709, "warn", "A connection to a store was closed: replies were outstanding and no complete one arrived in time.";
+    PeerSilent, 709, "warn", "A connection to a store was closed: replies were outstanding and no data arrived.";
     DirectoryExchange, 710, "info", "A store's copy of the directory was large, too old or not received.";
     RequestEnded, 800, "info", "A request was answered or given up; its decisive inputs and outcome follow.";
     SettingsReloaded, 801, "info", "The settings file was read again.";
