Request the directory over a separate connection

Replies on a connection arrive in order, so a quota grant (60 ms) or a reservation waited behind a directory reply of several hundred kilobytes, and quota was decided from the front's own share.

The front now keeps one connection, to the store that answered last, for directory requests only. Abandoning a request closes its connection, which ends the transfer.

--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -78,8 +78,12 @@
 impl StoreClient {
     /// Creates a client for the store at this address. Must be called in a `LocalSet`.
     pub fn new(address: &str) -> Self {
+        Self::with_progress(address, Rc::default())
+    }
+
+    /// Creates a client that records the progress of received data in `progress`.
+    pub fn with_progress(address: &str, progress: Rc<ReceiveProgress>) -> Self {
         let (calls, queue) = unbounded_channel();
-        let progress = Rc::<ReceiveProgress>::default();
         let connection = Connection {
             address: address.to_owned(),
             queue,
--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -16,6 +16,7 @@
 use crate::client::{CallError, StoreClient};
 use crate::group_clients::GroupClients;
 use crate::message::{CopyFreshness, DirectoryChange, DirectoryItem, Reply, Request};
+use crate::receive_progress::ReceiveProgress;
 
 /// Maximum number of stores that are asked for one reply.
 const MAX_STORES_ASKED: usize = 3;
@@ -136,8 +137,11 @@
     seed_addresses: Vec<String>,
     /// Addresses that the seed stores have returned.
     known_addresses: RefCell<Vec<Text>>,
-    /// The store that answered last, once the groups are known.
-    preferred_store: RefCell<Option<Rc<StoreClient>>>,
+    /// The store that answered last, once the groups are known. Its connection carries only
+    /// directory requests, so that a large reply does not delay those to other calls.
+    preferred_store: RefCell<Option<StoreClient>>,
+    /// Progress of data received on all connections of the relay.
+    progress: Rc<ReceiveProgress>,
 }
 
 impl StoreRelay {
@@ -149,6 +153,7 @@
             seed_addresses,
             known_addresses: RefCell::default(),
             preferred_store: RefCell::default(),
+            progress: Rc::default(),
         }
     }
 
@@ -182,31 +187,35 @@
 
     /// Selects stores to ask before the groups are known: some of those that the seeds
     /// returned, and a seed.
-    fn bootstrap_stores(&self) -> Vec<Rc<StoreClient>> {
-        let known_addresses = self.known_addresses.borrow();
-        let mut addresses: Vec<&str> = known_addresses.iter().map(Text::as_str).collect();
+    fn bootstrap_addresses(&self) -> Vec<Text> {
+        let mut addresses = self.known_addresses.borrow().clone();
         addresses.sort_by_cached_key(|_| rand::random::<u32>());
         addresses.truncate(MAX_STORES_ASKED - 1);
-        let mut seed_addresses: Vec<&str> =
-            self.seed_addresses.iter().map(String::as_str).collect();
+        let seed_addresses = self.seed_addresses.iter();
+        let mut seed_addresses: Vec<Text> = seed_addresses
+            .map(|address| Text::from(address.as_str()))
+            .collect();
         seed_addresses.sort_by_cached_key(|_| rand::random::<u32>());
-        addresses.extend(
-            seed_addresses
-                .into_iter()
-                .take(MAX_STORES_ASKED - addresses.len()),
-        );
-        let clients = addresses.into_iter().map(StoreClient::new);
-        clients.map(Rc::new).collect()
+        let seeds = MAX_STORES_ASKED - addresses.len();
+        addresses.extend(seed_addresses.into_iter().take(seeds));
+        addresses
     }
 
-    /// Selects stores to ask: the one that answered last, a near one and others.
-    fn candidates(&self) -> Vec<Rc<StoreClient>> {
-        let clients = self.groups.sample_clients(MAX_STORES_ASKED);
-        if clients.is_empty() {
-            return self.bootstrap_stores();
+    /// Selects stores to ask: the one that answered last, a near one and others. An abandoned
+    /// exchange drops its client, which closes the connection and ends the transfer.
+    fn take_candidates(&self) -> Vec<StoreClient> {
+        let mut addresses = self.groups.sample_addresses(MAX_STORES_ASKED);
+        if addresses.is_empty() {
+            addresses = self.bootstrap_addresses();
         }
-        let preferred_store = self.preferred_store.borrow().clone();
-        preferred_store.into_iter().chain(clients).collect()
+        let preferred_store = self.preferred_store.take();
+        if let Some(preferred_store) = &preferred_store {
+            addresses.retain(|address| address.as_str() != preferred_store.address());
+        }
+        let others = addresses
+            .iter()
+            .map(|address| StoreClient::with_progress(address, self.progress.clone()));
+        preferred_store.into_iter().chain(others).collect()
     }
 
     /// Asks stores one by one until one has a recent enough copy. A store whose copy is too
@@ -220,20 +229,20 @@
         let deadline = Instant::now() + requirements.answer_timeout;
         self.look_up_stores(requirements.answer_timeout / STORE_LOOKUP_DIVISOR)
             .await;
-        let candidates = self.candidates();
+        let candidates = self.take_candidates();
         let is_formed = self.groups.stores().is_formed();
         let remaining = deadline.saturating_duration_since(Instant::now());
         let per_store = remaining / u32::try_from(candidates.len().max(1)).unwrap_or(1);
         for client in candidates {
             let sent_at = Instant::now();
-            let received_bytes_before = client.receive_progress().bytes();
             let timeouts = TransferTimeouts {
                 idle: deadline.saturating_duration_since(sent_at).min(per_store),
                 total: requirements.transfer_timeout,
             };
+            let received_bytes_before = self.progress.bytes();
             let call = client.call_with_transfer_timeouts(request.clone(), Rc::default(), timeouts);
             let reply = call.await;
-            let received_bytes = client.receive_progress().bytes() - received_bytes_before;
+            let received_bytes = self.progress.bytes() - received_bytes_before;
             log_exchange(
                 &client,
                 &reply,
@@ -242,23 +251,21 @@
                 requirements.max_age,
             );
             self.record_peer_contact(&reply, sent_at);
-            match reply {
-                Ok(reply) if copy_age(&reply).is_some_and(|age| age < requirements.max_age) => {
-                    *self.preferred_store.borrow_mut() = is_formed.then_some(client);
-                    return Some(RelayReply {
-                        payload: reply,
-                        sent_at,
-                    });
-                }
-                Ok(_) | Err(_) => *self.preferred_store.borrow_mut() = None,
+            if let Ok(reply) = reply
+                && copy_age(&reply).is_some_and(|age| age < requirements.max_age)
+            {
+                self.preferred_store.replace(is_formed.then_some(client));
+                return Some(RelayReply {
+                    payload: reply,
+                    sent_at,
+                });
             }
         }
         None
     }
 }
 
-/// Logs an exchange that was large or returned no recent enough copy. `received_bytes`
-/// includes concurrent replies of the same store.
+/// Logs an exchange that was large or returned no recent enough copy.
 fn log_exchange(
     client: &StoreClient,
     reply: &Result<Reply, CallError>,
@@ -305,9 +312,8 @@
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges> {
         Box::pin(async move {
-            let reply = self
-                .ask_stores(Request::Changes { after }, requirements)
-                .await?;
+            let request = Request::Changes { after };
+            let reply = self.ask_stores(request, requirements).await?;
             let Reply::Changes {
                 known,
                 changes: List(changes),
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -127,9 +127,9 @@
         }
     }
 
-    /// Returns connections to some stores: one in the front's zone, for short round trips,
+    /// Returns the addresses of some stores: one in the front's zone, for short round trips,
     /// and random others, since a fault may affect the whole zone.
-    pub fn sample_clients(&self, max_clients: usize) -> Vec<Rc<StoreClient>> {
+    pub fn sample_addresses(&self, max_addresses: usize) -> Vec<Text> {
         let stores = self.stores();
         let mut members: Vec<&Member> = stores.members().collect();
         members.sort_by_cached_key(|_| rand::random::<u32>());
@@ -137,10 +137,8 @@
         if let Some(nearest) = members.iter().position(is_local) {
             members.swap(0, nearest);
         }
-        let selected = members.into_iter().take(max_clients);
-        selected
-            .filter_map(|member| self.client(&member.node))
-            .collect()
+        let selected = members.into_iter().take(max_addresses);
+        selected.map(|member| member.address.clone()).collect()
     }
 
     /// Returns the group that stores a program's records. A turn without a program is
