Transfer a configuration to a front only once

For each request with an unknown route, the configuration is confirmed by a read that began after the request arrived. Each of these reads transferred the whole table, from a store or from the service, even if the front already had it. A table that was arriving with the changes to the list was transferred a second time.

Requests for changes and routes now contain the revision of the configuration that the front has (extension field 8, which older builds ignore), and a store omits that item from its reply. The service is asked for the changes of the key since the last known revision instead of its value. A front has at most one exchange with stores at a time.

--- a/crates/stageyoke-directory/src/key_value.rs
+++ b/crates/stageyoke-directory/src/key_value.rs
@@ -135,6 +135,16 @@
     }
     /// Reads one key, linearizably.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Item>, KeyValueError>>;
+    /// Reads one key, linearizably, if it has changed after the revision `after`. Returns
+    /// `None` if it is unchanged or absent. The default implementation always reads it.
+    fn get_if_changed(
+        &self,
+        key: &str,
+        after: u64,
+    ) -> impl Future<Output = Result<Option<Item>, KeyValueError>> {
+        let _ = after;
+        self.get(key)
+    }
     /// Reads a page of the keys that start with `prefix`, after the key `after`.
     fn range(
         &self,
--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -27,8 +27,8 @@
     RouteKind, RouteTable, ServiceSpec, Target,
 };
 pub use relay::{
-    DirectoryRelay, DirectorySource, RelayFuture, RelayReply, RelayRequirements, RelayedChanges,
-    RelayedItems, RelayedRoutes, RoutesFuture,
+    DirectoryRelay, DirectorySource, KnownItem, RelayFuture, RelayReply, RelayRequirements,
+    RelayedChanges, RelayedItems, RelayedRoutes, RoutesFuture,
 };
 pub use tenants::{KeyDigest, RateLimit, Tenant, Tenants};
 pub use transfer::{TransferTimeouts, wait_for_transfer};
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -113,6 +113,11 @@
     received_bytes_before_request: Cell<u64>,
     lapsed_entry_deadline: Cell<Option<Instant>>,
     last_routes_read: tokio::sync::Mutex<Option<Instant>>,
+    /// Revision of the configuration in the view.
+    routes_revision: Cell<u64>,
+    /// Serializes exchanges with peers, so that concurrent ones do not transfer the same
+    /// configuration.
+    relay_exchange_lock: tokio::sync::Mutex<()>,
     view_changed: Notify,
     intervals: CallIntervals,
     freshness: Rc<Freshness>,
@@ -134,6 +139,8 @@
             received_bytes_before_request: Cell::new(0),
             lapsed_entry_deadline: Cell::new(None),
             last_routes_read: tokio::sync::Mutex::new(None),
+            routes_revision: Cell::new(0),
+            relay_exchange_lock: tokio::sync::Mutex::new(()),
             view_changed: Notify::new(),
             intervals: CallIntervals::default(),
             freshness: Rc::new(Freshness::new(AgeLimits::default(), true)),
@@ -253,7 +260,7 @@
             return Ok(started_at);
         }
         let started_at = Instant::now();
-        self.read_item(self.interpreter.routes_key()).await?;
+        self.read_routes().await?;
         *last_read = Some(started_at);
         Ok(started_at)
     }
@@ -263,6 +270,20 @@
         self.read_item(self.interpreter.stores_key()).await
     }
 
+    /// Reads the configuration from the service if it has changed since the last answer.
+    async fn read_routes(&self) -> Result<(), KeyValueError> {
+        let key = self.interpreter.routes_key();
+        if self.view().routes.is_none() {
+            return self.read_item(key).await;
+        }
+        let revision = self.freshness.revision();
+        let item = self.service.get_if_changed(key, revision).await?;
+        if let Some(item) = item {
+            self.apply_item(key, Some(item), 0, &mut Changed::default());
+        }
+        Ok(())
+    }
+
     async fn read_item(&self, key: &str) -> Result<(), KeyValueError> {
         let item = self.service.get(key).await?;
         if let Some(item) = item {
--- a/crates/stageyoke-directory/src/mirror/apply.rs
+++ b/crates/stageyoke-directory/src/mirror/apply.rs
@@ -18,6 +18,10 @@
         let value = item.as_ref().map(|item| &item.value);
         let revision = item.as_ref().map_or(revision, |item| item.revision);
         let update = self.interpreter.interpret(key, value);
+        if key == self.interpreter.routes_key() && matches!(update, Update::Routes(_)) {
+            let newest = self.routes_revision.get().max(revision);
+            self.routes_revision.set(newest);
+        }
         if let Some(items) = &self.items
             && !matches!(update, Update::Ignored)
         {
--- a/crates/stageyoke-directory/src/mirror/relayed.rs
+++ b/crates/stageyoke-directory/src/mirror/relayed.rs
@@ -8,9 +8,10 @@
 use super::{BATCH_DELAY_FRACTION, Mirror, MirrorEvent, Step};
 use crate::key_value::{KeyValueError, KeyValueService, RangePage, WatchOutcome};
 use crate::relay::{
-    DirectorySource, RelayReply, RelayRequirements, RelayedChanges, RelayedItems, RelayedRoutes,
-    RoutesFuture,
+    DirectorySource, KnownItem, RelayReply, RelayRequirements, RelayedChanges, RelayedItems,
+    RelayedRoutes, RoutesFuture,
 };
+use crate::transfer::{TransferTimeouts, wait_for_transfer};
 use crate::view::{Changed, Interpreter};
 
 /// Fractions of the change bound: maximum age of a relayed copy, and minimum pause
@@ -51,6 +52,7 @@
         report: &mut impl FnMut(MirrorEvent),
     ) -> Option<Step> {
         let relay = self.relay.as_ref()?;
+        let _exchange = self.relay_exchange_lock.lock().await;
         let is_starting = self.last_contact.get().is_none();
         let give_up_at = Instant::now() + RELAY_STARTUP_TIMEOUT;
         loop {
@@ -135,6 +137,14 @@
         })
     }
 
+    fn known_routes(&self) -> Option<KnownItem> {
+        let revision = self.routes_revision.get();
+        (revision > 0).then(|| KnownItem {
+            key: self.interpreter.routes_key().to_owned(),
+            revision,
+        })
+    }
+
     /// Applies the changes after a revision from a peer, if its copy is fresh.
     pub(super) async fn apply_relayed_changes(
         &self,
@@ -142,8 +152,11 @@
         report: &mut impl FnMut(MirrorEvent),
     ) -> Option<Step> {
         let relay = self.relay.as_ref()?;
+        let _exchange = self.relay_exchange_lock.lock().await;
         let requirements = self.relay_requirements();
-        let reply = relay.fetch_changes(revision, requirements).await?;
+        let reply = relay
+            .fetch_changes(revision, self.known_routes(), requirements)
+            .await?;
         if reply.payload.age > requirements.max_age {
             return None;
         }
@@ -185,11 +198,19 @@
             // A peer reads the configuration on each request, so its age needs no limit.
             max_age: Duration::MAX,
         };
-        let reply = relay.fetch_routes(requirements).await?;
+        let timeouts = TransferTimeouts {
+            idle: requirements.answer_timeout,
+            total: requirements.transfer_timeout,
+        };
+        let lock = self.relay_exchange_lock.lock();
+        let _exchange = wait_for_transfer(lock, timeouts, || relay.received_bytes()).await?;
+        let known = self.known_routes();
+        let reply = relay.fetch_routes(known.clone(), requirements).await?;
         let started_at = reply.as_of(reply.payload.age);
         let item = reply.payload.item;
         let key = self.interpreter.routes_key();
-        if item.key == key {
+        let is_known = known.is_some_and(|known| known.revision == item.revision);
+        if item.key == key && !is_known {
             self.apply_item(key, Some(item), 0, &mut Changed::default());
         }
         Some(started_at)
--- a/crates/stageyoke-directory/src/relay.rs
+++ b/crates/stageyoke-directory/src/relay.rs
@@ -49,7 +49,8 @@
 /// The configuration relayed by a peer.
 #[derive(Clone, Debug)]
 pub struct RelayedRoutes {
-    /// Item that holds the configuration.
+    /// Item that holds the configuration; its value is empty if the requester
+    /// has this revision.
     pub item: Item,
     /// Time since the start of the linearizable read that returned the item.
     pub age: Duration,
@@ -79,6 +80,15 @@
 /// Pending read of the configuration; resolves to `None` if it failed.
 pub type RoutesFuture<'a> = Pin<Box<dyn Future<Output = Option<RelayedRoutes>> + 'a>>;
 
+/// The revision of an item that a process has. Peers omit it from their replies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownItem {
+    /// Key of the item.
+    pub key: String,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// Requirements on a relayed copy.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayRequirements {
@@ -94,14 +104,25 @@
 pub trait DirectoryRelay {
     /// Returns whether any such peer is known.
     fn has_sources(&self) -> bool;
-    /// Fetches the changes after a revision.
+    /// Fetches the changes after a revision, except the change that wrote `known`.
     fn fetch_changes(
         &self,
         after: u64,
+        known: Option<KnownItem>,
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges>;
-    /// Fetches the configuration, as returned by a recent linearizable read.
-    fn fetch_routes(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedRoutes>;
+    /// Returns the total number of bytes received from peers, or zero if unknown. A rising
+    /// count shows that a transfer is in progress.
+    fn received_bytes(&self) -> u64 {
+        0
+    }
+    /// Fetches the configuration, as returned by a recent linearizable read. Its value is
+    /// omitted if its revision is that of `known`.
+    fn fetch_routes(
+        &self,
+        known: Option<KnownItem>,
+        requirements: RelayRequirements,
+    ) -> RelayFuture<'_, RelayedRoutes>;
     /// Fetches all items.
     fn fetch_items(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedItems>;
 }
--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -14,7 +14,7 @@
 use service::{Service, ServiceClient};
 use stageyoke_directory::relay::RecentChanges;
 use stageyoke_directory::{
-    Change, DirectoryRelay, DirectorySource, Item, Mirror, RelayFuture, RelayReply,
+    Change, DirectoryRelay, DirectorySource, Item, KnownItem, Mirror, RelayFuture, RelayReply,
     RelayRequirements, RelayedChanges, RelayedItems, RelayedRoutes,
 };
 use support::TestInterpreter;
@@ -39,6 +39,7 @@
     transfer_time: Cell<Duration>,
     /// Number of configurations transferred.
     transfer_count: Cell<u32>,
+    received_bytes: Cell<u64>,
 }
 
 impl Link {
@@ -47,6 +48,7 @@
         self.transfer_count.set(self.transfer_count.get() + 1);
         let end = Instant::now() + self.transfer_time.get();
         while Instant::now() < end {
+            self.received_bytes.set(self.received_bytes.get() + 1);
             tokio::time::sleep(ONE_WAY_DELAY).await;
         }
     }
@@ -79,19 +81,32 @@
     fn fetch_changes(
         &self,
         after: u64,
+        known: Option<KnownItem>,
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges> {
         Box::pin(async move {
             let relay = move |store: &TestMirror| store.relay_changes(after);
-            let reply = self.answer(requirements.answer_timeout, relay).await?;
-            if reply.payload.changes.iter().flatten().count() > 0 {
-                self.link.transfer_configuration().await;
+            let mut reply = self.answer(requirements.answer_timeout, relay).await?;
+            let known_revision = known.map(|known| known.revision);
+            if let Some(changes) = &mut reply.payload.changes {
+                changes.retain(|change| Some(change.revision()) != known_revision);
+                if !changes.is_empty() {
+                    self.link.transfer_configuration().await;
+                }
             }
             Some(reply)
         })
     }
 
-    fn fetch_routes(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedRoutes> {
+    fn received_bytes(&self) -> u64 {
+        self.link.received_bytes.get()
+    }
+
+    fn fetch_routes(
+        &self,
+        known: Option<KnownItem>,
+        requirements: RelayRequirements,
+    ) -> RelayFuture<'_, RelayedRoutes> {
         let answer_timeout = requirements.answer_timeout;
         Box::pin(async move {
             let sent_at = Instant::now();
@@ -100,8 +115,11 @@
                 return None;
             }
             let pending = self.store.relay_routes();
-            let payload = tokio::time::timeout(answer_timeout, pending).await.ok()??;
-            self.link.transfer_configuration().await;
+            let mut payload = tokio::time::timeout(answer_timeout, pending).await.ok()??;
+            match known.is_some_and(|known| known.revision == payload.item.revision) {
+                true => payload.item.value = Bytes::new(),
+                false => self.link.transfer_configuration().await,
+            }
             Some(RelayReply { payload, sent_at })
         })
     }
@@ -301,6 +319,29 @@
     .await;
 }
 
+/// Confirming routes must not transfer a configuration that the front already has or is
+/// receiving.
+#[tokio::test(start_paused = true)]
+async fn a_known_configuration_is_not_transferred_again() {
+    run_local(async {
+        let pair = FrontAndStore::start().await;
+        pair.use_for(Duration::from_millis(300)).await;
+        pair.link.transfer_time.set(Duration::from_millis(400));
+        for version in 2..6 {
+            let before = pair.link.transfer_count.get();
+            pair.set_version(version);
+            let end = Instant::now() + CHANGE_BOUND;
+            while Instant::now() < end {
+                pair.front.confirm_routes().await.expect("confirmed");
+                pair.use_for(Duration::from_millis(50)).await;
+            }
+            assert_eq!(pair.version(), version);
+            assert_eq!(pair.link.transfer_count.get(), before + 1);
+        }
+    })
+    .await;
+}
+
 fn change(revision: u64) -> Change {
     Change::Written(Item {
         key: "routes/all".to_owned(),
--- a/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
+++ b/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use stageyoke_directory::{
-    DirectoryRelay, DirectorySource, Freshness, Mirror, RelayFuture, RelayReply, RelayRequirements,
-    RelayedChanges, RelayedItems, RelayedRoutes,
+    DirectoryRelay, DirectorySource, Freshness, KnownItem, Mirror, RelayFuture, RelayReply,
+    RelayRequirements, RelayedChanges, RelayedItems, RelayedRoutes,
 };
 use stageyoke_front::placement::Candidate;
 use stageyoke_front::prompt_cache::Prompt;
@@ -95,13 +95,18 @@
     fn fetch_changes(
         &self,
         after: u64,
+        _: Option<KnownItem>,
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges> {
         let relayed = move |store: &Follower| store.relay_changes(after);
         Box::pin(self.query(requirements, relayed, |relayed| relayed.age))
     }
 
-    fn fetch_routes(&self, _: RelayRequirements) -> RelayFuture<'_, RelayedRoutes> {
+    fn fetch_routes(
+        &self,
+        _: Option<KnownItem>,
+        _: RelayRequirements,
+    ) -> RelayFuture<'_, RelayedRoutes> {
         Box::pin(async { None })
     }
 
--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use stageyoke_directory::{
-    Change, DirectoryRelay, Item, RelayFuture, RelayReply, RelayRequirements, RelayedChanges,
-    RelayedItems, RelayedRoutes, TransferTimeouts,
+    Change, DirectoryRelay, Item, KnownItem, RelayFuture, RelayReply, RelayRequirements,
+    RelayedChanges, RelayedItems, RelayedRoutes, TransferTimeouts,
 };
 use stageyoke_observe as observe;
 use stageyoke_types::{Blob, Event, List, Text};
 use tokio::time::Instant;
 
 use crate::client::{CallError, StoreClient};
+use crate::extension::{self, ExtensionFields};
 use crate::group_clients::GroupClients;
 use crate::message::{CopyFreshness, DirectoryChange, DirectoryItem, Reply, Request};
 use crate::receive_progress::ReceiveProgress;
@@ -118,6 +119,16 @@
     }
 }
 
+fn known_item_field(known: Option<KnownItem>) -> ExtensionFields {
+    ExtensionFields {
+        known_item: known.map(|known| extension::KnownItem {
+            key: Text::from(known.key),
+            revision: known.revision,
+        }),
+        ..ExtensionFields::default()
+    }
+}
+
 fn lapsed_entry_grace(mark: CopyFreshness) -> Duration {
     Duration::from_millis(u64::from(mark.lapsed_entry_grace_milliseconds))
 }
@@ -224,8 +235,10 @@
     async fn ask_stores(
         &self,
         request: Request,
+        extension_fields: ExtensionFields,
         requirements: RelayRequirements,
     ) -> Option<RelayReply<Reply>> {
+        let extension_fields = Rc::new(extension_fields);
         let deadline = Instant::now() + requirements.answer_timeout;
         self.look_up_stores(requirements.answer_timeout / STORE_LOOKUP_DIVISOR)
             .await;
@@ -240,7 +253,11 @@
                 total: requirements.transfer_timeout,
             };
             let received_bytes_before = self.progress.bytes();
-            let call = client.call_with_transfer_timeouts(request.clone(), Rc::default(), timeouts);
+            let call = client.call_with_transfer_timeouts(
+                request.clone(),
+                extension_fields.clone(),
+                timeouts,
+            );
             let reply = call.await;
             let received_bytes = self.progress.bytes() - received_bytes_before;
             log_exchange(
@@ -309,11 +326,14 @@
     fn fetch_changes(
         &self,
         after: u64,
+        known: Option<KnownItem>,
         requirements: RelayRequirements,
     ) -> RelayFuture<'_, RelayedChanges> {
         Box::pin(async move {
             let request = Request::Changes { after };
-            let reply = self.ask_stores(request, requirements).await?;
+            let reply = self
+                .ask_stores(request, known_item_field(known), requirements)
+                .await?;
             let Reply::Changes {
                 known,
                 changes: List(changes),
@@ -334,9 +354,19 @@
         })
     }
 
-    fn fetch_routes(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedRoutes> {
+    fn received_bytes(&self) -> u64 {
+        self.progress.bytes()
+    }
+
+    fn fetch_routes(
+        &self,
+        known: Option<KnownItem>,
+        requirements: RelayRequirements,
+    ) -> RelayFuture<'_, RelayedRoutes> {
         Box::pin(async move {
-            let reply = self.ask_stores(Request::Routes, requirements).await?;
+            let reply = self
+                .ask_stores(Request::Routes, known_item_field(known), requirements)
+                .await?;
             let Reply::Routes {
                 item,
                 age_milliseconds,
@@ -355,7 +385,9 @@
 
     fn fetch_items(&self, requirements: RelayRequirements) -> RelayFuture<'_, RelayedItems> {
         Box::pin(async move {
-            let reply = self.ask_stores(Request::Directory, requirements).await?;
+            let reply = self
+                .ask_stores(Request::Directory, ExtensionFields::default(), requirements)
+                .await?;
             let Reply::Directory {
                 items: List(items),
                 mark,
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -31,6 +31,7 @@
 const FRONT_TAG: u8 = 5;
 const ENGINE_LATENCIES_TAG: u8 = 6;
 const ENGINE_DEVIATIONS_TAG: u8 = 7;
+const KNOWN_ITEM_TAG: u8 = 8;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -59,6 +60,15 @@
     pub log_ratio: i16,
 }
 
+/// The revision of a directory item that a front has.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct KnownItem {
+    /// Key of the item.
+    pub key: Text,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// The extension fields of one message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExtensionFields {
@@ -77,6 +87,9 @@
     pub engine_latencies: Option<List<LatencyEntry>>,
     /// After a reply: deviations of engines, computed from the reports of all fronts.
     pub engine_deviations: Option<List<Deviation>>,
+    /// After a request for directory changes or the routing configuration: an item that the
+    /// requester has. The reply omits the change or the value if its revision is the same.
+    pub known_item: Option<KnownItem>,
 }
 
 impl ExtensionFields {
@@ -101,6 +114,7 @@
             self.engine_deviations.as_ref(),
             output,
         );
+        encode_field(KNOWN_ITEM_TAG, self.known_item.as_ref(), output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -121,6 +135,7 @@
                 ENGINE_DEVIATIONS_TAG => {
                     fields.engine_deviations = Some(DeBin::deserialize_bin(content)?)
                 }
+                KNOWN_ITEM_TAG => fields.known_item = Some(DeBin::deserialize_bin(content)?),
                 _ => {}
             }
         }
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -4,11 +4,11 @@
 
 use stageyoke_directory::GroupNumber;
 use stageyoke_policy::quota::QuotaDecision;
-use stageyoke_types::{List, Text};
+use stageyoke_types::{Blob, List, Text};
 
 use super::LocalStore;
 use crate::directory_relay;
-use crate::extension::ExtensionFields;
+use crate::extension::{ExtensionFields, KnownItem};
 use crate::keys::TurnKey;
 use crate::membership_state::PeerStatus;
 use crate::message::{
@@ -23,7 +23,7 @@
 
 /// The extension fields that a reply must carry. Requests queue up while the disk is slow,
 /// so only these values of a request's fields are held until the reply.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RequestedFields {
     /// Front that receives the rank loads of all other fronts.
     rank_loads_for: Option<u32>,
@@ -31,6 +31,29 @@
     engine_deviations_for: Option<u32>,
     /// Whether the queried program has started.
     started: Option<bool>,
+    /// Directory item that the requester has.
+    known_item: Option<KnownItem>,
+}
+
+impl RequestedFields {
+    /// Removes the item that the requester has from a reply, since it may be large.
+    pub fn omit_known_item(&self, mut reply: Reply) -> Reply {
+        let Some(known) = &self.known_item else {
+            return reply;
+        };
+        let is_known = |key: &Text, revision| *key == known.key && revision == known.revision;
+        match &mut reply {
+            Reply::Routes { item, .. } if is_known(&item.key, item.revision) => {
+                item.value = Blob::default();
+            }
+            Reply::Changes { changes, .. } => {
+                let List(changes) = changes;
+                changes.retain(|change| !is_known(&change.key, change.revision));
+            }
+            _ => {}
+        }
+        reply
+    }
 }
 
 impl LocalStore {
@@ -57,6 +80,7 @@
         RequestedFields {
             rank_loads_for: front.filter(|_| wants_rank_loads),
             engine_deviations_for: front.filter(|_| wants_deviations),
+            known_item: fields.known_item,
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -100,6 +100,7 @@
     replies: UnboundedSender<EncodedReply>,
 ) {
     let content = local_store.handle_request(request.content).await;
+    let content = context.requested_fields.omit_known_item(content);
     let extension_fields = match context.peer.reads_extension_fields() {
         true => context
             .peer
--- a/crates/stageyoke-store/tests/directory_relay_test.rs
+++ b/crates/stageyoke-store/tests/directory_relay_test.rs
@@ -4,13 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use stageyoke_directory::{
-    DirectoryRelay, Member, MemberState, Members, RelayRequirements, StoreGroups, Tolerance,
+    Change, DirectoryRelay, DirectorySource, Item, KnownItem, Member, MemberState, Members,
+    RelayRequirements, RelayedChanges, RelayedItems, RelayedRoutes, RoutesFuture, StoreGroups,
+    Tolerance,
 };
-use stageyoke_store::GroupClients;
 use stageyoke_store::directory_relay::StoreRelay;
-use stageyoke_store::frame;
+use stageyoke_store::local_store::LocalStore;
 use stageyoke_store::message::{CopyFreshness, Numbered, Reply, Request};
+use stageyoke_store::segment::DataFolder;
+use stageyoke_store::{GroupClients, StoreLimits};
+use stageyoke_store::{frame, server};
 use stageyoke_types::{List, Text};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -103,7 +108,7 @@
         .await;
         for _ in 0..20 {
             let reply = relay
-                .fetch_changes(0, REQUIREMENTS)
+                .fetch_changes(0, None, REQUIREMENTS)
                 .await
                 .expect("a fresh copy");
             assert_eq!(reply.payload.revision, u64::from(FRESH_AGE_MILLISECONDS));
@@ -126,14 +131,14 @@
         .await;
         let mut answered = 0;
         for _ in 0..20 {
-            let reply = relay.fetch_changes(0, REQUIREMENTS).await;
+            let reply = relay.fetch_changes(0, None, REQUIREMENTS).await;
             let fresh = reply
                 .is_some_and(|reply| reply.payload.revision == u64::from(FRESH_AGE_MILLISECONDS));
             answered += usize::from(fresh);
         }
         assert!(answered >= 15, "{answered} of 20 requests");
         assert!(
-            relay.fetch_changes(0, REQUIREMENTS).await.is_some(),
+            relay.fetch_changes(0, None, REQUIREMENTS).await.is_some(),
             "the last store with a fresh copy is asked again"
         );
     };
@@ -176,3 +181,87 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+const ROUTES_KEY: &str = "routes/all";
+const ROUTES_REVISION: u64 = 9;
+
+/// Directory source with one configuration and one replica.
+struct FixedDirectory;
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: Bytes::from_static(b"value"),
+        revision,
+    }
+}
+
+impl DirectorySource for FixedDirectory {
+    fn relay_changes(&self, _: u64) -> Option<RelayedChanges> {
+        // One transaction wrote both items, so their revisions are equal.
+        let items = [
+            item(ROUTES_KEY, ROUTES_REVISION),
+            item("replica/a", ROUTES_REVISION),
+        ];
+        Some(RelayedChanges {
+            changes: Some(items.map(Change::Written).into()),
+            revision: ROUTES_REVISION,
+            age: Duration::ZERO,
+            lapsed_entry_grace: Duration::ZERO,
+        })
+    }
+
+    fn relay_routes(&self) -> RoutesFuture<'_> {
+        Box::pin(async {
+            Some(RelayedRoutes {
+                item: item(ROUTES_KEY, ROUTES_REVISION),
+                age: Duration::ZERO,
+            })
+        })
+    }
+
+    fn relay_items(&self) -> Option<RelayedItems> {
+        None
+    }
+}
+
+/// A front must not receive a configuration again that it already has.
+#[tokio::test]
+async fn a_store_omits_the_configuration_that_the_front_holds() {
+    let test = async {
+        let folder = tempfile::tempdir().expect("folder");
+        let data = DataFolder::open(folder.path()).expect("data");
+        let recovered = data.recover(1, true).expect("recover");
+        let limits = StoreLimits::for_memory(1 << 26);
+        let (local_store, _results) =
+            LocalStore::open(Text::from("store-0"), data, recovered, limits).expect("threads");
+        local_store.set_directory_source(Rc::new(FixedDirectory));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let members = Members::default().with_member(Member {
+            node: Text::from("store-0"),
+            address: Text::from(listener.local_addr().expect("address").to_string()),
+            zone: Text::from("near"),
+            state: MemberState::Active,
+            disk: 0,
+        });
+        tokio::task::spawn_local(server::serve(Rc::new(local_store), listener));
+        let groups = GroupClients::new(Text::from("near"), Tolerance::default());
+        groups.update_stores(&Rc::new(StoreGroups::single(members)));
+        let relay = StoreRelay::new(Rc::new(groups), Vec::new());
+        for (known_revision, is_omitted) in [(None, false), (Some(8), false), (Some(9), true)] {
+            let known = known_revision.map(|revision| KnownItem {
+                key: ROUTES_KEY.to_owned(),
+                revision,
+            });
+            let changes = relay.fetch_changes(0, known.clone(), REQUIREMENTS).await;
+            let changes = changes.and_then(|reply| reply.payload.changes);
+            let expected_changes = if is_omitted { 1 } else { 2 };
+            assert_eq!(changes.expect("changes").len(), expected_changes);
+            let routes = relay.fetch_routes(known, REQUIREMENTS).await;
+            let routes = routes.expect("routes").payload.item;
+            assert_eq!(routes.revision, ROUTES_REVISION);
+            assert_eq!(routes.value.is_empty(), is_omitted);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/stageyoke-store/tests/narrow_link_test.rs
+++ b/crates/stageyoke-store/tests/narrow_link_test.rs
@@ -143,7 +143,7 @@
         let link = Rc::default();
         let relay = StoreRelay::new(start_groups(&link, 3).await, Vec::new());
         let started_at = Instant::now();
-        let reply = relay.fetch_changes(0, REQUIREMENTS).await;
+        let reply = relay.fetch_changes(0, None, REQUIREMENTS).await;
         let revision = reply.expect("a copy of the directory").payload.revision;
         assert_eq!(revision, REVISION);
         assert!(started_at.elapsed() < CHANGE_BOUND);
@@ -175,7 +175,7 @@
         let groups = start_groups(&link, 1).await;
         let relay = StoreRelay::new(groups.clone(), Vec::new());
         let transfer = tokio::task::spawn_local(async move {
-            relay.fetch_changes(0, REQUIREMENTS).await;
+            relay.fetch_changes(0, None, REQUIREMENTS).await;
         });
         tokio::time::sleep(Duration::from_millis(100)).await;
         for tenant in 0..20 {
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
-use stageyoke_store::extension::{Deviation, ExtensionFields, RankLoad, VERSION};
+use stageyoke_store::extension::{Deviation, ExtensionFields, KnownItem, RankLoad, VERSION};
 use stageyoke_store::frame::{self, EncodedMessage, Received};
 use stageyoke_store::message::{LatencyEntry, Numbered, Reply, Request};
 use stageyoke_types::List;
@@ -258,6 +258,10 @@
             replica: 3,
             log_ratio: -7,
         }])),
+        known_item: Some(KnownItem {
+            key: "routes/all".into(),
+            revision: 12,
+        }),
     };
     let mut bytes = Vec::new();
     fields.encode(&mut bytes);
