Move the conditional read of a key out of the adapter

The function does not depend on the platform, so it moves to the directory crate. Behavior is unchanged.

--- a/crates/stageyoke-directory/src/key_value.rs
+++ b/crates/stageyoke-directory/src/key_value.rs
@@ -164,3 +164,22 @@
         transaction: &Transaction,
     ) -> impl Future<Output = Result<TransactionOutcome, KeyValueError>>;
 }
+
+/// Reads one key with a non-blocking watch, which does not transfer an unchanged value.
+/// Returns `None` if the key has not changed after the revision `after` or is absent.
+pub async fn get_by_watch<S: KeyValueService>(
+    service: &S,
+    key: &str,
+    after: u64,
+) -> Result<Option<Item>, KeyValueError> {
+    let outcome = service.watch(key, after, Duration::ZERO).await?;
+    let WatchOutcome::Changes { changes, .. } = outcome else {
+        return service.get(key).await;
+    };
+    // The watch also returns changes of longer keys with this prefix.
+    let written = changes.into_iter().rev().find_map(|change| match change {
+        Change::Written(item) if item.key == key => Some(item),
+        Change::Written(_) | Change::Removed { .. } => None,
+    });
+    Ok(written)
+}
