Soak: slow transfers, overlapping faults and reused connections

Add two faults. `SlowTransfers` slows down the responses of the key-value service and the stores to some fronts (300 kB/s per connection) while the configuration grows by 200 to 599 routes and replicas drain; time bounds apply throughout. `OverlapFaults` signals several fronts and a store in series without waiting for them to exit, while the configuration changes, the history is compacted, a replica drains and the connections of one process to the key-value service are disturbed. Callers reuse connections until the front closes them or a request on them fails, and keep up to eight each.

--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -232,7 +232,7 @@
     let runs: Vec<(u64, Vec<Fault>)> = match arguments.cases {
         true => soak::REGRESSION_CASES
             .iter()
-            .map(|case| (case.seed, case.faults()))
+            .map(|case| (case.seed, case.faults.to_vec()))
             .collect(),
         false => (first_seed..first_seed + arguments.runs)
             .map(|seed| (seed, faults.clone()))
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -21,7 +21,7 @@
 use super::slopes::ProcessMonitor;
 use crate::standins::platform::key_value::PlatformKeyValueStandIn;
 use crate::standins::platform::replica::{ReplicaFaults, ReplicaStandIn};
-use crate::standins::platform::{RETENTION_SECONDS, configuration, names};
+use crate::standins::platform::{RETENTION_SECONDS, add_routes, configuration, names};
 use crate::standins::{StandInServer, serve};
 
 /// Default number of fronts.
@@ -112,6 +112,8 @@
     pub monitor: ProcessMonitor,
     /// Time at which callers stop.
     pub ends_at: Instant,
+    /// Number of unused routes added to each configuration that is written.
+    pub(super) added_routes: usize,
     configuration: fn(u64) -> Value,
     parameters: ProcessParameters,
     machines: AddressAllocator,
@@ -224,6 +226,7 @@
             fronts,
             version: 1,
             versions,
+            added_routes: 0,
             configuration,
             catch_up,
             ends_at: Instant::now(),
@@ -277,9 +280,10 @@
     /// Writes the next configuration version to the key-value service.
     pub fn reconfigure(&mut self) {
         self.version += 1;
-        let configuration = (self.configuration)(self.version).to_string();
+        let mut configuration = (self.configuration)(self.version);
+        add_routes(&mut configuration, self.added_routes);
         self.service
-            .put(names::CONFIG_KEY, configuration.as_bytes());
+            .put(names::CONFIG_KEY, configuration.to_string().as_bytes());
         self.versions.record_accepted(self.version);
     }
 
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -67,11 +67,18 @@
     RestartReplica,
     /// Overwrites entries of the replica list with invalid values.
     SpoilEntries,
+    /// Slows down responses of the key-value service and the stores to some fronts, while
+    /// the configuration grows and replicas drain.
+    SlowTransfers,
+    /// Signals fronts and a store without waiting for each to recover, while the
+    /// configuration changes, a replica drains and the connections of one process to the
+    /// key-value service are disturbed.
+    OverlapFaults,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
 /// this list.
-pub const FAULTS: [Fault; 21] = [
+pub const FAULTS: [Fault; 23] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -93,6 +100,8 @@
     Fault::CutFront,
     Fault::RestartReplica,
     Fault::SpoilEntries,
+    Fault::SlowTransfers,
+    Fault::OverlapFaults,
 ];
 
 /// Kinds drawn only if they are named explicitly.
@@ -115,6 +124,7 @@
                 | Self::KillAll
                 | Self::CutService
                 | Self::TroubleService
+                | Self::OverlapFaults
         )
     }
 
@@ -128,6 +138,7 @@
                 | Self::CutStore
                 | Self::FillDisk
                 | Self::SilenceBetweenStores
+                | Self::OverlapFaults
         )
     }
 }
@@ -201,6 +212,8 @@
             Fault::CutFront => self.isolate_front(front, random).await,
             Fault::RestartReplica => self.restart_replica(random).await,
             Fault::SpoilEntries => self.corrupt_entries(random).await,
+            Fault::SlowTransfers => self.slow_transfers(random).await,
+            Fault::OverlapFaults => details = self.overlap_faults(random).await,
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.suspends_bounds() {
@@ -220,7 +233,7 @@
         self.start_or_report(number);
     }
 
-    fn start_or_report(&mut self, number: usize) {
+    pub(super) fn start_or_report(&mut self, number: usize) {
         if let Err(error) = self.processes[number].start(false) {
             self.promises
                 .report_breach(format!("a process did not start: {error}"));
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -9,11 +9,13 @@
 pub mod faults;
 pub mod keys;
 pub mod losses;
+pub mod overlaps;
 pub mod processes;
 pub mod promises;
 pub mod proxy;
 pub mod replicas;
 pub mod slopes;
+pub mod slow_transfers;
 pub mod upgrade;
 
 use std::path::{Path, PathBuf};
@@ -71,8 +73,8 @@
 pub struct RegressionCase {
     /// The seed.
     pub seed: u64,
-    /// Number of kinds of fault at that time.
-    pub fault_kinds: usize,
+    /// Kinds of fault to draw from.
+    pub faults: &'static [Fault],
     /// Cause of the breach.
     pub cause: &'static str,
 }
@@ -92,27 +94,45 @@
     pub folder: Option<PathBuf>,
 }
 
+/// Prefix of [`FAULTS`] that the oldest cases draw from; other kinds would change their runs.
+const OLDEST_CASE_FAULTS: &[Fault] = FAULTS.split_at(12).0;
+const SLOW_TRANSFER_FAULTS: &[Fault] = &[
+    Fault::SlowTransfers,
+    Fault::Reconfigure,
+    Fault::ReplaceReplicas,
+];
+const SLOW_TRANSFER_CAUSE: &str =
+    "transfers that exceeded the answer timeout were restarted, so the directory became stale";
+
 /// Seeds that have shown a breach.
-pub const REGRESSION_CASES: [RegressionCase; 2] = [
+pub const REGRESSION_CASES: [RegressionCase; 5] = [
     RegressionCase {
         seed: 3_967_300_783,
-        fault_kinds: 12,
+        faults: OLDEST_CASE_FAULTS,
         cause: "all processes killed at the first start, before the disks were marked: no group was formed",
     },
     RegressionCase {
         seed: 3_548_155_731,
-        fault_kinds: 12,
+        faults: OLDEST_CASE_FAULTS,
         cause: "the same cause, followed by the kill of a front",
     },
+    RegressionCase {
+        seed: 7001,
+        faults: SLOW_TRANSFER_FAULTS,
+        cause: SLOW_TRANSFER_CAUSE,
+    },
+    RegressionCase {
+        seed: 7002,
+        faults: SLOW_TRANSFER_FAULTS,
+        cause: SLOW_TRANSFER_CAUSE,
+    },
+    RegressionCase {
+        seed: 7004,
+        faults: SLOW_TRANSFER_FAULTS,
+        cause: SLOW_TRANSFER_CAUSE,
+    },
 ];
 
-impl RegressionCase {
-    /// Returns the kinds of fault at the time of the breach.
-    pub fn faults(&self) -> Vec<Fault> {
-        FAULTS[..self.fault_kinds.min(FAULTS.len())].to_vec()
-    }
-}
-
 /// Runs a deployment as planned and checks all promises.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
     let first_program = plan.upgrade_from.as_ref().unwrap_or(&plan.program);
@@ -199,11 +219,11 @@
 }
 
 fn caller(deployment: &Deployment, seed: u64) -> Caller {
-    Caller {
-        fronts: deployment.fronts.clone(),
-        promises: deployment.promises.clone(),
-        random: ChaCha8Rng::seed_from_u64(seed),
-    }
+    Caller::new(
+        deployment.fronts.clone(),
+        deployment.promises.clone(),
+        ChaCha8Rng::seed_from_u64(seed),
+    )
 }
 
 async fn run_programs_until(mut caller: Caller, until: Instant) -> Vec<StoredTurn> {
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -13,6 +13,8 @@
 use super::connections::is_held_by;
 
 const BUFFER_BYTES: usize = 16 * 1024;
+/// Response rate of each connection in [`Mode::Slow`].
+pub const SLOW_BYTES_PER_SECOND: u32 = 300_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
     connection: close\r\n\r\n";
@@ -31,6 +33,8 @@
     Reset = 3,
     /// Closes all connections, and answers requests on new ones with status 503.
     Refuse = 4,
+    /// Limits responses to [`SLOW_BYTES_PER_SECOND`] on each connection.
+    Slow = 5,
 }
 
 /// Mode and delay of a proxy; can be changed while the proxy runs.
@@ -68,6 +72,7 @@
             2 => Mode::OneWay,
             3 => Mode::Reset,
             4 => Mode::Refuse,
+            5 => Mode::Slow,
             _ => Mode::Pass,
         }
     }
@@ -209,13 +214,17 @@
             let blocked = match connection.mode() {
                 Mode::Silence => true,
                 Mode::OneWay => answers,
-                Mode::Pass | Mode::Reset | Mode::Refuse => false,
+                Mode::Pass | Mode::Reset | Mode::Refuse | Mode::Slow => false,
             };
             if !blocked {
                 break;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
+        if answers && connection.mode() == Mode::Slow {
+            let seconds = count as f64 / f64::from(SLOW_BYTES_PER_SECOND);
+            tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -1,12 +1,14 @@
 //! Stand-in for a platform caller: runs programs of stored turns with tool calls
 //! between them, retries as the protocol allows, and checks every answer.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rand::Rng;
@@ -24,6 +26,8 @@
 const REQUEST_DEADLINE: Duration = Duration::from_millis(4000);
 const EVENTS_PER_TURN: u32 = 6;
 const MAX_TURN_TOKENS: u32 = EVENTS_PER_TURN * TOKENS_PER_EVENT;
+/// Maximum number of idle connections that a caller keeps open.
+const MAX_IDLE_CONNECTIONS: usize = 8;
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1300);
 
 /// Stored turn that later turns can continue.
@@ -53,9 +57,21 @@
     pub promises: Arc<Promises>,
     /// Source of the identifiers, budgets, fronts and tools to use.
     pub random: ChaCha8Rng,
+    /// Idle connections by front, reused while they are open.
+    idle_connections: BTreeMap<SocketAddr, SendRequest<Full<Bytes>>>,
 }
 
 impl Caller {
+    /// Creates a caller without connections.
+    pub fn new(fronts: Arc<Vec<SocketAddr>>, promises: Arc<Promises>, random: ChaCha8Rng) -> Self {
+        Self {
+            fronts,
+            promises,
+            random,
+            idle_connections: BTreeMap::new(),
+        }
+    }
+
     fn draw_identifier(&mut self) -> String {
         format!("{:016x}", self.random.random::<u64>())
     }
@@ -243,7 +259,7 @@
         received: &mut Vec<u8>,
     ) -> Outcome {
         let front = self.fronts[self.random.random_range(0..self.fronts.len())];
-        let response = exchange(front, request, received);
+        let response = self.exchange(front, request, received);
         let Ok(Some(response)) = tokio::time::timeout(REQUEST_DEADLINE, response).await else {
             return Outcome::Failed;
         };
@@ -273,29 +289,40 @@
         }
         Outcome::Failed
     }
-}
 
-/// Sends a request and appends the answer's body to `received`; `None` if the
-/// answer is incomplete.
-async fn exchange(
-    front: SocketAddr,
-    request: Request<Full<Bytes>>,
-    received: &mut Vec<u8>,
-) -> Option<Response<()>> {
-    let stream = TcpStream::connect(front).await.ok()?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream))
-            .await
-            .ok()?;
-    let driver = tokio::spawn(connection);
-    let response: Response<Incoming> = sender.send_request(request).await.ok()?;
-    let (head, mut body) = response.into_parts();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.ok()?;
-        if let Some(data) = frame.data_ref() {
-            received.extend_from_slice(data);
+    /// Sends a request over the idle connection to the front, or a new one, and appends the
+    /// answer's body to `received`; `None` if the answer is incomplete.
+    async fn exchange(
+        &mut self,
+        front: SocketAddr,
+        request: Request<Full<Bytes>>,
+        received: &mut Vec<u8>,
+    ) -> Option<Response<()>> {
+        let idle = self.idle_connections.remove(&front);
+        let mut sender = match idle.filter(SendRequest::is_ready) {
+            Some(sender) => sender,
+            None => connect(front).await?,
+        };
+        let response: Response<Incoming> = sender.send_request(request).await.ok()?;
+        let (head, mut body) = response.into_parts();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.ok()?;
+            if let Some(data) = frame.data_ref() {
+                received.extend_from_slice(data);
+            }
+        }
+        if self.idle_connections.len() >= MAX_IDLE_CONNECTIONS {
+            self.idle_connections.pop_first();
         }
+        self.idle_connections.insert(front, sender);
+        Some(Response::from_parts(head, ()))
     }
-    driver.abort();
-    Some(Response::from_parts(head, ()))
+}
+
+async fn connect(front: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(front).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    // The task ends once the sender is dropped or the front closes the connection.
+    tokio::spawn(connection);
+    Some(sender)
 }
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -86,6 +86,20 @@
     })
 }
 
+/// Increases the size of a configuration with routes that match no request.
+pub fn add_routes(configuration: &mut serde_json::Value, count: usize) {
+    let Some(routes) = configuration["Routes"].as_array_mut() else {
+        return;
+    };
+    let template = routes.last().cloned().unwrap_or_default();
+    for number in 0..count {
+        let mut route = template.clone();
+        route["Name"] = format!("added-{number}").into();
+        route["PathPrefix"] = format!("/added-{number}/").into();
+        routes.push(route);
+    }
+}
+
 /// Status in the answer to a retirement order once the store has left.
 pub const RETIREMENT_COMPLETED: &str = "completed";
 
