Known red: a slow store makes a front's directory stale

Found on reading the change again: a transfer in progress is given a whole bound, while the sum in BOUNDS.md leaves it 0.3 of it. It is not mended here: giving the transfer up at 0.3 transfers all of it again where the front's own link is narrow.

--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -300,12 +300,12 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_slow_transfer_keeps_the_directory_fresh(
-    #[values(100, 300, 500, 700, 900)] transfer_milliseconds: u64,
+    #[values(100, 200, 300, 400, 500)] transfer_milliseconds: u64,
 ) {
     run_local(async {
         let pair = FrontAndStore::start().await;
         pair.use_for(Duration::from_millis(300)).await;
-        let transfer_time = Duration::from_millis(transfer_milliseconds).min(CHANGE_BOUND / 4);
+        let transfer_time = Duration::from_millis(transfer_milliseconds);
         pair.link.transfer_time.set(transfer_time);
         for version in 2..8 {
             pair.set_version(version);
@@ -319,6 +319,20 @@
     .await;
 }
 
+/// A store that sends slowly must not make the directory stale while the service answers.
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_does_not_make_the_directory_stale() {
+    run_local(async {
+        let pair = FrontAndStore::start().await;
+        pair.use_for(Duration::from_millis(300)).await;
+        pair.link.transfer_time.set(CHANGE_BOUND.mul_f64(0.9));
+        pair.set_version(2);
+        pair.use_for(CHANGE_BOUND * 2).await;
+        assert_eq!(pair.version(), 2);
+    })
+    .await;
+}
+
 /// Confirming routes must not transfer a configuration that the front already has or is
 /// receiving.
 #[tokio::test(start_paused = true)]
