--- a/crates/stageyoke-lab/src/commands.rs
+++ b/crates/stageyoke-lab/src/commands.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use miette::{Context, IntoDiagnostic};
+use miette::{Context, IntoDiagnostic, miette};
 use stageyoke_node::events::{LogFormat, start_log};
 
 use crate::cluster::{ClusterShape, LabCluster};
 use crate::hunts::HuntReport;
 use crate::lateness::Lateness;
 use crate::load::LoadPlan;
+use crate::soak::contracts;
 use crate::soak::deployment::{CATCH_UP, DeploymentSize};
 use crate::soak::faults::{FAULTS, Fault, NAMED_FAULTS};
+use crate::soak::shape::DeploymentShape;
 use crate::soak::{self, SoakPlan};
 use crate::standins::engine::EngineTiming;
 use crate::{demo, failover, load};
@@ -66,6 +68,17 @@
     /// time for a store's successor to catch up, in ms; 4400 by default
     #[argh(option)]
     catch_up_ms: Option<u64>,
+    /// run programs at this multiple of the usual rate, whether or not earlier ones have
+    /// ended, on 84 processes in four zones
+    #[argh(option)]
+    open_loop: Option<f64>,
+    /// time that is added to each sync of the stores with --open-loop, in ms
+    #[argh(option, default = "0")]
+    sync_ms: u64,
+    /// optional contracts of the deployment, separated by commas, or "none"; drawn from the
+    /// seed by default
+    #[argh(option)]
+    contracts: Option<String>,
     /// path of the program; by default the one in this program's folder
     #[argh(option)]
     program: Option<PathBuf>,
@@ -239,19 +252,33 @@
             .collect(),
     };
     for (seed, faults) in runs {
+        let contracts = select_contracts(arguments, seed)?;
+        println!("seed {seed}: contracts {contracts:?}");
         let plan = SoakPlan {
             program: program.clone(),
             upgrade_from: arguments.upgrade_from.clone(),
             seed,
             duration: Duration::from_secs(arguments.seconds),
             faults,
-            size: DeploymentSize::for_processes(arguments.processes),
-            catch_up: arguments
-                .catch_up_ms
-                .map_or(CATCH_UP, Duration::from_millis),
+            shape: match arguments.open_loop {
+                Some(_) => DeploymentShape::four_zones(),
+                None => DeploymentShape {
+                    size: DeploymentSize::for_processes(arguments.processes),
+                    catch_up: arguments
+                        .catch_up_ms
+                        .map_or(CATCH_UP, Duration::from_millis),
+                    ..DeploymentShape::default()
+                },
+            },
+            contracts,
+            sync_time: Duration::from_millis(arguments.sync_ms),
+        };
+        let report = match arguments.open_loop {
+            Some(load) => soak::open_loop::run(&plan, load).await.into_diagnostic()?,
+            None => soak::run(&plan).await.into_diagnostic()?,
         };
-        let report = soak::run(&plan).await.into_diagnostic()?;
         println!("seed {seed}: {:?}", report.counts);
+        print!("{}", report.shares);
         println!("  slopes judged: {}", report.judged_processes);
         println!("  faults: {}", report.faults.join(", "));
         for breach in &report.breaches {
@@ -268,6 +295,17 @@
     })
 }
 
+/// Returns the contracts of a run; regression cases use all, as when they were found.
+fn select_contracts(arguments: &SoakArguments, seed: u64) -> miette::Result<Vec<String>> {
+    match &arguments.contracts {
+        Some(names) => {
+            contracts::parse(names).ok_or_else(|| miette!("unknown contract in \"{names}\""))
+        }
+        None if arguments.cases => Ok(contracts::all()),
+        None => Ok(contracts::draw(seed)),
+    }
+}
+
 async fn dispatch(command: Command) -> miette::Result<ExitCode> {
     match command {
         Command::Soak(arguments) => run_soaks(&arguments).await,
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -14,13 +14,15 @@
 
 use super::addresses::AddressAllocator;
 use super::changes::ConfigurationVersions;
-use super::processes::{MEMORY_MB, Process, ProcessParameters, ProcessRole};
+use super::contracts;
+use super::processes::{Process, ProcessParameters, ProcessRole};
 use super::promises::Promises;
 use super::proxy::Proxy;
 use super::replicas::unix_milliseconds;
+use super::shape::DeploymentShape;
 use super::slopes::ProcessMonitor;
 use crate::standins::platform::key_value::PlatformKeyValueStandIn;
-use crate::standins::platform::replica::{ReplicaFaults, ReplicaStandIn};
+use crate::standins::platform::replica::{ReplicaFaults, ReplicaSlots, ReplicaStandIn};
 use crate::standins::platform::{RETENTION_SECONDS, add_routes, configuration, names};
 use crate::standins::{StandInServer, serve};
 
@@ -71,17 +73,36 @@
     }
 }
 
-/// Number of model replicas.
-pub const MODELS: usize = 3;
-/// Number of tool replicas.
-const TOOLS: usize = 2;
 /// Number of seed addresses in each process's settings.
 const SEEDS: usize = 3;
+/// Maximum number of slots that a replica announces.
+const MAX_ANNOUNCED_SLOTS: usize = 12;
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Default time for a store's successor to catch up.
 pub const CATCH_UP: Duration = Duration::from_millis(4400);
 
+/// Options of a deployment.
+#[derive(Clone, Debug)]
+pub struct DeploymentOptions {
+    /// Shape of the deployment.
+    pub shape: DeploymentShape,
+    /// Optional contracts.
+    pub contracts: Vec<String>,
+    /// Returns the configuration of each version.
+    pub configuration: fn(u64) -> Value,
+}
+
+impl Default for DeploymentOptions {
+    fn default() -> Self {
+        Self {
+            shape: DeploymentShape::default(),
+            contracts: contracts::all(),
+            configuration,
+        }
+    }
+}
+
 /// A running deployment; its processes and stand-ins end when it is dropped.
 pub struct Deployment {
     /// Number of processes, by role.
@@ -106,8 +127,8 @@
     pub version: u64,
     /// Configuration versions accepted so far.
     pub versions: Arc<ConfigurationVersions>,
-    /// Time for a store's successor to catch up.
-    pub catch_up: Duration,
+    /// Shape of the deployment.
+    pub shape: DeploymentShape,
     /// Samples of memory, descriptors and connections of all processes.
     pub monitor: ProcessMonitor,
     /// Time at which callers stop.
@@ -131,17 +152,27 @@
 
     /// Starts a deployment of a given size and waits until the fronts listen.
     pub async fn start_with_size(program: &Path, size: DeploymentSize) -> io::Result<Self> {
-        Self::start_with_options(program, size, CATCH_UP, configuration).await
+        let options = DeploymentOptions {
+            shape: DeploymentShape {
+                size,
+                ..DeploymentShape::default()
+            },
+            ..DeploymentOptions::default()
+        };
+        Self::start_with_options(program, options).await
     }
 
-    /// Starts a deployment with a catch-up time for successors and a function that returns
-    /// the configuration of each version; waits until the fronts listen.
+    /// Starts a deployment and waits until the fronts listen.
     pub async fn start_with_options(
         program: &Path,
-        size: DeploymentSize,
-        catch_up: Duration,
-        configuration: fn(u64) -> Value,
+        options: DeploymentOptions,
     ) -> io::Result<Self> {
+        let DeploymentOptions {
+            shape,
+            contracts,
+            configuration,
+        } = options;
+        let size = shape.size;
         let promises = Arc::new(Promises::default());
         let service = Arc::new(PlatformKeyValueStandIn::default());
         let server = serve(service.clone(), None).await?;
@@ -150,10 +181,17 @@
         let trouble = Arc::new(ReplicaFaults::default());
         let mut replica_proxies = Vec::new();
         let mut replicas = Vec::new();
-        for number in 0..MODELS + TOOLS {
+        for number in 0..shape.replicas() {
+            let is_engine = number < shape.models.replicas;
+            let service_shape = match is_engine {
+                true => shape.models,
+                false => shape.tools,
+            };
             let replica = Arc::new(ReplicaStandIn {
                 id: format!("replica-{number}"),
-                is_engine: number < MODELS,
+                is_engine,
+                zone: shape.zone(number),
+                slots: ReplicaSlots::new(service_shape.capacity),
                 faults: trouble.clone(),
                 promises: promises.clone(),
                 started_at_ms: AtomicU64::new(unix_milliseconds()),
@@ -181,7 +219,8 @@
                 .take(SEEDS)
                 .map(|machine| machine[2])
                 .collect(),
-            catch_up,
+            shape,
+            contracts,
             monitor: ProcessMonitor::default(),
         };
         let mut service_proxies = Vec::new();
@@ -195,12 +234,13 @@
                     format!("store-{}", number - size.fronts),
                 ),
             };
-            let proxy = Proxy::start(service_address).await?;
+            let proxy = Proxy::start_with_link(service_address, shape.link).await?;
             parameters.platform = proxy.address;
             service_proxies.push(proxy);
-            let mut process = Process::new(&parameters, node, role, *machine);
+            let process = Process::new(&parameters, node, role, *machine);
+            let mut process = process.in_zone(shape.zone(number));
             if role == ProcessRole::Store {
-                let proxy = Proxy::start(machine[2]).await?;
+                let proxy = Proxy::start_with_link(machine[2], shape.link).await?;
                 process = process.with_proxy(proxy.address);
                 store_proxies.push(proxy);
             }
@@ -228,7 +268,7 @@
             versions,
             added_routes: 0,
             configuration,
-            catch_up,
+            shape,
             ends_at: Instant::now(),
             parameters,
             machines,
@@ -263,8 +303,9 @@
         let running = stores.iter().filter(|store| store.is_running());
         self.parameters.seeds = running.map(Process::peer_address).take(SEEDS).collect();
         self.parameters.platform = self.service_proxies[number].address;
-        let proxy = Proxy::start(machine[2]).await?;
+        let proxy = Proxy::start_with_link(machine[2], self.shape.link).await?;
         let process = Process::new(&self.parameters, node, ProcessRole::Store, machine);
+        let process = process.in_zone(self.shape.zone(number));
         self.processes[number] = process.with_proxy(proxy.address);
         self.store_proxies[number - self.size.fronts] = proxy;
         self.processes[number].start(false)
@@ -328,7 +369,7 @@
     pub fn check_memory(&self) {
         for process in &self.processes {
             match process.peak_memory() {
-                Ok(bytes) if bytes > MEMORY_MB * 1024 * 1024 => {
+                Ok(bytes) if bytes > process.memory_limit_mb() * 1024 * 1024 => {
                     let breach = format!("{} used {bytes} bytes of memory", process.node);
                     self.promises.report_breach(breach);
                 }
@@ -366,8 +407,8 @@
 ) {
     let entry = json!({
         "Service": if replica.is_engine { "models" } else { "tools" },
-        "Addr": address, "Zone": "lab", "Version": "v1",
-        "Slots": 12, "State": state, "ColdLeftMs": 0, "CallSeq": 1,
+        "Addr": address, "Zone": replica.zone, "Version": "v1",
+        "Slots": replica.slots.capacity().slots.min(MAX_ANNOUNCED_SLOTS), "State": state, "ColdLeftMs": 0, "CallSeq": 1,
         "born": replica.started_at_ms.load(Ordering::Relaxed),
     });
     service.put(&entry_key(&replica.id), entry.to_string().as_bytes());
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::deployment::{Deployment, MODELS};
+use super::deployment::Deployment;
 use super::disturbances::{MAX_PROPAGATION_DELAY, RECOVERY_DELAY};
 use super::processes::Process;
 use super::proxy::Mode;
@@ -74,11 +74,15 @@
     /// configuration changes, a replica drains and the connections of one process to the
     /// key-value service are disturbed.
     OverlapFaults,
+    /// Stalls the disk of one store, or of all stores at the same time.
+    StallDisks,
+    /// Makes each sync of all stores take longer.
+    SlowDisks,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
 /// this list.
-pub const FAULTS: [Fault; 23] = [
+pub const FAULTS: [Fault; 25] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -102,6 +106,8 @@
     Fault::SpoilEntries,
     Fault::SlowTransfers,
     Fault::OverlapFaults,
+    Fault::StallDisks,
+    Fault::SlowDisks,
 ];
 
 /// Kinds drawn only if they are named explicitly.
@@ -128,6 +134,11 @@
         )
     }
 
+    /// Returns whether no request can be served during the fault.
+    pub fn stops_everything(self) -> bool {
+        self == Self::KillAll
+    }
+
     /// Returns whether the store must catch up before the next store may fail.
     fn affects_a_store(self) -> bool {
         matches!(
@@ -139,10 +150,13 @@
                 | Self::FillDisk
                 | Self::SilenceBetweenStores
                 | Self::OverlapFaults
+                | Self::StallDisks
         )
     }
 }
 
+/// Maximum number of replicas that one fault replaces.
+const MAX_REPLACED_REPLICAS: usize = 6;
 /// Time for which a killed or stopped process stays down.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 
@@ -214,13 +228,21 @@
             Fault::SpoilEntries => self.corrupt_entries(random).await,
             Fault::SlowTransfers => self.slow_transfers(random).await,
             Fault::OverlapFaults => details = self.overlap_faults(random).await,
+            Fault::StallDisks => {
+                let stalled = self.stall_disks(store, random).await;
+                details.push(format!("{stalled} stores"));
+            }
+            Fault::SlowDisks => {
+                let sync_time = self.slow_disks(random).await;
+                details.push(format!("{sync_time:?} a sync"));
+            }
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.suspends_bounds() {
             self.promises.disturbances.record_end();
         }
         if fault.affects_a_store() {
-            tokio::time::sleep(self.catch_up).await;
+            tokio::time::sleep(self.shape.catch_up).await;
         }
         InjectedFault { fault, details }
     }
@@ -388,7 +410,7 @@
     async fn change_after_fault(&mut self, random: &mut ChaCha8Rng) {
         tokio::time::sleep(random_milliseconds(random, 0, 1000)).await;
         self.reconfigure();
-        let draining = random.random_range(0..MODELS);
+        let draining = random.random_range(0..self.shape.models.replicas);
         self.drain_replica(draining);
         // Until bounds apply again, plus the time in which the change must take effect.
         tokio::time::sleep(RECOVERY_DELAY + MAX_PROPAGATION_DELAY).await;
@@ -396,7 +418,7 @@
     }
 
     async fn replace_replicas(&mut self, random: &mut ChaCha8Rng) {
-        for draining in 0..MODELS {
+        for draining in 0..self.shape.models.replicas.min(MAX_REPLACED_REPLICAS) {
             self.drain_replica(draining);
             tokio::time::sleep(MAX_PROPAGATION_DELAY + random_milliseconds(random, 100, 800)).await;
             self.restore_replica(draining);
--- a/crates/stageyoke-lab/src/soak/losses.rs
+++ b/crates/stageyoke-lab/src/soak/losses.rs
@@ -79,7 +79,7 @@
         for _ in 0..random.random_range(MIN_LOSSES..=MAX_LOSSES) {
             let loss = LOSSES[random.random_range(0..LOSSES.len())];
             let number = self.draw_store(random);
-            if Instant::now() + loss.max_duration(self.catch_up) > self.ends_at {
+            if Instant::now() + loss.max_duration(self.shape.catch_up) > self.ends_at {
                 break;
             }
             let node = self.processes[number].node.clone();
@@ -171,7 +171,7 @@
     /// Waits for the catch-up time of the successor, and meanwhile changes the
     /// configuration, restarts a front or does neither.
     async fn catch_up_with_disturbance(&mut self, random: &mut ChaCha8Rng) {
-        let caught_up_at = Instant::now() + self.catch_up;
+        let caught_up_at = Instant::now() + self.shape.catch_up;
         let front = random.random_range(0..self.size.fronts);
         match random.random_range(0..4) {
             0 => self.reconfigure(),
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -4,16 +4,21 @@
 pub mod addresses;
 pub mod changes;
 pub mod connections;
+pub mod contracts;
 pub mod deployment;
+pub mod disk_stalls;
 pub mod disturbances;
 pub mod faults;
 pub mod keys;
 pub mod losses;
+pub mod open_loop;
 pub mod overlaps;
 pub mod processes;
 pub mod promises;
 pub mod proxy;
 pub mod replicas;
+pub mod shape;
+pub mod shares;
 pub mod slopes;
 pub mod slow_transfers;
 pub mod upgrade;
@@ -30,10 +35,12 @@
 use crate::standins::platform::RETENTION_SECONDS;
 use crate::standins::platform::caller::{Caller, StoredTurn};
 use crate::standins::platform::tenants::configuration_with_tenants;
-use deployment::{Deployment, DeploymentSize};
+use deployment::{Deployment, DeploymentOptions};
 use faults::{FAULTS, Fault};
 use keys::TenantProbe;
 use promises::{Counts, Promises};
+use shape::DeploymentShape;
+use shares::Window;
 use upgrade::Upgrade;
 
 /// Minimum number of concurrent callers; larger deployments have one for each front.
@@ -62,10 +69,12 @@
     pub duration: Duration,
     /// Kinds of fault to draw from; empty for a run without faults.
     pub faults: Vec<Fault>,
-    /// Number of processes, by role.
-    pub size: DeploymentSize,
-    /// Time for a store's successor to catch up.
-    pub catch_up: Duration,
+    /// Shape of the deployment.
+    pub shape: DeploymentShape,
+    /// Optional contracts of the deployment.
+    pub contracts: Vec<String>,
+    /// Time that is added to each sync of the stores during the whole run.
+    pub sync_time: Duration,
 }
 
 /// A seed that has shown a breach.
@@ -88,6 +97,8 @@
     pub counts: Counts,
     /// Injected faults in order, each with its time in seconds from the start.
     pub faults: Vec<String>,
+    /// Table of the shares of requests that were served, by second.
+    pub shares: String,
     /// Number of processes that ran long enough for their resource slopes to be checked.
     pub judged_processes: usize,
     /// Directory with settings, data and logs, kept after a breach.
@@ -136,18 +147,18 @@
 /// Runs a deployment as planned and checks all promises.
 pub async fn run(plan: &SoakPlan) -> std::io::Result<SoakReport> {
     let first_program = plan.upgrade_from.as_ref().unwrap_or(&plan.program);
-    let started = Deployment::start_with_options(
-        first_program,
-        plan.size,
-        plan.catch_up,
-        configuration_with_tenants,
-    );
-    let mut deployment = started.await?;
+    let options = DeploymentOptions {
+        shape: plan.shape,
+        contracts: plan.contracts.clone(),
+        configuration: configuration_with_tenants,
+    };
+    let mut deployment = Deployment::start_with_options(first_program, options).await?;
     let started_at = Instant::now();
+    deployment.promises.shares.start(started_at);
     let until = started_at + plan.duration;
     deployment.ends_at = until;
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS.max(plan.size.fronts as u64) {
+    for number in 0..CALLERS.max(plan.shape.size.fronts as u64) {
         let caller = caller(&deployment, plan.seed ^ (number + 1));
         callers.spawn(run_programs_until(caller, until));
     }
@@ -166,8 +177,9 @@
     let sampling = tokio::spawn(deployment.monitor.clone().sample_periodically());
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
+    let mut windows = Vec::new();
     let mut upgrade = plan.upgrade_from.clone().map(|first| {
-        let processes = plan.size.processes();
+        let processes = plan.shape.size.processes();
         Upgrade::plan(first, plan.program.clone(), processes, &mut random)
     });
     while Instant::now() < until {
@@ -181,9 +193,18 @@
             tokio::time::sleep(CALM_POLL_INTERVAL).await;
             continue;
         }
+        let from = started_at.elapsed();
         let fault = deployment.inject_fault(&mut random, &plan.faults).await;
-        let at = started_at.elapsed().as_secs_f64();
-        faults.push(format!("{at:.1} {fault}"));
+        let until = started_at.elapsed();
+        faults.push(format!("{:.1} {fault}", until.as_secs_f64()));
+        if !fault.fault.stops_everything() {
+            let name = format!(
+                "{:.1} to {:.1} s, {fault}",
+                from.as_secs_f64(),
+                until.as_secs_f64()
+            );
+            windows.push(Window { name, from, until });
+        }
     }
     if upgrade
         .as_ref()
@@ -196,6 +217,12 @@
     while let Some(turns) = callers.join_next().await {
         stored_turns.extend(turns.unwrap_or_default());
     }
+    for window in &windows {
+        for shortfall in deployment.promises.shares.shortfalls(window) {
+            deployment.promises.report_breach(shortfall);
+        }
+    }
+    let shares = deployment.promises.shares.table();
     if stored_turns.is_empty() {
         let breach = "no program ran to its end".to_owned();
         deployment.promises.report_breach(breach);
@@ -213,6 +240,7 @@
         breaches,
         counts,
         faults,
+        shares,
         judged_processes,
         folder,
     })
--- a/crates/stageyoke-lab/src/soak/overlaps.rs
+++ b/crates/stageyoke-lab/src/soak/overlaps.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::deployment::{Deployment, MODELS};
+use super::deployment::Deployment;
 use super::faults::random_milliseconds;
 use super::proxy::Mode;
 
@@ -33,7 +33,7 @@
         let disturbed_process = random.random_range(0..self.service_proxies.len());
         let behavior = self.service_proxies[disturbed_process].behavior.clone();
         behavior.set(service_mode, random_milliseconds(random, 0, 80));
-        let draining = random.random_range(0..MODELS);
+        let draining = random.random_range(0..self.shape.models.replicas);
         let mut terminated = Vec::new();
         let mut steps = vec![format!("{service_mode:?} for process {disturbed_process}")];
         let signalled = self.draw_processes(random);
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -15,17 +14,14 @@
 use tokio::time::Instant;
 
 use super::keys::QUOTA_WINDOW;
+use super::shape::DeploymentShape;
 use super::slopes::ProcessMonitor;
 use crate::standins::platform::names;
 
-/// Segment size; small, so that a full disk is noticed soon.
-const SEGMENT_BYTES: u64 = 8 * 1024;
 /// Number of future segments whose writes fail while a disk is full.
 const REFUSED_SEGMENTS: u64 = 500;
 /// Memory limit of a process in megabytes; that of the smallest store machines in use.
 pub const MEMORY_MB: u64 = 58;
-/// Optional parts of the product; all of them are enabled.
-const ENABLED_PARTS: [&str; 2] = ["pressure", "pool"];
 /// Device that fails every write with `ENOSPC`.
 const FULL_DEVICE: &str = "/dev/full";
 
@@ -52,10 +48,8 @@
     ready: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
-    platform: SocketAddr,
-    seeds: Vec<SocketAddr>,
-    catch_up: Duration,
-    monitor: ProcessMonitor,
+    parameters: ProcessParameters,
+    zone: String,
     advertised: Option<SocketAddr>,
     child: Option<Child>,
 }
@@ -71,8 +65,10 @@
     pub platform: SocketAddr,
     /// Addresses on which stores accept peers.
     pub seeds: Vec<SocketAddr>,
-    /// Time for a store's successor to catch up.
-    pub catch_up: Duration,
+    /// Shape of the deployment.
+    pub shape: DeploymentShape,
+    /// Optional contracts of the deployment.
+    pub contracts: Vec<String>,
     /// Samples the resources of the processes.
     pub monitor: ProcessMonitor,
 }
@@ -95,15 +91,23 @@
             ready,
             peer_address,
             program: parameters.program.clone(),
-            platform: parameters.platform,
-            seeds: parameters.seeds.clone(),
-            catch_up: parameters.catch_up,
-            monitor: parameters.monitor.clone(),
+            zone: parameters.shape.zone(0),
+            parameters: parameters.clone(),
             advertised: None,
             child: None,
         }
     }
 
+    /// Puts the machine into a zone.
+    pub fn in_zone(self, zone: String) -> Self {
+        Self { zone, ..self }
+    }
+
+    /// Returns the zone of the machine.
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
     /// Makes a store advertise the address of the proxy in front of it.
     pub fn with_proxy(self, proxy: SocketAddr) -> Self {
         Self {
@@ -133,9 +137,10 @@
         let mut command = Command::new(&self.program);
         command.arg(role);
         if let Some(proxy) = self.advertised {
-            let segment_bytes = SEGMENT_BYTES.to_string();
             command.args(["--advertise", &proxy.to_string()]);
-            command.args(["--segment-bytes", &segment_bytes]);
+            if let Some(segment_bytes) = self.parameters.shape.segment_bytes {
+                command.args(["--segment-bytes", &segment_bytes.to_string()]);
+            }
         }
         let child = command
             .env_clear()
@@ -146,7 +151,7 @@
             .kill_on_drop(true)
             .spawn()?;
         if let Some(process_id) = child.id() {
-            self.monitor.add_process(&self.node, process_id);
+            self.parameters.monitor.add_process(&self.node, process_id);
         }
         self.child = Some(child);
         self.started_at = Some(Instant::now());
@@ -158,6 +163,11 @@
         self.peer_address
     }
 
+    /// Returns the address for readiness checks.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.ready
+    }
+
     /// Returns whether the process has been started and not waited for since.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
@@ -170,26 +180,32 @@
 
     fn settings(&self, first_start: bool) -> serde_json::Value {
         let port = self.peer_address.port();
+        let shape = &self.parameters.shape;
         let data = match self.role {
             ProcessRole::Front => None,
             ProcessRole::Store => Some(self.data_folder()),
         };
         json!({
-            "Node": self.node, "Ip": self.peer_address.ip(), "Zone": "lab", "Region": "lab",
+            "Node": self.node, "Ip": self.peer_address.ip(), "Zone": self.zone, "Region": "lab",
             "Listen": {"Front": self.front, "Ready": self.ready},
             "InnerPortRange": [port, port],
-            "Seeds": self.seeds,
+            "Seeds": self.parameters.seeds,
             "Bootstrap": first_start,
             "DataDir": data,
-            "FaultTolerance": {"Machines": 1},
-            "Contracts": ENABLED_PARTS,
-            "Limits": {"MemoryMb": MEMORY_MB},
-            "Bounds": {"GraceS": 8, "CatchUpS": self.catch_up.as_secs_f64(),
+            "FaultTolerance": {"Machines": shape.tolerated_stores},
+            "Contracts": self.parameters.contracts,
+            "Limits": {"MemoryMb": self.memory_limit_mb()},
+            "Bounds": {"GraceS": 8, "CatchUpS": shape.catch_up.as_secs_f64(),
                 "QuotaWindowS": QUOTA_WINDOW.as_secs_f64()},
-            "Platform": {"Addr": self.platform},
+            "Platform": {"Addr": self.parameters.platform},
         })
     }
 
+    /// Returns the memory limit in megabytes.
+    pub fn memory_limit_mb(&self) -> u64 {
+        self.parameters.shape.memory.of(self.role)
+    }
+
     /// Returns the directory of a store's data.
     pub fn data_folder(&self) -> PathBuf {
         self.folder.join("data")
@@ -227,7 +243,7 @@
             let process_id = child.id();
             let _ = child.wait().await;
             if let Some(process_id) = process_id {
-                self.monitor.mark_ended(process_id);
+                self.parameters.monitor.mark_ended(process_id);
             }
         }
     }
--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::disturbances::DisturbanceTracker;
+use super::shares::ServedShares;
 
 /// What a caller expects of one request.
 #[derive(Clone, Debug)]
@@ -58,6 +59,8 @@
     record: Mutex<Record>,
     /// Determines whether time bounds apply.
     pub disturbances: DisturbanceTracker,
+    /// Shares of the requests that were served.
+    pub shares: ServedShares,
 }
 
 impl Promises {
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -1,84 +1,97 @@
 //! A loopback proxy that injects faults: delays, resets, one-way drops and silence.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
-use super::connections::is_held_by;
+use super::connections::HeldConnections;
+use super::shape::Link;
 
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Response rate of each connection in [`Mode::Slow`].
 pub const SLOW_BYTES_PER_SECOND: u32 = 300_000;
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
     connection: close\r\n\r\n";
 
 /// What a proxy does with connections and data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[repr(u8)]
 pub enum Mode {
     /// Forwards everything.
-    Pass = 0,
+    Pass,
     /// Forwards nothing in either direction, and keeps connections open.
-    Silence = 1,
+    Silence,
     /// Forwards requests, but no responses.
-    OneWay = 2,
+    OneWay,
     /// Closes all connections, including new ones.
-    Reset = 3,
+    Reset,
     /// Closes all connections, and answers requests on new ones with status 503.
-    Refuse = 4,
+    Refuse,
     /// Limits responses to [`SLOW_BYTES_PER_SECOND`] on each connection.
-    Slow = 5,
+    Slow,
+}
+
+/// A proxy's mode and delay, and the connections that they apply to.
+#[derive(Clone, Debug)]
+struct Setting {
+    mode: Mode,
+    delay: Duration,
+    /// Connections that are affected; all if absent.
+    affected: Option<Arc<HeldConnections>>,
 }
 
 /// Mode and delay of a proxy; can be changed while the proxy runs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ProxyBehavior {
-    mode: AtomicU8,
-    delay_ms: AtomicU64,
-    /// Process IDs whose connections are affected; if empty, all connections are.
-    processes: Mutex<Vec<u32>>,
-    /// Number of changes so far.
-    changes: AtomicU64,
+    setting: watch::Sender<Setting>,
+}
+
+impl Default for ProxyBehavior {
+    fn default() -> Self {
+        let (setting, _) = watch::channel(Setting {
+            mode: Mode::Pass,
+            delay: Duration::ZERO,
+            affected: None,
+        });
+        Self { setting }
+    }
 }
 
 impl ProxyBehavior {
     /// Sets the mode and delay for all connections.
     pub fn set(&self, mode: Mode, delay: Duration) {
-        self.set_for_processes(mode, delay, Vec::new());
+        self.setting.send_replace(Setting {
+            mode,
+            delay,
+            affected: None,
+        });
     }
 
     /// Sets the mode and delay for connections of these processes; others are forwarded.
     pub fn set_for_processes(&self, mode: Mode, delay: Duration, processes: Vec<u32>) {
-        *self
-            .processes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = processes;
-        self.changes.fetch_add(1, Ordering::Relaxed);
-        self.mode.store(mode as u8, Ordering::Relaxed);
-        let delay = delay.as_millis() as u64;
-        self.delay_ms.store(delay, Ordering::Relaxed);
-    }
-
-    fn mode(&self) -> Mode {
-        match self.mode.load(Ordering::Relaxed) {
-            1 => Mode::Silence,
-            2 => Mode::OneWay,
-            3 => Mode::Reset,
-            4 => Mode::Refuse,
-            5 => Mode::Slow,
-            _ => Mode::Pass,
+        if processes.is_empty() {
+            return self.set(mode, delay);
         }
+        self.setting.send_replace(Setting {
+            mode,
+            delay,
+            affected: Some(Arc::new(HeldConnections::of(processes))),
+        });
     }
 
-    fn delay(&self) -> Duration {
-        Duration::from_millis(self.delay_ms.load(Ordering::Relaxed))
+    /// Returns the mode of new connections, which no process is known to hold yet.
+    fn mode_of_new_connections(&self) -> Mode {
+        let setting = self.setting.borrow();
+        match setting.affected {
+            None => setting.mode,
+            Some(_) => Mode::Pass,
+        }
     }
 }
 
@@ -102,20 +115,24 @@
 impl Proxy {
     /// Starts a proxy in front of `target`.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        Self::start_with_link(target, Link::default()).await
+    }
+
+    /// Starts a proxy whose connections are limited by a link.
+    pub async fn start_with_link(target: SocketAddr, link: Link) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let behavior = Arc::new(ProxyBehavior::default());
         let shared_behavior = behavior.clone();
         let task = tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                match shared_behavior.mode() {
+                match shared_behavior.mode_of_new_connections() {
                     Mode::Reset => {}
                     Mode::Refuse => drop(tokio::spawn(refuse(caller))),
-                    _ => drop(tokio::spawn(forward(
-                        caller,
-                        target,
-                        shared_behavior.clone(),
-                    ))),
+                    _ => {
+                        let setting = shared_behavior.setting.subscribe();
+                        drop(tokio::spawn(forward(caller, target, setting, link)));
+                    }
                 }
             }
         })
@@ -136,95 +153,133 @@
     }
 }
 
-/// A connection from a caller, with the behavior that applies to it.
+/// One direction of a connection through a proxy.
+#[derive(Clone)]
 struct ProxiedConnection {
-    behavior: Arc<ProxyBehavior>,
+    setting: watch::Receiver<Setting>,
     caller: Option<SocketAddr>,
     proxy: Option<SocketAddr>,
-    /// Whether the connection is affected, and the change of the behavior for which that
-    /// was determined.
-    cached: Mutex<Option<(u64, bool)>>,
+    opened_at: Instant,
+    link: Link,
+    /// The setting's effect on this connection, until the setting changes.
+    cached: Option<(Mode, Duration)>,
 }
 
 impl ProxiedConnection {
-    fn mode(&self) -> Mode {
-        match self.is_affected() {
-            true => self.behavior.mode(),
-            false => Mode::Pass,
+    /// Returns the mode and delay that apply to this connection.
+    async fn current(&mut self) -> (Mode, Duration) {
+        let has_changed = self.setting.has_changed().unwrap_or(false);
+        if let Some(cached) = self.cached.filter(|_| !has_changed) {
+            return cached;
         }
+        let setting = self.setting.borrow_and_update().clone();
+        let is_affected = match (&setting.affected, self.caller.zip(self.proxy)) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(held), Some((caller, proxy))) => {
+                held.contains(caller, proxy, self.opened_at).await
+            }
+        };
+        let current = match is_affected {
+            true => (setting.mode, setting.delay),
+            false => (Mode::Pass, Duration::ZERO),
+        };
+        self.cached = Some(current);
+        current
     }
 
-    fn is_affected(&self) -> bool {
-        let changes = self.behavior.changes.load(Ordering::Relaxed);
-        let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((_, affected)) = cached.filter(|(change, _)| *change == changes) {
-            return affected;
+    /// Waits until the setting changes; forever once the proxy has been dropped.
+    async fn changed(&mut self) {
+        if self.setting.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        self.cached = None;
+    }
+
+    /// Waits until data may be forwarded, and for the time that its transfer takes.
+    async fn wait_to_forward(&mut self, bytes: usize, is_response: bool) {
+        let (_, delay) = self.current().await;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        loop {
+            let (mode, _) = self.current().await;
+            let is_blocked = match mode {
+                Mode::Silence => true,
+                Mode::OneWay => is_response,
+                Mode::Pass | Mode::Reset | Mode::Refuse | Mode::Slow => false,
+            };
+            if !is_blocked {
+                break;
+            }
+            self.changed().await;
+        }
+        let (mode, _) = self.current().await;
+        let rate = match mode {
+            Mode::Slow if is_response => Some(SLOW_BYTES_PER_SECOND),
+            _ => self.link.bytes_per_second,
+        };
+        if let Some(rate) = rate {
+            let transfer = Duration::from_secs_f64(bytes as f64 / f64::from(rate));
+            if transfer >= MIN_TRANSFER_WAIT {
+                tokio::time::sleep(transfer).await;
+            }
+        }
+    }
+
+    /// Waits until the connection is to be closed.
+    async fn wait_for_reset(&mut self) {
+        while !matches!(self.current().await.0, Mode::Reset | Mode::Refuse) {
+            self.changed().await;
         }
-        let processes = &self.behavior.processes;
-        let processes = processes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        let ends = self.caller.zip(self.proxy);
-        let affected = processes.is_empty()
-            || ends.is_some_and(|(caller, proxy)| is_held_by(&processes, caller, proxy));
-        *cached = Some((changes, affected));
-        affected
     }
 }
 
-async fn forward(caller: TcpStream, target: SocketAddr, behavior: Arc<ProxyBehavior>) {
-    let connection = Arc::new(ProxiedConnection {
-        behavior,
+/// Transfer time below which data is forwarded at once: timers have a resolution of a
+/// millisecond.
+const MIN_TRANSFER_WAIT: Duration = Duration::from_millis(1);
+
+async fn forward(
+    caller: TcpStream,
+    target: SocketAddr,
+    setting: watch::Receiver<Setting>,
+    link: Link,
+) {
+    let mut connection = ProxiedConnection {
+        setting,
         caller: caller.peer_addr().ok(),
         proxy: caller.local_addr().ok(),
-        cached: Mutex::default(),
-    });
+        opened_at: Instant::now(),
+        link,
+        cached: None,
+    };
     let Ok(back_end) = TcpStream::connect(target).await else {
         return;
     };
+    let _ = caller.set_nodelay(true);
+    let _ = back_end.set_nodelay(true);
     let (from_caller, to_caller) = caller.into_split();
     let (from_back_end, to_back_end) = back_end.into_split();
     let requests = copy(from_caller, to_back_end, connection.clone(), false);
-    let answers = copy(from_back_end, to_caller, connection.clone(), true);
-    let reset = async {
-        while !matches!(connection.mode(), Mode::Reset | Mode::Refuse) {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    };
+    let responses = copy(from_back_end, to_caller, connection.clone(), true);
     tokio::select! {
-        ((), ()) = async { tokio::join!(requests, answers) } => {}
-        () = reset => {}
+        ((), ()) = async { tokio::join!(requests, responses) } => {}
+        () = connection.wait_for_reset() => {}
     }
 }
 
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    connection: Arc<ProxiedConnection>,
-    answers: bool,
+    mut connection: ProxiedConnection,
+    is_response: bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(count) = from.read(&mut buffer).await {
         if count == 0 {
             break;
         }
-        tokio::time::sleep(connection.behavior.delay()).await;
-        loop {
-            let blocked = match connection.mode() {
-                Mode::Silence => true,
-                Mode::OneWay => answers,
-                Mode::Pass | Mode::Reset | Mode::Refuse | Mode::Slow => false,
-            };
-            if !blocked {
-                break;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        if answers && connection.mode() == Mode::Slow {
-            let seconds = count as f64 / f64::from(SLOW_BYTES_PER_SECOND);
-            tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
-        }
+        connection.wait_to_forward(count, is_response).await;
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/stageyoke-lab/src/soak/replicas.rs
+++ b/crates/stageyoke-lab/src/soak/replicas.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::deployment::{Deployment, MODELS};
+use super::deployment::Deployment;
 use super::disturbances::{MAX_PROPAGATION_DELAY, RECOVERY_DELAY};
 use super::faults::random_milliseconds;
 use super::proxy::{Mode, Proxy};
@@ -44,7 +44,7 @@
             behavior.set_for_processes(Mode::Silence, Duration::ZERO, isolated.clone());
         }
         tokio::time::sleep(random_milliseconds(random, 300, 2500)).await;
-        let leaving = random.random_range(0..MODELS);
+        let leaving = random.random_range(0..self.shape.models.replicas);
         match random.random_bool(0.5) {
             true => self.drain_replica(leaving),
             false => self.remove_replica_entry(leaving),
@@ -88,7 +88,7 @@
 
     /// Overwrites the entry of a replica and some foreign keys with invalid values.
     pub(super) async fn corrupt_entries(&mut self, random: &mut ChaCha8Rng) {
-        let number = random.random_range(0..MODELS);
+        let number = random.random_range(0..self.shape.models.replicas);
         let draw_entry = |random: &mut ChaCha8Rng| {
             CORRUPT_ENTRIES[random.random_range(0..CORRUPT_ENTRIES.len())]
         };
--- a/crates/stageyoke-lab/src/soak/slow_transfers.rs
+++ b/crates/stageyoke-lab/src/soak/slow_transfers.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::deployment::{Deployment, MODELS};
+use super::deployment::Deployment;
 use super::disturbances::MAX_PROPAGATION_DELAY;
 use super::faults::random_milliseconds;
 use super::proxy::Mode;
@@ -34,7 +34,7 @@
             behavior.set_for_processes(Mode::Slow, Duration::ZERO, affected.clone());
         }
         for _ in 0..random.random_range(1..=2) {
-            let draining = random.random_range(0..MODELS);
+            let draining = random.random_range(0..self.shape.models.replicas);
             self.added_routes = random.random_range(MIN_ADDED_ROUTES..MAX_ADDED_ROUTES);
             self.reconfigure();
             tokio::time::sleep(random_milliseconds(random, 0, 600)).await;
--- a/crates/stageyoke-lab/src/soak/upgrade.rs
+++ b/crates/stageyoke-lab/src/soak/upgrade.rs
@@ -86,7 +86,7 @@
             true => self.replace_with_empty_store(number).await,
             false => self.restart(number, Signal::SIGTERM).await,
         }
-        tokio::time::sleep(self.catch_up).await;
+        tokio::time::sleep(self.shape.catch_up).await;
         let disk = if replaced {
             "an empty disk"
         } else {
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -8,26 +8,26 @@
 
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::entry::connect;
 use super::replica::event_data;
 use super::tenants::CALLERS_KEY;
 use super::{
     HOST, IDEMPOTENT_TOOL_PATH, NON_IDEMPOTENT_TOOL_PATH, STORED_TURN_PATH, TOKENS_PER_EVENT, names,
 };
 use crate::soak::promises::{ExpectedRequest, Promises};
+use crate::soak::shares::{RequestLabels, RequestOutcome};
 
 const REQUEST_DEADLINE: Duration = Duration::from_millis(4000);
 const EVENTS_PER_TURN: u32 = 6;
 const MAX_TURN_TOKENS: u32 = EVENTS_PER_TURN * TOKENS_PER_EVENT;
-/// Maximum number of idle connections that a caller keeps open.
-const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Maximum number of idle connections that a caller keeps open: one to each front.
+const MAX_IDLE_CONNECTIONS: usize = 250;
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1300);
 
 /// Stored turn that later turns can continue.
@@ -251,12 +251,38 @@
         request
     }
 
-    /// Sends a request to a random front and checks the headers of its answer.
+    /// Sends a request to a random front, checks its answer and records the outcome.
     async fn attempt(
         &mut self,
         request: Request<Full<Bytes>>,
         id: &str,
         received: &mut Vec<u8>,
+    ) -> Outcome {
+        let labels = RequestLabels {
+            kind: request_kind(request.uri().path()),
+            zone: 0,
+            tenant: 0,
+        };
+        let sent_at = Instant::now();
+        let outcome = self.send_to_random_front(request, id, received).await;
+        let recorded = match outcome {
+            Outcome::Complete(_) => Some(RequestOutcome::Served),
+            // Nothing is owed to a program beyond its budget.
+            Outcome::Rejected(402, _) => None,
+            Outcome::Rejected(..) => Some(RequestOutcome::Refused),
+            Outcome::Failed => Some(RequestOutcome::Failed),
+        };
+        if let Some(recorded) = recorded {
+            self.promises.shares.record(labels, sent_at, recorded);
+        }
+        outcome
+    }
+
+    async fn send_to_random_front(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        id: &str,
+        received: &mut Vec<u8>,
     ) -> Outcome {
         let front = self.fronts[self.random.random_range(0..self.fronts.len())];
         let response = self.exchange(front, request, received);
@@ -319,10 +345,11 @@
     }
 }
 
-async fn connect(front: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(front).await.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    // The task ends once the sender is dropped or the front closes the connection.
-    tokio::spawn(connection);
-    Some(sender)
+/// Returns the kind of the requests with this path, for the shares that are served.
+fn request_kind(path: &str) -> &'static str {
+    match path {
+        STORED_TURN_PATH => "turn",
+        IDEMPOTENT_TOOL_PATH => "read",
+        _ => "write",
+    }
 }
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -2,7 +2,9 @@
 //! following the platform's published protocols.
 
 pub mod caller;
+pub mod entry;
 pub mod key_value;
+pub mod programs;
 pub mod replica;
 pub mod tenants;
 
@@ -36,6 +38,10 @@
     pub const RETIRE_PREFIX: &str = "op/retire/";
     /// Key prefix of the stores' answers to retirement orders.
     pub const RETIRE_STATUS_PREFIX: &str = "status/retire/";
+    /// Contract with which new programs are rejected while engines are overloaded.
+    pub const OVERLOAD_CONTRACT: &str = "pressure";
+    /// Contract of deployments whose engines differ in speed.
+    pub const POOL_CONTRACT: &str = "pool";
     /// Environment variable with the path of a process's settings file.
     pub const SETTINGS_VARIABLE: &str = "STAGEYOKE_BOOT";
 }
@@ -53,6 +59,17 @@
 /// Path of the tool whose calls must run at most once.
 pub const NON_IDEMPOTENT_TOOL_PATH: &str = "/once/write";
 
+/// Path of the stored turns of advisories in the open-loop load.
+pub const ADVISORY_PATH: &str = "/advisory/turn";
+/// Path of the turns of queries, whose transcript the caller sends.
+pub const QUERY_PATH: &str = "/query/turn";
+/// Paths of the tools.
+pub const READ_PATH: &str = "/station/read";
+/// Path of bulletins.
+pub const BULLETIN_PATH: &str = "/bulletin/pull";
+/// Path of map tiles.
+pub const TILE_PATH: &str = "/tile/draw";
+
 /// Path of a route that exists only in this version of the configuration.
 pub fn version_path(version: u64) -> String {
     format!("/version-{version}/read")
@@ -86,6 +103,26 @@
     })
 }
 
+/// Routes of the open-loop load.
+fn program_routes() -> Vec<serde_json::Value> {
+    let route = |name: &str, kind: &str, service: &str, timeout_ms: u64, priority: u8| {
+        serde_json::json!({
+            "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
+            "TimeoutMs": timeout_ms, "SloMs": 200, "Priority": priority, "Service": service,
+            "MaxAttempts": if kind == "safe" { 3 } else { 1 },
+            "RetainContext": name == "advisory", "RetentionS": RETENTION_SECONDS as f64,
+            "CanResume": false,
+        })
+    };
+    vec![
+        route("advisory", "stream", "models", 4000, 1),
+        route("query", "stream", "models", 4000, 0),
+        route("station", "safe", "tools", 1200, 2),
+        route("bulletin", "unsafe", "tools", 3000, 2),
+        route("tile", "unsafe", "tools", 2000, 2),
+    ]
+}
+
 /// Increases the size of a configuration with routes that match no request.
 pub fn add_routes(configuration: &mut serde_json::Value, count: usize) {
     let Some(routes) = configuration["Routes"].as_array_mut() else {
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a platform replica: streams turns or answers tool calls, and
 //! records every execution for the soak's checks.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use stageyoke_node::backends::{Body, BodyError};
 use stageyoke_node::pieces::{self, PieceSender};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 use super::{TOKENS_PER_EVENT, names};
@@ -18,8 +19,6 @@
 use crate::soak::promises::Promises;
 use crate::standins::{Handler, respond};
 
-const EVENT_INTERVAL: Duration = Duration::from_millis(4);
-const TOOL_EXECUTION_TIME: Duration = Duration::from_millis(5);
 const MAX_BUFFERED_EVENTS: usize = 4;
 
 /// Faults injected at a replica, each with its share of requests in percent.
@@ -33,14 +32,122 @@
     pub lost_answer_percent: AtomicU32,
 }
 
+/// How many requests a replica runs at the same time, and how long they take.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaCapacity {
+    /// Requests that run at the same time.
+    pub slots: usize,
+    /// Requests that may wait for a slot; more are rejected without execution.
+    pub queue: usize,
+    /// Time from the start of a turn to its first event.
+    pub first_event: Duration,
+    /// Time between two events of a turn.
+    pub event_interval: Duration,
+    /// Mean execution time of a tool call; the times are exponentially distributed.
+    pub tool_time: Duration,
+    /// Whether every tool call takes exactly the mean time.
+    pub is_tool_time_fixed: bool,
+}
+
+impl ReplicaCapacity {
+    /// A model replica that runs any number of short turns.
+    pub const UNLIMITED_MODEL: Self = Self {
+        slots: Semaphore::MAX_PERMITS,
+        queue: 0,
+        first_event: Duration::from_millis(4),
+        event_interval: Duration::from_millis(4),
+        tool_time: Duration::from_millis(5),
+        is_tool_time_fixed: true,
+    };
+    /// A tool replica that runs any number of short calls.
+    pub const UNLIMITED_TOOL: Self = Self::UNLIMITED_MODEL;
+    /// A model replica that batches a few long turns.
+    pub const BATCHING_MODEL: Self = Self {
+        slots: 8,
+        queue: 24,
+        first_event: Duration::from_millis(50),
+        event_interval: Duration::from_millis(37),
+        ..Self::UNLIMITED_MODEL
+    };
+    /// A tool replica whose calls take tens of milliseconds.
+    pub const BUSY_TOOL: Self = Self {
+        slots: 6,
+        queue: 24,
+        tool_time: Duration::from_millis(50),
+        is_tool_time_fixed: false,
+        ..Self::UNLIMITED_MODEL
+    };
+
+    fn draw_tool_time(&self) -> Duration {
+        match self.is_tool_time_fixed {
+            true => self.tool_time,
+            false => self.tool_time.mul_f64(-(1.0 - rand::random::<f64>()).ln()),
+        }
+    }
+}
+
+/// Slots of a replica and the number of requests that run or wait for one.
+pub struct ReplicaSlots {
+    capacity: ReplicaCapacity,
+    free: Arc<Semaphore>,
+    admitted: Arc<AtomicUsize>,
+}
+
+/// A request that was admitted; it leaves its slot when dropped.
+struct AdmittedRequest {
+    admitted: Arc<AtomicUsize>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl Drop for AdmittedRequest {
+    fn drop(&mut self) {
+        self.permit.take();
+        self.admitted.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl ReplicaSlots {
+    /// Creates free slots.
+    pub fn new(capacity: ReplicaCapacity) -> Self {
+        Self {
+            capacity,
+            free: Arc::new(Semaphore::new(capacity.slots)),
+            admitted: Arc::default(),
+        }
+    }
+
+    /// Returns the capacity of the replica.
+    pub fn capacity(&self) -> ReplicaCapacity {
+        self.capacity
+    }
+
+    /// Waits for a slot; `None` if too many requests wait already.
+    async fn enter(&self) -> Option<AdmittedRequest> {
+        let before = self.admitted.fetch_add(1, Ordering::Relaxed);
+        let mut request = AdmittedRequest {
+            admitted: self.admitted.clone(),
+            permit: None,
+        };
+        if before >= self.capacity.slots.saturating_add(self.capacity.queue) {
+            return None;
+        }
+        request.permit = self.free.clone().acquire_owned().await.ok();
+        Some(request)
+    }
+}
+
 /// Replica of the platform.
 pub struct ReplicaStandIn {
     /// Identifier, which stays the same over restarts.
     pub id: String,
+    /// Zone of the replica.
+    pub zone: String,
     /// `true` for a model engine that streams turns, `false` for a tool.
     pub is_engine: bool,
     /// Injected faults.
     pub faults: Arc<ReplicaFaults>,
+    /// Slots for requests.
+    pub slots: ReplicaSlots,
     /// Receives every execution and every broken guarantee.
     pub promises: Arc<Promises>,
     /// Start time in Unix milliseconds.
@@ -104,11 +211,23 @@
         response
     }
 
-    fn stream_turn(&self, request: String, events: u32) -> Response<Body> {
+    fn stream_turn(
+        &self,
+        request: String,
+        events: u32,
+        admitted: AdmittedRequest,
+    ) -> Response<Body> {
         let (sender, body) = pieces::channel::<BodyError>(MAX_BUFFERED_EVENTS);
         let abort_before = draw_fault(&self.faults.truncated_percent)
             .then(|| rand::random_range(0..events.max(1)));
-        tokio::spawn(send_events(sender, request.clone(), events, abort_before));
+        let turn = StreamedTurn {
+            request: request.clone(),
+            events,
+            abort_before,
+            capacity: self.slots.capacity,
+            _admitted: admitted,
+        };
+        tokio::spawn(turn.send(sender));
         let mut response = Response::new(body.boxed());
         self.set_headers(&mut response, &request);
         response
@@ -120,22 +239,33 @@
     format!("{request} says {number}")
 }
 
-async fn send_events(
-    mut sender: PieceSender<BodyError>,
+/// A turn whose events are being sent.
+struct StreamedTurn {
     request: String,
     events: u32,
+    /// Event before which the stream is aborted, if any.
     abort_before: Option<u32>,
-) {
-    for number in 0..events {
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        if abort_before == Some(number) {
-            sender.abort("injected stream failure".into()).await;
-            return;
-        }
-        let data = event_data(&request, number);
-        let event = format!("id: {number}\ndata: {data}\n\n");
-        if sender.send_data(Bytes::from(event)).await.is_err() {
-            return;
+    capacity: ReplicaCapacity,
+    _admitted: AdmittedRequest,
+}
+
+impl StreamedTurn {
+    async fn send(self, mut sender: PieceSender<BodyError>) {
+        for number in 0..self.events {
+            tokio::time::sleep(match number {
+                0 => self.capacity.first_event,
+                _ => self.capacity.event_interval,
+            })
+            .await;
+            if self.abort_before == Some(number) {
+                sender.abort("injected stream failure".into()).await;
+                return;
+            }
+            let data = event_data(&self.request, number);
+            let event = format!("id: {number}\ndata: {data}\n\n");
+            if sender.send_data(Bytes::from(event)).await.is_err() {
+                return;
+            }
         }
     }
 }
@@ -154,6 +284,9 @@
         let Ok(body) = request.into_body().collect().await else {
             return self.reject(StatusCode::BAD_REQUEST, &id);
         };
+        let Some(admitted) = self.slots.enter().await else {
+            return self.reject(StatusCode::SERVICE_UNAVAILABLE, &id);
+        };
         self.promises.record_run(&id, &body.to_bytes());
         if draw_fault(&self.faults.lost_answer_percent) {
             std::future::pending::<()>().await;
@@ -165,9 +298,9 @@
                 .nth(1)
                 .and_then(|tokens| tokens.parse().ok());
             let events = max_tokens.unwrap_or(TOKENS_PER_EVENT) / TOKENS_PER_EVENT;
-            return self.stream_turn(id, events);
+            return self.stream_turn(id, events, admitted);
         }
-        tokio::time::sleep(TOOL_EXECUTION_TIME).await;
+        tokio::time::sleep(self.slots.capacity.draw_tool_time()).await;
         let mut response = respond(StatusCode::OK, format!("answer to {id}"));
         self.set_headers(&mut response, &id);
         response
--- a/crates/stageyoke-lab/src/standins/platform/tenants.rs
+++ b/crates/stageyoke-lab/src/standins/platform/tenants.rs
@@ -2,7 +2,8 @@
 
 use serde_json::{Value, json};
 
-use super::configuration;
+use super::programs::TENANTS;
+use super::{configuration, program_routes};
 
 /// API key of the callers that run programs, without a rate limit.
 pub const CALLERS_KEY: &str = "callers-key";
@@ -35,3 +36,31 @@
     ]);
     configuration
 }
+
+/// Rate limit of each tenant of the open-loop load, far above what it sends, in requests per
+/// second.
+const PROGRAM_TENANT_RATE: f64 = 2000.0;
+
+/// API key of a tenant of the open-loop load.
+pub fn tenant_key(tenant: usize) -> String {
+    format!("tenant-key-{tenant}")
+}
+
+/// Builds a version of the configuration for the open-loop load: two kinds of program, three
+/// kinds of tool and many tenants, besides those that the probes use.
+pub fn configuration_for_programs(version: u64) -> Value {
+    let mut configuration = configuration_with_tenants(version);
+    if let Some(tenants) = configuration["Tenants"].as_array_mut() {
+        tenants.extend((0..TENANTS).map(|tenant| {
+            json!({"Name": format!("tenant-{tenant}"), "ApiKeys": [tenant_key(tenant)],
+                   "RatePerS": PROGRAM_TENANT_RATE, "Burst": PROGRAM_TENANT_RATE})
+        }));
+    }
+    if let Some(routes) = configuration["Routes"].as_array_mut() {
+        routes.extend(program_routes());
+    }
+    let engine = &mut configuration["Services"][0]["Engine"];
+    engine["Slots"] = json!(8);
+    engine["KvCapacityTokens"] = json!(43_874);
+    configuration
+}
--- a/crates/stageyoke-lab/tests/soak_checks_test.rs
+++ b/crates/stageyoke-lab/tests/soak_checks_test.rs
@@ -11,7 +11,9 @@
 };
 use stageyoke_lab::soak::promises::Promises;
 use stageyoke_lab::soak::proxy::{Mode, Proxy};
-use stageyoke_lab::standins::platform::replica::{ReplicaFaults, ReplicaStandIn};
+use stageyoke_lab::standins::platform::replica::{
+    ReplicaCapacity, ReplicaFaults, ReplicaSlots, ReplicaStandIn,
+};
 use stageyoke_lab::standins::serve;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -55,8 +57,10 @@
     let promises = Arc::new(Promises::default());
     let replica = Arc::new(ReplicaStandIn {
         id: "replica".to_owned(),
+        zone: "zone-0".to_owned(),
         is_engine: false,
         faults: Arc::new(ReplicaFaults::default()),
+        slots: ReplicaSlots::new(ReplicaCapacity::UNLIMITED_TOOL),
         promises: promises.clone(),
         started_at_ms: Default::default(),
         leaving_since: Mutex::default(),
