--- a/crates/stageyoke-lab/src/soak/shape.rs
+++ b/crates/stageyoke-lab/src/soak/shape.rs
@@ -122,6 +122,26 @@
         }
     }
 
+    /// A deployment of four zones small enough to run beside other tests.
+    pub fn four_small_zones() -> Self {
+        let four_zones = Self::four_zones();
+        Self {
+            size: DeploymentSize {
+                fronts: 8,
+                stores: 5,
+            },
+            models: ServiceShape {
+                replicas: 8,
+                ..four_zones.models
+            },
+            tools: ServiceShape {
+                replicas: 4,
+                ..four_zones.tools
+            },
+            ..four_zones
+        }
+    }
+
     /// Returns the total number of replicas, models first.
     pub fn replicas(&self) -> usize {
         self.models.replicas + self.tools.replicas
