Send a turn to its replica while its reservation is being synced

Cause: a turn waited for its reservation to be on a quorum of disks before it was sent to a replica, and a program pays for that at each of its turns. The engine was idle meanwhile.

Change: if the reservation is not stored within 12 ms, the front asks the stores for the program's ledger with the reservations that they have received but not synced (two new extension fields, ignored by older builds). Once a write quorum of complete members shows the own reservation, the turn is sent, unless the group has stored nothing for 500 ms. None of its output is forwarded before the reservation is stored and the ledger of that moment still leaves its tokens, so the budget rests on the same check as before; a turn is refused for its budget only by the stored ledger.

--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -13,6 +13,7 @@
     ChainOutcome, GroupClients, GroupError, LedgerView, RecentTurns, Record, TurnRecord,
 };
 use stageyoke_types::{Blob, Text};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::request::ScopedIdentifiers;
@@ -22,6 +23,13 @@
 /// Timeout of one attempt to commit a turn.
 const COMMIT_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1500);
 const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Time after which a reservation that is not stored yet is looked up in the stores' memory: a
+/// few times that of a fast disk and the way to it.
+const UNSYNCED_QUERY_DELAY: Duration = Duration::from_millis(12);
+const UNSYNCED_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without any stored record after which turns wait until their reservation is stored, as
+/// the disks may have stalled.
+const MAX_UNSTORED_TIME: Duration = Duration::from_millis(500);
 /// Timeout of a settlement.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -97,30 +105,39 @@
         parts
     }
 
-    /// Reserves the maximum number of tokens of a turn. The returned ledger includes every
-    /// reservation that completed before this one.
+    /// Reserves the maximum number of tokens of a turn. Returns once the reservation is stored,
+    /// or earlier if a quorum has received it, in which case it is stored in the background
+    /// until `deadline`.
     pub async fn reserve(
         &self,
-        program: &Text,
-        turn: &Text,
-        max_tokens: u32,
-        placement: Option<Placement>,
+        request: &ReservationRequest,
         time_limit: Duration,
-    ) -> Result<LedgerView, GroupError> {
-        let record = Record::Reserve {
-            program: program.clone(),
-            turn: turn.clone(),
-            max_tokens,
-        };
+        deadline: Instant,
+    ) -> Result<ReservedLedger, GroupError> {
         let started = Instant::now();
-        let ledger = self
-            .stores
-            .append_with_placement(record, placement, time_limit)
-            .await;
+        let (sender, mut stored) = oneshot::channel();
+        let storing = store_reservation(self.stores.clone(), request.clone(), time_limit, sender);
+        tokio::task::spawn_local(storing);
+        let unsynced = async {
+            tokio::time::sleep(UNSYNCED_QUERY_DELAY).await;
+            let (program, turn) = (&request.program, &request.turn);
+            let (max_unstored, time_limit) = (MAX_UNSTORED_TIME, UNSYNCED_QUERY_TIMEOUT);
+            let query = self
+                .stores
+                .unsynced_ledger(program, turn, max_unstored, time_limit);
+            query.await
+        };
+        let outcome = tokio::select! {
+            ledger = &mut stored => ledger.unwrap_or(Err(GroupError::NoQuorum)).map(ReservedLedger::stored),
+            Some(ledger) = unsynced => Ok(ReservedLedger {
+                ledger,
+                pending: Some(PendingLedger { stored, stores: self.stores.clone(), request: request.clone(), deadline }),
+            }),
+        };
         metrics()
             .reserve_seconds
             .observe(started.elapsed().as_secs_f64());
-        ledger
+        outcome
     }
 
     /// Settles a reservation in the background.
@@ -165,6 +182,108 @@
     }
 }
 
+/// What to reserve for a turn.
+#[derive(Clone, Debug)]
+pub struct ReservationRequest {
+    /// Program of the turn.
+    pub program: Text,
+    /// The turn.
+    pub turn: Text,
+    /// Maximum number of tokens of the turn.
+    pub max_tokens: u32,
+    /// Replica on which the turn is expected to run.
+    pub placement: Option<Placement>,
+}
+
+impl ReservationRequest {
+    fn record(&self) -> Record {
+        Record::Reserve {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            max_tokens: self.max_tokens,
+        }
+    }
+}
+
+/// Ledger of a program that includes the reservation of a turn.
+pub struct ReservedLedger {
+    /// The ledger, with every reservation that completed before this one.
+    pub ledger: LedgerView,
+    /// Set if the reservation has been received by a quorum but is not stored yet.
+    pub pending: Option<PendingLedger>,
+}
+
+impl ReservedLedger {
+    fn stored(ledger: LedgerView) -> Self {
+        Self {
+            ledger,
+            pending: None,
+        }
+    }
+}
+
+/// A reservation that is being stored.
+pub struct PendingLedger {
+    stored: oneshot::Receiver<Result<LedgerView, GroupError>>,
+    stores: Rc<GroupClients>,
+    request: ReservationRequest,
+    deadline: Instant,
+}
+
+impl PendingLedger {
+    /// Waits until the reservation is stored and returns the ledger as of then. Repeats the
+    /// append until the deadline, since the turn may have run already.
+    pub async fn wait(self) -> Result<LedgerView, GroupError> {
+        let mut outcome = self.stored.await.unwrap_or(Err(GroupError::NoQuorum));
+        while outcome.is_err() && Instant::now() + COMMIT_RETRY_DELAY < self.deadline {
+            tokio::time::sleep(COMMIT_RETRY_DELAY).await;
+            let remaining = self.deadline.saturating_duration_since(Instant::now());
+            let time_limit = remaining.min(COMMIT_ATTEMPT_TIMEOUT);
+            let record = self.request.record();
+            outcome = self.stores.append(record, time_limit).await;
+        }
+        outcome
+    }
+}
+
+/// Stores a reservation. An outdated member list is replaced once by the newer one that came
+/// with the rejection.
+async fn store_reservation(
+    stores: Rc<GroupClients>,
+    request: ReservationRequest,
+    time_limit: Duration,
+    stored: oneshot::Sender<Result<LedgerView, GroupError>>,
+) {
+    let append = || stores.append_with_placement(request.record(), request.placement, time_limit);
+    let mut ledger = append().await;
+    if matches!(ledger, Err(GroupError::StaleMembers)) {
+        ledger = append().await;
+    }
+    let _ = stored.send(ledger);
+}
+
+/// Check of a turn that was sent to a replica before its reservation was stored.
+pub struct PendingCheck {
+    /// The reservation that is being stored.
+    pub ledger: PendingLedger,
+    /// Token budget of the program.
+    pub budget: u64,
+}
+
+impl PendingCheck {
+    /// Waits until the reservation is stored; returns why the turn's output must not be
+    /// forwarded, if so.
+    pub async fn wait(self) -> Result<(), &'static str> {
+        let turn = self.ledger.request.turn.clone();
+        let max_tokens = u64::from(self.ledger.request.max_tokens);
+        let ledger = self.ledger.wait().await.map_err(|_| "not_reserved")?;
+        match ledger.total_excluding(&turn) + max_tokens > self.budget {
+            true => Err("budget_spent_meanwhile"),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Reservation of a turn, refunded on drop if the turn was never run.
 pub struct Reservation {
     history: Rc<History>,
@@ -172,6 +291,7 @@
     turn: Text,
     may_have_run: bool,
     end_reported: bool,
+    pending_check: Option<PendingCheck>,
 }
 
 impl Reservation {
@@ -183,9 +303,20 @@
             turn,
             may_have_run: false,
             end_reported: false,
+            pending_check: None,
         }
     }
 
+    /// Sets the check that must pass before the turn's output is forwarded.
+    pub fn set_pending_check(&mut self, check: PendingCheck) {
+        self.pending_check = Some(check);
+    }
+
+    /// Takes the check that must pass before the turn's output is forwarded, if any.
+    pub fn take_pending_check(&mut self) -> Option<PendingCheck> {
+        self.pending_check.take()
+    }
+
     /// Sets whether a replica may have run the turn. If so, the reservation is not
     /// refunded.
     pub fn set_may_have_run(&mut self, may_have_run: bool) {
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -153,6 +153,9 @@
             };
             let complete_events = match frame {
                 None => {
+                    if let Some(end) = self.wait_for_reservation(chunks).await {
+                        return end;
+                    }
                     let remainder = splitter.take_remainder();
                     if !remainder.is_empty() && chunks.send(Ok(remainder)).await.is_err() {
                         return StreamEnd::CallerDisconnected;
@@ -167,6 +170,9 @@
                     at: Instant::now(),
                     in_flight: self.upstream.replica.requests_in_flight(),
                 });
+                if let Some(end) = self.wait_for_reservation(chunks).await {
+                    return end;
+                }
                 received.events += collect_data(&events, &mut received.output);
                 let sending = tokio::time::timeout_at(self.deadline, chunks.send(Ok(events)));
                 match sending.await {
@@ -178,6 +184,18 @@
         }
     }
 
+    /// Waits until the reservation is stored, since no output may be forwarded before that;
+    /// returns how the stream ends otherwise.
+    async fn wait_for_reservation(&mut self, chunks: &mpsc::Sender<Chunk>) -> Option<StreamEnd> {
+        let reservation = self.storage.reservation.as_mut();
+        let check = reservation.and_then(Reservation::take_pending_check)?;
+        tokio::select! {
+            outcome = check.wait() => outcome.err().map(StreamEnd::Aborted),
+            () = chunks.closed() => Some(StreamEnd::CallerDisconnected),
+            () = tokio::time::sleep_until(self.deadline) => Some(StreamEnd::Aborted("time_out")),
+        }
+    }
+
     /// Stores the turn or settles its reservation before the caller sees the end.
     async fn store_turn(&mut self, received: ReceivedEvents) -> StreamEnd {
         let generated = received
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -5,15 +5,15 @@
 
 use bytes::Bytes;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
-use stageyoke_store::GroupError;
 use stageyoke_store::message::Placement;
+use stageyoke_store::{GroupError, LedgerView};
 use stageyoke_types::ErrorKind;
 use tokio::time::Instant;
 
 use crate::failure::Failure;
 use crate::front::Front;
 use crate::handler::{LOOKUP_TIMEOUT, OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
-use crate::history::{Reservation, Transcript};
+use crate::history::{PendingCheck, Reservation, ReservationRequest, ReservedLedger, Transcript};
 
 /// Timeout of a reservation, which covers a store's restart, and the fraction of the
 /// request's remaining time that it may take.
@@ -100,35 +100,53 @@
         let time_limit = remaining
             .mul_f64(RESERVE_TIME_FRACTION)
             .min(RESERVE_TIMEOUT);
-        let reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
+        let mut reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
         let max_tokens = parameters.max_tokens;
-        let reserve = || {
-            let history = &self.history;
-            history.reserve(&program, &turn, max_tokens, placement, time_limit)
-        };
-        let mut ledger = reserve().await;
-        if matches!(ledger, Err(GroupError::StaleMembers)) {
-            ledger = reserve().await;
-        }
-        let ledger = ledger.map_err(|error| {
+        let not_reserved = |error| {
             *detail.borrow_mut() = format!("budget={budget} most={max_tokens} error={error}");
             Failure::retryable(
                 ErrorKind::Unavailable,
                 "budget_not_reserved",
                 self.group_retry_delay(context),
             )
-        })?;
-        let other_tokens = ledger.total_excluding(&turn);
+        };
+        let request = ReservationRequest {
+            program,
+            turn: turn.clone(),
+            max_tokens,
+            placement,
+        };
+        let deadline = context.outbound.deadline;
+        let reserving = self.history.reserve(&request, time_limit, deadline);
+        let ReservedLedger {
+            mut ledger,
+            mut pending,
+        } = reserving.await.map_err(not_reserved)?;
+        let exceeds_budget =
+            |ledger: &LedgerView| ledger.total_excluding(&turn) + u64::from(max_tokens) > budget;
+        // A reservation that is not stored may still fail, so it rejects no other.
+        if exceeds_budget(&ledger)
+            && let Some(pending) = pending.take()
+        {
+            let waiting = tokio::time::timeout(time_limit, pending.wait());
+            let stored = waiting.await.unwrap_or(Err(GroupError::NoQuorum));
+            ledger = stored.map_err(not_reserved)?;
+        }
         *detail.borrow_mut() = format!(
-            "budget={budget} others={other_tokens} most={max_tokens} turns={}",
-            ledger.turns()
+            "budget={budget} others={} most={max_tokens} turns={} unsynced={}",
+            ledger.total_excluding(&turn),
+            ledger.turns(),
+            u8::from(pending.is_some())
         );
-        if other_tokens + u64::from(max_tokens) > budget {
+        if exceeds_budget(&ledger) {
             return Err(Failure::permanent(
                 ErrorKind::TokenBudgetSpent,
                 "budget_spent",
             ));
         }
+        if let Some(ledger) = pending {
+            reservation.set_pending_check(PendingCheck { ledger, budget });
+        }
         Ok(Some(reservation))
     }
 }
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -19,8 +19,10 @@
 use stageyoke_front::{FrontListeners, FrontSettings};
 use stageyoke_store::extension::{ExtensionFields, RankLoad};
 use stageyoke_store::frame;
+use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{
-    Numbered, OtherFrontsReport, QuotaReceipt, QuotaReply, Record, Reply, Request as StoreRequest,
+    LedgerEntry, Numbered, OtherFrontsReport, QuotaReceipt, QuotaReply, Record, Reply,
+    Request as StoreRequest,
 };
 use stageyoke_types::{List, Text};
 use support::names;
@@ -382,6 +384,79 @@
 /// Replica that sends scripted responses in order and then repeats the last one. `ID`
 /// is replaced by the request's identifier; a trailing `CLOSE` closes the connection.
 #[derive(Clone)]
+/// Store with a slow disk: it has received reservations, and stores them once it is released.
+struct SlowStore {
+    address: SocketAddr,
+    released: Rc<Notify>,
+}
+
+impl SlowStore {
+    /// Starts a store; once released, it reports `other_tokens` of another turn.
+    async fn start(other_tokens: u32) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let released: Rc<Notify> = Rc::default();
+        let signal = released.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(serve_slowly(stream, signal.clone(), other_tokens));
+            }
+        });
+        Self { address, released }
+    }
+}
+
+async fn serve_slowly(stream: TcpStream, released: Rc<Notify>, other_tokens: u32) {
+    let (mut reader, writer) = stream.into_split();
+    let writer = Rc::new(tokio::sync::Mutex::new(writer));
+    let received: Rc<RefCell<Vec<LedgerEntry>>> = Rc::default();
+    while let Ok(request) = frame::read_with_fields::<StoreRequest>(&mut reader).await {
+        let number = request.message.number;
+        let mut extensions = ExtensionFields::greeting();
+        let content = match request.message.content {
+            StoreRequest::Append { record, .. } => {
+                if let Record::Reserve { turn, .. } = record {
+                    received.borrow_mut().push(LedgerEntry {
+                        turn: TurnKey::of(&turn).0,
+                        amount: 5,
+                        settled: false,
+                    });
+                }
+                let other = LedgerEntry {
+                    turn: 0,
+                    amount: other_tokens,
+                    settled: true,
+                };
+                let stored = Reply::Stored {
+                    complete: true,
+                    ledger: List(vec![other]),
+                    other_fronts: OtherFrontsReport::default(),
+                    directory: Default::default(),
+                };
+                let (released, writer) = (released.clone(), writer.clone());
+                tokio::task::spawn_local(async move {
+                    released.notified().await;
+                    let reply = Numbered {
+                        number,
+                        content: stored,
+                    };
+                    let bytes = frame::encode_with_fields(&reply, &ExtensionFields::greeting());
+                    let _ = writer.lock().await.write_all(&bytes).await;
+                });
+                continue;
+            }
+            _ => Reply::Pong,
+        };
+        if request.extension_fields.ledger_query.is_some() {
+            extensions.unsynced_ledger = Some(List(received.borrow().clone()));
+        }
+        let bytes = frame::encode_with_fields(&Numbered { number, content }, &extensions);
+        if writer.lock().await.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
 struct Replica {
     address: SocketAddr,
     received: Rc<RefCell<Vec<String>>>,
@@ -1175,6 +1250,49 @@
     .await;
 }
 
+/// On slow disks a turn runs while its reservation is written, but none of its output may be
+/// forwarded before that is stored, nor at all if the stored ledger leaves no tokens.
+#[rstest]
+#[case::the_budget_suffices(0, true)]
+#[case::another_turn_used_the_budget(96, false)]
+#[tokio::test]
+async fn output_is_withheld_until_the_reservation_is_stored(
+    #[case] other_tokens: u32,
+    #[case] is_forwarded: bool,
+) {
+    let stream = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+                  f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+    run_local(async {
+        let replica = Replica::start(&[stream]).await;
+        let store = SlowStore::start(other_tokens).await;
+        let test_front = start_with_store(&[&replica], ENGINES, Some(store.address)).await;
+        // The store announces its version with its first reply.
+        store.released.notify_one();
+        send_request(test_front.address, &turn_request("earlier")).await;
+        let earlier_runs = replica.count();
+        let mut caller = TcpStream::connect(test_front.address).await.expect("open");
+        let turn = turn_request("program");
+        caller.write_all(turn.as_bytes()).await.expect("send");
+        let mut received = String::new();
+        let early = caller.read_to_string(&mut received);
+        let early = tokio::time::timeout(Duration::from_millis(300), early);
+        assert!(early.await.is_err(), "the stream ended: {received}");
+        assert_eq!(replica.count(), earlier_runs + 1, "the turn runs meanwhile");
+        let mut rest = Vec::new();
+        store.released.notify_waiters();
+        let _ = tokio::time::timeout(TEST_TIMEOUT, caller.read_to_end(&mut rest)).await;
+        let rest = String::from_utf8_lossy(&rest);
+        assert!(!received.contains("data: a"), "too early: {received}");
+        assert_eq!(rest.contains("data: a"), is_forwarded, "{received}{rest}");
+        assert_eq!(
+            rest.ends_with("0\r\n\r\n"),
+            is_forwarded,
+            "{received}{rest}"
+        );
+    })
+    .await;
+}
+
 /// The set of started programs is bounded and evicts the oldest first.
 #[test]
 fn the_set_of_started_programs_is_bounded() {
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -9,9 +9,10 @@
 //! only sent to a peer whose version supports them.
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
+use stageyoke_directory::GroupNumber;
 use stageyoke_types::{Blob, List, Text};
 
-use crate::message::LatencyEntry;
+use crate::message::{LatencyEntry, LedgerEntry};
 
 /// Version of a peer that sends none.
 pub const FIRST_VERSION: u16 = 1;
@@ -32,6 +33,8 @@
 const ENGINE_LATENCIES_TAG: u8 = 6;
 const ENGINE_DEVIATIONS_TAG: u8 = 7;
 const KNOWN_ITEM_TAG: u8 = 8;
+const LEDGER_QUERY_TAG: u8 = 9;
+const UNSYNCED_LEDGER_TAG: u8 = 10;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -69,6 +72,17 @@
     pub revision: u64,
 }
 
+/// A query for a program's ledger including reservations that are not on disk yet.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct LedgerQuery {
+    /// Group that stores the program's records.
+    pub group: GroupNumber,
+    /// Version of the member list by which the replies are counted.
+    pub members_version: u64,
+    /// The program.
+    pub program: Text,
+}
+
 /// The extension fields of one message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExtensionFields {
@@ -90,6 +104,11 @@
     /// After a request for directory changes or the routing configuration: an item that the
     /// requester has. The reply omits the change or the value if its revision is the same.
     pub known_item: Option<KnownItem>,
+    /// After a ping: a program whose ledger is queried.
+    pub ledger_query: Option<LedgerQuery>,
+    /// After the reply to such a ping: the program's ledger, if the store is a complete
+    /// member of the group. Includes reservations that it has received but not synced.
+    pub unsynced_ledger: Option<List<LedgerEntry>>,
 }
 
 impl ExtensionFields {
@@ -115,6 +134,8 @@
             output,
         );
         encode_field(KNOWN_ITEM_TAG, self.known_item.as_ref(), output);
+        encode_field(LEDGER_QUERY_TAG, self.ledger_query.as_ref(), output);
+        encode_field(UNSYNCED_LEDGER_TAG, self.unsynced_ledger.as_ref(), output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -136,6 +157,10 @@
                     fields.engine_deviations = Some(DeBin::deserialize_bin(content)?)
                 }
                 KNOWN_ITEM_TAG => fields.known_item = Some(DeBin::deserialize_bin(content)?),
+                LEDGER_QUERY_TAG => fields.ledger_query = Some(DeBin::deserialize_bin(content)?),
+                UNSYNCED_LEDGER_TAG => {
+                    fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
+                }
                 _ => {}
             }
         }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -8,16 +8,16 @@
 use std::time::Duration;
 
 use stageyoke_directory::{Freshness, GroupNumber, Member, Members, StoreGroups, Tolerance};
-use stageyoke_types::Text;
+use stageyoke_types::{List, Text};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
 
 use crate::client::{CallError, ExtendedReply, StoreClient};
-use crate::extension::ExtensionFields;
+use crate::extension::{ExtensionFields, LedgerQuery};
 use crate::frame::EncodedMessage;
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Reply, Request};
-use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerView};
+use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerView, UnsyncedTally};
 
 /// Time to wait for a member's answer before the next member is asked as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
@@ -102,6 +102,8 @@
     number: GroupNumber,
     context: GroupContext,
     failing_since: Cell<Option<Instant>>,
+    /// When the oldest append was sent since which none has been stored.
+    unstored_since: Cell<Option<Instant>>,
     members: RefCell<Rc<Members>>,
     clients: RefCell<HashMap<Text, Rc<StoreClient>>>,
 }
@@ -113,6 +115,7 @@
             number,
             context,
             failing_since: Cell::new(None),
+            unstored_since: Cell::new(None),
             members: RefCell::default(),
             clients: RefCell::default(),
         }
@@ -169,6 +172,56 @@
         }
     }
 
+    /// Returns for how long appends have been sent without any being stored.
+    pub fn unstored_for(&self) -> Duration {
+        let since = self.unstored_since.get();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// Returns a program's ledger once a write quorum has received the reservation of `turn`,
+    /// which need not be on disk yet; `None` if no quorum says so in time.
+    pub async fn unsynced_ledger(
+        &self,
+        program: &Text,
+        turn: &Text,
+        time_limit: Duration,
+    ) -> Option<LedgerView> {
+        let members = self.members();
+        let mut tally = UnsyncedTally::new(&members, &self.context.tolerance, turn)?;
+        let fields = Rc::new(ExtensionFields {
+            ledger_query: Some(LedgerQuery {
+                group: self.number,
+                members_version: members.version,
+                program: program.clone(),
+            }),
+            ..ExtensionFields::default()
+        });
+        let (answers, mut received) = unbounded_channel();
+        for member in members.all() {
+            let Some(client) = self.client(&member.node) else {
+                continue;
+            };
+            let (fields, answers, node) = (fields.clone(), answers.clone(), member.node.clone());
+            tokio::task::spawn_local(async move {
+                let ping = EncodedMessage::encode(&Request::Ping);
+                if let Ok(answer) = client.call_with_fields(ping, fields, time_limit).await {
+                    let _ = answers.send((node, answer.extension_fields.unsynced_ledger));
+                }
+            });
+        }
+        drop(answers);
+        while let Some((node, ledger)) = received.recv().await {
+            let Some(List(entries)) = ledger else {
+                continue;
+            };
+            tally.add_ledger(&node, entries);
+            if let Some(ledger) = tally.ledger() {
+                return Some(ledger);
+            }
+        }
+        None
+    }
+
     /// Pings all members; marks the group as available once a write quorum has answered.
     pub async fn probe(&self, time_limit: Duration) {
         let members = self.members();
@@ -208,7 +261,13 @@
         placement: Option<Placement>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
+        if self.unstored_since.get().is_none() {
+            self.unstored_since.set(Some(Instant::now()));
+        }
         let outcome = self.append_to_members(record, placement, time_limit).await;
+        if outcome.is_ok() {
+            self.unstored_since.set(None);
+        }
         self.record_availability(outcome.is_ok());
         outcome
     }
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -223,6 +223,23 @@
         outcome
     }
 
+    /// Returns a program's ledger once a write quorum of its group has received the
+    /// reservation of `turn`; `None` if none says so in time, or if the group has stored
+    /// nothing for longer than `max_unstored`, so that the reservation may never be stored.
+    pub async fn unsynced_ledger(
+        &self,
+        program: &Text,
+        turn: &Text,
+        max_unstored: Duration,
+        time_limit: Duration,
+    ) -> Option<LedgerView> {
+        let group = self.group_of_program(program, turn)?;
+        if group.unstored_for() > max_unstored {
+            return None;
+        }
+        group.unsynced_ledger(program, turn, time_limit).await
+    }
+
     /// Returns whether any turn of a program has started; `None` if no store knows.
     pub async fn has_started(&self, program: &Text, time_limit: Duration) -> Option<bool> {
         let group = self.group_of_program(program, "")?;
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -8,12 +8,12 @@
 
 use super::LocalStore;
 use crate::directory_relay;
-use crate::extension::{ExtensionFields, KnownItem};
+use crate::extension::{ExtensionFields, KnownItem, LedgerQuery};
 use crate::keys::TurnKey;
 use crate::membership_state::PeerStatus;
 use crate::message::{
-    ChainPart, JournalPosition, OtherFrontsReport, Placement, QuotaReply, QuotaRequest, Record,
-    RecordDigest, Refusal, Reply, Request, TurnRecord,
+    ChainPart, JournalPosition, LedgerEntry, OtherFrontsReport, Placement, QuotaReply,
+    QuotaRequest, Record, RecordDigest, Refusal, Reply, Request, TurnRecord,
 };
 use crate::state::ChainLink;
 
@@ -33,6 +33,8 @@
     started: Option<bool>,
     /// Directory item that the requester has.
     known_item: Option<KnownItem>,
+    /// Program whose ledger is queried.
+    ledger_query: Option<LedgerQuery>,
 }
 
 impl RequestedFields {
@@ -81,6 +83,7 @@
             rank_loads_for: front.filter(|_| wants_rank_loads),
             engine_deviations_for: front.filter(|_| wants_deviations),
             known_item: fields.known_item,
+            ledger_query: fields.ledger_query,
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
@@ -91,6 +94,34 @@
         entries.iter().any(|entry| entry.amount > 0)
     }
 
+    /// Returns a program's ledger including reservations that are being written; `None` if
+    /// this store is no complete member of the group.
+    fn unsynced_ledger(&self, query: &LedgerQuery) -> Option<List<LedgerEntry>> {
+        let membership = self.membership.borrow();
+        let is_member = membership
+            .refusal(query.group, query.members_version)
+            .is_none();
+        if !is_member || !membership.is_complete_for(query.group) {
+            return None;
+        }
+        let List(mut entries) = self.state.borrow().ledger_entries(&query.program);
+        let pending_writes = self.pending_writes.borrow();
+        let records = pending_writes.values().map(|pending| &pending.record);
+        entries.extend(records.filter_map(|record| match record {
+            Record::Reserve {
+                program,
+                turn,
+                max_tokens,
+            } if *program == query.program => Some(LedgerEntry {
+                turn: TurnKey::of(turn).0,
+                amount: *max_tokens,
+                settled: false,
+            }),
+            _ => None,
+        }));
+        Some(List(entries))
+    }
+
     /// Builds the extension fields of a reply.
     pub fn reply_fields(&self, requested: RequestedFields) -> ExtensionFields {
         let rank_loads_for = requested.rank_loads_for;
@@ -100,6 +131,9 @@
             engine_deviations: deviations_for
                 .and_then(|front| self.loads.engines.deviations_for(front)),
             started: requested.started,
+            unsynced_ledger: requested
+                .ledger_query
+                .and_then(|query| self.unsynced_ledger(&query)),
             ..ExtensionFields::default()
         }
     }
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -40,6 +40,12 @@
             .sum()
     }
 
+    /// Returns whether the ledger has an entry for this turn.
+    pub fn contains(&self, turn: &str) -> bool {
+        let TurnKey(turn) = TurnKey::of(turn);
+        self.entries.contains_key(&turn)
+    }
+
     /// Number of turns in the ledger.
     pub fn turns(&self) -> usize {
         self.entries.len()
@@ -133,6 +139,50 @@
     }
 }
 
+/// Replies to a query for a program's ledger before its newest reservation is on disk. The
+/// ledger holds every reservation that a write quorum received earlier once a write quorum
+/// has received this one.
+#[derive(Debug)]
+pub struct UnsyncedTally {
+    members: Rc<Members>,
+    quorums: Quorums,
+    turn: Text,
+    received_by: BTreeSet<Text>,
+    ledger: LedgerView,
+}
+
+impl UnsyncedTally {
+    /// Creates a tally for the reservation of `turn`; `None` if the list is too small for the
+    /// tolerance.
+    pub fn new(members: &Rc<Members>, tolerance: &Tolerance, turn: &Text) -> Option<Self> {
+        Some(Self {
+            members: members.clone(),
+            quorums: members.quorums(tolerance)?,
+            turn: turn.clone(),
+            received_by: BTreeSet::new(),
+            ledger: LedgerView::default(),
+        })
+    }
+
+    /// Adds the ledger of a complete member. It counts only if it has the reservation.
+    pub fn add_ledger(&mut self, member: &Text, entries: impl IntoIterator<Item = LedgerEntry>) {
+        let mut ledger = LedgerView::default();
+        ledger.merge(entries);
+        if ledger.contains(&self.turn) {
+            self.received_by.insert(member.clone());
+            self.ledger.merge(ledger.entries.into_values());
+        }
+    }
+
+    /// Returns the merged ledger once a write quorum has received the reservation.
+    pub fn ledger(&self) -> Option<LedgerView> {
+        let has_quorum = self.members.has_quorum(self.quorums, |member| {
+            self.received_by.contains(&member.node)
+        });
+        has_quorum.then(|| self.ledger.clone())
+    }
+}
+
 /// Result of looking up one turn in a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChainLookup {
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -15,7 +15,7 @@
 use stageyoke_store::rank_load::ServiceRank;
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server;
-use stageyoke_store::{ChainOutcome, GroupClients, GroupError, StoreLimits};
+use stageyoke_store::{ChainOutcome, GroupClients, GroupError, LedgerView, StoreLimits};
 use stageyoke_types::{List, Text};
 use support::turn;
 use tempfile::TempDir;
@@ -75,6 +75,11 @@
     fn stop(&self) {
         self.tasks.iter().for_each(JoinHandle::abort);
     }
+
+    /// Stalls the disk: no write completes from now on.
+    fn stall_disk(&self) {
+        self.tasks[1].abort();
+    }
 }
 
 fn store_groups(stores: &[Store]) -> Rc<StoreGroups> {
@@ -542,3 +547,92 @@
     })
     .await;
 }
+
+const MAX_UNSTORED: Duration = Duration::from_secs(5);
+
+/// Sends a reservation whose write does not complete, and waits until stores have it.
+async fn reserve_in_background(group: &Rc<GroupClients>, turn: &str) {
+    group.append_in_background(reserve_record(turn), TIMEOUT);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+async fn unsynced_ledger(
+    group: &GroupClients,
+    turn: &str,
+    max_unstored: Duration,
+) -> Option<LedgerView> {
+    let (program, turn) = (Text::from(PROGRAM), Text::from(turn));
+    group
+        .unsynced_ledger(&program, &turn, max_unstored, SHORT_TIMEOUT)
+        .await
+}
+
+/// While disks are slow, a reservation must be seen by every later one before it is synced.
+#[tokio::test]
+async fn a_reservation_is_visible_to_later_ones_before_it_is_synced() {
+    run_local(async {
+        let (stores, group) = start_group(3).await;
+        stores[0].stop();
+        // Stores announce their version with the first reply.
+        group
+            .append(turn("before", ""), TIMEOUT)
+            .await
+            .expect("stored");
+        stores.iter().for_each(Store::stall_disk);
+        reserve_in_background(&group, "one").await;
+        let ledger = unsynced_ledger(&group, "one", MAX_UNSTORED).await;
+        let ledger = ledger.expect("two of three received it");
+        assert_eq!(ledger.total_excluding("one"), 10);
+        reserve_in_background(&group, "two").await;
+        let ledger = unsynced_ledger(&group, "two", MAX_UNSTORED).await;
+        let ledger = ledger.expect("two of three received it");
+        assert_eq!(ledger.total_excluding("two"), 110, "the first one too");
+        let unknown = unsynced_ledger(&group, "unknown", MAX_UNSTORED).await;
+        assert!(unknown.is_none(), "never reserved");
+    })
+    .await;
+}
+
+/// A reservation that too few stores have accepted, or that may never be stored, must not
+/// count.
+#[rstest]
+#[case::accepted_by_one_of_three(2, true, MAX_UNSTORED)]
+#[case::incomplete_stores(0, false, MAX_UNSTORED)]
+#[case::nothing_is_stored_any_more(0, true, Duration::from_millis(1))]
+#[tokio::test]
+async fn a_reservation_does_not_count_early_without_a_healthy_quorum(
+    #[case] with_newer_list: usize,
+    #[case] complete: bool,
+    #[case] max_unstored: Duration,
+) {
+    run_local(async {
+        let mut stores = Vec::new();
+        for number in 0..3 {
+            stores.push(Store::start(number, complete).await);
+        }
+        let members = store_groups(&stores);
+        let group = Rc::new(GroupClients::new(Text::from("zone"), tolerance()));
+        group.update_stores(&members);
+        for store in &stores {
+            store.local_store.set_stores(members.clone());
+        }
+        group
+            .append(turn("before", ""), TIMEOUT)
+            .await
+            .expect("stored");
+        stores.iter().for_each(Store::stall_disk);
+        for store in &stores[..with_newer_list] {
+            store
+                .local_store
+                .set_stores(with_later_version(&members, 1));
+        }
+        let reserving = group.append(reserve_record("one"), SHORT_TIMEOUT);
+        let querying = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            unsynced_ledger(&group, "one", max_unstored).await
+        };
+        let (_, ledger) = tokio::join!(reserving, querying);
+        assert!(ledger.is_none(), "{ledger:?}");
+    })
+    .await;
+}
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -5,11 +5,14 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
+use stageyoke_directory::GroupNumber;
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
-use stageyoke_store::extension::{Deviation, ExtensionFields, KnownItem, RankLoad, VERSION};
+use stageyoke_store::extension::{
+    Deviation, ExtensionFields, KnownItem, LedgerQuery, RankLoad, VERSION,
+};
 use stageyoke_store::frame::{self, EncodedMessage, Received};
-use stageyoke_store::message::{LatencyEntry, Numbered, Reply, Request};
+use stageyoke_store::message::{LatencyEntry, LedgerEntry, Numbered, Reply, Request};
 use stageyoke_types::List;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -262,6 +265,17 @@
             key: "routes/all".into(),
             revision: 12,
         }),
+
+        ledger_query: Some(LedgerQuery {
+            group: GroupNumber(1),
+            members_version: 3,
+            program: "program".into(),
+        }),
+        unsynced_ledger: Some(List(vec![LedgerEntry {
+            turn: 5,
+            amount: 54,
+            settled: false,
+        }])),
     };
     let mut bytes = Vec::new();
     fields.encode(&mut bytes);
