Ask the service as well while a store sends the directory slowly

Cause: a refresh asked one source at a time, and a transfer that made progress was given the whole bound, so one slow store held the list of replicas back although the service would have answered at once.

Change: after 0.27 of the bound a front that is in use asks the service too and keeps receiving; the first whole answer is applied. Ruled out: giving the transfer up (on a narrow link the next source sends everything again). If the service fails meanwhile, the transfer goes on (new test).

--- a/crates/stageyoke-directory/src/mirror/relayed.rs
+++ b/crates/stageyoke-directory/src/mirror/relayed.rs
@@ -18,6 +18,9 @@
 /// between two requests to peers.
 const MAX_RELAYED_AGE_FRACTION: f64 = 0.7;
 const RELAY_PAUSE_FRACTION: f64 = 0.05;
+/// Fraction of the change bound that peers have for a refresh before the service is asked too,
+/// although data arrives. Ends before the directory is as old as requests may use it.
+const RELAY_PATIENCE_FRACTION: f64 = 0.27;
 /// Fraction of the service's answer timeout that peers have to supply the configuration
 /// before it is read from the service.
 const RELAYED_ROUTES_TIMEOUT_FRACTION: f64 = 0.25;
@@ -29,6 +32,17 @@
 const RELAY_STARTUP_TIMEOUT: Duration = Duration::from_millis(1500);
 const RELAY_STARTUP_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Answer to a refresh of the directory.
+enum DirectoryAnswer {
+    /// From a peer.
+    Relayed(RelayReply<RelayedChanges>),
+    /// From the service, to a request sent at `sent_at`.
+    FromService {
+        outcome: WatchOutcome,
+        sent_at: Instant,
+    },
+}
+
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
     pub(super) fn fraction_of_bound(&self, fraction: f64) -> Duration {
         self.intervals
@@ -105,16 +119,67 @@
                 () = self.freshness.wait_until_lagging() => {}
                 () = tokio::time::sleep(self.freshness.limits().refresh_after) => {}
             }
-            if let Some(step) = self.apply_relayed_changes(revision, report).await {
-                return Ok(step);
+            if let Some(answer) = self.refresh(revision).await? {
+                return Ok(self.apply_answer(answer, revision, report));
             }
-            if !self.freshness.is_idle() || self.view().routes.is_none() {
-                break;
+        }
+    }
+
+    /// Returns whether a refresh may call the service. Only processes that use the directory
+    /// do, and those that cannot start without it.
+    fn may_call_service(&self) -> bool {
+        !self.freshness.is_idle() || self.view().routes.is_none()
+    }
+
+    /// Fetches the changes after a revision from peers; from the service if no peer has a
+    /// fresh copy, or if the transfer takes so long that the directory would get too old.
+    async fn refresh(&self, revision: u64) -> Result<Option<DirectoryAnswer>, KeyValueError> {
+        let mut relayed = std::pin::pin!(self.fetch_relayed_changes(revision));
+        let patience = self.fraction_of_bound(RELAY_PATIENCE_FRACTION);
+        let in_time = tokio::time::timeout(patience, &mut relayed).await;
+        if let Ok(Some(reply)) = in_time {
+            return Ok(Some(DirectoryAnswer::Relayed(reply)));
+        }
+        let mut is_transferring = in_time.is_err();
+        if !self.may_call_service() {
+            return Ok(match is_transferring {
+                true => relayed.await.map(DirectoryAnswer::Relayed),
+                false => None,
+            });
+        }
+        let sent_at = Instant::now();
+        let mut polling = std::pin::pin!(self.poll_service(revision, 1));
+        let polled = loop {
+            tokio::select! {
+                reply = &mut relayed, if is_transferring => match reply {
+                    Some(reply) => return Ok(Some(DirectoryAnswer::Relayed(reply))),
+                    None => is_transferring = false,
+                },
+                polled = &mut polling => break polled,
+            }
+        };
+        match polled {
+            Ok(outcome) => Ok(Some(DirectoryAnswer::FromService { outcome, sent_at })),
+            Err(error) if is_transferring => match relayed.await {
+                Some(reply) => Ok(Some(DirectoryAnswer::Relayed(reply))),
+                None => Err(error),
+            },
+            Err(error) => Err(error),
+        }
+    }
+
+    fn apply_answer(
+        &self,
+        answer: DirectoryAnswer,
+        revision: u64,
+        report: &mut impl FnMut(MirrorEvent),
+    ) -> Step {
+        match answer {
+            DirectoryAnswer::Relayed(reply) => self.apply_relayed_reply(reply, revision, report),
+            DirectoryAnswer::FromService { outcome, sent_at } => {
+                self.apply_service_answer(outcome, sent_at, report)
             }
         }
-        let started_at = Instant::now();
-        let outcome = self.poll_service(revision, 1).await?;
-        Ok(self.apply_service_answer(outcome, started_at, report))
     }
 
     fn relayed_lapsed_entry_deadline<T>(
@@ -145,21 +210,32 @@
         })
     }
 
+    /// Fetches the changes after a revision from a peer, if its copy is fresh.
+    async fn fetch_relayed_changes(&self, revision: u64) -> Option<RelayReply<RelayedChanges>> {
+        let relay = self.relay.as_ref()?;
+        let _exchange = self.relay_exchange_lock.lock().await;
+        let requirements = self.relay_requirements();
+        let fetching = relay.fetch_changes(revision, self.known_routes(), requirements);
+        let reply = fetching.await?;
+        (reply.payload.age <= requirements.max_age).then_some(reply)
+    }
+
     /// Applies the changes after a revision from a peer, if its copy is fresh.
     pub(super) async fn apply_relayed_changes(
         &self,
         revision: u64,
         report: &mut impl FnMut(MirrorEvent),
     ) -> Option<Step> {
-        let relay = self.relay.as_ref()?;
-        let _exchange = self.relay_exchange_lock.lock().await;
-        let requirements = self.relay_requirements();
-        let reply = relay
-            .fetch_changes(revision, self.known_routes(), requirements)
-            .await?;
-        if reply.payload.age > requirements.max_age {
-            return None;
-        }
+        let reply = self.fetch_relayed_changes(revision).await?;
+        Some(self.apply_relayed_reply(reply, revision, report))
+    }
+
+    fn apply_relayed_reply(
+        &self,
+        reply: RelayReply<RelayedChanges>,
+        revision: u64,
+        report: &mut impl FnMut(MirrorEvent),
+    ) -> Step {
         // The transfer time is not counted: a repeated request would transfer the same
         // changes.
         let as_of = reply.as_of(reply.payload.age);
@@ -182,7 +258,7 @@
         let step = self.apply_outcome(outcome, as_of, lapsed_entry_deadline, report);
         // Batching also keeps a pause between two requests to peers.
         let may_batch = step.revision.is_some();
-        Some(Step { may_batch, ..step })
+        Step { may_batch, ..step }
     }
 
     /// Applies the configuration from a peer that reads it on behalf of many processes;
--- a/crates/stageyoke-directory/tests/relay_test.rs
+++ b/crates/stageyoke-directory/tests/relay_test.rs
@@ -333,6 +333,22 @@
     .await;
 }
 
+/// A store that sends slowly must not be given up because the service does not answer.
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_is_waited_for_while_the_service_is_silent() {
+    run_local(async {
+        let pair = FrontAndStore::start().await;
+        pair.use_for(Duration::from_millis(300)).await;
+        pair.link.transfer_time.set(CHANGE_BOUND.mul_f64(0.9));
+        pair.set_version(2);
+        pair.front_service.silent.set(true);
+        tokio::time::sleep(CHANGE_BOUND * 2).await;
+        assert_eq!(pair.version(), 2);
+        assert_eq!(pair.link.transfer_count.get(), 1, "begun anew");
+    })
+    .await;
+}
+
 /// Confirming routes must not transfer a configuration that the front already has or is
 /// receiving.
 #[tokio::test(start_paused = true)]
