--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -15,7 +15,7 @@
 use super::addresses::AddressAllocator;
 use super::changes::ConfigurationVersions;
 use super::contracts;
-use super::processes::{Process, ProcessParameters, ProcessRole};
+use super::processes::{Process, ProcessParameters, ProcessRole, can_delay_syncs};
 use super::promises::Promises;
 use super::proxy::Proxy;
 use super::replicas::unix_milliseconds;
@@ -221,6 +221,7 @@
                 .collect(),
             shape,
             contracts,
+            can_delay_syncs: can_delay_syncs(program),
             monitor: ProcessMonitor::default(),
         };
         let mut service_proxies = Vec::new();
--- a/crates/stageyoke-lab/src/soak/open_loop.rs
+++ b/crates/stageyoke-lab/src/soak/open_loop.rs
@@ -67,7 +67,7 @@
     let programs = Arc::new(ServedShares::default());
     programs.start(started_at);
     promises.shares.start(started_at);
-    let _slow_disks = (!plan.sync_time.is_zero()).then(|| deployment.delay_syncs(plan.sync_time));
+    deployment.delay_all_syncs(plan.sync_time);
     let capacity = plan.shape.models.capacity;
     let source = OpenLoopLoad {
         entry,
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -34,6 +35,13 @@
     Store,
 }
 
+/// Returns whether a build of the program can delay its syncs; older ones can't.
+pub fn can_delay_syncs(program: &Path) -> bool {
+    let mut command = std::process::Command::new(program);
+    let help = command.args(["store", "--help"]).env_clear().output();
+    help.is_ok_and(|help| String::from_utf8_lossy(&help.stdout).contains("sync-delay-file"))
+}
+
 /// The process of one machine, with its settings, data and log.
 pub struct Process {
     /// Name of the machine.
@@ -69,6 +77,8 @@
     pub shape: DeploymentShape,
     /// Optional contracts of the deployment.
     pub contracts: Vec<String>,
+    /// Whether the program can delay its syncs.
+    pub can_delay_syncs: bool,
     /// Samples the resources of the processes.
     pub monitor: ProcessMonitor,
 }
@@ -138,6 +148,9 @@
         command.arg(role);
         if let Some(proxy) = self.advertised {
             command.args(["--advertise", &proxy.to_string()]);
+            if self.parameters.can_delay_syncs {
+                command.arg("--sync-delay-file").arg(self.sync_delay_file());
+            }
             if let Some(segment_bytes) = self.parameters.shape.segment_bytes {
                 command.args(["--segment-bytes", &segment_bytes.to_string()]);
             }
@@ -173,6 +186,15 @@
         self.child.is_some()
     }
 
+    fn sync_delay_file(&self) -> PathBuf {
+        self.folder.join("sync-delay")
+    }
+
+    /// Adds `delay` to each sync of a store from now on.
+    pub fn delay_syncs(&self, delay: Duration) -> io::Result<()> {
+        std::fs::write(self.sync_delay_file(), delay.as_millis().to_string())
+    }
+
     /// Returns the path of the log.
     pub fn log_file(&self) -> PathBuf {
         self.folder.join("log.jsonl")
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -241,7 +241,7 @@
         };
         let sync_started = Instant::now();
         segment.file.write_all(bytes)?;
-        segment.file.sync_data()?;
+        self.folder.sync_data(&segment.file)?;
         let seconds = sync_started.elapsed().as_secs_f64();
         stageyoke_observe::metrics().sync_seconds.observe(seconds);
         segment.bytes += bytes.len() as u64;
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufReader, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use nanoserde::{DeBin, SerBin};
 use stageyoke_directory::StoreGroups;
@@ -155,6 +156,8 @@
 #[derive(Clone, Debug)]
 pub struct DataFolder {
     path: PathBuf,
+    /// File with a delay in milliseconds that is added to each sync, for tests of slow disks.
+    sync_delay_file: Option<PathBuf>,
 }
 
 /// A segment file and the extent of its valid records.
@@ -212,9 +215,39 @@
         fs::create_dir_all(path)?;
         Ok(Self {
             path: path.to_owned(),
+            sync_delay_file: None,
         })
     }
 
+    /// Adds the delay in a file, in milliseconds, to each sync.
+    pub fn with_sync_delay(self, sync_delay_file: Option<PathBuf>) -> Self {
+        Self {
+            sync_delay_file,
+            ..self
+        }
+    }
+
+    /// Writes the data of a file to the disk.
+    pub fn sync_data(&self, file: &File) -> io::Result<()> {
+        self.delay_sync();
+        file.sync_data()
+    }
+
+    /// Writes the data and metadata of a file to the disk.
+    fn sync_all(&self, file: &File) -> io::Result<()> {
+        self.delay_sync();
+        file.sync_all()
+    }
+
+    fn delay_sync(&self) {
+        let Some(delay_file) = &self.sync_delay_file else {
+            return;
+        };
+        let milliseconds = fs::read_to_string(delay_file).unwrap_or_default();
+        let milliseconds = milliseconds.trim().parse().unwrap_or_default();
+        std::thread::sleep(Duration::from_millis(milliseconds));
+    }
+
     /// Recovers everything in the folder. `journal_identifier` identifies this process's
     /// journal, and also the disk if it has no identity yet. An empty folder
     /// only counts as complete if `first_start` is set.
@@ -350,7 +383,7 @@
             .truncate(true)
             .write(true)
             .open(self.path.join(segment_name(number)))?;
-        file.sync_all()?;
+        self.sync_all(&file)?;
         self.sync_folder()?;
         Ok(file)
     }
@@ -411,13 +444,13 @@
         let temporary = self.path.join(format!("{name}{TEMPORARY_SUFFIX}"));
         let mut file = File::create(&temporary)?;
         file.write_all(content)?;
-        file.sync_all()?;
+        self.sync_all(&file)?;
         fs::rename(&temporary, self.path.join(name))?;
         self.sync_folder()
     }
 
     fn sync_folder(&self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
+        self.sync_all(&File::open(&self.path)?)
     }
 }
 
--- a/crates/stageyoke-store/src/store_host.rs
+++ b/crates/stageyoke-store/src/store_host.rs
@@ -74,6 +74,8 @@
     pub limits: StoreLimits,
     /// Path of the data folder.
     pub data_folder: PathBuf,
+    /// File with a delay that is added to each sync, for tests of slow disks.
+    pub sync_delay_file: Option<PathBuf>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Losses that the system must tolerate at the same time.
@@ -138,7 +140,8 @@
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> StoreHost<S, I> {
     /// Recovers the disk and serves requests until the task is dropped.
     pub async fn run(settings: StoreSettings, mirror: Rc<Mirror<S, I>>) -> io::Result<()> {
-        let folder = DataFolder::open(&settings.data_folder)?;
+        let folder = DataFolder::open(&settings.data_folder)?
+            .with_sync_delay(settings.sync_delay_file.clone());
         let recovered = folder.recover(rand::random(), settings.first_start)?;
         let segments = recovered.segments.iter();
         let records: usize = segments.map(|segment| segment.records).sum();
