Keep the connection to a store whose disk is slow

Callers saw: refusals (budget_not_reserved, no_quorum after 1,300 ms), and turns of tenants far below their limits rejected (quota_spent), on machines whose processes were alive.

Cause: a connection without received data for 0.6 s was closed, and a store says nothing while it waits for its disk. Each call was made anew, the reply that was due was lost, and the owners of tenants' limits counted as silent, so that others took over with a tenth of the limit. Second: a failing group counted as available again once its members answered pings, which they do while their disks stand still, so each try held requests for 1.3 s.

Change: while replies are outstanding, a ping goes out after 200 ms without data; the reply to a ping says how long the oldest write has waited (extension field), and a probe does not count members whose writes wait for over a second.

--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -29,6 +29,9 @@
 /// A connection is closed if no data is received for this long while replies are
 /// outstanding.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time without received data after which a ping is sent while replies are outstanding. A
+/// store answers it at once even if its disk is slow.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The reason why a call got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,6 +93,7 @@
             progress: progress.clone(),
             last_number: 0,
             outstanding_since: Instant::now(),
+            last_heartbeat: None,
         };
         Self {
             address: address.to_owned(),
@@ -175,6 +179,7 @@
     progress: Rc<ReceiveProgress>,
     last_number: u64,
     outstanding_since: Instant,
+    last_heartbeat: Option<Instant>,
 }
 
 struct AbortOnDrop(JoinHandle<()>);
@@ -226,12 +231,16 @@
         self.send(first_call, &peer_version, &pending, &frames);
         loop {
             let deadline = self.silence_deadline(&pending);
+            let heartbeat_at = self.next_heartbeat(&pending);
             tokio::select! {
                 next = self.queue.recv() => match next {
                     Some(call) => self.send(call, &peer_version, &pending, &frames),
                     None => return,
                 },
                 _ = &mut receive_ended => return,
+                () = tokio::time::sleep_until(heartbeat_at), if heartbeat_at < deadline => {
+                    self.send_heartbeat(&peer_version, &frames);
+                }
                 () = tokio::time::sleep_until(deadline) => {
                     if self.silence_deadline(&pending) <= Instant::now() {
                         self.log_silence(&pending);
@@ -252,6 +261,24 @@
             + SILENCE_TIMEOUT
     }
 
+    /// Returns when to send a ping unless something is received earlier.
+    fn next_heartbeat(&self, pending: &PendingCalls) -> Instant {
+        let silent_since = self.silence_deadline(pending) - SILENCE_TIMEOUT;
+        let last = self
+            .last_heartbeat
+            .map_or(silent_since, |at| at.max(silent_since));
+        last + HEARTBEAT_INTERVAL
+    }
+
+    /// Sends a ping whose reply only shows that the store is alive.
+    fn send_heartbeat(&mut self, peer_version: &PeerVersion, frames: &UnboundedSender<Vec<u8>>) {
+        self.last_heartbeat = Some(Instant::now());
+        self.last_number += 1;
+        let fields = peer_version.fields_for_next_message(&ExtensionFields::default());
+        let ping = EncodedMessage::encode(&Request::Ping);
+        let _ = frames.send(ping.frame(self.last_number, &fields));
+    }
+
     fn log_silence(&self, pending: &PendingCalls) {
         let detail = format!(
             "peer={} outstanding={}",
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -35,6 +35,7 @@
 const KNOWN_ITEM_TAG: u8 = 8;
 const LEDGER_QUERY_TAG: u8 = 9;
 const UNSYNCED_LEDGER_TAG: u8 = 10;
+const WRITE_DELAY_TAG: u8 = 11;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -109,6 +110,9 @@
     /// After the reply to such a ping: the program's ledger, if the store is a complete
     /// member of the group. Includes reservations that it has received but not synced.
     pub unsynced_ledger: Option<List<LedgerEntry>>,
+    /// After the reply to a ping: for how long the oldest unfinished write has waited for the
+    /// disk, in milliseconds, if that is long.
+    pub write_delay_milliseconds: Option<u32>,
 }
 
 impl ExtensionFields {
@@ -136,6 +140,11 @@
         encode_field(KNOWN_ITEM_TAG, self.known_item.as_ref(), output);
         encode_field(LEDGER_QUERY_TAG, self.ledger_query.as_ref(), output);
         encode_field(UNSYNCED_LEDGER_TAG, self.unsynced_ledger.as_ref(), output);
+        encode_field(
+            WRITE_DELAY_TAG,
+            self.write_delay_milliseconds.as_ref(),
+            output,
+        );
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -158,6 +167,9 @@
                 }
                 KNOWN_ITEM_TAG => fields.known_item = Some(DeBin::deserialize_bin(content)?),
                 LEDGER_QUERY_TAG => fields.ledger_query = Some(DeBin::deserialize_bin(content)?),
+                WRITE_DELAY_TAG => {
+                    fields.write_delay_milliseconds = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -28,6 +28,9 @@
 /// Delay before a failed call is retried on a new connection.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Delay of a member's writes from which its disk counts as stalled, in milliseconds.
+const MAX_WRITE_DELAY_MS: u32 = 1000;
+
 /// Reason why a group did not serve a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GroupError {
@@ -222,7 +225,8 @@
         None
     }
 
-    /// Pings all members; marks the group as available once a write quorum has answered.
+    /// Pings all members; marks the group as available once a write quorum has answered whose
+    /// disks accept writes.
     pub async fn probe(&self, time_limit: Duration) {
         let members = self.members();
         let Some(quorums) = members.quorums(&self.context.tolerance) else {
@@ -236,7 +240,14 @@
             let answers = answers.clone();
             let node = member.node.clone();
             tokio::task::spawn_local(async move {
-                if client.call(Request::Ping, time_limit).await.is_ok() {
+                let ping = EncodedMessage::encode(&Request::Ping);
+                let answer = client.call_with_fields(ping, Rc::default(), time_limit);
+                let delay = answer
+                    .await
+                    .map(|answer| answer.extension_fields.write_delay_milliseconds);
+                if let Ok(delay) = delay
+                    && delay.is_none_or(|delay| delay < MAX_WRITE_DELAY_MS)
+                {
                     let _ = answers.send(node);
                 }
             });
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use stageyoke_directory::{
     AgeLimits, DirectoryMark, DirectorySource, Freshness, GroupNumber, Members, StoreGroups,
@@ -35,6 +36,7 @@
 /// A record that is being written, and the callers that wait for it.
 struct PendingWrite {
     record: Record,
+    submitted_at: Instant,
     bytes: usize,
     waiters: Vec<oneshot::Sender<bool>>,
 }
@@ -313,6 +315,15 @@
         backlog_is_full.then_some(Refusal::DiskRefused)
     }
 
+    /// Returns for how long the oldest unfinished write has waited for the disk.
+    pub fn write_delay(&self) -> Duration {
+        let pending_writes = self.pending_writes.borrow();
+        let delays = pending_writes
+            .values()
+            .map(|pending_write| pending_write.submitted_at.elapsed());
+        delays.max().unwrap_or_default()
+    }
+
     /// Returns the number of records that are being written.
     pub fn in_flight_records(&self) -> usize {
         self.pending_writes.borrow().len()
@@ -326,6 +337,7 @@
         self.tickets.borrow_mut().insert(record.digest(), ticket);
         let pending_write = PendingWrite {
             record,
+            submitted_at: Instant::now(),
             bytes,
             waiters: Vec::new(),
         };
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -21,6 +21,9 @@
 /// after which `client` closes a connection with outstanding replies.
 const ROUTES_READ_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Write delay below which a disk is not reported as slow.
+const MIN_REPORTED_WRITE_DELAY: Duration = Duration::from_millis(100);
+
 /// The extension fields that a reply must carry. Requests queue up while the disk is slow,
 /// so only these values of a request's fields are held until the reply.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +38,8 @@
     known_item: Option<KnownItem>,
     /// Program whose ledger is queried.
     ledger_query: Option<LedgerQuery>,
+    /// Whether the request is a ping, whose reply reports a slow disk.
+    reports_write_delay: bool,
 }
 
 impl RequestedFields {
@@ -84,6 +89,7 @@
             engine_deviations_for: front.filter(|_| wants_deviations),
             known_item: fields.known_item,
             ledger_query: fields.ledger_query,
+            reports_write_delay: matches!(request, Request::Ping),
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
@@ -131,6 +137,11 @@
             engine_deviations: deviations_for
                 .and_then(|front| self.loads.engines.deviations_for(front)),
             started: requested.started,
+            write_delay_milliseconds: requested
+                .reports_write_delay
+                .then(|| self.write_delay())
+                .filter(|delay| *delay >= MIN_REPORTED_WRITE_DELAY)
+                .map(|delay| u32::try_from(delay.as_millis()).unwrap_or(u32::MAX)),
             unsynced_ledger: requested
                 .ledger_query
                 .and_then(|query| self.unsynced_ledger(&query)),
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -636,3 +636,26 @@
     })
     .await;
 }
+
+/// Pings are answered while disks are stalled, so they alone must not make a failing group
+/// available again.
+#[tokio::test]
+async fn a_group_with_stalled_disks_stays_failing() {
+    run_local(async {
+        let (stores, group) = start_group(3).await;
+        group
+            .append(turn("before", ""), TIMEOUT)
+            .await
+            .expect("stored");
+        stores.iter().for_each(Store::stall_disk);
+        let outcome = group
+            .append(turn("one", ""), Duration::from_millis(1100))
+            .await;
+        assert_eq!(outcome.expect_err("stalled"), GroupError::NoQuorum);
+        let failing = group.failing_groups();
+        assert_eq!(failing.len(), 1);
+        failing[0].probe(SHORT_TIMEOUT).await;
+        assert_eq!(group.failing_groups().len(), 1, "disks are still stalled");
+    })
+    .await;
+}
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -271,6 +271,7 @@
             members_version: 3,
             program: "program".into(),
         }),
+        write_delay_milliseconds: Some(1200),
         unsynced_ledger: Some(List(vec![LedgerEntry {
             turn: 5,
             amount: 54,
