--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -13,6 +13,7 @@
 
 use super::connections::HeldConnections;
 use super::shape::Link;
+use crate::standins::ACCEPT_RETRY_DELAY;
 
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Response rate of each connection in [`Mode::Slow`].
@@ -125,7 +126,11 @@
         let behavior = Arc::new(ProxyBehavior::default());
         let shared_behavior = behavior.clone();
         let task = tokio::spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
+            loop {
+                let Ok((caller, _)) = listener.accept().await else {
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                };
                 match shared_behavior.mode_of_new_connections() {
                     Mode::Reset => {}
                     Mode::Refuse => drop(tokio::spawn(refuse(caller))),
--- a/crates/stageyoke-lab/src/standins/mod.rs
+++ b/crates/stageyoke-lab/src/standins/mod.rs
@@ -10,6 +10,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
@@ -57,10 +58,18 @@
     Ok(StandInServer { address, task })
 }
 
+/// Delay before connections are accepted again after an error.
+pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 async fn accept_connections<H: Handler>(handler: Arc<H>, listener: TcpListener) {
     // Aborting this task drops the set, which closes every connection.
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process may be out of descriptors for a moment.
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         connections.spawn(async move {
