Keep a reservation within one time limit; explain its new outcomes

A reservation whose unsynced ledger left no tokens waited for the stored one with a second limit of 1.3 s, and a repeat with a newer member list got a whole limit of its own, so a caller could wait for 2.6 s where 1.3 s are meant. Both spend what is left of the one limit now. 'explain' and the operators' page know not_reserved and budget_spent_meanwhile. Tests of front, store and observe pass.

--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -23,8 +23,8 @@
 /// Timeout of one attempt to commit a turn.
 const COMMIT_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1500);
 const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Time after which a reservation that is not stored yet is looked up in the stores' memory: a
-/// few times that of a fast disk and the way to it.
+/// Time after which the stores are asked for reservations that they have received but not
+/// synced.
 const UNSYNCED_QUERY_DELAY: Duration = Duration::from_millis(12);
 const UNSYNCED_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without any stored record after which turns wait until their reservation is stored, as
@@ -105,9 +105,9 @@
         parts
     }
 
-    /// Reserves the maximum number of tokens of a turn. Returns once the reservation is stored,
-    /// or earlier if a quorum has received it, in which case it is stored in the background
-    /// until `deadline`.
+    /// Reserves the maximum number of tokens of a turn, within `time_limit`. Returns once the
+    /// reservation is stored, or earlier if a quorum has received it; it may then be stored up
+    /// to `deadline`.
     pub async fn reserve(
         &self,
         request: &ReservationRequest,
@@ -254,7 +254,11 @@
     time_limit: Duration,
     stored: oneshot::Sender<Result<LedgerView, GroupError>>,
 ) {
-    let append = || stores.append_with_placement(request.record(), request.placement, time_limit);
+    let until = Instant::now() + time_limit;
+    let append = || {
+        let remaining = until.saturating_duration_since(Instant::now());
+        stores.append_with_placement(request.record(), request.placement, remaining)
+    };
     let mut ledger = append().await;
     if matches!(ledger, Err(GroupError::StaleMembers)) {
         ledger = append().await;
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -116,6 +116,7 @@
             max_tokens,
             placement,
         };
+        let reserve_until = Instant::now() + time_limit;
         let deadline = context.outbound.deadline;
         let reserving = self.history.reserve(&request, time_limit, deadline);
         let ReservedLedger {
@@ -128,7 +129,7 @@
         if exceeds_budget(&ledger)
             && let Some(pending) = pending.take()
         {
-            let waiting = tokio::time::timeout(time_limit, pending.wait());
+            let waiting = tokio::time::timeout_at(reserve_until, pending.wait());
             let stored = waiting.await.unwrap_or(Err(GroupError::NoQuorum));
             ledger = stored.map_err(not_reserved)?;
         }
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -231,6 +231,10 @@
         "time_out" => "its time, or its route's, was over",
         "replica_broke_off" => "the replica broke its stream off",
         "not_kept" => "cut: its turn could not be kept on a quorum of stores",
+        "not_reserved" => "cut before any output: its reservation was not stored in time",
+        "budget_spent_meanwhile" => {
+            "cut before any output: turns reserved at the same time used up the budget"
+        }
         "caller_left" => "the caller left before the end",
         "no_such_route" => "refused: the service confirmed that no route fits",
         "route_not_confirmed" => "not run: no route fits, and the service could not confirm it",
