--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -28,8 +28,9 @@
 /// Delay before a failed call is retried on a new connection.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
-/// Delay of a member's writes from which its disk counts as stalled, in milliseconds.
-const MAX_WRITE_DELAY_MS: u32 = 1000;
+/// Delay of a member's writes from which its disk counts as stalled, in milliseconds: a
+/// reservation would not be stored in time.
+const MAX_WRITE_DELAY_MS: u32 = 1300;
 
 /// Reason why a group did not serve a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
