--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -239,7 +239,10 @@
                 },
                 _ = &mut receive_ended => return,
                 () = tokio::time::sleep_until(heartbeat_at), if heartbeat_at < deadline => {
-                    self.send_heartbeat(&peer_version, &frames);
+                    drop_abandoned_calls(&pending);
+                    if !pending.borrow().is_empty() {
+                        self.send_heartbeat(&peer_version, &frames);
+                    }
                 }
                 () = tokio::time::sleep_until(deadline) => {
                     if self.silence_deadline(&pending) <= Instant::now() {
@@ -296,9 +299,8 @@
         frames: &UnboundedSender<Vec<u8>>,
     ) {
         self.last_number += 1;
+        drop_abandoned_calls(pending);
         let mut pending_calls = pending.borrow_mut();
-        // Drops calls whose caller no longer waits.
-        pending_calls.retain(|_, reply_sender| !reply_sender.is_closed());
         if pending_calls.is_empty() {
             self.outstanding_since = Instant::now();
         }
@@ -309,6 +311,12 @@
     }
 }
 
+/// Drops calls whose caller no longer waits.
+fn drop_abandoned_calls(pending: &PendingCalls) {
+    let mut pending = pending.borrow_mut();
+    pending.retain(|_, reply_sender| !reply_sender.is_closed());
+}
+
 async fn receive(
     address: String,
     reader: ProgressReader<OwnedReadHalf>,
