--- a/crates/stageyoke-lab/src/soak/open_loop.rs
+++ b/crates/stageyoke-lab/src/soak/open_loop.rs
@@ -74,7 +74,6 @@
         promises: promises.clone(),
         programs: programs.clone(),
         turn_time: capacity.first_event + capacity.event_interval * (EVENTS_PER_TURN - 1),
-        under_way: Arc::default(),
     };
     let mut zones = JoinSet::new();
     for (zone, rate) in PROGRAM_RATES.iter().enumerate().take(plan.shape.zones) {
@@ -137,7 +136,7 @@
             from.as_secs_f64(),
             end.as_secs_f64()
         );
-        if is_judged(fault.fault) {
+        if !fault.fault.stops_everything() {
             windows.push(Window {
                 name: format!("during {description}"),
                 from,
@@ -156,11 +155,6 @@
     (descriptions, windows)
 }
 
-/// Returns whether requests must be served during the fault.
-fn is_judged(fault: Fault) -> bool {
-    !fault.stops_everything()
-}
-
 /// Time after the end of a fault from which requests must be served again.
 fn recovery_time(fault: Fault) -> Duration {
     match fault.stops_everything() {
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -113,11 +113,6 @@
         Self { zone, ..self }
     }
 
-    /// Returns the zone of the machine.
-    pub fn zone(&self) -> &str {
-        &self.zone
-    }
-
     /// Makes a store advertise the address of the proxy in front of it.
     pub fn with_proxy(self, proxy: SocketAddr) -> Self {
         Self {
--- a/crates/stageyoke-lab/src/soak/shares.rs
+++ b/crates/stageyoke-lab/src/soak/shares.rs
@@ -133,12 +133,6 @@
         let _ = self.started_at.set(at);
     }
 
-    /// Returns the time since the start of the run; zero before it.
-    pub fn elapsed(&self) -> Duration {
-        let started_at = self.started_at.get();
-        started_at.map_or(Duration::ZERO, |at| at.elapsed())
-    }
-
     /// Records the outcome of a request.
     pub fn record(&self, labels: RequestLabels, sent_at: Instant, outcome: RequestOutcome) {
         let started_at = *self.started_at.get_or_init(|| sent_at);
--- a/crates/stageyoke-lab/src/standins/platform/programs.rs
+++ b/crates/stageyoke-lab/src/standins/platform/programs.rs
@@ -2,7 +2,6 @@
 //! have ended, each with turns, pauses and tool calls of drawn number and length.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http_body_util::Full;
@@ -148,8 +147,6 @@
     pub programs: Arc<ServedShares>,
     /// Time that an idle replica takes for a turn.
     pub turn_time: Duration,
-    /// Number of programs under way.
-    pub under_way: Arc<AtomicU64>,
 }
 
 /// How one attempt of a request ended.
@@ -244,9 +241,7 @@
 
     async fn run(mut self) {
         let started_at = Instant::now();
-        self.load.under_way.fetch_add(1, Ordering::Relaxed);
         let (end, turns) = self.run_turns().await;
-        self.load.under_way.fetch_sub(1, Ordering::Relaxed);
         // Nothing is owed to programs that loop until their budget is spent.
         if self.is_runaway {
             return;
