A call to the key-value service fails although others are answered

Cause: a call counted the bytes that the whole client received as its own progress. Two stores had proposed a change into the silence; while their polls were answered again, the dead calls went on for 12 s (idle limit 2 s), and a store adopts no member list while it waits for its proposal. So the change that replaced the lost store was fenced after 8 s instead of at once, and the next loss met a list that could not be fenced any more.

Change: progress is counted by call.

Measured: responses_to_other_calls_do_not_prolong_a_silent_call took 10.3 s with a timeout of 0.3 s before, and passes.

--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -110,12 +110,14 @@
         body: Bytes,
         idle_timeout: Duration,
     ) -> Result<HttpResponse, CallError> {
-        let exchange = self.exchange(method, path, body);
+        // Data of other calls is no progress of this one.
+        let received_bytes = Cell::new(0);
+        let exchange = self.exchange(method, path, body, &received_bytes);
         let timeouts = TransferTimeouts {
             idle: idle_timeout,
             total: idle_timeout + MAX_TRANSFER_TIME,
         };
-        let response = wait_for_transfer(exchange, timeouts, || self.received_bytes.get());
+        let response = wait_for_transfer(exchange, timeouts, || received_bytes.get());
         response.await.ok_or(CallError::NoAnswer)?
     }
 
@@ -140,6 +142,7 @@
         method: Method,
         path: &str,
         body: Bytes,
+        received_bytes: &Cell<u64>,
     ) -> Result<HttpResponse, CallError> {
         let mut connection = self.acquire_connection().await?;
         let close_on_failure = CloseIdleOnDrop(&self.idle);
@@ -153,18 +156,23 @@
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(no_answer)?;
         let status = response.status();
-        let body = self.read_body(response.into_body()).await?;
+        let body = self.read_body(response.into_body(), received_bytes).await?;
         std::mem::forget(close_on_failure);
         self.idle.borrow_mut().push(connection);
         Ok(HttpResponse { status, body })
     }
 
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, CallError> {
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        received_bytes: &Cell<u64>,
+    ) -> Result<Bytes, CallError> {
         let mut content = BytesMut::new();
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(no_answer)?.into_data() {
-                let received_bytes = self.received_bytes.get() + data.len() as u64;
-                self.received_bytes.set(received_bytes);
+                let bytes = data.len() as u64;
+                received_bytes.set(received_bytes.get() + bytes);
+                self.received_bytes.set(self.received_bytes.get() + bytes);
                 content.extend_from_slice(&data);
             }
         }
