Replies to heartbeats are no progress of a transfer

Found on reading the change again: the connection that carries the directory counted replies to the new pings as received data, so a transfer that had not begun was given its total time instead of its idle time. Connections for transfers send no pings; they have timeouts of their own.

--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -81,11 +81,16 @@
 impl StoreClient {
     /// Creates a client for the store at this address. Must be called in a `LocalSet`.
     pub fn new(address: &str) -> Self {
-        Self::with_progress(address, Rc::default())
+        Self::start(address, Rc::default(), true)
     }
 
-    /// Creates a client that records the progress of received data in `progress`.
+    /// Creates a client for transfers, which records the progress of received data in
+    /// `progress`. It sends no heartbeats, since their replies are no progress of a transfer.
     pub fn with_progress(address: &str, progress: Rc<ReceiveProgress>) -> Self {
+        Self::start(address, progress, false)
+    }
+
+    fn start(address: &str, progress: Rc<ReceiveProgress>, sends_heartbeats: bool) -> Self {
         let (calls, queue) = unbounded_channel();
         let connection = Connection {
             address: address.to_owned(),
@@ -93,6 +98,7 @@
             progress: progress.clone(),
             last_number: 0,
             outstanding_since: Instant::now(),
+            sends_heartbeats,
             last_heartbeat: None,
         };
         Self {
@@ -179,6 +185,7 @@
     progress: Rc<ReceiveProgress>,
     last_number: u64,
     outstanding_since: Instant,
+    sends_heartbeats: bool,
     last_heartbeat: Option<Instant>,
 }
 
@@ -238,7 +245,9 @@
                     None => return,
                 },
                 _ = &mut receive_ended => return,
-                () = tokio::time::sleep_until(heartbeat_at), if heartbeat_at < deadline => {
+                () = tokio::time::sleep_until(heartbeat_at),
+                    if self.sends_heartbeats && heartbeat_at < deadline =>
+                {
                     drop_abandoned_calls(&pending);
                     if !pending.borrow().is_empty() {
                         self.send_heartbeat(&peer_version, &frames);
