--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -12,11 +12,11 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use stageyoke_observe as observe;
-use stageyoke_types::{Event, List};
+use stageyoke_types::Event;
 
 use crate::completeness::Completeness;
 use crate::disk_clock::DiskClock;
-use crate::message::{DirectoryItem, Record};
+use crate::message::Record;
 use crate::segment::{DataFolder, RecordLocation, encode_clock, encode_record};
 
 /// Size at which a segment is closed if the settings specify none.
@@ -40,7 +40,6 @@
     Append { ticket: u64, bytes: Vec<u8> },
     Remove { segment: u64 },
     Stores(StoreGroups),
-    Items(List<DirectoryItem>),
     Complete(Completeness),
 }
 
@@ -108,11 +107,6 @@
         let _ = self.commands.send(Command::Stores(stores.clone()));
     }
 
-    /// Saves the items of the key-value service.
-    pub fn save_items(&self, items: List<DirectoryItem>) {
-        let _ = self.commands.send(Command::Items(items));
-    }
-
     /// Saves the group for which the disk is complete.
     pub fn mark_complete(&self, completeness: Completeness) {
         let _ = self.commands.send(Command::Complete(completeness));
@@ -174,7 +168,6 @@
         let outcome = match command {
             Command::Remove { segment } => self.folder.remove_segment(segment),
             Command::Stores(stores) => self.save_stores(&stores),
-            Command::Items(items) => self.folder.save_items(&items),
             Command::Complete(completeness) => self.folder.mark_complete(completeness),
             Command::Append { .. } => Ok(()),
         };
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod frame;
 pub mod group_client;
 pub mod group_clients;
+pub mod item_writer;
 pub mod journal;
 pub mod journal_sync;
 pub mod keys;
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -24,6 +24,7 @@
 pub use self::requests::RequestedFields;
 use crate::completeness::Completeness;
 use crate::disk_clock::DiskClock;
+use crate::item_writer::ItemWriter;
 use crate::journal::{AppendResult, Journal};
 use crate::limits::StoreLimits;
 use crate::load::{LoadReports, PlacedTurns};
@@ -49,6 +50,7 @@
     state: RefCell<StoreState>,
     limits: StoreLimits,
     journal: Journal,
+    item_writer: ItemWriter,
     reader: RecordReader,
     clock: DiskClock,
     backlog_bytes: Cell<usize>,
@@ -86,6 +88,7 @@
     ) -> io::Result<(Self, UnboundedReceiver<Vec<AppendResult>>)> {
         let clock = DiskClock::resume_from(recovered.clock_seconds);
         let reader = RecordReader::start(folder.clone())?;
+        let item_writer = ItemWriter::start(folder.clone())?;
         let next_segment = recovered.next_segment();
         let (journal, results) = Journal::start(folder, next_segment, limits.segment_bytes, clock)?;
         let mut state = recovered.state;
@@ -99,6 +102,7 @@
             state: RefCell::new(state),
             limits,
             journal,
+            item_writer,
             reader,
             clock,
             backlog_bytes: Cell::new(0),
@@ -246,7 +250,7 @@
     /// a service outage. If `save` is set, also saves them to disk.
     pub fn set_directory_items(&self, items: List<DirectoryItem>, save: bool) {
         if save && items != *self.directory_items.borrow() {
-            self.journal.save_items(items.clone());
+            self.item_writer.save(items.clone());
         }
         *self.directory_items.borrow_mut() = items;
     }
--- /dev/null
+++ b/crates/stageyoke-store/tests/item_writer_test.rs
@@ -0,0 +1,48 @@
+//! What is saved beside the journal must not delay it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use stageyoke_store::StoreLimits;
+use stageyoke_store::local_store::LocalStore;
+use stageyoke_store::message::DirectoryItem;
+use stageyoke_store::segment::DataFolder;
+use stageyoke_types::{Blob, List, Text};
+use support::turn;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+mod support;
+
+const SYNC_DELAY: Duration = Duration::from_millis(300);
+
+/// On slow disks a changed directory, which takes two syncs to save, must not make turns wait.
+#[tokio::test]
+async fn saving_the_directory_does_not_delay_records() {
+    let test = async {
+        let folder = tempfile::tempdir().expect("folder");
+        let delay_file = folder.path().join("delay");
+        let data = DataFolder::open(&folder.path().join("data")).expect("open");
+        let data = data.with_sync_delay(Some(delay_file.clone()));
+        let recovered = data.recover(1, true).expect("recover");
+        let limits = StoreLimits::default();
+        let (store, results) =
+            LocalStore::open(Text::from("store"), data, recovered, limits).expect("threads");
+        let store = Rc::new(store);
+        let collector = store.clone();
+        tokio::task::spawn_local(async move { collector.process_journal_results(results).await });
+        assert!(store.store_record(turn("first", "")).await, "a segment");
+        std::fs::write(&delay_file, SYNC_DELAY.as_millis().to_string()).expect("delay");
+        let item = DirectoryItem {
+            key: Text::from("routes"),
+            value: Blob::from(vec![b'x'; 1000]),
+            revision: 1,
+        };
+        store.set_directory_items(List(vec![item]), true);
+        let started_at = Instant::now();
+        assert!(store.store_record(turn("second", "first")).await);
+        let elapsed = started_at.elapsed();
+        assert!(elapsed < SYNC_DELAY * 2, "{elapsed:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
