--- a/crates/stageyoke-directory/src/mirror/relayed.rs
+++ b/crates/stageyoke-directory/src/mirror/relayed.rs
@@ -18,8 +18,8 @@
 /// between two requests to peers.
 const MAX_RELAYED_AGE_FRACTION: f64 = 0.7;
 const RELAY_PAUSE_FRACTION: f64 = 0.05;
-/// Fraction of the change bound that peers have for a refresh before the service is asked too,
-/// although data arrives. Ends before the directory is as old as requests may use it.
+/// Fraction of the change bound after which a refresh from peers that is still in progress is
+/// joined by one from the service.
 const RELAY_PATIENCE_FRACTION: f64 = 0.27;
 /// Fraction of the service's answer timeout that peers have to supply the configuration
 /// before it is read from the service.
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -295,6 +295,11 @@
         Ok(())
     }
 
+    /// Returns whether the stores' disks can be slowed down; older builds cannot do so.
+    pub(super) fn can_delay_syncs(&self) -> bool {
+        self.parameters.can_delay_syncs
+    }
+
     /// Starts an empty store with a new name and address in place of one that has ended.
     pub async fn replace_store(&mut self, number: usize) -> io::Result<()> {
         let machine = self.machines.allocate();
--- a/crates/stageyoke-lab/src/soak/disk_stalls.rs
+++ b/crates/stageyoke-lab/src/soak/disk_stalls.rs
@@ -53,6 +53,14 @@
         self.delay_syncs(&self.processes[self.size.fronts..], delay);
     }
 
+    /// Describes a disk fault for the report, and whether it has an effect on this build.
+    pub(super) fn describe_disk_fault(&self, detail: String) -> String {
+        match self.can_delay_syncs() {
+            true => detail,
+            false => format!("{detail}, without effect on this build"),
+        }
+    }
+
     fn delay_syncs(&self, stores: &[Process], delay: Duration) {
         let written: io::Result<()> = stores.iter().try_for_each(|store| store.delay_syncs(delay));
         if let Err(error) = written {
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -230,11 +230,11 @@
             Fault::OverlapFaults => details = self.overlap_faults(random).await,
             Fault::StallDisks => {
                 let stalled = self.stall_disks(store, random).await;
-                details.push(format!("{stalled} stores"));
+                details.push(self.describe_disk_fault(format!("{stalled} stores")));
             }
             Fault::SlowDisks => {
                 let sync_time = self.slow_disks(random).await;
-                details.push(format!("{sync_time:?} a sync"));
+                details.push(self.describe_disk_fault(format!("{sync_time:?} a sync")));
             }
             Fault::Losses => details = self.lose_stores(random).await,
         }
