--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -235,13 +235,13 @@
                     format!("store-{}", number - size.fronts),
                 ),
             };
-            let proxy = Proxy::start_with_link(service_address, shape.link).await?;
+            let proxy = Proxy::start_with_rate(service_address, shape.bytes_per_second).await?;
             parameters.platform = proxy.address;
             service_proxies.push(proxy);
             let process = Process::new(&parameters, node, role, *machine);
             let mut process = process.in_zone(shape.zone(number));
             if role == ProcessRole::Store {
-                let proxy = Proxy::start_with_link(machine[2], shape.link).await?;
+                let proxy = Proxy::start_with_rate(machine[2], shape.bytes_per_second).await?;
                 process = process.with_proxy(proxy.address);
                 store_proxies.push(proxy);
             }
@@ -309,7 +309,7 @@
         let running = stores.iter().filter(|store| store.is_running());
         self.parameters.seeds = running.map(Process::peer_address).take(SEEDS).collect();
         self.parameters.platform = self.service_proxies[number].address;
-        let proxy = Proxy::start_with_link(machine[2], self.shape.link).await?;
+        let proxy = Proxy::start_with_rate(machine[2], self.shape.bytes_per_second).await?;
         let process = Process::new(&self.parameters, node, ProcessRole::Store, machine);
         let process = process.in_zone(self.shape.zone(number));
         self.processes[number] = process.with_proxy(proxy.address);
--- a/crates/stageyoke-lab/src/soak/open_loop.rs
+++ b/crates/stageyoke-lab/src/soak/open_loop.rs
@@ -16,7 +16,7 @@
 use super::shares::{ServedShares, Window};
 use super::{SoakPlan, SoakReport};
 use crate::standins::platform::entry::{Entry, FrontAddresses};
-use crate::standins::platform::programs::{OpenLoopLoad, PROGRAM_RATES};
+use crate::standins::platform::programs::{EVENTS_PER_TURN, OpenLoopLoad, PROGRAM_RATES};
 use crate::standins::platform::tenants::configuration_for_programs;
 
 /// Time from the start of the processes to that of the load.
@@ -25,7 +25,6 @@
 const AFTERMATH: Duration = Duration::from_secs(5);
 /// Time after the start of the load and between faults in which nothing is injected.
 const CALM_TIME: Duration = Duration::from_secs(4);
-const EVENTS_PER_TURN: u32 = 6;
 
 /// Runs a deployment under open-loop load and checks all promises and shares. `load` scales
 /// the rates.
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -12,7 +12,6 @@
 use tokio::time::Instant;
 
 use super::connections::HeldConnections;
-use super::shape::Link;
 use crate::standins::ACCEPT_RETRY_DELAY;
 
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -116,11 +115,14 @@
 impl Proxy {
     /// Starts a proxy in front of `target`.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        Self::start_with_link(target, Link::default()).await
+        Self::start_with_rate(target, None).await
     }
 
-    /// Starts a proxy whose connections are limited by a link.
-    pub async fn start_with_link(target: SocketAddr, link: Link) -> std::io::Result<Self> {
+    /// Starts a proxy that limits each connection to a rate in each direction, if there is one.
+    pub async fn start_with_rate(
+        target: SocketAddr,
+        bytes_per_second: Option<u32>,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let behavior = Arc::new(ProxyBehavior::default());
@@ -136,7 +138,12 @@
                     Mode::Refuse => drop(tokio::spawn(refuse(caller))),
                     _ => {
                         let setting = shared_behavior.setting.subscribe();
-                        drop(tokio::spawn(forward(caller, target, setting, link)));
+                        drop(tokio::spawn(forward(
+                            caller,
+                            target,
+                            setting,
+                            bytes_per_second,
+                        )));
                     }
                 }
             }
@@ -165,7 +172,7 @@
     caller: Option<SocketAddr>,
     proxy: Option<SocketAddr>,
     opened_at: Instant,
-    link: Link,
+    bytes_per_second: Option<u32>,
     /// The setting's effect on this connection, until the setting changes.
     cached: Option<(Mode, Duration)>,
 }
@@ -222,7 +229,7 @@
         let (mode, _) = self.current().await;
         let rate = match mode {
             Mode::Slow if is_response => Some(SLOW_BYTES_PER_SECOND),
-            _ => self.link.bytes_per_second,
+            _ => self.bytes_per_second,
         };
         if let Some(rate) = rate {
             let transfer = Duration::from_secs_f64(bytes as f64 / f64::from(rate));
@@ -248,14 +255,14 @@
     caller: TcpStream,
     target: SocketAddr,
     setting: watch::Receiver<Setting>,
-    link: Link,
+    bytes_per_second: Option<u32>,
 ) {
     let mut connection = ProxiedConnection {
         setting,
         caller: caller.peer_addr().ok(),
         proxy: caller.local_addr().ok(),
         opened_at: Instant::now(),
-        link,
+        bytes_per_second,
         cached: None,
     };
     let Ok(back_end) = TcpStream::connect(target).await else {
--- a/crates/stageyoke-lab/src/soak/shape.rs
+++ b/crates/stageyoke-lab/src/soak/shape.rs
@@ -15,13 +15,6 @@
     pub capacity: ReplicaCapacity,
 }
 
-/// Network link of a machine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Link {
-    /// Rate of each connection in each direction; unlimited if absent.
-    pub bytes_per_second: Option<u32>,
-}
-
 /// Memory limits in megabytes, by role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
@@ -60,8 +53,9 @@
     pub memory: MemoryLimits,
     /// Size at which a store closes a journal segment; the product's default if absent.
     pub segment_bytes: Option<u64>,
-    /// Links of processes to stores and to the key-value service.
-    pub link: Link,
+    /// Rate of each connection to a store or to the key-value service, in each direction;
+    /// unlimited if absent.
+    pub bytes_per_second: Option<u32>,
 }
 
 /// Segment size of small deployments, so that a full disk is noticed soon.
@@ -87,7 +81,7 @@
                 store_mb: MEMORY_MB,
             },
             segment_bytes: Some(SMALL_SEGMENT_BYTES),
-            link: Link::default(),
+            bytes_per_second: None,
         }
     }
 }
@@ -116,9 +110,7 @@
                 store_mb: 120,
             },
             segment_bytes: None,
-            link: Link {
-                bytes_per_second: Some(3_750_000),
-            },
+            bytes_per_second: Some(3_750_000),
         }
     }
 
--- a/crates/stageyoke-lab/src/standins/platform/programs.rs
+++ b/crates/stageyoke-lab/src/standins/platform/programs.rs
@@ -130,8 +130,10 @@
 /// Deadline of a turn.
 const TURN_DEADLINE: Duration = Duration::from_millis(4000);
 /// Number of events of a turn.
-const EVENTS: u32 = 6;
-const TURN_TOKENS: u32 = EVENTS * TOKENS_PER_EVENT;
+pub const EVENTS_PER_TURN: u32 = 6;
+const TURN_TOKENS: u32 = EVENTS_PER_TURN * TOKENS_PER_EVENT;
+/// Mean time of a tool call on an idle replica.
+const MEAN_TOOL_TIME: Duration = Duration::from_millis(50);
 
 /// Rate of programs in each zone, in programs a second.
 pub const PROGRAM_RATES: [f64; 4] = [26.78, 23.53, 19.24, 27.95];
@@ -520,7 +522,7 @@
     fn check_events(&self, identifier: &str, received: &[u8]) {
         let text = String::from_utf8_lossy(received);
         let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
-        let expected = (0..EVENTS).map(|number| event_data(identifier, number));
+        let expected = (0..EVENTS_PER_TURN).map(|number| event_data(identifier, number));
         if !events.eq(expected) {
             let breach = format!("{identifier}: the events are not those of the turn");
             self.load.promises.report_breach(breach);
@@ -528,12 +530,9 @@
     }
 }
 
-/// Mean time of a tool call on an idle replica.
-const MEAN_TOOL_TIME: Duration = Duration::from_millis(50);
-
 fn expected_output(identifier: &str) -> Vec<u8> {
     let mut output = Vec::new();
-    for number in 0..EVENTS {
+    for number in 0..EVENTS_PER_TURN {
         output.extend_from_slice(event_data(identifier, number).as_bytes());
         output.push(b'\n');
     }
