Soak: count requests that get no response in each second

The soak judged requests by the second in which they were sent.

Withheld requests are therefore told apart and not judged; the check reports any other that hangs (shares_test: the same load with and without withheld answers).

--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -139,6 +139,11 @@
         self == Self::KillAll
     }
 
+    /// Returns whether processes that hold requests are suspended or killed all at once.
+    fn suspends_processes(self) -> bool {
+        matches!(self, Self::KillAll | Self::PauseFront | Self::OverlapFaults)
+    }
+
     /// Returns whether the store must catch up before the next store may fail.
     fn affects_a_store(self) -> bool {
         matches!(
@@ -155,6 +160,14 @@
     }
 }
 
+/// Returns the time after the end of a fault from which requests must be served again.
+pub fn recovery_time(fault: Fault) -> Duration {
+    match fault.stops_everything() {
+        true => Duration::from_secs(15),
+        false => Duration::ZERO,
+    }
+}
+
 /// Maximum number of replicas that one fault replaces.
 const MAX_REPLACED_REPLICAS: usize = 6;
 /// Time for which a killed or stopped process stays down.
@@ -171,6 +184,9 @@
     pub fault: Fault,
     /// Details beyond the kind, such as the stores that were lost.
     pub details: Vec<String>,
+    /// Whether requests can get no response while the fault lasts: processes that hold them are
+    /// suspended or gone, or no disk takes a record.
+    pub stops_responses: bool,
 }
 
 impl fmt::Display for InjectedFault {
@@ -198,6 +214,7 @@
             self.promises.disturbances.record_start();
         }
         let mut details = Vec::new();
+        let mut stops_responses = fault.suspends_processes();
         match fault {
             Fault::KillFront => self.restart(front, Signal::SIGKILL).await,
             Fault::StopFront => self.restart(front, Signal::SIGTERM).await,
@@ -230,6 +247,7 @@
             Fault::OverlapFaults => details = self.overlap_faults(random).await,
             Fault::StallDisks => {
                 let stalled = self.stall_disks(store, random).await;
+                stops_responses = stalled == self.size.stores;
                 details.push(self.describe_disk_fault(format!("{stalled} stores")));
             }
             Fault::SlowDisks => {
@@ -244,7 +262,11 @@
         if fault.affects_a_store() {
             tokio::time::sleep(self.shape.catch_up).await;
         }
-        InjectedFault { fault, details }
+        InjectedFault {
+            fault,
+            details,
+            stops_responses,
+        }
     }
 
     pub(super) async fn restart(&mut self, number: usize, signal: Signal) {
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -36,11 +36,11 @@
 use crate::standins::platform::caller::{Caller, StoredTurn};
 use crate::standins::platform::tenants::configuration_with_tenants;
 use deployment::{Deployment, DeploymentOptions};
-use faults::{FAULTS, Fault};
+use faults::{FAULTS, Fault, recovery_time};
 use keys::TenantProbe;
 use promises::{Counts, Promises};
 use shape::DeploymentShape;
-use shares::Window;
+use shares::{Window, windows_between};
 use upgrade::Upgrade;
 
 /// Minimum number of concurrent callers; larger deployments have one for each front.
@@ -180,6 +180,7 @@
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut faults = Vec::new();
     let mut windows = Vec::new();
+    let mut without_responses = Vec::new();
     let mut upgrade = plan.upgrade_from.clone().map(|first| {
         let processes = plan.shape.size.processes();
         Upgrade::plan(first, plan.program.clone(), processes, &mut random)
@@ -199,12 +200,19 @@
         let fault = deployment.inject_fault(&mut random, &plan.faults).await;
         let until = started_at.elapsed();
         faults.push(format!("{:.1} {fault}", until.as_secs_f64()));
+        let name = format!(
+            "{:.1} to {:.1} s, {fault}",
+            from.as_secs_f64(),
+            until.as_secs_f64()
+        );
+        if fault.stops_responses {
+            without_responses.push(Window {
+                name: name.clone(),
+                from,
+                until: until + recovery_time(fault.fault),
+            });
+        }
         if !fault.fault.stops_everything() && from >= LEAD_TIME {
-            let name = format!(
-                "{:.1} to {:.1} s, {fault}",
-                from.as_secs_f64(),
-                until.as_secs_f64()
-            );
             windows.push(Window { name, from, until });
         }
     }
@@ -224,6 +232,11 @@
             deployment.promises.report_breach(shortfall);
         }
     }
+    for window in windows_between(&without_responses, LEAD_TIME, plan.duration) {
+        for stall in deployment.promises.shares.stalled_seconds(&window) {
+            deployment.promises.report_breach(stall);
+        }
+    }
     let shares = deployment.promises.shares.table();
     if stored_turns.is_empty() {
         let breach = "no program ran to its end".to_owned();
--- a/crates/stageyoke-lab/src/soak/open_loop.rs
+++ b/crates/stageyoke-lab/src/soak/open_loop.rs
@@ -11,9 +11,9 @@
 
 use super::changes;
 use super::deployment::{Deployment, DeploymentOptions};
-use super::faults::Fault;
+use super::faults::recovery_time;
 use super::keys::TenantProbe;
-use super::shares::{ServedShares, Window};
+use super::shares::{ServedShares, Window, windows_between};
 use super::{SoakPlan, SoakReport};
 use crate::standins::platform::entry::{Entry, FrontAddresses};
 use crate::standins::platform::programs::{EVENTS_PER_TURN, OpenLoopLoad, PROGRAM_RATES};
@@ -79,7 +79,11 @@
         let seed = plan.seed ^ (zone as u64 + 1);
         zones.spawn(source.clone().run_zone(zone, seed, rate * load, until));
     }
-    let (faults, mut windows) = inject_faults(&mut deployment, plan, started_at, until).await;
+    let InjectedFaults {
+        descriptions: faults,
+        mut windows,
+        without_responses,
+    } = inject_faults(&mut deployment, plan, started_at, until).await;
     while zones.join_next().await.is_some() {}
     background.abort_all();
     windows.push(Window {
@@ -95,6 +99,11 @@
             promises.report_breach(format!("programs, {shortfall}"));
         }
     }
+    for window in windows_between(&without_responses, Duration::ZERO, plan.duration) {
+        for stall in promises.shares.stalled_seconds(&window) {
+            promises.report_breach(stall);
+        }
+    }
     deployment.check_memory();
     let judged_processes = deployment.check_slopes();
     let (breaches, counts) = promises.evaluate();
@@ -114,17 +123,25 @@
     })
 }
 
-/// Injects faults until the end; returns their descriptions, and the windows during and
-/// after each.
+/// Faults of a run.
+#[derive(Default)]
+struct InjectedFaults {
+    descriptions: Vec<String>,
+    /// Windows during and after each fault, in which shares are judged.
+    windows: Vec<Window>,
+    /// Windows in which requests could get no response.
+    without_responses: Vec<Window>,
+}
+
+/// Injects faults until the end.
 async fn inject_faults(
     deployment: &mut Deployment,
     plan: &SoakPlan,
     started_at: Instant,
     until: Instant,
-) -> (Vec<String>, Vec<Window>) {
+) -> InjectedFaults {
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
-    let mut descriptions = Vec::new();
-    let mut windows = Vec::new();
+    let mut injected = InjectedFaults::default();
     tokio::time::sleep_until(until.min(started_at + CALM_TIME)).await;
     while Instant::now() < until && !plan.faults.is_empty() {
         let from = started_at.elapsed();
@@ -135,29 +152,28 @@
             from.as_secs_f64(),
             end.as_secs_f64()
         );
+        if fault.stops_responses {
+            injected.without_responses.push(Window {
+                name: description.clone(),
+                from,
+                until: end + recovery_time(fault.fault),
+            });
+        }
         if !fault.fault.stops_everything() {
-            windows.push(Window {
+            injected.windows.push(Window {
                 name: format!("during {description}"),
                 from,
                 until: end,
             });
         }
-        windows.push(Window {
+        injected.windows.push(Window {
             name: format!("after {description}"),
             from: end + recovery_time(fault.fault),
             until: end + recovery_time(fault.fault) + AFTERMATH,
         });
-        descriptions.push(description);
+        injected.descriptions.push(description);
         tokio::time::sleep_until(until.min(Instant::now() + CALM_TIME)).await;
     }
     tokio::time::sleep_until(until).await;
-    (descriptions, windows)
-}
-
-/// Time after the end of a fault from which requests must be served again.
-fn recovery_time(fault: Fault) -> Duration {
-    match fault.stops_everything() {
-        true => Duration::from_secs(15),
-        false => Duration::ZERO,
-    }
+    injected
 }
--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::disturbances::DisturbanceTracker;
-use super::shares::ServedShares;
+use super::shares::{RequestLabels, RequestOutcome, ServedShares};
 
 /// What a caller expects of one request.
 #[derive(Clone, Debug)]
@@ -23,6 +23,7 @@
 struct ObservedRequest {
     runs: u32,
     refused: Option<u16>,
+    is_withheld: bool,
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +100,28 @@
         }
     }
 
+    /// Records that a replica ran a request and withholds its response.
+    pub fn record_withheld_response(&self, request: &str) {
+        let mut record = self.record();
+        let observed = record.observed.entry(request.to_owned()).or_default();
+        observed.is_withheld = true;
+    }
+
+    /// Returns whether a replica ran a request and withheld its response.
+    pub fn is_response_withheld(&self, request: &str) -> bool {
+        let record = self.record();
+        let observed = record.observed.get(request);
+        observed.is_some_and(|observed| observed.is_withheld)
+    }
+
+    /// Records the outcome of a request that has just ended without a usable response.
+    pub fn record_failure(&self, labels: RequestLabels, sent_at: Instant, request: &str) {
+        match self.is_response_withheld(request) {
+            true => self.shares.record_withheld(labels, sent_at),
+            false => self.shares.record(labels, sent_at, RequestOutcome::Failed),
+        }
+    }
+
     /// Records a refusal that promises that the request never runs.
     pub fn record_refusal(&self, request: &str, status: u16) {
         let mut record = self.record();
--- a/crates/stageyoke-lab/src/soak/shares.rs
+++ b/crates/stageyoke-lab/src/soak/shares.rs
@@ -1,8 +1,9 @@
 //! Shares of the requests that were served, by the second in which they were sent and by
-//! kind, zone and tenant.
+//! kind, zone and tenant, and the seconds in which requests under way got no response.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::ops::Range;
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 const MIN_GROUP_FRACTION: f64 = 0.05;
 /// Number of requests below which no share is judged.
 const MIN_JUDGED_REQUESTS: u64 = 20;
+const SECOND: Duration = Duration::from_secs(1);
+/// Maximum share of the requests under way in a second that may get no response in it.
+pub const MAX_UNANSWERED_SHARE: f64 = 1.0 - MIN_SERVED_SHARE;
 
 /// Kind, zone and tenant of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -107,11 +111,60 @@
     pub until: Duration,
 }
 
+/// Returns the parts of the time from `from` until `until` that lie in none of the excluded
+/// windows, which are in order.
+pub fn windows_between(excluded: &[Window], from: Duration, until: Duration) -> Vec<Window> {
+    let ends = excluded.iter().map(|window| window.from).chain([until]);
+    let starts = excluded.iter().map(|window| window.until);
+    let starts = [from].into_iter().chain(starts);
+    let windows = starts.zip(ends).map(|(start, end)| Window {
+        name: "responses".to_owned(),
+        from: start.max(from),
+        until: end,
+    });
+    windows
+        .filter(|window| window.from < window.until)
+        .collect()
+}
+
+/// Requests under way in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SecondActivity {
+    /// Requests that ended in the second.
+    pub ended: u64,
+    /// Requests that were under way during the whole second, without the withheld ones.
+    pub unanswered: u64,
+    /// Such requests that a replica has run and whose response it withholds: the front may
+    /// neither repeat them nor end them early.
+    pub withheld: u64,
+}
+
+impl SecondActivity {
+    /// Returns the share of the requests that got no response; 0 without requests.
+    pub fn unanswered_share(self) -> f64 {
+        match self.ended + self.unanswered {
+            0 => 0.0,
+            total => self.unanswered as f64 / total as f64,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Observation {
     labels: RequestLabels,
     sent: Duration,
+    ended: Duration,
     outcome: RequestOutcome,
+    /// Whether a replica ran the request and withheld its response.
+    is_withheld: bool,
+}
+
+impl Observation {
+    /// Returns the seconds during all of which the request was under way.
+    fn whole_seconds(&self) -> Range<u64> {
+        let first = self.sent.as_secs() + u64::from(self.sent.subsec_nanos() > 0);
+        first..self.ended.as_secs()
+    }
 }
 
 /// Outcomes of all requests of a run.
@@ -133,15 +186,72 @@
         let _ = self.started_at.set(at);
     }
 
-    /// Records the outcome of a request.
+    /// Records the outcome of a request that has just ended.
     pub fn record(&self, labels: RequestLabels, sent_at: Instant, outcome: RequestOutcome) {
+        self.push(labels, sent_at, outcome, false);
+    }
+
+    /// Records a request that failed because the replica that ran it withheld its response.
+    pub fn record_withheld(&self, labels: RequestLabels, sent_at: Instant) {
+        self.push(labels, sent_at, RequestOutcome::Failed, true);
+    }
+
+    fn push(
+        &self,
+        labels: RequestLabels,
+        sent_at: Instant,
+        outcome: RequestOutcome,
+        is_withheld: bool,
+    ) {
         let started_at = *self.started_at.get_or_init(|| sent_at);
-        let sent = sent_at.saturating_duration_since(started_at);
         self.observations().push(Observation {
             labels,
-            sent,
+            sent: sent_at.saturating_duration_since(started_at),
+            ended: started_at.elapsed(),
             outcome,
+            is_withheld,
+        });
+    }
+
+    /// Returns the requests under way in each second in which there were any.
+    pub fn activity_by_second(&self) -> BTreeMap<u64, SecondActivity> {
+        let mut seconds: BTreeMap<u64, SecondActivity> = BTreeMap::new();
+        for observation in self.observations().iter() {
+            let ended_in = observation.ended.as_secs();
+            seconds.entry(ended_in).or_default().ended += 1;
+            for second in observation.whole_seconds() {
+                let activity = seconds.entry(second).or_default();
+                match observation.is_withheld {
+                    true => activity.withheld += 1,
+                    false => activity.unanswered += 1,
+                }
+            }
+        }
+        seconds
+    }
+
+    /// Describes each second within a window in which too many requests got no response.
+    pub fn stalled_seconds(&self, window: &Window) -> Vec<String> {
+        let activity = self.activity_by_second();
+        let is_inside = |second: u64| {
+            let start = Duration::from_secs(second);
+            window.from <= start && start + SECOND <= window.until
+        };
+        let stalled = activity.into_iter().filter(|(second, activity)| {
+            is_inside(*second)
+                && activity.ended + activity.unanswered >= MIN_JUDGED_REQUESTS
+                && activity.unanswered_share() > MAX_UNANSWERED_SHARE
         });
+        let describe = |(second, activity): (u64, SecondActivity)| {
+            let SecondActivity {
+                ended, unanswered, ..
+            } = activity;
+            format!(
+                "{}: second {second}: {unanswered} requests got no response and {ended} ended",
+                window.name
+            )
+        };
+        stalled.map(describe).collect()
     }
 
     /// Returns the counts of the requests that were sent in each second, by kind.
@@ -222,6 +332,7 @@
             .flat_map(|kinds| kinds.keys().copied())
             .collect();
         let last = seconds.keys().next_back().copied().unwrap_or_default();
+        let activity = self.activity_by_second();
         let mut table = String::new();
         for second in 0..=last {
             table.push_str(&format!("{second:>4} s"));
@@ -230,7 +341,14 @@
                 let counts = counts.copied().unwrap_or_default();
                 table.push_str(&format!(" | {kind} {counts}"));
             }
-            table.push('\n');
+            let SecondActivity {
+                unanswered,
+                withheld,
+                ..
+            } = activity.get(&second).copied().unwrap_or_default();
+            table.push_str(&format!(
+                " | {unanswered} unanswered, {withheld} withheld\n"
+            ));
         }
         let run = Window {
             name: String::new(),
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -265,15 +265,13 @@
         };
         let sent_at = Instant::now();
         let outcome = self.send_to_random_front(request, id, received).await;
-        let recorded = match outcome {
-            Outcome::Complete(_) => Some(RequestOutcome::Served),
+        let shares = &self.promises.shares;
+        match outcome {
+            Outcome::Complete(_) => shares.record(labels, sent_at, RequestOutcome::Served),
             // Nothing is owed to a program beyond its budget.
-            Outcome::Rejected(402, _) => None,
-            Outcome::Rejected(..) => Some(RequestOutcome::Refused),
-            Outcome::Failed => Some(RequestOutcome::Failed),
-        };
-        if let Some(recorded) = recorded {
-            self.promises.shares.record(labels, sent_at, recorded);
+            Outcome::Rejected(402, _) => {}
+            Outcome::Rejected(..) => shares.record(labels, sent_at, RequestOutcome::Refused),
+            Outcome::Failed => self.promises.record_failure(labels, sent_at, id),
         }
         outcome
     }
--- a/crates/stageyoke-lab/src/standins/platform/programs.rs
+++ b/crates/stageyoke-lab/src/standins/platform/programs.rs
@@ -482,9 +482,7 @@
             .ok()
             .flatten();
         let Some(response) = response else {
-            promises
-                .shares
-                .record(labels, sent_at, RequestOutcome::Failed);
+            promises.record_failure(labels, sent_at, identifier);
             return Attempt::Failed;
         };
         let status = response.status();
@@ -512,9 +510,7 @@
             let after = header(names::RETRY_AFTER).and_then(|value| value.parse().ok());
             return Attempt::Rejected(code, after.map(Duration::from_secs_f64));
         }
-        promises
-            .shares
-            .record(labels, sent_at, RequestOutcome::Failed);
+        promises.record_failure(labels, sent_at, identifier);
         Attempt::Failed
     }
 
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -289,6 +289,7 @@
         };
         self.promises.record_run(&id, &body.to_bytes());
         if draw_fault(&self.faults.lost_answer_percent) {
+            self.promises.record_withheld_response(&id);
             std::future::pending::<()>().await;
         }
         if self.is_engine {
--- a/crates/stageyoke-lab/tests/shares_test.rs
+++ b/crates/stageyoke-lab/tests/shares_test.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use stageyoke_lab::soak::shares::{RequestLabels, RequestOutcome, ServedShares, Window};
+use stageyoke_lab::soak::shares::{
+    RequestLabels, RequestOutcome, ServedShares, Window, windows_between,
+};
 use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -102,3 +104,49 @@
     assert!((counts.share() - 0.3).abs() < 1e-9, "{counts}");
     assert!(!shares.shortfalls(&window(0, 1)).is_empty());
 }
+
+/// Sends 30 requests 2.5 s after the start, which end 3 s later, and lets ten others end in
+/// each second.
+async fn run_with_hanging_requests(hang: impl Fn(&ServedShares, Instant)) -> ServedShares {
+    let shares = ServedShares::default();
+    let started_at = Instant::now();
+    shares.start(started_at);
+    tokio::time::sleep(SECOND * 5 / 2).await;
+    let sent_at = Instant::now();
+    for _ in 0..3 {
+        tokio::time::sleep(SECOND).await;
+        record(&shares, Instant::now(), 0, 10, LABELS);
+    }
+    for _ in 0..30 {
+        hang(&shares, sent_at);
+    }
+    shares
+}
+
+#[tokio::test(start_paused = true)]
+async fn seconds_in_which_requests_hang_are_reported_although_few_are_sent() {
+    let shares = run_with_hanging_requests(|shares, sent_at| {
+        shares.record(LABELS, sent_at, RequestOutcome::Failed);
+    })
+    .await;
+    let stalled = shares.stalled_seconds(&window(0, 6));
+    assert_eq!(stalled.len(), 2, "{stalled:?}");
+    assert!(stalled[0].contains("second 3: 30"), "{stalled:?}");
+    assert!(shares.stalled_seconds(&window(0, 3)).is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_whose_responses_replicas_withhold_are_no_stall() {
+    let shares = run_with_hanging_requests(|shares, sent_at| {
+        shares.record_withheld(LABELS, sent_at);
+    })
+    .await;
+    assert_eq!(shares.stalled_seconds(&window(0, 6)), Vec::<String>::new());
+}
+
+#[test]
+fn excluded_windows_split_the_judged_time() {
+    let judged = windows_between(&[window(0, 2), window(4, 5)], SECOND, SECOND * 9);
+    let bounds: Vec<_> = judged.iter().map(|part| (part.from, part.until)).collect();
+    assert_eq!(bounds, [(SECOND * 2, SECOND * 4), (SECOND * 5, SECOND * 9)]);
+}
