--- a/crates/stageyoke-directory/src/lib.rs
+++ b/crates/stageyoke-directory/src/lib.rs
@@ -4,11 +4,13 @@
 
 pub mod freshness;
 pub mod groups;
+pub mod item_parser;
 pub mod key_value;
 pub mod members;
 pub mod mirror;
 pub mod model;
 pub mod outage;
+pub mod regions;
 pub mod relay;
 pub mod tenants;
 pub mod transfer;
@@ -23,9 +25,10 @@
 pub use members::{Member, MemberState, Members, Quorums, Tolerance, write_quorum};
 pub use mirror::{CallIntervals, FailedRequest, Mirror, MirrorEvent};
 pub use model::{
-    EngineShape, HttpLimits, ReplicaRecord, ReplicaStart, ReplicaState, Retirement, Route,
-    RouteKind, RouteTable, ServiceSpec, Target,
+    ColdStart, EngineShape, HttpLimits, ReplicaRecord, ReplicaStart, ReplicaState, Retirement,
+    Route, RouteKind, RouteTable, ServiceSpec, Target,
 };
+pub use regions::{HomeRegions, RequestHomes};
 pub use relay::{
     DirectoryRelay, DirectorySource, KnownItem, RelayFuture, RelayReply, RelayRequirements,
     RelayedChanges, RelayedItems, RelayedRoutes, RoutesFuture,
--- a/crates/stageyoke-directory/src/mirror/apply.rs
+++ b/crates/stageyoke-directory/src/mirror/apply.rs
@@ -5,7 +5,7 @@
 
 use super::{Mirror, MirrorEvent};
 use crate::key_value::{Change, Item, KeyValueService, RangePage};
-use crate::view::{Changed, Interpreter, Update, View};
+use crate::view::{Changed, Interpreter, ListedKeys, Update, View};
 
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
     pub(super) fn apply_item(
@@ -64,28 +64,24 @@
 
     pub(super) fn apply_pages(&self, pages: Vec<RangePage>, report: &mut impl FnMut(MirrorEvent)) {
         let mut changed = Changed::default();
-        let mut replicas = BTreeSet::new();
-        let mut retirements = BTreeSet::new();
+        let mut listed = ListedKeys::default();
         let mut keys: BTreeSet<String> = BTreeSet::new();
         let revision = pages.first().map_or(0, |page| page.revision);
         self.recent_changes.borrow_mut().reset(revision);
         for item in pages.into_iter().flat_map(|page| page.items) {
             let key = item.key.clone();
             keys.insert(key.clone());
-            match self.apply_item(&key, Some(item), 0, &mut changed) {
-                Update::Replica { id, .. } => drop(replicas.insert(id)),
-                Update::Retire { node, .. } => drop(retirements.insert(node)),
-                Update::Unreadable(reason) | Update::Unusable { reason, .. } => {
-                    report(MirrorEvent::Unreadable(reason));
-                }
-                _ => {}
+            let update = self.apply_item(&key, Some(item), 0, &mut changed);
+            listed.insert(&update);
+            if let Update::Unreadable(reason) | Update::Unusable { reason, .. } = update {
+                report(MirrorEvent::Unreadable(reason));
             }
         }
         if let Some(items) = &self.items {
             items.borrow_mut().retain(|key, _| keys.contains(key));
         }
         self.edit_view(
-            |view, changed| view.retain_listed(&replicas, &retirements, changed),
+            |view, changed| view.retain_listed(&listed, changed),
             &mut changed,
         );
         if changed != Changed::default() {
--- a/crates/stageyoke-directory/src/model.rs
+++ b/crates/stageyoke-directory/src/model.rs
@@ -4,6 +4,7 @@
 
 use stageyoke_types::Text;
 
+use crate::regions::HomeRegions;
 use crate::tenants::Tenants;
 
 /// Whether and how requests of a route may be repeated.
@@ -57,6 +58,8 @@
     pub allows_anonymous: bool,
     /// Whether a replica serves an object faster after it has recently served that object.
     pub affinity: bool,
+    /// Regions in which the route's requests may be served and stored; `None` for all.
+    pub homes: Option<HomeRegions>,
 }
 
 impl Route {
@@ -81,6 +84,34 @@
     pub tokens_per_event: u32,
 }
 
+/// How a service's replicas behave for some time after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a replica is cold after a start.
+    pub duration: Duration,
+    /// Requests per second that a cold replica bears.
+    pub requests_per_second: f64,
+}
+
+impl ColdStart {
+    /// Creates the limit from times and rates of the configuration, in seconds; `None` if the
+    /// rate is not limited.
+    pub fn new(seconds: f64, requests_per_second: f64) -> Option<Self> {
+        (requests_per_second > 0.0).then(|| Self {
+            duration: cold_time(seconds),
+            requests_per_second,
+        })
+    }
+}
+
+/// Maximum time for which a replica may declare itself cold.
+const MAX_COLD_SECONDS: f64 = 60.0;
+
+/// Converts a time that another writer may have chosen at will, in seconds.
+pub fn cold_time(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, MAX_COLD_SECONDS))
+}
+
 /// A service of the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
@@ -90,6 +121,8 @@
     pub max_connections: u32,
     /// Engine capacity, if the replicas are model engines.
     pub engine: Option<EngineShape>,
+    /// Limit on cold replicas; `None` if they bear the usual load.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on callers' HTTP requests and connections.
@@ -184,6 +217,9 @@
     pub state: ReplicaState,
     /// Start that wrote this entry.
     pub start: ReplicaStart,
+    /// Time for which the replica stays cold, counted from when it wrote the entry; zero if
+    /// it is warm.
+    pub cold_left: Duration,
 }
 
 impl ReplicaRecord {
--- a/crates/stageyoke-directory/src/tenants.rs
+++ b/crates/stageyoke-directory/src/tenants.rs
@@ -5,6 +5,8 @@
 
 use stageyoke_types::Text;
 
+use crate::regions::HomeRegions;
+
 /// Digest of a tenant's key. The keys themselves are not retained, so that they cannot
 /// be logged or relayed.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
@@ -42,6 +44,8 @@
     pub priority: Option<u8>,
     /// Rate limit; `None` if the tenant is not limited.
     pub rate_limit: Option<RateLimit>,
+    /// Regions in which the tenant's requests may be served and stored; `None` for all.
+    pub homes: Option<HomeRegions>,
 }
 
 /// All tenants of a configuration, indexed by key.
--- a/crates/stageyoke-directory/src/view.rs
+++ b/crates/stageyoke-directory/src/view.rs
@@ -1,6 +1,6 @@
 //! Current view of the directory, built from the items of the key-value service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -40,6 +40,13 @@
         /// `None` if the order was withdrawn.
         order: Option<Retirement>,
     },
+    /// An order to send nothing to the replicas of a zone was given or withdrawn.
+    Evacuate {
+        /// Name of the zone.
+        zone: Text,
+        /// Whether the order is in force.
+        in_force: bool,
+    },
     /// An item that is irrelevant here.
     Ignored,
     /// An item that could not be parsed, with the reason.
@@ -79,6 +86,31 @@
     pub registered: BTreeMap<Text, Member>,
     /// Stores with an order to be emptied, by machine name.
     pub retirements: BTreeMap<Text, Retirement>,
+    /// Zones whose replicas must get no requests.
+    pub evacuated_zones: BTreeSet<Text>,
+}
+
+/// Keys that a complete read returned, of the kinds that may be removed.
+#[derive(Clone, Debug, Default)]
+pub struct ListedKeys {
+    /// Identifiers of replicas.
+    pub replicas: BTreeSet<Text>,
+    /// Stores with an order to be emptied.
+    pub retirements: BTreeSet<Text>,
+    /// Evacuated zones.
+    pub evacuated_zones: BTreeSet<Text>,
+}
+
+impl ListedKeys {
+    /// Notes the key of an update.
+    pub fn insert(&mut self, update: &Update) {
+        match update {
+            Update::Replica { id, .. } => drop(self.replicas.insert(id.clone())),
+            Update::Retire { node, .. } => drop(self.retirements.insert(node.clone())),
+            Update::Evacuate { zone, .. } => drop(self.evacuated_zones.insert(zone.clone())),
+            _ => {}
+        }
+    }
 }
 
 /// Parts of the view that changed.
@@ -90,6 +122,8 @@
     pub replicas: bool,
     /// The store groups or a retirement changed.
     pub stores: bool,
+    /// The evacuated zones changed.
+    pub evacuations: bool,
 }
 
 impl View {
@@ -102,6 +136,7 @@
             Update::Stores(stores) => self.apply_stores(stores, revision, changed),
             Update::Registered(store) => self.apply_registration(store, changed),
             Update::Retire { node, order } => self.apply_retirement(node, order, changed),
+            Update::Evacuate { zone, in_force } => self.apply_evacuation(zone, in_force, changed),
             Update::Ignored | Update::Unreadable(_) => {}
         }
     }
@@ -146,18 +181,27 @@
         changed.stores |= before != order;
     }
 
-    /// Drops replicas and retirements that were absent in a complete read.
-    pub fn retain_listed(
-        &mut self,
-        seen_replicas: &std::collections::BTreeSet<Text>,
-        seen_retirements: &std::collections::BTreeSet<Text>,
-        changed: &mut Changed,
-    ) {
-        let before = (self.replicas.len(), self.retirements.len());
-        self.replicas.retain(|id, _| seen_replicas.contains(id));
+    fn apply_evacuation(&mut self, zone: Text, in_force: bool, changed: &mut Changed) {
+        changed.evacuations |= match in_force {
+            true => self.evacuated_zones.insert(zone),
+            false => self.evacuated_zones.remove(&zone),
+        };
+    }
+
+    /// Drops replicas and orders that were absent in a complete read.
+    pub fn retain_listed(&mut self, listed: &ListedKeys, changed: &mut Changed) {
+        let before = (
+            self.replicas.len(),
+            self.retirements.len(),
+            self.evacuated_zones.len(),
+        );
+        self.replicas.retain(|id, _| listed.replicas.contains(id));
         self.retirements
-            .retain(|node, _| seen_retirements.contains(node));
+            .retain(|node, _| listed.retirements.contains(node));
+        self.evacuated_zones
+            .retain(|zone| listed.evacuated_zones.contains(zone));
         changed.replicas |= before.0 != self.replicas.len();
         changed.stores |= before.1 != self.retirements.len();
+        changed.evacuations |= before.2 != self.evacuated_zones.len();
     }
 }
--- a/crates/stageyoke-directory/tests/support/mod.rs
+++ b/crates/stageyoke-directory/tests/support/mod.rs
@@ -58,6 +58,7 @@
         slots: 1,
         state: ReplicaState::Ready,
         start: ReplicaStart::default(),
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -139,11 +139,13 @@
     Some(forwarded)
 }
 
-/// Sends the request to the replica and waits for the head of its response.
+/// Sends the request to the replica, not later than at `send_by`, and waits for the head of its
+/// response.
 pub async fn send(
     outbound: &OutboundRequest,
     replica: &Rc<Replica>,
     names: &ProtocolNames,
+    send_by: Option<Instant>,
 ) -> AttemptOutcome {
     let guard = replica.start_request(outbound.ranked);
     let mut request = build_request(outbound, replica, names);
@@ -162,6 +164,9 @@
         if !replica.accepts_requests() {
             return AttemptOutcome::NotSent("left_meanwhile");
         }
+        if send_by.is_some_and(|send_by| Instant::now() > send_by) {
+            return AttemptOutcome::NotSent("permit_expired");
+        }
         set_deadline(&mut request, outbound, names);
         let idle_time = connection.idle_time();
         let sent = Instant::now();
--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -6,7 +6,9 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
-use stageyoke_observe::RequestSummary;
+use stageyoke_observe::{self as observe, RequestSummary};
+use stageyoke_policy::cold_start::{PERMIT_TTL, PermitDecision};
+use stageyoke_store::extension::PermitRequest;
 use stageyoke_store::message::Placement;
 use stageyoke_types::{ErrorKind, Text};
 use tokio::time::Instant;
@@ -14,12 +16,13 @@
 use crate::attempt::{self, AttemptOutcome, ReplicaResponse};
 use crate::failure::Failure;
 use crate::front::Front;
-use crate::handler::{RequestContext, SHORT_RETRY_DELAY};
+use crate::handler::{OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
 use crate::health::Evidence;
 use crate::history::Reservation;
 use crate::placement::{self, Candidate};
 use crate::replica::Replica;
 use crate::replica_registry::ReplicaQuery;
+use crate::restrictions::Shortage;
 
 /// Maximum number of replicas that one request is sent to.
 const MAX_ATTEMPTED_REPLICAS: usize = 5;
@@ -30,6 +33,8 @@
 const OVERDUE: &str = "no_answer";
 /// Outcome of a plain response that was truncated.
 const TRUNCATED: &str = "answer_broke_off";
+/// Number of cold replicas without permits after which a request is rejected.
+const MAX_PERMIT_DENIALS: usize = 3;
 /// Maximum size of a plain response.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -54,7 +59,7 @@
         self.retry_budget.set(budget);
         let mut rejections = Rejections::default();
         for _ in 0..MAX_ATTEMPTED_REPLICAS {
-            let Some(chosen) = self.choose(context, &excluded) else {
+            let Some(chosen) = self.choose_permitted(context, &excluded).await else {
                 break;
             };
             summary.placement = chosen.explanation;
@@ -69,11 +74,12 @@
             }
             set_may_have_run(reservation, true);
             let sent = Instant::now();
-            let response = attempt::send(&context.outbound, &replica, &self.names);
+            let send_by = chosen.send_by;
+            let response = attempt::send(&context.outbound, &replica, &self.names, send_by);
             let may_retry_elsewhere = runs + 1 < max_runs;
             summary.pending = replica.id.to_string();
             let has_alternative =
-                || may_retry_elsewhere && self.choose(context, &excluded).is_some();
+                || may_retry_elsewhere && self.select(context, &excluded).is_some();
             let outcome = self
                 .await_response(context, response, has_alternative)
                 .await;
@@ -131,12 +137,8 @@
             }
         }
         if runs == 0 {
-            let cause = rejections.cause();
-            return Err(Failure::retryable(
-                ErrorKind::Overloaded,
-                cause,
-                SHORT_RETRY_DELAY,
-            ));
+            let failure = self.shortage_failure(context);
+            return Err(failure.unwrap_or_else(|| rejections.failure()));
         }
         match context.route.is_repeatable() {
             true => Err(Failure::permanent(
@@ -211,9 +213,25 @@
                 .stores
                 .group_number(&context.identifiers.program),
             repeatable: context.route.is_repeatable(),
+            homes: context.homes(),
         }
     }
 
+    /// Returns why no replica may get the request, as its failure; `None` if one may.
+    pub(crate) fn shortage_failure(&self, context: &RequestContext) -> Option<Failure> {
+        let shortage = self.registry.shortage(&self.replica_query(context, &[]))?;
+        let retry_after = match shortage {
+            Shortage::NoReplica => SHORT_RETRY_DELAY,
+            Shortage::Cold(wait) => wait.max(SHORT_RETRY_DELAY),
+            Shortage::OutsideHomes | Shortage::Evacuated => OUTAGE_RETRY_DELAY,
+        };
+        Some(Failure::retryable(
+            ErrorKind::Overloaded,
+            shortage.cause(),
+            retry_after,
+        ))
+    }
+
     /// Predicts where a turn will run, from what is known before its reservation.
     pub(crate) fn predict_placement(&self, context: &RequestContext) -> Option<Placement> {
         context.parameters.budget?;
@@ -240,34 +258,88 @@
         self.registry.choose(query, choose)
     }
 
-    fn choose(&self, context: &RequestContext, excluded: &[Text]) -> Option<ChosenReplica> {
-        let prompt = &context.parameters.prompt;
+    /// Selects the best replica that may get the request.
+    fn select(&self, context: &RequestContext, excluded: &[Text]) -> Option<Rc<Replica>> {
         let query = self.replica_query(context, excluded);
+        if context.service.engine.is_some() {
+            return self.choose_engine(context, &query);
+        }
+        let tie_breaker = rand::random();
+        let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie_breaker);
+        self.registry.choose(&query, choose)
+    }
+
+    /// Chooses a replica; for a cold one, acquires a permit first. A replica whose permits are
+    /// used up is deferred, so that the next choice is another one.
+    async fn choose_permitted(
+        &self,
+        context: &RequestContext,
+        excluded: &[Text],
+    ) -> Option<ChosenReplica> {
+        for _ in 0..=MAX_PERMIT_DENIALS {
+            let replica = self.select(context, excluded)?;
+            let limit = self.cold_limit(context).filter(|_| replica.is_cold());
+            let Some(permits) = limit else {
+                return Some(self.place(context, replica, None));
+            };
+            let send_by = Instant::now() + PERMIT_TTL;
+            let request = PermitRequest {
+                replica: replica.incarnation_hash(),
+                permits,
+            };
+            match self.history.stores.request_permit(request).await {
+                PermitDecision::Granted => {
+                    observe::metrics().cold_permits.inc();
+                    return Some(self.place(context, replica, Some(send_by)));
+                }
+                PermitDecision::Denied(wait) => {
+                    observe::metrics().cold_denials.inc();
+                    replica.defer(wait);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the number of permits that one store may grant for a cold replica of the
+    /// service; `None` if cold replicas may get any number of requests.
+    fn cold_limit(&self, context: &RequestContext) -> Option<u32> {
+        let cold_start = context.service.cold_start?;
+        let tolerance = self.cold_tolerance?;
+        Some(tolerance.permits(cold_start.requests_per_second))
+    }
+
+    /// Records that a replica gets the request.
+    fn place(
+        &self,
+        context: &RequestContext,
+        replica: Rc<Replica>,
+        send_by: Option<Instant>,
+    ) -> ChosenReplica {
+        let prompt = &context.parameters.prompt;
         let Some(engine) = &context.service.engine else {
-            let tie_breaker = rand::random();
-            let choose =
-                |candidates: &[Candidate]| placement::choose_plain(candidates, tie_breaker);
-            let replica = self.registry.choose(&query, choose)?;
-            return Some(ChosenReplica {
+            return ChosenReplica {
                 replica,
                 uncached_tokens: 0,
                 explanation: String::new(),
-            });
+                send_by,
+            };
         };
-        let replica = self.choose_engine(context, &query)?;
         let rates = self.registry.rates(&context.service.name);
         let uncached_tokens = replica.record_prompt(prompt, engine.cache_tokens);
         let explanation = format!(
-            "beside={} missing={uncached_tokens} of={} slowness={:.2} {rates}",
+            "beside={} missing={uncached_tokens} of={} slowness={:.2} cold={} {rates}",
             replica.requests_in_flight(),
             prompt.tokens(),
-            replica.slowdown()
+            replica.slowdown(),
+            u8::from(replica.is_cold())
         );
-        Some(ChosenReplica {
+        ChosenReplica {
             replica,
             uncached_tokens,
             explanation,
-        })
+            send_by,
+        }
     }
 
     /// Validates a response and reads the body of a plain one. `may_retry` says whether an
@@ -327,13 +399,14 @@
         self.idle += usize::from(replica.requests_in_flight() * 2 < replica.record.slots);
     }
 
-    /// Returns why no replica accepted the request. Rejections by several idle replicas
-    /// point to the request itself, not to a lack of capacity.
-    fn cause(self) -> &'static str {
-        match self.all >= MIN_IDLE_REJECTIONS && self.idle == self.all {
+    /// Returns the failure of a request that no replica accepted. Rejections by several idle
+    /// replicas point to the request itself, not to a lack of capacity.
+    fn failure(self) -> Failure {
+        let cause = match self.all >= MIN_IDLE_REJECTIONS && self.idle == self.all {
             true => "refused_while_idle",
             false => "no_replica",
-        }
+        };
+        Failure::retryable(ErrorKind::Overloaded, cause, SHORT_RETRY_DELAY)
     }
 }
 
@@ -365,6 +438,8 @@
     uncached_tokens: u32,
     /// Inputs of the choice, for the request's log line.
     explanation: String,
+    /// Time by which the request must be sent; `None` if it needs no permit.
+    send_by: Option<Instant>,
 }
 
 /// Classifies a response as evidence of the replica's health.
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance};
+use stageyoke_directory::{GroupNumber, Interpreter, KeyValueService, Mirror, Tolerance, View};
+use stageyoke_policy::cold_start::ColdTolerance;
 use stageyoke_policy::retry_budget::RetryBudget;
 use stageyoke_store::GroupClients;
 use stageyoke_store::directory_relay::StoreRelay;
@@ -21,6 +22,7 @@
 use crate::authentication::KeyFreshness;
 use crate::baseline_latency::BaselineLatencies;
 use crate::bootstrap;
+use crate::evacuation_log::EvacuationLog;
 use crate::history::History;
 use crate::memory_budget::MemoryBudget;
 use crate::protocol_names::ProtocolNames;
@@ -60,6 +62,8 @@
     pub grace: Duration,
     /// Time within which a directory change must take effect.
     pub change_bound: Duration,
+    /// Tolerated excess over the rate that cold replicas bear; `None` if no limit applies.
+    pub cold_tolerance: Option<ColdTolerance>,
     /// Maximum age of the directory for accepting keys. With `None`, keys revoked during a
     /// service outage stay valid until it ends.
     pub key_age_limit: Option<Duration>,
@@ -100,6 +104,8 @@
     pub mirror: Rc<Mirror<S, I>>,
     /// Replicas and their observed state.
     pub registry: ReplicaRegistry,
+    /// Tolerated excess over the rate that cold replicas bear; `None` if no limit applies.
+    pub cold_tolerance: Option<ColdTolerance>,
     /// Baseline latencies of plain services.
     pub baseline_latencies: BaselineLatencies,
     /// Whether new programs are rejected while engines are overloaded.
@@ -126,6 +132,7 @@
     pub shutdown: ShutdownSignal,
     draining: Cell<bool>,
     tenant_warnings: TenantWarnings,
+    evacuation_log: EvacuationLog,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
@@ -174,6 +181,23 @@
         }
     }
 
+    fn apply_evacuations(&self, view: &View) {
+        let zones = &view.evacuated_zones;
+        self.registry.apply_evacuations(zones, |service| {
+            let service = view
+                .routes
+                .as_ref()
+                .and_then(|routes| routes.service(service));
+            let cold_start = service.and_then(|service| service.cold_start);
+            cold_start.map_or(Duration::ZERO, |cold_start| cold_start.duration)
+        });
+        let replica_zones = || self.registry.zones();
+        for (event, detail) in self.evacuation_log.update(zones, replica_zones) {
+            observe::record_event(event, &detail);
+        }
+        observe::metrics().evacuated_zones.set(zones.len() as i64);
+    }
+
     /// Applies the mirror's current view to the registry, the splits, the warnings and the
     /// stores.
     pub(crate) fn apply_directory(&self) {
@@ -181,6 +205,7 @@
         self.registry.set_store_groups(view.stores.groups.len());
         self.registry
             .apply_list(&view.replicas, self.mirror.lapsed_entry_deadline());
+        self.apply_evacuations(&view);
         let metrics = stageyoke_observe::metrics();
         metrics.replicas.set(view.replicas.len() as i64);
         metrics.members_version.set(view.stores.version as i64);
@@ -219,7 +244,11 @@
         names,
         zone: settings.zone.clone(),
         mirror,
-        registry: ReplicaRegistry::new(stores.load().clone()),
+        registry: ReplicaRegistry::new(
+            stores.load().clone(),
+            settings.tolerance.region_by_zone.clone(),
+        ),
+        cold_tolerance: settings.cold_tolerance,
         baseline_latencies: BaselineLatencies::default(),
         admission_control: settings.admission_control,
         started_programs: StartedPrograms::default(),
@@ -234,6 +263,7 @@
         shutdown: ShutdownSignal::default(),
         draining: Cell::new(false),
         tenant_warnings: TenantWarnings::default(),
+        evacuation_log: EvacuationLog::default(),
     });
     let FrontListeners { callers, readiness } = listeners;
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -10,7 +10,9 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
-use stageyoke_directory::{Interpreter, KeyValueService, Route, RouteTable, ServiceSpec};
+use stageyoke_directory::{
+    Interpreter, KeyValueService, RequestHomes, Route, RouteTable, ServiceSpec,
+};
 use stageyoke_store::message::Placement;
 use stageyoke_store::quota_owners::QuotaGrant;
 use stageyoke_store::rank_load::ServiceRank;
@@ -61,6 +63,17 @@
     pub(crate) memory_guard: MemoryGuard,
 }
 
+impl RequestContext {
+    /// Returns the home regions that bind the request.
+    pub(crate) fn homes(&self) -> RequestHomes<'_> {
+        let tenant = self.caller.tenant.as_ref();
+        RequestHomes {
+            route: self.route.homes.as_ref(),
+            tenant: tenant.and_then(|tenant| tenant.homes.as_ref()),
+        }
+    }
+}
+
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
     /// Handles one request.
     pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -222,6 +235,10 @@
     ) -> Result<Response<ResponseBody>, Failure> {
         summary.priority = context.caller.priority(&context.route);
         let ledger: RefCell<String> = RefCell::default();
+        if let Some(failure) = self.shortage_failure(&context) {
+            return Err(failure);
+        }
+        self.check_history_regions(&context)?;
         self.admit_program(&context, summary).await?;
         // The ledger returned with the reservation may suggest a better one.
         let expected = self.predict_placement(&context);
@@ -259,6 +276,24 @@
         Ok(self.forward(context, dispatched, summary, reservation))
     }
 
+    /// Rejects a turn whose content would be stored outside its home regions.
+    fn check_history_regions(&self, context: &RequestContext) -> Result<(), Failure> {
+        let homes = context.homes();
+        if !context.route.stores_history || !homes.is_restricted() {
+            return Ok(());
+        }
+        let stores = &self.history.stores;
+        let ScopedIdentifiers { program, turn, .. } = &context.identifiers;
+        match stores.stores_within(homes, program, turn) {
+            true => Ok(()),
+            false => Err(Failure::retryable(
+                ErrorKind::Unavailable,
+                "no_home_store",
+                OUTAGE_RETRY_DELAY,
+            )),
+        }
+    }
+
     /// Reserves the turn, reads its transcript and charges the tenant's quota, all
     /// concurrently. For a tenant with a recent rejection the quota comes first, so that
     /// requests beyond its limit cause no writes at the stores.
--- a/crates/stageyoke-front/src/placement.rs
+++ b/crates/stageyoke-front/src/placement.rs
@@ -26,6 +26,8 @@
     pub in_cell: bool,
     /// Whether a reusable connection to the replica is idle.
     pub has_idle_connection: bool,
+    /// Whether the replica has just started and bears little load.
+    pub cold: bool,
     /// Whether the replica may be chosen.
     pub eligible: bool,
 }
@@ -50,6 +52,16 @@
 /// Load penalty for a replica in another zone, in requests in flight.
 const REMOTE_ZONE_PENALTY: f64 = 2.5;
 
+/// Excludes cold replicas while a warm one has a free slot.
+pub fn prefer_warm(candidates: &mut [Candidate]) {
+    let has_room = candidates.iter().any(|candidate| {
+        candidate.eligible && !candidate.cold && candidate.in_flight < candidate.slots
+    });
+    for candidate in candidates.iter_mut().filter(|_| has_room) {
+        candidate.eligible &= !candidate.cold;
+    }
+}
+
 /// Chooses a model engine by the lowest cost: the expected duration of the turn plus the
 /// delay that it causes to concurrent turns, estimated from the learned rates. Fronts that
 /// know nothing about a program agree on its home engine, which is selected by the
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -19,6 +19,7 @@
 use crate::placement::{Candidate, hash_text};
 use crate::prompt_cache::{Prompt, PromptCache};
 use crate::replica_registry::ReplicaQuery;
+use crate::restrictions::{ColdPhase, Shortage};
 
 /// State shared between replicas.
 pub struct SharedState {
@@ -28,6 +29,8 @@
     pub idle_limit: Rc<Cell<IdleLimit>>,
     /// Rates of the service's engines.
     pub rates: Rc<Cell<EngineRates>>,
+    /// Region of the replica's zone.
+    pub region: Text,
 }
 
 /// One incarnation of a replica.
@@ -39,6 +42,9 @@
     /// Idle connections to the replica.
     pub pool: ConnectionPool,
     hash: u64,
+    region: Text,
+    evacuated: Cell<bool>,
+    cold_phase: Cell<ColdPhase>,
     load: Rc<LoadTracker>,
     idle_limit: Rc<Cell<IdleLimit>>,
     prompt_cache: RefCell<PromptCache>,
@@ -59,6 +65,9 @@
         Self {
             hash: incarnation_hash(&id, &record),
             start: Cell::new(record.start),
+            region: shared.region,
+            evacuated: Cell::new(false),
+            cold_phase: Cell::new(initial_cold_phase(&record)),
             load: shared.load,
             idle_limit: shared.idle_limit,
             rates: shared.rates,
@@ -75,12 +84,58 @@
         }
     }
 
-    /// Returns whether the replica may get new requests, by the directory's list.
+    /// Returns whether the replica may get new requests, by the directory.
     pub fn accepts_requests(&self) -> bool {
+        self.is_listed() && !self.evacuated.get()
+    }
+
+    fn is_listed(&self) -> bool {
         let deadline = self.lapsed_until.get();
         !self.removed.get() && deadline.is_none_or(|until| Instant::now() < until)
     }
 
+    /// Sets whether the replica's zone is evacuated. A replica without requests may have
+    /// turned cold, so it counts as cold for `cold_time` after the zone returns.
+    pub fn set_evacuated(&self, evacuated: bool, cold_time: Duration) {
+        if self.evacuated.replace(evacuated) && !evacuated {
+            let mut cold_phase = self.cold_phase.get();
+            cold_phase.extend(cold_time, Instant::now());
+            self.cold_phase.set(cold_phase);
+        }
+    }
+
+    /// Returns whether the replica is cold.
+    pub fn is_cold(&self) -> bool {
+        self.cold_phase.get().is_cold(Instant::now())
+    }
+
+    /// Sends the cold replica no request for this long.
+    pub fn defer(&self, wait: Duration) {
+        let mut cold_phase = self.cold_phase.get();
+        cold_phase.defer(wait, Instant::now());
+        self.cold_phase.set(cold_phase);
+    }
+
+    /// Returns the hash of this incarnation, by which stores count its permits.
+    pub fn incarnation_hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Returns why the replica may not get a request with this query; `None` if it may.
+    pub fn restriction(&self, query: &ReplicaQuery<'_>) -> Option<Shortage> {
+        if !self.is_listed() {
+            return Some(Shortage::NoReplica);
+        }
+        if !query.homes.allow(&self.region) {
+            return Some(Shortage::OutsideHomes);
+        }
+        if self.evacuated.get() {
+            return Some(Shortage::Evacuated);
+        }
+        let deferred = self.cold_phase.get().deferred_for(Instant::now());
+        (!deferred.is_zero()).then_some(Shortage::Cold(deferred))
+    }
+
     /// Returns until when the replica may get requests although its entry is missing.
     pub fn lapsed_until(&self) -> Option<Instant> {
         self.lapsed_until.get()
@@ -94,6 +149,9 @@
             return false;
         }
         self.start.set(listed.start);
+        let mut cold_phase = self.cold_phase.get();
+        cold_phase.apply_entry(listed.cold_left, Instant::now());
+        self.cold_phase.set(cold_phase);
         self.lapsed_until.set(None);
         true
     }
@@ -276,7 +334,8 @@
             cached_tokens: self.prompt_cache.borrow().cached_tokens(query.prompt),
             slots: self.record.slots,
             has_idle_connection: self.pool.has_idle(),
-            eligible: self.accepts_requests() && !query.excluded.contains(&self.id),
+            cold: self.is_cold(),
+            eligible: self.restriction(query).is_none() && !query.excluded.contains(&self.id),
         }
     }
 }
@@ -297,6 +356,12 @@
     }
 }
 
+fn initial_cold_phase(record: &ReplicaRecord) -> ColdPhase {
+    let mut cold_phase = ColdPhase::default();
+    cold_phase.apply_entry(record.cold_left, Instant::now());
+    cold_phase
+}
+
 /// Hashes a replica's incarnation, with the same result on all fronts. Including the start
 /// keeps reports about one incarnation from applying to the next.
 fn incarnation_hash(id: &str, record: &ReplicaRecord) -> u64 {
--- a/crates/stageyoke-front/src/replica_registry.rs
+++ b/crates/stageyoke-front/src/replica_registry.rs
@@ -1,10 +1,11 @@
 //! Registry of all replicas by service, and the choice among the replicas of one service.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
-use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState, RequestHomes};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadTracker;
 use stageyoke_types::{Event, Text};
@@ -13,10 +14,11 @@
 use crate::engine_rates::{CurrentRates, EngineRates};
 use crate::health;
 use crate::idle_limit::IdleLimit;
-use crate::placement::Candidate;
+use crate::placement::{self, Candidate};
 use crate::prompt_cache::Prompt;
 use crate::replica::{Replica, SharedState};
 use crate::replica_log;
+use crate::restrictions::Shortage;
 
 /// A service's missing replicas count as lapsed only if more than one in this many is
 /// missing. Otherwise the remaining ones can carry the load, and skipping the missing ones
@@ -35,6 +37,7 @@
 /// Replicas by service, as listed in the directory.
 pub struct ReplicaRegistry {
     load: Rc<LoadTracker>,
+    region_by_zone: BTreeMap<String, String>,
     idle_limit: Rc<Cell<IdleLimit>>,
     store_groups: Cell<usize>,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
@@ -43,10 +46,12 @@
 }
 
 impl ReplicaRegistry {
-    /// Creates an empty registry that counts requests in flight on the given load board.
-    pub fn new(load: Rc<LoadTracker>) -> Self {
+    /// Creates an empty registry that counts requests in flight on the given load board. A
+    /// zone without a region is a region of its own.
+    pub fn new(load: Rc<LoadTracker>, region_by_zone: BTreeMap<String, String>) -> Self {
         Self {
             load,
+            region_by_zone,
             idle_limit: Rc::default(),
             store_groups: Cell::new(0),
             replicas: RefCell::default(),
@@ -103,7 +108,7 @@
         for (id, record) in records.iter().filter(|(_, record)| is_ready(record)) {
             replicas.entry(id.clone()).or_insert_with(|| {
                 added.push(id.clone());
-                let shared_state = self.shared_state(&record.service);
+                let shared_state = self.shared_state(record);
                 Rc::new(Replica::new(id.clone(), record.clone(), shared_state))
             });
         }
@@ -156,9 +161,40 @@
         self.store_groups.set(groups);
     }
 
-    fn shared_state(&self, service: &Text) -> SharedState {
+    /// Applies the evacuated zones. `cold_time` returns for how long the replicas of a service
+    /// count as cold when their zone returns.
+    pub fn apply_evacuations(&self, zones: &BTreeSet<Text>, cold_time: impl Fn(&Text) -> Duration) {
+        for replica in self.replicas.borrow().values() {
+            let record = &replica.record;
+            replica.set_evacuated(zones.contains(&record.zone), cold_time(&record.service));
+        }
+    }
+
+    /// Returns the zones of all replicas.
+    pub fn zones(&self) -> BTreeSet<Text> {
+        let replicas = self.replicas.borrow();
+        let zones = replicas.values().map(|replica| replica.record.zone.clone());
+        zones.collect()
+    }
+
+    /// Returns why no replica of the service may get a request; `None` if one may.
+    pub fn shortage(&self, query: &ReplicaQuery<'_>) -> Option<Shortage> {
+        let services = self.services.borrow();
+        let mut shortage = None;
+        for replica in services.get(query.service).into_iter().flatten() {
+            let restriction = replica.restriction(query)?;
+            shortage = Some(shortage.map_or(restriction, |known: Shortage| known.or(restriction)));
+        }
+        shortage.or(Some(Shortage::NoReplica))
+    }
+
+    fn shared_state(&self, record: &ReplicaRecord) -> SharedState {
+        let zone = record.zone.as_str();
+        let region = self.region_by_zone.get(zone);
+        let service = &record.service;
         let mut rates = self.rates.borrow_mut();
         SharedState {
+            region: region.map_or_else(|| record.zone.clone(), |name| Text::from(name.as_str())),
             load: self.load.clone(),
             idle_limit: self.idle_limit.clone(),
             rates: rates.entry(service.clone()).or_default().clone(),
@@ -213,6 +249,7 @@
                 candidate.eligible &= candidate.failure_probability <= limit;
             }
         }
+        placement::prefer_warm(&mut candidates);
         choose(&candidates).map(|index| replicas[index].clone())
     }
 }
@@ -291,4 +328,6 @@
     pub group: Option<GroupNumber>,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Home regions that bind the request.
+    pub homes: RequestHomes<'a>,
 }
--- a/crates/stageyoke-front/tests/authentication_test.rs
+++ b/crates/stageyoke-front/tests/authentication_test.rs
@@ -30,6 +30,7 @@
             name: Text::from(name),
             priority: None,
             rate_limit: None,
+            homes: None,
         });
         ScopedIdentifiers::of(&parameters, tenant.as_ref())
     };
@@ -59,6 +60,7 @@
         name: Text::from("ann"),
         priority: None,
         rate_limit: None,
+        homes: None,
     };
     let scoped_identifiers = ScopedIdentifiers::of(&parameters, Some(&tenant));
     assert!(scoped_identifiers.program.is_empty() && scoped_identifiers.previous.is_none());
@@ -87,6 +89,7 @@
         name: Text::from("ann"),
         priority,
         rate_limit: None,
+        homes: None,
     }
 }
 
@@ -106,6 +109,7 @@
         resumable: false,
         allows_anonymous: false,
         affinity: false,
+        homes: None,
     }
 }
 
@@ -113,6 +117,7 @@
     ServiceSpec {
         name: Text::from("service"),
         max_connections: 10,
+        cold_start: None,
         engine: engine.then_some(EngineShape {
             slots: 8,
             cache_tokens: 1_000,
--- a/crates/stageyoke-front/tests/cells_test.rs
+++ b/crates/stageyoke-front/tests/cells_test.rs
@@ -4,9 +4,10 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rstest::rstest;
-use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart, ReplicaState, RequestHomes};
 use stageyoke_front::engine_rates::{CurrentRates, EngineRates};
 use stageyoke_front::placement::{Candidate, choose_engine};
 use stageyoke_front::prompt_cache::Prompt;
@@ -34,6 +35,7 @@
         cached_tokens: 0,
         in_cell: hash < 4,
         has_idle_connection: true,
+        cold: false,
         eligible: true,
     };
     (0..12).map(engine).collect()
@@ -85,6 +87,7 @@
         slots: SLOTS,
         state: ReplicaState::Ready,
         start: ReplicaStart::default(),
+        cold_left: Duration::ZERO,
     };
     (0..count)
         .map(|number| (Text::from(format!("engine-{number}")), record(number)))
@@ -93,7 +96,7 @@
 
 /// Hashes of the engines in each group's cell.
 fn cells(count: usize, groups: usize) -> Vec<BTreeSet<u64>> {
-    let registry = ReplicaRegistry::new(Rc::new(LoadTracker::new(1)));
+    let registry = ReplicaRegistry::new(Rc::new(LoadTracker::new(1)), BTreeMap::new());
     registry.set_store_groups(groups);
     registry.apply_list(&records(count), None);
     let cell = |group: u32| {
@@ -105,6 +108,7 @@
             prompt: &Prompt::default(),
             group: Some(GroupNumber(group)),
             repeatable: false,
+            homes: RequestHomes::default(),
         };
         registry.choose(&query, |candidates| {
             let own_engines = candidates.iter().filter(|candidate| candidate.in_cell);
@@ -149,7 +153,7 @@
 #[tokio::test(start_paused = true)]
 async fn turns_counted_by_the_groups_stores_are_used_for_placement() {
     let tracker = Rc::new(LoadTracker::new(1));
-    let registry = ReplicaRegistry::new(tracker.clone());
+    let registry = ReplicaRegistry::new(tracker.clone(), BTreeMap::new());
     registry.set_store_groups(1);
     registry.apply_list(&records(6), None);
     let query = ReplicaQuery {
@@ -159,6 +163,7 @@
         prompt: &Prompt::default(),
         group: Some(GroupNumber(0)),
         repeatable: false,
+        homes: RequestHomes::default(),
     };
     let first = registry.choose(&query, |_| Some(0)).expect("engine");
     let mut placed = PlacedTurns::default();
--- a/crates/stageyoke-front/tests/engine_rates_test.rs
+++ b/crates/stageyoke-front/tests/engine_rates_test.rs
@@ -154,6 +154,7 @@
         failure_probability: 0.0,
         cached_tokens,
         has_idle_connection: true,
+        cold: false,
         eligible: true,
     }
 }
--- a/crates/stageyoke-front/tests/front_components_test.rs
+++ b/crates/stageyoke-front/tests/front_components_test.rs
@@ -95,6 +95,7 @@
         failure_probability: 0.0,
         cached_tokens: 0,
         has_idle_connection: true,
+        cold: false,
         eligible: true,
     }
 }
@@ -171,6 +172,7 @@
         resumable: false,
         allows_anonymous: false,
         affinity: false,
+        homes: None,
     }
 }
 
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -285,6 +285,7 @@
                     slots: 4,
                     state: ReplicaState::Ready,
                     start: ReplicaStart::default(),
+                    cold_left: Duration::ZERO,
                 }),
             },
             _ => Update::Ignored,
@@ -336,6 +337,7 @@
             name: Text::from(name),
             priority: None,
             rate_limit: limit,
+            homes: None,
         };
         tenants.add(tenant, [KeyDigest::of(key.as_bytes())]);
     }
@@ -357,6 +359,7 @@
         resumable: false,
         allows_anonymous: name == "open",
         affinity: false,
+        homes: None,
     };
     RouteTable {
         version: version.parse().expect("version"),
@@ -370,6 +373,7 @@
             name: Text::from("service"),
             max_connections: 10,
             engine,
+            cold_start: None,
         }],
         limits: HttpLimits {
             header_bytes: 16_384,
@@ -598,6 +602,7 @@
         grace: Duration::from_secs(8),
         change_bound: Duration::from_secs(2),
         key_age_limit: None,
+        cold_tolerance: None,
         memory_bytes: MEMORY_BYTES,
         admission_control,
         heterogeneous_engines: false,
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart, ReplicaState};
+use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaStart, ReplicaState, RequestHomes};
 use stageyoke_front::health::{
     CAUTION_THRESHOLD, Evidence, Health, SUSPENSION_THRESHOLD, combine_estimates,
 };
@@ -31,6 +31,7 @@
         slots: 4,
         state: ReplicaState::Ready,
         start: ReplicaStart::default(),
+        cold_left: Duration::ZERO,
     };
     (0..replicas)
         .map(|number| (Text::from(format!("replica-{number}")), record(number)))
@@ -39,7 +40,7 @@
 
 fn registry(replicas: u8) -> (ReplicaRegistry, Rc<LoadTracker>) {
     let tracker = Rc::new(LoadTracker::new(1));
-    let registry = ReplicaRegistry::new(tracker.clone());
+    let registry = ReplicaRegistry::new(tracker.clone(), BTreeMap::new());
     registry.apply_list(&records(replicas), None);
     (registry, tracker)
 }
@@ -56,6 +57,7 @@
         excluded: &[],
         prompt: &Prompt::default(),
         repeatable,
+        homes: RequestHomes::default(),
     };
     let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
     registry.choose(&query, choose)
@@ -177,7 +179,7 @@
     let mut placements = Vec::new();
     for front in 2..=4 {
         let other_tracker = Rc::new(LoadTracker::new(front));
-        let other_registry = ReplicaRegistry::new(other_tracker.clone());
+        let other_registry = ReplicaRegistry::new(other_tracker.clone(), BTreeMap::new());
         let record = failing.record.clone();
         other_registry.apply_list(&BTreeMap::from([(failing.id.clone(), record)]), None);
         record_lost_answers(&choose_replica(&other_registry, false, 0), 2);
--- a/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
+++ b/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
@@ -1,13 +1,13 @@
 //! Simulated fronts and stores that follow the key-value service, in virtual time.
 
 use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use stageyoke_directory::{
     DirectoryRelay, DirectorySource, Freshness, KnownItem, Mirror, RelayFuture, RelayReply,
-    RelayRequirements, RelayedChanges, RelayedItems, RelayedRoutes,
+    RelayRequirements, RelayedChanges, RelayedItems, RelayedRoutes, RequestHomes,
 };
 use stageyoke_front::placement::Candidate;
 use stageyoke_front::prompt_cache::Prompt;
@@ -140,7 +140,10 @@
             freshness: mirror.freshness().clone(),
         };
         let mirror = Rc::new(mirror.with_relay(Rc::new(connections)));
-        let registry = Rc::new(ReplicaRegistry::new(Rc::new(LoadTracker::new(1))));
+        let registry = Rc::new(ReplicaRegistry::new(
+            Rc::new(LoadTracker::new(1)),
+            BTreeMap::new(),
+        ));
         let (updated_registry, source_mirror) = (registry.clone(), mirror.clone());
         tokio::task::spawn_local(async move {
             let report = |_| {
@@ -189,6 +192,7 @@
                 excluded: &excluded,
                 prompt: &Prompt::default(),
                 repeatable: true,
+                homes: RequestHomes::default(),
             };
             let choose = |candidates: &[Candidate]| {
                 candidates.iter().position(|candidate| candidate.eligible)
--- a/crates/stageyoke-front/tests/replica_removal_test.rs
+++ b/crates/stageyoke-front/tests/replica_removal_test.rs
@@ -208,6 +208,7 @@
             grace: Duration::from_secs(8),
             change_bound: CHANGE_BOUND,
             key_age_limit: None,
+            cold_tolerance: None,
             memory_bytes: 100_000_000,
             admission_control: false,
             heterogeneous_engines: false,
--- a/crates/stageyoke-front/tests/slow_replicas_test.rs
+++ b/crates/stageyoke-front/tests/slow_replicas_test.rs
@@ -103,6 +103,7 @@
                     cached_tokens: 0,
                     in_cell: false,
                     has_idle_connection: true,
+                    cold: false,
                     eligible: true,
                 })
                 .collect();
--- a/crates/stageyoke-front/tests/support/list.rs
+++ b/crates/stageyoke-front/tests/support/list.rs
@@ -22,6 +22,7 @@
         slots: 4,
         state: ReplicaState::Ready,
         start: ReplicaStart::default(),
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -47,11 +48,13 @@
             resumable: false,
             allows_anonymous: false,
             affinity: false,
+            homes: None,
         }],
         services: vec![ServiceSpec {
             name: Text::from(SERVICE),
             max_connections: 10,
             engine: None,
+            cold_start: None,
         }],
         limits: HttpLimits {
             header_bytes: 16_384,
--- a/crates/stageyoke-front/tests/tenant_warnings_test.rs
+++ b/crates/stageyoke-front/tests/tenant_warnings_test.rs
@@ -19,6 +19,7 @@
             name: Text::from(*name),
             priority: None,
             rate_limit: limit,
+            homes: None,
         };
         let digests = keys.iter().map(|key| KeyDigest::of(key.as_bytes()));
         tenants.add(tenant, digests);
--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -21,6 +21,7 @@
 use super::replicas::unix_milliseconds;
 use super::shape::DeploymentShape;
 use super::slopes::ProcessMonitor;
+use crate::standins::platform::cold_phase::ColdPhase;
 use crate::standins::platform::key_value::PlatformKeyValueStandIn;
 use crate::standins::platform::replica::{ReplicaFaults, ReplicaSlots, ReplicaStandIn};
 use crate::standins::platform::{RETENTION_SECONDS, add_routes, configuration, names};
@@ -196,6 +197,8 @@
                 promises: promises.clone(),
                 started_at_ms: AtomicU64::new(unix_milliseconds()),
                 leaving_since: Mutex::default(),
+                evacuated_since: Mutex::default(),
+                cold_phase: ColdPhase::default(),
             });
             let server = serve(replica.clone(), None).await?;
             let proxy = Proxy::start(server.address).await?;
@@ -414,7 +417,8 @@
     let entry = json!({
         "Service": if replica.is_engine { "models" } else { "tools" },
         "Addr": address, "Zone": replica.zone, "Version": "v1",
-        "Slots": replica.slots.capacity().slots.min(MAX_ANNOUNCED_SLOTS), "State": state, "ColdLeftMs": 0, "CallSeq": 1,
+        "Slots": replica.slots.capacity().slots.min(MAX_ANNOUNCED_SLOTS), "State": state,
+        "ColdLeftMs": replica.cold_phase.remaining().as_millis() as u64, "CallSeq": 1,
         "born": replica.started_at_ms.load(Ordering::Relaxed),
     });
     service.put(&entry_key(&replica.id), entry.to_string().as_bytes());
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -78,11 +78,15 @@
     StallDisks,
     /// Makes each sync of all stores take longer.
     SlowDisks,
+    /// Evacuates a zone and takes it back with cold replicas.
+    EvacuateZone,
+    /// Restarts all model replicas but one, so that they are cold.
+    CoolReplicas,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
 /// this list.
-pub const FAULTS: [Fault; 25] = [
+pub const FAULTS: [Fault; 27] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -108,6 +112,8 @@
     Fault::OverlapFaults,
     Fault::StallDisks,
     Fault::SlowDisks,
+    Fault::EvacuateZone,
+    Fault::CoolReplicas,
 ];
 
 /// Kinds drawn only if they are named explicitly.
@@ -254,6 +260,8 @@
                 let sync_time = self.slow_disks(random).await;
                 details.push(self.describe_disk_fault(format!("{sync_time:?} a sync")));
             }
+            Fault::EvacuateZone => details.push(self.evacuate_zone(random).await),
+            Fault::CoolReplicas => self.cool_replicas(random).await,
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.suspends_bounds() {
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -14,10 +14,11 @@
 use tokio::process::{Child, Command};
 use tokio::time::Instant;
 
+use super::disturbances::MAX_PROPAGATION_DELAY;
 use super::keys::QUOTA_WINDOW;
 use super::shape::DeploymentShape;
 use super::slopes::ProcessMonitor;
-use crate::standins::platform::names;
+use crate::standins::platform::{COLD_FACTOR, COLD_SLACK, names};
 
 /// Number of future segments whose writes fail while a disk is full.
 const REFUSED_SEGMENTS: u64 = 500;
@@ -213,6 +214,8 @@
             "Contracts": self.parameters.contracts,
             "Limits": {"MemoryMb": self.memory_limit_mb()},
             "Bounds": {"GraceS": 8, "CatchUpS": shape.catch_up.as_secs_f64(),
+                "EvacuationMs": MAX_PROPAGATION_DELAY.as_millis() as u64,
+                "ColdExcess": COLD_FACTOR, "ColdSlack": COLD_SLACK,
                 "QuotaWindowS": QUOTA_WINDOW.as_secs_f64()},
             "Platform": {"Addr": self.parameters.platform},
         })
--- a/crates/stageyoke-lab/src/soak/replicas.rs
+++ b/crates/stageyoke-lab/src/soak/replicas.rs
@@ -11,6 +11,9 @@
 use super::disturbances::{MAX_PROPAGATION_DELAY, RECOVERY_DELAY};
 use super::faults::random_milliseconds;
 use super::proxy::{Mode, Proxy};
+use super::shape::zone_name;
+use crate::standins::platform::replica::ReplicaStandIn;
+use crate::standins::platform::{COLD_TIME, names};
 
 /// Values that do not describe a replica.
 const CORRUPT_ENTRIES: [&[u8]; 6] = [
@@ -86,6 +89,51 @@
         tokio::time::sleep(random_milliseconds(random, 300, 2000)).await;
     }
 
+    /// Evacuates a zone for a while; its replicas are cold when it returns. In a deployment of
+    /// a single zone, the order names another one, which must have no effect.
+    pub(super) async fn evacuate_zone(&mut self, random: &mut ChaCha8Rng) -> String {
+        let zone = match self.shape.zones {
+            1 => "another-zone".to_owned(),
+            zones => zone_name(random.random_range(0..zones)),
+        };
+        let replicas = self.replicas.iter();
+        let in_zone: Vec<_> = replicas
+            .filter(|replica| replica.zone == zone)
+            .cloned()
+            .collect();
+        let key = format!("{}{zone}", names::EVACUATE_PREFIX);
+        self.service.put(&key, b"{}");
+        in_zone
+            .iter()
+            .for_each(|replica| replica.set_evacuated(true));
+        tokio::time::sleep(MAX_PROPAGATION_DELAY + random_milliseconds(random, 500, 3000)).await;
+        in_zone
+            .iter()
+            .for_each(|replica| replica.set_evacuated(false));
+        self.start_cold_phases(|replica| replica.zone == zone);
+        self.service.remove(&key);
+        tokio::time::sleep(COLD_TIME).await;
+        zone
+    }
+
+    /// Restarts all model replicas but one, so that they are cold at the same time.
+    pub(super) async fn cool_replicas(&mut self, random: &mut ChaCha8Rng) {
+        let warm = random.random_range(0..self.shape.models.replicas);
+        let warm = self.replicas[warm].id.clone();
+        self.start_cold_phases(|replica| replica.id != warm);
+        tokio::time::sleep(COLD_TIME).await;
+    }
+
+    /// Starts cold phases of the selected model replicas and writes their entries.
+    fn start_cold_phases(&self, is_selected: impl Fn(&ReplicaStandIn) -> bool) {
+        for (number, replica) in self.replicas.iter().enumerate() {
+            if replica.is_engine && is_selected(replica) {
+                replica.cold_phase.start(COLD_TIME);
+                self.restore_replica(number);
+            }
+        }
+    }
+
     /// Overwrites the entry of a replica and some foreign keys with invalid values.
     pub(super) async fn corrupt_entries(&mut self, random: &mut ChaCha8Rng) {
         let number = random.random_range(0..self.shape.models.replicas);
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -2,6 +2,7 @@
 //! following the platform's published protocols.
 
 pub mod caller;
+pub mod cold_phase;
 pub mod entry;
 pub mod key_value;
 pub mod programs;
@@ -36,6 +37,8 @@
     pub const SERVERS_PREFIX: &str = "servers/";
     /// Key prefix of the operator's orders to retire a store.
     pub const RETIRE_PREFIX: &str = "op/retire/";
+    /// Key prefix of the operator's orders to send nothing to the replicas of a zone.
+    pub const EVACUATE_PREFIX: &str = "op/evacuate/";
     /// Key prefix of the stores' answers to retirement orders.
     pub const RETIRE_STATUS_PREFIX: &str = "status/retire/";
     /// Contract with which new programs are rejected while engines are overloaded.
@@ -48,6 +51,14 @@
 
 /// Tokens in one event of a model replica's stream.
 pub const TOKENS_PER_EVENT: u32 = 9;
+/// Requests per second that a cold model replica bears.
+pub const COLD_REQUESTS_PER_SECOND: f64 = 20.0;
+/// Factor on that rate up to which a cold replica may get requests.
+pub const COLD_FACTOR: f64 = 1.5;
+/// Requests per second beyond that.
+pub const COLD_SLACK: f64 = 5.0;
+/// Time for which a model replica is cold after a start.
+pub const COLD_TIME: std::time::Duration = std::time::Duration::from_millis(4500);
 /// Retention time of a stored turn after its answer, in seconds.
 pub const RETENTION_SECONDS: u64 = 60;
 /// Host name of all routes.
@@ -95,6 +106,7 @@
         ],
         "Services": [
             {"Name": "models", "HealthPath": "/health", "MaxConns": 160,
+             "ColdS": COLD_TIME.as_secs_f64(), "ColdPerS": COLD_REQUESTS_PER_SECOND,
              "Engine": {"Slots": 12, "KvCapacityTokens": 100_000, "EventTokens": TOKENS_PER_EVENT}},
             {"Name": "tools", "HealthPath": "/health", "MaxConns": 110},
         ],
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
+use super::cold_phase::ColdPhase;
 use super::{TOKENS_PER_EVENT, names};
 use crate::soak::disturbances::MAX_PROPAGATION_DELAY;
 use crate::soak::promises::Promises;
@@ -154,6 +155,10 @@
     pub started_at_ms: AtomicU64,
     /// Time at which the replica announced that it is leaving.
     pub leaving_since: Mutex<Option<Instant>>,
+    /// Time at which the replica's zone was evacuated.
+    pub evacuated_since: Mutex<Option<Instant>>,
+    /// Phase after a start in which the replica bears little load.
+    pub cold_phase: ColdPhase,
 }
 
 fn header_text(headers: &HeaderMap, name: &str) -> String {
@@ -175,19 +180,35 @@
         *since = leaving.then(Instant::now);
     }
 
-    /// Reports a request that arrives too long after the replica announced that it
-    /// is leaving.
-    fn check_leaving_deadline(&self, request: &str) {
-        let since = *self
-            .leaving_since
+    /// Sets whether the replica's zone is evacuated.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        let mut since = self
+            .evacuated_since
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let elapsed = since.map(|since| since.elapsed());
-        if let Some(late) = elapsed.filter(|elapsed| *elapsed > MAX_PROPAGATION_DELAY)
-            && self.promises.disturbances.bounds_apply()
-        {
-            let (id, late) = (&self.id, late.as_millis());
-            let breach = format!("{request} reached {id} {late} ms after it said that it leaves");
+        *since = evacuated.then(Instant::now);
+    }
+
+    /// Reports a request that arrives too long after the replica announced that it is leaving
+    /// or after its zone was evacuated, or that exceeds the rate of the cold replica.
+    fn check_arrival(&self, request: &str) {
+        let id = &self.id;
+        let overdue = |since: &Mutex<Option<Instant>>| {
+            let since = *since.lock().unwrap_or_else(PoisonError::into_inner);
+            let elapsed = since.map(|since| since.elapsed());
+            elapsed.filter(|elapsed| *elapsed > MAX_PROPAGATION_DELAY)
+        };
+        let leaving = overdue(&self.leaving_since).map(|late| (late, "it said that it leaves"));
+        let evacuated = overdue(&self.evacuated_since).map(|late| (late, "its zone's evacuation"));
+        if self.promises.disturbances.bounds_apply() {
+            for (late, what) in leaving.into_iter().chain(evacuated) {
+                let late = late.as_millis();
+                let breach = format!("{request} reached {id} {late} ms after {what}");
+                self.promises.report_breach(breach);
+            }
+        }
+        if let Some(count) = self.cold_phase.count_request() {
+            let breach = format!("cold replica {id} received {count} requests within a second");
             self.promises.report_breach(breach);
         }
     }
@@ -277,7 +298,7 @@
         if header_text(&headers, names::EXPECTED_INSTANCE) != self.id {
             return self.reject(StatusCode::MISDIRECTED_REQUEST, &id);
         }
-        self.check_leaving_deadline(&id);
+        self.check_arrival(&id);
         if draw_fault(&self.faults.rejected_percent) {
             return self.reject(StatusCode::SERVICE_UNAVAILABLE, &id);
         }
--- a/crates/stageyoke-lab/tests/soak_checks_test.rs
+++ b/crates/stageyoke-lab/tests/soak_checks_test.rs
@@ -11,6 +11,7 @@
 };
 use stageyoke_lab::soak::promises::Promises;
 use stageyoke_lab::soak::proxy::{Mode, Proxy};
+use stageyoke_lab::standins::platform::cold_phase::ColdPhase;
 use stageyoke_lab::standins::platform::replica::{
     ReplicaCapacity, ReplicaFaults, ReplicaSlots, ReplicaStandIn,
 };
@@ -44,29 +45,39 @@
     let _ = stream.read_to_string(&mut String::new()).await;
 }
 
+fn replica(promises: &Arc<Promises>) -> Arc<ReplicaStandIn> {
+    Arc::new(ReplicaStandIn {
+        id: "replica".to_owned(),
+        zone: "zone-0".to_owned(),
+        is_engine: false,
+        faults: Arc::new(ReplicaFaults::default()),
+        slots: ReplicaSlots::new(ReplicaCapacity::UNLIMITED_TOOL),
+        promises: promises.clone(),
+        started_at_ms: Default::default(),
+        leaving_since: Mutex::default(),
+        evacuated_since: Mutex::default(),
+        cold_phase: ColdPhase::default(),
+    })
+}
+
 #[rstest]
 #[case::in_time(Duration::ZERO, false, 0)]
 #[case::too_late(MAX_PROPAGATION_DELAY + MARGIN, false, 1)]
 #[case::in_trouble(MAX_PROPAGATION_DELAY + MARGIN, true, 0)]
 #[tokio::test]
-async fn requests_to_a_draining_replica_are_reported(
+async fn requests_to_a_draining_or_evacuated_replica_are_reported(
     #[case] late: Duration,
     #[case] trouble: bool,
     #[case] breaches: usize,
+    #[values("it leaves", "evacuation")] what: &str,
 ) {
     let promises = Arc::new(Promises::default());
-    let replica = Arc::new(ReplicaStandIn {
-        id: "replica".to_owned(),
-        zone: "zone-0".to_owned(),
-        is_engine: false,
-        faults: Arc::new(ReplicaFaults::default()),
-        slots: ReplicaSlots::new(ReplicaCapacity::UNLIMITED_TOOL),
-        promises: promises.clone(),
-        started_at_ms: Default::default(),
-        leaving_since: Mutex::default(),
-    });
+    let replica = replica(&promises);
     let server = serve(replica.clone(), None).await.expect("server");
-    replica.set_leaving(true);
+    match what {
+        "evacuation" => replica.set_evacuated(true),
+        _ => replica.set_leaving(true),
+    }
     tokio::time::sleep(late).await;
     if trouble {
         promises.disturbances.record_start();
@@ -76,12 +87,33 @@
                    expect-instance: replica\r\nconnection: close\r\n\r\n";
     send(server.address, request).await;
     let (reported, _) = promises.evaluate();
-    let draining = reported
-        .iter()
-        .filter(|breach| breach.contains("it leaves"));
+    let draining = reported.iter().filter(|breach| breach.contains(what));
     assert_eq!(draining.count(), breaches, "{reported:?}");
 }
 
+/// Fronts have time to learn of the phase before requests count.
+#[rstest]
+#[case::within_the_limit(35, MAX_PROPAGATION_DELAY + Duration::from_millis(1001), 0)]
+#[case::beyond_the_limit(36, MAX_PROPAGATION_DELAY + Duration::from_millis(1001), 1)]
+#[case::not_known_yet(36, MAX_PROPAGATION_DELAY, 0)]
+#[tokio::test(start_paused = true)]
+async fn requests_beyond_the_rate_of_a_cold_replica_are_counted(
+    #[case] requests: usize,
+    #[case] after: Duration,
+    #[case] expected: usize,
+) {
+    let cold_phase = ColdPhase::default();
+    cold_phase.start(MAX_PROPAGATION_DELAY * 2);
+    tokio::time::advance(after).await;
+    let excess = (0..requests).filter_map(|_| cold_phase.count_request());
+    assert_eq!(excess.count(), expected);
+    tokio::time::advance(MAX_PROPAGATION_DELAY).await;
+    assert!(
+        (0..requests).all(|_| cold_phase.count_request().is_none()),
+        "warm"
+    );
+}
+
 #[rstest]
 #[case::uses_the_old_configuration("200 OK", true)]
 #[case::uses_the_new_configuration("404 Not Found", false)]
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -228,6 +228,14 @@
         "quota_spent" => "not run: its tenant's limit was not enough for it",
         "quota_share_spent" => "not run: no owner answered, and this front's share was used up",
         "no_replica" => "not run: every replica that was offered it refused, or none is known",
+        "no_home_replica" => "not run: no replica is in the home regions of its route and tenant",
+        "no_home_store" => {
+            "not run: its turn would be stored outside the home regions of its route and tenant"
+        }
+        "zones_evacuated" => "not run: all zones with replicas that it may use are evacuated",
+        "replicas_cold" => {
+            "not run: the replicas left are cold and may get no more requests for a while"
+        }
         "time_out" => "its time, or its route's, was over",
         "replica_broke_off" => "the replica broke its stream off",
         "not_kept" => "cut: its turn could not be kept on a quorum of stores",
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -54,6 +54,12 @@
     pub tenant_failures: IntCounterVec,
     /// First turns of programs rejected because the engines had no capacity.
     pub rejected_turns: IntCounter,
+    /// Permits that this front was granted for requests to cold replicas.
+    pub cold_permits: IntCounter,
+    /// Permits for requests to cold replicas that were denied or not answered.
+    pub cold_denials: IntCounter,
+    /// Evacuated zones.
+    pub evacuated_zones: IntGauge,
     /// Connections opened to replicas.
     pub connections_opened: IntCounter,
     /// Requests and response streams in flight.
@@ -191,6 +197,21 @@
                     "First turns turned away for want of room at engines.",
                 ),
             ),
+            cold_permits: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_cold_permits_total",
+                    "Permits granted for requests to cold replicas.",
+                ),
+            ),
+            cold_denials: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_cold_denials_total",
+                    "Permits for requests to cold replicas that were denied or not answered.",
+                ),
+            ),
+            evacuated_zones: gauge("stageyoke_evacuated_zones", "Evacuated zones."),
             connections_opened: register(
                 &registry,
                 IntCounter::new(
--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers pass the current time as the duration since the process started.
 
 pub mod admission;
+pub mod cold_start;
 pub mod quota;
 pub mod retry_budget;
 pub mod sliding_window;
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -36,6 +36,8 @@
 const LEDGER_QUERY_TAG: u8 = 9;
 const UNSYNCED_LEDGER_TAG: u8 = 10;
 const WRITE_DELAY_TAG: u8 = 11;
+const PERMIT_REQUEST_TAG: u8 = 12;
+const PERMIT_TAG: u8 = 13;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -84,6 +86,24 @@
     pub program: Text,
 }
 
+/// A request for a permit to send one request to a cold replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct PermitRequest {
+    /// Hash of the replica's incarnation.
+    pub replica: u64,
+    /// Number of permits that one store may grant in a window.
+    pub permits: u32,
+}
+
+/// A store's decision on such a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Permit {
+    /// Whether the request may be sent.
+    pub granted: bool,
+    /// Time in milliseconds for which no further request may be sent.
+    pub retry_after_milliseconds: u32,
+}
+
 /// The extension fields of one message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExtensionFields {
@@ -113,6 +133,10 @@
     /// After the reply to a ping: for how long the oldest unfinished write has waited for the
     /// disk, in milliseconds, if that is long.
     pub write_delay_milliseconds: Option<u32>,
+    /// After a ping: a request to a cold replica that needs a permit.
+    pub permit_request: Option<PermitRequest>,
+    /// After the reply to such a ping: the decision, if the store owns the replica's permits.
+    pub permit: Option<Permit>,
 }
 
 impl ExtensionFields {
@@ -145,6 +169,8 @@
             self.write_delay_milliseconds.as_ref(),
             output,
         );
+        encode_field(PERMIT_REQUEST_TAG, self.permit_request.as_ref(), output);
+        encode_field(PERMIT_TAG, self.permit.as_ref(), output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -170,6 +196,10 @@
                 WRITE_DELAY_TAG => {
                     fields.write_delay_milliseconds = Some(DeBin::deserialize_bin(content)?);
                 }
+                PERMIT_REQUEST_TAG => {
+                    fields.permit_request = Some(DeBin::deserialize_bin(content)?);
+                }
+                PERMIT_TAG => fields.permit = Some(DeBin::deserialize_bin(content)?),
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -5,13 +5,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stageyoke_directory::{Freshness, GroupNumber, Member, StoreGroups, Tolerance};
+use stageyoke_directory::{Freshness, GroupNumber, Member, RequestHomes, StoreGroups, Tolerance};
+use stageyoke_policy::cold_start::PermitDecision;
 use stageyoke_policy::quota::AcquireRequest;
 use stageyoke_types::Text;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
 
 use crate::client::StoreClient;
+use crate::cold_permits;
+use crate::extension::PermitRequest;
 use crate::group_client::{ChainOutcome, GroupClient, GroupContext, GroupError};
 use crate::keys::TurnKey;
 use crate::load::LoadTracker;
@@ -110,6 +113,30 @@
         self.owners.request_decision(question, client).await
     }
 
+    /// Asks for a permit to send one request to a cold replica.
+    pub async fn request_permit(&self, request: PermitRequest) -> PermitDecision {
+        let owner = {
+            let stores = self.stores();
+            let owner = cold_permits::owner(&stores, request.replica);
+            owner.and_then(|owner| self.client(&owner.node))
+        };
+        cold_permits::request(owner, request).await
+    }
+
+    /// Returns whether all stores that hold a program's turns are in regions that the request
+    /// may be stored in.
+    pub fn stores_within(&self, homes: RequestHomes<'_>, program: &str, turn: &str) -> bool {
+        let Some(group) = self.group_of_program(program, turn) else {
+            return true;
+        };
+        let regions = &self.context.tolerance.region_by_zone;
+        let members = group.members();
+        members.all().all(|member| {
+            let zone = member.zone.as_str();
+            homes.allow(regions.get(zone).map_or(zone, String::as_str))
+        })
+    }
+
     /// Refunds a granted request that was not run.
     pub fn refund(&self, grant: &QuotaGrant) {
         quota_owners::refund(grant, self.client(&grant.owner));
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -8,6 +8,7 @@
 //! digests of their records and fetch the missing ones.
 
 pub mod client;
+pub mod cold_permits;
 pub mod completeness;
 pub mod directory_relay;
 pub mod disk_clock;
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -13,6 +13,7 @@
     AgeLimits, DirectoryMark, DirectorySource, Freshness, GroupNumber, Members, StoreGroups,
 };
 use stageyoke_observe as observe;
+use stageyoke_policy::cold_start::PermitLedger;
 use stageyoke_policy::quota::{QuotaLedger, QuotaTolerance};
 use stageyoke_types::{Event, List, Text};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -69,6 +70,7 @@
     loads: LoadReports,
     placed_turns: RefCell<PlacedTurns>,
     quotas: RefCell<QuotaLedger>,
+    permits: RefCell<PermitLedger>,
     /// Addresses of the registered stores.
     registered_addresses: RefCell<List<Text>>,
     started_at: Instant,
@@ -120,6 +122,7 @@
             loads: LoadReports::default(),
             placed_turns: RefCell::default(),
             quotas: RefCell::default(),
+            permits: RefCell::default(),
             registered_addresses: RefCell::default(),
             started_at: Instant::now(),
             positions_held_by_peers: RefCell::default(),
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -7,8 +7,9 @@
 use stageyoke_types::{Blob, List, Text};
 
 use super::LocalStore;
+use crate::cold_permits;
 use crate::directory_relay;
-use crate::extension::{ExtensionFields, KnownItem, LedgerQuery};
+use crate::extension::{ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest};
 use crate::keys::TurnKey;
 use crate::membership_state::PeerStatus;
 use crate::message::{
@@ -40,6 +41,8 @@
     ledger_query: Option<LedgerQuery>,
     /// Whether the request is a ping, whose reply reports a slow disk.
     reports_write_delay: bool,
+    /// Decision on a request to a cold replica.
+    permit: Option<Permit>,
 }
 
 impl RequestedFields {
@@ -90,10 +93,26 @@
             known_item: fields.known_item,
             ledger_query: fields.ledger_query,
             reports_write_delay: matches!(request, Request::Ping),
+            permit: fields
+                .permit_request
+                .and_then(|request| self.decide_permit(request)),
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
 
+    /// Decides on a request to a cold replica; `None` unless this store owns its permits.
+    fn decide_permit(&self, request: PermitRequest) -> Option<Permit> {
+        let stores = self.stores();
+        let owner = cold_permits::owner(&stores, request.replica)?;
+        if owner.node != self.node {
+            return None;
+        }
+        let now = self.started_at.elapsed();
+        let mut permits = self.permits.borrow_mut();
+        let decision = permits.acquire(request.replica, request.permits, now);
+        Some(Permit::new(decision))
+    }
+
     /// Returns whether any turn of a program has started, as far as this store knows.
     fn has_started(&self, program: &Text) -> bool {
         let entries = self.state.borrow().ledger_entries(program);
@@ -137,6 +156,7 @@
             engine_deviations: deviations_for
                 .and_then(|front| self.loads.engines.deviations_for(front)),
             started: requested.started,
+            permit: requested.permit,
             write_delay_milliseconds: requested
                 .reports_write_delay
                 .then(|| self.write_delay())
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -9,7 +9,7 @@
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
 use stageyoke_store::extension::{
-    Deviation, ExtensionFields, KnownItem, LedgerQuery, RankLoad, VERSION,
+    Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, RankLoad, VERSION,
 };
 use stageyoke_store::frame::{self, EncodedMessage, Received};
 use stageyoke_store::message::{LatencyEntry, LedgerEntry, Numbered, Reply, Request};
@@ -272,6 +272,14 @@
             program: "program".into(),
         }),
         write_delay_milliseconds: Some(1200),
+        permit_request: Some(PermitRequest {
+            replica: 1 << 40,
+            permits: 26,
+        }),
+        permit: Some(Permit {
+            granted: true,
+            retry_after_milliseconds: 0,
+        }),
         unsynced_ledger: Some(List(vec![LedgerEntry {
             turn: 5,
             amount: 54,
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -85,4 +85,8 @@
     OldListUsed, 809, "warn", "Requests are placed by a list of replicas that is older than the bound on changes.";
     ReplicasChanged, 810, "info", "Replicas were taken up or are offered nothing more.";
     ReplicaRestarted, 811, "info", "A replica started again under its identifier; nothing is believed of it that was before.";
+    ZoneEvacuated, 812, "info", "A zone was evacuated: its replicas get no more requests.";
+    ZoneReturned, 813, "info", "A zone is no longer evacuated; its replicas count as cold at first.";
+    EvacuationWithoutEffect, 814, "error", "An evacuated zone has no listed replicas; its name may be wrong.";
+    AllZonesEvacuated, 815, "error", "All zones with replicas are evacuated; requests are rejected.";
 }
