Bound the work of a front for each request and each change of the list

Cause: with 6,666 engines a front built a candidate for each of them two to three times a request, and for each change of any entry compared all 10,000 entries, grouped them and sorted them anew.

A request now considers all replicas of services of up to 256, so that smaller deployments place as before; of a larger one its cell or a window of the hash order that all fronts choose alike, and the replicas used last; all of them if none of these has a free slot. The mirror names the entries that changed, and only these are applied, except after an outage, when entries are judged by the whole list.

The simulation of removed replicas goes by changes too.

--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -7,11 +7,12 @@
 mod relayed;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
+use stageyoke_types::Text;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -123,6 +124,9 @@
     freshness: Rc<Freshness>,
     relay: Option<Rc<dyn DirectoryRelay>>,
     recent_changes: RefCell<RecentChanges>,
+    /// Replicas whose entries have changed since `take_changed_replicas`; collected by mirrors
+    /// without an item cache.
+    changed_replicas: RefCell<BTreeSet<Text>>,
 }
 
 impl<S: KeyValueService, I: Interpreter> Mirror<S, I> {
@@ -146,6 +150,7 @@
             freshness: Rc::new(Freshness::new(AgeLimits::default(), true)),
             relay: None,
             recent_changes: RefCell::default(),
+            changed_replicas: RefCell::default(),
         }
     }
 
@@ -222,6 +227,12 @@
         self.view.borrow().clone()
     }
 
+    /// Returns the identifiers of all replicas whose entries have changed since the last call,
+    /// possibly with some that have not.
+    pub fn take_changed_replicas(&self) -> BTreeSet<Text> {
+        self.changed_replicas.take()
+    }
+
     /// Waits until the view changes.
     pub async fn wait_for_change(&self) {
         self.view_changed.notified().await;
--- a/crates/stageyoke-directory/src/mirror/apply.rs
+++ b/crates/stageyoke-directory/src/mirror/apply.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use stageyoke_types::Text;
+
 use super::{Mirror, MirrorEvent};
 use crate::key_value::{Change, Item, KeyValueService, RangePage};
 use crate::view::{Changed, Interpreter, ListedKeys, Update, View};
@@ -30,6 +32,9 @@
                 None => drop(items.borrow_mut().remove(key)),
             }
         }
+        if let Update::Replica { id, .. } | Update::Unusable { id, .. } = &update {
+            self.record_changed_replica(id);
+        }
         self.edit_view(
             |view, changed| view.apply(update.clone(), revision, changed),
             changed,
@@ -37,6 +42,12 @@
         update
     }
 
+    fn record_changed_replica(&self, id: &Text) {
+        if self.items.is_none() {
+            self.changed_replicas.borrow_mut().insert(id.clone());
+        }
+    }
+
     pub(super) fn apply_changes(&self, changes: Vec<Change>, report: &mut impl FnMut(MirrorEvent)) {
         let mut changed = Changed::default();
         for change in changes {
@@ -80,6 +91,11 @@
         if let Some(items) = &self.items {
             items.borrow_mut().retain(|key, _| keys.contains(key));
         }
+        for id in self.view().replicas.keys() {
+            if !listed.replicas.contains(id) {
+                self.record_changed_replica(id);
+            }
+        }
         self.edit_view(
             |view, changed| view.retain_listed(&listed, changed),
             &mut changed,
--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -213,6 +213,7 @@
                 .stores
                 .group_number(&context.identifiers.program),
             repeatable: context.route.is_repeatable(),
+            affinity: affinity(context),
             homes: context.homes(),
         }
     }
@@ -245,12 +246,8 @@
         context: &RequestContext,
         query: &ReplicaQuery<'_>,
     ) -> Option<Rc<Replica>> {
-        let parameters = &context.parameters;
-        let tokens = parameters.prompt.tokens();
-        let affinity = match parameters.program.is_empty() {
-            true => placement::hash_text(&parameters.request_id),
-            false => placement::hash_text(&parameters.program),
-        };
+        let tokens = context.parameters.prompt.tokens();
+        let affinity = query.affinity;
         let rates = self.registry.rates(&context.service.name);
         let choose = |candidates: &[Candidate]| {
             placement::choose_engine(candidates, tokens, affinity, &rates)
@@ -376,6 +373,17 @@
     }
 }
 
+/// Returns the hash that selects the replicas for a request: that of its program for an
+/// engine, so that all fronts agree on it.
+fn affinity(context: &RequestContext) -> u64 {
+    let parameters = &context.parameters;
+    match (&context.service.engine, parameters.program.is_empty()) {
+        (None, _) => rand::random(),
+        (Some(_), true) => placement::hash_text(&parameters.request_id),
+        (Some(_), false) => placement::hash_text(&parameters.program),
+    }
+}
+
 /// Reason why waiting for a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AttemptTimeout {
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -203,8 +203,12 @@
     pub(crate) fn apply_directory(&self) {
         let view = self.mirror.view();
         self.registry.set_store_groups(view.stores.groups.len());
-        self.registry
-            .apply_list(&view.replicas, self.mirror.lapsed_entry_deadline());
+        let changed = self.mirror.take_changed_replicas();
+        self.registry.apply_changes(
+            &view.replicas,
+            &changed,
+            self.mirror.lapsed_entry_deadline(),
+        );
         self.apply_evacuations(&view);
         let metrics = stageyoke_observe::metrics();
         metrics.replicas.set(view.replicas.len() as i64);
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod restrictions;
 mod routing;
 pub mod server;
+pub mod service_pool;
 pub mod shutdown;
 pub mod stream_relay;
 pub mod tenant_warnings;
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -53,6 +53,8 @@
     health: Cell<Health>,
     suspended: Cell<bool>,
     removed: Cell<bool>,
+    /// Number of the last selection that contains this replica.
+    last_selection: Cell<u64>,
     lapsed_until: Cell<Option<Instant>>,
     /// Newest start reported by the directory; its count of orders increases over time.
     start: Cell<ReplicaStart>,
@@ -79,6 +81,7 @@
             health: Cell::default(),
             suspended: Cell::new(false),
             removed: Cell::new(false),
+            last_selection: Cell::new(0),
             lapsed_until: Cell::new(None),
             cell: Cell::new(None),
         }
@@ -89,6 +92,17 @@
         self.is_listed() && !self.evacuated.get()
     }
 
+    /// Returns whether the replica has been removed from the list.
+    pub fn is_removed(&self) -> bool {
+        self.removed.get()
+    }
+
+    /// Adds the replica to a selection; returns false if it is already part of it. Numbers of
+    /// selections must not be reused.
+    pub fn select(&self, selection: u64) -> bool {
+        self.last_selection.replace(selection) != selection
+    }
+
     fn is_listed(&self) -> bool {
         let deadline = self.lapsed_until.get();
         !self.removed.get() && deadline.is_none_or(|until| Instant::now() < until)
--- a/crates/stageyoke-front/src/replica_log.rs
+++ b/crates/stageyoke-front/src/replica_log.rs
@@ -1,6 +1,7 @@
 //! Logs placements by an outdated replica list, and replicas that are added, removed or
 //! restarted.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use stageyoke_directory::{ReplicaRecord, ReplicaStart};
@@ -8,6 +9,7 @@
 use stageyoke_types::{Event, Text};
 
 use crate::log_limiter::LogRateLimiter;
+use crate::replica::Replica;
 
 /// Maximum number of replicas named in one line; the rest are counted.
 const MAX_NAMED_REPLICAS: usize = 4;
@@ -48,7 +50,7 @@
 }
 
 /// Logs which replicas were added and removed by one update of the list.
-pub(crate) fn log_replica_changes(added: &[Text], removed: &[Text], now: usize) {
+pub(crate) fn log_replica_changes(added: &[Rc<Replica>], removed: &[Rc<Replica>], now: usize) {
     if added.is_empty() && removed.is_empty() {
         return;
     }
@@ -80,12 +82,9 @@
     format!("address={} born={born} orders={orders}", record.address)
 }
 
-fn format_names(replicas: &[Text]) -> String {
-    let names: Vec<&str> = replicas
-        .iter()
-        .take(MAX_NAMED_REPLICAS)
-        .map(Text::as_str)
-        .collect();
+fn format_names(replicas: &[Rc<Replica>]) -> String {
+    let named = replicas.iter().take(MAX_NAMED_REPLICAS);
+    let names: Vec<&str> = named.map(|replica| replica.id.as_str()).collect();
     let omitted = replicas.len() - names.len();
     match omitted {
         0 => format!("[{}]", names.join(",")),
--- a/crates/stageyoke-front/src/replica_registry.rs
+++ b/crates/stageyoke-front/src/replica_registry.rs
@@ -19,17 +19,13 @@
 use crate::replica::{Replica, SharedState};
 use crate::replica_log;
 use crate::restrictions::Shortage;
+use crate::service_pool::ServicePool;
 
 /// A service's missing replicas count as lapsed only if more than one in this many is
 /// missing. Otherwise the remaining ones can carry the load, and skipping the missing ones
 /// costs less than sending requests to processes that may have ended.
 const LAPSE_DIVISOR: usize = 4;
 
-/// Minimum number of replicas per store group for a service to be divided into cells. In
-/// smaller cells, a burst of one group's programs would fill its replicas while others are
-/// idle.
-const MIN_CELL_REPLICAS: usize = 6;
-
 /// Number of services above which the rates of services without replicas are dropped.
 /// Service names change with the configuration, and a process runs for a long time.
 const MAX_SERVICE_RATES: usize = 64;
@@ -40,8 +36,10 @@
     region_by_zone: BTreeMap<String, String>,
     idle_limit: Rc<Cell<IdleLimit>>,
     store_groups: Cell<usize>,
+    evacuated_zones: RefCell<BTreeSet<Text>>,
+    has_lapses: Cell<bool>,
     replicas: RefCell<HashMap<Text, Rc<Replica>>>,
-    services: RefCell<HashMap<Text, Vec<Rc<Replica>>>>,
+    services: RefCell<HashMap<Text, ServicePool>>,
     rates: RefCell<HashMap<Text, Rc<Cell<EngineRates>>>>,
 }
 
@@ -54,6 +52,8 @@
             region_by_zone,
             idle_limit: Rc::default(),
             store_groups: Cell::new(0),
+            evacuated_zones: RefCell::default(),
+            has_lapses: Cell::new(false),
             replicas: RefCell::default(),
             services: RefCell::default(),
             rates: RefCell::default(),
@@ -69,72 +69,119 @@
         lapse_deadline: Option<Instant>,
     ) {
         let removed = self.remove_missing(records, lapse_deadline);
-        let added = self.add_new(records);
-        let now = self.replicas.borrow().len();
-        replica_log::log_replica_changes(&added, &removed, now);
-        self.group_by_service();
+        let ready = records.iter().filter(|(_, record)| is_ready(record));
+        let added = self.add_new(ready);
+        self.finish_update(added, removed);
     }
 
-    /// Removes replicas that must not get new requests and returns their identifiers.
+    /// Applies the changes of the replica list since the last call, for which the work does
+    /// not depend on the length of the list. `changed` contains at least the identifiers of
+    /// all changed entries. Entries that may have expired during an outage are judged by the
+    /// whole list.
+    pub fn apply_changes(
+        &self,
+        records: &BTreeMap<Text, ReplicaRecord>,
+        changed: &BTreeSet<Text>,
+        lapse_deadline: Option<Instant>,
+    ) {
+        if lapse_deadline.is_some() || self.has_lapses.get() {
+            return self.apply_list(records, lapse_deadline);
+        }
+        let mut removed = Vec::new();
+        let mut replicas = self.replicas.borrow_mut();
+        for id in changed {
+            let Some(replica) = replicas.get(id) else {
+                continue;
+            };
+            if !is_retained(replica, records.get(id)) {
+                replica.mark_removed();
+                removed.push(replica.clone());
+                replicas.remove(id);
+            }
+        }
+        drop(replicas);
+        let listed = changed.iter().filter_map(|id| records.get_key_value(id));
+        let added = self.add_new(listed.filter(|(_, record)| is_ready(record)));
+        self.finish_update(added, removed);
+    }
+
+    /// Removes replicas that must not get new requests and returns them.
     fn remove_missing(
         &self,
         records: &BTreeMap<Text, ReplicaRecord>,
         lapse_deadline: Option<Instant>,
-    ) -> Vec<Text> {
+    ) -> Vec<Rc<Replica>> {
         let mut replicas = self.replicas.borrow_mut();
         let lapse_deadline = lapse_deadline.filter(|until| *until > Instant::now());
         if let Some(until) = lapse_deadline {
             mark_lapsed(&replicas, records, until);
         }
         let mut removed = Vec::new();
+        let mut has_lapses = false;
         replicas.retain(|id, replica| {
-            let retained = match records.get(id) {
-                Some(record) => is_same_incarnation(replica, record) && is_ready(record),
-                None => replica.lapsed_until().is_some() && replica.accepts_requests(),
-            };
+            let retained = is_retained(replica, records.get(id));
+            has_lapses |= retained && replica.lapsed_until().is_some();
             if !retained {
                 replica.mark_removed();
-                removed.push(id.clone());
+                removed.push(replica.clone());
             }
             retained
         });
+        self.has_lapses.set(has_lapses);
         removed
     }
 
-    /// Adds newly listed replicas that are ready and returns their identifiers.
-    fn add_new(&self, records: &BTreeMap<Text, ReplicaRecord>) -> Vec<Text> {
+    /// Adds replicas that are not registered yet and returns them.
+    fn add_new<'a>(
+        &self,
+        ready: impl Iterator<Item = (&'a Text, &'a ReplicaRecord)>,
+    ) -> Vec<Rc<Replica>> {
         let mut added = Vec::new();
         let mut replicas = self.replicas.borrow_mut();
-        for (id, record) in records.iter().filter(|(_, record)| is_ready(record)) {
-            replicas.entry(id.clone()).or_insert_with(|| {
-                added.push(id.clone());
-                let shared_state = self.shared_state(record);
-                Rc::new(Replica::new(id.clone(), record.clone(), shared_state))
-            });
+        let evacuated_zones = self.evacuated_zones.borrow();
+        for (id, record) in ready {
+            if replicas.contains_key(id) {
+                continue;
+            }
+            let shared_state = self.shared_state(record);
+            let replica = Rc::new(Replica::new(id.clone(), record.clone(), shared_state));
+            replica.set_evacuated(evacuated_zones.contains(&record.zone), Duration::ZERO);
+            replicas.insert(id.clone(), replica.clone());
+            added.push(replica);
         }
         added
     }
 
-    fn group_by_service(&self) {
-        let mut services: HashMap<Text, Vec<Rc<Replica>>> = HashMap::new();
-        for replica in self.replicas.borrow().values() {
-            let members = services.entry(replica.record.service.clone()).or_default();
-            members.push(replica.clone());
+    /// Logs the changed replicas and updates the pools of their services.
+    fn finish_update(&self, added: Vec<Rc<Replica>>, removed: Vec<Rc<Replica>>) {
+        let now = self.replicas.borrow().len();
+        replica_log::log_replica_changes(&added, &removed, now);
+        let mut changes: HashMap<Text, Vec<Rc<Replica>>> = HashMap::new();
+        for replica in removed {
+            changes.entry(replica.record.service.clone()).or_default();
         }
-        for replicas in services.values_mut() {
-            self.assign_cells(replicas);
+        for replica in added {
+            let service = replica.record.service.clone();
+            changes.entry(service).or_default().push(replica);
         }
+        let mut services = self.services.borrow_mut();
+        for (service, added) in changes {
+            let pool = services.entry(service).or_default();
+            pool.update(added, self.store_groups.get());
+        }
+        services.retain(|_, pool| !pool.all().is_empty());
         let mut rates = self.rates.borrow_mut();
         if rates.len() > MAX_SERVICE_RATES {
             rates.retain(|service, _| services.contains_key(service));
         }
-        drop(rates);
-        *self.services.borrow_mut() = services;
     }
 
     /// Returns whether any lapsed replica has passed its deadline, so that the list must be
     /// applied again.
     pub fn has_expired_lapses(&self) -> bool {
+        if !self.has_lapses.get() {
+            return false;
+        }
         let now = Instant::now();
         let replicas = self.replicas.borrow();
         let mut lapsed = replicas
@@ -143,31 +190,26 @@
         lapsed.any(|until| until <= now)
     }
 
-    /// Divides a service's replicas among the store groups. All fronts use the same order,
-    /// and adding or removing a replica moves few others to another group.
-    fn assign_cells(&self, replicas: &mut [Rc<Replica>]) {
-        let groups = self.store_groups.get();
-        let count = replicas.len();
-        replicas.sort_by_key(|replica| replica.cell_order());
-        let has_cells = groups > 0 && count >= groups * MIN_CELL_REPLICAS;
-        for (position, replica) in replicas.iter().enumerate() {
-            let number = u32::try_from(position * groups / count).unwrap_or_default();
-            replica.set_cell(has_cells.then_some(GroupNumber(number)));
-        }
-    }
-
-    /// Sets the number of store groups, which takes effect when the list is next applied.
+    /// Sets the number of store groups, by which large services are divided into cells.
     pub fn set_store_groups(&self, groups: usize) {
-        self.store_groups.set(groups);
+        if self.store_groups.replace(groups) != groups {
+            for pool in self.services.borrow_mut().values_mut() {
+                pool.assign_cells(groups);
+            }
+        }
     }
 
     /// Applies the evacuated zones. `cold_time` returns for how long the replicas of a service
     /// count as cold when their zone returns.
     pub fn apply_evacuations(&self, zones: &BTreeSet<Text>, cold_time: impl Fn(&Text) -> Duration) {
+        if *self.evacuated_zones.borrow() == *zones {
+            return;
+        }
         for replica in self.replicas.borrow().values() {
             let record = &replica.record;
             replica.set_evacuated(zones.contains(&record.zone), cold_time(&record.service));
         }
+        self.evacuated_zones.replace(zones.clone());
     }
 
     /// Returns the zones of all replicas.
@@ -181,7 +223,8 @@
     pub fn shortage(&self, query: &ReplicaQuery<'_>) -> Option<Shortage> {
         let services = self.services.borrow();
         let mut shortage = None;
-        for replica in services.get(query.service).into_iter().flatten() {
+        let pool = services.get(query.service);
+        for replica in pool.into_iter().flat_map(ServicePool::all) {
             let restriction = replica.restriction(query)?;
             shortage = Some(shortage.map_or(restriction, |known: Shortage| known.or(restriction)));
         }
@@ -217,40 +260,64 @@
     /// Returns the total number of slots of a service's replicas that accept requests.
     pub fn total_slots(&self, service: &str) -> u32 {
         let services = self.services.borrow();
-        let replicas = services.get(service).into_iter().flatten();
+        let replicas = services.get(service).into_iter().flat_map(ServicePool::all);
         let accepting = replicas.filter(|replica| replica.accepts_requests());
         accepting.map(|replica| replica.record.slots).sum()
     }
 
     /// Chooses a replica of the service with `choose`. Candidates with a high failure
-    /// probability are excluded unless no others are eligible.
+    /// probability are excluded unless no others are eligible. If none of the considered
+    /// replicas has a free slot, all replicas are candidates.
     pub fn choose(
         &self,
         query: &ReplicaQuery<'_>,
         choose: impl Fn(&[Candidate]) -> Option<usize>,
     ) -> Option<Rc<Replica>> {
         let services = self.services.borrow();
-        let replicas = services.get(query.service)?;
-        let mut candidates: Vec<Candidate> = replicas
-            .iter()
-            .map(|replica| replica.candidate(query))
-            .collect();
-        let limits = [
-            health::max_accepted_failure(query.repeatable),
-            health::SUSPENSION_THRESHOLD,
-        ];
-        let limit = limits.into_iter().find(|limit| {
-            let mut candidates = candidates.iter();
-            candidates
-                .any(|candidate| candidate.eligible && candidate.failure_probability <= *limit)
-        });
-        if let Some(limit) = limit {
-            for candidate in &mut candidates {
-                candidate.eligible &= candidate.failure_probability <= limit;
+        let pool = services.get(query.service)?;
+        let considered = pool.considered(query);
+        let candidates = eligible_candidates(&considered, query);
+        let has_room =
+            |candidate: &Candidate| candidate.eligible && candidate.in_flight < candidate.slots;
+        let chosen = match !pool.is_large() || candidates.iter().any(has_room) {
+            true => choose(&candidates).map(|index| considered[index].clone()),
+            false => {
+                let candidates = eligible_candidates(pool.all(), query);
+                choose(&candidates).map(|index| pool.all()[index].clone())
             }
+        }?;
+        pool.record_use(&chosen);
+        Some(chosen)
+    }
+}
+
+/// Returns the candidates for a request, without those that are likely to fail it and without
+/// cold ones as far as others are eligible.
+fn eligible_candidates(replicas: &[Rc<Replica>], query: &ReplicaQuery<'_>) -> Vec<Candidate> {
+    let candidates = replicas.iter().map(|replica| replica.candidate(query));
+    let mut candidates: Vec<Candidate> = candidates.collect();
+    let limits = [
+        health::max_accepted_failure(query.repeatable),
+        health::SUSPENSION_THRESHOLD,
+    ];
+    let limit = limits.into_iter().find(|limit| {
+        let mut candidates = candidates.iter();
+        candidates.any(|candidate| candidate.eligible && candidate.failure_probability <= *limit)
+    });
+    if let Some(limit) = limit {
+        for candidate in &mut candidates {
+            candidate.eligible &= candidate.failure_probability <= limit;
         }
-        placement::prefer_warm(&mut candidates);
-        choose(&candidates).map(|index| replicas[index].clone())
+    }
+    placement::prefer_warm(&mut candidates);
+    candidates
+}
+
+/// Returns whether a registered replica may still get requests, given its entry in the list.
+fn is_retained(replica: &Replica, listed: Option<&ReplicaRecord>) -> bool {
+    match listed {
+        Some(record) => is_same_incarnation(replica, record) && is_ready(record),
+        None => replica.lapsed_until().is_some() && replica.accepts_requests(),
     }
 }
 
@@ -328,6 +395,9 @@
     pub group: Option<GroupNumber>,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Hash that selects the considered replicas of a large service; equal for all turns of a
+    /// program.
+    pub affinity: u64,
     /// Home regions that bind the request.
     pub homes: RequestHomes<'a>,
 }
--- a/crates/stageyoke-front/tests/cells_test.rs
+++ b/crates/stageyoke-front/tests/cells_test.rs
@@ -108,6 +108,7 @@
             prompt: &Prompt::default(),
             group: Some(GroupNumber(group)),
             repeatable: false,
+            affinity: 0,
             homes: RequestHomes::default(),
         };
         registry.choose(&query, |candidates| {
@@ -163,6 +164,7 @@
         prompt: &Prompt::default(),
         group: Some(GroupNumber(0)),
         repeatable: false,
+        affinity: 0,
         homes: RequestHomes::default(),
     };
     let first = registry.choose(&query, |_| Some(0)).expect("engine");
--- a/crates/stageyoke-front/tests/health_test.rs
+++ b/crates/stageyoke-front/tests/health_test.rs
@@ -57,6 +57,7 @@
         excluded: &[],
         prompt: &Prompt::default(),
         repeatable,
+        affinity: 0,
         homes: RequestHomes::default(),
     };
     let choose = |candidates: &[Candidate]| placement::choose_plain(candidates, tie);
--- a/crates/stageyoke-front/tests/placement_restrictions_test.rs
+++ b/crates/stageyoke-front/tests/placement_restrictions_test.rs
@@ -110,6 +110,7 @@
         excluded: &[],
         prompt,
         repeatable: true,
+        affinity: 0,
         homes,
     }
 }
--- a/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
+++ b/crates/stageyoke-front/tests/replica_removal_simulation/cluster.rs
@@ -148,7 +148,9 @@
         tokio::task::spawn_local(async move {
             let report = |_| {
                 let view = source_mirror.view();
-                updated_registry.apply_list(&view.replicas, source_mirror.lapsed_entry_deadline());
+                let changed = source_mirror.take_changed_replicas();
+                let lapse_deadline = source_mirror.lapsed_entry_deadline();
+                updated_registry.apply_changes(&view.replicas, &changed, lapse_deadline);
             };
             source_mirror.run(report).await;
         });
@@ -192,6 +194,7 @@
                 excluded: &excluded,
                 prompt: &Prompt::default(),
                 repeatable: true,
+                affinity: 0,
                 homes: RequestHomes::default(),
             };
             let choose = |candidates: &[Candidate]| {
