Ask stores of the own zone first for the directory

And a front that met three stores with old copies asked the key-value service itself, which slows it down further where stores lag because it is slow.

Stores of the own zone come first, one of another zone second; up to nine stores are asked while the answers are too old, and still three if they do not answer.

--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -19,8 +19,11 @@
 use crate::message::{CopyFreshness, DirectoryChange, DirectoryItem, Reply, Request};
 use crate::receive_progress::ReceiveProgress;
 
-/// Maximum number of stores that are asked for one reply.
-const MAX_STORES_ASKED: usize = 3;
+/// Number of stores that are asked for one reply if they do not answer.
+const MAX_UNANSWERED: usize = 3;
+/// Number of stores that are asked for one reply if their copies are too old: such answers come
+/// at once, and each front that asked the key-value service instead would slow it down further.
+const MAX_STORES_ASKED: usize = 9;
 
 /// Number of received bytes from which an exchange with a usable reply is logged.
 const LARGE_REPLY_BYTES: u64 = 64 * 1024;
@@ -201,20 +204,21 @@
     fn bootstrap_addresses(&self) -> Vec<Text> {
         let mut addresses = self.known_addresses.borrow().clone();
         addresses.sort_by_cached_key(|_| rand::random::<u32>());
-        addresses.truncate(MAX_STORES_ASKED - 1);
+        addresses.truncate(MAX_UNANSWERED - 1);
         let seed_addresses = self.seed_addresses.iter();
         let mut seed_addresses: Vec<Text> = seed_addresses
             .map(|address| Text::from(address.as_str()))
             .collect();
         seed_addresses.sort_by_cached_key(|_| rand::random::<u32>());
-        let seeds = MAX_STORES_ASKED - addresses.len();
+        let seeds = MAX_UNANSWERED - addresses.len();
         addresses.extend(seed_addresses.into_iter().take(seeds));
         addresses
     }
 
-    /// Selects stores to ask: the one that answered last, a near one and others. An abandoned
-    /// exchange drops its client, which closes the connection and ends the transfer.
-    fn take_candidates(&self) -> Vec<StoreClient> {
+    /// Selects stores to ask: the one that answered last, near ones and others. Clients are
+    /// created as they are used. An abandoned exchange drops its client, which closes the
+    /// connection and ends the transfer.
+    fn take_candidates(&self) -> impl Iterator<Item = StoreClient> {
         let mut addresses = self.groups.sample_addresses(MAX_STORES_ASKED);
         if addresses.is_empty() {
             addresses = self.bootstrap_addresses();
@@ -223,10 +227,21 @@
         if let Some(preferred_store) = &preferred_store {
             addresses.retain(|address| address.as_str() != preferred_store.address());
         }
+        let progress = self.progress.clone();
         let others = addresses
-            .iter()
-            .map(|address| StoreClient::with_progress(address, self.progress.clone()));
-        preferred_store.into_iter().chain(others).collect()
+            .into_iter()
+            .map(move |address| StoreClient::with_progress(&address, progress.clone()));
+        preferred_store.into_iter().chain(others)
+    }
+
+    /// Returns the number of stores among which the time for an answer is divided: the one that
+    /// answered last and those that may not answer.
+    fn time_shares(&self) -> u32 {
+        let stores = match self.groups.stores().members().count() {
+            0 => MAX_UNANSWERED,
+            stores => stores.min(MAX_UNANSWERED + 1),
+        };
+        u32::try_from(stores).unwrap_or(1)
     }
 
     /// Asks stores one by one until one has a recent enough copy. A store whose copy is too
@@ -242,11 +257,14 @@
         let deadline = Instant::now() + requirements.answer_timeout;
         self.look_up_stores(requirements.answer_timeout / STORE_LOOKUP_DIVISOR)
             .await;
-        let candidates = self.take_candidates();
         let is_formed = self.groups.stores().is_formed();
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let per_store = remaining / u32::try_from(candidates.len().max(1)).unwrap_or(1);
-        for client in candidates {
+        let per_store = remaining / self.time_shares();
+        let mut unanswered = 0;
+        for client in self.take_candidates() {
+            if unanswered == MAX_UNANSWERED || Instant::now() >= deadline {
+                break;
+            }
             let sent_at = Instant::now();
             let timeouts = TransferTimeouts {
                 idle: deadline.saturating_duration_since(sent_at).min(per_store),
@@ -268,10 +286,12 @@
                 requirements.max_age,
             );
             self.record_peer_contact(&reply, sent_at);
+            unanswered += usize::from(reply.is_err());
             if let Ok(reply) = reply
                 && copy_age(&reply).is_some_and(|age| age < requirements.max_age)
             {
-                self.preferred_store.replace(is_formed.then_some(client));
+                let is_preferred = is_formed && self.groups.is_nearest(client.address());
+                self.preferred_store.replace(is_preferred.then_some(client));
                 return Some(RelayReply {
                     payload: reply,
                     sent_at,
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -154,20 +154,35 @@
         }
     }
 
-    /// Returns the addresses of some stores: one in the front's zone, for short round trips,
-    /// and random others, since a fault may affect the whole zone.
+    /// Returns the addresses of some stores in random order, those of the front's zone first,
+    /// since what crosses zones is slower and costs more. The second one is of another zone,
+    /// as a fault may affect the whole zone.
     pub fn sample_addresses(&self, max_addresses: usize) -> Vec<Text> {
         let stores = self.stores();
         let mut members: Vec<&Member> = stores.members().collect();
-        members.sort_by_cached_key(|_| rand::random::<u32>());
-        let is_local = |member: &&Member| member.zone == self.context.zone;
-        if let Some(nearest) = members.iter().position(is_local) {
-            members.swap(0, nearest);
+        let is_remote = |member: &Member| member.zone != self.context.zone;
+        members.sort_by_cached_key(|member| (is_remote(member), rand::random::<u32>()));
+        let nearest_remote = members.iter().position(|member| is_remote(member));
+        if let Some(position) = nearest_remote.filter(|position| *position > 1) {
+            members[1..=position].rotate_right(1);
         }
         let selected = members.into_iter().take(max_addresses);
         selected.map(|member| member.address.clone()).collect()
     }
 
+    /// Returns whether the store at this address is in the front's zone, or none is.
+    pub fn is_nearest(&self, address: &str) -> bool {
+        let stores = self.stores();
+        let members = stores.members();
+        let local: Vec<&Member> = members
+            .filter(|member| member.zone == self.context.zone)
+            .collect();
+        local.is_empty()
+            || local
+                .iter()
+                .any(|member| member.address.as_str() == address)
+    }
+
     /// Returns the group that stores a program's records. A turn without a program is
     /// assigned by its own identifier.
     pub fn group_of_program(&self, program: &str, turn: &str) -> Option<Rc<GroupClient>> {
--- a/crates/stageyoke-store/tests/directory_relay_test.rs
+++ b/crates/stageyoke-store/tests/directory_relay_test.rs
@@ -265,3 +265,53 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Where stores lag behind the key-value service, each front that called it instead would slow
+/// it down further.
+#[tokio::test]
+async fn more_stores_are_asked_while_copies_are_stale() {
+    let test = async {
+        let mut ages = vec![("near", STALE_AGE_MILLISECONDS); 7];
+        ages.push(("near", FRESH_AGE_MILLISECONDS));
+        let relay = start_relay(&ages).await;
+        for _ in 0..20 {
+            let reply = relay.fetch_changes(0, None, REQUIREMENTS).await;
+            let revision = reply.expect("the fresh copy").payload.revision;
+            assert_eq!(revision, u64::from(FRESH_AGE_MILLISECONDS));
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// What a front receives from another zone must not grow with the directory.
+#[test]
+fn stores_of_the_own_zone_are_asked_first_and_another_zone_second() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let mut members = Members::default();
+        for number in 0..30 {
+            members = members.with_member(Member {
+                node: Text::from(format!("store-{number}")),
+                address: Text::from(format!("10.0.0.{number}:1")),
+                zone: Text::from(if number % 3 == 0 { "near" } else { "far" }),
+                state: MemberState::Active,
+                disk: 0,
+            });
+        }
+        let groups = GroupClients::new(Text::from("near"), Tolerance::of_machines(1));
+        groups.update_stores(&Rc::new(StoreGroups::single(members.clone())));
+        let zone = |address: &Text| {
+            let member = members.all().find(|member| member.address == *address);
+            member.expect("a member").zone.to_string()
+        };
+        for _ in 0..20 {
+            let addresses = groups.sample_addresses(9);
+            let zones: Vec<String> = addresses.iter().map(zone).collect();
+            assert_eq!(zones[..4], ["near", "far", "near", "near"]);
+            assert!(groups.is_nearest(&addresses[0]) && !groups.is_nearest(&addresses[1]));
+        }
+    });
+}
