Save the directory at a rate that does not grow with the fleet

Each store wrote all items to its disk every 0.7 s while any replica changed: 2 MB at 10,000 replicas. The interval now grows by a millisecond for each replica. Changes of routes and members are still saved at once.

--- a/crates/stageyoke-store/src/store_host.rs
+++ b/crates/stageyoke-store/src/store_host.rs
@@ -47,8 +47,10 @@
 /// A spare store that asked for digests within this time is likely to become a member soon;
 /// covers two rounds of comparison.
 const MAX_SPARE_REQUEST_AGE: Duration = Duration::from_secs(2);
-/// Minimum interval between two writes of the directory items to disk.
+/// Minimum interval between two writes of the directory items to disk, and what each item adds
+/// to it, so that the rate of the writes does not grow with the fleet.
 const MIN_SAVE_ITEMS_INTERVAL: Duration = Duration::from_millis(700);
+const SAVE_INTERVAL_PER_ITEM: Duration = Duration::from_millis(1);
 /// Interval between two checks for expired segments.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -124,6 +126,12 @@
     at: Option<Instant>,
 }
 
+/// Returns the minimum interval between two writes of a directory with this many replicas.
+fn save_items_interval(replicas: usize) -> Duration {
+    let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
+    MIN_SAVE_ITEMS_INTERVAL.max(SAVE_INTERVAL_PER_ITEM.saturating_mul(replicas))
+}
+
 /// A store process.
 pub struct StoreHost<S, I> {
     settings: StoreSettings,
@@ -292,7 +300,7 @@
         let saved = self.saved_items.get();
         let interval_elapsed = saved
             .at
-            .is_none_or(|at| at.elapsed() > MIN_SAVE_ITEMS_INTERVAL);
+            .is_none_or(|at| at.elapsed() > save_items_interval(view.replicas.len()));
         let is_urgent = (saved.routes, saved.stores) != (now.routes, now.stores);
         if saved.changes == now.changes || !(is_urgent || interval_elapsed) {
             return;
