Reject requests by a directory that is older than the bound

It is rejected now and may be retried; while the service and the stores are unreachable, the old list is used as before.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -140,8 +140,15 @@
         summary.directory_age_ms = age.as_millis().min(u128::from(u32::MAX)) as u64;
         let age_histogram = &observe::metrics().directory_age_seconds;
         age_histogram.observe(age.as_secs_f64());
-        self.stale_list_monitor
-            .check(age, freshness.is_service_unreachable());
+        let unreachable = freshness.is_service_unreachable();
+        if !self.stale_list_monitor.may_place(age, unreachable) {
+            let cause = "directory_stale";
+            return Err(Failure::retryable(
+                ErrorKind::Unavailable,
+                cause,
+                SHORT_RETRY_DELAY,
+            ));
+        }
         summary.members_version = self.history.stores.stores().version;
         let MatchedRoute {
             routes,
--- a/crates/stageyoke-front/src/replica_log.rs
+++ b/crates/stageyoke-front/src/replica_log.rs
@@ -31,11 +31,12 @@
         }
     }
 
-    /// Logs a request placed by a list of this age. `Duration::MAX` means that there is no
-    /// list and nothing is placed.
-    pub(crate) fn check(&self, age: Duration, unreachable: bool) {
+    /// Returns whether a request may be placed by a list of this age, and logs an outdated
+    /// one. While the service and the stores are unreachable, an outdated list is used.
+    /// `Duration::MAX` means that there is no list and nothing is placed.
+    pub(crate) fn may_place(&self, age: Duration, unreachable: bool) -> bool {
         if age <= self.bound || age == Duration::MAX {
-            return;
+            return true;
         }
         observe::metrics().stale_list_requests.inc();
         if self.log_limiter.try_acquire() {
@@ -46,6 +47,7 @@
             let detail = format!("age={} reason={reason}", age.as_millis());
             observe::record_event(Event::OldListUsed, &detail);
         }
+        unreachable
     }
 }
 
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -228,6 +228,9 @@
         "quota_spent" => "not run: its tenant's limit was not enough for it",
         "quota_share_spent" => "not run: no owner answered, and this front's share was used up",
         "no_replica" => "not run: every replica that was offered it refused, or none is known",
+        "directory_stale" => {
+            "not run: the directory was older than the bound on changes and no newer one came"
+        }
         "no_home_replica" => "not run: no replica is in the home regions of its route and tenant",
         "no_home_store" => {
             "not run: its turn would be stored outside the home regions of its route and tenant"
