Read on when the service leaves changes out of an answer

Cause: an answer of the service to a watch holds at most 500 changes, and a process pauses for 0.3 of the bound on changes after each: 333 changes a second at a bound of 5 s. 10,000 replicas that start together register at 390 a second, so stores fell behind by some five seconds of changes while they took each answer for the newest state: the directory's age was wrong, and with it all that rests on it.

An answer with 250 changes or more, or half of what the platform's page names as the most, is followed by another question at once, and confirms nothing.

--- a/crates/stageyoke-directory/src/freshness.rs
+++ b/crates/stageyoke-directory/src/freshness.rs
@@ -171,6 +171,15 @@
         self.refresh_finished.notify_waiters();
     }
 
+    /// Records an answer from the service that may lack changes: the directory holds every
+    /// change up to `revision`, which may not be the newest one.
+    pub fn advance_revision(&self, revision: u64, last_change: Option<u64>) {
+        self.revision.set(revision);
+        if let Some(last_change) = last_change {
+            self.last_change.set(last_change);
+        }
+    }
+
     /// Records that a request to the service, sent at `sent_at`, got no usable answer in
     /// time.
     pub fn record_failure(&self, sent_at: Instant) {
--- a/crates/stageyoke-directory/src/key_value.rs
+++ b/crates/stageyoke-directory/src/key_value.rs
@@ -44,6 +44,14 @@
 }
 
 impl Change {
+    /// Returns the size of the key and the value, in bytes.
+    pub fn size(&self) -> usize {
+        match self {
+            Self::Written(item) => item.key.len() + item.value.len(),
+            Self::Removed { key, .. } => key.len(),
+        }
+    }
+
     /// Returns the revision at which the key was written or removed.
     pub fn revision(&self) -> u64 {
         match self {
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -33,6 +33,10 @@
 const BATCH_DELAY_FRACTION: f64 = 0.3;
 const CONFIRMATION_TTL_FRACTION: f64 = 0.25;
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
+/// Number and size of the changes in one answer of the service from which further changes may
+/// have been left out: half of what the platform's page names as the most of an answer.
+const MAX_COMPLETE_CHANGES: usize = 250;
+const MAX_COMPLETE_BYTES: usize = 512 * 1024;
 
 /// Events reported by `Mirror::run`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,6 +101,14 @@
     last_change: Option<u64>,
     /// Whether more changes may follow soon, so that it pays to batch them.
     may_batch: bool,
+    /// Whether changes may have been left out; if so, nothing is known to be current.
+    is_truncated: bool,
+}
+
+/// Returns whether an answer of the service with these changes may lack further ones.
+fn may_be_truncated(changes: &[Change]) -> bool {
+    let bytes: usize = changes.iter().map(Change::size).sum();
+    changes.len() >= MAX_COMPLETE_CHANGES || bytes >= MAX_COMPLETE_BYTES
 }
 
 /// Local copy of the directory, kept up to date by `run`; shared by the tasks of a
@@ -318,25 +330,37 @@
         let mut backoff = INITIAL_BACKOFF;
         let mut after = None;
         let mut failures: u32 = 0;
+        let mut is_truncated = false;
         loop {
-            let outcome = self.follow_once(after, failures, &mut report).await;
+            let outcome = match (after, is_truncated) {
+                (Some(revision), true) => self.read_more(revision, &mut report).await,
+                _ => self.follow_once(after, failures, &mut report).await,
+            };
             match outcome {
                 Ok(step) => {
                     self.last_contact.set(Some(Instant::now()));
-                    if let Some(revision) = step.revision {
-                        self.freshness
-                            .confirm(revision, step.last_change, step.as_of);
+                    is_truncated = step.is_truncated;
+                    match step.revision {
+                        Some(revision) if is_truncated => {
+                            self.freshness.advance_revision(revision, step.last_change);
+                        }
+                        Some(revision) => {
+                            self.freshness
+                                .confirm(revision, step.last_change, step.as_of);
+                        }
+                        None => {}
                     }
                     after = step.revision;
                     backoff = INITIAL_BACKOFF;
                     if std::mem::take(&mut failures) > 0 {
                         report(MirrorEvent::Regained);
                     }
-                    if step.may_batch {
+                    if step.may_batch && !is_truncated {
                         tokio::time::sleep(self.pause_after_change()).await;
                     }
                 }
                 Err(error) => {
+                    is_truncated = false;
                     self.freshness.record_failure(self.last_request_at.get());
                     if failures == 0 {
                         report(MirrorEvent::Lost(self.failed_request(error)));
@@ -388,6 +412,7 @@
                     // Removals left no item, so the newest change is unknown.
                     last_change: Some(revision),
                     may_batch: false,
+                    is_truncated: false,
                 })
             }
             Some(revision) if failures == 0 => match &self.relay {
@@ -412,6 +437,17 @@
         }
     }
 
+    /// Reads the changes that an answer of the service left out.
+    async fn read_more(
+        &self,
+        revision: u64,
+        report: &mut impl FnMut(MirrorEvent),
+    ) -> Result<Step, KeyValueError> {
+        let sent_at = Instant::now();
+        let outcome = self.poll_service(revision, 1).await?;
+        Ok(self.apply_service_answer(outcome, sent_at, report))
+    }
+
     /// Watches for changes, and polls the service whenever a refresh is due. If a poll
     /// returns changes that the watch did not, the watch is dead and is dropped.
     async fn follow(
@@ -515,15 +551,18 @@
                 as_of,
                 last_change: None,
                 may_batch: false,
+                is_truncated: false,
             },
             WatchOutcome::Changes { changes, revision } => {
                 let last_change = changes.iter().map(Change::revision).max();
+                let is_truncated = may_be_truncated(&changes);
                 self.apply_changes(changes, report);
                 Step {
                     revision: Some(revision),
                     as_of,
                     last_change,
                     may_batch: last_change.is_some(),
+                    is_truncated,
                 }
             }
         }
--- a/crates/stageyoke-directory/src/mirror/relayed.rs
+++ b/crates/stageyoke-directory/src/mirror/relayed.rs
@@ -95,6 +95,7 @@
                     as_of,
                     last_change: Some(revision),
                     may_batch: false,
+                    is_truncated: false,
                 });
             }
             if !is_starting || !relay.has_sources() || Instant::now() >= give_up_at {
@@ -256,9 +257,12 @@
             },
         };
         let step = self.apply_outcome(outcome, as_of, lapsed_entry_deadline, report);
-        // Batching also keeps a pause between two requests to peers.
-        let may_batch = step.revision.is_some();
-        Step { may_batch, ..step }
+        // Batching also keeps a pause between two requests to peers, which leave no changes out.
+        Step {
+            may_batch: step.revision.is_some(),
+            is_truncated: false,
+            ..step
+        }
     }
 
     /// Applies the configuration from a peer that reads it on behalf of many processes;
--- a/crates/stageyoke-directory/src/relay.rs
+++ b/crates/stageyoke-directory/src/relay.rs
@@ -185,9 +185,5 @@
 }
 
 fn change_size(change: &Change) -> usize {
-    CHANGE_OVERHEAD_BYTES
-        + match change {
-            Change::Written(item) => item.key.len() + item.value.len(),
-            Change::Removed { key, .. } => key.len(),
-        }
+    CHANGE_OVERHEAD_BYTES + change.size()
 }
