--- a/crates/stageyoke-directory/tests/fleet_growth_test.rs
+++ b/crates/stageyoke-directory/tests/fleet_growth_test.rs
@@ -234,12 +234,12 @@
         let mut longest = Duration::ZERO;
         while started_at.elapsed() < span {
             let due = (rate as f64 * started_at.elapsed().as_secs_f64()) as usize;
-            for _ in written..due {
-                let key = format!("replica/{}", written % replicas);
+            for number in written..due {
+                let key = format!("replica/{}", number % replicas);
                 self.service
-                    .write(&key, format!("service-{}", written / replicas));
-                written += 1;
+                    .write(&key, format!("service-{}", number / replicas));
             }
+            written = due;
             if let Some((version, since)) = pending
                 && self
                     .processes()
