--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -133,6 +133,7 @@
     draining: Cell<bool>,
     tenant_warnings: TenantWarnings,
     evacuation_log: EvacuationLog,
+    relay: Rc<StoreRelay>,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
@@ -221,6 +222,9 @@
         }
         let version = view.routes.as_ref().map_or(0, |routes| routes.version);
         metrics.routes_version.set(version as i64);
+        if !view.stores.is_formed() {
+            self.relay.set_registered_stores(view.registered.values());
+        }
         self.history.stores.update_stores(&view.stores);
     }
 }
@@ -242,8 +246,8 @@
     if settings.heterogeneous_engines {
         stores.load().engines.enable_reports();
     }
-    let relay = StoreRelay::new(stores.clone(), settings.seeds.clone());
-    let mirror = Rc::new(mirror.with_relay(Rc::new(relay)));
+    let relay = Rc::new(StoreRelay::new(stores.clone(), settings.seeds.clone()));
+    let mirror = Rc::new(mirror.with_relay(relay.clone()));
     let front = Rc::new(Front {
         names,
         zone: settings.zone.clone(),
@@ -268,6 +272,7 @@
         draining: Cell::new(false),
         tenant_warnings: TenantWarnings::default(),
         evacuation_log: EvacuationLog::default(),
+        relay,
     });
     let FrontListeners { callers, readiness } = listeners;
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use stageyoke_directory::{
-    Change, DirectoryRelay, Item, KnownItem, RelayFuture, RelayReply, RelayRequirements,
+    Change, DirectoryRelay, Item, KnownItem, Member, RelayFuture, RelayReply, RelayRequirements,
     RelayedChanges, RelayedItems, RelayedRoutes, TransferTimeouts,
 };
 use stageyoke_observe as observe;
@@ -151,6 +151,8 @@
     seed_addresses: Vec<String>,
     /// Addresses that the seed stores have returned.
     known_addresses: RefCell<Vec<Text>>,
+    /// Addresses of registered stores in the front's zone.
+    registered_addresses: RefCell<Vec<Text>>,
     /// The store that answered last, once the groups are known. Its connection carries only
     /// directory requests, so that a large reply does not delay those to other calls.
     preferred_store: RefCell<Option<StoreClient>>,
@@ -166,11 +168,20 @@
             groups,
             seed_addresses,
             known_addresses: RefCell::default(),
+            registered_addresses: RefCell::default(),
             preferred_store: RefCell::default(),
             progress: Rc::default(),
         }
     }
 
+    /// Sets the stores that have registered. Until the groups are formed, those of the front's
+    /// zone are asked first.
+    pub fn set_registered_stores<'a>(&self, stores: impl Iterator<Item = &'a Member>) {
+        let local = stores.filter(|store| self.groups.is_local(store));
+        let addresses = local.map(|store| store.address.clone());
+        self.registered_addresses.replace(addresses.collect());
+    }
+
     /// Records when the replying store last had contact with the key-value service, which
     /// even an outdated copy shows.
     fn record_peer_contact(&self, reply: &Result<Reply, CallError>, sent_at: Instant) {
@@ -188,7 +199,8 @@
     /// known.
     async fn look_up_stores(&self, time_limit: Duration) {
         let count = self.seed_addresses.len();
-        if count == 0 || self.groups.stores().is_formed() {
+        let is_needed = self.registered_addresses.borrow().is_empty();
+        if count == 0 || !is_needed || self.groups.stores().is_formed() {
             return;
         }
         let client = StoreClient::new(&self.seed_addresses[rand::random_range(0..count)]);
@@ -199,10 +211,13 @@
         }
     }
 
-    /// Selects stores to ask before the groups are known: some of those that the seeds
-    /// returned, and a seed.
+    /// Selects stores to ask before the groups are known: some that have registered in the
+    /// front's zone or that the seeds returned, and a seed.
     fn bootstrap_addresses(&self) -> Vec<Text> {
-        let mut addresses = self.known_addresses.borrow().clone();
+        let mut addresses = self.registered_addresses.borrow().clone();
+        if addresses.is_empty() {
+            addresses = self.known_addresses.borrow().clone();
+        }
         addresses.sort_by_cached_key(|_| rand::random::<u32>());
         addresses.truncate(MAX_UNANSWERED - 1);
         let seed_addresses = self.seed_addresses.iter();
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -160,7 +160,7 @@
     pub fn sample_addresses(&self, max_addresses: usize) -> Vec<Text> {
         let stores = self.stores();
         let mut members: Vec<&Member> = stores.members().collect();
-        let is_remote = |member: &Member| member.zone != self.context.zone;
+        let is_remote = |member: &Member| !self.is_local(member);
         members.sort_by_cached_key(|member| (is_remote(member), rand::random::<u32>()));
         let nearest_remote = members.iter().position(|member| is_remote(member));
         if let Some(position) = nearest_remote.filter(|position| *position > 1) {
@@ -170,13 +170,16 @@
         selected.map(|member| member.address.clone()).collect()
     }
 
+    /// Returns whether a store is in the front's zone.
+    pub fn is_local(&self, store: &Member) -> bool {
+        store.zone == self.context.zone
+    }
+
     /// Returns whether the store at this address is in the front's zone, or none is.
     pub fn is_nearest(&self, address: &str) -> bool {
         let stores = self.stores();
         let members = stores.members();
-        let local: Vec<&Member> = members
-            .filter(|member| member.zone == self.context.zone)
-            .collect();
+        let local: Vec<&Member> = members.filter(|member| self.is_local(member)).collect();
         local.is_empty()
             || local
                 .iter()
--- a/crates/stageyoke-store/tests/directory_relay_test.rs
+++ b/crates/stageyoke-store/tests/directory_relay_test.rs
@@ -315,3 +315,34 @@
         }
     });
 }
+
+/// All fronts start before the groups are formed, and read the whole directory.
+#[tokio::test]
+async fn registered_stores_of_the_own_zone_are_asked_before_the_groups_are_formed() {
+    let test = async {
+        let mut registered = Vec::new();
+        for (number, (zone, age)) in [("far", 100), ("near", 200), ("far", 300)]
+            .iter()
+            .enumerate()
+        {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let address = listener.local_addr().expect("address").to_string();
+            registered.push(Member {
+                node: Text::from(format!("store-{number}")),
+                address: Text::from(address),
+                zone: Text::from(*zone),
+                state: MemberState::Active,
+                disk: 0,
+            });
+            tokio::task::spawn_local(serve_directory(listener, *age));
+        }
+        let groups = GroupClients::new(Text::from("near"), Tolerance::of_machines(1));
+        let relay = StoreRelay::new(Rc::new(groups), vec!["127.0.0.1:1".to_owned()]);
+        relay.set_registered_stores(registered.iter());
+        for _ in 0..10 {
+            let reply = relay.fetch_items(REQUIREMENTS).await.expect("a copy");
+            assert_eq!(reply.payload.revision, 200);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
