Keep lapsed replicas of an evacuated zone

A replica whose entry had expired in an outage was dropped while its zone was evacuated, and missing after the zone's return until its entry was back. The test fails before: the list was judged by whether the replica takes requests at all.

--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -103,7 +103,8 @@
         self.last_selection.replace(selection) != selection
     }
 
-    fn is_listed(&self) -> bool {
+    /// Returns whether the replica may get new requests by its entry in the list.
+    pub fn is_listed(&self) -> bool {
         let deadline = self.lapsed_until.get();
         !self.removed.get() && deadline.is_none_or(|until| Instant::now() < until)
     }
--- a/crates/stageyoke-front/src/replica_registry.rs
+++ b/crates/stageyoke-front/src/replica_registry.rs
@@ -317,7 +317,7 @@
 fn is_retained(replica: &Replica, listed: Option<&ReplicaRecord>) -> bool {
     match listed {
         Some(record) => is_same_incarnation(replica, record) && is_ready(record),
-        None => replica.lapsed_until().is_some() && replica.accepts_requests(),
+        None => replica.lapsed_until().is_some() && replica.is_listed(),
     }
 }
 
--- a/crates/stageyoke-front/tests/placement_restrictions_test.rs
+++ b/crates/stageyoke-front/tests/placement_restrictions_test.rs
@@ -159,6 +159,24 @@
     assert!(!deployment.used_replicas().contains("north-9"));
 }
 
+/// Entries that expired in an outage of the service may come back after the zone does.
+#[tokio::test(start_paused = true)]
+async fn lapsed_replicas_of_an_evacuated_zone_are_kept() {
+    let deployment = Deployment::new();
+    deployment.evacuate(&["north"]);
+    let deadline = tokio::time::Instant::now() + COLD_TIME * 2;
+    let nothing = BTreeMap::new();
+    deployment.registry.apply_list(&nothing, Some(deadline));
+    deployment.registry.apply_list(&nothing, Some(deadline));
+    deployment.evacuate(&[]);
+    tokio::time::advance(COLD_TIME).await;
+    assert!(
+        deployment
+            .used_zones(RequestHomes::default())
+            .contains("north")
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn replicas_of_a_returning_zone_count_as_cold() {
     let deployment = Deployment::new();
