Log how a replica delimited its response

The line of such a request says outcome=streamed, so the front took the end of the stream for a regular one, but not whether the replica had stated that end. The line gets a field, framing: length, chunked, or connection for a response that has neither and ends with its connection.

Observability only; no decision uses it yet.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -15,6 +15,7 @@
 
 use crate::attempt::{self, AttemptOutcome, ReplicaResponse};
 use crate::failure::Failure;
+use crate::framing::Framing;
 use crate::front::Front;
 use crate::handler::{OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
 use crate::health::Evidence;
@@ -97,6 +98,7 @@
                 }
                 Ok(AttemptOutcome::Responded(reply)) => {
                     summary.response_head_ms = context.arrived.elapsed().as_millis() as u64;
+                    summary.framing = Framing::of(&reply.response).name();
                     let uncached_tokens = chosen.uncached_tokens;
                     match self
                         .validate_response(context, reply, uncached_tokens, may_retry_elsewhere)
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod evacuation_log;
 pub mod event_stream;
 pub mod failure;
+mod framing;
 pub mod front;
 pub mod handler;
 pub mod health;
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -46,6 +46,8 @@
     pub first_offer_ms: u64,
     /// Milliseconds from arrival to the response head; 0 if none arrived.
     pub response_head_ms: u64,
+    /// How the replica delimited the body of its response; empty without one.
+    pub framing: &'static str,
     /// Milliseconds taken to store the turn on a quorum.
     pub store_turn_ms: u64,
     /// HTTP status sent to the caller; 0 if it disconnected or its stream was cut off.
@@ -80,6 +82,7 @@
         finish = summary.finish_ms,
         offered_after = summary.first_offer_ms,
         head_after = summary.response_head_ms,
+        framing = summary.framing,
         keeping = summary.store_turn_ms,
         status = summary.status,
         retry_after = summary.retry_after_ms,
