Failing test: a stream that ends inside an event is framed as complete

In the test a replica sends a stream without length or chunks and closes its connection inside the second event, as a process does that crashes. The front sends the partial event and the final chunk:

F\r\nid: 1\ndata: a\n\n\r\n10\r\nid: 2\ndata: part\r\n0\r\n\r\n

and stores the turn. The scripted store of the test now keeps the turns that it receives.

--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -22,7 +22,7 @@
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{
     LedgerEntry, Numbered, OtherFrontsReport, QuotaReceipt, QuotaReply, Record, Reply,
-    Request as StoreRequest,
+    Request as StoreRequest, TurnRecord,
 };
 use stageyoke_types::{List, Text};
 use support::names;
@@ -39,6 +39,8 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 const SIGNED_RESPONSE: &str =
     "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 4\r\n\r\nbody";
+/// Head of a response that ends with its connection.
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\r\n";
 const NOT_RUN_RESPONSE: &str =
     "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -197,7 +199,26 @@
 /// program. A store of version 1 reports neither.
 struct ReportingStore {
     address: SocketAddr,
+    received: ReceivedRecords,
+}
+
+/// Records that a store has received.
+#[derive(Clone, Default)]
+struct ReceivedRecords {
+    /// Programs of the reservations.
     reserved: Rc<RefCell<Vec<String>>>,
+    /// Stored turns.
+    turns: Rc<RefCell<Vec<TurnRecord>>>,
+}
+
+impl ReceivedRecords {
+    fn add(&self, record: Record) {
+        match record {
+            Record::Reserve { program, .. } => self.reserved.borrow_mut().push(program.to_string()),
+            Record::Turn(turn) => self.turns.borrow_mut().push(turn),
+            _ => {}
+        }
+    }
 }
 
 /// Program that the store reports as started.
@@ -207,15 +228,15 @@
     async fn start(in_flight: u16, first_version: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
-        let reserved: Rc<RefCell<Vec<String>>> = Rc::default();
-        let received = reserved.clone();
+        let received = ReceivedRecords::default();
+        let records = received.clone();
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let serving = serve_reports(stream, in_flight, first_version, received.clone());
+                let serving = serve_reports(stream, in_flight, first_version, records.clone());
                 tokio::task::spawn_local(serving);
             }
         });
-        Self { address, reserved }
+        Self { address, received }
     }
 }
 
@@ -223,15 +244,13 @@
     stream: TcpStream,
     in_flight: u16,
     first_version: bool,
-    reserved: Rc<RefCell<Vec<String>>>,
+    received: ReceivedRecords,
 ) {
     let (mut reader, mut writer) = stream.into_split();
     while let Ok(request) = frame::read_with_fields::<StoreRequest>(&mut reader).await {
         let content = match request.message.content {
             StoreRequest::Append { record, .. } => {
-                if let Record::Reserve { program, .. } = record {
-                    reserved.borrow_mut().push(program.to_string());
-                }
+                received.add(record);
                 Reply::Stored {
                     complete: true,
                     ledger: List::default(),
@@ -354,8 +373,8 @@
             weight: 1,
         }],
         max_attempts: 3,
-        stores_history: false,
-        retention: Duration::ZERO,
+        stores_history: name == "history",
+        retention: Duration::from_secs(60),
         resumable: false,
         allows_anonymous: name == "open",
         affinity: false,
@@ -368,6 +387,7 @@
             route("safe", RouteKind::Repeatable),
             route("once", RouteKind::Once),
             route("stream", RouteKind::Stream),
+            route("history", RouteKind::Stream),
         ],
         services: vec![ServiceSpec {
             name: Text::from("service"),
@@ -385,9 +405,6 @@
     }
 }
 
-/// Replica that sends scripted responses in order and then repeats the last one. `ID`
-/// is replaced by the request's identifier; a trailing `CLOSE` closes the connection.
-#[derive(Clone)]
 /// Store with a slow disk: it has received reservations, and stores them once it is released.
 struct SlowStore {
     address: SocketAddr,
@@ -461,6 +478,8 @@
     }
 }
 
+/// Replica that sends scripted responses in order and then repeats the last one. `ID`
+/// is replaced by the request's identifier; a trailing `CLOSE` closes the connection.
 struct Replica {
     address: SocketAddr,
     received: Rc<RefCell<Vec<String>>>,
@@ -825,6 +844,24 @@
     .await;
 }
 
+/// Guards against a final chunk, and a stored turn, for a stream whose replica crashed while it
+/// was sending an event.
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_is_never_framed_as_complete() {
+    run_local(async {
+        let broken_off = format!("{UNFRAMED_HEAD}id: 1\ndata: a\n\nid: 2\ndata: partCLOSE");
+        let replica = Replica::start(&[&broken_off]).await;
+        let store = ReportingStore::start(0, false).await;
+        let test_front = start_with_store(&[&replica], "", Some(store.address)).await;
+        let answer = send_request(test_front.address, &request("POST", "/history/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.contains("data: a"), "whole events pass: {answer}");
+        assert!(!answer.contains("0\r\n\r\n"), "final chunk: {answer}");
+        assert!(store.received.turns.borrow().is_empty(), "stored turn");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_unknown_route_is_404_only_once_the_service_has_confirmed_it() {
     run_local(async {
@@ -1247,7 +1284,7 @@
             let next = send_request(test_front.address, &turn_request(program)).await;
             assert!(next.starts_with("HTTP/1.1 200"), "{program}: {next}");
         }
-        let reserved = store.reserved.borrow();
+        let reserved = store.received.reserved.borrow();
         let reserves = |program: &str| reserved.iter().any(|reserved| reserved == program);
         assert_eq!(reserves("second"), admitted, "{reserved:?}");
         assert_eq!(replica.count(), 3 + usize::from(admitted));
