Claim no end of an answer whose replica stated none

Cause: a replica's answer may have neither a length nor chunks and end with its connection. A process that crashes closes its connections, so such an answer ends alike whether it is whole or not. The relay took the end of the body for the end of the stream: it forwarded the partial event, stored the turn and let hyper send the final chunk. Plain answers got a content-length of what had come. Evidence: the front's line of a broken request says outcome=streamed, not replica_broke_off; the committed test shows the final chunk and the stored turn.

Now the front claims no more than the replica did: - An answer without framing reaches its caller without framing, with Connection: close. hyper omits the framing only of HTTP/1.0 responses, so the response is built as one and the status line is sent as HTTP/1.1 (caller_connection.rs). - A regular end closes the caller's connection; any other end (reset of the replica, deadline, turn not stored, end of this process) resets it. Callers of HTTP/1.0, which get every stream without framing, could not tell a truncated stream from a whole one before either. - A stream that ends inside an event has been broken off, whatever its framing: no final chunk, no stored turn, evidence of a lost answer against the replica. - A stream that ends after an event and without framing has an unknown end: its turn is stored as far as it came, because a caller that takes it as whole may continue it; its reservation is settled with the tokens that were given; it neither counts for or against the replica nor teaches rates. Its outcome is end_unknown. Without any event it counts as broken off.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -361,6 +361,7 @@
         if context.route.kind == RouteKind::Stream && status == StatusCode::OK {
             return Ok(DispatchedResponse::Stream(reply, uncached_tokens));
         }
+        let framing = Framing::of(&reply.response);
         let reading = Limited::new(reply.response.body_mut(), MAX_RESPONSE_BYTES).collect();
         let content = match tokio::time::timeout_at(context.outbound.deadline, reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
@@ -370,8 +371,10 @@
         context.memory_guard.force_acquire(content.len());
         let reply = *reply;
         let (head, _) = reply.response.into_parts();
-        reply.replica.pool.release(reply.connection);
-        Ok(DispatchedResponse::Plain(head, content))
+        if framing != Framing::Connection {
+            reply.replica.pool.release(reply.connection);
+        }
+        Ok(DispatchedResponse::Plain(head, content, framing))
     }
 }
 
@@ -434,8 +437,8 @@
 
 /// Response that is forwarded to the caller.
 pub(crate) enum DispatchedResponse {
-    /// Complete plain response.
-    Plain(hyper::http::response::Parts, Bytes),
+    /// Plain response; whether it is complete is unknown if it ended with its connection.
+    Plain(hyper::http::response::Parts, Bytes, Framing),
     /// Stream whose body is still to be relayed, and the tokens of its prompt that the
     /// replica was not expected to have cached.
     Stream(Box<ReplicaResponse>, u32),
@@ -455,7 +458,7 @@
 /// Classifies a response as evidence of the replica's health.
 fn response_evidence(dispatched: &DispatchedResponse) -> Evidence {
     match dispatched {
-        DispatchedResponse::Plain(head, _) if head.status.is_server_error() => Evidence::Failed,
+        DispatchedResponse::Plain(head, ..) if head.status.is_server_error() => Evidence::Failed,
         DispatchedResponse::Plain(..) | DispatchedResponse::Stream(..) => Evidence::Sound,
     }
 }
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use stageyoke_directory::{
     Interpreter, KeyValueService, RequestHomes, Route, RouteTable, ServiceSpec,
 };
@@ -25,6 +25,7 @@
 use crate::authentication::Caller;
 use crate::dispatch::DispatchedResponse;
 use crate::failure::{self, Failure};
+use crate::framing::Framing;
 use crate::front::Front;
 use crate::history::Reservation;
 use crate::memory_budget::MemoryGuard;
@@ -356,15 +357,20 @@
         reservation: Option<Reservation>,
     ) -> Response<ResponseBody> {
         let (reply, uncached_tokens) = match dispatched {
-            DispatchedResponse::Plain(head, content) => {
+            DispatchedResponse::Plain(head, content, framing) => {
                 summary.status = head.status.as_u16();
                 summary.outcome = "answered";
                 observe::record_request(summary, context.arrived.elapsed());
-                let body = ResponseBody::full(content).with_memory(context.memory_guard);
-                return build_caller_response(&head, body);
+                let body = match framing {
+                    Framing::Connection => ResponseBody::unframed(content),
+                    Framing::Length | Framing::Chunked => ResponseBody::full(content),
+                };
+                let body = body.with_memory(context.memory_guard);
+                return build_caller_response(&head, body, framing);
             }
             DispatchedResponse::Stream(reply, uncached_tokens) => (*reply, uncached_tokens),
         };
+        let framing = Framing::of(&reply.response);
         let (head, body) = reply.response.into_parts();
         let mut summary = std::mem::take(summary);
         summary.status = head.status.as_u16();
@@ -387,6 +393,7 @@
                 guard: reply.guard,
                 sent: reply.sent,
                 uncached_tokens,
+                framing,
             },
             summary,
             arrived: context.arrived,
@@ -398,17 +405,25 @@
             relay.run(body, chunks).await;
             drop(request_guard);
         });
-        build_caller_response(&head, ResponseBody::Stream(receiver))
+        build_caller_response(&head, ResponseBody::Stream(receiver), framing)
     }
 }
 
+/// Builds the response to the caller. It claims no more about the end of its body than the
+/// replica's response did.
 fn build_caller_response(
     head: &hyper::http::response::Parts,
     body: ResponseBody,
+    framing: Framing,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
+    if framing == Framing::Connection {
+        *response.version_mut() = Version::HTTP_10;
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
     response
 }
 
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod authentication;
 pub mod baseline_latency;
 pub mod bootstrap;
+pub mod caller_connection;
 pub mod connection_pool;
 mod dispatch;
 pub mod engine_rates;
--- a/crates/stageyoke-front/src/response_body.rs
+++ b/crates/stageyoke-front/src/response_body.rs
@@ -30,6 +30,9 @@
 pub enum ResponseBody {
     /// Complete content, and the memory that it uses until it is written.
     Full(Option<Bytes>, Option<MemoryGuard>),
+    /// Content that may have been truncated, so that its length must not be stated, and the
+    /// memory that it uses.
+    Unframed(Option<Bytes>, Option<MemoryGuard>),
     /// Chunks as they arrive. The stream is complete when the sender is dropped without an
     /// error.
     Stream(mpsc::Receiver<Chunk>),
@@ -41,10 +44,21 @@
         Self::Full(Some(content.into()), None)
     }
 
+    /// Creates a body with content whose end is not known.
+    pub fn unframed(content: Bytes) -> Self {
+        Self::Unframed(Some(content), None)
+    }
+
+    /// Returns whether the length of the body is stated in the response.
+    pub fn has_known_length(&self) -> bool {
+        matches!(self, Self::Full(..))
+    }
+
     /// Attaches a memory guard, which is dropped with the body.
     pub fn with_memory(self, memory_guard: MemoryGuard) -> Self {
         match self {
             Self::Full(content, _) => Self::Full(content, Some(memory_guard)),
+            Self::Unframed(content, _) => Self::Unframed(content, Some(memory_guard)),
             chunks @ Self::Stream(_) => chunks,
         }
     }
@@ -59,7 +73,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match &mut *self {
-            Self::Full(content, _) => {
+            Self::Full(content, _) | Self::Unframed(content, _) => {
                 let remaining = content.take().filter(|content| !content.is_empty());
                 Poll::Ready(remaining.map(|content| Ok(Frame::data(content))))
             }
@@ -72,7 +86,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(content, _) => content.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream(_) => false,
+            Self::Unframed(..) | Self::Stream(_) => false,
         }
     }
 
@@ -81,7 +95,7 @@
             Self::Full(content, _) => {
                 SizeHint::with_exact(content.as_ref().map_or(0, |content| content.len() as u64))
             }
-            Self::Stream(_) => SizeHint::default(),
+            Self::Unframed(..) | Self::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -11,6 +11,7 @@
 use stageyoke_directory::{HttpLimits, Interpreter, KeyValueService};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::caller_connection::{CallerConnection, UnframedSignal};
 use crate::front::Front;
 use crate::response_body::ResponseBody;
 
@@ -52,9 +53,16 @@
         .as_ref()
         .map(|routes| routes.limits.clone());
     let serving = front.clone();
+    let unframed = UnframedSignal::default();
+    let stream = CallerConnection::new(stream, unframed.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let front = serving.clone();
-        async move { Ok::<_, Infallible>(front.handle(request).await) }
+        let (front, unframed) = (serving.clone(), unframed.clone());
+        async move {
+            let version = request.version();
+            let response = front.handle(request).await;
+            unframed.announce(version, &response);
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new());
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -12,6 +12,7 @@
 use crate::connection_pool::Connection;
 use crate::engine_rates::TurnTiming;
 use crate::event_stream::{EventSplitter, collect_data};
+use crate::framing::Framing;
 use crate::health::Evidence;
 use crate::history::{History, Reservation, build_turn_record};
 use crate::memory_budget::MemoryGuard;
@@ -25,6 +26,8 @@
 
 /// Outcome of a stream that the replica did not complete.
 const TRUNCATED: &str = "replica_broke_off";
+/// Outcome of a stream that ended after an event and with its connection.
+const END_UNKNOWN: &str = "end_unknown";
 
 /// What to store at the end of a stream.
 pub struct TurnStorage {
@@ -52,6 +55,8 @@
     pub sent: Instant,
     /// Tokens of the prompt that the replica was not expected to have cached.
     pub uncached_tokens: u32,
+    /// How the replica delimits the stream.
+    pub framing: Framing,
 }
 
 impl UpstreamStream {
@@ -100,7 +105,13 @@
 }
 
 enum StreamEnd {
+    /// The replica stated the end of the stream.
     Complete,
+    /// The connection to the replica ended after an event, so whether more was due is unknown.
+    Unknown,
+    /// The connection to the replica ended inside an event, which the caller has received as
+    /// far as it came.
+    InsideEvent,
     CallerDisconnected,
     Aborted(&'static str),
 }
@@ -120,8 +131,10 @@
         let end = match self.forward(&mut body, &chunks, &mut received).await {
             StreamEnd::Complete => {
                 self.record_rates(&received);
-                self.store_turn(received).await
+                self.store_turn(received, StreamEnd::Complete).await
             }
+            // Stored as far as it came: it is continued only by a caller that took it as whole.
+            StreamEnd::Unknown => self.store_turn(received, StreamEnd::Unknown).await,
             other => other,
         };
         self.finish(&end, &chunks).await;
@@ -156,11 +169,7 @@
                     if let Some(end) = self.wait_for_reservation(chunks).await {
                         return end;
                     }
-                    let remainder = splitter.take_remainder();
-                    if !remainder.is_empty() && chunks.send(Ok(remainder)).await.is_err() {
-                        return StreamEnd::CallerDisconnected;
-                    }
-                    return StreamEnd::Complete;
+                    return self.end_of_body(splitter, received, chunks).await;
                 }
                 Some(Err(_)) => return StreamEnd::Aborted(TRUNCATED),
                 Some(Ok(frame)) => frame.data_ref().and_then(|data| splitter.push(data)),
@@ -184,6 +193,27 @@
         }
     }
 
+    /// Judges a stream whose body has ended without an error. One that ends inside an event has
+    /// been broken off, and so has one without framing that ends before its first event.
+    async fn end_of_body(
+        &self,
+        mut splitter: EventSplitter,
+        received: &ReceivedEvents,
+        chunks: &mpsc::Sender<Chunk>,
+    ) -> StreamEnd {
+        let remainder = splitter.take_remainder();
+        match (self.upstream.framing, remainder.is_empty()) {
+            (Framing::Length | Framing::Chunked, true) => StreamEnd::Complete,
+            (Framing::Length | Framing::Chunked, false) => StreamEnd::Aborted(TRUNCATED),
+            (Framing::Connection, true) if received.events == 0 => StreamEnd::Aborted(TRUNCATED),
+            (Framing::Connection, true) => StreamEnd::Unknown,
+            (Framing::Connection, false) => match chunks.send(Ok(remainder)).await {
+                Ok(()) => StreamEnd::InsideEvent,
+                Err(_) => StreamEnd::CallerDisconnected,
+            },
+        }
+    }
+
     /// Waits until the reservation is stored, since no output may be forwarded before that;
     /// returns how the stream ends otherwise.
     async fn wait_for_reservation(&mut self, chunks: &mpsc::Sender<Chunk>) -> Option<StreamEnd> {
@@ -196,8 +226,9 @@
         }
     }
 
-    /// Stores the turn or settles its reservation before the caller sees the end.
-    async fn store_turn(&mut self, received: ReceivedEvents) -> StreamEnd {
+    /// Stores the turn or settles its reservation before the caller sees the end. Returns `end`
+    /// unless that fails.
+    async fn store_turn(&mut self, received: ReceivedEvents, end: StreamEnd) -> StreamEnd {
         let generated = received
             .events
             .saturating_mul(self.storage.tokens_per_event);
@@ -209,7 +240,7 @@
             if let Some(reservation) = &mut self.storage.reservation {
                 reservation.settle(used);
             }
-            return StreamEnd::Complete;
+            return end;
         };
         let retention = self.storage.retention;
         let record = build_turn_record(&self.identifiers, input, received.output, used, retention);
@@ -220,7 +251,7 @@
             reservation.mark_recorded();
         }
         match stored {
-            Ok(()) => StreamEnd::Complete,
+            Ok(()) => end,
             Err(_) => StreamEnd::Aborted("not_kept"),
         }
     }
@@ -229,16 +260,19 @@
         let mut summary = self.summary;
         summary.outcome = match end {
             StreamEnd::Complete => "streamed",
+            StreamEnd::Unknown => END_UNKNOWN,
+            StreamEnd::InsideEvent => TRUNCATED,
             StreamEnd::CallerDisconnected => "caller_left",
             StreamEnd::Aborted(reason) => reason,
         };
-        if !matches!(end, StreamEnd::Complete) {
+        if !matches!(end, StreamEnd::Complete | StreamEnd::Unknown) {
             summary.status = 0;
         }
         observe::record_request(&summary, self.arrived.elapsed());
         match end {
             StreamEnd::Complete => self.upstream.replica.pool.release(self.upstream.connection),
-            StreamEnd::CallerDisconnected => {}
+            StreamEnd::CallerDisconnected | StreamEnd::Unknown => {}
+            StreamEnd::InsideEvent => self.upstream.replica.record(Evidence::Lost),
             StreamEnd::Aborted(reason) => {
                 if *reason == TRUNCATED {
                     self.upstream.replica.record(Evidence::Lost);
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -1,6 +1,8 @@
 //! Runs a front in process against scripted replicas on the loopback interface.
 
 mod support;
+#[path = "front/unframed_responses.rs"]
+mod unframed_responses;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -817,29 +819,32 @@
 #[tokio::test]
 async fn a_truncated_stream_never_looks_complete() {
     let head = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let whole = format!("{head}d\r\nid: 1\ndata: a\r\n3\r\n\n\nx\r\n0\r\n\r\n");
-    let broken = format!("{head}d\r\nid: 1\ndata: a\r\n3\r\n\n\nx\r\nCLOSE");
+    let whole = format!("{head}d\r\nid: 1\ndata: a\r\n2\r\n\n\n\r\n0\r\n\r\n");
+    let truncated = format!("{head}d\r\nid: 1\ndata: a\r\n3\r\n\n\nx\r\nCLOSE");
+    let inside_event = format!("{head}d\r\nid: 1\ndata: a\r\n3\r\n\n\nx\r\n0\r\n\r\n");
     run_local(async {
-        let replica = Replica::start(&[&whole, &broken]).await;
+        let replica = Replica::start(&[&whole, &truncated, &inside_event]).await;
         let test_front = start(&[&replica]).await;
         let answer = send_request(test_front.address, &request("POST", "/stream/a", "")).await;
         assert!(
             answer.ends_with("0\r\n\r\n") && answer.contains("data: a"),
             "{answer}"
         );
-        let answer = send_request(test_front.address, &request("POST", "/stream/a", "")).await;
-        assert!(
-            answer.contains("data: a"),
-            "the complete event must pass: {answer}"
-        );
-        assert!(
-            !answer.contains('x'),
-            "the partial event must not pass: {answer}"
-        );
-        assert!(
-            !answer.contains("0\r\n\r\n"),
-            "the final chunk must not be sent: {answer}"
-        );
+        for case in ["truncated", "ends inside an event"] {
+            let answer = send_request(test_front.address, &request("POST", "/stream/a", "")).await;
+            assert!(
+                answer.contains("data: a"),
+                "{case}: the complete event must pass: {answer}"
+            );
+            assert!(
+                !answer.contains('x'),
+                "{case}: the partial event must not pass: {answer}"
+            );
+            assert!(
+                !answer.contains("0\r\n\r\n"),
+                "{case}: the final chunk must not be sent: {answer}"
+            );
+        }
     })
     .await;
 }
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -240,6 +240,10 @@
             "not run: the replicas left are cold and may get no more requests for a while"
         }
         "time_out" => "its time, or its route's, was over",
+        "end_unknown" => {
+            "the replica's stream ended after an event and with its connection, so whether it was \
+             whole is unknown, and its caller got it without framing"
+        }
         "replica_broke_off" => "the replica broke its stream off",
         "not_kept" => "cut: its turn could not be kept on a quorum of stores",
         "not_reserved" => "cut before any output: its reservation was not stored in time",
