Tests of connections that carry a response without framing

Cases that no test covered: a caller that reads slowly, one that has stopped reading, a replica of HTTP/1.0, responses without a body, an earlier response that is not sent yet, a stream that ends while the front drains, and the end of the process within a stream.

--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -1,6 +1,8 @@
 //! Runs a front in process against scripted replicas on the loopback interface.
 
 mod support;
+#[path = "front/unframed_connections.rs"]
+mod unframed_connections;
 #[path = "front/unframed_responses.rs"]
 mod unframed_responses;
 
