Soak: replicas answer without framing, and callers check what answers claim

Cause: the stand-in replicas framed every answer, so no run showed what a caller gets of an answer that ends with its connection.

Change: a share of the answers, streams and plain ones, has neither a length nor chunks (UnframeAnswers, appended to the kinds of fault), and a share of these ends early with a clean close, inside an event, between events or inside a plain body. Callers of both kinds of load compare each answer that ends without an error with what the replica meant to send. One with a length or chunks must be whole. One that ends with its connection counts as failed when it is short, and no turn continues from it; otherwise it counts as served. Of the whole unframed answers sent in calm times, at least the share that is owed of all requests must be delivered. Other bytes than the replica's are reported as before, now in both loads by the whole text instead of the data lines; the start of an event that was not completed is compared too.

--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -82,11 +82,13 @@
     EvacuateZone,
     /// Restarts all model replicas but one, so that they are cold.
     CoolReplicas,
+    /// Makes replicas answer without a length or chunks, and break off some of these answers.
+    UnframeAnswers,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
 /// this list.
-pub const FAULTS: [Fault; 27] = [
+pub const FAULTS: [Fault; 28] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -114,6 +116,7 @@
     Fault::SlowDisks,
     Fault::EvacuateZone,
     Fault::CoolReplicas,
+    Fault::UnframeAnswers,
 ];
 
 /// Kinds drawn only if they are named explicitly.
@@ -262,6 +265,7 @@
             }
             Fault::EvacuateZone => details.push(self.evacuate_zone(random).await),
             Fault::CoolReplicas => self.cool_replicas(random).await,
+            Fault::UnframeAnswers => self.unframe_answers(random, duration).await,
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.suspends_bounds() {
@@ -466,6 +470,19 @@
             .set(Mode::Pass, Duration::ZERO);
     }
 
+    async fn unframe_answers(&mut self, random: &mut ChaCha8Rng, duration: Duration) {
+        let trouble = &self.trouble;
+        let unframed = random.random_range(20..=60);
+        let broken_off = random.random_range(10..=60);
+        trouble.unframed_percent.store(unframed, Ordering::Relaxed);
+        trouble
+            .broken_off_percent
+            .store(broken_off, Ordering::Relaxed);
+        tokio::time::sleep(duration).await;
+        trouble.unframed_percent.store(0, Ordering::Relaxed);
+        trouble.broken_off_percent.store(0, Ordering::Relaxed);
+    }
+
     async fn disrupt_replicas(&mut self, random: &mut ChaCha8Rng, duration: Duration) {
         let trouble = &self.trouble;
         for percent in [
--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -8,7 +8,10 @@
 use tokio::time::Instant;
 
 use super::disturbances::DisturbanceTracker;
-use super::shares::{RequestLabels, RequestOutcome, ServedShares};
+use super::shares::{
+    MIN_JUDGED_REQUESTS, MIN_SERVED_SHARE, RequestLabels, RequestOutcome, ServedShares,
+};
+use crate::standins::platform::answers::ReceivedAnswer;
 
 /// What a caller expects of one request.
 #[derive(Clone, Debug)]
@@ -24,6 +27,9 @@
     runs: u32,
     refused: Option<u16>,
     is_withheld: bool,
+    /// Whether the replica sent a whole answer without framing while no disturbance was near.
+    is_whole_unframed: bool,
+    is_answered: bool,
 }
 
 #[derive(Debug, Default)]
@@ -50,6 +56,10 @@
     pub continued: u64,
     /// Requests refused because the budget was exhausted.
     pub spent: u64,
+    /// Answers without framing that ended early.
+    pub broken_off: u64,
+    /// Whole answers without framing that replicas sent in calm times.
+    pub unframed: u64,
     /// Stored turns whose retention ended before they could be requested.
     pub expired: u64,
 }
@@ -138,6 +148,43 @@
         record.counts.continued += u64::from(continued);
     }
 
+    /// Records that a replica sends a whole answer without framing; it must be delivered
+    /// unless a disturbance is near.
+    pub fn record_whole_unframed(&self, request: &str) {
+        if self.disturbances.bounds_apply() {
+            let mut record = self.record();
+            let observed = record.observed.entry(request.to_owned()).or_default();
+            observed.is_whole_unframed = true;
+        }
+    }
+
+    /// Records that a caller received the whole answer to a request.
+    pub fn record_whole_answer(&self, request: &str) {
+        let mut record = self.record();
+        let observed = record.observed.entry(request.to_owned()).or_default();
+        observed.is_answered = true;
+    }
+
+    /// Records an answer that ended early and did not claim to be complete.
+    pub fn record_broken_off_answer(&self) {
+        self.record().counts.broken_off += 1;
+    }
+
+    /// Reports an answer that is framed as complete and is not, or that holds other bytes.
+    pub fn report_wrong_answer(&self, request: &str, expected: &str, received: &ReceivedAnswer) {
+        let (size, expected_size) = (received.body.len(), expected.len());
+        let is_short = expected.as_bytes().starts_with(&received.body);
+        self.report_breach(match is_short {
+            true => format!(
+                "{request}: the answer is framed as complete after {size} of {expected_size} bytes"
+            ),
+            false => {
+                let body = String::from_utf8_lossy(&received.body);
+                format!("{request} received the wrong answer {body:?}")
+            }
+        });
+    }
+
     /// Records that a caller received a complete turn.
     pub fn record_turn_served(&self) {
         self.record().last_turn = Some(Instant::now());
@@ -177,11 +224,28 @@
         for breach in refused_runs {
             record.breach(breach);
         }
+        record.check_unframed_answers();
         (record.breaches.clone(), record.counts)
     }
 }
 
 impl Record {
+    /// Reports that too few of the whole answers without framing were delivered.
+    fn check_unframed_answers(&mut self) {
+        let observed = self.observed.values();
+        let unframed = observed.filter(|observed| observed.is_whole_unframed);
+        let total = unframed.clone().count() as u64;
+        let delivered = unframed.filter(|observed| observed.is_answered).count() as u64;
+        self.counts.unframed = total;
+        let share = delivered as f64 / total.max(1) as f64;
+        if total >= MIN_JUDGED_REQUESTS && share < MIN_SERVED_SHARE {
+            self.breach(format!(
+                "{delivered} of {total} whole answers without framing were delivered, \
+                 less than {MIN_SERVED_SHARE:.2}"
+            ));
+        }
+    }
+
     fn breach(&mut self, what: String) {
         self.breaches.push(what);
     }
--- a/crates/stageyoke-lab/src/soak/shares.rs
+++ b/crates/stageyoke-lab/src/soak/shares.rs
@@ -18,7 +18,7 @@
 /// Fraction of the requests from which on a kind or zone has a minimum share of its own.
 const MIN_GROUP_FRACTION: f64 = 0.05;
 /// Number of requests below which no share is judged.
-const MIN_JUDGED_REQUESTS: u64 = 20;
+pub const MIN_JUDGED_REQUESTS: u64 = 20;
 const SECOND: Duration = Duration::from_secs(1);
 /// Maximum share of the requests under way in a second that may get no response in it.
 pub const MAX_UNANSWERED_SHARE: f64 = 1.0 - MIN_SERVED_SHARE;
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -14,8 +14,10 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
+use super::answers::{
+    AnswerEnd, ReceivedAnswer, event, event_data, split_after_last_event, tool_answer, turn_answer,
+};
 use super::entry::connect;
-use super::replica::event_data;
 use super::tenants::CALLERS_KEY;
 use super::{
     HOST, IDEMPOTENT_TOOL_PATH, NON_IDEMPOTENT_TOOL_PATH, STORED_TURN_PATH, TOKENS_PER_EVENT, names,
@@ -44,7 +46,7 @@
 /// Outcome of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Outcome {
-    Complete(Bytes),
+    Complete,
     Rejected(u16, Duration),
     Failed,
 }
@@ -143,12 +145,12 @@
                     headers.insert(name, value);
                 }
             }
-            let mut received = Vec::new();
-            let outcome = self.attempt(request, &id, &mut received).await;
-            *received_tokens +=
-                self.check_events(&id, &received, matches!(outcome, Outcome::Complete(_)));
+            let mut received = ReceivedAnswer::default();
+            let answer = turn_answer(&id, EVENTS_PER_TURN);
+            let outcome = self.attempt(request, &id, &answer, &mut received).await;
+            *received_tokens += self.check_events(&id, &received);
             match outcome {
-                Outcome::Complete(_) => {
+                Outcome::Complete => {
                     self.promises.record_answer(previous.is_some());
                     self.promises.record_turn_served();
                     for number in 0..EVENTS_PER_TURN {
@@ -193,20 +195,18 @@
         };
         self.promises.record_request(&id, expected);
         let request = self.build_request(method, path, &id, body);
-        let mut received = Vec::new();
-        if let Outcome::Complete(content) = self.attempt(request, &id, &mut received).await {
+        let mut received = ReceivedAnswer::default();
+        let answer = tool_answer(&id);
+        if let Outcome::Complete = self.attempt(request, &id, &answer, &mut received).await {
             self.promises.record_answer(false);
-            if content != format!("answer to {id}").as_bytes() {
-                self.promises
-                    .report_breach(format!("{id} received the wrong answer {content:?}"));
-            }
         }
     }
 
     /// Checks that the events belong to this turn and are in order, with none missing
-    /// or duplicated. Returns the number of tokens received.
-    fn check_events(&self, id: &str, received: &[u8], is_complete: bool) -> u32 {
-        let text = String::from_utf8_lossy(received);
+    /// or duplicated before the last one. Returns the number of tokens received.
+    fn check_events(&self, id: &str, received: &ReceivedAnswer) -> u32 {
+        let text = String::from_utf8_lossy(&received.body);
+        let (text, rest) = split_after_last_event(&text);
         let mut count = 0;
         for line in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
             if line != event_data(id, count) {
@@ -215,10 +215,9 @@
             }
             count += 1;
         }
-        if is_complete && count != EVENTS_PER_TURN {
-            self.promises.report_breach(format!(
-                "{id}: the stream ended without an error after {count} of {EVENTS_PER_TURN} events"
-            ));
+        if received.is_success && !event(count, &event_data(id, count)).starts_with(rest) {
+            self.promises
+                .report_breach(format!("{id}: event {count} has the wrong start '{rest}'"));
         }
         count * TOKENS_PER_EVENT
     }
@@ -256,7 +255,8 @@
         &mut self,
         request: Request<Full<Bytes>>,
         id: &str,
-        received: &mut Vec<u8>,
+        answer: &str,
+        received: &mut ReceivedAnswer,
     ) -> Outcome {
         let labels = RequestLabels {
             kind: request_kind(request.uri().path()),
@@ -264,10 +264,12 @@
             tenant: 0,
         };
         let sent_at = Instant::now();
-        let outcome = self.send_to_random_front(request, id, received).await;
+        let outcome = self
+            .send_to_random_front(request, id, answer, received)
+            .await;
         let shares = &self.promises.shares;
         match outcome {
-            Outcome::Complete(_) => shares.record(labels, sent_at, RequestOutcome::Served),
+            Outcome::Complete => shares.record(labels, sent_at, RequestOutcome::Served),
             // Nothing is owed to a program beyond its budget.
             Outcome::Rejected(402, _) => {}
             Outcome::Rejected(..) => shares.record(labels, sent_at, RequestOutcome::Refused),
@@ -280,7 +282,8 @@
         &mut self,
         request: Request<Full<Bytes>>,
         id: &str,
-        received: &mut Vec<u8>,
+        answer: &str,
+        received: &mut ReceivedAnswer,
     ) -> Outcome {
         let front = self.fronts[self.random.random_range(0..self.fronts.len())];
         let response = self.exchange(front, request, received);
@@ -299,7 +302,7 @@
                     "{id} received a successful answer without a signature"
                 ));
             }
-            return Outcome::Complete(Bytes::copy_from_slice(received));
+            return self.check_end(id, answer, received);
         }
         if matches!(status.as_u16(), 402 | 404 | 408 | 421 | 429 | 503) {
             self.promises.record_refusal(id, status.as_u16());
@@ -314,13 +317,32 @@
         Outcome::Failed
     }
 
+    /// Checks an answer that ended without an error; one without framing may have been broken
+    /// off.
+    fn check_end(&self, id: &str, answer: &str, received: &ReceivedAnswer) -> Outcome {
+        match received.end(answer) {
+            AnswerEnd::Whole => {
+                self.promises.record_whole_answer(id);
+                Outcome::Complete
+            }
+            AnswerEnd::BrokenOff => {
+                self.promises.record_broken_off_answer();
+                Outcome::Failed
+            }
+            AnswerEnd::Wrong => {
+                self.promises.report_wrong_answer(id, answer, received);
+                Outcome::Failed
+            }
+        }
+    }
+
     /// Sends a request over the idle connection to the front, or a new one, and appends the
     /// answer's body to `received`; `None` if the answer is incomplete.
     async fn exchange(
         &mut self,
         front: SocketAddr,
         request: Request<Full<Bytes>>,
-        received: &mut Vec<u8>,
+        received: &mut ReceivedAnswer,
     ) -> Option<Response<()>> {
         let idle = self.idle_connections.remove(&front);
         let mut sender = match idle.filter(SendRequest::is_ready) {
@@ -329,10 +351,11 @@
         };
         let response: Response<Incoming> = sender.send_request(request).await.ok()?;
         let (head, mut body) = response.into_parts();
+        received.record_head(&head);
         while let Some(frame) = body.frame().await {
             let frame = frame.ok()?;
             if let Some(data) = frame.data_ref() {
-                received.extend_from_slice(data);
+                received.body.extend_from_slice(data);
             }
         }
         if self.idle_connections.len() >= MAX_IDLE_CONNECTIONS {
--- a/crates/stageyoke-lab/src/standins/platform/entry.rs
+++ b/crates/stageyoke-lab/src/standins/platform/entry.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use super::answers::ReceivedAnswer;
+
 /// Path of the readiness checks.
 const READINESS_PATH: &str = "/-/readiness";
 /// Interval of the readiness checks, and the time limit of each.
@@ -113,7 +115,7 @@
         &self,
         zone: usize,
         request: Request<Full<Bytes>>,
-        received: &mut Vec<u8>,
+        received: &mut ReceivedAnswer,
     ) -> Option<Response<()>> {
         let mut sender = match self.take_idle(zone) {
             Some(sender) => sender,
@@ -121,9 +123,10 @@
         };
         let response = sender.send_request(request).await.ok()?;
         let (head, mut body) = response.into_parts();
+        received.record_head(&head);
         while let Some(frame) = body.frame().await {
             if let Some(data) = frame.ok()?.data_ref() {
-                received.extend_from_slice(data);
+                received.body.extend_from_slice(data);
             }
         }
         let mut state = self.state();
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the operator's platform: key-value service, replicas and callers,
 //! following the platform's published protocols.
 
+pub mod answers;
 pub mod caller;
 pub mod cold_phase;
 pub mod entry;
--- a/crates/stageyoke-lab/src/standins/platform/programs.rs
+++ b/crates/stageyoke-lab/src/standins/platform/programs.rs
@@ -12,8 +12,8 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use super::answers::{AnswerEnd, ReceivedAnswer, event_data, tool_answer, turn_answer};
 use super::entry::Entry;
-use super::replica::event_data;
 use super::tenants::tenant_key;
 use super::{
     ADVISORY_PATH, BULLETIN_PATH, HOST, QUERY_PATH, READ_PATH, TILE_PATH, TOKENS_PER_EVENT, names,
@@ -153,7 +153,7 @@
 
 /// How one attempt of a request ended.
 enum Attempt {
-    Complete(Vec<u8>),
+    Complete,
     Rejected(u16, Option<Duration>),
     Failed,
 }
@@ -328,12 +328,18 @@
                     request.headers_mut().insert(name, value);
                 }
             }
+            let answer = turn_answer(&identifier, EVENTS_PER_TURN);
             let attempt = self
-                .attempt(self.kind.turn_kind, request, &identifier, TURN_DEADLINE)
+                .attempt(
+                    self.kind.turn_kind,
+                    request,
+                    &identifier,
+                    TURN_DEADLINE,
+                    &answer,
+                )
                 .await;
             match attempt {
-                Attempt::Complete(received) => {
-                    self.check_events(&identifier, &received);
+                Attempt::Complete => {
                     full_body.extend_from_slice(&expected_output(&identifier));
                     *transcript = full_body;
                     return Ok(identifier);
@@ -399,17 +405,12 @@
             };
             self.expect(&identifier, &body, tool.repeatable);
             let request = self.request(method, tool.path, &identifier, tool.deadline, body);
+            let answer = tool_answer(&identifier);
             match self
-                .attempt(tool.name, request, &identifier, tool.deadline)
+                .attempt(tool.name, request, &identifier, tool.deadline, &answer)
                 .await
             {
-                Attempt::Complete(content) => {
-                    if content != format!("answer to {identifier}").as_bytes() {
-                        let breach = format!("{identifier} received the wrong response");
-                        self.load.promises.report_breach(breach);
-                    }
-                    return true;
-                }
+                Attempt::Complete => return true,
                 Attempt::Rejected(_, after) => {
                     tokio::time::sleep(after.unwrap_or(FAILURE_RETRY_DELAY)).await;
                 }
@@ -458,13 +459,14 @@
         request
     }
 
-    /// Sends a request once, checks the headers of the response and records the outcome.
+    /// Sends a request once, checks the response and records the outcome.
     async fn attempt(
         &self,
         kind: &'static str,
         request: Request<Full<Bytes>>,
         identifier: &str,
         deadline: Duration,
+        answer: &str,
     ) -> Attempt {
         let promises = &self.load.promises;
         let labels = RequestLabels {
@@ -472,7 +474,7 @@
             ..self.labels
         };
         let sent_at = Instant::now();
-        let mut received = Vec::new();
+        let mut received = ReceivedAnswer::default();
         let exchange = self
             .load
             .entry
@@ -492,11 +494,18 @@
                 let breach = format!("{identifier} received the response to another request");
                 promises.report_breach(breach);
             }
-            promises
-                .shares
-                .record(labels, sent_at, RequestOutcome::Served);
-            promises.record_answer(false);
-            return Attempt::Complete(received);
+            match received.end(answer) {
+                AnswerEnd::Whole => {
+                    promises
+                        .shares
+                        .record(labels, sent_at, RequestOutcome::Served);
+                    promises.record_answer(false);
+                    promises.record_whole_answer(identifier);
+                    return Attempt::Complete;
+                }
+                AnswerEnd::BrokenOff => promises.record_broken_off_answer(),
+                AnswerEnd::Wrong => promises.report_wrong_answer(identifier, answer, &received),
+            }
         }
         let code = status.as_u16();
         if matches!(code, 402 | 404 | 408 | 421 | 429 | 503) {
@@ -513,17 +522,6 @@
         promises.record_failure(labels, sent_at, identifier);
         Attempt::Failed
     }
-
-    /// Checks that the events belong to this turn and are in order and complete.
-    fn check_events(&self, identifier: &str, received: &[u8]) {
-        let text = String::from_utf8_lossy(received);
-        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
-        let expected = (0..EVENTS_PER_TURN).map(|number| event_data(identifier, number));
-        if !events.eq(expected) {
-            let breach = format!("{identifier}: the events are not those of the turn");
-            self.load.promises.report_breach(breach);
-        }
-    }
 }
 
 fn expected_output(identifier: &str) -> Vec<u8> {
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -8,12 +8,13 @@
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use stageyoke_node::backends::{Body, BodyError};
 use stageyoke_node::pieces::{self, PieceSender};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
+use super::answers::{event, event_data, tool_answer};
 use super::cold_phase::ColdPhase;
 use super::{TOKENS_PER_EVENT, names};
 use crate::soak::disturbances::MAX_PROPAGATION_DELAY;
@@ -31,6 +32,10 @@
     pub truncated_percent: AtomicU32,
     /// Requests executed without ever sending an answer.
     pub lost_answer_percent: AtomicU32,
+    /// Answers without a length or chunks, which end with their connection.
+    pub unframed_percent: AtomicU32,
+    /// Those of them that end early, as if they were complete.
+    pub broken_off_percent: AtomicU32,
 }
 
 /// How many requests a replica runs at the same time, and how long they take.
@@ -166,6 +171,12 @@
     value.unwrap_or_default().to_owned()
 }
 
+/// Omits length and chunks from a response whose body has no known length: it ends with its
+/// connection.
+fn omit_framing(response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_10;
+}
+
 fn draw_fault(percent: &AtomicU32) -> bool {
     rand::random_range(0..100) < percent.load(Ordering::Relaxed)
 }
@@ -232,6 +243,20 @@
         response
     }
 
+    /// Answers a tool call without framing, in full or broken off.
+    async fn unframed_tool_answer(&self, request: &str) -> Response<Body> {
+        let (mut sender, body) = pieces::channel::<BodyError>(1);
+        let mut answer = Bytes::from(tool_answer(request));
+        match draw_fault(&self.faults.broken_off_percent) {
+            true => answer.truncate(rand::random_range(0..answer.len())),
+            false => self.promises.record_whole_unframed(request),
+        }
+        let _ = sender.send_data(answer).await;
+        let mut response = Response::new(body.boxed());
+        omit_framing(&mut response);
+        response
+    }
+
     fn stream_turn(
         &self,
         request: String,
@@ -241,35 +266,66 @@
         let (sender, body) = pieces::channel::<BodyError>(MAX_BUFFERED_EVENTS);
         let abort_before = draw_fault(&self.faults.truncated_percent)
             .then(|| rand::random_range(0..events.max(1)));
+        let is_unframed = draw_fault(&self.faults.unframed_percent);
+        let is_broken_off = is_unframed && draw_fault(&self.faults.broken_off_percent);
         let turn = StreamedTurn {
             request: request.clone(),
             events,
             abort_before,
+            cut: is_broken_off.then(|| Cut::draw(&request, events)),
+            unframed_promises: is_unframed.then(|| self.promises.clone()),
             capacity: self.slots.capacity,
             _admitted: admitted,
         };
         tokio::spawn(turn.send(sender));
         let mut response = Response::new(body.boxed());
+        if is_unframed {
+            omit_framing(&mut response);
+        }
         self.set_headers(&mut response, &request);
         response
     }
 }
 
-/// Data of one event in the answer to a turn.
-pub fn event_data(request: &str, number: u32) -> String {
-    format!("{request} says {number}")
-}
-
 /// A turn whose events are being sent.
 struct StreamedTurn {
     request: String,
     events: u32,
     /// Event before which the stream is aborted, if any.
     abort_before: Option<u32>,
+    /// Position at which the stream ends early without an error, if any.
+    cut: Option<Cut>,
+    /// Receives the end of a whole stream without framing.
+    unframed_promises: Option<Arc<Promises>>,
     capacity: ReplicaCapacity,
     _admitted: AdmittedRequest,
 }
 
+/// Position in a stream.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    event: u32,
+    /// Bytes of that event before the position.
+    length: usize,
+}
+
+impl Cut {
+    /// Draws a position inside an event or between two.
+    fn draw(request: &str, events: u32) -> Self {
+        let number = rand::random_range(0..events.max(1));
+        let length = event(number, &event_data(request, number)).len();
+        let is_inside = rand::random_bool(0.5);
+        Self {
+            event: number,
+            length: if is_inside {
+                rand::random_range(1..length)
+            } else {
+                0
+            },
+        }
+    }
+}
+
 impl StreamedTurn {
     async fn send(self, mut sender: PieceSender<BodyError>) {
         for number in 0..self.events {
@@ -283,11 +339,19 @@
                 return;
             }
             let data = event_data(&self.request, number);
-            let event = format!("id: {number}\ndata: {data}\n\n");
+            let event = event(number, &data);
+            if let Some(cut) = self.cut.filter(|cut| cut.event == number) {
+                let part = Bytes::from(event).slice(..cut.length);
+                let _ = sender.send_data(part).await;
+                return;
+            }
             if sender.send_data(Bytes::from(event)).await.is_err() {
                 return;
             }
         }
+        if let Some(promises) = self.unframed_promises {
+            promises.record_whole_unframed(&self.request);
+        }
     }
 }
 
@@ -323,7 +387,10 @@
             return self.stream_turn(id, events, admitted);
         }
         tokio::time::sleep(self.slots.capacity.draw_tool_time()).await;
-        let mut response = respond(StatusCode::OK, format!("answer to {id}"));
+        let mut response = match draw_fault(&self.faults.unframed_percent) {
+            true => self.unframed_tool_answer(&id).await,
+            false => respond(StatusCode::OK, tool_answer(&id)),
+        };
         self.set_headers(&mut response, &id);
         response
     }
