Show that a resumed stream goes on at another software version

What callers see: after a replica has broken a stream off, the caller resumes it, and events of a replica of another software version follow those of the first one. What two versions write does not fit together.

Cause: the front ignores which attempt a caller continues, and drops the version of a replica's entry. Any replica that is free gets the continued stream; the one that broke it off is avoided.

--- /dev/null
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -0,0 +1,427 @@
+//! Fronts in process with real stores and scripted replicas, for tests of streams that are
+//! continued by their callers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use stageyoke_directory::{
+    Change, HttpLimits, Interpreter, Item, KeyValueError, KeyValueService, Member, MemberState,
+    Members, Mirror, RangePage, ReplicaRecord, ReplicaStart, ReplicaState, Route, RouteKind,
+    RouteTable, ServiceSpec, StoreGroups, Target, Tolerance, Transaction, TransactionOutcome,
+    Update, WatchOutcome, Write,
+};
+use stageyoke_front::{FrontListeners, FrontSettings};
+use stageyoke_store::StoreLimits;
+use stageyoke_store::local_store::LocalStore;
+use stageyoke_store::segment::DataFolder;
+use stageyoke_types::Text;
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::support::names;
+
+const SERVICE: &str = "service";
+const ROUTES_KEY: &str = "routes";
+const STORES_KEY: &str = "members";
+/// Limits how long a failing test can hang.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Complete stream of one event.
+pub const STREAM: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
+     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+     f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+/// Stream that breaks off after its first event.
+pub const BROKEN_STREAM: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
+     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+     f\r\nid: 1\ndata: a\n\n\r\nCLOSE";
+/// Fake key-value service.
+#[derive(Clone, Default)]
+pub struct Directory {
+    items: Rc<RefCell<BTreeMap<String, Item>>>,
+    revision: Rc<Cell<u64>>,
+    written: Rc<Notify>,
+}
+
+impl Directory {
+    /// Writes an item; an empty value deletes it.
+    pub fn write(&self, key: &str, value: &str) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let item = Item {
+            key: key.to_owned(),
+            value: Bytes::from(value.to_owned()),
+            revision,
+        };
+        self.items.borrow_mut().insert(key.to_owned(), item);
+        self.written.notify_waiters();
+    }
+}
+
+impl KeyValueService for Directory {
+    async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
+        Ok(self.items.borrow().get(key).cloned())
+    }
+
+    async fn range(&self, _: &str, _: Option<&str>) -> Result<RangePage, KeyValueError> {
+        let items = self.items.borrow();
+        let written = items.values().filter(|item| !item.value.is_empty());
+        Ok(RangePage {
+            items: written.cloned().collect(),
+            more: false,
+            revision: self.revision.get(),
+        })
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchOutcome, KeyValueError> {
+        let written = self.written.notified();
+        if self.revision.get() <= after && !wait.is_zero() {
+            let _ = tokio::time::timeout(wait, written).await;
+        }
+        let items = self.items.borrow();
+        let mut newer: Vec<&Item> = items
+            .values()
+            .filter(|item| item.revision > after)
+            .collect();
+        newer.sort_by_key(|item| item.revision);
+        let changes = newer.into_iter().map(|item| match item.value.is_empty() {
+            true => Change::Removed {
+                key: item.key.clone(),
+                revision: item.revision,
+            },
+            false => Change::Written(item.clone()),
+        });
+        Ok(WatchOutcome::Changes {
+            changes: changes.collect(),
+            revision: self.revision.get(),
+        })
+    }
+
+    async fn transact(&self, _: &Transaction) -> Result<TransactionOutcome, KeyValueError> {
+        Err(KeyValueError::Refused)
+    }
+}
+
+struct TestInterpreter;
+
+impl Interpreter for TestInterpreter {
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
+        let text = value.and_then(|value| std::str::from_utf8(value).ok());
+        match (key, text) {
+            (ROUTES_KEY, Some(_)) => Update::Routes(route_table()),
+            (STORES_KEY, Some(addresses)) => Update::Stores(store_groups(addresses)),
+            (ROUTES_KEY | STORES_KEY, None) => Update::Ignored,
+            (id, value) => Update::Replica {
+                id: Text::from(id),
+                record: value.map(replica_record),
+            },
+        }
+    }
+
+    fn prefix(&self) -> &str {
+        ""
+    }
+
+    fn routes_key(&self) -> &str {
+        ROUTES_KEY
+    }
+
+    fn stores_key(&self) -> &str {
+        STORES_KEY
+    }
+
+    fn registration(&self, _: &Member) -> Write {
+        unreachable!("no store registers in these tests")
+    }
+
+    fn retirement_report(&self, _: &str, _: bool) -> Write {
+        unreachable!("no store is retired in these tests")
+    }
+}
+
+/// Parses a replica's address and version.
+fn replica_record(text: &str) -> ReplicaRecord {
+    let (address, _version) = text.split_once(' ').expect("address and version");
+    ReplicaRecord {
+        service: Text::from(SERVICE),
+        address: Text::from(address),
+        zone: Text::from("zone"),
+        slots: 4,
+        state: ReplicaState::Ready,
+        start: ReplicaStart::default(),
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// Builds one group of the stores at these addresses.
+fn store_groups(addresses: &str) -> StoreGroups {
+    let addresses = addresses.split_whitespace().enumerate();
+    let members = addresses.fold(Members::default(), |members, (number, address)| {
+        members.with_member(Member {
+            node: Text::from(format!("store-{number}")),
+            address: Text::from(address),
+            zone: Text::from("zone"),
+            state: MemberState::Active,
+            disk: 0,
+        })
+    });
+    StoreGroups::single(members)
+}
+
+/// Returns a table with one resumable route, `/stream/`.
+fn route_table() -> RouteTable {
+    RouteTable {
+        version: 1,
+        routes: vec![Route {
+            name: Text::from("stream"),
+            host: Text::from("host"),
+            path_prefix: Text::from("/stream/"),
+            kind: RouteKind::Stream,
+            timeout: Duration::from_millis(5_000),
+            latency_objective: Duration::from_millis(100),
+            priority: 1,
+            targets: vec![Target {
+                service: Text::from(SERVICE),
+                weight: 1,
+            }],
+            max_attempts: 3,
+            stores_history: false,
+            retention: Duration::ZERO,
+            resumable: true,
+            allows_anonymous: false,
+            affinity: false,
+            homes: None,
+        }],
+        services: vec![ServiceSpec {
+            name: Text::from(SERVICE),
+            max_connections: 10,
+            engine: None,
+            cold_start: None,
+        }],
+        limits: HttpLimits {
+            header_bytes: 16_384,
+            body_bytes: 1_000,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        tenants: None,
+    }
+}
+
+/// Real store on the loopback interface.
+pub struct Store {
+    address: SocketAddr,
+    _folder: TempDir,
+}
+
+impl Store {
+    async fn start(number: usize) -> Self {
+        let folder = tempfile::tempdir().expect("folder");
+        let data = DataFolder::open(folder.path()).expect("open");
+        let recovered = data.recover(number as u64 + 1, true).expect("recover");
+        let node = Text::from(format!("store-{number}"));
+        let (local_store, results) =
+            LocalStore::open(node, data, recovered, StoreLimits::default()).expect("threads");
+        let local_store = Rc::new(local_store);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let collector = local_store.clone();
+        let serving = stageyoke_store::server::serve(local_store, listener);
+        tokio::task::spawn_local(serving);
+        tokio::task::spawn_local(async move { collector.process_journal_results(results).await });
+        Self {
+            address,
+            _folder: folder,
+        }
+    }
+}
+
+/// Replica with one scripted response to new streams and one to continued streams. `ID` is
+/// replaced by the request's identifier; a trailing `CLOSE` closes the connection.
+pub struct Replica {
+    address: SocketAddr,
+    /// Identifiers of the received requests.
+    pub received: Rc<RefCell<Vec<String>>>,
+}
+
+impl Replica {
+    /// Starts a replica with these responses to new and to continued streams.
+    pub async fn start(new: &'static str, continued: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let received: Rc<RefCell<Vec<String>>> = Rc::default();
+        let recorded = received.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(respond(stream, [new, continued], recorded.clone()));
+            }
+        });
+        Self { address, received }
+    }
+
+    /// Returns whether the replica has received a request with this identifier.
+    pub fn has_received(&self, id: &str) -> bool {
+        self.received.borrow().iter().any(|received| received == id)
+    }
+}
+
+async fn respond(mut stream: TcpStream, responses: [&str; 2], received: Rc<RefCell<Vec<String>>>) {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if text.contains("\r\n\r\n") {
+            bytes.clear();
+            let id = header_value(&text, "id").unwrap_or_default();
+            received.borrow_mut().push(id.clone());
+            let is_continued = header_value(&text, "last-event-id").is_some();
+            let response = responses[usize::from(is_continued)].replace("ID", &id);
+            let closes = response.ends_with("CLOSE");
+            let response = response.trim_end_matches("CLOSE");
+            if stream.write_all(response.as_bytes()).await.is_err() || closes {
+                return;
+            }
+        }
+        let mut buffer = [0; 4096];
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
+
+/// Returns the value of a header of a message.
+pub fn header_value(message: &str, name: &str) -> Option<String> {
+    let mut lines = message.lines().map(|line| line.split_once(": "));
+    let found = lines.find_map(|line| line.filter(|(found, _)| found.eq_ignore_ascii_case(name)));
+    found.map(|(_, value)| value.to_owned())
+}
+
+/// Stores, replicas and the directory that lists them.
+pub struct System {
+    /// Key-value service.
+    pub directory: Directory,
+    /// Replicas with their versions.
+    pub replicas: Vec<(&'static str, Replica)>,
+    stores: Vec<Store>,
+    lost_stores: usize,
+}
+
+impl System {
+    /// Starts a system whose store group tolerates the loss of `lost_stores`.
+    pub async fn start(
+        stores: usize,
+        lost_stores: usize,
+        replicas: Vec<(&'static str, Replica)>,
+    ) -> Self {
+        let mut system = Self {
+            directory: Directory::default(),
+            replicas,
+            stores: Vec::new(),
+            lost_stores,
+        };
+        for number in 0..stores {
+            system.stores.push(Store::start(number).await);
+        }
+        system.directory.write(ROUTES_KEY, "1");
+        let addresses = system.stores.iter().map(|store| store.address.to_string());
+        let addresses: Vec<String> = addresses.collect();
+        system.set_stores(&addresses.join(" "));
+        for (number, (version, replica)) in system.replicas.iter().enumerate() {
+            let value = format!("{} {version}", replica.address);
+            system.directory.write(&format!("replica-{number}"), &value);
+        }
+        system
+    }
+
+    /// Lists the stores at these addresses.
+    pub fn set_stores(&self, addresses: &str) {
+        self.directory.write(STORES_KEY, addresses);
+    }
+
+    /// Returns the versions of the replicas that have received a request.
+    pub fn versions_of(&self, id: &str) -> Vec<&'static str> {
+        let replicas = self.replicas.iter();
+        let received = replicas.filter(|(_, replica)| replica.has_received(id));
+        received.map(|(version, _)| *version).collect()
+    }
+
+    /// Starts a front and waits until it is ready.
+    pub async fn start_front(&self) -> Front {
+        let mirror = Mirror::new(self.directory.clone(), TestInterpreter);
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listeners = FrontListeners::open(any, any).await.expect("listeners");
+        let address = listeners.callers.local_addr().expect("address");
+        let readiness = listeners.readiness.local_addr().expect("address");
+        let settings = FrontSettings {
+            node: Text::from("front"),
+            zone: Text::from("zone"),
+            seeds: Vec::new(),
+            tolerance: Tolerance::of_machines(self.lost_stores),
+            grace: Duration::from_secs(8),
+            change_bound: Duration::from_secs(2),
+            key_age_limit: None,
+            cold_tolerance: None,
+            memory_bytes: 10_000_000,
+            admission_control: false,
+            heterogeneous_engines: false,
+        };
+        let stop = std::future::pending();
+        let running = stageyoke_front::run(settings, listeners, names(), mirror, stop);
+        tokio::task::spawn_local(running);
+        let front = Front { address };
+        let probe = "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        while !exchange(readiness, probe).await.starts_with("HTTP/1.1 200") {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        front
+    }
+}
+
+/// Front in process.
+pub struct Front {
+    address: SocketAddr,
+}
+
+impl Front {
+    /// Starts a new stream with this identifier and returns the response.
+    pub async fn begin(&self, id: &str) -> String {
+        self.send(id, "").await
+    }
+
+    /// Continues a stream after its first event and returns the response.
+    pub async fn resume(&self, id: &str, began_as: &str) -> String {
+        let headers = format!("resumes: {began_as}\r\nlast-event-id: 1\r\n");
+        self.send(id, &headers).await
+    }
+
+    /// Sends a request with further headers and returns the response.
+    pub async fn send(&self, id: &str, headers: &str) -> String {
+        let request = format!(
+            "GET /stream/a HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: 3000\r\n{headers}\
+             connection: close\r\n\r\n"
+        );
+        exchange(self.address, &request).await
+    }
+}
+
+/// Sends a request on a new connection and reads until the connection closes.
+async fn exchange(address: SocketAddr, request: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return String::new();
+    };
+    let _ = stream.write_all(request.as_bytes()).await;
+    let mut bytes = Vec::new();
+    let reading = stream.read_to_end(&mut bytes);
+    let _ = tokio::time::timeout(READ_TIMEOUT, reading).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
