Let stores remember in memory which version began a stream

A caller may continue a stream at any front, also after the one that began it has died, so the version that began it must be known elsewhere. The members of the group of the stream's identifier remember it in memory: a write quorum acknowledges the report, so the version outlives the front and as many stores as the group may lose. Nothing is written to disk and no record changes.

A version is written once, so the first positive answer is right. A stream that two versions claim, that has expired or that was dropped is unknown.

On the wire: fields 14 to 17 behind Ping and Pong. Stores of older builds skip them, and the asker goes on without their answer. Sizes by encoded_fields_are_small: a report takes 26 bytes, a query 18 and the answer 6, for a version of three characters. Nothing uses the exchange yet.

--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod quota;
 pub mod retry_budget;
 pub mod sliding_window;
+pub mod stream_versions;
 pub mod token_bucket;
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -38,6 +38,10 @@
 const WRITE_DELAY_TAG: u8 = 11;
 const PERMIT_REQUEST_TAG: u8 = 12;
 const PERMIT_TAG: u8 = 13;
+const STREAM_REPORT_TAG: u8 = 14;
+const STREAM_RECORDED_TAG: u8 = 15;
+const STREAM_QUERY_TAG: u8 = 16;
+const STREAM_VERSION_TAG: u8 = 17;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -104,6 +108,17 @@
     pub retry_after_milliseconds: u32,
 }
 
+/// A report of the software version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct StreamReport {
+    /// Hash of the identifier of the request that began the stream.
+    pub stream: u128,
+    /// Software version of the replica that answered the request.
+    pub version: Text,
+    /// Time in milliseconds for which the stream may be continued.
+    pub ttl_milliseconds: u32,
+}
+
 /// The extension fields of one message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExtensionFields {
@@ -137,6 +152,14 @@
     pub permit_request: Option<PermitRequest>,
     /// After the reply to such a ping: the decision, if the store owns the replica's permits.
     pub permit: Option<Permit>,
+    /// After a ping: the version that began a stream.
+    pub stream_report: Option<StreamReport>,
+    /// After the reply to such a ping: whether the store knows the version from now on.
+    pub stream_recorded: Option<bool>,
+    /// After a ping: hash of the identifier of a stream whose version is queried.
+    pub stream_query: Option<u128>,
+    /// After the reply to such a ping: the version; empty if the store does not know it.
+    pub stream_version: Option<Text>,
 }
 
 impl ExtensionFields {
@@ -171,6 +194,10 @@
         );
         encode_field(PERMIT_REQUEST_TAG, self.permit_request.as_ref(), output);
         encode_field(PERMIT_TAG, self.permit.as_ref(), output);
+        encode_field(STREAM_REPORT_TAG, self.stream_report.as_ref(), output);
+        encode_field(STREAM_RECORDED_TAG, self.stream_recorded.as_ref(), output);
+        encode_field(STREAM_QUERY_TAG, self.stream_query.as_ref(), output);
+        encode_field(STREAM_VERSION_TAG, self.stream_version.as_ref(), output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -200,6 +227,14 @@
                     fields.permit_request = Some(DeBin::deserialize_bin(content)?);
                 }
                 PERMIT_TAG => fields.permit = Some(DeBin::deserialize_bin(content)?),
+                STREAM_REPORT_TAG => fields.stream_report = Some(DeBin::deserialize_bin(content)?),
+                STREAM_RECORDED_TAG => {
+                    fields.stream_recorded = Some(DeBin::deserialize_bin(content)?);
+                }
+                STREAM_QUERY_TAG => fields.stream_query = Some(DeBin::deserialize_bin(content)?),
+                STREAM_VERSION_TAG => {
+                    fields.stream_version = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Losses that the group tolerates.
+    pub(crate) fn tolerance(&self) -> &Tolerance {
+        &self.context.tolerance
+    }
+
     /// Index of this group among the store groups.
     pub fn number(&self) -> GroupNumber {
         self.number
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -14,9 +14,9 @@
 
 use crate::client::StoreClient;
 use crate::cold_permits;
-use crate::extension::PermitRequest;
+use crate::extension::{PermitRequest, StreamReport};
 use crate::group_client::{ChainOutcome, GroupClient, GroupContext, GroupError};
-use crate::keys::TurnKey;
+use crate::keys::{StreamKey, TurnKey};
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Request};
 use crate::quorum::{ChainLookup, LedgerView};
@@ -123,6 +123,35 @@
         cold_permits::request(owner, request).await
     }
 
+    /// Records which version began the stream of a request. Returns true once a write quorum of
+    /// the request's group knows it, false if none says so in time.
+    pub async fn record_stream_version(
+        &self,
+        request: &str,
+        version: &Text,
+        ttl: Duration,
+        time_limit: Duration,
+    ) -> bool {
+        let Some(group) = self.group_of_program("", request) else {
+            return false;
+        };
+        let report = StreamReport {
+            stream: StreamKey::of(request).0,
+            version: version.clone(),
+            ttl_milliseconds: u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX),
+        };
+        group.record_stream_version(report, time_limit).await
+    }
+
+    /// Returns the version that began the stream of a request; `None` if no store of the
+    /// request's group says it in time.
+    pub async fn stream_version(&self, request: &str, time_limit: Duration) -> Option<Text> {
+        let group = self.group_of_program("", request)?;
+        group
+            .stream_version(StreamKey::of(request), time_limit)
+            .await
+    }
+
     /// Returns whether all stores that hold a program's turns are in regions that the request
     /// may be stored in.
     pub fn stores_within(&self, homes: RequestHomes<'_>, program: &str, turn: &str) -> bool {
--- a/crates/stageyoke-store/src/keys.rs
+++ b/crates/stageyoke-store/src/keys.rs
@@ -10,6 +10,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ProgramKey(pub u128);
 
+/// Key of a stream that its caller may continue: a hash of its identifier, which is not stored
+/// either.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StreamKey(pub u128);
+
 impl TurnKey {
     /// Returns the key of a turn.
     pub fn of(turn: &str) -> Self {
@@ -23,9 +28,20 @@
 impl ProgramKey {
     /// Returns the key of a program.
     pub fn of(program: &str) -> Self {
-        let digest = blake3::hash(program.as_bytes());
-        let mut bytes = [0; 16];
-        bytes.copy_from_slice(&digest.as_bytes()[..16]);
-        Self(u128::from_le_bytes(bytes))
+        Self(long_hash(program))
     }
 }
+
+impl StreamKey {
+    /// Returns the key of the stream that a request with this identifier began.
+    pub fn of(request: &str) -> Self {
+        Self(long_hash(request))
+    }
+}
+
+fn long_hash(identifier: &str) -> u128 {
+    let digest = blake3::hash(identifier.as_bytes());
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&digest.as_bytes()[..16]);
+    u128::from_le_bytes(bytes)
+}
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod spare;
 pub mod state;
 pub mod store_host;
+pub mod stream_versions;
 pub mod wait_reason;
 
 pub use client::StoreClient;
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -15,6 +15,7 @@
 use stageyoke_observe as observe;
 use stageyoke_policy::cold_start::PermitLedger;
 use stageyoke_policy::quota::{QuotaLedger, QuotaTolerance};
+use stageyoke_policy::stream_versions::StreamVersions;
 use stageyoke_types::{Event, List, Text};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
@@ -74,6 +75,7 @@
     placed_turns: RefCell<PlacedTurns>,
     quotas: RefCell<QuotaLedger>,
     permits: RefCell<PermitLedger>,
+    stream_versions: RefCell<StreamVersions>,
     /// Addresses of the registered stores.
     registered_addresses: RefCell<List<Text>>,
     started_at: Instant,
@@ -127,6 +129,7 @@
             placed_turns: RefCell::default(),
             quotas: RefCell::default(),
             permits: RefCell::default(),
+            stream_versions: RefCell::default(),
             registered_addresses: RefCell::default(),
             started_at: Instant::now(),
             positions_held_by_peers: RefCell::default(),
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -9,7 +9,9 @@
 use super::LocalStore;
 use crate::cold_permits;
 use crate::directory_relay;
-use crate::extension::{ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest};
+use crate::extension::{
+    ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, StreamReport,
+};
 use crate::keys::TurnKey;
 use crate::membership_state::PeerStatus;
 use crate::message::{
@@ -43,6 +45,10 @@
     reports_write_delay: bool,
     /// Decision on a request to a cold replica.
     permit: Option<Permit>,
+    /// Whether the version that began a stream is known from now on.
+    stream_recorded: Option<bool>,
+    /// Version that began the queried stream; empty if it is not known.
+    stream_version: Option<Text>,
 }
 
 impl RequestedFields {
@@ -96,6 +102,12 @@
             permit: fields
                 .permit_request
                 .and_then(|request| self.decide_permit(request)),
+            stream_recorded: fields
+                .stream_report
+                .map(|report| self.record_stream_version(&report)),
+            stream_version: fields
+                .stream_query
+                .map(|stream| self.stream_version(stream)),
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
@@ -113,6 +125,23 @@
         Some(Permit::new(decision))
     }
 
+    fn record_stream_version(&self, report: &StreamReport) -> bool {
+        let ttl = Duration::from_millis(report.ttl_milliseconds.into());
+        let now = self.started_at.elapsed();
+        let mut versions = self.stream_versions.borrow_mut();
+        versions.record(report.stream, &report.version, ttl, now)
+    }
+
+    /// Returns the version that began a stream; empty if it is not known.
+    fn stream_version(&self, stream: u128) -> Text {
+        let now = self.started_at.elapsed();
+        let versions = self.stream_versions.borrow();
+        versions
+            .version(stream, now)
+            .map(Text::from)
+            .unwrap_or_default()
+    }
+
     /// Returns whether any turn of a program has started, as far as this store knows.
     fn has_started(&self, program: &Text) -> bool {
         let entries = self.state.borrow().ledger_entries(program);
@@ -157,6 +186,8 @@
                 .and_then(|front| self.loads.engines.deviations_for(front)),
             started: requested.started,
             permit: requested.permit,
+            stream_recorded: requested.stream_recorded,
+            stream_version: requested.stream_version,
             write_delay_milliseconds: requested
                 .reports_write_delay
                 .then(|| self.write_delay())
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -9,7 +9,8 @@
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
 use stageyoke_store::extension::{
-    Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, RankLoad, VERSION,
+    Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, RankLoad,
+    StreamReport, VERSION,
 };
 use stageyoke_store::frame::{self, EncodedMessage, Received};
 use stageyoke_store::message::{LatencyEntry, LedgerEntry, Numbered, Reply, Request};
@@ -238,6 +239,25 @@
         ..ExtensionFields::default()
     };
     assert_eq!(size(&sixty_engines), 364);
+    let report = ExtensionFields {
+        stream_report: Some(StreamReport {
+            stream: u128::MAX,
+            version: "1.2".into(),
+            ttl_milliseconds: 30_000,
+        }),
+        ..ExtensionFields::default()
+    };
+    assert_eq!(size(&report), 26);
+    let query = ExtensionFields {
+        stream_query: Some(u128::MAX),
+        ..ExtensionFields::default()
+    };
+    assert_eq!(size(&query), 18);
+    let answer = ExtensionFields {
+        stream_version: Some("1.2".into()),
+        ..ExtensionFields::default()
+    };
+    assert_eq!(size(&answer), 6);
 }
 
 #[test]
@@ -280,6 +300,14 @@
             granted: true,
             retry_after_milliseconds: 0,
         }),
+        stream_report: Some(StreamReport {
+            stream: 1 << 100,
+            version: "1.2".into(),
+            ttl_milliseconds: 30_000,
+        }),
+        stream_recorded: Some(true),
+        stream_query: Some(1 << 100),
+        stream_version: Some("1.2".into()),
         unsynced_ledger: Some(List(vec![LedgerEntry {
             turn: 5,
             amount: 54,
