Soak: replicas of several versions, and clients that take streams up again

Cause: all stand-in replicas had one software version and no route allowed resuming, so no run showed at which version a resumed stream goes on.

Change: ReplaceVersions (appended to the kinds of fault) replaces the model replicas one after the other by ones of the next version. Each drains or crashes, and returns at the same or another address once all fronts know that it is gone. While this kind is drawn from, callers break off streams of a resumable route and take them up at another front with Last-Event-Id and Resumes. The replicas write the stream and their version into each event. Checked: the events of a stream are of one version over all attempts and their numbers rise by one; a stream that is framed as complete has all of them; a replica receives the position that the client sent, or a later one within an answer; of twelve or more resumed streams in calm times, while two replicas of their version serve, at least half as many go on as new streams begin.

--- a/crates/stageyoke-lab/src/soak/deployment.rs
+++ b/crates/stageyoke-lab/src/soak/deployment.rs
@@ -198,6 +198,7 @@
                 started_at_ms: AtomicU64::new(unix_milliseconds()),
                 leaving_since: Mutex::default(),
                 evacuated_since: Mutex::default(),
+                version: AtomicU64::new(1),
                 cold_phase: ColdPhase::default(),
             });
             let server = serve(replica.clone(), None).await?;
@@ -349,6 +350,7 @@
     pub fn remove_replica_entry(&self, number: usize) {
         let replica = &self.replicas[number];
         self.service.remove(&entry_key(&replica.id));
+        self.promises.serving_versions.record_gone(&replica.id);
         replica.set_leaving(true);
     }
 
@@ -356,6 +358,7 @@
     /// replica keeps serving.
     pub fn corrupt_replica_entry(&self, number: usize, value: &[u8]) {
         let replica = &self.replicas[number];
+        self.promises.serving_versions.record_gone(&replica.id);
         self.put_entry(&replica.id, value);
         replica.set_leaving(true);
     }
@@ -414,9 +417,15 @@
     address: SocketAddr,
     state: &str,
 ) {
+    let version = replica.version.load(Ordering::Relaxed);
+    let serving = &replica.promises.serving_versions;
+    match replica.is_engine && state == "ready" {
+        true => serving.record_ready(&replica.id, version),
+        false => serving.record_gone(&replica.id),
+    }
     let entry = json!({
         "Service": if replica.is_engine { "models" } else { "tools" },
-        "Addr": address, "Zone": replica.zone, "Version": "v1",
+        "Addr": address, "Zone": replica.zone, "Version": format!("v{version}"),
         "Slots": replica.slots.capacity().slots.min(MAX_ANNOUNCED_SLOTS), "State": state,
         "ColdLeftMs": replica.cold_phase.remaining().as_millis() as u64, "CallSeq": 1,
         "born": replica.started_at_ms.load(Ordering::Relaxed),
--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -84,11 +84,13 @@
     CoolReplicas,
     /// Makes replicas answer without a length or chunks, and break off some of these answers.
     UnframeAnswers,
+    /// Replaces model replicas one after the other by ones of a newer software version.
+    ReplaceVersions,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
 /// this list.
-pub const FAULTS: [Fault; 28] = [
+pub const FAULTS: [Fault; 29] = [
     Fault::KillFront,
     Fault::StopFront,
     Fault::PauseFront,
@@ -117,6 +119,7 @@
     Fault::EvacuateZone,
     Fault::CoolReplicas,
     Fault::UnframeAnswers,
+    Fault::ReplaceVersions,
 ];
 
 /// Kinds drawn only if they are named explicitly.
@@ -266,6 +269,7 @@
             Fault::EvacuateZone => details.push(self.evacuate_zone(random).await),
             Fault::CoolReplicas => self.cool_replicas(random).await,
             Fault::UnframeAnswers => self.unframe_answers(random, duration).await,
+            Fault::ReplaceVersions => details.push(self.replace_versions(random).await),
             Fault::Losses => details = self.lose_stores(random).await,
         }
         if fault.suspends_bounds() {
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -22,6 +22,7 @@
 pub mod slopes;
 pub mod slow_transfers;
 pub mod upgrade;
+pub mod versions;
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -34,6 +35,7 @@
 
 use crate::standins::platform::RETENTION_SECONDS;
 use crate::standins::platform::caller::{Caller, StoredTurn};
+use crate::standins::platform::resumable::ResumingCaller;
 use crate::standins::platform::tenants::configuration_with_tenants;
 use deployment::{Deployment, DeploymentOptions};
 use faults::{FAULTS, Fault, recovery_time};
@@ -45,6 +47,8 @@
 
 /// Minimum number of concurrent callers; larger deployments have one for each front.
 const CALLERS: u64 = 8;
+/// Number of concurrent callers of resumable streams.
+const RESUMING_CALLERS: u64 = 4;
 const TURNS: u32 = 4;
 /// Time in which a stored turn must be continued at the end of a run, from its first request
 /// on.
@@ -164,6 +168,17 @@
         let caller = caller(&deployment, plan.seed ^ (number + 1));
         callers.spawn(run_programs_until(caller, until));
     }
+    let mut resuming_callers = JoinSet::new();
+    if plan.faults.contains(&Fault::ReplaceVersions) {
+        for number in 0..RESUMING_CALLERS {
+            let resuming = ResumingCaller {
+                fronts: deployment.fronts.clone(),
+                promises: deployment.promises.clone(),
+                random: ChaCha8Rng::seed_from_u64(plan.seed ^ (number + 10_000)),
+            };
+            resuming_callers.spawn(resuming.run_until(until));
+        }
+    }
     let change_probe = tokio::spawn(changes::probe_fronts(
         deployment.fronts.clone(),
         deployment.versions.clone(),
@@ -227,6 +242,7 @@
     while let Some(turns) = callers.join_next().await {
         stored_turns.extend(turns.unwrap_or_default());
     }
+    while resuming_callers.join_next().await.is_some() {}
     for window in &windows {
         for shortfall in deployment.promises.shares.shortfalls(window) {
             deployment.promises.report_breach(shortfall);
--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -11,6 +11,7 @@
 use super::shares::{
     MIN_JUDGED_REQUESTS, MIN_SERVED_SHARE, RequestLabels, RequestOutcome, ServedShares,
 };
+use super::versions::{ServingVersions, StreamCounts};
 use crate::standins::platform::answers::ReceivedAnswer;
 
 /// What a caller expects of one request.
@@ -22,6 +23,15 @@
     pub repeatable: bool,
 }
 
+/// Where a client takes a stream up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumePosition {
+    /// Attempt that brought the first event of the stream.
+    pub first: String,
+    /// Last event that the client has.
+    pub last_event: u32,
+}
+
 #[derive(Clone, Debug, Default)]
 struct ObservedRequest {
     runs: u32,
@@ -36,6 +46,7 @@
 struct Record {
     expected: HashMap<String, ExpectedRequest>,
     observed: HashMap<String, ObservedRequest>,
+    resumes: HashMap<String, Option<ResumePosition>>,
     breaches: Vec<String>,
     last_turn: Option<Instant>,
     counts: Counts,
@@ -60,6 +71,8 @@
     pub broken_off: u64,
     /// Whole answers without framing that replicas sent in calm times.
     pub unframed: u64,
+    /// Attempts of resumable streams.
+    pub streams: StreamCounts,
     /// Stored turns whose retention ended before they could be requested.
     pub expired: u64,
 }
@@ -70,6 +83,8 @@
     record: Mutex<Record>,
     /// Determines whether time bounds apply.
     pub disturbances: DisturbanceTracker,
+    /// Software versions of the replicas that serve.
+    pub serving_versions: ServingVersions,
     /// Shares of the requests that were served.
     pub shares: ServedShares,
 }
@@ -158,6 +173,49 @@
         }
     }
 
+    /// Records where an attempt takes a stream up, if it does; called before it is sent.
+    pub fn record_resume(&self, request: &str, position: Option<ResumePosition>) {
+        self.record().resumes.insert(request.to_owned(), position);
+    }
+
+    /// Checks what a replica received of the position that the client sent. A front may go on
+    /// from a later event within one answer.
+    pub fn check_resume(&self, request: &str, first: &str, received: Option<ResumePosition>) {
+        let mut record = self.record();
+        let Some(sent) = record.resumes.get(request).cloned() else {
+            return record.breach(format!("{request} reached a replica without being sent"));
+        };
+        let (sent_first, sent_event) = match &sent {
+            Some(position) => (position.first.as_str(), Some(position.last_event)),
+            None => ("", None),
+        };
+        let received_event = received.map(|position| position.last_event);
+        let names_stream = first == sent_first || sent.is_none() && first == request;
+        if !names_stream || received_event < sent_event {
+            record.breach(format!(
+                "{request} was sent to go on from {sent:?}, but a replica received \
+                 \"{first}\" and event {received_event:?}"
+            ));
+        }
+    }
+
+    /// Records an attempt of a resumable stream in calm times, and whether it brought an event.
+    pub fn record_stream_attempt(&self, is_resumed: bool, went_on: bool) {
+        let mut record = self.record();
+        let counts = &mut record.counts.streams;
+        let (all, successful) = match is_resumed {
+            true => (&mut counts.resumed, &mut counts.went_on),
+            false => (&mut counts.new, &mut counts.begun),
+        };
+        *all += 1;
+        *successful += u64::from(went_on);
+    }
+
+    /// Records that a client has all events of a resumable stream.
+    pub fn record_complete_stream(&self) {
+        self.record().counts.streams.complete += 1;
+    }
+
     /// Records that a caller received the whole answer to a request.
     pub fn record_whole_answer(&self, request: &str) {
         let mut record = self.record();
@@ -225,6 +283,9 @@
             record.breach(breach);
         }
         record.check_unframed_answers();
+        if let Some(shortfall) = record.counts.streams.shortfall() {
+            record.breach(shortfall);
+        }
         (record.breaches.clone(), record.counts)
     }
 }
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod key_value;
 pub mod programs;
 pub mod replica;
+pub mod resumable;
 pub mod tenants;
 
 /// Header names, key-value keys and variables of the platform.
@@ -30,6 +31,10 @@
     pub const TOKEN_BUDGET: &str = "token-budget";
     /// Header with the stored turn that a request continues.
     pub const PREVIOUS_TURN: &str = "previous-turn";
+    /// Header with the attempt that brought the first event of a stream that is taken up.
+    pub const RESUMES: &str = "resumes";
+    /// Header with the last event that the client has of such a stream.
+    pub const LAST_EVENT_ID: &str = "last-event-id";
     /// Header with the delay before a rejected request may be retried, in seconds.
     pub const RETRY_AFTER: &str = "retry-after";
     /// Key-value key of the operator's configuration.
@@ -66,6 +71,8 @@
 pub const HOST: &str = "lab.example";
 /// Path of the route whose turns are stored.
 pub const STORED_TURN_PATH: &str = "/kept/turn";
+/// Path of the route whose streams may be resumed.
+pub const RESUMABLE_PATH: &str = "/resumable/turn";
 /// Path of the tool whose calls may be retried.
 pub const IDEMPOTENT_TOOL_PATH: &str = "/safe/read";
 /// Path of the tool whose calls must run at most once.
@@ -94,13 +101,15 @@
             "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
             "TimeoutMs": 4000, "SloMs": 200, "Priority": 1, "Service": service,
             "MaxAttempts": if kind == "safe" { 3 } else { 1 },
-            "RetainContext": is_stored, "RetentionS": RETENTION_SECONDS as f64, "CanResume": false,
+            "RetainContext": is_stored, "RetentionS": RETENTION_SECONDS as f64,
+            "CanResume": name == "resumable",
         })
     };
     serde_json::json!({
         "Version": version,
         "Routes": [
             route("kept", "stream", "models", true),
+            route("resumable", "stream", "models", false),
             route("safe", "safe", "tools", false),
             route("once", "unsafe", "tools", false),
             route(&format!("version-{version}"), "safe", "tools", false),
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -16,9 +16,10 @@
 
 use super::answers::{event, event_data, tool_answer};
 use super::cold_phase::ColdPhase;
-use super::{TOKENS_PER_EVENT, names};
+use super::resumable::resumable_data;
+use super::{RESUMABLE_PATH, TOKENS_PER_EVENT, names};
 use crate::soak::disturbances::MAX_PROPAGATION_DELAY;
-use crate::soak::promises::Promises;
+use crate::soak::promises::{Promises, ResumePosition};
 use crate::standins::{Handler, respond};
 
 const MAX_BUFFERED_EVENTS: usize = 4;
@@ -162,6 +163,8 @@
     pub leaving_since: Mutex<Option<Instant>>,
     /// Time at which the replica's zone was evacuated.
     pub evacuated_since: Mutex<Option<Instant>>,
+    /// Version of the replica's software.
+    pub version: AtomicU64,
     /// Phase after a start in which the replica bears little load.
     pub cold_phase: ColdPhase,
 }
@@ -243,6 +246,26 @@
         response
     }
 
+    /// Returns where a resumable stream starts, and checks what the fronts passed on.
+    fn resume_position(&self, request: &str, headers: &HeaderMap) -> StreamStart {
+        let first = header_text(headers, names::RESUMES);
+        let last_event: Option<u32> = header_text(headers, names::LAST_EVENT_ID).parse().ok();
+        let position = last_event.map(|last_event| ResumePosition {
+            first: first.clone(),
+            last_event,
+        });
+        self.promises.check_resume(request, &first, position);
+        StreamStart {
+            stream: if first.is_empty() {
+                request.to_owned()
+            } else {
+                first
+            },
+            number: last_event.map_or(0, |last_event| last_event + 1),
+            version: self.version.load(Ordering::Relaxed),
+        }
+    }
+
     /// Answers a tool call without framing, in full or broken off.
     async fn unframed_tool_answer(&self, request: &str) -> Response<Body> {
         let (mut sender, body) = pieces::channel::<BodyError>(1);
@@ -261,19 +284,23 @@
         &self,
         request: String,
         events: u32,
+        position: Option<StreamStart>,
         admitted: AdmittedRequest,
     ) -> Response<Body> {
         let (sender, body) = pieces::channel::<BodyError>(MAX_BUFFERED_EVENTS);
         let abort_before = draw_fault(&self.faults.truncated_percent)
             .then(|| rand::random_range(0..events.max(1)));
+        // A client of a resumable stream may leave before its end.
+        let is_read_to_end = position.is_none();
         let is_unframed = draw_fault(&self.faults.unframed_percent);
         let is_broken_off = is_unframed && draw_fault(&self.faults.broken_off_percent);
         let turn = StreamedTurn {
             request: request.clone(),
             events,
+            start: position,
             abort_before,
             cut: is_broken_off.then(|| Cut::draw(&request, events)),
-            unframed_promises: is_unframed.then(|| self.promises.clone()),
+            unframed_promises: (is_unframed && is_read_to_end).then(|| self.promises.clone()),
             capacity: self.slots.capacity,
             _admitted: admitted,
         };
@@ -287,10 +314,22 @@
     }
 }
 
+/// Where a replica starts a resumable stream.
+struct StreamStart {
+    /// Attempt that brought the first event of the stream.
+    stream: String,
+    /// Number of the first event to send.
+    number: u32,
+    /// Version of the replica's software.
+    version: u64,
+}
+
 /// A turn whose events are being sent.
 struct StreamedTurn {
     request: String,
     events: u32,
+    /// Where a resumable stream starts.
+    start: Option<StreamStart>,
     /// Event before which the stream is aborted, if any.
     abort_before: Option<u32>,
     /// Position at which the stream ends early without an error, if any.
@@ -328,20 +367,25 @@
 
 impl StreamedTurn {
     async fn send(self, mut sender: PieceSender<BodyError>) {
-        for number in 0..self.events {
-            tokio::time::sleep(match number {
-                0 => self.capacity.first_event,
-                _ => self.capacity.event_interval,
+        let first = self.start.as_ref().map_or(0, |start| start.number);
+        for number in first..self.events {
+            tokio::time::sleep(match number == first {
+                true => self.capacity.first_event,
+                false => self.capacity.event_interval,
             })
             .await;
             if self.abort_before == Some(number) {
                 sender.abort("injected stream failure".into()).await;
                 return;
             }
-            let data = event_data(&self.request, number);
+            let data = match &self.start {
+                Some(start) => resumable_data(&start.stream, number, start.version),
+                None => event_data(&self.request, number),
+            };
             let event = event(number, &data);
             if let Some(cut) = self.cut.filter(|cut| cut.event == number) {
-                let part = Bytes::from(event).slice(..cut.length);
+                let length = cut.length.min(event.len() - 1);
+                let part = Bytes::from(event).slice(..length);
                 let _ = sender.send_data(part).await;
                 return;
             }
@@ -358,6 +402,7 @@
 impl Handler for ReplicaStandIn {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let headers = request.headers().clone();
+        let is_resumable = request.uri().path() == RESUMABLE_PATH;
         let id = header_text(&headers, names::REQUEST_ID);
         if header_text(&headers, names::EXPECTED_INSTANCE) != self.id {
             return self.reject(StatusCode::MISDIRECTED_REQUEST, &id);
@@ -384,7 +429,11 @@
                 .nth(1)
                 .and_then(|tokens| tokens.parse().ok());
             let events = max_tokens.unwrap_or(TOKENS_PER_EVENT) / TOKENS_PER_EVENT;
-            return self.stream_turn(id, events, admitted);
+            let position = match is_resumable {
+                true => Some(self.resume_position(&id, &headers)),
+                false => None,
+            };
+            return self.stream_turn(id, events, position, admitted);
         }
         tokio::time::sleep(self.slots.capacity.draw_tool_time()).await;
         let mut response = match draw_fault(&self.faults.unframed_percent) {
--- a/crates/stageyoke-lab/tests/soak_checks_test.rs
+++ b/crates/stageyoke-lab/tests/soak_checks_test.rs
@@ -56,6 +56,7 @@
         started_at_ms: Default::default(),
         leaving_since: Mutex::default(),
         evacuated_since: Mutex::default(),
+        version: Default::default(),
         cold_phase: ColdPhase::default(),
     })
 }
--- a/crates/stageyoke-lab/tests/unframed_answers_test.rs
+++ b/crates/stageyoke-lab/tests/unframed_answers_test.rs
@@ -137,6 +137,7 @@
         started_at_ms: Default::default(),
         leaving_since: Default::default(),
         evacuated_since: Default::default(),
+        version: Default::default(),
         cold_phase: ColdPhase::default(),
     })
 }
