End a relayed stream as complete only when its relay says so

The sender now has to be completed; a stream whose sender is dropped otherwise is truncated. The relay no longer waits for a slow caller to abort a stream, as the error needs no place in the buffer.

a_stream_ends_as_complete_only_if_its_relay_says_so covers both ends; the front's tests pass.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -17,7 +17,6 @@
 use stageyoke_store::quota_owners::QuotaGrant;
 use stageyoke_store::rank_load::ServiceRank;
 use stageyoke_types::{ErrorKind, Text};
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::admission::service_hash;
@@ -32,7 +31,7 @@
 use crate::pending_request::PendingRequest;
 use crate::quota::QuotaRequest;
 use crate::request::{RequestParameters, ScopedIdentifiers};
-use crate::response_body::ResponseBody;
+use crate::response_body::{ResponseBody, chunk_channel};
 use crate::routing::MatchedRoute;
 use crate::stream_relay::{CHUNK_BUFFER, StreamRelay, TurnStorage, UpstreamStream};
 use stageyoke_observe::{self as observe, RequestSummary};
@@ -405,7 +404,7 @@
             arrived: context.arrived,
             _memory_guard: context.memory_guard,
         };
-        let (chunks, receiver) = mpsc::channel(CHUNK_BUFFER);
+        let (chunks, receiver) = chunk_channel(CHUNK_BUFFER);
         let request_guard = self.requests.track();
         tokio::task::spawn_local(async move {
             relay.run(body, chunks).await;
--- a/crates/stageyoke-front/src/response_body.rs
+++ b/crates/stageyoke-front/src/response_body.rs
@@ -1,8 +1,10 @@
 //! Bodies of the front's responses.
 
+use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -23,8 +25,68 @@
 
 impl std::error::Error for TruncatedResponse {}
 
-/// Chunk of a relayed stream.
-pub type Chunk = Result<Bytes, TruncatedResponse>;
+/// The caller of a stream has disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// Sends the chunks of a stream. The stream is truncated if this is dropped without
+/// [`Self::complete`], also by a panic of the task that owns it.
+pub struct ChunkSender {
+    chunks: mpsc::Sender<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+/// Chunks of a stream that are to be written to the caller.
+pub struct ChunkReceiver {
+    chunks: mpsc::Receiver<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+/// Creates both ends of a stream that buffers this many chunks.
+pub fn chunk_channel(buffered: usize) -> (ChunkSender, ChunkReceiver) {
+    let (sender, receiver) = mpsc::channel(buffered);
+    let is_complete: Rc<Cell<bool>> = Rc::default();
+    let sender = ChunkSender {
+        chunks: sender,
+        is_complete: is_complete.clone(),
+    };
+    let receiver = ChunkReceiver {
+        chunks: receiver,
+        is_complete,
+    };
+    (sender, receiver)
+}
+
+impl ChunkSender {
+    /// Sends a chunk, and waits while the buffer is full.
+    pub async fn send(&self, chunk: Bytes) -> Result<(), CallerGone> {
+        self.chunks.send(chunk).await.map_err(|_| CallerGone)
+    }
+
+    /// Waits until the caller has disconnected.
+    pub async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+
+    /// Ends the stream regularly after the chunks that were sent.
+    pub fn complete(self) {
+        self.is_complete.set(true);
+    }
+}
+
+impl ChunkReceiver {
+    fn poll_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, TruncatedResponse>>> {
+        let chunk = ready!(self.chunks.poll_recv(context));
+        Poll::Ready(match chunk {
+            Some(chunk) => Some(Ok(chunk)),
+            None if self.is_complete.get() => None,
+            None => Some(Err(TruncatedResponse)),
+        })
+    }
+}
 
 /// Body of a response.
 pub enum ResponseBody {
@@ -33,9 +95,8 @@
     /// Content that may have been truncated, so that its length must not be stated, and the
     /// memory that it uses.
     Unframed(Option<Bytes>, Option<MemoryGuard>),
-    /// Chunks as they arrive. The stream is complete when the sender is dropped without an
-    /// error.
-    Stream(mpsc::Receiver<Chunk>),
+    /// Chunks as they arrive.
+    Stream(ChunkReceiver),
 }
 
 impl ResponseBody {
@@ -78,7 +139,7 @@
                 Poll::Ready(remaining.map(|content| Ok(Frame::data(content))))
             }
             Self::Stream(chunks) => chunks
-                .poll_recv(context)
+                .poll_chunk(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
     }
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::connection_pool::Connection;
@@ -18,7 +17,7 @@
 use crate::memory_budget::MemoryGuard;
 use crate::replica::{InFlightGuard, Replica};
 use crate::request::ScopedIdentifiers;
-use crate::response_body::{Chunk, TruncatedResponse};
+use crate::response_body::ChunkSender;
 use crate::stream_version::VersionRecord;
 use stageyoke_observe::{self as observe, RequestSummary};
 
@@ -129,7 +128,7 @@
 impl StreamRelay {
     /// Relays the stream from `body` to the caller's channel `chunks` until either side
     /// ends.
-    pub async fn run(mut self, mut body: Incoming, chunks: mpsc::Sender<Chunk>) {
+    pub async fn run(mut self, mut body: Incoming, chunks: ChunkSender) {
         let mut received = ReceivedEvents::default();
         let end = match self.forward(&mut body, &chunks, &mut received).await {
             StreamEnd::Complete => {
@@ -140,7 +139,7 @@
             StreamEnd::Unknown => self.store_turn(received, StreamEnd::Unknown).await,
             other => other,
         };
-        self.finish(&end, &chunks).await;
+        self.finish(&end, chunks);
     }
 
     /// Updates the engine's learned rates with a completed turn.
@@ -157,7 +156,7 @@
     async fn forward(
         &mut self,
         body: &mut Incoming,
-        chunks: &mpsc::Sender<Chunk>,
+        chunks: &ChunkSender,
         received: &mut ReceivedEvents,
     ) -> StreamEnd {
         let mut splitter = EventSplitter::default();
@@ -189,7 +188,7 @@
                     record.wait().await;
                 }
                 received.events += collect_data(&events, &mut received.output);
-                let sending = tokio::time::timeout_at(self.deadline, chunks.send(Ok(events)));
+                let sending = tokio::time::timeout_at(self.deadline, chunks.send(events));
                 match sending.await {
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return StreamEnd::CallerDisconnected,
@@ -205,7 +204,7 @@
         &self,
         mut splitter: EventSplitter,
         received: &ReceivedEvents,
-        chunks: &mpsc::Sender<Chunk>,
+        chunks: &ChunkSender,
     ) -> StreamEnd {
         let remainder = splitter.take_remainder();
         let end = match (self.upstream.framing, is_inside_event(&remainder)) {
@@ -218,7 +217,7 @@
         if remainder.is_empty() {
             return end;
         }
-        match tokio::time::timeout_at(self.deadline, chunks.send(Ok(remainder))).await {
+        match tokio::time::timeout_at(self.deadline, chunks.send(remainder)).await {
             Ok(Ok(())) => end,
             Ok(Err(_)) => StreamEnd::CallerDisconnected,
             Err(_) => StreamEnd::Aborted("time_out"),
@@ -227,7 +226,7 @@
 
     /// Waits until the reservation is stored, since no output may be forwarded before that;
     /// returns how the stream ends otherwise.
-    async fn wait_for_reservation(&mut self, chunks: &mpsc::Sender<Chunk>) -> Option<StreamEnd> {
+    async fn wait_for_reservation(&mut self, chunks: &ChunkSender) -> Option<StreamEnd> {
         let reservation = self.storage.reservation.as_mut();
         let check = reservation.and_then(Reservation::take_pending_check)?;
         tokio::select! {
@@ -267,7 +266,7 @@
         }
     }
 
-    async fn finish(self, end: &StreamEnd, chunks: &mpsc::Sender<Chunk>) {
+    fn finish(self, end: &StreamEnd, chunks: ChunkSender) {
         let mut summary = self.summary;
         summary.outcome = match end {
             StreamEnd::Complete => "streamed",
@@ -280,16 +279,17 @@
             summary.status = 0;
         }
         observe::record_request(&summary, self.arrived.elapsed());
+        let replica = self.upstream.replica;
         match end {
-            StreamEnd::Complete => self.upstream.replica.pool.release(self.upstream.connection),
-            StreamEnd::CallerDisconnected | StreamEnd::Unknown => {}
-            StreamEnd::InsideEvent => self.upstream.replica.record(Evidence::Lost),
-            StreamEnd::Aborted(reason) => {
-                if *reason == TRUNCATED {
-                    self.upstream.replica.record(Evidence::Lost);
-                }
-                let _ = chunks.send(Err(TruncatedResponse)).await;
+            StreamEnd::Complete => replica.pool.release(self.upstream.connection),
+            StreamEnd::InsideEvent | StreamEnd::Aborted(TRUNCATED) => {
+                replica.record(Evidence::Lost);
             }
+            StreamEnd::Unknown | StreamEnd::CallerDisconnected | StreamEnd::Aborted(_) => {}
+        }
+        match end {
+            StreamEnd::Complete | StreamEnd::Unknown | StreamEnd::InsideEvent => chunks.complete(),
+            StreamEnd::CallerDisconnected | StreamEnd::Aborted(_) => drop(chunks),
         }
     }
 }
--- a/crates/stageyoke-front/tests/front_components_test.rs
+++ b/crates/stageyoke-front/tests/front_components_test.rs
@@ -1,11 +1,15 @@
 //! Event splitting, prompt cache, placement, traffic splits and the idle limit.
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
 use proptest::prelude::*;
+use rstest::rstest;
 use stageyoke_directory::{Route, RouteKind, Target};
 use stageyoke_front::engine_rates::{CurrentRates, EngineRates};
 use stageyoke_front::event_stream::{EventSplitter, collect_data};
 use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
 use stageyoke_front::prompt_cache::{Prompt, PromptCache};
+use stageyoke_front::response_body::{ResponseBody, chunk_channel};
 use stageyoke_front::traffic_split::TrafficSplit;
 use stageyoke_types::Text;
 use stageyoke_types::hash::mix;
@@ -252,3 +256,22 @@
     });
     assert_eq!(all_local, expected);
 }
+
+/// A task that relays a stream may panic, which must not look like the end of the stream.
+#[rstest]
+#[case::completed(true)]
+#[case::dropped(false)]
+#[tokio::test]
+async fn a_stream_ends_as_complete_only_if_its_relay_says_so(#[case] is_completed: bool) {
+    let (chunks, receiver) = chunk_channel(2);
+    let mut body = ResponseBody::Stream(receiver);
+    chunks.send(Bytes::from("a")).await.expect("receiver");
+    match is_completed {
+        true => chunks.complete(),
+        false => drop(chunks),
+    }
+    let chunk = body.frame().await.expect("chunk").expect("no error");
+    assert_eq!(chunk.into_data().expect("data"), "a");
+    let end = body.frame().await.map(|frame| frame.is_ok());
+    assert_eq!(end, (!is_completed).then_some(false));
+}
