Soak: judge resumed streams only after the lead time of the first start

Trace: all 58 rejections (stream_version_unknown, after 0 ms) lie in seconds 0 to 5, before the first groups of stores are formed at 4.6 s; of the streams that began later, all went on. Nothing could be recorded before there were groups. That a stream holds events of one version is checked from the start, as before.

--- a/crates/stageyoke-lab/tests/versions_test.rs
+++ b/crates/stageyoke-lab/tests/versions_test.rs
@@ -19,6 +19,7 @@
 };
 use stageyoke_lab::standins::{Handler, respond, serve};
 use stageyoke_node::backends::Body;
+use tokio::time::Instant;
 
 fn text(number: u32, stream: &str, version: u64) -> String {
     let event = event(number, &resumable_data(stream, number, version));
@@ -179,6 +180,7 @@
         fronts: Arc::new(vec![one.address, other.address]),
         promises: promises.clone(),
         random: ChaCha8Rng::seed_from_u64(5),
+        judged_from: Instant::now(),
     };
     for _ in 0..8 {
         caller.run_stream().await;
