--- a/crates/stageyoke-front/src/stream_version.rs
+++ b/crates/stageyoke-front/src/stream_version.rs
@@ -1,4 +1,4 @@
-//! Keeps a stream that its caller continues at the software version that began it.
+//! Restricts a resumed stream to replicas of the software version that began it.
 //!
 //! What two versions write does not fit together, and replicas do not check it. So the version
 //! that begins a stream is recorded at the stores, and a request that continues a stream may only
--- a/crates/stageyoke-store/src/keys.rs
+++ b/crates/stageyoke-store/src/keys.rs
@@ -10,8 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ProgramKey(pub u128);
 
-/// Key of a stream that its caller may continue: a hash of its identifier, which is not stored
-/// either.
+/// Key of a resumable stream: a hash of its identifier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct StreamKey(pub u128);
 
