Move framing and the callers' connection into a crate

stageyoked needs the front's treatment of responses whose end is unknown. The code moves unchanged but for the signal to the connection, which is now Send, since stageyoked's connections run on several threads, and close_after, which the front's handler had inline.

--- a/crates/stageyoke-front/src/caller_connection.rs
+++ b/crates/stageyoke-framing/src/caller_connection.rs
@@ -5,37 +5,41 @@
 //! process, so the connection is set to be reset from the start of the response on.
 //!
 //! hyper leaves out the framing only of responses of HTTP/1.0. The status line is sent as HTTP/1.1
-//! all the same, since that is what the front speaks.
+//! all the same, since that is what the server speaks. HTTP/2 has no responses without framing.
 
-use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use hyper::body::Body;
 use hyper::{Response, Version};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::response_body::ResponseBody;
-
 const OLD_VERSION: &[u8] = b"HTTP/1.0";
 const VERSION: &[u8] = b"HTTP/1.1";
 
 /// Tells a connection that the next response on it is sent without framing.
 #[derive(Clone, Debug, Default)]
-pub struct UnframedSignal(Rc<Cell<Option<Version>>>);
+pub struct UnframedSignal(Arc<Mutex<Option<Version>>>);
 
 impl UnframedSignal {
     /// Notes whether the response to a request of this version will be sent without framing.
-    pub fn announce(&self, request_version: Version, response: &Response<ResponseBody>) {
+    pub fn announce<B: Body>(&self, request_version: Version, response: &Response<B>) {
         let is_old = request_version == Version::HTTP_10 || response.version() == Version::HTTP_10;
-        if is_old && !response.body().has_known_length() {
-            self.0.set(Some(request_version));
+        let has_known_length = response.body().size_hint().exact().is_some();
+        if is_old && !has_known_length {
+            *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(request_version);
         }
     }
+
+    /// Returns the version of the announced response's request, once.
+    fn take(&self) -> Option<Version> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
 }
 
 /// How far the head of an unframed response has been written.
@@ -68,7 +72,7 @@
 
     /// Starts an unframed response if one was announced. `bytes` are those written next.
     fn start_announced_response(&mut self, bytes: &[u8]) {
-        let Some(request_version) = self.signal.0.take() else {
+        let Some(request_version) = self.signal.take() else {
             return;
         };
         let resetting = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
--- a/crates/stageyoke-front/src/framing.rs
+++ b/crates/stageyoke-framing/src/framing.rs
@@ -1,8 +1,8 @@
 //! How a replica's response delimits its body, which decides whether its end can be known.
 
-use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::header::TRANSFER_ENCODING;
+use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Response, Version};
 
 /// Delimiter of a response's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,3 +41,10 @@
         }
     }
 }
+
+/// Makes hyper send a response of HTTP/1 without framing, and close its connection at the end.
+pub fn close_after<B>(response: &mut Response<B>) {
+    *response.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -15,7 +15,6 @@
 
 use crate::attempt::{self, AttemptOutcome, ReplicaResponse};
 use crate::failure::Failure;
-use crate::framing::Framing;
 use crate::front::Front;
 use crate::handler::{OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
 use crate::health::Evidence;
@@ -24,6 +23,7 @@
 use crate::replica::Replica;
 use crate::replica_registry::ReplicaQuery;
 use crate::restrictions::Shortage;
+use stageyoke_framing::Framing;
 
 /// Maximum number of replicas that one request is sent to.
 const MAX_ATTEMPTED_REPLICAS: usize = 5;
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Response, Version};
+use hyper::{Request, Response};
 use stageyoke_directory::{
     Interpreter, KeyValueService, RequestHomes, Route, RouteTable, ServiceSpec,
 };
@@ -24,7 +24,6 @@
 use crate::authentication::Caller;
 use crate::dispatch::DispatchedResponse;
 use crate::failure::{self, Failure};
-use crate::framing::Framing;
 use crate::front::Front;
 use crate::history::Reservation;
 use crate::memory_budget::MemoryGuard;
@@ -34,6 +33,7 @@
 use crate::response_body::{ResponseBody, chunk_channel};
 use crate::routing::MatchedRoute;
 use crate::stream_relay::{CHUNK_BUFFER, StreamRelay, TurnStorage, UpstreamStream};
+use stageyoke_framing::{Framing, close_after};
 use stageyoke_observe::{self as observe, RequestSummary};
 
 /// Timeout for confirming an unknown route or reading a transcript.
@@ -425,9 +425,7 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
     if framing == Framing::Connection {
-        *response.version_mut() = Version::HTTP_10;
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        close_after(&mut response);
     }
     response
 }
--- a/crates/stageyoke-front/src/response_body.rs
+++ b/crates/stageyoke-front/src/response_body.rs
@@ -110,11 +110,6 @@
         Self::Unframed(Some(content), None)
     }
 
-    /// Returns whether the length of the body is stated in the response.
-    pub fn has_known_length(&self) -> bool {
-        matches!(self, Self::Full(..))
-    }
-
     /// Attaches a memory guard, which is dropped with the body.
     pub fn with_memory(self, memory_guard: MemoryGuard) -> Self {
         match self {
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -11,9 +11,9 @@
 use stageyoke_directory::{HttpLimits, Interpreter, KeyValueService};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_connection::{CallerConnection, UnframedSignal};
 use crate::front::Front;
 use crate::response_body::ResponseBody;
+use stageyoke_framing::{CallerConnection, UnframedSignal};
 
 /// Minimum read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -11,7 +11,6 @@
 use crate::connection_pool::Connection;
 use crate::engine_rates::TurnTiming;
 use crate::event_stream::{EventSplitter, collect_data, is_inside_event};
-use crate::framing::Framing;
 use crate::health::Evidence;
 use crate::history::{History, Reservation, build_turn_record};
 use crate::memory_budget::MemoryGuard;
@@ -19,6 +18,7 @@
 use crate::request::ScopedIdentifiers;
 use crate::response_body::ChunkSender;
 use crate::stream_version::VersionRecord;
+use stageyoke_framing::Framing;
 use stageyoke_observe::{self as observe, RequestSummary};
 
 /// Chunks buffered for a slow caller.
