Pass on no end that an application replica has not stated

Callers of stageyoked's application routes took broken responses for whole ones. With a replica that closed midway, without length or chunks, HTTP/1.1 callers got the last chunk and HTTP/2 callers END_STREAM; callers of HTTP/1.0 got a regular close after a reset, after a missing last chunk, and when the node drained or was killed.

Cause: hyper ends a body that ends with its connection without an error, and the proxy left the framing towards the caller to hyper. Towards HTTP/1.0, which has no chunks, a close is the regular end of a response, and every end was a close.

Fix: the front's framing and connection. A response of unknown end is sent to HTTP/1 without framing and ends with a close; from its start the connection is set to be reset, which only the regular end takes back, so the socket's close by an error, by the drain or by the kernel is a reset. Whole responses arrive as whole.

--- a/crates/stageyoke-node/src/backends/application.rs
+++ b/crates/stageyoke-node/src/backends/application.rs
@@ -6,11 +6,13 @@
 
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::{Method, Request, Response, header};
+use hyper::{Method, Request, Response, Version, header};
 use stageyoke_config::model::{Configuration, Pool, Route};
 use stageyoke_core::gateway::Failure;
+use stageyoke_framing::{Framing, close_after};
 use stageyoke_types::{ErrorKind, RunState, Text};
 
+use super::relayed_body::RelayedBody;
 use super::{Body, HttpClient, full_body, http_client};
 
 /// Headers that belong to one connection and are not passed on.
@@ -79,6 +81,7 @@
             let mut copy = Request::new(full_body(Vec::new()));
             *copy.method_mut() = parts.method.clone();
             *copy.uri_mut() = parts.uri.clone();
+            *copy.version_mut() = parts.version;
             *copy.headers_mut() = parts.headers.clone();
             let sent = self.send(copy, *replica, deadline).await;
             match sent {
@@ -125,6 +128,7 @@
         replica: SocketAddr,
         deadline: Duration,
     ) -> Result<Response<Body>, SendError> {
+        let caller = request.version();
         let path = request
             .uri()
             .path_and_query()
@@ -136,18 +140,29 @@
             request.headers_mut().remove(name);
         }
         let answered = tokio::time::timeout(deadline, self.http.request(request)).await;
-        let mut response = match answered {
-            Ok(Ok(response)) => response.map(|body| body.map_err(Into::into).boxed()),
-            Ok(Err(error)) if error.is_connect() => return Err(SendError::NotSent),
-            Ok(Err(_)) | Err(_) => return Err(SendError::MaybeSent),
-        };
-        for name in HOP_HEADERS {
-            response.headers_mut().remove(name);
+        match answered {
+            Ok(Ok(response)) => Ok(relay_response(response, caller)),
+            Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent),
+            Ok(Err(_)) | Err(_) => Err(SendError::MaybeSent),
         }
-        Ok(response)
     }
 }
 
+/// Builds the response to a caller of this protocol version. It claims no more about the end of
+/// its body than the replica's response does.
+fn relay_response(response: Response<Incoming>, caller: Version) -> Response<Body> {
+    let framing = Framing::of(&response);
+    let mut response = response.map(|body| RelayedBody::new(body, framing, caller).boxed());
+    for name in HOP_HEADERS {
+        response.headers_mut().remove(name);
+    }
+    *response.version_mut() = caller;
+    if framing == Framing::Connection && caller != Version::HTTP_2 {
+        close_after(&mut response);
+    }
+    response
+}
+
 enum SendError {
     NotSent,
     MaybeSent,
--- a/crates/stageyoke-node/src/backends/mod.rs
+++ b/crates/stageyoke-node/src/backends/mod.rs
@@ -3,6 +3,7 @@
 pub mod application;
 pub mod engine;
 pub mod engine_protocol;
+mod relayed_body;
 pub mod sweep;
 
 use http_body_util::combinators::BoxBody;
--- a/crates/stageyoke-node/src/callers/serve.rs
+++ b/crates/stageyoke-node/src/callers/serve.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use stageyoke_framing::{CallerConnection, UnframedSignal};
 use stageyoke_types::ErrorKind;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -90,9 +91,16 @@
         .max_header_list_size(header_bytes as u32)
         .max_concurrent_streams(STREAMS_PER_CONNECTION);
     let context = context.clone();
-    let service = service_fn(move |request| {
-        let context = context.clone();
-        async move { Ok::<_, Infallible>(handle(&context, request).await) }
+    let unframed = UnframedSignal::default();
+    let stream = CallerConnection::new(stream, unframed.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (context, unframed) = (context.clone(), unframed.clone());
+        async move {
+            let version = request.version();
+            let response = handle(&context, request).await;
+            unframed.announce(version, &response);
+            Ok::<_, Infallible>(response)
+        }
     });
     builder
         .serve_connection(TokioIo::new(stream), service)
