Break off a response in which the replica falls silent

A caller of an application route waited for good when the replica sent part of its response and then nothing: the connection was still open after 10 s on, over HTTP/1.1, HTTP/1.0 and HTTP/2 (4 cases with a silent replica of relayed_responses_test failed there).

Cause: only the head of a response had a deadline.

Fix: a pause longer than the route's deadline_seconds ends the body as broken off. The time runs only while the caller is ready for more data, so a slow caller ends nothing, and a response that goes on may take as long as it does. There is no new setting.

--- a/crates/stageyoke-config/src/schema.rs
+++ b/crates/stageyoke-config/src/schema.rs
@@ -572,7 +572,7 @@
             (1, SECONDS_PER_DAY),
             "s",
             30,
-            "Time within which a replica must begin to answer.",
+            "Time within which a replica must begin to answer, and longest pause within its answer.",
         ),
     ],
 };
--- a/crates/stageyoke-node/src/backends/application.rs
+++ b/crates/stageyoke-node/src/backends/application.rs
@@ -141,7 +141,7 @@
         }
         let answered = tokio::time::timeout(deadline, self.http.request(request)).await;
         match answered {
-            Ok(Ok(response)) => Ok(relay_response(response, caller)),
+            Ok(Ok(response)) => Ok(relay_response(response, caller, deadline)),
             Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent),
             Ok(Err(_)) | Err(_) => Err(SendError::MaybeSent),
         }
@@ -150,9 +150,14 @@
 
 /// Builds the response to a caller of this protocol version. It claims no more about the end of
 /// its body than the replica's response does.
-fn relay_response(response: Response<Incoming>, caller: Version) -> Response<Body> {
+fn relay_response(
+    response: Response<Incoming>,
+    caller: Version,
+    max_silence: Duration,
+) -> Response<Body> {
     let framing = Framing::of(&response);
-    let mut response = response.map(|body| RelayedBody::new(body, framing, caller).boxed());
+    let mut response =
+        response.map(|body| RelayedBody::new(body, framing, caller, max_silence).boxed());
     for name in HOP_HEADERS {
         response.headers_mut().remove(name);
     }
--- a/crates/stageyoke-node/src/backends/relayed_body.rs
+++ b/crates/stageyoke-node/src/backends/relayed_body.rs
@@ -21,6 +21,8 @@
 /// Why a response is not passed on as complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IncompleteResponse {
+    /// The replica sent nothing for too long.
+    Silent,
     /// The response ended with the replica's connection, and the caller's protocol can't say so.
     UnknownEnd,
 }
@@ -28,6 +30,7 @@
 impl fmt::Display for IncompleteResponse {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
+            Self::Silent => "the replica fell silent within its response",
             Self::UnknownEnd => "whether the replica's response is whole is unknown",
         })
     }
@@ -40,17 +43,28 @@
     replica: Incoming,
     framing: Framing,
     is_http2: bool,
+    max_silence: Duration,
+    /// Runs while the replica's next data is awaited.
+    silence: Option<Pin<Box<Sleep>>>,
     /// Error that ends the body once the delay is over.
     failure: Option<(Pin<Box<Sleep>>, BodyError)>,
 }
 
 impl RelayedBody {
-    /// Wraps the body of a response to a caller of this protocol version.
-    pub fn new(replica: Incoming, framing: Framing, caller: Version) -> Self {
+    /// Wraps the body of a response to a caller of this protocol version. It fails when the
+    /// replica sends nothing for longer than `max_silence`.
+    pub fn new(
+        replica: Incoming,
+        framing: Framing,
+        caller: Version,
+        max_silence: Duration,
+    ) -> Self {
         Self {
             replica,
             framing,
             is_http2: caller == Version::HTTP_2,
+            max_silence,
+            silence: None,
             failure: None,
         }
     }
@@ -59,13 +73,21 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = ready!(Pin::new(&mut self.replica).poll_frame(context));
-        let unknown_end = self.is_http2 && self.framing == Framing::Connection;
-        Poll::Ready(match frame {
-            Some(frame) => Some(frame.map_err(Into::into)),
-            None if unknown_end => Some(Err(IncompleteResponse::UnknownEnd.into())),
-            None => None,
-        })
+        if let Poll::Ready(frame) = Pin::new(&mut self.replica).poll_frame(context) {
+            self.silence = None;
+            let unknown_end = self.is_http2 && self.framing == Framing::Connection;
+            return Poll::Ready(match frame {
+                Some(frame) => Some(frame.map_err(Into::into)),
+                None if unknown_end => Some(Err(IncompleteResponse::UnknownEnd.into())),
+                None => None,
+            });
+        }
+        let max_silence = self.max_silence;
+        let silence = self
+            .silence
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(max_silence)));
+        ready!(silence.as_mut().poll(context));
+        Poll::Ready(Some(Err(IncompleteResponse::Silent.into())))
     }
 }
 
--- a/crates/stageyoke-node/tests/relayed_responses_test.rs
+++ b/crates/stageyoke-node/tests/relayed_responses_test.rs
@@ -120,11 +120,13 @@
 }
 
 /// Guards against responses of callers without chunks that end like whole ones when the replica
-/// breaks them off.
+/// breaks them off or falls silent.
 #[rstest]
 #[case::reset_of_a_response_without_framing("HTTP/1.0", UNFRAMED, PART, End::Reset)]
 #[case::reset_seen_by_http_1_1("HTTP/1.1", UNFRAMED, PART, End::Reset)]
 #[case::missing_last_chunk("HTTP/1.0", CHUNKED, PART_AS_CHUNK, End::Close)]
+#[case::silence("HTTP/1.0", UNFRAMED, PART, End::Silence)]
+#[case::silence_seen_by_http_1_1("HTTP/1.1", UNFRAMED, PART, End::Silence)]
 #[tokio::test]
 async fn a_response_that_breaks_off_never_ends_like_a_whole_one(
     #[case] version: &str,
@@ -141,9 +143,10 @@
     assert_eq!(error, ErrorKind::ConnectionReset);
 }
 
-/// A response in chunks states its end.
+/// A response in chunks states its end, also after a pause.
 #[rstest]
 #[case::missing_last_chunk(End::Close)]
+#[case::silence(End::Silence)]
 #[tokio::test]
 async fn a_chunked_response_that_breaks_off_has_no_last_chunk(#[case] end: End) {
     let replica = Replica::start(&format!("{CHUNKED}{PART_AS_CHUNK}"), end).await;
@@ -161,6 +164,7 @@
 #[rstest]
 #[case::unframed(UNFRAMED, PART, End::Close)]
 #[case::unframed_reset(UNFRAMED, PART, End::Reset)]
+#[case::unframed_silence(UNFRAMED, PART, End::Silence)]
 #[case::missing_last_chunk(CHUNKED, PART_AS_CHUNK, End::Close)]
 #[tokio::test]
 async fn an_http2_stream_of_unknown_end_is_reset_after_its_data(
