Send requests past the close of a kept connection

A GET to a pool of one address got 502 when its replica closed the kept connection at that moment, and a POST got 502 outcome_unknown with any number of addresses.

Cause: a replica may close an idle connection at any time. A request on its way then loses its connection without an answer; the client repeats it only if it was not written, and the proxy only at other addresses, or not at all.

Evidence: a_closed_kept_connection_fails_no_request, whose replica closes each connection when its second request arrives: on the second request of GET and of POST failed with 502.

Fix: a safe request that lost its connection everywhere is sent once more, on a new connection, which a replica has no reason to close. Other requests use a new connection from the start; the proxy opened and closed one before each of them already, to see whether the replica can be reached. An unsafe request is still sent once, a safe one at most once more than there are addresses (two tests).

--- a/crates/stageyoke-node/src/backends/application.rs
+++ b/crates/stageyoke-node/src/backends/application.rs
@@ -13,6 +13,7 @@
 use stageyoke_types::{ErrorKind, RunState, Text};
 
 use super::relayed_body::RelayedBody;
+use super::replica_connection::NewConnection;
 use super::{Body, HttpClient, full_body, http_client};
 
 /// Headers that belong to one connection and are not passed on.
@@ -50,8 +51,9 @@
 
 impl ApplicationClient {
     /// Passes a request to a replica of the route's pool and its answer back,
-    /// both streamed. A safe request is tried on every replica; any other goes
-    /// on to the next only while no byte of it was sent.
+    /// both streamed. A safe request is tried on every replica, and once more on
+    /// a new connection if one was lost; any other goes on to the next only
+    /// while no byte of it was sent.
     pub async fn forward(
         &self,
         config: &Configuration,
@@ -77,24 +79,30 @@
         deadline: Duration,
     ) -> Result<Response<Body>, Failure> {
         let (parts, _) = request.into_parts();
+        let mut lost = None;
         for replica in replicas {
-            let mut copy = Request::new(full_body(Vec::new()));
-            *copy.method_mut() = parts.method.clone();
-            *copy.uri_mut() = parts.uri.clone();
-            *copy.version_mut() = parts.version;
-            *copy.headers_mut() = parts.headers.clone();
-            let sent = self.send(copy, *replica, deadline).await;
-            match sent {
+            let copy = copy_without_body(&parts);
+            match self.send_kept(copy, *replica, deadline).await {
                 Ok(response) if !response.status().is_server_error() => return Ok(response),
                 Ok(response) if Some(replica) == replicas.last() => return Ok(response),
+                Err(SendError::ConnectionLost) => lost = lost.or(Some(*replica)),
                 Ok(_) | Err(_) => {}
             }
         }
+        if let Some(replica) = lost {
+            let copy = copy_without_body(&parts);
+            if let Ok(connection) = NewConnection::open(replica).await
+                && let Ok(response) = send_new(copy, connection, deadline).await
+            {
+                return Ok(response);
+            }
+        }
         Err(failure(RunState::Unknown, "no replica answered"))
     }
 
     /// Connects before sending, so that a replica that cannot be reached costs
-    /// nothing; once a byte may have been sent, there is no second try.
+    /// nothing; once a byte may have been sent, there is no second try. A kept
+    /// connection is not used, since its replica may be closing it.
     async fn send_once(
         &self,
         request: Request<Incoming>,
@@ -102,52 +110,70 @@
         deadline: Duration,
     ) -> Result<Response<Body>, Failure> {
         for replica in replicas {
-            let connect = tokio::net::TcpStream::connect(replica);
-            let reachable = tokio::time::timeout(super::CONNECT_TIMEOUT, connect).await;
-            if !matches!(reachable, Ok(Ok(_))) {
+            let Ok(connection) = NewConnection::open(*replica).await else {
                 continue;
-            }
-            let request = request.map(|body| body.map_err(Into::into).boxed());
-            return match self.send(request, *replica, deadline).await {
-                Ok(response) => Ok(response),
-                Err(SendError::NotSent) => Err(failure(
-                    RunState::NotRun,
-                    "the replica refused the connection",
-                )),
-                Err(SendError::MaybeSent) => {
-                    Err(failure(RunState::Unknown, "the replica did not answer"))
-                }
             };
+            let request = request.map(|body| body.map_err(Into::into).boxed());
+            let sent = send_new(request, connection, deadline).await;
+            return sent.map_err(|_| failure(RunState::Unknown, "the replica did not answer"));
         }
         Err(failure(RunState::NotRun, "no replica could be reached"))
     }
 
-    async fn send(
+    /// Sends a request on a kept connection, if there is one.
+    async fn send_kept(
         &self,
         mut request: Request<Body>,
         replica: SocketAddr,
         deadline: Duration,
     ) -> Result<Response<Body>, SendError> {
-        let caller = request.version();
+        let caller = prepare(&mut request);
         let path = request
             .uri()
             .path_and_query()
             .map_or("/", |path| path.as_str());
         let uri = format!("http://{replica}{path}").parse();
         *request.uri_mut() = uri.map_err(|_| SendError::NotSent)?;
-        *request.version_mut() = hyper::Version::HTTP_11;
-        for name in HOP_HEADERS {
-            request.headers_mut().remove(name);
-        }
         let answered = tokio::time::timeout(deadline, self.http.request(request)).await;
         match answered {
             Ok(Ok(response)) => Ok(relay_response(response, caller, deadline)),
             Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent),
-            Ok(Err(_)) | Err(_) => Err(SendError::MaybeSent),
+            Ok(Err(_)) => Err(SendError::ConnectionLost),
+            Err(_) => Err(SendError::TimedOut),
         }
     }
 }
 
+async fn send_new(
+    mut request: Request<Body>,
+    connection: NewConnection,
+    deadline: Duration,
+) -> Result<Response<Body>, SendError> {
+    let caller = prepare(&mut request);
+    match tokio::time::timeout(deadline, connection.send(request)).await {
+        Ok(Ok(response)) => Ok(relay_response(response, caller, deadline)),
+        Ok(Err(_)) => Err(SendError::ConnectionLost),
+        Err(_) => Err(SendError::TimedOut),
+    }
+}
+
+fn copy_without_body(parts: &hyper::http::request::Parts) -> Request<Body> {
+    let mut copy = Request::new(full_body(Vec::new()));
+    *copy.method_mut() = parts.method.clone();
+    *copy.uri_mut() = parts.uri.clone();
+    *copy.version_mut() = parts.version;
+    *copy.headers_mut() = parts.headers.clone();
+    copy
+}
+
+/// Makes a caller's request one of this system's own, and returns the caller's protocol version.
+fn prepare(request: &mut Request<Body>) -> Version {
+    for name in HOP_HEADERS {
+        request.headers_mut().remove(name);
+    }
+    std::mem::replace(request.version_mut(), Version::HTTP_11)
+}
+
 /// Builds the response to a caller of this protocol version. It claims no more about the end of
 /// its body than the replica's response does.
 fn relay_response(
@@ -168,9 +194,11 @@
     response
 }
 
+/// Why a replica did not answer. It may have run the request unless that was not sent.
 enum SendError {
     NotSent,
-    MaybeSent,
+    ConnectionLost,
+    TimedOut,
 }
 
 fn failure(run_state: RunState, detail: &str) -> Failure {
--- a/crates/stageyoke-node/src/backends/mod.rs
+++ b/crates/stageyoke-node/src/backends/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod engine_protocol;
 mod relayed_body;
+mod replica_connection;
 pub mod sweep;
 
 use http_body_util::combinators::BoxBody;
--- /dev/null
+++ b/crates/stageyoke-node/src/backends/replica_connection.rs
@@ -0,0 +1,45 @@
+//! Connections to application replicas that carry a single request.
+
+use std::io;
+use std::net::SocketAddr;
+
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response, Uri, header};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::{Body, CONNECT_TIMEOUT};
+
+/// A new connection. Unlike a kept one, its replica has no reason to close it while a request is
+/// on its way.
+pub struct NewConnection {
+    sender: SendRequest<Body>,
+    replica: SocketAddr,
+}
+
+impl NewConnection {
+    /// Opens a connection to a replica.
+    pub async fn open(replica: SocketAddr) -> io::Result<Self> {
+        let connecting = TcpStream::connect(replica);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+        stream.set_nodelay(true)?;
+        let handshake = handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        tokio::spawn(async move {
+            // Its end shows in the response.
+            let _ = connection.await;
+        });
+        Ok(Self { sender, replica })
+    }
+
+    /// Sends the request and waits for the head of its response.
+    pub async fn send(mut self, mut request: Request<Body>) -> hyper::Result<Response<Incoming>> {
+        let path = request.uri().path_and_query().cloned();
+        *request.uri_mut() = path.map_or_else(Uri::default, Uri::from);
+        if let Ok(host) = header::HeaderValue::from_str(&self.replica.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        self.sender.send_request(request).await
+    }
+}
--- a/crates/stageyoke-node/tests/relayed_responses_test.rs
+++ b/crates/stageyoke-node/tests/relayed_responses_test.rs
@@ -1,5 +1,7 @@
-//! Responses of application replicas as raw callers of a node see them.
+//! Requests to application replicas as raw callers of a node see them.
 
+#[path = "application/kept_connections.rs"]
+mod kept_connections;
 mod support;
 
 use std::io::{ErrorKind, Result};
--- a/crates/stageyoke-node/tests/support/replica.rs
+++ b/crates/stageyoke-node/tests/support/replica.rs
@@ -21,6 +21,8 @@
     Reset,
     /// Leaves it open and says nothing more.
     Silence,
+    /// Leaves it open and closes it as soon as another request arrives on it.
+    CloseAtNextRequest,
 }
 
 /// A replica that sends one response again and again.
@@ -45,9 +47,14 @@
         Self { address, requests }
     }
 
+    /// Returns how many requests were read.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+
     /// Waits until so many requests have arrived.
     pub async fn wait_for_requests(&self, count: usize) {
-        while self.requests.load(Ordering::Relaxed) < count {
+        while self.requests() < count {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
@@ -66,8 +73,8 @@
             tokio::time::sleep(SETTLING).await;
             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
-        End::Silence => {
-            // Ends when the node closes the connection.
+        End::Silence | End::CloseAtNextRequest => {
+            // Ends with the next request, or when the node closes the connection.
             let _ = stream.read(&mut request).await;
         }
     }
