Save a member list once, however slow the disk is

After the loss of a store, turns were rejected for seconds (budget_not_reserved, no_quorum) although a quorum of its group was alive, and the next loss found the group not whole: losses_test reported "no turn was served for 6000 ms".

Cause: a store repeats the save of its member list each second until the list is on disk. A save takes two syncs. Where that is a second or more, each retry queued another save of the same list in front of the turns, and comparisons with other stores, which wait for the disk too, took so long that stores counted living members as silent.

Fix: the newest list that waits to be saved takes the place of an older one, and the writer skips a list that it has saved already. A list whose save failed is still retried.

--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -3,9 +3,8 @@
 
 use std::fs::File;
 use std::io::{self, Write};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc;
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::time::Instant;
 
 use stageyoke_directory::StoreGroups;
@@ -39,14 +38,18 @@
 enum Command {
     Append { ticket: u64, bytes: Vec<u8> },
     Remove { segment: u64 },
-    Stores(StoreGroups),
+    Stores,
     Complete(Completeness),
 }
 
+/// Newest store groups that the writer has not started to save.
+type UnsavedStores = Arc<Mutex<Option<StoreGroups>>>;
+
 /// Handle to the writer thread.
 #[derive(Clone, Debug)]
 pub struct Journal {
     commands: mpsc::Sender<Command>,
+    unsaved_stores: UnsavedStores,
     saved_stores_version: Arc<AtomicU64>,
 }
 
@@ -62,7 +65,9 @@
         let (commands, receiver) = mpsc::channel();
         let (results, result_receiver) = unbounded_channel();
         let saved_stores_version = Arc::new(AtomicU64::new(0));
+        let unsaved_stores = UnsavedStores::default();
         let writer = Writer {
+            unsaved_stores: unsaved_stores.clone(),
             saved_stores_version: saved_stores_version.clone(),
             folder,
             next_segment,
@@ -77,6 +82,7 @@
             .spawn(move || writer.run(&receiver))?;
         let journal = Self {
             commands,
+            unsaved_stores,
             saved_stores_version,
         };
         Ok((journal, result_receiver))
@@ -102,9 +108,13 @@
         self.saved_stores_version.load(Ordering::Acquire)
     }
 
-    /// Saves the store groups.
+    /// Saves the store groups, unless this version is on disk already. Groups that wait to be
+    /// saved are replaced.
     pub fn save_stores(&self, stores: &StoreGroups) {
-        let _ = self.commands.send(Command::Stores(stores.clone()));
+        let mut unsaved = lock(&self.unsaved_stores);
+        if unsaved.replace(stores.clone()).is_none() {
+            let _ = self.commands.send(Command::Stores);
+        }
     }
 
     /// Saves the group for which the disk is complete.
@@ -113,6 +123,10 @@
     }
 }
 
+fn lock(unsaved: &UnsavedStores) -> std::sync::MutexGuard<'_, Option<StoreGroups>> {
+    unsaved.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 struct Segment {
     number: u64,
     file: File,
@@ -127,6 +141,7 @@
 }
 
 struct Writer {
+    unsaved_stores: UnsavedStores,
     saved_stores_version: Arc<AtomicU64>,
     folder: DataFolder,
     next_segment: u64,
@@ -167,7 +182,7 @@
     fn run_maintenance(&self, command: Command) {
         let outcome = match command {
             Command::Remove { segment } => self.folder.remove_segment(segment),
-            Command::Stores(stores) => self.save_stores(&stores),
+            Command::Stores => self.save_newest_stores(),
             Command::Complete(completeness) => self.folder.mark_complete(completeness),
             Command::Append { .. } => Ok(()),
         };
@@ -177,8 +192,14 @@
         }
     }
 
-    fn save_stores(&self, stores: &StoreGroups) -> io::Result<()> {
-        self.folder.save_stores(stores)?;
+    fn save_newest_stores(&self) -> io::Result<()> {
+        let unsaved = lock(&self.unsaved_stores).take();
+        let saved_version = self.saved_stores_version.load(Ordering::Acquire);
+        // A retry may have been queued while the same version was being saved.
+        let Some(stores) = unsaved.filter(|stores| stores.version > saved_version) else {
+            return Ok(());
+        };
+        self.folder.save_stores(&stores)?;
         self.saved_stores_version
             .store(stores.version, Ordering::Release);
         Ok(())
