--- a/crates/stageyoke-framing/src/framing.rs
+++ b/crates/stageyoke-framing/src/framing.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// Makes hyper send a response of HTTP/1 without framing, and close its connection at the end.
+/// Makes hyper send an HTTP/1 response without framing and close the connection after it.
 pub fn close_after<B>(response: &mut Response<B>) {
     *response.version_mut() = Version::HTTP_10;
     let close = HeaderValue::from_static("close");
--- a/crates/stageyoke-node/src/backends/application.rs
+++ b/crates/stageyoke-node/src/backends/application.rs
@@ -120,7 +120,7 @@
         Err(failure(RunState::NotRun, "no replica could be reached"))
     }
 
-    /// Sends a request on a kept connection, if there is one.
+    /// Sends a request on a kept connection, or on a new one if none is kept.
     async fn send_kept(
         &self,
         mut request: Request<Body>,
@@ -166,7 +166,8 @@
     copy
 }
 
-/// Makes a caller's request one of this system's own, and returns the caller's protocol version.
+/// Removes the hop-by-hop headers, sets the protocol version towards replicas, and returns the
+/// caller's.
 fn prepare(request: &mut Request<Body>) -> Version {
     for name in HOP_HEADERS {
         request.headers_mut().remove(name);
--- a/crates/stageyoke-node/src/backends/replica_connection.rs
+++ b/crates/stageyoke-node/src/backends/replica_connection.rs
@@ -11,8 +11,7 @@
 
 use super::{Body, CONNECT_TIMEOUT};
 
-/// A new connection. Unlike a kept one, its replica has no reason to close it while a request is
-/// on its way.
+/// A new connection, which the replica does not close for having been idle.
 pub struct NewConnection {
     sender: SendRequest<Body>,
     replica: SocketAddr,
--- a/crates/stageyoke-node/tests/application/kept_connections.rs
+++ b/crates/stageyoke-node/tests/application/kept_connections.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Guards against a request that may not be repeated and runs twice.
+/// Guards against a second run of a request that may not be repeated.
 #[tokio::test]
 async fn an_unsafe_request_is_sent_once() {
     let replica = Replica::start("", End::Close).await;
@@ -50,7 +50,7 @@
     assert_eq!(replica.requests(), 1);
 }
 
-/// Guards against a request that fails every connection and is sent without end.
+/// Guards against unlimited retries.
 #[tokio::test]
 async fn a_safe_request_is_tried_once_more_at_most() {
     let replica = Replica::start("", End::Close).await;
--- a/crates/stageyoke-node/tests/relayed_responses_test.rs
+++ b/crates/stageyoke-node/tests/relayed_responses_test.rs
@@ -121,8 +121,8 @@
     assert!(received.end.is_ok(), "{:?}", received.end);
 }
 
-/// Guards against responses of callers without chunks that end like whole ones when the replica
-/// breaks them off or falls silent.
+/// Guards against a regular close after a response that the replica broke off, or in which it fell
+/// silent, towards callers that get no chunks.
 #[rstest]
 #[case::reset_of_a_response_without_framing("HTTP/1.0", UNFRAMED, PART, End::Reset)]
 #[case::reset_seen_by_http_1_1("HTTP/1.1", UNFRAMED, PART, End::Reset)]
@@ -145,7 +145,7 @@
     assert_eq!(error, ErrorKind::ConnectionReset);
 }
 
-/// A response in chunks states its end, also after a pause.
+/// Guards against a last chunk that the replica has not sent.
 #[rstest]
 #[case::missing_last_chunk(End::Close)]
 #[case::silence(End::Silence)]
