--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -41,6 +41,10 @@
 pub const BROKEN_STREAM: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
      Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
      f\r\nid: 1\ndata: a\n\n\r\nCLOSE";
+/// Start of a stream, up to and including its first event.
+pub const FIRST_EVENT: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
+     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+     f\r\nid: 1\ndata: a\n\n\r\n";
 /// Rejection of a request that has not run.
 pub const NOT_RUN: &str = "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -257,36 +261,116 @@
     }
 }
 
+/// Path of requests under which a replica of `Replica::start_ending` ends.
+pub const DEADLY_PATH: &str = "/stream/deadly";
+
+/// How a replica responds to requests.
+#[derive(Clone, Copy)]
+struct Script {
+    new: &'static str,
+    continued: &'static str,
+    /// Time from a request to its response.
+    service_time: Duration,
+    /// What the caller gets before the process ends under a deadly request; `None` if the
+    /// process never ends by itself.
+    last_words: Option<&'static str>,
+}
+
 /// Replica with one scripted response to new streams and one to continued streams. `ID` is
 /// replaced by the request's identifier; a trailing `CLOSE` closes the connection.
 pub struct Replica {
     address: SocketAddr,
     /// Identifiers of the received requests.
     pub received: Rc<RefCell<Vec<String>>>,
+    process: Rc<Process>,
+}
+
+/// Tasks of a replica, which end together.
+#[derive(Default)]
+struct Process {
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    ended: Cell<bool>,
+}
+
+impl Process {
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        let task = tokio::task::spawn_local(task);
+        self.tasks.borrow_mut().push(task);
+    }
+
+    fn end(&self) {
+        self.ended.set(true);
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+    }
 }
 
 impl Replica {
     /// Starts a replica with these responses to new and to continued streams.
     pub async fn start(new: &'static str, continued: &'static str) -> Self {
+        let script = Script {
+            new,
+            continued,
+            service_time: Duration::ZERO,
+            last_words: None,
+        };
+        Self::run(script).await
+    }
+
+    /// Starts a replica that streams one event after `service_time` and whose process, with its
+    /// listener and all its connections, ends under a request for `DEADLY_PATH`.
+    pub async fn start_ending(last_words: &'static str, service_time: Duration) -> Self {
+        let script = Script {
+            new: STREAM,
+            continued: STREAM,
+            service_time,
+            last_words: Some(last_words),
+        };
+        Self::run(script).await
+    }
+
+    async fn run(script: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let received: Rc<RefCell<Vec<String>>> = Rc::default();
-        let recorded = received.clone();
-        tokio::task::spawn_local(async move {
+        let process: Rc<Process> = Rc::default();
+        let (recorded, running) = (received.clone(), process.clone());
+        process.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(respond(stream, [new, continued], recorded.clone()));
+                let (recorded, responder) = (recorded.clone(), running.clone());
+                running.spawn(respond(stream, script, recorded, responder));
             }
         });
-        Self { address, received }
+        Self {
+            address,
+            received,
+            process,
+        }
     }
 
     /// Returns whether the replica has received a request with this identifier.
     pub fn has_received(&self, id: &str) -> bool {
         self.received.borrow().iter().any(|received| received == id)
     }
+
+    /// Ends the process with its listener and all its connections.
+    pub fn end(&self) {
+        self.process.end();
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&self) -> bool {
+        self.process.ended.get()
+    }
 }
 
-async fn respond(mut stream: TcpStream, responses: [&str; 2], received: Rc<RefCell<Vec<String>>>) {
+async fn respond(
+    mut stream: TcpStream,
+    script: Script,
+    received: Rc<RefCell<Vec<String>>>,
+    process: Rc<Process>,
+) {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
@@ -294,8 +378,20 @@
             bytes.clear();
             let id = header_value(&text, "id").unwrap_or_default();
             received.borrow_mut().push(id.clone());
-            let is_continued = header_value(&text, "last-event-id").is_some();
-            let response = responses[usize::from(is_continued)].replace("ID", &id);
+            let path = text.split(' ').nth(1).unwrap_or_default();
+            if let Some(last_words) = script.last_words.filter(|_| path == DEADLY_PATH) {
+                let _ = stream
+                    .write_all(last_words.replace("ID", &id).as_bytes())
+                    .await;
+                process.end();
+                return;
+            }
+            tokio::time::sleep(script.service_time).await;
+            let response = match header_value(&text, "last-event-id") {
+                Some(_) => script.continued,
+                None => script.new,
+            };
+            let response = response.replace("ID", &id);
             let closes = response.ends_with("CLOSE");
             let response = response.trim_end_matches("CLOSE");
             if stream.write_all(response.as_bytes()).await.is_err() || closes {
@@ -377,6 +473,12 @@
         }
     }
 
+    /// Returns the number of replicas whose process has ended.
+    pub fn ended_replicas(&self) -> usize {
+        let replicas = self.replicas.iter();
+        replicas.filter(|(_, replica)| replica.has_ended()).count()
+    }
+
     /// Returns the versions of the replicas that have received a request.
     pub fn versions_of(&self, id: &str) -> Vec<&'static str> {
         let replicas = self.replicas.iter();
@@ -438,8 +540,13 @@
 
     /// Sends a request with further headers and returns the response.
     pub async fn send(&self, id: &str, headers: &str) -> String {
+        self.send_to("/stream/a", id, headers).await
+    }
+
+    /// Sends a request to a path with further headers and returns the response.
+    pub async fn send_to(&self, path: &str, id: &str, headers: &str) -> String {
         let request = format!(
-            "GET /stream/a HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: 3000\r\n{headers}\
+            "GET {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: 3000\r\n{headers}\
              connection: close\r\n\r\n"
         );
         exchange(self.address, &request).await
