Block requests under which three replicas have ended

Cause: evidence about a request was kept for one attempt of one front.

A front that finds nothing listening where it lost a connection reports the end under the request's identity to the first store group before it answers. Stores send restricted requests to all fronts unasked, so that others wait for nothing; a request that one more end would block needs a permit.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -8,12 +8,14 @@
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
 use stageyoke_observe::{self as observe, RequestSummary};
 use stageyoke_policy::cold_start::{PERMIT_TTL, PermitDecision};
+use stageyoke_policy::deadly_requests::Standing;
 use stageyoke_store::extension::PermitRequest;
 use stageyoke_store::message::Placement;
 use stageyoke_types::{ErrorKind, Text};
 use tokio::time::Instant;
 
 use crate::attempt::{self, AttemptOutcome, CONNECTION_LOST, ReplicaResponse};
+use crate::deadly_requests::{self, Denial};
 use crate::failure::Failure;
 use crate::front::Front;
 use crate::handler::{OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
@@ -61,6 +63,7 @@
         budget.deposit();
         self.retry_budget.set(budget);
         let mut rejections = Rejections::default();
+        let mut denial = None;
         for _ in 0..MAX_ATTEMPTED_REPLICAS {
             let Some(chosen) = self.choose_permitted(context, &excluded).await else {
                 break;
@@ -68,6 +71,20 @@
             summary.placement = chosen.explanation;
             let replica = chosen.replica;
             excluded.push(replica.id.clone());
+            let deadline = context.outbound.deadline;
+            let guard = &self.request_guard;
+            match guard.acquire(context.identity, &replica, deadline).await {
+                Ok(permit) => context.run_permit = permit,
+                Err(Denial::ReplicaBusy) => {
+                    record_attempt(summary, &replica.id, "run_denied");
+                    denial = Some(Denial::ReplicaBusy);
+                    continue;
+                }
+                Err(denied) if runs == 0 || denied == Denial::Blocked => {
+                    return Err(denied.failure());
+                }
+                Err(Denial::RequestBusy | Denial::Unknown | Denial::Blocked) => break,
+            }
             let placement = build_placement(context, &replica);
             if let Some(reservation) = reservation
                 && reported.map(|reported| reported.replica) != Some(placement.replica)
@@ -107,6 +124,9 @@
                         .await
                     {
                         Ok(dispatched) => {
+                            if let DispatchedResponse::Plain(..) = dispatched {
+                                guard.record_completed(context.identity, &replica);
+                            }
                             record_attempt(summary, &replica.id, "answered");
                             self.record_latency(context, &replica, sent);
                             replica.record(response_evidence(&dispatched));
@@ -144,12 +164,18 @@
             };
             record_attempt(summary, &replica.id, cause);
             runs += 1;
+            if cause == REPLICA_ENDED
+                && guard.record_end(context.identity, &replica).await == Standing::Blocked
+            {
+                return Err(deadly_requests::blocked());
+            }
             if runs >= max_runs {
                 break;
             }
         }
         if runs == 0 {
             let failure = self.shortage_failure(context);
+            let failure = failure.or_else(|| denial.map(Denial::failure));
             return Err(failure.unwrap_or_else(|| rejections.failure()));
         }
         match context.route.is_repeatable() {
--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -22,6 +22,7 @@
 use crate::authentication::KeyFreshness;
 use crate::baseline_latency::BaselineLatencies;
 use crate::bootstrap;
+use crate::deadly_requests::RequestGuard;
 use crate::evacuation_log::EvacuationLog;
 use crate::history::History;
 use crate::memory_budget::MemoryBudget;
@@ -103,7 +104,7 @@
     /// Mirror of the directory: routes, replicas and store members.
     pub mirror: Rc<Mirror<S, I>>,
     /// Replicas and their observed state.
-    pub registry: ReplicaRegistry,
+    pub registry: Rc<ReplicaRegistry>,
     /// Tolerated excess over the rate that cold replicas bear; `None` if no limit applies.
     pub cold_tolerance: Option<ColdTolerance>,
     /// Baseline latencies of plain services.
@@ -118,6 +119,8 @@
     pub traffic_split: TrafficSplit,
     /// Turns and budgets of programs.
     pub history: Rc<History>,
+    /// Limit of the replicas that may end under one request.
+    pub request_guard: Rc<RequestGuard>,
     /// Check that the directory is fresh enough to accept keys.
     pub key_freshness: KeyFreshness,
     /// Logs placements by an outdated replica list.
@@ -248,14 +251,16 @@
     }
     let relay = Rc::new(StoreRelay::new(stores.clone(), settings.seeds.clone()));
     let mirror = Rc::new(mirror.with_relay(relay.clone()));
+    let registry = Rc::new(ReplicaRegistry::new(
+        stores.load().clone(),
+        settings.tolerance.region_by_zone.clone(),
+    ));
     let front = Rc::new(Front {
         names,
         zone: settings.zone.clone(),
         mirror,
-        registry: ReplicaRegistry::new(
-            stores.load().clone(),
-            settings.tolerance.region_by_zone.clone(),
-        ),
+        request_guard: Rc::new(RequestGuard::new(stores.clone(), registry.clone())),
+        registry,
         cold_tolerance: settings.cold_tolerance,
         baseline_latencies: BaselineLatencies::default(),
         admission_control: settings.admission_control,
@@ -288,6 +293,8 @@
     });
     let watching = front.clone();
     tokio::task::spawn_local(async move { watching.watch_store_groups().await });
+    let guard = front.request_guard.clone();
+    tokio::task::spawn_local(async move { guard.watch().await });
     let seeding = front.clone();
     let seeds = settings.seeds.clone();
     tokio::task::spawn_local(async move {
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -13,6 +13,7 @@
 use stageyoke_directory::{
     Interpreter, KeyValueService, RequestHomes, Route, RouteTable, ServiceSpec,
 };
+use stageyoke_policy::deadly_requests::Standing;
 use stageyoke_store::message::Placement;
 use stageyoke_store::quota_owners::QuotaGrant;
 use stageyoke_store::rank_load::ServiceRank;
@@ -22,6 +23,7 @@
 use crate::admission::service_hash;
 use crate::attempt::{OutboundRequest, end_to_end_headers, forwarded_headers};
 use crate::authentication::Caller;
+use crate::deadly_requests::{self, HeldPermit};
 use crate::dispatch::DispatchedResponse;
 use crate::failure::{self, Failure};
 use crate::front::Front;
@@ -68,6 +70,8 @@
     pub(crate) arrived: Instant,
     /// Software version that began the stream which the request continues.
     pub(crate) required_version: Option<Text>,
+    /// Permit of the run that is under way; `None` if it needs none.
+    pub(crate) run_permit: Option<HeldPermit>,
     /// Memory used by the request.
     pub(crate) memory_guard: MemoryGuard,
 }
@@ -238,6 +242,7 @@
             input,
             arrived,
             required_version: None,
+            run_permit: None,
             memory_guard,
         };
         let granted = RefCell::default();
@@ -269,6 +274,9 @@
     ) -> Result<Response<ResponseBody>, Failure> {
         summary.priority = context.caller.priority(&context.route);
         let ledger: RefCell<String> = RefCell::default();
+        if self.request_guard.standing(context.identity) == Standing::Blocked {
+            return Err(deadly_requests::blocked());
+        }
         if let Some(failure) = self.shortage_failure(&context) {
             return Err(failure);
         }
@@ -414,6 +422,9 @@
                 framing,
             },
             version_record,
+            identity: context.identity,
+            request_guard: self.request_guard.clone(),
+            _run_permit: context.run_permit,
             summary,
             arrived: context.arrived,
             _memory_guard: context.memory_guard,
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod baseline_latency;
 pub mod bootstrap;
 pub mod connection_pool;
+pub mod deadly_requests;
 mod dispatch;
 pub mod engine_rates;
 pub mod evacuation_log;
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -80,6 +80,7 @@
     start: Cell<ReplicaStart>,
     cell: Cell<Option<GroupNumber>>,
     last_probe: Mutex<Option<Probe>>,
+    end_noticed: Cell<bool>,
 }
 
 impl Replica {
@@ -106,6 +107,7 @@
             lapsed_until: Cell::new(None),
             cell: Cell::new(None),
             last_probe: Mutex::default(),
+            end_noticed: Cell::new(false),
         }
     }
 
@@ -361,6 +363,11 @@
         ended
     }
 
+    /// Notes that the process has ended. Returns whether that is new to this front.
+    pub fn notice_end(&self) -> bool {
+        !self.end_noticed.replace(true)
+    }
+
     /// Connects to the replica. Requests that are lost together share one probe.
     async fn probe(&self, lost_at: Instant) -> ProbeResult {
         let mut last_probe = self.last_probe.lock().await;
--- a/crates/stageyoke-front/src/replica_registry.rs
+++ b/crates/stageyoke-front/src/replica_registry.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use stageyoke_directory::{GroupNumber, ReplicaRecord, ReplicaState, RequestHomes};
 use stageyoke_observe as observe;
 use stageyoke_store::LoadTracker;
@@ -235,6 +236,16 @@
         shortage.or(Some(Shortage::NoReplica))
     }
 
+    /// Returns some other replicas of the same service and zone, at most `count`.
+    pub fn neighbours(&self, replica: &Replica, count: usize) -> Vec<Rc<Replica>> {
+        let services = self.services.borrow();
+        let pool = services.get(&replica.record.service);
+        let all = pool.into_iter().flat_map(ServicePool::all);
+        let neighbours =
+            all.filter(|other| other.id != replica.id && other.record.zone == replica.record.zone);
+        neighbours.cloned().choose_multiple(&mut rand::rng(), count)
+    }
+
     /// Returns the software version of all replicas of a service, if it is the same, also of
     /// those that have left recently.
     pub fn only_version(&self, service: &str) -> Option<Text> {
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::connection_pool::Connection;
+use crate::deadly_requests::{HeldPermit, RequestGuard};
 use crate::dispatch::{REPLICA_ENDED, record_attempt};
 use crate::engine_rates::TurnTiming;
 use crate::event_stream::{EventSplitter, collect_data, is_inside_event};
@@ -17,6 +18,7 @@
 use crate::memory_budget::MemoryGuard;
 use crate::replica::{InFlightGuard, Replica};
 use crate::request::ScopedIdentifiers;
+use crate::request_identity::RequestIdentity;
 use crate::response_body::ChunkSender;
 use crate::stream_version::VersionRecord;
 use stageyoke_framing::Framing;
@@ -99,6 +101,12 @@
     pub deadline: Instant,
     /// Record of the version that began the stream, which the first events wait for.
     pub version_record: Option<VersionRecord>,
+    /// Identity of the request.
+    pub identity: RequestIdentity,
+    /// Limit of the replicas that may end under one request.
+    pub request_guard: Rc<RequestGuard>,
+    /// Permit of the run, held until the stream ends.
+    pub _run_permit: Option<HeldPermit>,
     /// Summary for the request's log line.
     pub summary: RequestSummary,
     /// Time at which the request arrived.
@@ -147,6 +155,8 @@
         }
         let end = match end {
             StreamEnd::Complete => {
+                let replica = &self.upstream.replica;
+                self.request_guard.record_completed(self.identity, replica);
                 self.record_rates(&received);
                 self.store_turn(received, StreamEnd::Complete).await
             }
@@ -166,6 +176,7 @@
         }
         if replica.has_ended(Instant::now()).await {
             record_attempt(&mut self.summary, &replica.id, REPLICA_ENDED);
+            self.request_guard.record_end(self.identity, replica).await;
         }
     }
 
--- a/crates/stageyoke-front/tests/stream_versions_test.rs
+++ b/crates/stageyoke-front/tests/stream_versions_test.rs
@@ -1,5 +1,6 @@
 //! Streams that callers continue go on only at the software version that began them.
 
+#[allow(dead_code)]
 #[path = "support/streams.rs"]
 mod streams;
 mod support;
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -187,30 +187,45 @@
     StoreGroups::single(members)
 }
 
-/// Returns a table with one resumable route, `/stream/`.
+/// Returns a route of streams that may be resumed.
+fn stream_route() -> Route {
+    Route {
+        name: Text::from("stream"),
+        host: Text::from("host"),
+        path_prefix: Text::from("/stream/"),
+        kind: RouteKind::Stream,
+        timeout: Duration::from_millis(5_000),
+        latency_objective: Duration::from_millis(100),
+        priority: 1,
+        targets: vec![Target {
+            service: Text::from(SERVICE),
+            weight: 1,
+        }],
+        max_attempts: 3,
+        stores_history: false,
+        retention: Duration::ZERO,
+        resumable: true,
+        allows_anonymous: false,
+        affinity: false,
+        homes: None,
+    }
+}
+
+/// Returns a route of streams that nothing is recorded of.
+fn plain_route() -> Route {
+    Route {
+        name: Text::from("plain"),
+        path_prefix: Text::from("/plain/"),
+        resumable: false,
+        ..stream_route()
+    }
+}
+
+/// Returns a table with a resumable route, `/stream/`, and another one, `/plain/`.
 fn route_table() -> RouteTable {
     RouteTable {
         version: 1,
-        routes: vec![Route {
-            name: Text::from("stream"),
-            host: Text::from("host"),
-            path_prefix: Text::from("/stream/"),
-            kind: RouteKind::Stream,
-            timeout: Duration::from_millis(5_000),
-            latency_objective: Duration::from_millis(100),
-            priority: 1,
-            targets: vec![Target {
-                service: Text::from(SERVICE),
-                weight: 1,
-            }],
-            max_attempts: 3,
-            stores_history: false,
-            retention: Duration::ZERO,
-            resumable: true,
-            allows_anonymous: false,
-            affinity: false,
-            homes: None,
-        }],
+        routes: vec![stream_route(), plain_route()],
         services: vec![ServiceSpec {
             name: Text::from(SERVICE),
             max_connections: 10,
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -231,6 +231,17 @@
         "directory_stale" => {
             "not run: the directory was older than the bound on changes and no newer one came"
         }
+        "request_blocked" => {
+            "blocked: replicas ended one after the other while they ran it, under this or earlier \
+             identifiers; its identity tells which, event 817 when"
+        }
+        "run_not_permitted" => {
+            "not run: replicas ended under it, and it or another such request was running where it \
+             might run"
+        }
+        "run_permit_unknown" => {
+            "not run: replicas ended under it, and no quorum of stores permitted a further run"
+        }
         "stream_version_unknown" => "not run: no store knew which version began its stream",
         "no_replica_of_version" => {
             "not run: no replica of the version that began its stream is left"
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -62,6 +62,10 @@
     pub unacknowledged_versions: IntCounter,
     /// Continued streams rejected because the version that began them is unknown.
     pub unknown_versions: IntCounter,
+    /// Ends of replicas' processes under requests, each counted once a request.
+    pub replicas_ended: IntCounter,
+    /// Requests that are blocked, as this front knows.
+    pub blocked_requests: IntGauge,
     /// Evacuated zones.
     pub evacuated_zones: IntGauge,
     /// Connections opened to replicas.
@@ -229,6 +233,17 @@
                     "Continued streams rejected because the version that began them is unknown.",
                 ),
             ),
+            replicas_ended: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_replicas_ended_total",
+                    "Requests under which the process of a replica ended.",
+                ),
+            ),
+            blocked_requests: gauge(
+                "stageyoke_blocked_requests",
+                "Requests that are blocked because replicas ended under them.",
+            ),
             evacuated_zones: gauge("stageyoke_evacuated_zones", "Evacuated zones."),
             connections_opened: register(
                 &registry,
--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod cold_start;
+pub mod deadly_requests;
 pub mod quota;
 pub mod retry_budget;
 pub mod sliding_window;
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -22,6 +22,7 @@
 use crate::message::{Reply, Request};
 use crate::peer_version::PeerVersion;
 use crate::receive_progress::{ProgressReader, ReceiveProgress};
+use crate::restricted_requests::RestrictedRequests;
 use crate::socket;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -81,21 +82,35 @@
 impl StoreClient {
     /// Creates a client for the store at this address. Must be called in a `LocalSet`.
     pub fn new(address: &str) -> Self {
-        Self::start(address, Rc::default(), true)
+        Self::with_restricted_requests(address, Rc::default())
+    }
+
+    /// Creates a client that notes which requests the store tells to be restricted.
+    pub fn with_restricted_requests(
+        address: &str,
+        restricted_requests: Rc<RestrictedRequests>,
+    ) -> Self {
+        Self::start(address, Rc::default(), restricted_requests, true)
     }
 
     /// Creates a client for transfers, which records the progress of received data in
     /// `progress`. It sends no heartbeats, since their replies are no progress of a transfer.
     pub fn with_progress(address: &str, progress: Rc<ReceiveProgress>) -> Self {
-        Self::start(address, progress, false)
+        Self::start(address, progress, Rc::default(), false)
     }
 
-    fn start(address: &str, progress: Rc<ReceiveProgress>, sends_heartbeats: bool) -> Self {
+    fn start(
+        address: &str,
+        progress: Rc<ReceiveProgress>,
+        restricted_requests: Rc<RestrictedRequests>,
+        sends_heartbeats: bool,
+    ) -> Self {
         let (calls, queue) = unbounded_channel();
         let connection = Connection {
             address: address.to_owned(),
             queue,
             progress: progress.clone(),
+            restricted_requests,
             last_number: 0,
             outstanding_since: Instant::now(),
             sends_heartbeats,
@@ -183,6 +198,7 @@
     address: String,
     queue: UnboundedReceiver<Call>,
     progress: Rc<ReceiveProgress>,
+    restricted_requests: Rc<RestrictedRequests>,
     last_number: u64,
     outstanding_since: Instant,
     sends_heartbeats: bool,
@@ -232,6 +248,7 @@
             ProgressReader::new(reader, self.progress.clone()),
             peer_version.clone(),
             pending.clone(),
+            self.restricted_requests.clone(),
             ended,
         );
         let _receive_task = AbortOnDrop(tokio::task::spawn_local(receiving));
@@ -331,6 +348,7 @@
     reader: ProgressReader<OwnedReadHalf>,
     peer_version: Rc<PeerVersion>,
     pending: PendingCalls,
+    restricted_requests: Rc<RestrictedRequests>,
     ended: oneshot::Sender<()>,
 ) {
     let mut reader = BufReader::new(reader);
@@ -340,6 +358,9 @@
             Err(error) => break error,
         };
         peer_version.record_greeting(&received.extension_fields);
+        if let Some(restrictions) = &received.extension_fields.restrictions {
+            restricted_requests.receive(&address, received.message.number, restrictions);
+        }
         if let Some(reply_sender) = pending.borrow_mut().remove(&received.message.number) {
             let _ = reply_sender.send(ExtendedReply {
                 reply: received.message.content,
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -10,6 +10,7 @@
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use stageyoke_directory::GroupNumber;
+use stageyoke_policy::deadly_requests::Standing;
 use stageyoke_types::{Blob, List, Text};
 
 use crate::message::{LatencyEntry, LedgerEntry};
@@ -42,6 +43,11 @@
 const STREAM_RECORDED_TAG: u8 = 15;
 const STREAM_QUERY_TAG: u8 = 16;
 const STREAM_VERSION_TAG: u8 = 17;
+const RUN_REPORT_TAG: u8 = 18;
+const PERMIT_QUERY_TAG: u8 = 19;
+const RUN_PERMIT_TAG: u8 = 20;
+const KNOWN_RESTRICTIONS_TAG: u8 = 21;
+const RESTRICTIONS_TAG: u8 = 22;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -119,6 +125,70 @@
     pub ttl_milliseconds: u32,
 }
 
+/// Stands for the request in the report of a replica that ended without one.
+pub const NO_REQUEST: u128 = 0;
+
+/// A report of how a run of a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct RunReport {
+    /// Identity of the request, or `NO_REQUEST`.
+    pub request: u128,
+    /// Hash of the replica's incarnation.
+    pub replica: u64,
+    /// Whether the request ran to its end. Otherwise the replica's process ended under it.
+    pub completed: bool,
+}
+
+/// A query for a permit to run a request under which replicas have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct PermitQuery {
+    /// Identity of the request.
+    pub request: u128,
+    /// Hash of the replica's incarnation.
+    pub replica: u64,
+    /// Random number of the run.
+    pub run: u64,
+    /// Time in milliseconds for which the permit is held; 0 releases it.
+    pub ttl_milliseconds: u32,
+}
+
+/// The number of replicas that have ended under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Restriction {
+    /// Identity of the request.
+    pub request: u128,
+    /// Ends that count against the request; too few lift the restriction.
+    pub ends: u8,
+}
+
+impl Restriction {
+    /// Returns whether the request may be sent.
+    pub fn standing(self) -> Standing {
+        Standing::of(usize::from(self.ends))
+    }
+
+    /// Returns whether the request needs a permit or is blocked.
+    pub fn is_restricted(self) -> bool {
+        self.standing() != Standing::Free
+    }
+
+    /// Returns whether the request is blocked.
+    pub fn is_blocked(self) -> bool {
+        self.standing() == Standing::Blocked
+    }
+}
+
+/// Requests whose runs are restricted.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Restrictions {
+    /// Version of the store's list after this message.
+    pub version: u64,
+    /// Whether these are all, and not only those that changed.
+    pub complete: bool,
+    /// The requests.
+    pub requests: List<Restriction>,
+}
+
 /// The extension fields of one message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExtensionFields {
@@ -160,6 +230,18 @@
     pub stream_query: Option<u128>,
     /// After the reply to such a ping: the version; empty if the store does not know it.
     pub stream_version: Option<Text>,
+    /// After a ping: how a run ended.
+    pub run_report: Option<RunReport>,
+    /// After a ping: a query for a permit to run a request.
+    pub permit_query: Option<PermitQuery>,
+    /// After the reply to such a ping: the decision, as `RunPermit` is numbered.
+    pub run_permit: Option<u8>,
+    /// After a ping: version of the restrictions that the sender has. The store sends it all
+    /// later changes on this connection.
+    pub known_restrictions: Option<u64>,
+    /// After the reply to such a ping: all restricted requests, none if the version is the same.
+    /// After the reply to a run report, and after a reply without a request: the one concerned.
+    pub restrictions: Option<Restrictions>,
 }
 
 impl ExtensionFields {
@@ -198,6 +280,12 @@
         encode_field(STREAM_RECORDED_TAG, self.stream_recorded.as_ref(), output);
         encode_field(STREAM_QUERY_TAG, self.stream_query.as_ref(), output);
         encode_field(STREAM_VERSION_TAG, self.stream_version.as_ref(), output);
+        encode_field(RUN_REPORT_TAG, self.run_report.as_ref(), output);
+        encode_field(PERMIT_QUERY_TAG, self.permit_query.as_ref(), output);
+        encode_field(RUN_PERMIT_TAG, self.run_permit.as_ref(), output);
+        let known = self.known_restrictions.as_ref();
+        encode_field(KNOWN_RESTRICTIONS_TAG, known, output);
+        encode_field(RESTRICTIONS_TAG, self.restrictions.as_ref(), output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -235,6 +323,13 @@
                 STREAM_VERSION_TAG => {
                     fields.stream_version = Some(DeBin::deserialize_bin(content)?);
                 }
+                RUN_REPORT_TAG => fields.run_report = Some(DeBin::deserialize_bin(content)?),
+                PERMIT_QUERY_TAG => fields.permit_query = Some(DeBin::deserialize_bin(content)?),
+                RUN_PERMIT_TAG => fields.run_permit = Some(DeBin::deserialize_bin(content)?),
+                KNOWN_RESTRICTIONS_TAG => {
+                    fields.known_restrictions = Some(DeBin::deserialize_bin(content)?);
+                }
+                RESTRICTIONS_TAG => fields.restrictions = Some(DeBin::deserialize_bin(content)?),
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -18,6 +18,7 @@
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Reply, Request};
 use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerView, UnsyncedTally};
+use crate::restricted_requests::RestrictedRequests;
 
 /// Time to wait for a member's answer before the next member is asked as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
@@ -86,6 +87,8 @@
     pub directory: Option<Rc<Freshness>>,
     /// Newest store groups that came with a rejection.
     pub newer_stores: Rc<RefCell<Option<StoreGroups>>>,
+    /// Requests under which replicas have ended, as stores tell them.
+    pub restricted_requests: Rc<RestrictedRequests>,
 }
 
 impl GroupContext {
@@ -97,6 +100,7 @@
             load: Rc::new(LoadTracker::new(rand::random())),
             directory: None,
             newer_stores: Rc::default(),
+            restricted_requests: Rc::default(),
         }
     }
 }
@@ -130,6 +134,18 @@
         &self.context.tolerance
     }
 
+    pub(crate) fn restricted_requests(&self) -> &Rc<RestrictedRequests> {
+        &self.context.restricted_requests
+    }
+
+    pub(crate) fn front(&self) -> u32 {
+        self.context.load.front()
+    }
+
+    pub(crate) fn is_local(&self, member: &Member) -> bool {
+        member.zone == self.context.zone
+    }
+
     /// Index of this group among the store groups.
     pub fn number(&self) -> GroupNumber {
         self.number
@@ -154,9 +170,13 @@
                 .is_some_and(|member| member.address.as_str() == client.address())
         });
         for member in members.all() {
-            clients
-                .entry(member.node.clone())
-                .or_insert_with(|| Rc::new(StoreClient::new(&member.address)));
+            clients.entry(member.node.clone()).or_insert_with(|| {
+                let restricted = self.context.restricted_requests.clone();
+                Rc::new(StoreClient::with_restricted_requests(
+                    &member.address,
+                    restricted,
+                ))
+            });
         }
         *self.members.borrow_mut() = Rc::new(members.clone());
     }
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -21,6 +21,7 @@
 use crate::message::{ChainPart, Placement, Record, Request};
 use crate::quorum::{ChainLookup, LedgerView};
 use crate::quota_owners::{self, OwnerDecision, QuotaGrant, QuotaOwners};
+use crate::restricted_requests::RestrictedRequests;
 
 /// Delay before the other groups are asked for a turn that the program's own group has not
 /// found yet: the turn may belong to another program. A few round trips.
@@ -101,6 +102,15 @@
         *self.stores.borrow_mut() = stores.clone();
     }
 
+    /// Requests under which replicas have ended, as stores tell them.
+    pub fn restricted_requests(&self) -> &Rc<RestrictedRequests> {
+        &self.context.restricted_requests
+    }
+
+    pub(crate) fn first_group(&self) -> Option<Rc<GroupClient>> {
+        self.groups.borrow().first().cloned()
+    }
+
     fn client(&self, node: &Text) -> Option<Rc<StoreClient>> {
         let groups = self.groups.borrow();
         groups.iter().find_map(|group| group.client(node))
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -2,6 +2,7 @@
 
 mod peer_reports;
 mod requests;
+mod restrictions;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -14,6 +15,7 @@
 };
 use stageyoke_observe as observe;
 use stageyoke_policy::cold_start::PermitLedger;
+use stageyoke_policy::deadly_requests::DeadlyRequests;
 use stageyoke_policy::quota::{QuotaLedger, QuotaTolerance};
 use stageyoke_policy::stream_versions::StreamVersions;
 use stageyoke_types::{Event, List, Text};
@@ -34,6 +36,7 @@
 use crate::membership_state::MembershipState;
 use crate::message::{DirectoryItem, JournalPosition, Record, RecordDigest, Refusal};
 use crate::record_reader::RecordReader;
+use crate::restriction_watchers::RestrictionWatchers;
 use crate::segment::{DataFolder, Recovered, SegmentUsage};
 use crate::state::StoreState;
 
@@ -76,6 +79,9 @@
     quotas: RefCell<QuotaLedger>,
     permits: RefCell<PermitLedger>,
     stream_versions: RefCell<StreamVersions>,
+    deadly_requests: RefCell<DeadlyRequests>,
+    /// Connections that get changes of the restricted requests.
+    pub(crate) restriction_watchers: RestrictionWatchers,
     /// Addresses of the registered stores.
     registered_addresses: RefCell<List<Text>>,
     started_at: Instant,
@@ -130,6 +136,8 @@
             quotas: RefCell::default(),
             permits: RefCell::default(),
             stream_versions: RefCell::default(),
+            deadly_requests: RefCell::default(),
+            restriction_watchers: RestrictionWatchers::default(),
             registered_addresses: RefCell::default(),
             started_at: Instant::now(),
             positions_held_by_peers: RefCell::default(),
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -10,7 +10,7 @@
 use crate::cold_permits;
 use crate::directory_relay;
 use crate::extension::{
-    ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, StreamReport,
+    ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, Restrictions, StreamReport,
 };
 use crate::keys::TurnKey;
 use crate::membership_state::PeerStatus;
@@ -49,6 +49,10 @@
     stream_recorded: Option<bool>,
     /// Version that began the queried stream; empty if it is not known.
     stream_version: Option<Text>,
+    /// Decision on a permit to run a request.
+    run_permit: Option<u8>,
+    /// Restricted requests that the requester does not know yet.
+    restrictions: Option<Restrictions>,
 }
 
 impl RequestedFields {
@@ -93,7 +97,16 @@
             }
             _ => fields.front,
         };
+        let run_report = fields.run_report;
+        let known_restrictions = fields.known_restrictions;
+        let restrictions = run_report
+            .map(|report| self.record_run(report))
+            .or_else(|| known_restrictions.map(|known| self.restrictions_since(known)));
         RequestedFields {
+            run_permit: fields
+                .permit_query
+                .map(|query| self.decide_run(query) as u8),
+            restrictions,
             rank_loads_for: front.filter(|_| wants_rank_loads),
             engine_deviations_for: front.filter(|_| wants_deviations),
             known_item: fields.known_item,
@@ -188,6 +201,8 @@
             permit: requested.permit,
             stream_recorded: requested.stream_recorded,
             stream_version: requested.stream_version,
+            run_permit: requested.run_permit,
+            restrictions: requested.restrictions,
             write_delay_milliseconds: requested
                 .reports_write_delay
                 .then(|| self.write_delay())
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -523,6 +523,9 @@
     MemoryFull,
 }
 
+/// Number of a reply that a store sends without a request.
+pub const UNREQUESTED: u64 = 0;
+
 /// A message with the number that matches a reply to its request.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct Numbered<T> {
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -13,8 +13,9 @@
 use crate::extension::ExtensionFields;
 use crate::frame::{self, Received};
 use crate::local_store::{LocalStore, RequestedFields};
-use crate::message::{Numbered, Reply, Request};
+use crate::message::{Numbered, Reply, Request, UNREQUESTED};
 use crate::peer_version::PeerVersion;
+use crate::restriction_watchers::PushFields;
 use crate::socket;
 
 /// Maximum number of requests of one connection that are handled at once; further requests
@@ -44,6 +45,7 @@
     let send_task = tokio::task::spawn_local(frame::write_queued_frames(writer, queued_replies));
     let in_flight = Arc::new(Semaphore::new(MAX_IN_FLIGHT_REQUESTS));
     let mut reader = BufReader::new(reader);
+    let mut watches_restrictions = false;
     let error = loop {
         let received = match frame::read_with_fields::<Request>(&mut reader).await {
             Ok(received) => received,
@@ -54,6 +56,11 @@
             extension_fields,
         } = received;
         peer.record_greeting(&extension_fields);
+        if extension_fields.known_restrictions.is_some() && !watches_restrictions {
+            watches_restrictions = true;
+            let pushing = push_fields(peer.clone(), in_flight.clone(), replies.clone());
+            local_store.restriction_watchers.add(pushing);
+        }
         let requested_fields = local_store.apply_request_fields(&message.content, extension_fields);
         let Ok(permit) = in_flight.clone().acquire_owned().await else {
             break io::ErrorKind::ConnectionAborted.into();
@@ -95,6 +102,31 @@
     }
 }
 
+/// Returns a function that sends fields on a connection without a request. While too many replies
+/// wait to be written, nothing is sent: the peer asks again later.
+fn push_fields(
+    peer: Rc<PeerVersion>,
+    in_flight: Arc<Semaphore>,
+    replies: UnboundedSender<EncodedReply>,
+) -> PushFields {
+    Box::new(move |fields| {
+        let Ok(permit) = in_flight.clone().try_acquire_owned() else {
+            return !replies.is_closed();
+        };
+        let push = Numbered {
+            number: UNREQUESTED,
+            content: Reply::Pong,
+        };
+        let fields = peer.fields_for_next_message(fields);
+        let pushed = EncodedReply {
+            bytes: frame::encode_with_fields(&push, &fields),
+            _permit: permit,
+            _transfer: None,
+        };
+        replies.send(pushed).is_ok()
+    })
+}
+
 async fn handle_one(
     local_store: Rc<LocalStore>,
     request: Numbered<Request>,
--- a/crates/stageyoke-store/src/stream_versions.rs
+++ b/crates/stageyoke-store/src/stream_versions.rs
@@ -69,7 +69,7 @@
 
     /// Sends the fields to all members; `read` returns the answer in a reply's fields. The calls
     /// go on if the receiver is dropped, so that the remaining members get the fields too.
-    fn ask_all<T: 'static>(
+    pub(crate) fn ask_all<T: 'static>(
         &self,
         fields: ExtensionFields,
         read: fn(ExtensionFields) -> Option<T>,
@@ -93,7 +93,7 @@
 }
 
 /// Sends the fields until a reply contains an answer.
-async fn ask<T>(
+pub(crate) async fn ask<T>(
     client: &StoreClient,
     fields: Rc<ExtensionFields>,
     read: fn(ExtensionFields) -> Option<T>,
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -9,8 +9,8 @@
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
 use stageyoke_store::extension::{
-    Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, RankLoad,
-    StreamReport, VERSION,
+    Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitQuery, PermitRequest,
+    RankLoad, Restriction, Restrictions, RunReport, StreamReport, VERSION,
 };
 use stageyoke_store::frame::{self, EncodedMessage, Received};
 use stageyoke_store::message::{LatencyEntry, LedgerEntry, Numbered, Reply, Request};
@@ -258,6 +258,34 @@
         ..ExtensionFields::default()
     };
     assert_eq!(size(&answer), 6);
+    let run_report = ExtensionFields {
+        run_report: Some(RunReport {
+            request: u128::MAX,
+            replica: u64::MAX,
+            completed: false,
+        }),
+        ..ExtensionFields::default()
+    };
+    assert_eq!(size(&run_report), 27);
+    let watch = ExtensionFields {
+        known_restrictions: Some(u64::MAX),
+        ..ExtensionFields::default()
+    };
+    assert_eq!(size(&watch), 10);
+    let restriction = Restriction {
+        request: u128::MAX,
+        ends: 3,
+    };
+    let restrictions = |count| ExtensionFields {
+        restrictions: Some(Restrictions {
+            version: u64::MAX,
+            complete: false,
+            requests: List(vec![restriction; count]),
+        }),
+        ..ExtensionFields::default()
+    };
+    assert_eq!(size(&restrictions(0)), 12);
+    assert_eq!(size(&restrictions(1)), 29);
 }
 
 #[test]
@@ -308,6 +336,27 @@
         stream_recorded: Some(true),
         stream_query: Some(1 << 100),
         stream_version: Some("1.2".into()),
+        run_report: Some(RunReport {
+            request: 1 << 100,
+            replica: 1 << 40,
+            completed: true,
+        }),
+        permit_query: Some(PermitQuery {
+            request: 1 << 100,
+            replica: 1 << 40,
+            run: 1 << 41,
+            ttl_milliseconds: 5_000,
+        }),
+        run_permit: Some(2),
+        known_restrictions: Some(1 << 42),
+        restrictions: Some(Restrictions {
+            version: 1 << 42,
+            complete: true,
+            requests: List(vec![Restriction {
+                request: 1 << 100,
+                ends: 3,
+            }]),
+        }),
         unsynced_ledger: Some(List(vec![LedgerEntry {
             turn: 5,
             amount: 54,
--- a/crates/stageyoke-types/src/error.rs
+++ b/crates/stageyoke-types/src/error.rs
@@ -126,6 +126,7 @@
     TokenBudgetSpent, "token_budget_spent", 402, 24, RetryAdvice::Never, "The program's turns have used or reserved all of its tokens; this one was not run.";
     QuotaSpent, "quota_spent", 429, 25, RetryAdvice::After(1), "The tenant has made all the requests that its limit allows for now; this one was not run.";
     Internal, "internal", 500, 23, RetryAdvice::After(1), "The node met a fault of its own.";
+    RequestBlocked, "request_blocked", 400, 26, RetryAdvice::Never, "Replicas ended one after the other while they ran this request; it is sent to no further one.";
 }
 
 impl ErrorKind {
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -91,4 +91,7 @@
     ZoneReturned, 813, "info", "A zone is no longer evacuated; its replicas count as cold at first.";
     EvacuationWithoutEffect, 814, "error", "An evacuated zone has no listed replicas; its name may be wrong.";
     AllZonesEvacuated, 815, "error", "All zones with replicas are evacuated; requests are rejected.";
+    ReplicaEnded, 816, "warn", "The process of a replica ended while it ran a request.";
+    RequestBlocked, 817, "error", "A request is blocked: replicas ended one after the other while they ran it.";
+    RequestCleared, 818, "info", "A restricted request ran to its end and may be sent again.";
 }
