Limit the replicas that end under one request of stageyoked; lift blocks

Callers of the application proxy could end a whole pool: a safe request goes on to the next replica when its connection is lost, and each of its replicas ended. An engine's call had four attempts at a node, and a repeat four more. Same cause as in the fronts. Now a node remembers under which requests back ends ended, and answers 400 request_blocked after three; nodes do not tell each other.

stageyoke unblock lifts a block at the stores, which tell the fronts. deadly_requests of relayed_responses_test has a pool of eight replicas that end before the head or within the body; it is run on as well.

--- a/crates/stageyoke-cli/src/arguments.rs
+++ b/crates/stageyoke-cli/src/arguments.rs
@@ -21,6 +21,7 @@
     Status(StatusArguments),
     Events(EventsArguments),
     Keys(KeysArguments),
+    Unblock(UnblockArguments),
     Reference(ReferenceArguments),
 }
 
@@ -105,6 +106,18 @@
     pub json: bool,
 }
 
+/// Lift the block of a request under which replicas ended.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "unblock")]
+pub struct UnblockArguments {
+    /// identity of the request, as event 817 names it
+    #[argh(positional)]
+    pub identity: String,
+    /// address of a store of the first group; name all of them
+    #[argh(option)]
+    pub store: Vec<SocketAddr>,
+}
+
 /// Generate a tenant key and its hash, or hash a key read from standard input.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "keys")]
--- a/crates/stageyoke-cli/src/lib.rs
+++ b/crates/stageyoke-cli/src/lib.rs
@@ -1,9 +1,10 @@
-//! The operators' command line: check, plan, apply, status, events, keys and
-//! reference.
+//! The operators' command line: check, plan, apply, status, events, keys, unblock
+//! and reference.
 
 mod arguments;
 mod commands;
 mod output;
+mod unblock;
 
 use std::process::ExitCode;
 
@@ -27,6 +28,7 @@
         Command::Status(arguments) => block_on(commands::status(&arguments)),
         Command::Events(arguments) => commands::events(&arguments),
         Command::Keys(arguments) => commands::keys(&arguments),
+        Command::Unblock(arguments) => block_on(unblock::unblock(&arguments)),
         Command::Reference(arguments) => commands::reference(&arguments),
     }
 }
--- a/crates/stageyoke-core/src/gateway/call.rs
+++ b/crates/stageyoke-core/src/gateway/call.rs
@@ -85,6 +85,8 @@
         /// Tokens used.
         usage: Usage,
     },
+    /// No engine may get the call: engines ended one after the other while they ran it.
+    Blocked,
     /// The engine stopped because it was told to.
     Cancelled {
         /// Tokens used.
--- a/crates/stageyoke-core/src/gateway/running.rs
+++ b/crates/stageyoke-core/src/gateway/running.rs
@@ -216,6 +216,14 @@
                     output,
                 );
             }
+            AttemptResult::Blocked => {
+                // Builds that do not know the kind may read the record of a call that has run.
+                let kind = match entry.may_have_run {
+                    true => ErrorKind::BackEndFailed,
+                    false => ErrorKind::RequestBlocked,
+                };
+                self.give_up_running(request, kind, placement, now, output);
+            }
             AttemptResult::NotSent => {
                 entry.tried.insert(engine);
                 output.push(GatewayOutput::Event(Event::AttemptFailed));
--- a/crates/stageyoke-front/tests/deadly_requests_test.rs
+++ b/crates/stageyoke-front/tests/deadly_requests_test.rs
@@ -9,8 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::Method;
+use hyper::http::uri::PathAndQuery;
 use rstest::rstest;
+use stageyoke_front::request::{RequestParameters, ScopedIdentifiers};
+use stageyoke_front::request_identity::{IdentityParts, RequestIdentity};
+use stageyoke_store::unblock::clear_request;
 use streams::{BROKEN_STREAM, DEADLY_PATH, FIRST_EVENT, Front, Replica, System};
+use support::names;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -290,3 +297,40 @@
     })
     .await;
 }
+
+/// The operator has mended what ended the replicas.
+#[tokio::test]
+async fn a_lifted_request_is_sent_again() {
+    run_local(async {
+        let system = start_system("", Duration::ZERO).await;
+        let front = system.start_front().await;
+        let answer = front.send_to(DEADLY_PATH, "first", "").await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        for store in system.store_addresses() {
+            assert!(clear_request(&store, identity(DEADLY_PATH).0).await);
+        }
+        front.send_to(DEADLY_PATH, "second", "").await;
+        assert!(system.ended_replicas() > MAX_ENDS);
+    })
+    .await;
+}
+
+/// Returns the identity of a request to a path without a program.
+fn identity(path: &'static str) -> RequestIdentity {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("host"));
+    let parameters = RequestParameters::read(
+        &HeaderMap::from_iter([(names().request_id, HeaderValue::from_static("id"))]),
+        &names(),
+        Instant::now(),
+    );
+    let parts = IdentityParts {
+        tenant: "",
+        identifiers: &ScopedIdentifiers::of(&parameters.expect("identifier"), None),
+        method: &Method::GET,
+        path: &PathAndQuery::from_static(path),
+        headers: &headers,
+        input: &[],
+    };
+    RequestIdentity::of(&parts, &names())
+}
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -455,9 +455,7 @@
             system.stores.push(Store::start(number).await);
         }
         system.directory.write(ROUTES_KEY, "1");
-        let addresses = system.stores.iter().map(|store| store.address.to_string());
-        let addresses: Vec<String> = addresses.collect();
-        system.set_stores(&addresses.join(" "));
+        system.set_stores(&system.store_addresses().join(" "));
         for (number, (version, replica)) in system.replicas.iter().enumerate() {
             let value = format!("{} {version}", replica.address);
             system.directory.write(&format!("replica-{number}"), &value);
@@ -465,6 +463,12 @@
         system
     }
 
+    /// Returns the addresses of all stores.
+    pub fn store_addresses(&self) -> Vec<String> {
+        let addresses = self.stores.iter().map(|store| store.address.to_string());
+        addresses.collect()
+    }
+
     /// Lists the stores at these addresses.
     pub fn set_stores(&self, addresses: &str) {
         self.directory.write(STORES_KEY, addresses);
--- a/crates/stageyoke-node/src/backends/application.rs
+++ b/crates/stageyoke-node/src/backends/application.rs
@@ -1,11 +1,14 @@
 //! Passing requests through to application replicas.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, Version, header};
 use stageyoke_config::model::{Configuration, Pool, Route};
 use stageyoke_core::gateway::Failure;
@@ -14,6 +17,7 @@
 
 use super::relayed_body::RelayedBody;
 use super::replica_connection::NewConnection;
+use super::run_limits::{RequestIdentity, Run, RunLimits};
 use super::{Body, HttpClient, full_body, http_client};
 
 /// Headers that belong to one connection and are not passed on.
@@ -38,6 +42,7 @@
 pub struct ApplicationClient {
     http: HttpClient,
     turn: AtomicUsize,
+    limits: Arc<RunLimits>,
 }
 
 impl Default for ApplicationClient {
@@ -45,15 +50,16 @@
         Self {
             http: http_client(),
             turn: AtomicUsize::new(0),
+            limits: Arc::default(),
         }
     }
 }
 
 impl ApplicationClient {
     /// Passes a request to a replica of the route's pool and its answer back,
-    /// both streamed. A safe request is tried on every replica, and once more on
-    /// a new connection if one was lost; any other goes on to the next only
-    /// while no byte of it was sent.
+    /// both streamed. A safe request is tried on every replica unless several of
+    /// them end under it, and once more on a new connection if one was lost; any
+    /// other goes on to the next only while no byte of it was sent.
     pub async fn forward(
         &self,
         config: &Configuration,
@@ -79,20 +85,37 @@
         deadline: Duration,
     ) -> Result<Response<Body>, Failure> {
         let (parts, _) = request.into_parts();
+        let identity = identity(&parts);
         let mut lost = None;
         for replica in replicas {
+            if self.limits.is_blocked(identity) {
+                return Err(blocked(lost.is_some()));
+            }
             let copy = copy_without_body(&parts);
-            match self.send_kept(copy, *replica, deadline).await {
+            let run = self.run(identity, *replica);
+            match self.send_kept(copy, run, deadline).await {
                 Ok(response) if !response.status().is_server_error() => return Ok(response),
                 Ok(response) if Some(replica) == replicas.last() => return Ok(response),
-                Err(SendError::ConnectionLost) => lost = lost.or(Some(*replica)),
+                Err(SendError::ConnectionLost) => {
+                    self.limits.record_lost(identity, *replica).await;
+                    lost = lost.or(Some(*replica));
+                }
                 Ok(_) | Err(_) => {}
             }
         }
+        if self.limits.is_blocked(identity) {
+            return Err(blocked(lost.is_some()));
+        }
         if let Some(replica) = lost {
             let copy = copy_without_body(&parts);
             if let Ok(connection) = NewConnection::open(replica).await
-                && let Ok(response) = send_new(copy, connection, deadline).await
+                && let Ok(response) = send_new(
+                    copy,
+                    connection,
+                    Some(self.run(identity, replica)),
+                    deadline,
+                )
+                .await
             {
                 return Ok(response);
             }
@@ -100,6 +123,14 @@
         Err(failure(RunState::Unknown, "no replica answered"))
     }
 
+    fn run(&self, request: RequestIdentity, address: SocketAddr) -> Run {
+        Run {
+            limits: self.limits.clone(),
+            request,
+            address,
+        }
+    }
+
     /// Connects before sending, so that a replica that cannot be reached costs
     /// nothing; once a byte may have been sent, there is no second try. A kept
     /// connection is not used, since its replica may be closing it.
@@ -114,7 +145,7 @@
                 continue;
             };
             let request = request.map(|body| body.map_err(Into::into).boxed());
-            let sent = send_new(request, connection, deadline).await;
+            let sent = send_new(request, connection, None, deadline).await;
             return sent.map_err(|_| failure(RunState::Unknown, "the replica did not answer"));
         }
         Err(failure(RunState::NotRun, "no replica could be reached"))
@@ -124,9 +155,10 @@
     async fn send_kept(
         &self,
         mut request: Request<Body>,
-        replica: SocketAddr,
+        run: Run,
         deadline: Duration,
     ) -> Result<Response<Body>, SendError> {
+        let replica = run.address;
         let caller = prepare(&mut request);
         let path = request
             .uri()
@@ -136,7 +168,7 @@
         *request.uri_mut() = uri.map_err(|_| SendError::NotSent)?;
         let answered = tokio::time::timeout(deadline, self.http.request(request)).await;
         match answered {
-            Ok(Ok(response)) => Ok(relay_response(response, caller, deadline)),
+            Ok(Ok(response)) => Ok(relay_response(response, caller, Some(run), deadline)),
             Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent),
             Ok(Err(_)) => Err(SendError::ConnectionLost),
             Err(_) => Err(SendError::TimedOut),
@@ -147,11 +179,12 @@
 async fn send_new(
     mut request: Request<Body>,
     connection: NewConnection,
+    run: Option<Run>,
     deadline: Duration,
 ) -> Result<Response<Body>, SendError> {
     let caller = prepare(&mut request);
     match tokio::time::timeout(deadline, connection.send(request)).await {
-        Ok(Ok(response)) => Ok(relay_response(response, caller, deadline)),
+        Ok(Ok(response)) => Ok(relay_response(response, caller, run, deadline)),
         Ok(Err(_)) => Err(SendError::ConnectionLost),
         Err(_) => Err(SendError::TimedOut),
     }
@@ -180,11 +213,12 @@
 fn relay_response(
     response: Response<Incoming>,
     caller: Version,
+    run: Option<Run>,
     max_silence: Duration,
 ) -> Response<Body> {
     let framing = Framing::of(&response);
     let mut response =
-        response.map(|body| RelayedBody::new(body, framing, caller, max_silence).boxed());
+        response.map(|body| RelayedBody::new(body, framing, caller, run, max_silence).boxed());
     for name in HOP_HEADERS {
         response.headers_mut().remove(name);
     }
@@ -195,6 +229,30 @@
     response
 }
 
+/// Returns the identity of a request without a body: what decides its response.
+fn identity(parts: &hyper::http::request::Parts) -> RequestIdentity {
+    let header = |name: header::HeaderName| parts.headers.get(name).map(HeaderValue::as_bytes);
+    let path = parts.uri.path_and_query().map(PathAndQuery::as_str);
+    RequestIdentity::of([
+        parts.method.as_str().as_bytes(),
+        path.unwrap_or_default().as_bytes(),
+        header(header::HOST).unwrap_or_default(),
+        header(header::AUTHORIZATION).unwrap_or_default(),
+        header(header::COOKIE).unwrap_or_default(),
+    ])
+}
+
+fn blocked(ran: bool) -> Failure {
+    Failure {
+        kind: ErrorKind::RequestBlocked,
+        run_state: match ran {
+            true => RunState::Ran,
+            false => RunState::NotRun,
+        },
+        detail: Text::default(),
+    }
+}
+
 /// Why a replica did not answer. It may have run the request unless that was not sent.
 enum SendError {
     NotSent,
--- a/crates/stageyoke-node/src/backends/engine.rs
+++ b/crates/stageyoke-node/src/backends/engine.rs
@@ -20,6 +20,7 @@
     CANCEL_PATH, COMPLETIONS_PATH, CallIdentity, CancelRequest, Chunk, CompletionRequest,
     LOAD_PATH, LoadReport, RELEASE_PATH, ReleaseRequest, WireMessage, program_name,
 };
+use super::run_limits::{RequestIdentity, RunLimits};
 use super::{HttpClient, full_body, http_client};
 use crate::callers::sink::TextSink;
 
@@ -38,6 +39,7 @@
     http: HttpClient,
     addresses: Arc<RwLock<HashMap<EngineId, SocketAddr>>>,
     node: NodeId,
+    limits: Arc<RunLimits>,
 }
 
 impl EngineClient {
@@ -47,6 +49,7 @@
             http: http_client(),
             addresses: Arc::default(),
             node,
+            limits: Arc::default(),
         }
     }
 
@@ -75,12 +78,32 @@
         let Some(address) = self.address(&order.engine) else {
             return AttemptResult::NotSent;
         };
+        let identity = identity(&order);
+        if self.limits.is_blocked(identity) {
+            return AttemptResult::Blocked;
+        }
+        let result = self.attempt(address, &order, &mut text, cancelled).await;
+        match result {
+            AttemptResult::Broken { .. } => self.limits.record_lost(identity, address).await,
+            AttemptResult::Finished { .. } => self.limits.record_completed(identity, address),
+            AttemptResult::NotSent | AttemptResult::Cancelled { .. } | AttemptResult::Blocked => {}
+        }
+        result
+    }
+
+    async fn attempt(
+        &self,
+        address: SocketAddr,
+        order: &AttemptOrder,
+        text: &mut TextSink,
+        cancelled: oneshot::Receiver<()>,
+    ) -> AttemptResult {
         let delivered = if order.resume {
             text.delivered()
         } else {
             String::new()
         };
-        let body = self.completion(&order, delivered);
+        let body = self.completion(order, delivered);
         let response = match self.post(address, COMPLETIONS_PATH, &body).await {
             Ok(response) => response,
             Err(error) if error.is_connect() => return AttemptResult::NotSent,
@@ -92,13 +115,13 @@
         }
         let mut stream = Stream::new(response);
         let result = tokio::select! {
-            result = stream.relay(&mut text) => result,
+            result = stream.relay(text) => result,
             // A dropped sender means that nobody can cancel any more.
             Ok(()) = cancelled => AttemptResult::Cancelled { usage: stream.usage() },
         };
         if matches!(result, AttemptResult::Cancelled { .. }) {
             drop(stream);
-            self.cancel(address, &order).await;
+            self.cancel(address, order).await;
         }
         result
     }
@@ -210,6 +233,15 @@
     AttemptResult::Broken { usage }
 }
 
+/// Returns the identity of a call: its program, model and messages.
+fn identity(order: &AttemptOrder) -> RequestIdentity {
+    let program = program_name(&order.program);
+    let messages = order.messages.iter();
+    let messages = messages.flat_map(|message| [message.role.name(), message.content.as_str()]);
+    let parts = [program.as_str(), order.model.as_str()];
+    RequestIdentity::of(parts.into_iter().chain(messages).map(str::as_bytes))
+}
+
 /// A completion's stream of events.
 struct Stream {
     body: Incoming,
--- a/crates/stageyoke-node/src/backends/mod.rs
+++ b/crates/stageyoke-node/src/backends/mod.rs
@@ -5,6 +5,7 @@
 pub mod engine_protocol;
 mod relayed_body;
 mod replica_connection;
+pub mod run_limits;
 pub mod sweep;
 
 use http_body_util::combinators::BoxBody;
--- a/crates/stageyoke-node/src/backends/relayed_body.rs
+++ b/crates/stageyoke-node/src/backends/relayed_body.rs
@@ -13,6 +13,7 @@
 use tokio::time::Sleep;
 
 use super::BodyError;
+use super::run_limits::Run;
 
 /// Time between the last data and the reset of an HTTP/2 stream, which discards what has not been
 /// written to the connection yet.
@@ -44,6 +45,8 @@
     framing: Framing,
     is_http2: bool,
     max_silence: Duration,
+    /// The run whose end is not recorded yet; `None` if it needs not be.
+    run: Option<Run>,
     /// Runs while the replica's next data is awaited.
     silence: Option<Pin<Box<Sleep>>>,
     /// Error that ends the body once the delay is over.
@@ -57,6 +60,7 @@
         replica: Incoming,
         framing: Framing,
         caller: Version,
+        run: Option<Run>,
         max_silence: Duration,
     ) -> Self {
         Self {
@@ -64,17 +68,34 @@
             framing,
             is_http2: caller == Version::HTTP_2,
             max_silence,
+            run,
             silence: None,
             failure: None,
         }
     }
 
+    /// Records the end of the run, if this is the last frame. The end of a connection may be the
+    /// end of the replica too.
+    fn record_end(&mut self, frame: &Option<hyper::Result<Frame<Bytes>>>) {
+        let is_lost = match frame {
+            Some(Ok(_)) => return,
+            Some(Err(_)) => true,
+            None => self.framing == Framing::Connection,
+        };
+        match self.run.take() {
+            Some(run) if is_lost => run.record_lost(),
+            Some(run) => run.record_completed(),
+            None => {}
+        }
+    }
+
     fn poll_replica(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.replica).poll_frame(context) {
             self.silence = None;
+            self.record_end(&frame);
             let unknown_end = self.is_http2 && self.framing == Framing::Connection;
             return Poll::Ready(match frame {
                 Some(frame) => Some(frame.map_err(Into::into)),
--- a/crates/stageyoke-node/tests/relayed_responses_test.rs
+++ b/crates/stageyoke-node/tests/relayed_responses_test.rs
@@ -1,5 +1,7 @@
 //! Requests to application replicas as raw callers of a node see them.
 
+#[path = "application/deadly_requests.rs"]
+mod deadly_requests;
 #[path = "application/kept_connections.rs"]
 mod kept_connections;
 mod support;
--- a/crates/stageyoke-node/tests/support/mod.rs
+++ b/crates/stageyoke-node/tests/support/mod.rs
@@ -36,6 +36,11 @@
 impl Node {
     /// Starts a node whose routes all lead to the replica.
     pub async fn start(replica: SocketAddr) -> Self {
+        Self::start_with_pool(&[replica]).await
+    }
+
+    /// Starts a node whose routes all lead to these replicas.
+    pub async fn start_with_pool(replicas: &[SocketAddr]) -> Self {
         let listeners = Listeners::open_free(Ipv4Addr::LOCALHOST.into()).await;
         let listeners = listeners.expect("listeners");
         let settings = settings(&listeners);
@@ -45,7 +50,7 @@
             version: 1,
             apply_id: "test".to_owned(),
             operator: "test".to_owned(),
-            text: configuration(replica),
+            text: configuration(replicas),
         };
         let record = serde_json::to_vec(&record).expect("record");
         let operators = running.operator_address;
@@ -95,13 +100,15 @@
     }
 }
 
-/// The example, with the replica in place of every application address.
-fn configuration(replica: SocketAddr) -> String {
+/// The example, with the replicas in place of all application addresses.
+fn configuration(replicas: &[SocketAddr]) -> String {
+    let addresses = replicas.iter().map(|replica| format!("\"{replica}\""));
+    let addresses: Vec<String> = addresses.collect();
     let hash = hash_key(KEY);
     let text = EXAMPLE.replacen(EXAMPLE_HASH, &hash, 1);
     let lines = text.lines().map(|line| {
         if line.starts_with("addresses = ") {
-            format!("addresses = [\"{replica}\"]")
+            format!("addresses = [{}]", addresses.join(", "))
         } else if line == "[[route]]" {
             format!("{line}\n{DEADLINE}")
         } else {
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod state;
 pub mod store_host;
 pub mod stream_versions;
+pub mod unblock;
 pub mod wait_reason;
 
 pub use client::StoreClient;
