Count an item whose interpretation panics as unreadable

A panic on one item ended the task that follows the directory, in each process that read the item. The test, whose interpreter panics on a value, failed before; now the item is reported as unreadable and the others are applied.

--- a/crates/stageyoke-directory/src/mirror/apply.rs
+++ b/crates/stageyoke-directory/src/mirror/apply.rs
@@ -1,11 +1,14 @@
 //! Applies items and changes to the mirror's view.
 
 use std::collections::BTreeSet;
+use std::panic::{self, AssertUnwindSafe};
 use std::rc::Rc;
 
+use bytes::Bytes;
 use stageyoke_types::Text;
 
 use super::{Mirror, MirrorEvent};
+use crate::item_parser::unreadable_item;
 use crate::key_value::{Change, Item, KeyValueService, RangePage};
 use crate::view::{Changed, Interpreter, ListedKeys, Update, View};
 
@@ -19,7 +22,7 @@
     ) -> Update {
         let value = item.as_ref().map(|item| &item.value);
         let revision = item.as_ref().map_or(revision, |item| item.revision);
-        let update = self.interpreter.interpret(key, value);
+        let update = self.interpret(key, value);
         if key == self.interpreter.routes_key() && matches!(update, Update::Routes(_)) {
             let newest = self.routes_revision.get().max(revision);
             self.routes_revision.set(newest);
@@ -42,6 +45,14 @@
         update
     }
 
+    /// Parses an item. A panic counts as an unreadable item: all processes read the same items, so
+    /// it would stop all of them.
+    fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
+        let interpreting = AssertUnwindSafe(|| self.interpreter.interpret(key, value));
+        let update = panic::catch_unwind(interpreting);
+        update.unwrap_or_else(|_| unreadable_item(key, "its interpretation panicked"))
+    }
+
     fn record_changed_replica(&self, id: &Text) {
         if self.items.is_none() {
             self.changed_replicas.borrow_mut().insert(id.clone());
--- a/crates/stageyoke-directory/tests/mirror_test.rs
+++ b/crates/stageyoke-directory/tests/mirror_test.rs
@@ -13,7 +13,7 @@
     TransactionOutcome, WatchOutcome,
 };
 use stageyoke_types::Text;
-use support::TestInterpreter;
+use support::{FAULTY, TestInterpreter};
 
 #[derive(Default)]
 struct Script {
@@ -224,3 +224,23 @@
         script.put("routes/all", "4");
     }
 }
+
+/// All processes read the same items, so a panic on one of them would end them all.
+#[tokio::test(start_paused = true)]
+async fn an_item_that_the_interpreter_panics_on_hides_no_other_one() {
+    let script = Rc::new(Script::default());
+    script.put("replica/a", "service");
+    script.put("replica/b", FAULTY);
+    script.put("replica/c", "service");
+    let faulty = Change::Written(script.put("routes/all", FAULTY));
+    let later = Change::Written(script.put("replica/d", "service"));
+    let outcome = WatchOutcome::Changes {
+        changes: vec![faulty, later],
+        revision: 5,
+    };
+    let (mirror, events) = run_mirror(&script, vec![Ok(outcome)], Duration::from_secs(1)).await;
+    let ids: Vec<String> = mirror.view().replicas.keys().map(Text::to_string).collect();
+    assert_eq!(ids, ["a", "c", "d"]);
+    let unreadable = |event: &&MirrorEvent| matches!(event, MirrorEvent::Unreadable(_));
+    assert!(events.iter().filter(unreadable).count() >= 2);
+}
--- a/crates/stageyoke-directory/tests/support/mod.rs
+++ b/crates/stageyoke-directory/tests/support/mod.rs
@@ -9,12 +9,16 @@
 };
 use stageyoke_types::Text;
 
+/// Value on which the interpreter panics.
+pub const FAULTY: &str = "faulty";
+
 /// Parses `replica/ID` and `routes/all`, whose value is the version.
 pub struct TestInterpreter;
 
 impl Interpreter for TestInterpreter {
     fn interpret(&self, key: &str, value: Option<&Bytes>) -> Update {
         let text = value.and_then(|value| std::str::from_utf8(value).ok());
+        assert_ne!(text, Some(FAULTY), "an interpreter with a fault");
         match (key.split_once('/'), text) {
             (Some(("replica", id)), text) => Update::Replica {
                 id: Text::from(id),
