Send a request on while the report of its first lost replica is under way

A request whose replica ended waited for a quorum of stores before the next replica got it: some milliseconds, and 250 while stores are silent. Most such requests only ran beside the cause. Now only the caller's failure, and a third replica, wait.

--- a/crates/stageyoke-front/src/deadly_requests.rs
+++ b/crates/stageyoke-front/src/deadly_requests.rs
@@ -15,6 +15,7 @@
 use stageyoke_store::extension::{NO_REQUEST, PermitQuery, Restriction, RunReport};
 use stageyoke_store::restricted_requests::{REFRESH_INTERVAL, RestrictedRequests};
 use stageyoke_types::{ErrorKind, Event};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::failure::Failure;
@@ -74,6 +75,46 @@
     }
 }
 
+/// Report of a replica's end, on its way to the stores.
+pub struct EndReport {
+    task: Option<JoinHandle<()>>,
+}
+
+impl EndReport {
+    /// Waits until a quorum of stores knows the end, or none says so in time.
+    pub async fn wait(self) {
+        if let Some(task) = self.task {
+            let _ = task.await;
+        }
+    }
+}
+
+/// Reports of the ends under one attempt. The next replica may get the request before they have
+/// arrived; the caller may not get its failure.
+#[derive(Default)]
+pub struct EndReports {
+    reports: Vec<EndReport>,
+}
+
+impl EndReports {
+    /// Adds a report.
+    pub fn add(&mut self, report: EndReport) {
+        self.reports.push(report);
+    }
+
+    /// Returns whether a further end may be one too many.
+    pub fn are_several(&self) -> bool {
+        self.reports.len() > 1
+    }
+
+    /// Waits for all reports.
+    pub async fn wait(&mut self) {
+        for report in self.reports.drain(..) {
+            report.wait().await;
+        }
+    }
+}
+
 /// Returns the failure of a blocked request.
 pub fn blocked() -> Failure {
     Failure::permanent(ErrorKind::RequestBlocked, "request_blocked")
@@ -193,13 +234,8 @@
         });
     }
 
-    /// Records that a replica's process ended while it ran the request. Returns the request's
-    /// standing once a quorum of stores knows it.
-    pub async fn record_end(
-        self: &Rc<Self>,
-        request: RequestIdentity,
-        replica: &Replica,
-    ) -> Standing {
+    /// Starts to report that a replica's process ended while it ran the request.
+    pub fn report_end(self: &Rc<Self>, request: RequestIdentity, replica: &Replica) -> EndReport {
         observe::metrics().replicas_ended.inc();
         let detail = format!("replica={} identity={request}", replica.id);
         observe::record_event(Event::ReplicaEnded, &detail);
@@ -207,19 +243,24 @@
             self.probe_neighbours(replica);
         }
         if self.completed.borrow().contains(request, Instant::now()) {
-            return Standing::Free;
+            return EndReport { task: None };
         }
         let report = RunReport {
             request: request.0,
             replica: replica.incarnation_hash(),
             completed: false,
         };
-        self.apply_end(report).await;
-        if self.standing(request) == Standing::Blocked {
-            tokio::time::sleep(CONFIRMATION_DELAY).await;
-            self.apply_end(report).await;
+        let guard = self.clone();
+        let reporting = async move {
+            guard.apply_end(report).await;
+            if guard.standing(request) == Standing::Blocked {
+                tokio::time::sleep(CONFIRMATION_DELAY).await;
+                guard.apply_end(report).await;
+            }
+        };
+        EndReport {
+            task: Some(tokio::task::spawn_local(reporting)),
         }
-        self.standing(request)
     }
 
     /// Reports neighbours that ended at the same moment, on which no request ran that would show
--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{self, AttemptOutcome, CONNECTION_LOST, ReplicaResponse};
-use crate::deadly_requests::{self, Denial};
+use crate::deadly_requests::{self, Denial, EndReports};
 use crate::failure::Failure;
 use crate::front::Front;
 use crate::handler::{OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
@@ -64,6 +64,7 @@
         self.retry_budget.set(budget);
         let mut rejections = Rejections::default();
         let mut denial = None;
+        let mut end_reports = EndReports::default();
         for _ in 0..MAX_ATTEMPTED_REPLICAS {
             let Some(chosen) = self.choose_permitted(context, &excluded).await else {
                 break;
@@ -164,10 +165,11 @@
             };
             record_attempt(summary, &replica.id, cause);
             runs += 1;
-            if cause == REPLICA_ENDED
-                && guard.record_end(context.identity, &replica).await == Standing::Blocked
-            {
-                return Err(deadly_requests::blocked());
+            if cause == REPLICA_ENDED {
+                end_reports.add(guard.report_end(context.identity, &replica));
+                if end_reports.are_several() || guard.standing(context.identity) != Standing::Free {
+                    end_reports.wait().await;
+                }
             }
             if runs >= max_runs {
                 break;
@@ -178,6 +180,10 @@
             let failure = failure.or_else(|| denial.map(Denial::failure));
             return Err(failure.unwrap_or_else(|| rejections.failure()));
         }
+        end_reports.wait().await;
+        if self.request_guard.standing(context.identity) == Standing::Blocked {
+            return Err(deadly_requests::blocked());
+        }
         match context.route.is_repeatable() {
             true => Err(Failure::permanent(
                 ErrorKind::BackEndFailed,
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -176,7 +176,10 @@
         }
         if replica.has_ended(Instant::now()).await {
             record_attempt(&mut self.summary, &replica.id, REPLICA_ENDED);
-            self.request_guard.record_end(self.identity, replica).await;
+            self.request_guard
+                .report_end(self.identity, replica)
+                .wait()
+                .await;
         }
     }
 
