Soak: requests that end replicas, and no 400 for proper requests

EndReplicas, drawn only where it is named, repeats a request at random fronts under which model replicas end with their listeners; more than three ends are a breach.

--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -5,6 +5,7 @@
 pub mod changes;
 pub mod connections;
 pub mod contracts;
+pub mod deadly_requests;
 pub mod deployment;
 pub mod disk_stalls;
 pub mod disturbances;
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -17,6 +17,8 @@
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Response rate of each connection in [`Mode::Slow`].
 pub const SLOW_BYTES_PER_SECOND: u32 = 300_000;
+/// Time until the listener of an aborted task is closed.
+const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(2);
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
     connection: close\r\n\r\n";
 
@@ -118,6 +120,14 @@
         Self::start_with_rate(target, None).await
     }
 
+    /// Ends the proxy like a process: nothing listens any more, then all connections are closed.
+    pub async fn end(self) {
+        self.task.abort();
+        tokio::time::sleep(LISTENER_CLOSE_DELAY).await;
+        self.behavior.set(Mode::Reset, Duration::ZERO);
+        tokio::time::sleep(LISTENER_CLOSE_DELAY).await;
+    }
+
     /// Starts a proxy that limits each connection to a rate in each direction, if there is one.
     pub async fn start_with_rate(
         target: SocketAddr,
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -304,6 +304,10 @@
             }
             return self.check_end(id, answer, received);
         }
+        if status == StatusCode::BAD_REQUEST {
+            self.promises
+                .report_breach(format!("{id}: a proper request was rejected with 400"));
+        }
         if matches!(status.as_u16(), 402 | 404 | 408 | 421 | 429 | 503) {
             self.promises.record_refusal(id, status.as_u16());
             let retry_after = response
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -23,6 +23,8 @@
 use crate::standins::{Handler, respond};
 
 const MAX_BUFFERED_EVENTS: usize = 4;
+/// Name in the query of requests under which the replica's process ends.
+pub const DEADLY_QUERY: &str = "deadly";
 
 /// Faults injected at a replica, each with its share of requests in percent.
 #[derive(Debug, Default)]
@@ -37,6 +39,21 @@
     pub unframed_percent: AtomicU32,
     /// Those of them that end early, as if they were complete.
     pub broken_off_percent: AtomicU32,
+    /// Identifiers of replicas whose processes are to end.
+    ended: Mutex<Vec<String>>,
+}
+
+impl ReplicaFaults {
+    /// Returns the replicas whose processes are to end since the last call.
+    pub fn take_ended(&self) -> Vec<String> {
+        let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut ended)
+    }
+
+    fn record_end(&self, replica: &str) {
+        let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        ended.push(replica.to_owned());
+    }
 }
 
 /// How many requests a replica runs at the same time, and how long they take.
@@ -403,6 +420,8 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let headers = request.headers().clone();
         let is_resumable = request.uri().path() == RESUMABLE_PATH;
+        let query = request.uri().query().unwrap_or_default();
+        let is_deadly = query.starts_with(DEADLY_QUERY);
         let id = header_text(&headers, names::REQUEST_ID);
         if header_text(&headers, names::EXPECTED_INSTANCE) != self.id {
             return self.reject(StatusCode::MISDIRECTED_REQUEST, &id);
@@ -418,6 +437,10 @@
             return self.reject(StatusCode::SERVICE_UNAVAILABLE, &id);
         };
         self.promises.record_run(&id, &body.to_bytes());
+        if is_deadly {
+            self.faults.record_end(&self.id);
+            std::future::pending::<()>().await;
+        }
         if draw_fault(&self.faults.lost_answer_percent) {
             self.promises.record_withheld_response(&id);
             std::future::pending::<()>().await;
