Clear no request for a plain response whose end is not known

A response without framing may have been broken off by the end of its replica, so it shows no more that the request is harmless than that it ended the replica. By the code; no test has a plain route whose replica ends so.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -125,7 +125,7 @@
                         .await
                     {
                         Ok(dispatched) => {
-                            if let DispatchedResponse::Plain(..) = dispatched {
+                            if dispatched.is_known_complete() {
                                 guard.record_completed(context.identity, &replica);
                             }
                             record_attempt(summary, &replica.id, "answered");
@@ -488,6 +488,16 @@
     Stream(Box<ReplicaResponse>, u32),
 }
 
+impl DispatchedResponse {
+    /// Returns whether the replica is known to have run the request to its end.
+    fn is_known_complete(&self) -> bool {
+        match self {
+            Self::Plain(_, _, framing) => *framing != Framing::Connection,
+            Self::Stream(..) => false,
+        }
+    }
+}
+
 /// Chosen replica.
 struct ChosenReplica {
     replica: Rc<Replica>,
