--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,6 +51,16 @@
     lab.start_process("store", number, bootstrap=False)
 
 
+async def wait_until_served(lab):
+    """The stores form their group some seconds after their start."""
+    for _ in range(60):
+        _, answer = await turn(lab, f"w-{base.request_id()[:10]}", None, 327, "waiting")
+        if answer.status == 200:
+            return
+        await asyncio.sleep(0.4)
+    raise base.CannotRun("no turn was served at the start")
+
+
 async def small_programs(lab):
     """Programs of two small turns, all the time."""
     while True:
@@ -90,12 +100,13 @@
         await base.EngineReplica(lab, base.ENGINE_SERVICE["Name"], lab.replica_address(), zone, 12).start()
     await lab.start_processes()
     await lab.wait_until_ready()
-    await asyncio.sleep(6.0)
-    traffic = [asyncio.create_task(small_programs(lab)) for _ in range(4)]
+    await wait_until_served(lab)
     for _ in range(LARGE_TURNS // 10):
         names = [f"l-{base.request_id()[:10]}" for _ in range(10)]
         await asyncio.gather(*(turn(lab, name, None, LARGE_TOKENS, "large") for name in names))
     large = [name for name in lab.kept if name.startswith("l-")]
+    traffic = [asyncio.create_task(small_programs(lab)) for _ in range(4)]
+    await asyncio.sleep(2.0)
     if len(large) < LARGE_TURNS * 0.9:
         raise base.CannotRun(f"only {len(large)} of {LARGE_TURNS} large turns were kept")
     if trouble:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -80,7 +80,11 @@
         await replica.start()
     await lab.start_processes()
     await lab.wait_until_ready()
-    await asyncio.sleep(6.0)
+    for _ in range(60):
+        _, answer = await turn(lab, f"w-{base.request_id()[:10]}", f"{DRAFT}4b", BUDGET)
+        if answer.status == 200:
+            break
+        await asyncio.sleep(0.4)
     background = [asyncio.create_task(other_programs(lab)) for _ in range(4)]
     await asyncio.sleep(3.0)
     if not lab.others:
