--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -8,7 +8,6 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -262,12 +261,11 @@
 class Replica:
     """One start of a replica. Subclasses answer requests in `handle`."""
 
-    def __init__(self, lab, service, address, zone, slots, version="v1"):
+    def __init__(self, lab, service, address, zone, slots):
         self.lab, self.service, self.address, self.zone = lab, service, address, zone
-        self.slots, self.version = slots, version
+        self.slots = slots
         self.id = f"i-{random.randrange(1 << 32):08x}"
         self.running = 0
-        self.writers = set()
         self.server = None
 
     async def start(self):
@@ -275,22 +273,12 @@
             self.serve, *self.address, backlog=256, limit=1 << 20)
         self.lab.store.put(f"servers/{self.id}", {
             "Service": self.service, "Addr": f"{self.address[0]}:{self.address[1]}",
-            "Zone": self.zone, "Version": self.version, "Slots": self.slots, "State": "ready",
+            "Zone": self.zone, "Version": "v1", "Slots": self.slots, "State": "ready",
             "ColdLeftMs": 0, "Stage": "both", "Models": [], "CallSeq": 0,
         })
 
-    async def crash(self):
-        """Ends like a killed process: nothing listens any more, open connections are reset.
-        The entry goes after three heartbeats of silence."""
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-        asyncio.get_running_loop().call_later(
-            3.6, self.lab.store.remove, f"servers/{self.id}")
-
     async def serve(self, reader, writer):
-        self.writers.add(writer)
-        connection = {"number": 0, "surplus": None}
+        connection = {"surplus": None}
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -311,7 +299,6 @@
                             ("Content-Length", "0")]
                     writer.write(encode_head("HTTP/1.1 503 Service Unavailable", head))
                     continue
-                connection["number"] += 1
                 self.running += 1
                 try:
                     keep = await self.handle(connection, method, path, headers, body, writer)
@@ -323,7 +310,6 @@
         except (Closed, ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
     def stamp(self, request_id):
@@ -358,17 +344,10 @@
             chunk = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
             await writer.drain()
-            if self.breaks_off(headers, number):
-                writer.transport.abort()
-                return False
             await asyncio.sleep(self.pause_ms / 1000)
         writer.write(b"0\r\n\r\n")
         return True
 
-    def breaks_off(self, headers, number):
-        """Returns whether the answer breaks off after this event."""
-        return False
-
 
 def parse_events(body):
     """Returns the identifiers and data of the whole events in an answer."""
@@ -545,6 +524,8 @@
         return await play(lab, trouble)
 
     code = 2
+    # The processes are ended also where the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(main(), time_limit))
         code = 1 if broken else 0
