Bound replies with records by bytes: a replaced store catches up with large turns

Cause: a store asks for 256 records at once and its peer put them all into one reply. Beyond 32 MiB the receiver ends the connection, and the next round asks for the same page. Ruled out by the logs: a transfer that takes too long, and records that the refilled store refuses.

Change: the sender adds records up to 1 MiB, at least one; the receiver asks again for what did not come and from one peer at a time for each record; beside builds without that limit the page follows the size of their replies. Large replies share a tenth of a store's memory, and a reply beyond a frame is not sent.

The store of group_test moves to tests/support, unchanged but for its stop and stall functions.

--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -16,6 +16,8 @@
 /// Capacity reserved for extension fields, which fits those of most frames; growing the
 /// buffer would double it.
 const EXTENSION_FIELDS_CAPACITY: usize = 64;
+/// Size from which no further frame is written in the same call.
+const MAX_COMBINED_BYTES: usize = 64 * 1024;
 /// Largest accepted frame.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
@@ -33,6 +35,11 @@
     bytes
 }
 
+/// Returns whether the reader of an encoded frame accepts it.
+pub fn fits(frame: &[u8]) -> bool {
+    frame.len() <= LENGTH_BYTES + MAX_FRAME_BYTES
+}
+
 fn write_length_prefix(frame: &mut [u8]) {
     let length = (frame.len() - LENGTH_BYTES) as u32;
     frame[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
@@ -70,15 +77,19 @@
     pub extension_fields: ExtensionFields,
 }
 
-/// Writes queued frames, as many as are waiting in one call. Each frame is dropped once it
-/// is written.
+/// Writes queued frames, several small ones in one call. Each frame is dropped once it is
+/// written.
 pub async fn write_queued_frames<T: AsRef<[u8]>>(
     mut writer: impl AsyncWrite + Unpin,
     mut frames: UnboundedReceiver<T>,
 ) -> io::Result<()> {
     while let Some(first) = frames.recv().await {
+        let mut bytes = first.as_ref().len();
         let mut queued = vec![first];
-        while let Ok(next) = frames.try_recv() {
+        while bytes < MAX_COMBINED_BYTES
+            && let Ok(next) = frames.try_recv()
+        {
+            bytes += next.as_ref().len();
             queued.push(next);
         }
         match queued.as_slice() {
--- a/crates/stageyoke-store/src/limits.rs
+++ b/crates/stageyoke-store/src/limits.rs
@@ -11,6 +11,8 @@
 const RECENT_FRACTION: f64 = 0.08;
 /// Fraction of the memory for records that wait for the disk.
 const BACKLOG_FRACTION: f64 = 0.1;
+/// Fraction of the memory for large replies that are being sent.
+const REPLY_FRACTION: f64 = 0.1;
 /// Fraction of the index's memory above which no new turn is accepted.
 const RESERVATION_FRACTION: f64 = 0.85;
 /// Fraction of the index's memory for copies of the directory that are being sent.
@@ -31,6 +33,8 @@
     pub recent_bytes: usize,
     /// Memory for records that wait for the disk.
     pub backlog_bytes: usize,
+    /// Memory for large replies that are being sent.
+    pub reply_bytes: usize,
     /// Size above which a journal segment is closed.
     pub segment_bytes: u64,
 }
@@ -43,6 +47,7 @@
             state_bytes: share(STATE_FRACTION),
             recent_bytes: share(RECENT_FRACTION),
             backlog_bytes: share(BACKLOG_FRACTION),
+            reply_bytes: share(REPLY_FRACTION),
             segment_bytes: DEFAULT_SEGMENT_BYTES,
         }
     }
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -19,6 +19,7 @@
 use stageyoke_policy::quota::{QuotaLedger, QuotaTolerance};
 use stageyoke_policy::stream_versions::StreamVersions;
 use stageyoke_types::{Event, List, Text};
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -36,6 +37,7 @@
 use crate::membership_state::MembershipState;
 use crate::message::{DirectoryItem, JournalPosition, Record, RecordDigest, Refusal};
 use crate::record_reader::RecordReader;
+use crate::reply_memory::ReplyMemory;
 use crate::restriction_watchers::RestrictionWatchers;
 use crate::segment::{DataFolder, Recovered, SegmentUsage};
 use crate::state::StoreState;
@@ -60,6 +62,7 @@
     reader: RecordReader,
     clock: DiskClock,
     backlog_bytes: Cell<usize>,
+    backlog_shrank: Notify,
     is_expiring: Cell<bool>,
     pending_writes: RefCell<HashMap<u64, PendingWrite>>,
     tickets: RefCell<HashMap<RecordDigest, u64>>,
@@ -74,6 +77,8 @@
     directory_items: RefCell<List<DirectoryItem>>,
     /// Copies of the directory on their way to other processes.
     pub(crate) directory_transfers: DirectoryTransfers,
+    /// Large replies on their way to other processes.
+    pub(crate) reply_memory: ReplyMemory,
     loads: LoadReports,
     placed_turns: RefCell<PlacedTurns>,
     quotas: RefCell<QuotaLedger>,
@@ -119,6 +124,7 @@
             reader,
             clock,
             backlog_bytes: Cell::new(0),
+            backlog_shrank: Notify::new(),
             is_expiring: Cell::new(false),
             pending_writes: RefCell::default(),
             tickets: RefCell::default(),
@@ -131,6 +137,7 @@
             members_since: Cell::new(Instant::now()),
             directory_items: RefCell::default(),
             directory_transfers: DirectoryTransfers::new(limits.directory_transfer_bytes()),
+            reply_memory: ReplyMemory::new(limits.reply_bytes),
             loads: LoadReports::default(),
             placed_turns: RefCell::default(),
             quotas: RefCell::default(),
@@ -323,6 +330,14 @@
         result.await.unwrap_or(false)
     }
 
+    /// Waits until records of peers may be stored: they leave half of the memory for records
+    /// that wait for the disk to the records of fronts.
+    pub async fn wait_for_backlog(&self) {
+        while self.backlog_bytes.get() >= self.limits.backlog_bytes / 2 {
+            self.backlog_shrank.notified().await;
+        }
+    }
+
     /// Estimates the memory used by the index and the cache of the newest turns, in bytes.
     pub fn memory_bytes(&self) -> usize {
         self.state.borrow().memory_bytes()
@@ -406,6 +421,7 @@
         self.tickets.borrow_mut().remove(&digest);
         let backlog_bytes = self.backlog_bytes.get() - pending_write.bytes;
         self.backlog_bytes.set(backlog_bytes);
+        self.backlog_shrank.notify_waiters();
         if let Some(location) = result.location {
             self.state
                 .borrow_mut()
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -18,6 +18,7 @@
     ChainPart, JournalPosition, LedgerEntry, OtherFrontsReport, Placement, QuotaReply,
     QuotaRequest, Record, RecordDigest, Refusal, Reply, Request, TurnRecord,
 };
+use crate::record_fetch::MAX_REPLY_RECORD_BYTES;
 use crate::state::ChainLink;
 
 /// Time limit for reading the routing configuration on behalf of a front: half the time
@@ -303,8 +304,8 @@
         }
     }
 
-    /// Reads records by their digests. Unreadable ones are left out; the requester still
-    /// misses them and asks again or elsewhere.
+    /// Reads records by their digests, as many as fit into one reply and at least one.
+    /// Unreadable ones are left out; the requester still misses them and asks again or elsewhere.
     async fn fetch(&self, digests: &[RecordDigest]) -> Reply {
         let (locations, journal, expired) = {
             let state = self.state.borrow();
@@ -316,14 +317,32 @@
                 expired,
             )
         };
-        let results = self.reader.records(locations).await;
+        let reading = self
+            .reader
+            .records_within(locations, MAX_REPLY_RECORD_BYTES);
         Reply::Fetched {
             journal,
-            records: results.into_iter().filter_map(Result::ok).collect(),
+            records: List(reading.await),
             expired,
         }
     }
 
+    /// Returns the size in bytes of the records in the reply to a request.
+    pub fn reply_record_bytes(&self, request: &Request) -> usize {
+        let state = self.state.borrow();
+        match request {
+            Request::Fetch { digests } => {
+                let locations = state.locations(digests);
+                let bytes = locations.iter().map(|location| location.length as usize);
+                let largest = bytes.clone().max().unwrap_or(0);
+                bytes
+                    .sum::<usize>()
+                    .min(MAX_REPLY_RECORD_BYTES.max(largest))
+            }
+            _ => 0,
+        }
+    }
+
     /// Reads the chain that ends in a turn. A turn that is stored but unreadable is never
     /// reported as missing, so that the requester asks another store.
     async fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
--- a/crates/stageyoke-store/src/peer_sync.rs
+++ b/crates/stageyoke-store/src/peer_sync.rs
@@ -3,7 +3,7 @@
 //! missing a round later.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +16,8 @@
 use crate::journal_sync::{DigestPage, JournalSync};
 use crate::local_store::LocalStore;
 use crate::membership::is_caught_up_with_group;
-use crate::message::{RecordDigest, Reply, Request, SilentPeer};
+use crate::message::{Record, RecordDigest, Reply, Request, SilentPeer};
+use crate::record_fetch::{FetchPage, FetchesInFlight, PageInFlight};
 use stageyoke_observe as observe;
 
 /// Interval between comparisons with a peer.
@@ -27,7 +28,6 @@
     idle: Duration::from_millis(1500),
     total: Duration::from_secs(10),
 };
-const FETCH_PAGE_RECORDS: usize = 256;
 /// Time for which a peer's report on unresponsive members is used: slightly more than a
 /// round.
 const SILENCE_REPORT_TTL: Duration = Duration::from_millis(1500);
@@ -39,6 +39,7 @@
     last_answer: Cell<Option<Instant>>,
     /// Members that did not answer the peer, as of its latest answer.
     silent: RefCell<List<SilentPeer>>,
+    fetch_page: FetchPage,
     since: Instant,
 }
 
@@ -63,6 +64,7 @@
     local_store: Rc<LocalStore>,
     tolerance: Tolerance,
     peers: RefCell<HashMap<Text, Rc<Peer>>>,
+    fetches: FetchesInFlight,
     /// Version of the member list in use.
     followed_version: Cell<u64>,
     group: Cell<Option<GroupNumber>>,
@@ -76,6 +78,7 @@
             local_store,
             tolerance,
             peers: RefCell::default(),
+            fetches: FetchesInFlight::default(),
             followed_version: Cell::new(0),
             group: Cell::new(None),
             member_list_changed: Notify::new(),
@@ -108,6 +111,7 @@
                 journal_sync: RefCell::default(),
                 last_answer: Cell::new(None),
                 silent: RefCell::default(),
+                fetch_page: FetchPage::default(),
                 since: Instant::now(),
             });
             peers.insert(member.node.clone(), peer.clone());
@@ -245,46 +249,77 @@
     }
 
     /// Fetches the records of the peer that are missing locally. Records that the peer
-    /// doesn't return stay missing and are requested again.
+    /// doesn't return, or that are being fetched from another peer, stay missing and are
+    /// requested again in the next round.
     async fn fetch_missing(&self, peer: &Peer) -> Option<()> {
-        let missing = || {
-            let holds = |digest| self.local_store.holds(digest);
-            peer.journal_sync.borrow_mut().missing_digests(holds)
-        };
-        let digests = missing();
-        let outcome = self.fetch(peer, &digests).await;
+        let holds = |digest| self.local_store.holds(digest);
+        let missing = || peer.journal_sync.borrow_mut().missing_digests(holds);
+        let mut queue = VecDeque::from(missing());
+        let mut outcome = Some(());
+        while outcome.is_some() && !queue.is_empty() {
+            let max_records = peer.fetch_page.records();
+            let page = self.fetches.take_page(&mut queue, max_records, holds);
+            if page.digests().is_empty() {
+                break;
+            }
+            let unsettled = self.fetch_page(peer, &page).await;
+            outcome = unsettled.map(|unsettled| {
+                unsettled
+                    .into_iter()
+                    .rev()
+                    .for_each(|digest| queue.push_front(digest));
+            });
+        }
         missing();
         outcome
     }
 
-    async fn fetch(&self, peer: &Peer, digests: &[RecordDigest]) -> Option<()> {
-        for page in digests.chunks(FETCH_PAGE_RECORDS) {
-            let request = Request::Fetch {
-                digests: List(page.to_vec()),
-            };
-            let reply = self.call(peer, request).await?;
-            let Reply::Fetched {
-                journal,
-                records,
-                expired,
-            } = reply
-            else {
+    /// Fetches and stores one page of records; returns the digests to request again, since
+    /// the peer limits the size of its replies.
+    async fn fetch_page(&self, peer: &Peer, page: &PageInFlight<'_>) -> Option<Vec<RecordDigest>> {
+        let request = Request::Fetch {
+            digests: List(page.digests().to_vec()),
+        };
+        let progress = peer.client.receive_progress();
+        let received_before = progress.bytes();
+        let reply = self.call(peer, request).await;
+        let Some(Reply::Fetched {
+            journal,
+            records,
+            expired,
+        }) = reply
+        else {
+            peer.fetch_page.record_failure();
+            return None;
+        };
+        if page.digests().len() == peer.fetch_page.records() {
+            let reply_bytes = progress.bytes() - received_before;
+            peer.fetch_page.record_reply(reply_bytes as usize);
+        }
+        peer.journal_sync
+            .borrow_mut()
+            .forget_expired(journal, &expired);
+        let settled: HashSet<RecordDigest> = records
+            .iter()
+            .map(Record::digest)
+            .chain(expired.iter().copied())
+            .collect();
+        self.store_fetched(records).await?;
+        Some(page.unsettled(|digest| settled.contains(&digest)))
+    }
+
+    async fn store_fetched(&self, records: List<Record>) -> Option<()> {
+        let mut writes = Vec::new();
+        for record in records {
+            let local_store = self.local_store.clone();
+            writes.push(tokio::task::spawn_local(async move {
+                local_store.wait_for_backlog().await;
+                local_store.store_record(record).await
+            }));
+        }
+        for result in writes {
+            if !result.await.unwrap_or(false) {
                 return None;
-            };
-            peer.journal_sync
-                .borrow_mut()
-                .forget_expired(journal, &expired);
-            let mut writes = Vec::new();
-            for record in records {
-                let local_store = self.local_store.clone();
-                writes.push(tokio::task::spawn_local(async move {
-                    local_store.store_record(record).await
-                }));
-            }
-            for result in writes {
-                if !result.await.unwrap_or(false) {
-                    return None;
-                }
             }
         }
         Some(())
--- a/crates/stageyoke-store/src/peer_version.rs
+++ b/crates/stageyoke-store/src/peer_version.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Returns the address of the peer.
+    pub fn address(&self) -> &str {
+        &self.peer
+    }
+
     /// Records the version that came with the peer's first message.
     pub fn record_greeting(&self, fields: &ExtensionFields) {
         if self.version.get().is_some() {
--- a/crates/stageyoke-store/src/record_reader.rs
+++ b/crates/stageyoke-store/src/record_reader.rs
@@ -13,6 +13,11 @@
         locations: Vec<RecordLocation>,
         reply: oneshot::Sender<Vec<io::Result<Record>>>,
     },
+    RecordsWithin {
+        locations: Vec<RecordLocation>,
+        max_bytes: usize,
+        reply: oneshot::Sender<Vec<Record>>,
+    },
     Segment {
         number: u64,
         reply: oneshot::Sender<io::Result<Vec<Record>>>,
@@ -46,6 +51,22 @@
         result.unwrap_or_else(|_| (0..count).map(|_| thread_ended()).collect())
     }
 
+    /// Reads records in order until they have `max_bytes` on disk, at least the first readable
+    /// one. Unreadable ones are left out.
+    pub async fn records_within(
+        &self,
+        locations: Vec<RecordLocation>,
+        max_bytes: usize,
+    ) -> Vec<Record> {
+        let (reply, result) = oneshot::channel();
+        let _ = self.commands.send(Command::RecordsWithin {
+            locations,
+            max_bytes,
+            reply,
+        });
+        result.await.unwrap_or_default()
+    }
+
     /// Reads all records of a segment into memory.
     pub async fn segment(&self, number: u64) -> io::Result<Vec<Record>> {
         let (reply, result) = oneshot::channel();
@@ -69,9 +90,35 @@
                     .map(|location| folder.read_record(*location));
                 let _ = reply.send(records.collect());
             }
+            Command::RecordsWithin {
+                locations,
+                max_bytes,
+                reply,
+            } => {
+                if reply.is_closed() {
+                    continue;
+                }
+                let _ = reply.send(read_within(folder, &locations, max_bytes));
+            }
             Command::Segment { number, reply } => {
                 let _ = reply.send(folder.read_segment(number));
             }
         }
     }
 }
+
+fn read_within(folder: &DataFolder, locations: &[RecordLocation], max_bytes: usize) -> Vec<Record> {
+    let mut records = Vec::new();
+    let mut bytes = 0;
+    for location in locations {
+        let length = location.length as usize;
+        if !records.is_empty() && bytes + length > max_bytes {
+            break;
+        }
+        if let Ok(record) = folder.read_record(*location) {
+            bytes += length;
+            records.push(record);
+        }
+    }
+    records
+}
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use stageyoke_observe as observe;
+use stageyoke_types::Event;
 use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -13,8 +15,9 @@
 use crate::extension::ExtensionFields;
 use crate::frame::{self, Received};
 use crate::local_store::{LocalStore, RequestedFields};
-use crate::message::{Numbered, Reply, Request, UNREQUESTED};
+use crate::message::{Numbered, Refusal, Reply, Request, UNREQUESTED};
 use crate::peer_version::PeerVersion;
+use crate::reply_memory::ReplyShare;
 use crate::restriction_watchers::PushFields;
 use crate::socket;
 
@@ -88,12 +91,13 @@
     peer: Rc<PeerVersion>,
 }
 
-/// An encoded reply, which holds its permit and its share of the memory for copies of the
-/// directory until it is written.
+/// An encoded reply, which holds its permit and its shares of the memory for copies of the
+/// directory and for large replies until it is written.
 struct EncodedReply {
     bytes: Vec<u8>,
     _permit: OwnedSemaphorePermit,
     _transfer: Option<DirectoryTransfer>,
+    _share: Option<ReplyShare>,
 }
 
 impl AsRef<[u8]> for EncodedReply {
@@ -122,6 +126,7 @@
             bytes: frame::encode_with_fields(&push, &fields),
             _permit: permit,
             _transfer: None,
+            _share: None,
         };
         replies.send(pushed).is_ok()
     })
@@ -137,10 +142,13 @@
     let transfers = &local_store.directory_transfers;
     let is_directory = matches!(request.content, Request::Directory | Request::Items);
     let transfer = is_directory.then(|| transfers.try_start()).flatten();
-    let content = match is_directory && transfer.is_none() {
-        // The requester asks another store.
-        true => Reply::DirectoryUnknown,
-        false => local_store.handle_request(request.content).await,
+    let reply_bytes = local_store.reply_record_bytes(&request.content);
+    let share = local_store.reply_memory.acquire(reply_bytes).await;
+    // Without room for the reply, the requester asks another store.
+    let content = match (&share, is_directory && transfer.is_none()) {
+        (None, _) => Reply::Refused(Refusal::MemoryFull),
+        (Some(_), true) => Reply::DirectoryUnknown,
+        (Some(_), false) => local_store.handle_request(request.content).await,
     };
     let content = context.requested_fields.omit_known_item(content);
     let extension_fields = match context.peer.reads_extension_fields() {
@@ -153,13 +161,23 @@
         number: request.number,
         content,
     };
-    let bytes = frame::encode_with_fields(&reply, &extension_fields);
+    let mut bytes = frame::encode_with_fields(&reply, &extension_fields);
     if transfer.is_some() {
         transfers.record_size(bytes.len());
     }
+    if !frame::fits(&bytes) {
+        let detail = format!("reply_to={} bytes={}", context.peer.address(), bytes.len());
+        observe::record_event(Event::FrameTooLarge, &detail);
+        let refusal = Numbered {
+            number: request.number,
+            content: Reply::Refused(Refusal::MemoryFull),
+        };
+        bytes = frame::encode(&refusal);
+    }
     let _ = replies.send(EncodedReply {
         bytes,
         _permit: permit,
         _transfer: transfer,
+        _share: share,
     });
 }
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -1,24 +1,23 @@
 //! Tests a front's requests to a group of real stores, with loopback sockets and disks.
 
+#[path = "support/running_store.rs"]
+mod running_store;
 mod support;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rstest::rstest;
+use running_store::{Store, store_groups, with_later_version};
 use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
 use stageyoke_store::frame;
 use stageyoke_store::local_store::{LocalStore, SilentSince};
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request};
 use stageyoke_store::peer_sync::Peers;
 use stageyoke_store::rank_load::ServiceRank;
-use stageyoke_store::segment::DataFolder;
-use stageyoke_store::server;
-use stageyoke_store::{ChainOutcome, GroupClients, GroupError, LedgerView, StoreLimits};
+use stageyoke_store::{ChainOutcome, GroupClients, GroupError, LedgerView};
 use stageyoke_types::{List, Text};
 use support::turn;
-use tempfile::TempDir;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, LocalSet};
@@ -32,76 +31,14 @@
     Tolerance::of_machines(1)
 }
 
-struct Store {
-    local_store: Rc<LocalStore>,
-    address: SocketAddr,
-    tasks: Vec<JoinHandle<()>>,
-    folder: TempDir,
+/// Stops a store's listener and the writer of its results.
+fn stop(store: &Store) {
+    store.tasks.iter().for_each(JoinHandle::abort);
 }
 
-impl Store {
-    async fn start(number: usize, first_start: bool) -> Self {
-        let folder = tempfile::tempdir().expect("folder");
-        Self::start_in(number, first_start, folder).await
-    }
-
-    async fn start_in(number: usize, first_start: bool, folder: TempDir) -> Self {
-        let data = DataFolder::open(folder.path()).expect("open");
-        let recovered = data
-            .recover(number as u64 + 1, first_start)
-            .expect("recover");
-        let node = Text::from(format!("store-{number}"));
-        let limits = StoreLimits::default();
-        let (local_store, results) =
-            LocalStore::open(node, data, recovered, limits).expect("threads");
-        let local_store = Rc::new(local_store);
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("address");
-        let collector = local_store.clone();
-        let tasks = vec![
-            tokio::task::spawn_local(server::serve(local_store.clone(), listener)),
-            tokio::task::spawn_local(
-                async move { collector.process_journal_results(results).await },
-            ),
-        ];
-        Self {
-            local_store,
-            address,
-            tasks,
-            folder,
-        }
-    }
-
-    fn stop(&self) {
-        self.tasks.iter().for_each(JoinHandle::abort);
-    }
-
-    /// Stalls the disk: no write completes from now on.
-    fn stall_disk(&self) {
-        self.tasks[1].abort();
-    }
-}
-
-fn store_groups(stores: &[Store]) -> Rc<StoreGroups> {
-    let members = stores.iter().fold(Members::default(), |members, store| {
-        members.with_member(Member {
-            node: store.local_store.node.clone(),
-            address: Text::from(store.address.to_string()),
-            zone: Text::from("zone"),
-            state: MemberState::Active,
-            disk: store.local_store.disk(),
-        })
-    });
-    Rc::new(StoreGroups::single(members))
-}
-
-/// Returns the same group with a later member list version.
-fn with_later_version(stores: &StoreGroups, versions: u64) -> Rc<StoreGroups> {
-    let members = stores.group(GroupNumber(0)).expect("group");
-    Rc::new(StoreGroups::single(Members {
-        version: members.version + versions,
-        ..members.clone()
-    }))
+/// Stalls a store's disk: no write completes from now on.
+fn stall_disk(store: &Store) {
+    store.tasks[1].abort();
 }
 
 async fn start_group(count: usize) -> (Vec<Store>, Rc<GroupClients>) {
@@ -145,7 +82,7 @@
     run_local(async {
         let (stores, _) = start_group(count).await;
         for store in &stores[..losses] {
-            store.stop();
+            stop(store);
         }
         let group = GroupClients::new(Text::from("zone"), Tolerance::of_machines(losses));
         group.update_stores(&store_groups(&stores));
@@ -170,12 +107,12 @@
 async fn a_group_of_three_survives_one_lost_store_but_not_two() {
     run_local(async {
         let (stores, group) = start_group(3).await;
-        stores[0].stop();
+        stop(&stores[0]);
         group
             .append(turn("one", ""), TIMEOUT)
             .await
             .expect("two of three store it");
-        stores[1].stop();
+        stop(&stores[1]);
         let group = GroupClients::new(Text::from("zone"), tolerance());
         group.update_stores(&store_groups(&stores));
         let record = turn("two", "one");
@@ -195,8 +132,8 @@
         let unknown = Text::from("unknown");
         let outcome = group.chain(PROGRAM, &unknown, TIMEOUT).await;
         assert!(matches!(outcome, ChainOutcome::Absent(turn) if turn == unknown));
-        stores[0].stop();
-        stores[1].stop();
+        stop(&stores[0]);
+        stop(&stores[1]);
         // Only the listeners have stopped; new clients have no open connections.
         let group = GroupClients::new(Text::from("zone"), tolerance());
         group.update_stores(&store_groups(&stores));
@@ -217,7 +154,7 @@
         }
         let group = GroupClients::new(Text::from("zone"), tolerance());
         group.update_stores(&members);
-        stores[0].stop();
+        stop(&stores[0]);
         let outcome = group
             .chain(PROGRAM, &Text::from("unknown"), SHORT_TIMEOUT)
             .await;
@@ -268,7 +205,7 @@
             let record = turn(&format!("turn-{number}"), &previous);
             group.append(record, TIMEOUT).await.expect("stored");
         }
-        stores[last].stop();
+        stop(&stores[last]);
         stores[last] = Store::start(last, false).await;
         let members = store_groups(&stores);
         for store in &stores {
@@ -305,7 +242,7 @@
             .expect("stored");
         for number in 0..2 {
             let store = stores.remove(0);
-            store.stop();
+            stop(&store);
             let restarted = Store::start_in(number, false, store.folder).await;
             assert!(restarted.local_store.is_complete());
             assert!(restarted.local_store.holds(turn("one", "").digest()));
@@ -355,7 +292,7 @@
         for store in &stores {
             store.local_store.set_stores(newest.clone());
         }
-        departed.stop();
+        stop(&departed);
         let refused = group
             .append(reserve_record("one"), SHORT_TIMEOUT)
             .await
@@ -469,7 +406,7 @@
         };
         report_silence(&stores[0].local_store, 9_000);
         report_silence(&stores[1].local_store, 4_000);
-        stores[2].stop();
+        stop(&stores[2]);
         spare.local_store.set_stores(store_groups(&stores));
         spare.local_store.backfill_for(Some(GroupNumber(0)));
         let peers = Rc::new(Peers::new(spare.local_store.clone(), tolerance()));
@@ -572,13 +509,13 @@
 async fn a_reservation_is_visible_to_later_ones_before_it_is_synced() {
     run_local(async {
         let (stores, group) = start_group(3).await;
-        stores[0].stop();
+        stop(&stores[0]);
         // Stores announce their version with the first reply.
         group
             .append(turn("before", ""), TIMEOUT)
             .await
             .expect("stored");
-        stores.iter().for_each(Store::stall_disk);
+        stores.iter().for_each(stall_disk);
         reserve_in_background(&group, "one").await;
         let ledger = unsynced_ledger(&group, "one", MAX_UNSTORED).await;
         let ledger = ledger.expect("two of three received it");
@@ -620,7 +557,7 @@
             .append(turn("before", ""), TIMEOUT)
             .await
             .expect("stored");
-        stores.iter().for_each(Store::stall_disk);
+        stores.iter().for_each(stall_disk);
         for store in &stores[..with_newer_list] {
             store
                 .local_store
@@ -647,7 +584,7 @@
             .append(turn("before", ""), TIMEOUT)
             .await
             .expect("stored");
-        stores.iter().for_each(Store::stall_disk);
+        stores.iter().for_each(stall_disk);
         let outcome = group
             .append(turn("one", ""), Duration::from_millis(1500))
             .await;
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -46,6 +46,7 @@
     PeerRefused, 204, "warn", "Bytes from an unauthenticated or incompatible peer were dropped.";
     OlderPeer, 205, "info", "A peer speaks an older version of the messages; it is told nothing that is newer.";
     OlderPeersGone, 206, "info", "The last connection with a peer of an older version has ended.";
+    FrameTooLarge, 207, "error", "A reply is larger than the receiver accepts and was not sent.";
     LeaderElected, 300, "info", "This node became leader of a shard.";
     LeaderLost, 301, "info", "This node ceased to lead a shard.";
     VotersChanged, 302, "info", "A shard's replica group changed.";
