Read a long chain in parts that fit into a frame

The class of the replaced store that never caught up, on a related path: a program chooses how large its history is, and a store put all of it into one reply. Beyond 32 MiB the front ended the connection, so that each try of the turn failed (503) and took all other calls on that connection with it, at one store after the other.

A store now sends the newest turns up to 1 MiB, at least one, and names the next one as missing, which fronts of this build and of the one before already ask for. The chain's share of the memory for large replies is acquired before it is read.

--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -331,6 +331,10 @@
     pub fn reply_record_bytes(&self, request: &Request) -> usize {
         let state = self.state.borrow();
         match request {
+            Request::Chain { turn, .. } => {
+                let links = state.chain(turn, MAX_REPLY_RECORD_BYTES);
+                links.iter().map(ChainLink::bytes).sum()
+            }
             Request::Fetch { digests } => {
                 let locations = state.locations(digests);
                 let bytes = locations.iter().map(|location| location.length as usize);
@@ -343,15 +347,16 @@
         }
     }
 
-    /// Reads the chain that ends in a turn. A turn that is stored but unreadable is never
-    /// reported as missing, so that the requester asks another store.
+    /// Reads the chain that ends in a turn, as much of it as fits into one reply and at least
+    /// one turn; the requester asks for the rest. A turn that is stored but unreadable is
+    /// never reported as missing, so that the requester asks another store.
     async fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
         let complete = {
             let membership = self.membership.borrow();
             membership.is_authoritative_for(group, members_version)
         };
         let refusal = self.membership.borrow().refusal(group, members_version);
-        let links = self.state.borrow().chain(turn);
+        let links = self.state.borrow().chain(turn, MAX_REPLY_RECORD_BYTES);
         let Some(parts) = self.read_chain(turn, links).await else {
             return Reply::Refused(Refusal::DiskRefused);
         };
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -104,6 +104,13 @@
     pub output: Blob,
 }
 
+impl ChainPart {
+    /// Returns the size of the turn's contents in bytes.
+    pub fn bytes(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+}
+
 /// A position in the journal of one store process. The journal gets a new identifier and
 /// its positions count from zero again when the process restarts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
--- a/crates/stageyoke-store/src/recent_turns.rs
+++ b/crates/stageyoke-store/src/recent_turns.rs
@@ -70,5 +70,5 @@
 }
 
 fn size_bytes(part: &ChainPart) -> usize {
-    part.input.len() + part.output.len() + TURN_OVERHEAD_BYTES
+    part.bytes() + TURN_OVERHEAD_BYTES
 }
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -73,6 +73,16 @@
     OnDisk(RecordLocation),
 }
 
+impl ChainLink {
+    /// Returns the size of the turn in bytes, in memory or on disk.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Cached(part) => part.bytes(),
+            Self::OnDisk(location) => location.length as usize,
+        }
+    }
+}
+
 /// Index of the turns on disk, ledgers and journal digests.
 #[derive(Debug)]
 pub struct StoreState {
@@ -267,17 +277,24 @@
         List(ledger.map_or_else(Vec::new, |ledger| ledger.entries.clone()))
     }
 
-    /// Returns the stored part of the chain that ends in `turn`, newest first.
-    pub fn chain(&self, turn: &Text) -> Vec<ChainLink> {
+    /// Returns the stored part of the chain that ends in `turn`, newest first, up to
+    /// `max_bytes` and at least one turn.
+    pub fn chain(&self, turn: &Text, max_bytes: usize) -> Vec<ChainLink> {
         let mut links = Vec::new();
+        let mut bytes = 0;
         let mut next = Some(TurnKey::of(turn));
         while let Some(key) = next
             && let Some(indexed) = self.turns.get(&key)
         {
-            links.push(match self.recent_turns.get(key) {
+            let link = match self.recent_turns.get(key) {
                 Some(part) => ChainLink::Cached(part.clone()),
                 None => ChainLink::OnDisk(indexed.location),
-            });
+            };
+            bytes += link.bytes();
+            if !links.is_empty() && bytes > max_bytes {
+                break;
+            }
+            links.push(link);
             next = indexed.previous.filter(|previous| *previous != key);
         }
         links
--- a/crates/stageyoke-store/tests/large_records_test.rs
+++ b/crates/stageyoke-store/tests/large_records_test.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use stageyoke_directory::{GroupNumber, Member, MemberState, Members, StoreGroups, Tolerance};
+use stageyoke_directory::{Member, MemberState, Members, StoreGroups, Tolerance};
 use stageyoke_store::frame::{self, MAX_FRAME_BYTES};
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request, TurnRecord};
 use stageyoke_store::peer_sync::Peers;
+use stageyoke_store::{ChainOutcome, GroupClients};
 use stageyoke_types::{Blob, List, Text};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -110,6 +111,36 @@
     .await;
 }
 
+/// Guards against a program whose history exceeds a frame: each lookup would end the connection,
+/// with everything else that waits on it.
+#[tokio::test]
+async fn a_chain_that_exceeds_one_frame_is_read_in_parts() {
+    run_in_time(async {
+        let stores = start_group_with_empty_disk(3, &[]).await;
+        for number in 0..LARGE_RECORDS {
+            let previous = match number {
+                0 => Text::default(),
+                number => Text::from(format!("turn-{}", number - 1)),
+            };
+            let Record::Turn(turn) = turn_of(number, LARGE_BYTES) else {
+                unreachable!("a turn");
+            };
+            let record = Record::Turn(TurnRecord { previous, ..turn });
+            store_all(&stores[0], &[record]).await;
+        }
+        let group = GroupClients::new(Text::from("zone"), tolerance());
+        group.update_stores(&stores[0].local_store.stores());
+        let last = Text::from(format!("turn-{}", LARGE_RECORDS - 1));
+        let outcome = group.chain("program", &last, TIMEOUT).await;
+        let ChainOutcome::Complete(parts) = outcome else {
+            panic!("expected the whole chain: {outcome:?}");
+        };
+        let numbers = parts.iter().map(|part| part.input[0]).rev();
+        assert!(numbers.eq((0..LARGE_RECORDS).map(|number| number as u8)));
+    })
+    .await;
+}
+
 /// Guards against replies that grow with the size of the requested records, and against a
 /// record that is never sent because it is larger than the limit of a reply.
 #[rstest]
@@ -163,6 +194,37 @@
     .await;
 }
 
+/// Joins a store with an empty disk into a group of three, whose other members run `serve`.
+fn join_group<F: Future<Output = ()> + 'static>(
+    replaced: &Store,
+    serve: impl Fn(TcpListener) -> F,
+) -> Rc<Peers> {
+    let mut members = Members::default().with_member(Member {
+        node: replaced.local_store.node.clone(),
+        address: Text::from(replaced.address.to_string()),
+        zone: Text::from("zone"),
+        state: MemberState::Active,
+        disk: replaced.local_store.disk(),
+    });
+    for number in 1..3 {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+        listener.set_nonblocking(true).expect("nonblocking");
+        let address = listener.local_addr().expect("address");
+        members = members.with_member(Member {
+            node: Text::from(format!("store-{number}")),
+            address: Text::from(address.to_string()),
+            zone: Text::from("zone"),
+            state: MemberState::Active,
+            disk: 0,
+        });
+        let listener = TcpListener::from_std(listener).expect("listener");
+        tokio::task::spawn_local(serve(listener));
+    }
+    let groups = Rc::new(StoreGroups::single(members));
+    replaced.local_store.set_stores(groups);
+    follow_peers(replaced)
+}
+
 /// Answers like the build before this one: with every requested record, whatever their size.
 async fn answer_with_everything(
     listener: TcpListener,
@@ -235,30 +297,9 @@
         let records: Rc<Vec<Record>> = Rc::new(small_records.chain(large_records).collect());
         let sent = Rc::new(Cell::new(0));
         let replaced = Store::start(0, false).await;
-        let mut members = Members::default().with_member(Member {
-            node: replaced.local_store.node.clone(),
-            address: Text::from(replaced.address.to_string()),
-            zone: Text::from("zone"),
-            state: MemberState::Active,
-            disk: replaced.local_store.disk(),
+        let _peers = join_group(&replaced, |listener| {
+            answer_with_everything(listener, records.clone(), sent.clone())
         });
-        for number in 1..3 {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-            let address = listener.local_addr().expect("address");
-            members = members.with_member(Member {
-                node: Text::from(format!("store-{number}")),
-                address: Text::from(address.to_string()),
-                zone: Text::from("zone"),
-                state: MemberState::Active,
-                disk: 0,
-            });
-            let answering = answer_with_everything(listener, records.clone(), sent.clone());
-            tokio::task::spawn_local(answering);
-        }
-        let groups = Rc::new(StoreGroups::single(members));
-        replaced.local_store.set_stores(groups.clone());
-        assert!(groups.group(GroupNumber(0)).is_some());
-        let _peers = follow_peers(&replaced);
         wait_until_complete(&replaced).await;
         for record in records.iter() {
             assert!(replaced.local_store.holds(record.digest()));
--- a/crates/stageyoke-store/tests/plans/simulated_store.rs
+++ b/crates/stageyoke-store/tests/plans/simulated_store.rs
@@ -251,7 +251,7 @@
 
     /// The reply to a request for a turn's chain.
     pub fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
-        let steps = self.state.chain(turn);
+        let steps = self.state.chain(turn, usize::MAX);
         let parts: Vec<ChainPart> = steps
             .into_iter()
             .filter_map(|step| match step {
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -50,7 +50,7 @@
 }
 
 fn chain(state: &StoreState, turn: &str) -> (Vec<String>, String) {
-    let steps = state.chain(&Text::from(turn));
+    let steps = state.chain(&Text::from(turn), usize::MAX);
     let parts = steps.iter().map(|step| match step {
         ChainLink::Cached(part) => part,
         ChainLink::OnDisk(location) => panic!("{location:?} is not cached"),
