Show a store that does not catch up in metrics, a status page and the log

Tests: a_store_that_does_not_catch_up_is_reported_until_it_is_complete, a_store_whose_requests_for_records_fail_tells_what_it_lacks.

--- a/crates/stageyoke-cli/src/commands.rs
+++ b/crates/stageyoke-cli/src/commands.rs
@@ -297,6 +297,10 @@
             print_json(&status);
             continue;
         }
+        if status["role"] == "store" {
+            println!("{node}: {}", describe_store(&status));
+            continue;
+        }
         println!(
             "{node}: {} config {} ready {} draining {} leads {} of {} replicas, {} calls waiting",
             status["name"],
@@ -320,6 +324,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Describes a store of the platform's deployment, whose status page is beside its metrics.
+fn describe_store(status: &Value) -> String {
+    format!(
+        "{} complete {} incomplete for {} s, lacks {} records, {} fetches failed, holds {} records, members {}",
+        status["name"],
+        status["complete"],
+        status["incomplete_seconds"],
+        status["missing_records"],
+        status["failed_fetches"],
+        status["records"],
+        status["members_version"]
+    )
+}
+
 /// Implements `events`: prints the meaning of log events.
 pub fn events(arguments: &EventsArguments) -> Result<ExitCode, Failure> {
     let is_requested = |event: &&Event| {
--- a/crates/stageyoke-observe/src/lib.rs
+++ b/crates/stageyoke-observe/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod metrics;
 pub mod rate_limit;
 pub mod signals;
+pub mod status;
 pub mod writer;
 
 pub use events::{RequestSummary, record_event, record_request};
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -20,6 +20,8 @@
 
 /// HTTP path of the metrics page.
 pub const METRICS_PATH: &str = "/metrics";
+/// HTTP path of the status page.
+pub const STATUS_PATH: &str = "/status";
 /// Upper bounds of latency histogram buckets, in seconds.
 const LATENCY_BUCKETS: &[f64] = &[
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
@@ -82,6 +84,12 @@
     pub records: IntGauge,
     /// 1 if the store holds every record that it ever acknowledged, otherwise 0.
     pub store_complete: IntGauge,
+    /// Seconds for which the store has been incomplete; 0 if it is complete.
+    pub incomplete_seconds: IntGauge,
+    /// Records of one peer that the store is known to lack, of the peer with most of them.
+    pub missing_records: IntGauge,
+    /// Requests for records of peers that got no reply.
+    pub failed_fetches: IntCounter,
     /// 1 if the store's group has a settled member list and no member is missing.
     pub group_healthy: IntGauge,
     /// Seconds from the detection of a loss in the store's group to its full recovery.
@@ -261,6 +269,21 @@
                 "stageyoke_store_complete",
                 "1 once a store's disk is complete.",
             ),
+            incomplete_seconds: gauge(
+                "stageyoke_store_incomplete_seconds",
+                "Seconds for which a store has been incomplete.",
+            ),
+            missing_records: gauge(
+                "stageyoke_store_missing_records",
+                "Records of one peer that a store is known to lack.",
+            ),
+            failed_fetches: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_store_failed_fetches_total",
+                    "Requests for records of peers that got no reply.",
+                ),
+            ),
             group_healthy: gauge(
                 "stageyoke_group_whole",
                 "1 while the store's group is settled and all its members are there.",
@@ -338,6 +361,11 @@
     if path == METRICS_PATH {
         return Response::new(Full::from(metrics().render()));
     }
+    if path == STATUS_PATH
+        && let Some(document) = crate::status::get()
+    {
+        return Response::new(Full::from(document));
+    }
     let mut response = Response::new(Full::default());
     *response.status_mut() = StatusCode::NOT_FOUND;
     response
--- a/crates/stageyoke-store/src/journal_sync.rs
+++ b/crates/stageyoke-store/src/journal_sync.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns the number of records seen in the peer's journal that were last found missing.
+    pub fn missing_count(&self) -> usize {
+        self.missing.len()
+    }
+
     /// Checks whether all records seen in the peer's journal are stored locally.
     pub fn has_nothing_missing(&self) -> bool {
         self.missing.is_empty()
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -394,7 +394,6 @@
             }
             let metrics = observe::metrics();
             metrics.records.set(self.journal_end().next as i64);
-            metrics.store_complete.set(i64::from(self.is_complete()));
             let state = self.state.borrow();
             metrics.turn_bytes.set(state.cached_turn_bytes() as i64);
             let entries = state.ledger_entry_count();
--- a/crates/stageyoke-store/src/peer_sync.rs
+++ b/crates/stageyoke-store/src/peer_sync.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::catch_up_monitor::CatchUpProgress;
 use crate::client::StoreClient;
 use crate::journal_sync::{DigestPage, JournalSync};
 use crate::local_store::LocalStore;
@@ -173,6 +174,20 @@
         peer.is_some_and(|peer| holds(&peer.journal_sync.borrow()))
     }
 
+    /// Returns how far this store is from holding every record of its group.
+    pub fn catch_up_progress(&self) -> CatchUpProgress {
+        let peers = self.peers.borrow();
+        let missing = peers.values().map(|peer| {
+            let journal_sync = peer.journal_sync.borrow();
+            journal_sync.missing_count()
+        });
+        CatchUpProgress {
+            complete: self.local_store.group().is_none() || self.local_store.is_complete(),
+            missing_records: missing.max().unwrap_or(0),
+            failed_fetches: observe::metrics().failed_fetches.get(),
+        }
+    }
+
     async fn run_round(&self, peer: &Peer) -> Duration {
         match self.compare_page(peer).await {
             Some(true) => CATCH_UP_INTERVAL,
@@ -290,6 +305,7 @@
         }) = reply
         else {
             peer.fetch_page.record_failure();
+            observe::metrics().failed_fetches.inc();
             return None;
         };
         if page.digests().len() == peer.fetch_page.records() {
--- a/crates/stageyoke-store/src/store_host.rs
+++ b/crates/stageyoke-store/src/store_host.rs
@@ -22,6 +22,7 @@
 
 use self::events::describe_groups;
 pub use self::events::log_mirror_event;
+use crate::catch_up_monitor::CatchUpMonitor;
 use crate::directory_relay::to_directory_item;
 use crate::extension::describe_build;
 use crate::formation::{Formation, FormationStep};
@@ -144,6 +145,7 @@
     formation: RefCell<Formation>,
     fenced_journal_end: Cell<Option<FencedJournalEnd>>,
     recovery_monitor: RecoveryMonitor,
+    catch_up_monitor: CatchUpMonitor,
     saved_items: Cell<SavedItems>,
 }
 
@@ -183,6 +185,7 @@
         mirror.seed_stores((*local_store.stores()).clone());
         let peer_relay = Rc::new(PeerRelay::new(settings.node.clone()));
         mirror.set_peers(peer_relay.clone());
+        let catch_up_monitor = CatchUpMonitor::new(settings.catch_up_time);
         let host = Rc::new(Self {
             settings,
             mirror,
@@ -193,6 +196,7 @@
             formation: RefCell::default(),
             fenced_journal_end: Cell::new(None),
             recovery_monitor: RecoveryMonitor::default(),
+            catch_up_monitor,
             saved_items: Cell::default(),
         });
         host.apply_view();
@@ -325,6 +329,7 @@
     async fn maintain_membership(&self) {
         loop {
             self.apply_view();
+            self.report_progress();
             let proposal = self.next_proposal();
             let has_proposal = proposal.is_some();
             if let Some(proposal) = proposal {
@@ -359,6 +364,25 @@
         }
     }
 
+    /// Updates the metrics and the status page.
+    fn report_progress(&self) {
+        let progress = self.peers.catch_up_progress();
+        let incomplete_for = self.catch_up_monitor.observe(progress);
+        let members = self.local_store.members();
+        let document = format!(
+            "{{\"role\":\"store\",\"name\":{:?},\"complete\":{},\"incomplete_seconds\":{},\
+             \"missing_records\":{},\"failed_fetches\":{},\"records\":{},\"members_version\":{}}}",
+            self.settings.node.as_str(),
+            progress.complete,
+            incomplete_for.as_secs(),
+            progress.missing_records,
+            progress.failed_fetches,
+            self.local_store.journal_end().next,
+            members.version
+        );
+        observe::status::set(document);
+    }
+
     /// Returns whether nothing is due soon: this store is a complete member of a list that
     /// is not changing, or a spare that no group needs.
     fn is_settled(&self) -> bool {
--- /dev/null
+++ b/crates/stageyoke-store/tests/catch_up_monitor_test.rs
@@ -0,0 +1,43 @@
+//! What operators see of a store that does not catch up.
+
+use std::time::Duration;
+
+use stageyoke_observe::metrics;
+use stageyoke_store::catch_up_monitor::{CatchUpMonitor, CatchUpProgress};
+
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+fn reports() -> u64 {
+    let events = &metrics().events;
+    events.with_label_values(&["StoreIncomplete"]).get()
+}
+
+/// Guards against a store that never becomes complete and that nobody hears of before the next
+/// loss: it is reported once its time is over, and again until it is complete.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_does_not_catch_up_is_reported_until_it_is_complete() {
+    let monitor = CatchUpMonitor::new(CATCH_UP_TIME);
+    let progress = |missing_records| CatchUpProgress {
+        complete: missing_records == 0,
+        missing_records,
+        failed_fetches: 7,
+    };
+    monitor.observe(progress(150));
+    tokio::time::advance(CATCH_UP_TIME).await;
+    monitor.observe(progress(150));
+    assert_eq!(reports(), 0, "its time is not over");
+    for _ in 0..21 {
+        tokio::time::advance(Duration::from_secs(1)).await;
+        monitor.observe(progress(150));
+    }
+    assert_eq!(reports(), 3);
+    assert_eq!(metrics().incomplete_seconds.get(), 25);
+    assert_eq!(metrics().missing_records.get(), 150);
+    assert_eq!(metrics().store_complete.get(), 0);
+    assert_eq!(monitor.observe(progress(0)), Duration::ZERO);
+    tokio::time::advance(Duration::from_secs(60)).await;
+    monitor.observe(progress(0));
+    assert_eq!(reports(), 3);
+    assert_eq!(metrics().incomplete_seconds.get(), 0);
+    assert_eq!(metrics().store_complete.get(), 1);
+}
--- a/crates/stageyoke-store/tests/large_records_test.rs
+++ b/crates/stageyoke-store/tests/large_records_test.rs
@@ -310,3 +310,39 @@
     })
     .await;
 }
+
+/// Guards against a store that can't fetch what it lacks while nothing shows it.
+#[tokio::test]
+async fn a_store_whose_requests_for_records_fail_tells_what_it_lacks() {
+    run_in_time(async {
+        let records: Rc<Vec<Record>> = Rc::new((0..30).map(|number| turn_of(number, 10)).collect());
+        let replaced = Store::start(0, false).await;
+        let peers = join_group(&replaced, |listener| {
+            let records = records.clone();
+            async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (mut reader, mut writer) = stream.into_split();
+                    while let Ok(request) = frame::read::<Numbered<Request>>(&mut reader).await {
+                        // Ends the connection instead of sending records.
+                        if matches!(request.content, Request::Fetch { .. }) {
+                            break;
+                        }
+                        let reply = Numbered {
+                            number: request.number,
+                            content: full_reply(request.content, &records, &Cell::default()),
+                        };
+                        let bytes = frame::encode(&reply);
+                        writer.write_all(&bytes).await.expect("write");
+                    }
+                }
+            }
+        });
+        while peers.catch_up_progress().failed_fetches < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let progress = peers.catch_up_progress();
+        assert!(!progress.complete);
+        assert_eq!(progress.missing_records, records.len());
+    })
+    .await;
+}
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -63,6 +63,7 @@
     StoreComplete, 603, "info", "A store holds again everything that its disk ever acknowledged.";
     DiskRefuses, 604, "error", "The disk takes no record; others of the group keep what this store can't.";
     SegmentUnreadable, 605, "error", "A segment past its time can't be read back and is kept; the store refuses new turns once its memory is full.";
+    StoreIncomplete, 606, "warn", "A store still lacks records after the time within which it should have caught up; the group may not bear the next loss.";
     DependencyRegained, 700, "info", "A dependency that had been lost answers again.";
     ViewChanged, 701, "info", "Routes, replicas or store members in use changed.";
     ItemUnreadable, 702, "error", "An item of the key-value service could not be read and is ignored.";
