--- a/crates/stageyoke-front/src/bootstrap.rs
+++ b/crates/stageyoke-front/src/bootstrap.rs
@@ -33,7 +33,7 @@
         index = (index + 1) % stores.len();
         let call =
             client.call_with_transfer_timeouts(Request::Items, Rc::default(), STORE_TIMEOUTS);
-        let items = match call.await {
+        let items = match call.await.map(|answer| answer.reply) {
             Ok(Reply::Items(relayed)) => relayed.into_iter().map(from_directory_item).collect(),
             Ok(_) | Err(_) => Vec::new(),
         };
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -10,7 +10,8 @@
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{ChainPart, Placement};
 use stageyoke_store::{
-    ChainOutcome, GroupClients, GroupError, LedgerView, RecentTurns, Record, TurnRecord,
+    ChainOutcome, GroupClients, GroupError, LedgerView, RecentTurns, Record, StoredRecord,
+    TurnRecord,
 };
 use stageyoke_types::{Blob, Text};
 use tokio::sync::oneshot;
@@ -120,7 +121,7 @@
         tokio::task::spawn_local(storing);
         let unsynced = async {
             tokio::time::sleep(UNSYNCED_QUERY_DELAY).await;
-            let (program, turn) = (&request.program, &request.turn);
+            let (program, turn) = (&request.reserved.program, &request.reserved.turn);
             let (max_unstored, time_limit) = (MAX_UNSTORED_TIME, UNSYNCED_QUERY_TIMEOUT);
             let query = self
                 .stores
@@ -141,12 +142,13 @@
     }
 
     /// Settles a reservation in the background.
-    pub fn settle(&self, program: &Text, turn: &Text, used: u32) {
+    pub fn settle(&self, reserved: &ReservedTurn, used: u32) {
         let record = Record::Settle {
-            program: program.clone(),
-            turn: turn.clone(),
+            program: reserved.program.clone(),
+            turn: reserved.turn.clone(),
             used_tokens: used,
         };
+        let record = reserved.with_retention(record);
         self.stores.append_in_background(record, SETTLE_TIMEOUT);
     }
 
@@ -182,13 +184,28 @@
     }
 }
 
-/// What to reserve for a turn.
+/// A turn of a program, and for how long the program's ledger is retained after it.
 #[derive(Clone, Debug)]
-pub struct ReservationRequest {
+pub struct ReservedTurn {
     /// Program of the turn.
     pub program: Text,
     /// The turn.
     pub turn: Text,
+    /// Retention of the turn's route; zero if the route has none.
+    pub retention: Duration,
+}
+
+impl ReservedTurn {
+    fn with_retention(&self, record: Record) -> StoredRecord {
+        StoredRecord::new(record, Some(whole_seconds(self.retention)))
+    }
+}
+
+/// What to reserve for a turn.
+#[derive(Clone, Debug)]
+pub struct ReservationRequest {
+    /// The turn and its program.
+    pub reserved: ReservedTurn,
     /// Maximum number of tokens of the turn.
     pub max_tokens: u32,
     /// Replica on which the turn is expected to run.
@@ -196,12 +213,12 @@
 }
 
 impl ReservationRequest {
-    fn record(&self) -> Record {
-        Record::Reserve {
-            program: self.program.clone(),
-            turn: self.turn.clone(),
+    fn record(&self) -> StoredRecord {
+        self.reserved.with_retention(Record::Reserve {
+            program: self.reserved.program.clone(),
+            turn: self.reserved.turn.clone(),
             max_tokens: self.max_tokens,
-        }
+        })
     }
 }
 
@@ -278,7 +295,7 @@
     /// Waits until the reservation is stored; returns why the turn's output must not be
     /// forwarded, if so.
     pub async fn wait(self) -> Result<(), &'static str> {
-        let turn = self.ledger.request.turn.clone();
+        let turn = self.ledger.request.reserved.turn.clone();
         let max_tokens = u64::from(self.ledger.request.max_tokens);
         let ledger = self.ledger.wait().await.map_err(|_| "not_reserved")?;
         match ledger.total_excluding(&turn) + max_tokens > self.budget {
@@ -291,20 +308,18 @@
 /// Reservation of a turn, refunded on drop if the turn was never run.
 pub struct Reservation {
     history: Rc<History>,
-    program: Text,
-    turn: Text,
+    reserved: ReservedTurn,
     may_have_run: bool,
     end_reported: bool,
     pending_check: Option<PendingCheck>,
 }
 
 impl Reservation {
-    /// Creates the reservation of `turn` of `program`.
-    pub fn new(history: Rc<History>, program: Text, turn: Text) -> Self {
+    /// Creates the reservation of a turn.
+    pub fn new(history: Rc<History>, reserved: ReservedTurn) -> Self {
         Self {
             history,
-            program,
-            turn,
+            reserved,
             may_have_run: false,
             end_reported: false,
             pending_check: None,
@@ -330,7 +345,8 @@
     /// Reports to the stores where the turn is going to run.
     pub fn report_placement(&self, placement: Placement) {
         let stores = &self.history.stores;
-        stores.report_placement(&self.program, &self.turn, placement);
+        let ReservedTurn { program, turn, .. } = &self.reserved;
+        stores.report_placement(program, turn, placement);
     }
 
     /// Marks the end of the turn as reported by its stored record.
@@ -342,17 +358,17 @@
     pub fn settle(&mut self, used: u32) {
         self.may_have_run = true;
         self.end_reported = true;
-        self.history.settle(&self.program, &self.turn, used);
+        self.history.settle(&self.reserved, used);
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
         if !self.may_have_run {
-            self.history.settle(&self.program, &self.turn, 0);
+            self.history.settle(&self.reserved, 0);
         } else if !self.end_reported {
             let stores = &self.history.stores;
-            stores.report_turn_end(&self.program, &self.turn);
+            stores.report_turn_end(&self.reserved.program, &self.reserved.turn);
         }
     }
 }
@@ -372,6 +388,11 @@
         input: Blob(input),
         output: Blob::from(output),
         used_tokens: used,
-        retention_seconds: retention.as_secs_f64().ceil() as u32,
+        retention_seconds: whole_seconds(retention),
     }
 }
+
+/// Rounds a retention up, so that nothing is dropped before its end.
+fn whole_seconds(retention: Duration) -> u32 {
+    retention.as_secs_f64().ceil() as u32
+}
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -13,7 +13,9 @@
 use crate::failure::Failure;
 use crate::front::Front;
 use crate::handler::{LOOKUP_TIMEOUT, OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
-use crate::history::{PendingCheck, Reservation, ReservationRequest, ReservedLedger, Transcript};
+use crate::history::{
+    PendingCheck, Reservation, ReservationRequest, ReservedLedger, ReservedTurn, Transcript,
+};
 
 /// Timeout of a reservation, which covers a store's restart, and the fraction of the
 /// request's remaining time that it may take.
@@ -100,7 +102,12 @@
         let time_limit = remaining
             .mul_f64(RESERVE_TIME_FRACTION)
             .min(RESERVE_TIMEOUT);
-        let mut reservation = Reservation::new(self.history.clone(), program.clone(), turn.clone());
+        let reserved = ReservedTurn {
+            program,
+            turn: turn.clone(),
+            retention: context.route.retention,
+        };
+        let mut reservation = Reservation::new(self.history.clone(), reserved.clone());
         let max_tokens = parameters.max_tokens;
         let not_reserved = |error| {
             *detail.borrow_mut() = format!("budget={budget} most={max_tokens} error={error}");
@@ -111,8 +118,7 @@
             )
         };
         let request = ReservationRequest {
-            program,
-            turn: turn.clone(),
+            reserved,
             max_tokens,
             placement,
         };
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -39,6 +39,9 @@
 const MEMORY_BYTES: u64 = 2_000;
 /// Marks a route table whose replicas are engines.
 const ENGINES: &str = "engines";
+/// Retention of the route whose turns are stored, and of the others.
+const HISTORY_RETENTION: Duration = Duration::from_secs(20);
+const STREAM_RETENTION: Duration = Duration::from_millis(59_500);
 /// Limits how long a failing test can hang.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 const SIGNED_RESPONSE: &str =
@@ -211,12 +214,17 @@
 struct ReceivedRecords {
     /// Programs of the reservations.
     reserved: Rc<RefCell<Vec<String>>>,
+    /// Retentions that came with reservations and settlements, in seconds.
+    ledger_retentions: Rc<RefCell<Vec<Option<u32>>>>,
     /// Stored turns.
     turns: Rc<RefCell<Vec<TurnRecord>>>,
 }
 
 impl ReceivedRecords {
-    fn add(&self, record: Record) {
+    fn add(&self, record: Record, ledger_retention: Option<u32>) {
+        if matches!(record, Record::Reserve { .. } | Record::Settle { .. }) {
+            self.ledger_retentions.borrow_mut().push(ledger_retention);
+        }
         match record {
             Record::Reserve { program, .. } => self.reserved.borrow_mut().push(program.to_string()),
             Record::Turn(turn) => self.turns.borrow_mut().push(turn),
@@ -254,7 +262,7 @@
     while let Ok(request) = frame::read_with_fields::<StoreRequest>(&mut reader).await {
         let content = match request.message.content {
             StoreRequest::Append { record, .. } => {
-                received.add(record);
+                received.add(record, request.extension_fields.ledger_retention_seconds);
                 Reply::Stored {
                     complete: true,
                     ledger: List::default(),
@@ -379,7 +387,10 @@
         }],
         max_attempts: 3,
         stores_history: name == "history",
-        retention: Duration::from_secs(60),
+        retention: match name {
+            "history" => HISTORY_RETENTION,
+            _ => STREAM_RETENTION,
+        },
         resumable: false,
         allows_anonymous: name == "open",
         affinity: false,
@@ -1300,6 +1311,29 @@
     .await;
 }
 
+/// Guards against a program that gets its spent budget again because another route's turns are
+/// stored for a shorter time. The first message of a connection counts too, which is sent before
+/// the store's version is known.
+#[tokio::test]
+async fn records_of_a_turn_carry_the_retention_of_its_own_route() {
+    let stream = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+                  f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+    let test = async {
+        let replica = Replica::start(&[stream]).await;
+        let store = ReportingStore::start(0, false).await;
+        let test_front = start_with_store(&[&replica], ENGINES, Some(store.address)).await;
+        let answer = send_request(test_front.address, &turn_request("program")).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let retentions = &store.received.ledger_retentions;
+        while retentions.borrow().len() < 2 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        assert_eq!(*retentions.borrow(), [Some(60), Some(60)]);
+    };
+    let result = run_local(tokio::time::timeout(TEST_TIMEOUT, test)).await;
+    result.expect("the turn is reserved and settled");
+}
+
 /// On slow disks a turn runs while its reservation is written, but none of its output may be
 /// forwarded before that is stored, nor at all if the stored ledger leaves no tokens.
 #[rstest]
--- a/crates/stageyoke-store/src/client.rs
+++ b/crates/stageyoke-store/src/client.rs
@@ -147,11 +147,11 @@
         request: Request,
         extension_fields: Rc<ExtensionFields>,
         timeouts: TransferTimeouts,
-    ) -> Result<Reply, CallError> {
+    ) -> Result<ExtendedReply, CallError> {
         let request = EncodedMessage::encode(&request);
         let call = self.call_with_fields(request, extension_fields, timeouts.total);
         let extended = wait_for_transfer(call, timeouts, || self.progress.bytes()).await;
-        Ok(extended.ok_or(CallError::NoAnswer)??.reply)
+        extended.ok_or(CallError::NoAnswer)?
     }
 
     /// Sends an encoded request and waits up to `call_timeout` for its reply.
--- a/crates/stageyoke-store/src/directory_relay.rs
+++ b/crates/stageyoke-store/src/directory_relay.rs
@@ -188,7 +188,7 @@
             self.extension_fields.clone(),
             timeouts,
         );
-        let reply = call.await;
+        let reply = call.await.map(|answer| answer.reply);
         let received_bytes = progress.bytes() - received_bytes_before;
         let max_age = self.requirements.max_age;
         log_exchange(client, &reply, sent_at, received_bytes, max_age);
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -48,6 +48,8 @@
 const RUN_PERMIT_TAG: u8 = 20;
 const KNOWN_RESTRICTIONS_TAG: u8 = 21;
 const RESTRICTIONS_TAG: u8 = 22;
+const LEDGER_RETENTION_TAG: u8 = 23;
+const LEDGER_RETENTIONS_TAG: u8 = 24;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -242,6 +244,11 @@
     /// After the reply to such a ping: all restricted requests, none if the version is the same.
     /// After the reply to a run report, and after a reply without a request: the one concerned.
     pub restrictions: Option<Restrictions>,
+    /// After an append, and after a reservation or settlement on disk: time in seconds for which
+    /// the program's ledger is retained after the record.
+    pub ledger_retention_seconds: Option<u32>,
+    /// After a reply with records: that time of each record in order; 0 if it is not known.
+    pub ledger_retentions: Option<List<u32>>,
 }
 
 impl ExtensionFields {
@@ -253,6 +260,15 @@
         }
     }
 
+    /// Returns the fields that are sent before the peer's version is known: its first messages
+    /// must not lose them, and a reader of version 1 ignores them.
+    pub fn for_unknown_peer(&self) -> Self {
+        Self {
+            ledger_retention_seconds: self.ledger_retention_seconds,
+            ..Self::default()
+        }
+    }
+
     /// Appends the encoded fields that are set.
     pub fn encode(&self, output: &mut Vec<u8>) {
         encode_field(VERSION_TAG, self.version.as_ref(), output);
@@ -286,6 +302,10 @@
         let known = self.known_restrictions.as_ref();
         encode_field(KNOWN_RESTRICTIONS_TAG, known, output);
         encode_field(RESTRICTIONS_TAG, self.restrictions.as_ref(), output);
+        let retention = self.ledger_retention_seconds.as_ref();
+        encode_field(LEDGER_RETENTION_TAG, retention, output);
+        let retentions = self.ledger_retentions.as_ref();
+        encode_field(LEDGER_RETENTIONS_TAG, retentions, output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -330,6 +350,12 @@
                     fields.known_restrictions = Some(DeBin::deserialize_bin(content)?);
                 }
                 RESTRICTIONS_TAG => fields.restrictions = Some(DeBin::deserialize_bin(content)?),
+                LEDGER_RETENTION_TAG => {
+                    fields.ledger_retention_seconds = Some(DeBin::deserialize_bin(content)?);
+                }
+                LEDGER_RETENTIONS_TAG => {
+                    fields.ledger_retentions = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -19,6 +19,7 @@
 use crate::message::{ChainPart, Placement, Record, Reply, Request};
 use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerView, UnsyncedTally};
 use crate::restricted_requests::RestrictedRequests;
+use crate::stored_record::StoredRecord;
 
 /// Time to wait for a member's answer before the next member is asked as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
@@ -294,7 +295,7 @@
     /// ledger.
     pub async fn append(
         &self,
-        record: Record,
+        record: StoredRecord,
         placement: Option<Placement>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
@@ -311,12 +312,12 @@
 
     async fn append_to_members(
         &self,
-        record: Record,
+        stored: StoredRecord,
         placement: Option<Placement>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         let members = self.members();
-        let reads_ledger = matches!(record, Record::Reserve { .. });
+        let reads_ledger = matches!(stored.record, Record::Reserve { .. });
         let mut tally = AppendTally::new(&members, &self.context.tolerance, reads_ledger)?;
         let sent_at = Instant::now();
         let (answers, mut received) = unbounded_channel();
@@ -325,12 +326,12 @@
             members_version: members.version,
             load: self.context.load.report(self.number),
             placement,
-            record,
+            record: stored.record.clone(),
         });
         let extensions = Rc::new(ExtensionFields {
             rank_loads: self.context.load.ranks.report(),
             engine_latencies: self.context.load.engines.take_unreported(self.number),
-            ..ExtensionFields::default()
+            ..stored.fields()
         });
         for member in members.all() {
             let Some(client) = self.client(&member.node) else {
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -22,6 +22,7 @@
 use crate::quorum::{ChainLookup, LedgerView};
 use crate::quota_owners::{self, OwnerDecision, QuotaGrant, QuotaOwners};
 use crate::restricted_requests::RestrictedRequests;
+use crate::stored_record::StoredRecord;
 
 /// Delay before the other groups are asked for a turn that the program's own group has not
 /// found yet: the turn may belong to another program. A few round trips.
@@ -283,7 +284,7 @@
     /// For a reservation the result is the program's ledger.
     pub async fn append(
         &self,
-        record: Record,
+        record: impl Into<StoredRecord>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         self.append_with_placement(record, None, time_limit).await
@@ -293,11 +294,12 @@
     /// turn is placed.
     pub async fn append_with_placement(
         &self,
-        record: Record,
+        record: impl Into<StoredRecord>,
         placement: Option<Placement>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
-        let Some(group) = self.group_of_record(&record) else {
+        let record = record.into();
+        let Some(group) = self.group_of_record(&record.record) else {
             let since = self.unknown_since.get().unwrap_or_else(Instant::now);
             self.unknown_since.set(Some(since));
             return Err(GroupError::NoGroup);
@@ -354,7 +356,12 @@
     }
 
     /// Appends a record without waiting. Retries once with a newer member list.
-    pub fn append_in_background(self: &Rc<Self>, record: Record, time_limit: Duration) {
+    pub fn append_in_background(
+        self: &Rc<Self>,
+        record: impl Into<StoredRecord>,
+        time_limit: Duration,
+    ) {
+        let record = record.into();
         let groups = self.clone();
         tokio::task::spawn_local(async move {
             let outcome = groups.append(record.clone(), time_limit).await;
--- a/crates/stageyoke-store/src/journal.rs
+++ b/crates/stageyoke-store/src/journal.rs
@@ -15,8 +15,8 @@
 
 use crate::completeness::Completeness;
 use crate::disk_clock::DiskClock;
-use crate::message::Record;
-use crate::segment::{DataFolder, RecordLocation, encode_clock, encode_record};
+use crate::segment::{DataFolder, RecordLocation, encode_clock, encode_stored_record};
+use crate::stored_record::StoredRecord;
 
 /// Size at which a segment is closed if the settings specify none.
 pub const DEFAULT_SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
@@ -90,9 +90,9 @@
 
     /// Queues a record for writing; the result carries the ticket. Returns the encoded
     /// size, which counts as backlog until the result arrives.
-    pub fn append(&self, ticket: u64, record: &Record) -> usize {
+    pub fn append(&self, ticket: u64, record: &StoredRecord) -> usize {
         let mut bytes = Vec::new();
-        encode_record(record, &mut bytes);
+        encode_stored_record(record, &mut bytes);
         let encoded_bytes = bytes.len();
         let _ = self.commands.send(Command::Append { ticket, bytes });
         encoded_bytes
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -26,7 +26,7 @@
 
 use self::peer_reports::ReceivedReports;
 pub use self::peer_reports::SilentSince;
-pub use self::requests::RequestedFields;
+pub use self::requests::{HandledRequest, RequestedFields};
 use crate::completeness::Completeness;
 use crate::directory_transfers::DirectoryTransfers;
 use crate::disk_clock::DiskClock;
@@ -35,16 +35,17 @@
 use crate::limits::StoreLimits;
 use crate::load::{LoadReports, PlacedTurns};
 use crate::membership_state::MembershipState;
-use crate::message::{DirectoryItem, JournalPosition, Record, RecordDigest, Refusal};
+use crate::message::{DirectoryItem, JournalPosition, RecordDigest, Refusal};
 use crate::record_reader::RecordReader;
 use crate::reply_memory::ReplyMemory;
 use crate::restriction_watchers::RestrictionWatchers;
 use crate::segment::{DataFolder, Recovered, SegmentUsage};
 use crate::state::StoreState;
+use crate::stored_record::StoredRecord;
 
 /// A record that is being written, and the callers that wait for it.
 struct PendingWrite {
-    record: Record,
+    record: StoredRecord,
     submitted_at: Instant,
     bytes: usize,
     waiters: Vec<oneshot::Sender<bool>>,
@@ -313,7 +314,8 @@
     /// Stores a record and returns whether it is on disk. A record that is already stored
     /// or being written is not written again, since callers retry while the disk is slow.
     /// Returns `false` if the disk does not accept the record or memory is full.
-    pub async fn store_record(&self, record: Record) -> bool {
+    pub async fn store_record(&self, record: impl Into<StoredRecord>) -> bool {
+        let record = record.into();
         let digest = record.digest();
         if self.holds(digest) {
             return true;
@@ -366,7 +368,7 @@
         self.pending_writes.borrow().len()
     }
 
-    fn submit(&self, record: Record) -> u64 {
+    fn submit(&self, record: StoredRecord) -> u64 {
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
         let bytes = self.journal.append(ticket, &record);
@@ -425,25 +427,21 @@
             self.state
                 .borrow_mut()
                 .add(&pending_write.record, location, now);
-            self.update_segment_usage(u64::from(location.segment), now);
+            let segment = u64::from(location.segment);
+            self.update_segment_usage(segment, &pending_write.record, now);
         }
         for waiter in pending_write.waiters {
             let _ = waiter.send(result.location.is_some());
         }
     }
 
-    fn update_segment_usage(&self, number: u64, now: u64) {
+    fn update_segment_usage(&self, number: u64, record: &StoredRecord, now: u64) {
         let mut segments = self.segments.borrow_mut();
-        match segments.back_mut() {
-            Some(segment) if segment.number == number => {
-                segment.records += 1;
-                segment.last_write = now;
-            }
-            _ => segments.push_back(SegmentUsage {
-                number,
-                records: 1,
-                last_write: now,
-            }),
+        if segments.back().is_none_or(|newest| newest.number != number) {
+            segments.push_back(SegmentUsage::new(number));
+        }
+        if let Some(newest) = segments.back_mut() {
+            newest.add(record, now);
         }
     }
 
@@ -479,11 +477,10 @@
     fn expired_segment(&self) -> Option<SegmentUsage> {
         let segments = self.segments.borrow();
         let oldest = segments.front().filter(|_| segments.len() > 1)?;
-        let expires_at = oldest.last_write + self.state.borrow().max_retention_seconds();
-        (expires_at <= self.clock.seconds()).then_some(*oldest)
+        oldest.has_expired(self.clock.seconds()).then_some(*oldest)
     }
 
-    fn expire_segment(&self, segment: SegmentUsage, records: Vec<Record>) {
+    fn expire_segment(&self, segment: SegmentUsage, records: Vec<StoredRecord>) {
         self.segments.borrow_mut().pop_front();
         let now = self.clock.seconds();
         let retained = self.state.borrow_mut().expire(records, now);
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -20,6 +20,7 @@
 };
 use crate::record_fetch::MAX_REPLY_RECORD_BYTES;
 use crate::state::ChainLink;
+use crate::stored_record::{StoredRecord, UNKNOWN_RETENTION};
 
 /// Time limit for reading the routing configuration on behalf of a front: half the time
 /// after which `client` closes a connection with outstanding replies.
@@ -28,6 +29,24 @@
 /// Write delay below which a disk is not reported as slow.
 const MIN_REPORTED_WRITE_DELAY: Duration = Duration::from_millis(100);
 
+/// The reply to a request, and the fields behind it that come from records.
+#[derive(Debug)]
+pub struct HandledRequest {
+    /// The reply.
+    pub reply: Reply,
+    /// Retentions of the ledgers of the records in the reply.
+    pub ledger_retentions: Option<List<u32>>,
+}
+
+impl From<Reply> for HandledRequest {
+    fn from(reply: Reply) -> Self {
+        Self {
+            reply,
+            ledger_retentions: None,
+        }
+    }
+}
+
 /// The extension fields that a reply must carry. Requests queue up while the disk is slow,
 /// so only these values of a request's fields are held until the reply.
 #[derive(Clone, Debug, Default)]
@@ -174,7 +193,9 @@
         }
         let List(mut entries) = self.state.borrow().ledger_entries(&query.program);
         let pending_writes = self.pending_writes.borrow();
-        let records = pending_writes.values().map(|pending| &pending.record);
+        let records = pending_writes
+            .values()
+            .map(|pending| &pending.record.record);
         entries.extend(records.filter_map(|record| match record {
             Record::Reserve {
                 program,
@@ -216,8 +237,26 @@
         }
     }
 
-    /// Handles one request.
+    /// Handles one request without fields.
     pub async fn handle_request(&self, request: Request) -> Reply {
+        self.handle_extended_request(request, None).await.reply
+    }
+
+    /// Handles one request. An append carries the retention of its program's ledger in seconds,
+    /// unless its sender doesn't tell it.
+    pub async fn handle_extended_request(
+        &self,
+        request: Request,
+        ledger_retention: Option<u32>,
+    ) -> HandledRequest {
+        if let Request::Fetch { digests } = request {
+            return self.fetch(&digests).await;
+        }
+        let reply = self.handle_plain_request(request, ledger_retention).await;
+        HandledRequest::from(reply)
+    }
+
+    async fn handle_plain_request(&self, request: Request, ledger_retention: Option<u32>) -> Reply {
         match request {
             Request::Append {
                 group,
@@ -229,6 +268,7 @@
                 let front = load.front;
                 self.loads.update(load);
                 self.update_running_turns(&record, placement);
+                let record = StoredRecord::new(record, ledger_retention);
                 self.append(group, members_version, front, record).await
             }
             Request::TurnPlaced { turn, placement } => {
@@ -277,7 +317,7 @@
             Request::Directory => self.relay_directory(),
             Request::Stores => Reply::Stores(self.known_stores()),
             Request::Items => Reply::Items(self.directory_items.borrow().clone()),
-            Request::Fetch { digests } => self.fetch(&digests).await,
+            Request::Fetch { digests } => self.fetch(&digests).await.reply,
         }
     }
 
@@ -306,7 +346,7 @@
 
     /// Reads records by their digests, as many as fit into one reply and at least one.
     /// Unreadable ones are left out; the requester still misses them and asks again or elsewhere.
-    async fn fetch(&self, digests: &[RecordDigest]) -> Reply {
+    async fn fetch(&self, digests: &[RecordDigest]) -> HandledRequest {
         let (locations, journal, expired) = {
             let state = self.state.borrow();
             let expired = digests.iter().filter(|digest| !state.holds(**digest));
@@ -317,13 +357,21 @@
                 expired,
             )
         };
-        let reading = self
+        let records = self
             .reader
-            .records_within(locations, MAX_REPLY_RECORD_BYTES);
-        Reply::Fetched {
-            journal,
-            records: List(reading.await),
-            expired,
+            .records_within(locations, MAX_REPLY_RECORD_BYTES)
+            .await;
+        let retentions = records.iter().map(|record| {
+            let retention = record.fields().ledger_retention_seconds;
+            retention.unwrap_or(UNKNOWN_RETENTION)
+        });
+        HandledRequest {
+            ledger_retentions: Some(retentions.collect()),
+            reply: Reply::Fetched {
+                journal,
+                records: records.into_iter().map(|record| record.record).collect(),
+                expired,
+            },
         }
     }
 
@@ -391,7 +439,7 @@
         for link in links {
             let part = match link {
                 ChainLink::Cached(part) => part,
-                ChainLink::OnDisk(_) => chain_part(results.next()?.ok()?)?,
+                ChainLink::OnDisk(_) => chain_part(results.next()?.ok()?.record)?,
             };
             if part.turn != expected {
                 return None;
@@ -407,21 +455,22 @@
         group: GroupNumber,
         members_version: u64,
         front: u32,
-        record: Record,
+        stored: StoredRecord,
     ) -> Reply {
+        let record = &stored.record;
         self.check_requester_version(group, members_version);
         let refusal = self.membership.borrow().refusal(group, members_version);
         if let Some(refusal) = refusal {
             return refusal;
         }
-        if let Some(refusal) = self.refusal_for(&record) {
+        if let Some(refusal) = self.refusal_for(record) {
             return Reply::Refused(refusal);
         }
-        let reservation = match &record {
+        let reservation = match record {
             Record::Reserve { program, turn, .. } => Some((program.clone(), TurnKey::of(turn))),
             Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
         };
-        if !self.store_record(record).await {
+        if !self.store_record(stored).await {
             return Reply::Refused(Refusal::DiskRefused);
         }
         // A newer member list may have arrived while the record waited for the disk, and a
--- a/crates/stageyoke-store/src/peer_sync.rs
+++ b/crates/stageyoke-store/src/peer_sync.rs
@@ -13,12 +13,13 @@
 use tokio::time::Instant;
 
 use crate::catch_up_monitor::CatchUpProgress;
-use crate::client::StoreClient;
+use crate::client::{ExtendedReply, StoreClient};
 use crate::journal_sync::{DigestPage, JournalSync};
 use crate::local_store::LocalStore;
 use crate::membership::is_caught_up_with_group;
 use crate::message::{Record, RecordDigest, Reply, Request, SilentPeer};
 use crate::record_fetch::{FetchPage, FetchesInFlight, PageInFlight};
+use crate::stored_record::{StoredRecord, UNKNOWN_RETENTION};
 use stageyoke_observe as observe;
 
 /// Interval between comparisons with a peer.
@@ -297,12 +298,16 @@
         };
         let progress = peer.client.receive_progress();
         let received_before = progress.bytes();
-        let reply = self.call(peer, request).await;
-        let Some(Reply::Fetched {
-            journal,
-            records,
-            expired,
-        }) = reply
+        let answer = self.call_with_fields(peer, request).await;
+        let Some(ExtendedReply {
+            reply:
+                Reply::Fetched {
+                    journal,
+                    records,
+                    expired,
+                },
+            extension_fields,
+        }) = answer
         else {
             peer.fetch_page.record_failure();
             observe::metrics().failed_fetches.inc();
@@ -320,11 +325,13 @@
             .map(Record::digest)
             .chain(expired.iter().copied())
             .collect();
+        let retentions = extension_fields.ledger_retentions;
+        let records = stored_records(records, retentions.unwrap_or_default());
         self.store_fetched(records).await?;
         Some(page.unsettled(|digest| settled.contains(&digest)))
     }
 
-    async fn store_fetched(&self, records: List<Record>) -> Option<()> {
+    async fn store_fetched(&self, records: Vec<StoredRecord>) -> Option<()> {
         let mut writes = Vec::new();
         for record in records {
             let local_store = self.local_store.clone();
@@ -342,12 +349,17 @@
     }
 
     async fn call(&self, peer: &Peer, request: Request) -> Option<Reply> {
+        let answer = self.call_with_fields(peer, request).await;
+        answer.map(|answer| answer.reply)
+    }
+
+    async fn call_with_fields(&self, peer: &Peer, request: Request) -> Option<ExtendedReply> {
         let call = peer
             .client
             .call_with_transfer_timeouts(request, Rc::default(), CALL_TIMEOUTS);
-        let reply = call.await.ok()?;
+        let answer = call.await.ok()?;
         peer.last_answer.set(Some(Instant::now()));
-        Some(reply)
+        Some(answer)
     }
 
     /// Checks whether this store has caught up with enough peers to hold every durable
@@ -370,3 +382,17 @@
         }
     }
 }
+
+/// Joins records with the retentions that follow the reply; a list of another length is not
+/// theirs.
+fn stored_records(records: List<Record>, retentions: List<u32>) -> Vec<StoredRecord> {
+    let is_complete = records.len() == retentions.len();
+    let retention = |index: usize| match is_complete {
+        true => retentions[index],
+        false => UNKNOWN_RETENTION,
+    };
+    let records = records.into_iter().enumerate();
+    records
+        .map(|(index, record)| StoredRecord::new(record, Some(retention(index))))
+        .collect()
+}
--- a/crates/stageyoke-store/src/peer_version.rs
+++ b/crates/stageyoke-store/src/peer_version.rs
@@ -55,18 +55,17 @@
 
     /// Returns the extension fields to send with the next message: this build's version if
     /// it is the first one, which a reader of version 1 ignores, and `fields` if the peer
-    /// reads them.
+    /// reads them. Before the peer has sent its version, only the few that it must not miss.
     pub fn fields_for_next_message(&self, fields: &ExtensionFields) -> ExtensionFields {
         let version = (!self.version_sent.replace(true)).then_some(VERSION);
-        match self.reads_extension_fields() {
-            true => ExtensionFields {
-                version,
-                ..fields.clone()
-            },
-            false => ExtensionFields {
-                version,
-                ..ExtensionFields::default()
-            },
+        let supported_fields = match self.version.get() {
+            Some(_) if self.reads_extension_fields() => fields.clone(),
+            Some(_) => ExtensionFields::default(),
+            None => fields.for_unknown_peer(),
+        };
+        ExtensionFields {
+            version,
+            ..supported_fields
         }
     }
 }
--- a/crates/stageyoke-store/src/record_reader.rs
+++ b/crates/stageyoke-store/src/record_reader.rs
@@ -5,22 +5,22 @@
 
 use tokio::sync::oneshot;
 
-use crate::message::Record;
 use crate::segment::{DataFolder, RecordLocation};
+use crate::stored_record::StoredRecord;
 
 enum Command {
     Records {
         locations: Vec<RecordLocation>,
-        reply: oneshot::Sender<Vec<io::Result<Record>>>,
+        reply: oneshot::Sender<Vec<io::Result<StoredRecord>>>,
     },
     RecordsWithin {
         locations: Vec<RecordLocation>,
         max_bytes: usize,
-        reply: oneshot::Sender<Vec<Record>>,
+        reply: oneshot::Sender<Vec<StoredRecord>>,
     },
     Segment {
         number: u64,
-        reply: oneshot::Sender<io::Result<Vec<Record>>>,
+        reply: oneshot::Sender<io::Result<Vec<StoredRecord>>>,
     },
 }
 
@@ -42,7 +42,7 @@
     }
 
     /// Reads the records at these locations; each has its own result.
-    pub async fn records(&self, locations: Vec<RecordLocation>) -> Vec<io::Result<Record>> {
+    pub async fn records(&self, locations: Vec<RecordLocation>) -> Vec<io::Result<StoredRecord>> {
         let count = locations.len();
         let (reply, result) = oneshot::channel();
         let _ = self.commands.send(Command::Records { locations, reply });
@@ -57,7 +57,7 @@
         &self,
         locations: Vec<RecordLocation>,
         max_bytes: usize,
-    ) -> Vec<Record> {
+    ) -> Vec<StoredRecord> {
         let (reply, result) = oneshot::channel();
         let _ = self.commands.send(Command::RecordsWithin {
             locations,
@@ -68,7 +68,7 @@
     }
 
     /// Reads all records of a segment into memory.
-    pub async fn segment(&self, number: u64) -> io::Result<Vec<Record>> {
+    pub async fn segment(&self, number: u64) -> io::Result<Vec<StoredRecord>> {
         let (reply, result) = oneshot::channel();
         let _ = self.commands.send(Command::Segment { number, reply });
         result
@@ -107,7 +107,11 @@
     }
 }
 
-fn read_within(folder: &DataFolder, locations: &[RecordLocation], max_bytes: usize) -> Vec<Record> {
+fn read_within(
+    folder: &DataFolder,
+    locations: &[RecordLocation],
+    max_bytes: usize,
+) -> Vec<StoredRecord> {
     let mut records = Vec::new();
     let mut bytes = 0;
     for location in locations {
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -13,7 +13,8 @@
 
 use crate::completeness::Completeness;
 use crate::message::{DirectoryItem, Record};
-use crate::state::StoreState;
+use crate::state::{StoreState, segment_lifetime};
+use crate::stored_record::StoredRecord;
 
 const HEADER_BYTES: usize = 8;
 /// Read buffer size of a segment scan.
@@ -27,9 +28,19 @@
 
 /// Appends one record, preceded by its length and checksum.
 pub fn encode_record(record: &Record, output: &mut Vec<u8>) {
+    encode_content(output, |output| record.ser_bin(output));
+}
+
+/// Appends one record and its fields, preceded by their length and checksum. A build that doesn't
+/// know a field leaves it.
+pub fn encode_stored_record(record: &StoredRecord, output: &mut Vec<u8>) {
+    encode_content(output, |output| record.encode(output));
+}
+
+fn encode_content(output: &mut Vec<u8>, encode: impl FnOnce(&mut Vec<u8>)) {
     let start = output.len();
     output.extend_from_slice(&[0; HEADER_BYTES]);
-    record.ser_bin(output);
+    encode(output);
     let content = &output[start + HEADER_BYTES..];
     let length = content.len() as u32;
     let checksum = crc32fast::hash(content);
@@ -46,7 +57,7 @@
 pub fn decode_records(bytes: &[u8]) -> (Vec<Record>, bool) {
     let mut scan = RecordScan::new(bytes, bytes.len() as u64);
     let scanned = scan.by_ref().map_while(Result::ok);
-    let records = scanned.map(|scanned| scanned.record).collect();
+    let records = scanned.map(|scanned| scanned.record.record).collect();
     (records, scan.is_damaged())
 }
 
@@ -65,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct ScannedRecord {
     /// The decoded record.
-    pub record: Record,
+    pub record: StoredRecord,
     /// Offset of the record's header, in bytes.
     pub offset: u32,
     /// Length of header and content, in bytes.
@@ -144,12 +155,12 @@
     (length, checksum)
 }
 
-fn decode_content(content: &[u8], checksum: u32) -> Option<Record> {
+fn decode_content(content: &[u8], checksum: u32) -> Option<StoredRecord> {
     // No record has empty content, so a zeroed header with a matching checksum is damage.
     if content.is_empty() || crc32fast::hash(content) != checksum {
         return None;
     }
-    Record::deserialize_bin(content).ok()
+    StoredRecord::decode(content).ok()
 }
 
 /// The data folder of one store.
@@ -170,6 +181,32 @@
     /// Latest time by the disk's clock at which its last record can have been written, in
     /// seconds.
     pub last_write: u64,
+    /// Time in seconds after the last write for which the segment is kept.
+    pub lifetime_seconds: u64,
+}
+
+impl SegmentUsage {
+    /// Creates the usage of a segment without records.
+    pub fn new(number: u64) -> Self {
+        Self {
+            number,
+            records: 0,
+            last_write: 0,
+            lifetime_seconds: 0,
+        }
+    }
+
+    /// Adds a record that was written by this time.
+    pub fn add(&mut self, record: &StoredRecord, written: u64) {
+        self.records += 1;
+        self.last_write = written;
+        self.lifetime_seconds = self.lifetime_seconds.max(segment_lifetime(record));
+    }
+
+    /// Returns whether the segment has passed its lifetime.
+    pub fn has_expired(&self, now: u64) -> bool {
+        self.last_write + self.lifetime_seconds <= now
+    }
 }
 
 /// What recovery found in a data folder.
@@ -295,11 +332,11 @@
         // acknowledged from now on without another write.
         file.sync_data()?;
         let mut scan = RecordScan::new(BufReader::with_capacity(SCAN_BUFFER_BYTES, file), length);
-        let mut records = 0;
+        let mut usage = SegmentUsage::new(number);
         let segment = u32::try_from(number).map_err(|_| io::ErrorKind::InvalidData)?;
         for scanned in scan.by_ref() {
             let scanned = scanned?;
-            if let Record::Clock { seconds } = scanned.record {
+            if let Record::Clock { seconds } = scanned.record.record {
                 recovered.apply_segment_clock(seconds);
                 continue;
             }
@@ -311,15 +348,12 @@
             recovered
                 .state
                 .add(&scanned.record, location, recovered.clock_seconds);
-            records += 1;
+            usage.add(&scanned.record, recovered.clock_seconds);
         }
         recovered.torn_segments += usize::from(scan.is_damaged());
         recovered.bytes += length;
-        recovered.segments.push(SegmentUsage {
-            number,
-            records,
-            last_write: recovered.clock_seconds,
-        });
+        usage.last_write = recovered.clock_seconds;
+        recovered.segments.push(usage);
         Ok(())
     }
 
@@ -330,7 +364,7 @@
     }
 
     /// Reads one record.
-    pub fn read_record(&self, location: RecordLocation) -> io::Result<Record> {
+    pub fn read_record(&self, location: RecordLocation) -> io::Result<StoredRecord> {
         let mut file = File::open(self.path.join(segment_name(u64::from(location.segment))))?;
         file.seek(SeekFrom::Start(u64::from(location.offset)))?;
         let mut bytes = vec![0; location.length as usize];
@@ -343,11 +377,11 @@
     }
 
     /// Reads a segment's records up to a torn or damaged one.
-    pub fn read_segment(&self, number: u64) -> io::Result<Vec<Record>> {
+    pub fn read_segment(&self, number: u64) -> io::Result<Vec<StoredRecord>> {
         let (file, length) = self.open_segment(number)?;
         RecordScan::new(BufReader::with_capacity(SCAN_BUFFER_BYTES, file), length)
             .map(|scanned| scanned.map(|scanned| scanned.record))
-            .filter(|record| !matches!(record, Ok(Record::Clock { .. })))
+            .filter(|record| !matches!(record, Ok(stored) if matches!(stored.record, Record::Clock { .. })))
             .collect()
     }
 
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -14,7 +14,7 @@
 use crate::directory_transfers::DirectoryTransfer;
 use crate::extension::ExtensionFields;
 use crate::frame::{self, Received};
-use crate::local_store::{LocalStore, RequestedFields};
+use crate::local_store::{HandledRequest, LocalStore, RequestedFields};
 use crate::message::{Numbered, Refusal, Reply, Request, UNREQUESTED};
 use crate::peer_version::PeerVersion;
 use crate::reply_memory::ReplyShare;
@@ -64,11 +64,13 @@
             let pushing = push_fields(peer.clone(), in_flight.clone(), replies.clone());
             local_store.restriction_watchers.add(pushing);
         }
+        let ledger_retention = extension_fields.ledger_retention_seconds;
         let requested_fields = local_store.apply_request_fields(&message.content, extension_fields);
         let Ok(permit) = in_flight.clone().acquire_owned().await else {
             break io::ErrorKind::ConnectionAborted.into();
         };
         let context = ReplyContext {
+            ledger_retention,
             requested_fields,
             peer: peer.clone(),
         };
@@ -85,8 +87,10 @@
     send_task.abort();
 }
 
-/// The extension fields to send with a reply, and the peer that receives them.
+/// What the fields of a request ask for, and the peer that receives the reply.
 struct ReplyContext {
+    /// Retention of the ledger of the record to append, in seconds.
+    ledger_retention: Option<u32>,
     requested_fields: RequestedFields,
     peer: Rc<PeerVersion>,
 }
@@ -145,16 +149,21 @@
     let reply_bytes = local_store.reply_record_bytes(&request.content);
     let share = local_store.reply_memory.acquire(reply_bytes).await;
     // Without room for the reply, the requester asks another store.
-    let content = match (&share, is_directory && transfer.is_none()) {
-        (None, _) => Reply::Refused(Refusal::MemoryFull),
-        (Some(_), true) => Reply::DirectoryUnknown,
-        (Some(_), false) => local_store.handle_request(request.content).await,
+    let handled = match (&share, is_directory && transfer.is_none()) {
+        (None, _) => HandledRequest::from(Reply::Refused(Refusal::MemoryFull)),
+        (Some(_), true) => HandledRequest::from(Reply::DirectoryUnknown),
+        (Some(_), false) => {
+            let handling =
+                local_store.handle_extended_request(request.content, context.ledger_retention);
+            handling.await
+        }
     };
-    let content = context.requested_fields.omit_known_item(content);
+    let content = context.requested_fields.omit_known_item(handled.reply);
     let extension_fields = match context.peer.reads_extension_fields() {
-        true => context
-            .peer
-            .fields_for_next_message(&local_store.reply_fields(context.requested_fields)),
+        true => context.peer.fields_for_next_message(&ExtensionFields {
+            ledger_retentions: handled.ledger_retentions,
+            ..local_store.reply_fields(context.requested_fields)
+        }),
         false => ExtensionFields::default(),
     };
     let reply = Numbered {
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -14,12 +14,16 @@
 };
 use crate::recent_turns::RecentTurns;
 use crate::segment::RecordLocation;
+use crate::stored_record::StoredRecord;
 
 /// Maximum number of digests in one page.
 pub const MAX_DIGESTS_PER_PAGE: usize = 4096;
-/// Time for which a program's ledger is retained after its last turn if no stored turn has
-/// set a retention.
+/// Time for which a program's ledger is retained after a record that doesn't carry it.
 pub const DEFAULT_LEDGER_RETENTION_SECONDS: u64 = 300;
+/// Longest time for which a segment is kept for the sake of ledgers. Records of ledgers that are
+/// retained longer are written again, so that one route's retention doesn't keep the records of
+/// all others.
+const MAX_LEDGER_LIFETIME_SECONDS: u64 = 300;
 /// Time for which a record is retained beyond its retention, so that a request that arrives
 /// in time can still run up to its deadline and be retried.
 pub const RETENTION_MARGIN_SECONDS: u64 = 15;
@@ -34,6 +38,28 @@
 const LEDGER_BYTES: usize = 120;
 const LEDGER_ENTRY_BYTES: usize = 24;
 
+/// Returns the time in seconds for which a segment is kept after the last of its records was
+/// written, as far as this record needs it.
+pub fn segment_lifetime(record: &StoredRecord) -> u64 {
+    let retention = match &record.record {
+        Record::Turn(turn) => u64::from(turn.retention_seconds),
+        Record::Reserve { .. } | Record::Settle { .. } => {
+            ledger_retention(record, 0).min(MAX_LEDGER_LIFETIME_SECONDS)
+        }
+        Record::Clock { .. } => 0,
+    };
+    retention + RETENTION_MARGIN_SECONDS
+}
+
+/// Returns the time in seconds for which a program's ledger is retained after a record. A program
+/// may continue within the retention of its route and starts anew after it.
+fn ledger_retention(record: &StoredRecord, longest_retention: u64) -> u64 {
+    match record.ledger_retention_seconds() {
+        Some(seconds) => u64::from(seconds),
+        None => longest_retention.max(DEFAULT_LEDGER_RETENTION_SECONDS),
+    }
+}
+
 #[derive(Clone, Debug)]
 struct TurnIndexEntry {
     previous: Option<TurnKey>,
@@ -50,6 +76,12 @@
 }
 
 impl Ledger {
+    /// Extends the retention. Copies of records that the ledger has already must not: a record
+    /// that is written again would otherwise never expire.
+    fn retain_until(&mut self, expires_at: u64) {
+        self.expires_at = self.expires_at.max(expires_at);
+    }
+
     /// Finds the entry of a turn, searching from the newest.
     fn entry(&mut self, turn: TurnKey) -> Option<&mut LedgerEntry> {
         let mut entries = self.entries.iter_mut().rev();
@@ -92,6 +124,7 @@
     records: HashMap<RecordDigest, RecordIndexEntry>,
     turns: HashMap<TurnKey, TurnIndexEntry>,
     ledgers: HashMap<ProgramKey, Ledger>,
+    /// Longest retention that any record has carried, for records that carry none.
     longest_retention_seconds: u64,
     total_ledger_entries: usize,
     recent_turns: RecentTurns,
@@ -143,21 +176,6 @@
             + self.recent_turns.bytes()
     }
 
-    /// Returns the time in seconds after its last write at which a segment may be expired.
-    pub fn max_retention_seconds(&self) -> u64 {
-        self.longest_retention_seconds + RETENTION_MARGIN_SECONDS
-    }
-
-    /// Returns the time in seconds for which a program's ledger is retained after its last
-    /// turn. A program may continue within the retention of its turns and starts anew after
-    /// it.
-    fn ledger_retention_seconds(&self) -> u64 {
-        match self.longest_retention_seconds {
-            0 => DEFAULT_LEDGER_RETENTION_SECONDS,
-            _ => self.max_retention_seconds(),
-        }
-    }
-
     /// Returns the journal position of the next record to be added.
     pub fn journal_end(&self) -> JournalPosition {
         JournalPosition {
@@ -168,11 +186,16 @@
 
     /// Appends a record to the journal. The caller has checked that the record is not
     /// stored yet, or has written it again.
-    pub fn add(&mut self, record: &Record, location: RecordLocation, now: u64) {
+    pub fn add(&mut self, stored: &StoredRecord, location: RecordLocation, now: u64) {
+        let record = &stored.record;
         if matches!(record, Record::Clock { .. }) {
             return;
         }
         let digest = record.digest();
+        let carried = stored.ledger_retention_seconds().map_or(0, u64::from);
+        self.longest_retention_seconds = self.longest_retention_seconds.max(carried);
+        let retention = ledger_retention(stored, self.longest_retention_seconds);
+        let ledger_expires_at = now + retention + RETENTION_MARGIN_SECONDS;
         self.journal.push_back(digest);
         let indexed = self.records.entry(digest).or_insert(RecordIndexEntry {
             copies: 0,
@@ -185,30 +208,24 @@
                 program,
                 turn,
                 max_tokens,
-            } => self.reserve(program, turn, *max_tokens, now),
+            } => self.reserve(program, turn, *max_tokens, ledger_expires_at),
             Record::Settle {
                 program,
                 turn,
                 used_tokens,
-            } => self.settle(program, TurnKey::of(turn), *used_tokens, now),
-            Record::Turn(turn) => self.add_turn(turn, location, now),
+            } => self.settle(program, TurnKey::of(turn), *used_tokens, ledger_expires_at),
+            Record::Turn(turn) => self.add_turn(turn, location, ledger_expires_at),
             Record::Clock { .. } => {}
         }
     }
 
-    fn ledger(&mut self, program: &Text, now: u64) -> &mut Ledger {
-        let expires_at = now + self.ledger_retention_seconds();
-        let ledger = self.ledgers.entry(ProgramKey::of(program)).or_default();
-        ledger.expires_at = ledger.expires_at.max(expires_at);
-        ledger
-    }
-
-    fn reserve(&mut self, program: &Text, turn: &Text, max_tokens: u32, now: u64) {
+    fn reserve(&mut self, program: &Text, turn: &Text, max_tokens: u32, expires_at: u64) {
         let turn = TurnKey::of(turn);
-        let ledger = self.ledger(program, now);
+        let ledger = self.ledgers.entry(ProgramKey::of(program)).or_default();
         if ledger.entry(turn).is_some() {
             return;
         }
+        ledger.retain_until(expires_at);
         ledger.entries.push(LedgerEntry {
             turn: turn.0,
             amount: max_tokens,
@@ -217,7 +234,7 @@
         self.total_ledger_entries += 1;
     }
 
-    fn settle(&mut self, program: &Text, turn: TurnKey, used_tokens: u32, now: u64) {
+    fn settle(&mut self, program: &Text, turn: TurnKey, used_tokens: u32, expires_at: u64) {
         if program.is_empty() {
             return;
         }
@@ -226,22 +243,21 @@
             amount: used_tokens,
             settled: true,
         };
-        let ledger = self.ledger(program, now);
+        let ledger = self.ledgers.entry(ProgramKey::of(program)).or_default();
         match ledger.entry(turn) {
+            Some(entry) if *entry == settled_entry => return,
             Some(entry) => *entry = settled_entry,
             None => {
                 ledger.entries.push(settled_entry);
                 self.total_ledger_entries += 1;
             }
         }
+        ledger.retain_until(expires_at);
     }
 
-    fn add_turn(&mut self, record: &TurnRecord, location: RecordLocation, now: u64) {
-        let retention = u64::from(record.retention_seconds);
-        self.longest_retention_seconds = self.longest_retention_seconds.max(retention);
+    fn add_turn(&mut self, record: &TurnRecord, location: RecordLocation, expires_at: u64) {
         let key = TurnKey::of(&record.turn);
-        self.settle(&record.program, key, record.used_tokens, now);
-        let expires_at = now + retention + RETENTION_MARGIN_SECONDS;
+        self.settle(&record.program, key, record.used_tokens, expires_at);
         let previous = (!record.previous.is_empty()).then(|| TurnKey::of(&record.previous));
         let indexed = self.turns.entry(key).or_insert(TurnIndexEntry {
             previous,
@@ -344,11 +360,11 @@
 
     /// Removes the journal's first records, which must be `records`. Returns those that
     /// must be retained longer and therefore be written again.
-    pub fn expire(&mut self, records: Vec<Record>, now: u64) -> Vec<Record> {
+    pub fn expire(&mut self, records: Vec<StoredRecord>, now: u64) -> Vec<StoredRecord> {
         let mut retained = Vec::new();
-        for record in records {
+        for stored in records {
             self.remove_first_digest();
-            let digest = record.digest();
+            let digest = stored.digest();
             let Some(indexed) = self.records.get_mut(&digest) else {
                 continue;
             };
@@ -357,9 +373,7 @@
                 continue;
             }
             self.records.remove(&digest);
-            if self.is_needed(&record, now) {
-                retained.push(record);
-            }
+            retained.extend(self.retained_copy(stored, now));
         }
         self.turns.retain(|_, indexed| indexed.expires_at > now);
         self.ledgers.retain(|_, ledger| {
@@ -389,21 +403,27 @@
         }
     }
 
-    fn is_needed(&self, record: &Record, now: u64) -> bool {
-        match record {
+    /// Returns the copy of a record to write again if it must be retained longer. The copy of a
+    /// ledger's record carries the rest of the ledger's retention.
+    fn retained_copy(&self, stored: StoredRecord, now: u64) -> Option<StoredRecord> {
+        match &stored.record {
             Record::Turn(record) => {
-                let indexed = self.turns.get(&TurnKey::of(&record.turn));
-                indexed.is_some_and(|indexed| indexed.expires_at > now)
+                let indexed = self.turns.get(&TurnKey::of(&record.turn))?;
+                (indexed.expires_at > now).then_some(stored)
             }
             Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
                 let TurnKey(turn) = TurnKey::of(turn);
-                let ledger = self.ledgers.get(&ProgramKey::of(program));
-                ledger.is_some_and(|ledger| {
-                    let mut entries = ledger.entries.iter();
-                    ledger.expires_at > now && entries.any(|entry| entry.turn == turn)
-                })
+                let ledger = self.ledgers.get(&ProgramKey::of(program))?;
+                let mut entries = ledger.entries.iter();
+                if ledger.expires_at <= now || !entries.any(|entry| entry.turn == turn) {
+                    return None;
+                }
+                let remaining = ledger.expires_at - now;
+                let retention = remaining.saturating_sub(RETENTION_MARGIN_SECONDS).max(1);
+                let seconds = u32::try_from(retention).unwrap_or(u32::MAX);
+                Some(stored.with_ledger_retention(seconds))
             }
-            Record::Clock { .. } => false,
+            Record::Clock { .. } => None,
         }
     }
 }
--- a/crates/stageyoke-store/tests/joint_configuration_test.rs
+++ b/crates/stageyoke-store/tests/joint_configuration_test.rs
@@ -19,7 +19,7 @@
 use stageyoke_store::segment::{DataFolder, RecordLocation};
 use stageyoke_store::server;
 use stageyoke_store::state::StoreState;
-use stageyoke_store::{ChainOutcome, GroupClients, StoreLimits};
+use stageyoke_store::{ChainOutcome, GroupClients, StoreLimits, StoredRecord};
 use stageyoke_types::{List, Text};
 use support::turn;
 use tokio::net::TcpListener;
@@ -385,7 +385,7 @@
     let location = RecordLocation::default();
     let mut peer = StoreState::new(7);
     for number in 0..6 {
-        peer.add(&turn(&format!("turn-{number}"), ""), location, 0);
+        peer.add(&turn(&format!("turn-{number}"), "").into(), location, 0);
     }
     let status = PeerStatus {
         complete: true,
@@ -393,8 +393,8 @@
     };
     let mut held: Vec<u64> = Vec::new();
     let mut sync = JournalSync::default();
-    let mut expired: Vec<Record> = (0..3)
-        .map(|number| turn(&format!("turn-{number}"), ""))
+    let mut expired: Vec<StoredRecord> = (0..3)
+        .map(|number| turn(&format!("turn-{number}"), "").into())
         .collect();
     for _ in 0..20 {
         sync.mark_fetched();
--- a/crates/stageyoke-store/tests/plans/simulated_store.rs
+++ b/crates/stageyoke-store/tests/plans/simulated_store.rs
@@ -175,7 +175,8 @@
         self.state = StoreState::new(self.disk.identity ^ self.starts.rotate_right(8));
         for record in &self.disk.records {
             if !self.state.holds(record.digest()) {
-                self.state.add(record, RecordLocation::default(), 0);
+                self.state
+                    .add(&record.clone().into(), RecordLocation::default(), 0);
             }
         }
         let node = self.entry.node.clone();
@@ -228,8 +229,11 @@
             .partition(|unsynced| unsynced.written_at <= now);
         self.unsynced = waiting;
         for unsynced in synced {
-            self.state
-                .add(&unsynced.record, RecordLocation::default(), 0);
+            self.state.add(
+                &unsynced.record.clone().into(),
+                RecordLocation::default(),
+                0,
+            );
             self.disk.records.push(unsynced.record);
         }
         self.state.holds(record.digest())
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -73,9 +73,9 @@
 #[test]
 fn a_chain_is_read_back_to_its_start_or_to_a_missing_turn() {
     let mut state = StoreState::new(1);
-    state.add(&turn("one", ""), location(0), 0);
-    state.add(&turn("two", "one"), location(0), 0);
-    state.add(&turn("four", "three"), location(0), 0);
+    state.add(&turn("one", "").into(), location(0), 0);
+    state.add(&turn("two", "one").into(), location(0), 0);
+    state.add(&turn("four", "three").into(), location(0), 0);
     assert_eq!(
         chain(&state, "two"),
         (vec!["two".into(), "one".into()], String::new())
@@ -87,10 +87,10 @@
 #[test]
 fn a_settlement_replaces_its_reservation_in_any_order() {
     let mut state = StoreState::new(1);
-    state.add(&reserve("a", 100), location(0), 0);
-    state.add(&settle("a", 30), location(0), 0);
-    state.add(&settle("b", 20), location(0), 0);
-    state.add(&reserve("b", 100), location(0), 0);
+    state.add(&reserve("a", 100).into(), location(0), 0);
+    state.add(&settle("a", 30).into(), location(0), 0);
+    state.add(&settle("b", 20).into(), location(0), 0);
+    state.add(&reserve("b", 100).into(), location(0), 0);
     let entries = state.ledger_entries("program");
     let amounts: Vec<(u32, bool)> = entries
         .iter()
@@ -123,9 +123,9 @@
     let mut to = StoreState::new(2);
     let records = [turn("one", ""), reserve("r", 9), settle("s", 3)];
     for (number, record) in (0..).zip(&records) {
-        from.add(record, location(number), 0);
+        from.add(&record.clone().into(), location(number), 0);
     }
-    to.add(&records[1], location(0), 0);
+    to.add(&records[1].clone().into(), location(0), 0);
     let Reply::Digests {
         digests,
         next,
@@ -158,7 +158,7 @@
 #[test]
 fn a_position_in_another_journal_restarts_the_comparison() {
     let mut state = StoreState::new(8);
-    state.add(&turn("one", ""), location(0), 0);
+    state.add(&turn("one", "").into(), location(0), 0);
     let position = JournalPosition {
         journal: 9,
         next: 1,
@@ -174,14 +174,22 @@
 #[test]
 fn a_chain_is_retained_as_long_as_its_youngest_turn() {
     let mut state = StoreState::new(1);
-    state.add(&turn("one", ""), location(0), 0);
-    state.add(&turn("old", ""), location(0), 0);
-    state.add(&turn("two", "one"), location(0), AFTER_RETENTION_SECONDS);
+    state.add(&turn("one", "").into(), location(0), 0);
+    state.add(&turn("old", "").into(), location(0), 0);
+    state.add(
+        &turn("two", "one").into(),
+        location(0),
+        AFTER_RETENTION_SECONDS,
+    );
     let rewritten = state.expire(
-        vec![turn("one", ""), turn("old", "")],
+        vec![turn("one", "").into(), turn("old", "").into()],
         AFTER_RETENTION_SECONDS,
     );
-    assert_eq!(rewritten, [turn("one", "")], "a younger turn continues it");
+    assert_eq!(
+        rewritten,
+        [turn("one", "").into()],
+        "a younger turn continues it"
+    );
     for record in &rewritten {
         state.add(record, location(0), AFTER_RETENTION_SECONDS);
     }
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -362,6 +362,8 @@
             amount: 54,
             settled: false,
         }])),
+        ledger_retention_seconds: Some(60),
+        ledger_retentions: Some(List(vec![0, 60, 3_600])),
     };
     let mut bytes = Vec::new();
     fields.encode(&mut bytes);
