Read a discarded history in an order that all stores agree on

With 20 stores none is drawn in 12 of 100 losses, and the next one waits parts of a read time.

Change: a store's place among the readers is its rank by the hash of its machine name, which all stores compute alike. Three read at once: one more than the stores that any deployment tolerates losing. The test and its bounds are unchanged but for the rank that its stand-ins tell.

--- a/crates/stageyoke-directory/src/mirror/catch_up.rs
+++ b/crates/stageyoke-directory/src/mirror/catch_up.rs
@@ -26,8 +26,9 @@
 const RELAY_STARTUP_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Fraction of the change bound over which fronts spread the reads of a first page.
 const FIRST_PAGE_SPREAD_FRACTION: f64 = 0.1;
-/// Expected number of processes that read the directory at once when all lose the history.
-const FIRST_READERS: f64 = 2.0;
+/// Number of processes that read the directory at once when all lose the history: one more than
+/// the number of stores that any deployment tolerates losing.
+const FIRST_READERS: f64 = 3.0;
 /// Number of read times over which fronts that no store answers spread their complete reads,
 /// and the spread in change bounds while the read time is unknown.
 const UNRELAYED_READ_SPREAD: u32 = 32;
@@ -121,24 +122,25 @@
         }
     }
 
-    /// Returns a random delay of the next read from the service, so that processes which
-    /// lose the history at the same moment do not read at the same time.
+    /// Returns the delay of the next read from the service, so that processes which lose the
+    /// history at the same moment do not read at the same time.
     fn service_read_delay(&self) -> Duration {
         let cost = &self.complete_read_cost;
         if !cost.is_paged.get() {
             return self.first_page_delay();
         }
         let read_time = cost.elapsed.get();
-        let uniform = rand::rng().random_range(0.0..1.0);
         if self.relay.is_some() {
+            let uniform = rand::rng().random_range(0.0..1.0);
             let assumed_spread = self.fraction_of_bound(ASSUMED_SPREAD_BOUNDS);
             let spread = read_time.map_or(assumed_spread, |time| time * UNRELAYED_READ_SPREAD);
             return (spread * cost.delay_factor()).mul_f64(uniform);
         }
         // A few begin at once, and their number doubles with each read time until one of them
         // has the directory for the others.
-        let rank = uniform * self.peer_count().max(1) as f64;
-        let doublings = (rank / FIRST_READERS).max(1.0).log2();
+        let peers = self.peers.borrow();
+        let rank = peers.as_ref().map_or(0, |peers| peers.read_rank());
+        let doublings = ((rank + 1) as f64 / FIRST_READERS).max(1.0).log2();
         let longest_in_time = self.freshness.limits().answer_timeout;
         read_time
             .unwrap_or(longest_in_time)
--- a/crates/stageyoke-directory/src/relay.rs
+++ b/crates/stageyoke-directory/src/relay.rs
@@ -121,6 +121,11 @@
     fn last_reply_at(&self) -> Option<Instant> {
         None
     }
+    /// Returns the position of this process, from 0, in an order of the processes that relay the
+    /// directory to each other; all of them agree on it as far as they know the same processes.
+    fn read_rank(&self) -> usize {
+        0
+    }
     /// Fetches the configuration, as returned by a recent linearizable read. Its value is
     /// omitted if its revision is that of `known`.
     fn fetch_routes(
--- a/crates/stageyoke-directory/tests/discarded_history_test.rs
+++ b/crates/stageyoke-directory/tests/discarded_history_test.rs
@@ -25,6 +25,8 @@
 const CHANGE_BOUND: Duration = Duration::from_secs(5);
 const STORE_COUNT: usize = 20;
 const FRONT_COUNT: usize = 60;
+/// Number of stores that any deployment tolerates losing at once.
+const TOLERATED_LOSSES: usize = 2;
 /// At 20,000 replicas one read takes 0.3 s, and one by each process 24 s.
 const LINK_BYTES_PER_SECOND: f64 = 30e6;
 const CHANGES_PER_SECOND: usize = 20;
@@ -44,6 +46,8 @@
     reachable: Rc<Cell<bool>>,
     /// Whether only copies that are newer than the requester's are of use.
     wants_newer: bool,
+    /// Position in the order of the stores.
+    read_rank: usize,
     last_reply_at: Cell<Option<Instant>>,
 }
 
@@ -82,6 +86,10 @@
         self.last_reply_at.get()
     }
 
+    fn read_rank(&self) -> usize {
+        self.read_rank
+    }
+
     fn fetch_changes(
         &self,
         after: u64,
@@ -151,7 +159,12 @@
     /// Starts a fleet with this number of replicas in the service. The store groups are formed
     /// once the stores have started, and then the fronts start.
     async fn start(replicas: usize) -> Self {
-        let mut fleet = Self::with_replicas(replicas);
+        Self::start_with_lost_readers(replicas, 0).await
+    }
+
+    /// Starts a fleet whose first readers in the order of the stores are lost.
+    async fn start_with_lost_readers(replicas: usize, lost: usize) -> Self {
+        let mut fleet = Self::with_replicas(replicas, lost);
         fleet.stores.iter().for_each(run_in_background);
         while !fleet.have_contact(fleet.stores.iter()) {
             tokio::time::sleep(STEP).await;
@@ -164,7 +177,7 @@
 
     /// Starts all processes at the same moment. The stores have the groups on their disks.
     fn restart(replicas: usize) -> Self {
-        let fleet = Self::with_replicas(replicas);
+        let fleet = Self::with_replicas(replicas, 0);
         fleet.seed_groups();
         fleet.processes().for_each(run_in_background);
         fleet
@@ -180,8 +193,9 @@
         }
     }
 
-    /// Creates the processes, which do not run yet.
-    fn with_replicas(replicas: usize) -> Self {
+    /// Creates the processes, which do not run yet. The stores come after `lost_readers` others
+    /// in their order.
+    fn with_replicas(replicas: usize, lost_readers: usize) -> Self {
         let service = Rc::new(Service::new(LINK_BYTES_PER_SECOND));
         service.write(ROUTES_KEY, "1".to_owned());
         for number in 0..replicas {
@@ -195,22 +209,23 @@
             .collect();
         let stores = Rc::new(stores);
         let stores_reachable = Rc::new(Cell::new(true));
-        let connections = |wants_newer| {
+        let connections = |wants_newer, read_rank| {
             Rc::new(StoreConnections {
                 stores: stores.clone(),
                 reachable: stores_reachable.clone(),
                 wants_newer,
+                read_rank,
                 last_reply_at: Cell::new(None),
             })
         };
-        for store in stores.iter() {
-            store.set_peers(connections(true));
+        for (number, store) in stores.iter().enumerate() {
+            store.set_peers(connections(true, lost_readers + number));
         }
         let fronts: Vec<Rc<Follower>> = (0..FRONT_COUNT)
             .map(|_| {
                 let front = Mirror::new(Connection::new(&service), TestInterpreter);
                 let front = front.with_change_bound(CHANGE_BOUND);
-                Rc::new(front.with_relay(connections(false)))
+                Rc::new(front.with_relay(connections(false, 0)))
             })
             .collect();
         Self {
@@ -329,8 +344,22 @@
 #[case::twenty_thousand_replicas(20_000)]
 #[tokio::test(start_paused = true)]
 async fn a_discarded_history_is_read_by_few_processes(#[case] replicas: usize) {
+    check_reads_after_discarded_history(replicas, 0).await;
+}
+
+/// The processes that were to read the directory first are lost with the history.
+#[rstest]
+#[case::a_thousand_replicas(1_000)]
+#[case::five_thousand_replicas(5_000)]
+#[case::twenty_thousand_replicas(20_000)]
+#[tokio::test(start_paused = true)]
+async fn others_read_a_discarded_history_if_the_first_readers_are_lost(#[case] replicas: usize) {
+    check_reads_after_discarded_history(replicas, TOLERATED_LOSSES).await;
+}
+
+async fn check_reads_after_discarded_history(replicas: usize, lost_readers: usize) {
     in_virtual_time(async {
-        let mut fleet = Fleet::start(replicas).await;
+        let mut fleet = Fleet::start_with_lost_readers(replicas, lost_readers).await;
         let pages_before = fleet.service.pages_read.get();
         fleet.service.discard_history();
         let mut oldest = Duration::ZERO;
--- a/crates/stageyoke-store/src/keys.rs
+++ b/crates/stageyoke-store/src/keys.rs
@@ -14,6 +14,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct StreamKey(pub u128);
 
+/// Key of a store: a hash of its machine name, which orders the stores of a deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreKey(u128);
+
+impl StoreKey {
+    /// Returns the key of the store on this machine.
+    pub fn of(node: &str) -> Self {
+        Self(long_hash(node))
+    }
+}
+
 impl TurnKey {
     /// Returns the key of a turn.
     pub fn of(turn: &str) -> Self {
--- a/crates/stageyoke-store/src/peer_relay.rs
+++ b/crates/stageyoke-store/src/peer_relay.rs
@@ -14,6 +14,7 @@
 
 use crate::client::StoreClient;
 use crate::directory_relay::{CopyRequest, relayed_changes, relayed_items};
+use crate::keys::StoreKey;
 use crate::message::{Reply, Request};
 use crate::receive_progress::ReceiveProgress;
 
@@ -27,6 +28,7 @@
 pub struct PeerRelay {
     node: Text,
     addresses: RefCell<Vec<Text>>,
+    read_rank: Cell<usize>,
     progress: Rc<ReceiveProgress>,
     last_reply_at: Cell<Option<Instant>>,
 }
@@ -37,6 +39,7 @@
         Self {
             node,
             addresses: RefCell::default(),
+            read_rank: Cell::new(0),
             progress: Rc::default(),
             last_reply_at: Cell::new(None),
         }
@@ -49,16 +52,23 @@
         stores: &'a StoreGroups,
         registered: impl Iterator<Item = &'a Member>,
     ) {
-        let addresses = match stores.is_formed() {
-            true => self.addresses_of_others(stores.members()),
-            false => self.addresses_of_others(registered),
-        };
-        self.addresses.replace(addresses);
+        match stores.is_formed() {
+            true => self.follow(stores.members()),
+            false => self.follow(registered),
+        }
     }
 
-    fn addresses_of_others<'a>(&self, stores: impl Iterator<Item = &'a Member>) -> Vec<Text> {
+    fn follow<'a>(&self, stores: impl Iterator<Item = &'a Member>) {
         let others = stores.filter(|store| store.node != self.node);
-        others.map(|store| store.address.clone()).collect()
+        let own_key = StoreKey::of(&self.node);
+        let mut rank = 0;
+        let mut addresses = Vec::new();
+        for store in others {
+            rank += usize::from(StoreKey::of(&store.node) < own_key);
+            addresses.push(store.address.clone());
+        }
+        self.read_rank.set(rank);
+        self.addresses.replace(addresses);
     }
 
     fn random_addresses(&self) -> Vec<Text> {
@@ -119,6 +129,10 @@
         self.progress.bytes()
     }
 
+    fn read_rank(&self) -> usize {
+        self.read_rank.get()
+    }
+
     fn last_reply_at(&self) -> Option<Instant> {
         self.last_reply_at.get()
     }
