Refuse records beyond a frame at their sender, and histories beyond a front's memory

The class of the replaced store that never caught up (sizes that callers choose), looked for at the fronts: the record of a turn larger than a frame ended the connections to all stores of its group, and the front sent it again until the turn's deadline; and a front gathered a program's whole history before it asked for memory.

A turn whose input can't be stored gets 413 before it runs; a record that outgrows a frame with its output is refused at once, and its stream ends as not kept. A history's memory is acquired part by part; without it the turn gets 503 (no_memory), as it did after the history had been read.

Failed before, with the check taken out: a_record_beyond_a_frame_is_refused_and_ends_no_connection. a_chain_is_not_read_beyond_the_memory_of_its_requester holds the new limit.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -14,7 +14,7 @@
     Interpreter, KeyValueService, RequestHomes, Route, RouteTable, ServiceSpec,
 };
 use stageyoke_policy::deadly_requests::Standing;
-use stageyoke_store::message::Placement;
+use stageyoke_store::message::{MAX_TURN_INPUT_BYTES, Placement};
 use stageyoke_store::quota_owners::QuotaGrant;
 use stageyoke_store::rank_load::ServiceRank;
 use stageyoke_types::{ErrorKind, Text};
@@ -192,7 +192,12 @@
         summary.routes_version = routes.version;
         let service = self.choose_service(&routes, &route)?;
         let mut memory_guard = self.memory_budget.start_request();
-        let reading = read_body(body, routes.limits.body_bytes, &mut memory_guard);
+        // A turn that is too large to be stored is rejected before it runs.
+        let body_limit = match route.stores_history {
+            true => routes.limits.body_bytes.min(MAX_TURN_INPUT_BYTES),
+            false => routes.limits.body_bytes,
+        };
+        let reading = read_body(body, body_limit, &mut memory_guard);
         let input = tokio::time::timeout_at(parameters.deadline, reading)
             .await
             .map_err(|_| Failure::permanent(ErrorKind::TooSlow, "body_too_slow"))??;
@@ -495,6 +500,6 @@
 }
 
 /// Rejection of a request that exceeds the memory budget and was not run.
-fn out_of_memory() -> Failure {
+pub(crate) fn out_of_memory() -> Failure {
     Failure::retryable(ErrorKind::Overloaded, "no_memory", SHORT_RETRY_DELAY)
 }
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::memory_budget::MemoryGuard;
 use crate::request::ScopedIdentifiers;
 
 /// Size of the cache of recent turns.
@@ -40,6 +41,8 @@
     Found(Bytes),
     /// No stored turn has this identifier.
     Absent,
+    /// There is no memory for it.
+    TooLarge,
     /// The stores gave no conclusive answer.
     Unknown,
 }
@@ -60,12 +63,14 @@
         }
     }
 
-    /// Returns the transcript of this program up to and including `turn`.
+    /// Returns the transcript of this program up to and including `turn`. Its memory is acquired
+    /// part by part, since callers choose how long a program's history is.
     pub async fn read_transcript(
         &self,
         program: &str,
         turn: &Text,
         time_limit: Duration,
+        memory: &mut MemoryGuard,
     ) -> Transcript {
         let mut parts = self.cached_chain(turn);
         let first_missing = match parts.last() {
@@ -73,8 +78,13 @@
             Some(last) => last.previous.clone(),
         };
         if !first_missing.is_empty() {
-            match self.stores.chain(program, &first_missing, time_limit).await {
+            let acquire = |bytes| memory.try_acquire(bytes);
+            let reading = self
+                .stores
+                .chain(program, &first_missing, time_limit, acquire);
+            match reading.await {
                 ChainOutcome::Complete(rest) => parts.extend(rest),
+                ChainOutcome::TooLarge => return Transcript::TooLarge,
                 ChainOutcome::Absent(absent) if absent == *turn => return Transcript::Absent,
                 // An ancestor of an existing turn must exist, so its absence proves
                 // nothing.
@@ -164,6 +174,7 @@
                 .await
             {
                 Ok(_) => break,
+                Err(GroupError::RecordTooLarge) => return Err(GroupError::RecordTooLarge),
                 Err(error) => error,
             };
             if Instant::now() + COMMIT_RETRY_DELAY >= deadline {
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -12,7 +12,9 @@
 
 use crate::failure::Failure;
 use crate::front::Front;
-use crate::handler::{LOOKUP_TIMEOUT, OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
+use crate::handler::{
+    LOOKUP_TIMEOUT, OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY, out_of_memory,
+};
 use crate::history::{
     PendingCheck, Reservation, ReservationRequest, ReservedLedger, ReservedTurn, Transcript,
 };
@@ -41,12 +43,14 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let time_limit = remaining.min(LOOKUP_TIMEOUT);
-        match self
+        let mut memory = self.memory_budget.start_request();
+        let program = &context.identifiers.program;
+        let reading = self
             .history
-            .read_transcript(&context.identifiers.program, previous, time_limit)
-            .await
-        {
+            .read_transcript(program, previous, time_limit, &mut memory);
+        match reading.await {
             Transcript::Found(text) => Ok(Some(text)),
+            Transcript::TooLarge => Err(out_of_memory()),
             Transcript::Absent => Err(Failure::permanent(ErrorKind::NotFound, "no_such_turn")),
             Transcript::Unknown => Err(Failure::retryable(
                 ErrorKind::Unavailable,
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -48,6 +48,8 @@
     DiskRefused,
     /// Members have no memory left for new turns.
     MemoryFull,
+    /// The record is larger than a message may be. Sending it would end the connections.
+    RecordTooLarge,
 }
 
 impl fmt::Display for GroupError {
@@ -58,6 +60,7 @@
             Self::StaleMembers => "stale_members",
             Self::DiskRefused => "disk_refused",
             Self::MemoryFull => "memory_full",
+            Self::RecordTooLarge => "record_too_large",
         })
     }
 }
@@ -71,6 +74,8 @@
     Complete(Vec<ChainPart>),
     /// No stored turn has this identifier.
     Absent(Text),
+    /// The requester has no memory for the chain.
+    TooLarge,
     /// Too few members answered for a conclusive result.
     Unknown,
 }
@@ -299,6 +304,9 @@
         placement: Option<Placement>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
+        if !record.record.fits_into_frame() {
+            return Err(GroupError::RecordTooLarge);
+        }
         if self.unstored_since.get().is_none() {
             self.unstored_since.set(Some(Instant::now()));
         }
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -372,8 +372,15 @@
     }
 
     /// Gathers the chain that ends in `turn`. Asks the program's own group first, then the
-    /// others: a program may continue another program's turns.
-    pub async fn chain(&self, program: &str, turn: &Text, time_limit: Duration) -> ChainOutcome {
+    /// others: a program may continue another program's turns. `acquire` takes the memory of
+    /// each part and refuses it if there is none.
+    pub async fn chain(
+        &self,
+        program: &str,
+        turn: &Text,
+        time_limit: Duration,
+        mut acquire: impl FnMut(usize) -> bool,
+    ) -> ChainOutcome {
         let deadline = Instant::now() + time_limit;
         let mut parts: Vec<ChainPart> = Vec::new();
         let mut next = turn.clone();
@@ -384,6 +391,9 @@
             }
             match step {
                 ChainLookup::Parts { found, missing } => {
+                    if !acquire(found.iter().map(ChainPart::bytes).sum()) {
+                        return ChainOutcome::TooLarge;
+                    }
                     parts.extend(found);
                     if missing.is_empty() {
                         return ChainOutcome::Complete(parts);
--- a/crates/stageyoke-store/src/message.rs
+++ b/crates/stageyoke-store/src/message.rs
@@ -6,6 +6,14 @@
 use stageyoke_policy::token_bucket::RateLimit;
 use stageyoke_types::{Blob, List, Text};
 
+use crate::frame::MAX_FRAME_BYTES;
+
+/// Largest content of a turn that can be stored: its record must fit into a frame, with room for
+/// the rest of the message.
+pub const MAX_TURN_BYTES: usize = MAX_FRAME_BYTES - 1024 * 1024;
+/// Largest input of such a turn, which leaves room for its output.
+pub const MAX_TURN_INPUT_BYTES: usize = MAX_TURN_BYTES - 4 * 1024 * 1024;
+
 /// An immutable record of one finished turn of a program whose history is stored.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct TurnRecord {
@@ -59,6 +67,14 @@
 pub type RecordDigest = u64;
 
 impl Record {
+    /// Returns whether the record fits into a frame.
+    pub fn fits_into_frame(&self) -> bool {
+        match self {
+            Self::Turn(turn) => turn.input.len() + turn.output.len() <= MAX_TURN_BYTES,
+            Self::Reserve { .. } | Self::Settle { .. } | Self::Clock { .. } => true,
+        }
+    }
+
     /// Returns the digest by which stores compare their records. Records are immutable, so
     /// the kind and the identifiers determine the content.
     pub fn digest(&self) -> RecordDigest {
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -92,12 +92,16 @@
             .expect("stored");
         let next = group.append(turn("two", "one"), TIMEOUT).await;
         assert!(next.is_ok());
-        let ChainOutcome::Complete(parts) = group.chain(PROGRAM, &Text::from("two"), TIMEOUT).await
+        let ChainOutcome::Complete(parts) = group
+            .chain(PROGRAM, &Text::from("two"), TIMEOUT, |_| true)
+            .await
         else {
             panic!("the chain is incomplete");
         };
         assert_eq!(parts.len(), 2);
-        let unknown = group.chain(PROGRAM, &Text::from("unknown"), TIMEOUT).await;
+        let unknown = group
+            .chain(PROGRAM, &Text::from("unknown"), TIMEOUT, |_| true)
+            .await;
         assert!(matches!(unknown, ChainOutcome::Absent(_)), "{unknown:?}");
     })
     .await;
@@ -130,14 +134,16 @@
     run_local(async {
         let (stores, group) = start_group(3).await;
         let unknown = Text::from("unknown");
-        let outcome = group.chain(PROGRAM, &unknown, TIMEOUT).await;
+        let outcome = group.chain(PROGRAM, &unknown, TIMEOUT, |_| true).await;
         assert!(matches!(outcome, ChainOutcome::Absent(turn) if turn == unknown));
         stop(&stores[0]);
         stop(&stores[1]);
         // Only the listeners have stopped; new clients have no open connections.
         let group = GroupClients::new(Text::from("zone"), tolerance());
         group.update_stores(&store_groups(&stores));
-        let outcome = group.chain(PROGRAM, &unknown, SHORT_TIMEOUT).await;
+        let outcome = group
+            .chain(PROGRAM, &unknown, SHORT_TIMEOUT, |_| true)
+            .await;
         assert!(matches!(outcome, ChainOutcome::Unknown), "{outcome:?}");
     })
     .await;
@@ -156,7 +162,7 @@
         group.update_stores(&members);
         stop(&stores[0]);
         let outcome = group
-            .chain(PROGRAM, &Text::from("unknown"), SHORT_TIMEOUT)
+            .chain(PROGRAM, &Text::from("unknown"), SHORT_TIMEOUT, |_| true)
             .await;
         assert!(matches!(outcome, ChainOutcome::Unknown), "{outcome:?}");
     })
--- a/crates/stageyoke-store/tests/joint_configuration_test.rs
+++ b/crates/stageyoke-store/tests/joint_configuration_test.rs
@@ -200,7 +200,7 @@
             let lookup = tokio::task::spawn_local(async move {
                 let turn = Text::from("one");
                 asking_front
-                    .chain("program", &turn, Duration::from_secs(3))
+                    .chain("program", &turn, Duration::from_secs(3), |_| true)
                     .await
             });
             // The request waits in the first member's accept queue.
--- a/crates/stageyoke-store/tests/large_records_test.rs
+++ b/crates/stageyoke-store/tests/large_records_test.rs
@@ -13,7 +13,7 @@
 use stageyoke_store::frame::{self, MAX_FRAME_BYTES};
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request, TurnRecord};
 use stageyoke_store::peer_sync::Peers;
-use stageyoke_store::{ChainOutcome, GroupClients};
+use stageyoke_store::{ChainOutcome, GroupClients, GroupError};
 use stageyoke_types::{Blob, List, Text};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -131,7 +131,7 @@
         let group = GroupClients::new(Text::from("zone"), tolerance());
         group.update_stores(&stores[0].local_store.stores());
         let last = Text::from(format!("turn-{}", LARGE_RECORDS - 1));
-        let outcome = group.chain("program", &last, TIMEOUT).await;
+        let outcome = group.chain("program", &last, TIMEOUT, |_| true).await;
         let ChainOutcome::Complete(parts) = outcome else {
             panic!("expected the whole chain: {outcome:?}");
         };
@@ -141,6 +141,65 @@
     .await;
 }
 
+/// Guards against a front that gathers a history beyond its memory.
+#[tokio::test]
+async fn a_chain_is_not_read_beyond_the_memory_of_its_requester() {
+    run_in_time(async {
+        let stores = start_group_with_empty_disk(3, &[]).await;
+        let previous_of = |number: usize| match number {
+            0 => Text::default(),
+            number => Text::from(format!("turn-{}", number - 1)),
+        };
+        for number in 0..20 {
+            let Record::Turn(turn) = turn_of(number, LARGE_BYTES) else {
+                unreachable!("a turn");
+            };
+            let previous = previous_of(number);
+            let record = Record::Turn(TurnRecord { previous, ..turn });
+            store_all(&stores[0], &[record]).await;
+        }
+        let group = GroupClients::new(Text::from("zone"), tolerance());
+        group.update_stores(&stores[0].local_store.stores());
+        let memory = 6 * LARGE_BYTES;
+        let mut received = 0;
+        let acquire = |bytes| {
+            received += bytes;
+            received <= memory
+        };
+        let last = Text::from("turn-19");
+        let outcome = group.chain("program", &last, TIMEOUT, acquire).await;
+        assert!(matches!(outcome, ChainOutcome::TooLarge), "{outcome:?}");
+        assert!(received < 2 * memory, "{received} bytes were read");
+    })
+    .await;
+}
+
+/// Guards against a turn that ends the connections to all stores again and again, because its
+/// record is larger than they accept.
+#[tokio::test]
+async fn a_record_beyond_a_frame_is_refused_and_ends_no_connection() {
+    run_in_time(async {
+        let mut stores = Vec::new();
+        for number in 0..3 {
+            stores.push(Store::start(number, true).await);
+        }
+        let groups = store_groups(&stores);
+        for store in &stores {
+            store.local_store.set_stores(groups.clone());
+        }
+        let group = GroupClients::new(Text::from("zone"), tolerance());
+        group.update_stores(&groups);
+        let (large, small) = tokio::join!(
+            group.append(turn_of(0, MAX_FRAME_BYTES + 1), TIMEOUT),
+            group.append(turn_of(1, 10), TIMEOUT)
+        );
+        assert_eq!(large.map(drop), Err(GroupError::RecordTooLarge));
+        assert!(small.is_ok());
+        assert_eq!(group.all_failing_for(), None);
+    })
+    .await;
+}
+
 /// Guards against replies that grow with the size of the requested records, and against a
 /// record that is never sent because it is larger than the limit of a reply.
 #[rstest]
