Keep a turn settled when its record expires before its program's ledger

Found while the retention of ledgers was looked through. A program's ledger may be retained longer than one of its kept turns: by a later turn of another line, or by a route with a longer retention. The turn's record was dropped and its reservation written again, so that after a restart the turn counted at its most: 402 for a turn that would have fitted. Now the settlement is written in place of the expired turn.

--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -404,26 +404,42 @@
     }
 
     /// Returns the copy of a record to write again if it must be retained longer. The copy of a
-    /// ledger's record carries the rest of the ledger's retention.
+    /// ledger's record carries the rest of the ledger's retention. A turn that has expired
+    /// leaves the settlement of its reservation to a ledger that is retained longer.
     fn retained_copy(&self, stored: StoredRecord, now: u64) -> Option<StoredRecord> {
         match &stored.record {
             Record::Turn(record) => {
-                let indexed = self.turns.get(&TurnKey::of(&record.turn))?;
-                (indexed.expires_at > now).then_some(stored)
+                let indexed = self.turns.get(&TurnKey::of(&record.turn));
+                if indexed.is_some_and(|indexed| indexed.expires_at > now) {
+                    return Some(stored);
+                }
+                let seconds = self.remaining_retention(&record.program, &record.turn, now)?;
+                let settlement = Record::Settle {
+                    program: record.program.clone(),
+                    turn: record.turn.clone(),
+                    used_tokens: record.used_tokens,
+                };
+                Some(StoredRecord::new(settlement, Some(seconds)))
             }
             Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
-                let TurnKey(turn) = TurnKey::of(turn);
-                let ledger = self.ledgers.get(&ProgramKey::of(program))?;
-                let mut entries = ledger.entries.iter();
-                if ledger.expires_at <= now || !entries.any(|entry| entry.turn == turn) {
-                    return None;
-                }
-                let remaining = ledger.expires_at - now;
-                let retention = remaining.saturating_sub(RETENTION_MARGIN_SECONDS).max(1);
-                let seconds = u32::try_from(retention).unwrap_or(u32::MAX);
+                let seconds = self.remaining_retention(program, turn, now)?;
                 Some(stored.with_ledger_retention(seconds))
             }
             Record::Clock { .. } => None,
         }
     }
+
+    /// Returns the rest of the retention of a program's ledger in seconds, if it has an entry of
+    /// the turn and is still retained.
+    fn remaining_retention(&self, program: &Text, turn: &Text, now: u64) -> Option<u32> {
+        let TurnKey(turn) = TurnKey::of(turn);
+        let ledger = self.ledgers.get(&ProgramKey::of(program))?;
+        let mut entries = ledger.entries.iter();
+        if ledger.expires_at <= now || !entries.any(|entry| entry.turn == turn) {
+            return None;
+        }
+        let remaining = ledger.expires_at - now;
+        let retention = remaining.saturating_sub(RETENTION_MARGIN_SECONDS).max(1);
+        Some(u32::try_from(retention).unwrap_or(u32::MAX))
+    }
 }
--- a/crates/stageyoke-store/tests/ledger_retention_test.rs
+++ b/crates/stageyoke-store/tests/ledger_retention_test.rs
@@ -114,6 +114,35 @@
     assert_eq!(spent_tokens(&state), 90);
 }
 
+/// A turn that is kept for a shorter time than its program's ledger must not count at its most again
+/// once its record has expired.
+#[test]
+fn an_expired_turn_stays_settled_in_a_ledger_that_is_kept_longer() {
+    let Record::Turn(turn) = kept_turn("one", 20) else {
+        unreachable!("a turn");
+    };
+    let kept = Record::Turn(TurnRecord {
+        program: Text::from(PROGRAM),
+        ..turn
+    });
+    let records = vec![
+        with_retention(reserve("one"), 20),
+        kept.into(),
+        with_retention(reserve("two"), 600),
+    ];
+    let mut state = StoreState::new(1);
+    for record in &records {
+        add(&mut state, record.clone(), 0);
+    }
+    assert_eq!(spent_tokens(&state), 10 + 45);
+    let copies = state.expire(records, 400);
+    let mut restarted = StoreState::new(2);
+    for copy in copies {
+        add(&mut restarted, copy, 400);
+    }
+    assert_eq!(spent_tokens(&restarted), 10 + 45);
+}
+
 /// Records of the build before this one don't tell their route's retention.
 #[rstest]
 #[case::beside_turns_that_are_kept_for_less(Some(20), 300)]
