Soak: turns of almost the largest body, and stores that are lost after them

LargeTurns (named) stores 20 turns of 4,000,000 bytes, loses stores in series and continues five of the turns.

--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -89,6 +89,8 @@
     ReplaceVersions,
     /// Repeats a request that ends each model replica which runs it.
     EndReplicas,
+    /// Stores turns that together exceed one message between stores, and then loses stores.
+    LargeTurns,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
@@ -126,7 +128,7 @@
 ];
 
 /// Kinds drawn only if they are named explicitly.
-pub const NAMED_FAULTS: [Fault; 2] = [Fault::Losses, Fault::EndReplicas];
+pub const NAMED_FAULTS: [Fault; 3] = [Fault::Losses, Fault::EndReplicas, Fault::LargeTurns];
 
 impl Fault {
     /// Returns the fault with this name, ignoring case.
@@ -282,6 +284,7 @@
                 tokio::time::sleep(COLD_TIME).await;
             }
             Fault::Losses => details = self.lose_stores(random).await,
+            Fault::LargeTurns => details = self.store_large_turns(random).await,
         }
         if fault.suspends_bounds() {
             self.promises.disturbances.record_end();
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -11,6 +11,7 @@
 pub mod disturbances;
 pub mod faults;
 pub mod keys;
+pub mod large_turns;
 pub mod losses;
 pub mod open_loop;
 pub mod overlaps;
--- a/crates/stageyoke-lab/src/standins/platform/caller.rs
+++ b/crates/stageyoke-lab/src/standins/platform/caller.rs
@@ -59,6 +59,8 @@
     pub promises: Arc<Promises>,
     /// Source of the identifiers, budgets, fronts and tools to use.
     pub random: ChaCha8Rng,
+    /// Least size of a turn's input in bytes.
+    pub input_bytes: usize,
     /// Idle connections by front, reused while they are open.
     idle_connections: BTreeMap<SocketAddr, SendRequest<Full<Bytes>>>,
 }
@@ -70,6 +72,7 @@
             fronts,
             promises,
             random,
+            input_bytes: 0,
             idle_connections: BTreeMap::new(),
         }
     }
@@ -123,7 +126,8 @@
     ) -> Option<StoredTurn> {
         while Instant::now() < until {
             let id = self.draw_identifier();
-            let input = format!("question of {id}\n").into_bytes();
+            let mut input = format!("question of {id}\n").into_bytes();
+            input.resize(input.len().max(self.input_bytes), b'.');
             let mut body = previous.map_or_else(Vec::new, |turn| turn.transcript.clone());
             body.extend_from_slice(&input);
             let expected = ExpectedRequest {
