--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod spare;
 pub mod state;
 pub mod store_host;
+pub mod store_status;
 pub mod stored_record;
 pub mod stream_versions;
 pub mod unblock;
--- a/crates/stageyoke-store/src/peer_sync.rs
+++ b/crates/stageyoke-store/src/peer_sync.rs
@@ -18,7 +18,7 @@
 use crate::local_store::LocalStore;
 use crate::membership::is_caught_up_with_group;
 use crate::message::{Record, RecordDigest, Reply, Request, SilentPeer};
-use crate::record_fetch::{FetchPage, FetchesInFlight, PageInFlight};
+use crate::record_fetch::{FetchesInFlight, PageInFlight, PageSize};
 use crate::stored_record::{StoredRecord, UNKNOWN_RETENTION};
 use stageyoke_observe as observe;
 
@@ -41,7 +41,7 @@
     last_answer: Cell<Option<Instant>>,
     /// Members that did not answer the peer, as of its latest answer.
     silent: RefCell<List<SilentPeer>>,
-    fetch_page: FetchPage,
+    page_size: PageSize,
     since: Instant,
 }
 
@@ -113,7 +113,7 @@
                 journal_sync: RefCell::default(),
                 last_answer: Cell::new(None),
                 silent: RefCell::default(),
-                fetch_page: FetchPage::default(),
+                page_size: PageSize::default(),
                 since: Instant::now(),
             });
             peers.insert(member.node.clone(), peer.clone());
@@ -273,7 +273,7 @@
         let mut queue = VecDeque::from(missing());
         let mut outcome = Some(());
         while outcome.is_some() && !queue.is_empty() {
-            let max_records = peer.fetch_page.records();
+            let max_records = peer.page_size.records();
             let page = self.fetches.take_page(&mut queue, max_records, holds);
             if page.digests().is_empty() {
                 break;
@@ -309,13 +309,13 @@
             extension_fields,
         }) = answer
         else {
-            peer.fetch_page.record_failure();
+            peer.page_size.record_failure();
             observe::metrics().failed_fetches.inc();
             return None;
         };
-        if page.digests().len() == peer.fetch_page.records() {
+        if page.digests().len() == peer.page_size.records() {
             let reply_bytes = progress.bytes() - received_before;
-            peer.fetch_page.record_reply(reply_bytes as usize);
+            peer.page_size.record_reply(reply_bytes as usize);
         }
         peer.journal_sync
             .borrow_mut()
--- a/crates/stageyoke-store/src/record_fetch.rs
+++ b/crates/stageyoke-store/src/record_fetch.rs
@@ -16,11 +16,11 @@
 /// Number of records to request from one peer. Peers of the build before this one put all
 /// requested records into one reply, so the page follows the size of their replies.
 #[derive(Debug)]
-pub struct FetchPage {
+pub struct PageSize {
     records: Cell<usize>,
 }
 
-impl Default for FetchPage {
+impl Default for PageSize {
     fn default() -> Self {
         Self {
             records: Cell::new(FIRST_PAGE_RECORDS),
@@ -28,7 +28,7 @@
     }
 }
 
-impl FetchPage {
+impl PageSize {
     /// Returns the number of records to request next, at least one.
     pub fn records(&self) -> usize {
         self.records.get()
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -381,7 +381,7 @@
         let (file, length) = self.open_segment(number)?;
         RecordScan::new(BufReader::with_capacity(SCAN_BUFFER_BYTES, file), length)
             .map(|scanned| scanned.map(|scanned| scanned.record))
-            .filter(|record| !matches!(record, Ok(stored) if matches!(stored.record, Record::Clock { .. })))
+            .filter(|record| !record.as_ref().is_ok_and(StoredRecord::is_clock))
             .collect()
     }
 
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -170,19 +170,10 @@
         number: request.number,
         content,
     };
-    let mut bytes = frame::encode_with_fields(&reply, &extension_fields);
+    let bytes = encode_reply(&reply, &extension_fields, &context.peer);
     if transfer.is_some() {
         transfers.record_size(bytes.len());
     }
-    if !frame::fits(&bytes) {
-        let detail = format!("reply_to={} bytes={}", context.peer.address(), bytes.len());
-        observe::record_event(Event::FrameTooLarge, &detail);
-        let refusal = Numbered {
-            number: request.number,
-            content: Reply::Refused(Refusal::MemoryFull),
-        };
-        bytes = frame::encode(&refusal);
-    }
     let _ = replies.send(EncodedReply {
         bytes,
         _permit: permit,
@@ -190,3 +181,22 @@
         _share: share,
     });
 }
+
+/// Encodes a reply. One that is larger than the peer accepts would end the connection, so it is
+/// replaced by a refusal.
+fn encode_reply(
+    reply: &Numbered<Reply>,
+    extension_fields: &ExtensionFields,
+    peer: &PeerVersion,
+) -> Vec<u8> {
+    let bytes = frame::encode_with_fields(reply, extension_fields);
+    if frame::fits(&bytes) {
+        return bytes;
+    }
+    let detail = format!("reply_to={} bytes={}", peer.address(), bytes.len());
+    observe::record_event(Event::FrameTooLarge, &detail);
+    frame::encode(&Numbered {
+        number: reply.number,
+        content: Reply::Refused(Refusal::MemoryFull),
+    })
+}
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -187,10 +187,10 @@
     /// Appends a record to the journal. The caller has checked that the record is not
     /// stored yet, or has written it again.
     pub fn add(&mut self, stored: &StoredRecord, location: RecordLocation, now: u64) {
-        let record = &stored.record;
-        if matches!(record, Record::Clock { .. }) {
+        if stored.is_clock() {
             return;
         }
+        let record = &stored.record;
         let digest = record.digest();
         let carried = stored.ledger_retention_seconds().map_or(0, u64::from);
         self.longest_retention_seconds = self.longest_retention_seconds.max(carried);
--- a/crates/stageyoke-store/src/store_host.rs
+++ b/crates/stageyoke-store/src/store_host.rs
@@ -37,6 +37,7 @@
 use crate::segment::DataFolder;
 use crate::server;
 use crate::spare::{LOST_MEMBER_TIMEOUT, MemberProber, replacement_timeout};
+use crate::store_status::StoreStatus;
 use crate::wait_reason::MemberCounts;
 use stageyoke_observe as observe;
 use stageyoke_policy::quota::QuotaTolerance;
@@ -368,19 +369,14 @@
     fn report_progress(&self) {
         let progress = self.peers.catch_up_progress();
         let incomplete_for = self.catch_up_monitor.observe(progress);
-        let members = self.local_store.members();
-        let document = format!(
-            "{{\"role\":\"store\",\"name\":{:?},\"complete\":{},\"incomplete_seconds\":{},\
-             \"missing_records\":{},\"failed_fetches\":{},\"records\":{},\"members_version\":{}}}",
-            self.settings.node.as_str(),
-            progress.complete,
-            incomplete_for.as_secs(),
-            progress.missing_records,
-            progress.failed_fetches,
-            self.local_store.journal_end().next,
-            members.version
-        );
-        observe::status::set(document);
+        let status = StoreStatus {
+            node: &self.settings.node,
+            progress,
+            incomplete_for,
+            records: self.local_store.journal_end().next,
+            members_version: self.local_store.members().version,
+        };
+        observe::status::set(status.to_json());
     }
 
     /// Returns whether nothing is due soon: this store is a complete member of a list that
--- a/crates/stageyoke-store/src/stored_record.rs
+++ b/crates/stageyoke-store/src/stored_record.rs
@@ -33,6 +33,11 @@
         self.record.digest()
     }
 
+    /// Returns whether this is a reading of the disk's clock.
+    pub fn is_clock(&self) -> bool {
+        matches!(self.record, Record::Clock { .. })
+    }
+
     /// Returns the time in seconds for which the ledger of the record's program is retained
     /// after it, if it is known.
     pub fn ledger_retention_seconds(&self) -> Option<u32> {
--- a/crates/stageyoke-store/tests/catch_up_monitor_test.rs
+++ b/crates/stageyoke-store/tests/catch_up_monitor_test.rs
@@ -4,6 +4,7 @@
 
 use stageyoke_observe::metrics;
 use stageyoke_store::catch_up_monitor::{CatchUpMonitor, CatchUpProgress};
+use stageyoke_store::store_status::StoreStatus;
 
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 
@@ -41,3 +42,23 @@
     assert_eq!(metrics().incomplete_seconds.get(), 0);
     assert_eq!(metrics().store_complete.get(), 1);
 }
+
+#[test]
+fn the_status_page_is_a_json_object_with_the_progress() {
+    let status = StoreStatus {
+        node: "store-1",
+        progress: CatchUpProgress {
+            complete: false,
+            missing_records: 150,
+            failed_fetches: 7,
+        },
+        incomplete_for: Duration::from_millis(12_700),
+        records: 3,
+        members_version: 9,
+    };
+    let expected = concat!(
+        r#"{"role":"store","name":"store-1","complete":false,"incomplete_seconds":12,"#,
+        r#""missing_records":150,"failed_fetches":7,"records":3,"members_version":9}"#
+    );
+    assert_eq!(status.to_json(), expected);
+}
--- a/crates/stageyoke-store/tests/ledger_retention_test.rs
+++ b/crates/stageyoke-store/tests/ledger_retention_test.rs
@@ -8,6 +8,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use nanoserde::DeBin;
@@ -191,8 +192,7 @@
         write_segment(&folder, 1, 10, &[]);
         write_segment(&folder, 2, 400, &[]);
         let mut store = Store::start_in(1, false, path).await;
-        store.local_store.expire_segments().await;
-        wait_for_writes(&store).await;
+        expire_segments(&store).await;
         let remaining = folder.segment_numbers().expect("numbers");
         assert!(!remaining.contains(&0), "{remaining:?}");
         for clock in [500, 600] {
@@ -200,16 +200,14 @@
             store.tasks.iter().for_each(JoinHandle::abort);
             write_segment(&folder, next, clock, &[]);
             store = Store::start_in(1, false, store.folder).await;
-            store.local_store.expire_segments().await;
-            wait_for_writes(&store).await;
+            expire_segments(&store).await;
             assert!(holds(&store, "one"), "at {clock} s");
         }
         let next = folder.recover(3, false).expect("recover").next_segment();
         store.tasks.iter().for_each(JoinHandle::abort);
         write_segment(&folder, next, 1_300, &[]);
         store = Store::start_in(1, false, store.folder).await;
-        store.local_store.expire_segments().await;
-        wait_for_writes(&store).await;
+        expire_segments(&store).await;
         assert!(!holds(&store, "one"), "long after its retention");
     });
     tokio::time::timeout(TIMEOUT, test).await.expect("in time");
@@ -221,6 +219,17 @@
     }
 }
 
+/// Expires segments and waits until their files are gone: the journal handles its commands in order,
+/// so whatever is stored afterwards is stored after the removal.
+async fn expire_segments(store: &Store) {
+    static MARKERS: AtomicUsize = AtomicUsize::new(0);
+    store.local_store.expire_segments().await;
+    let number = MARKERS.fetch_add(1, Ordering::Relaxed);
+    let marker = kept_turn(&format!("marker-{number}"), 1);
+    assert!(store.local_store.store_record(marker).await);
+    wait_for_writes(store).await;
+}
+
 fn holds(store: &Store, turn: &str) -> bool {
     let digests = [reserve(turn).digest(), settle(turn).digest()];
     digests
@@ -228,7 +237,7 @@
         .all(|digest| store.local_store.holds(*digest))
 }
 
-/// Returns the retentions of the program's records on a store's disk.
+/// Returns the retentions of all reservations and settlements on a store's disk.
 fn retentions_on_disk(store: &Store) -> Vec<Option<u32>> {
     let folder = DataFolder::open(store.folder.path()).expect("open");
     let numbers = folder.segment_numbers().expect("numbers");
@@ -236,6 +245,7 @@
         .into_iter()
         .flat_map(|number| folder.read_segment(number).expect("segment"));
     records
+        .filter(|record| !matches!(record.record, Record::Turn(_)))
         .map(|record| record.ledger_retention_seconds())
         .collect()
 }
@@ -386,8 +396,7 @@
         write_segment(&folder, 1, 10, &[]);
         write_segment(&folder, 2, 400, &[]);
         let store = Store::start_in(1, false, path).await;
-        store.local_store.expire_segments().await;
-        wait_for_writes(&store).await;
+        expire_segments(&store).await;
         assert!(!has_segment(store.folder.path(), 0));
         assert!(!store.local_store.holds(records[0].digest()));
         assert!(holds(&store, "one"));
--- a/crates/stageyoke-store/tests/record_fetch_test.rs
+++ b/crates/stageyoke-store/tests/record_fetch_test.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use proptest::prelude::*;
-use stageyoke_store::record_fetch::{FetchPage, FetchesInFlight, MAX_REPLY_RECORD_BYTES};
+use stageyoke_store::record_fetch::{FetchesInFlight, MAX_REPLY_RECORD_BYTES, PageSize};
 
 proptest! {
     /// Guards against a page that shrinks to nothing or grows without limit, and against one
@@ -12,7 +12,7 @@
     fn a_page_requests_at_least_one_record_and_grows_again(
         replies in prop::collection::vec(prop::option::of(0_usize..100_000_000), 0..60),
     ) {
-        let page = FetchPage::default();
+        let page = PageSize::default();
         for reply in replies {
             match reply {
                 Some(bytes) => page.record_reply(bytes),
@@ -30,7 +30,7 @@
     /// the records, a few replies bring the next one down to the limit, or to a single record.
     #[test]
     fn a_page_follows_the_size_of_the_records(record_bytes in 1_usize..20_000_000) {
-        let page = FetchPage::default();
+        let page = PageSize::default();
         for _ in 0..12 {
             page.record_reply(page.records() * record_bytes);
         }
