--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -86,7 +86,7 @@
     pub store_complete: IntGauge,
     /// Seconds for which the store has been incomplete; 0 if it is complete.
     pub incomplete_seconds: IntGauge,
-    /// Records of one peer that the store is known to lack, of the peer with most of them.
+    /// Largest number of records of any one peer that the store is known to lack.
     pub missing_records: IntGauge,
     /// Requests for records of peers that got no reply.
     pub failed_fetches: IntCounter,
--- a/crates/stageyoke-store/src/catch_up_monitor.rs
+++ b/crates/stageyoke-store/src/catch_up_monitor.rs
@@ -16,7 +16,7 @@
 pub struct CatchUpProgress {
     /// Whether the store holds every record that it ever acknowledged, or belongs to no group.
     pub complete: bool,
-    /// Records of one peer that are known to be missing, of the peer with most of them.
+    /// Largest number of records of any one peer that are known to be missing.
     pub missing_records: usize,
     /// Requests for records that got no reply, since the start of the process.
     pub failed_fetches: u64,
--- a/crates/stageyoke-store/src/record_fetch.rs
+++ b/crates/stageyoke-store/src/record_fetch.rs
@@ -5,7 +5,7 @@
 
 use crate::message::RecordDigest;
 
-/// Size of the records in one reply from which no further record is added to it.
+/// Largest total size of the records in one reply. A larger record is sent alone.
 pub const MAX_REPLY_RECORD_BYTES: usize = 1024 * 1024;
 const MAX_PAGE_RECORDS: usize = 256;
 /// First page, before the size of the peer's records is known.
@@ -96,8 +96,8 @@
         &self.digests
     }
 
-    /// Returns the digests to request again after a reply that settled some of the page. None if
-    /// it settled nothing: the peer can't read these records.
+    /// Returns the digests to request again after a reply that settled some of the page. Empty if
+    /// the reply settled nothing, since the peer can't read these records.
     pub fn unsettled(&self, is_settled: impl Fn(RecordDigest) -> bool) -> Vec<RecordDigest> {
         let digests = self.digests.iter().copied();
         let unsettled: Vec<_> = digests.filter(|digest| !is_settled(*digest)).collect();
--- a/crates/stageyoke-store/src/stored_record.rs
+++ b/crates/stageyoke-store/src/stored_record.rs
@@ -1,5 +1,5 @@
-//! A record together with what other builds don't read of it: its content stands behind the
-//! record, on disk and in messages.
+//! A record with the fields that follow it, on disk and in messages. A build that doesn't know a
+//! field leaves it.
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 
