Show by which ledger a turn was judged, cut responses by outcome, and ends that the front causes

The lines could not tell apart three hypotheses on a response that is cut after its head: the stored ledger that a turn sent early is judged by was not logged, a relay that ends by a panic had no line at all, and a caller's connection that the front ended because of an error looked like a caller that left.

- ledger: stored_others and stored_turns of the ledger that decided (stored_error if none did).
- stageyoke_cut_responses_total by outcome.
- relay_failed for a relay that is dropped before its end; CallerConnectionEnded (819) with the reason.

front_test a_cut_response_is_counted_by_its_outcome.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -35,7 +35,7 @@
 use crate::request_identity::{IdentityParts, RequestIdentity};
 use crate::response_body::{ResponseBody, chunk_channel};
 use crate::routing::MatchedRoute;
-use crate::stream_relay::{CHUNK_BUFFER, StreamRelay, TurnStorage, UpstreamStream};
+use crate::stream_relay::{CHUNK_BUFFER, RelayLine, StreamRelay, TurnStorage, UpstreamStream};
 use stageyoke_framing::{Framing, close_after};
 use stageyoke_observe::{self as observe, RequestSummary};
 
@@ -430,8 +430,7 @@
             identity: context.identity,
             request_guard: self.request_guard.clone(),
             _run_permit: context.run_permit,
-            summary,
-            arrived: context.arrived,
+            line: RelayLine::new(summary, context.arrived),
             _memory_guard: context.memory_guard,
         };
         let (chunks, receiver) = chunk_channel(CHUNK_BUFFER);
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use stageyoke_observe::metrics;
+use stageyoke_observe::{RequestSummary, metrics};
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{ChainPart, Placement};
 use stageyoke_store::{
@@ -304,12 +304,22 @@
 
 impl PendingCheck {
     /// Waits until the reservation is stored; returns why the turn's output must not be
-    /// forwarded, if so.
-    pub async fn wait(self) -> Result<(), &'static str> {
+    /// forwarded, if so. Adds the ledger that decided to the request's `summary`.
+    pub async fn wait(self, summary: &mut RequestSummary) -> Result<(), &'static str> {
         let turn = self.ledger.request.reserved.turn.clone();
         let max_tokens = u64::from(self.ledger.request.max_tokens);
-        let ledger = self.ledger.wait().await.map_err(|_| "not_reserved")?;
-        match ledger.total_excluding(&turn) + max_tokens > self.budget {
+        let ledger = match self.ledger.wait().await {
+            Ok(ledger) => ledger,
+            Err(error) => {
+                summary.ledger.push_str(&format!(" stored_error={error}"));
+                return Err("not_reserved");
+            }
+        };
+        let others = ledger.total_excluding(&turn);
+        let turns = ledger.turns();
+        let decision = format!(" stored_others={others} stored_turns={turns}");
+        summary.ledger.push_str(&decision);
+        match others + max_tokens > self.budget {
             true => Err("budget_spent_meanwhile"),
             false => Ok(()),
         }
--- a/crates/stageyoke-front/src/pending_request.rs
+++ b/crates/stageyoke-front/src/pending_request.rs
@@ -33,7 +33,7 @@
 impl Drop for PendingRequest {
     fn drop(&mut self) {
         if !self.answered {
-            self.summary.outcome = "caller_left";
+            self.summary.outcome = observe::CALLER_LEFT;
             observe::record_request(&self.summary, self.arrived.elapsed());
         }
     }
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -12,8 +12,10 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::front::Front;
-use crate::response_body::ResponseBody;
+use crate::response_body::{ResponseBody, TruncatedResponse};
 use stageyoke_framing::{CallerConnection, UnframedSignal};
+use stageyoke_observe as observe;
+use stageyoke_types::Event;
 
 /// Minimum read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -71,11 +73,24 @@
     }
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
-        _ = connection.as_mut() => return,
+        outcome = connection.as_mut() => return record_end(outcome),
         () = front.shutdown.triggered() => connection.as_mut().graceful_shutdown(),
     }
     // An idle connection closes now, a busy one after its response.
-    let _ = connection.await;
+    record_end(connection.await);
+}
+
+/// Logs why this side ended a caller's connection. A stream that is cut has its own line, and
+/// idle connections end by their timeout.
+fn record_end(outcome: hyper::Result<()>) {
+    let Err(error) = outcome else {
+        return;
+    };
+    let source = std::error::Error::source(&error);
+    let is_cut_stream = source.is_some_and(|source| source.is::<TruncatedResponse>());
+    if (error.is_user() && !is_cut_stream) || error.is_parse() {
+        observe::record_event(Event::CallerConnectionEnded, &format!("reason={error}"));
+    }
 }
 
 fn apply_limits(builder: &mut hyper::server::conn::http1::Builder, limits: &HttpLimits) {
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -31,6 +31,8 @@
 const TRUNCATED: &str = "replica_broke_off";
 /// Outcome of a stream that ended after an event and with its connection.
 const END_UNKNOWN: &str = "end_unknown";
+/// Outcome of a relay that was dropped before its end.
+const RELAY_FAILED: &str = "relay_failed";
 
 /// What to store at the end of a stream.
 pub struct TurnStorage {
@@ -107,14 +109,56 @@
     pub request_guard: Rc<RequestGuard>,
     /// Permit of the run, held until the stream ends.
     pub _run_permit: Option<HeldPermit>,
-    /// Summary for the request's log line.
-    pub summary: RequestSummary,
-    /// Time at which the request arrived.
-    pub arrived: Instant,
+    /// Log line of the request.
+    pub line: RelayLine,
     /// Memory used by the request until the stream ends.
     pub _memory_guard: MemoryGuard,
 }
 
+/// Log line of a relayed request. A relay that is dropped before its end, as by a panic, logs it
+/// too.
+pub struct RelayLine {
+    /// Summary of the request.
+    pub summary: RequestSummary,
+    arrived: Instant,
+    is_written: bool,
+}
+
+impl RelayLine {
+    /// Creates the line of a request that arrived at this time.
+    pub fn new(summary: RequestSummary, arrived: Instant) -> Self {
+        Self {
+            summary,
+            arrived,
+            is_written: false,
+        }
+    }
+
+    /// Logs how the stream ended.
+    fn write(mut self, end: &StreamEnd) {
+        self.summary.outcome = end.outcome();
+        if !matches!(end, StreamEnd::Complete | StreamEnd::Unknown) {
+            self.summary.status = 0;
+        }
+        self.record();
+    }
+
+    fn record(&mut self) {
+        self.is_written = true;
+        observe::record_request(&self.summary, self.arrived.elapsed());
+    }
+}
+
+impl Drop for RelayLine {
+    fn drop(&mut self) {
+        if !self.is_written {
+            self.summary.outcome = RELAY_FAILED;
+            self.summary.status = 0;
+            self.record();
+        }
+    }
+}
+
 enum StreamEnd {
     /// The replica stated the end of the stream.
     Complete,
@@ -128,6 +172,17 @@
 }
 
 impl StreamEnd {
+    /// Returns the outcome for the request's log line.
+    fn outcome(&self) -> &'static str {
+        match self {
+            Self::Complete => "streamed",
+            Self::Unknown => END_UNKNOWN,
+            Self::InsideEvent => TRUNCATED,
+            Self::CallerDisconnected => observe::CALLER_LEFT,
+            Self::Aborted(reason) => reason,
+        }
+    }
+
     /// Returns whether the connection to the replica ended without a stated end of the stream.
     fn is_lost_connection(&self) -> bool {
         match self {
@@ -175,7 +230,7 @@
             replica.record(Evidence::Lost);
         }
         if replica.has_ended(Instant::now()).await {
-            record_attempt(&mut self.summary, &replica.id, REPLICA_ENDED);
+            record_attempt(&mut self.line.summary, &replica.id, REPLICA_ENDED);
             self.request_guard
                 .report_end(self.identity, replica)
                 .wait()
@@ -271,7 +326,7 @@
         let reservation = self.storage.reservation.as_mut();
         let check = reservation.and_then(Reservation::take_pending_check)?;
         tokio::select! {
-            outcome = check.wait() => outcome.err().map(StreamEnd::Aborted),
+            outcome = check.wait(&mut self.line.summary) => outcome.err().map(StreamEnd::Aborted),
             () = chunks.closed() => Some(StreamEnd::CallerDisconnected),
             () = tokio::time::sleep_until(self.deadline) => Some(StreamEnd::Aborted("time_out")),
         }
@@ -297,7 +352,7 @@
         let record = build_turn_record(&self.identifiers, input, received.output, used, retention);
         let started = Instant::now();
         let stored = self.storage.history.commit(record, self.deadline).await;
-        self.summary.store_turn_ms = started.elapsed().as_millis() as u64;
+        self.line.summary.store_turn_ms = started.elapsed().as_millis() as u64;
         if let Some(reservation) = &mut self.storage.reservation {
             reservation.mark_recorded();
         }
@@ -308,18 +363,7 @@
     }
 
     fn finish(self, end: &StreamEnd, chunks: ChunkSender) {
-        let mut summary = self.summary;
-        summary.outcome = match end {
-            StreamEnd::Complete => "streamed",
-            StreamEnd::Unknown => END_UNKNOWN,
-            StreamEnd::InsideEvent => TRUNCATED,
-            StreamEnd::CallerDisconnected => "caller_left",
-            StreamEnd::Aborted(reason) => reason,
-        };
-        if !matches!(end, StreamEnd::Complete | StreamEnd::Unknown) {
-            summary.status = 0;
-        }
-        observe::record_request(&summary, self.arrived.elapsed());
+        self.line.write(end);
         let replica = self.upstream.replica;
         if matches!(end, StreamEnd::Complete) {
             replica.pool.release(self.upstream.connection);
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -1380,6 +1380,24 @@
     .await;
 }
 
+/// Guards against responses that are cut without a count that operators can watch.
+#[tokio::test]
+async fn a_cut_response_is_counted_by_its_outcome() {
+    let cut = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+               f\r\nid: 1\ndata: a\n\n\r\nCLOSE";
+    run_local(async {
+        let replica = Replica::start(&[cut]).await;
+        let test_front = start(&[&replica]).await;
+        let cuts = &stageyoke_observe::metrics().cut_responses;
+        let broken_off = cuts.with_label_values(&["replica_broke_off"]);
+        let before = broken_off.get();
+        let answer = send_request(test_front.address, &request("POST", "/stream/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(broken_off.get() > before);
+    })
+    .await;
+}
+
 /// The set of started programs is bounded and evicts the oldest first.
 #[test]
 fn the_set_of_started_programs_is_bounded() {
--- a/crates/stageyoke-observe/src/events.rs
+++ b/crates/stageyoke-observe/src/events.rs
@@ -62,6 +62,9 @@
     pub outcome: &'static str,
 }
 
+/// Outcome of a request whose caller disconnected.
+pub const CALLER_LEFT: &str = "caller_left";
+
 /// Logs the summary of a finished request and updates the request metrics.
 pub fn record_request(summary: &RequestSummary, elapsed: Duration) {
     let ordinary = u64::from((200..300).contains(&summary.status));
@@ -101,6 +104,11 @@
         .requests
         .with_label_values(&[route_label(&summary.route), summary.outcome])
         .inc();
+    let has_head = !summary.framing.is_empty();
+    if has_head && summary.status == 0 && summary.outcome != CALLER_LEFT {
+        let cuts = &metrics.cut_responses;
+        cuts.with_label_values(&[summary.outcome]).inc();
+    }
     if !summary.tenant.is_empty() && summary.status >= 400 {
         let tenant = tenant_label(&summary.tenant);
         let failures = &metrics.tenant_failures;
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -265,6 +265,7 @@
         "budget_spent_meanwhile" => {
             "cut before any output: turns reserved at the same time used up the budget"
         }
+        "relay_failed" => "cut: the front's relay of the stream ended by a fault of its own",
         "caller_left" => "the caller left before the end",
         "no_such_route" => "refused: the service confirmed that no route fits",
         "route_not_confirmed" => "not run: no route fits, and the service could not confirm it",
--- a/crates/stageyoke-observe/src/lib.rs
+++ b/crates/stageyoke-observe/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod status;
 pub mod writer;
 
-pub use events::{RequestSummary, record_event, record_request};
+pub use events::{CALLER_LEFT, RequestSummary, record_event, record_request};
 pub use logger::init_logger;
 pub use metrics::{Metrics, metrics};
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -36,6 +36,8 @@
     registry: Registry,
     /// Finished requests, by route and outcome.
     pub requests: IntCounterVec,
+    /// Responses that were cut after their head while the caller stayed, by outcome.
+    pub cut_responses: IntCounterVec,
     /// Seconds from a request's arrival to its end.
     pub request_seconds: Histogram,
     /// Seconds from a request's arrival to the head of its response.
@@ -167,6 +169,11 @@
                 "Requests that ended, by route and outcome.",
                 &["route", "outcome"],
             ),
+            cut_responses: counter_vec(
+                "stageyoke_cut_responses_total",
+                "Responses that were cut after their head while the caller stayed, by outcome.",
+                &["outcome"],
+            ),
             request_seconds: latency_histogram("stageyoke_request_seconds", "Arrival to end."),
             head_seconds: latency_histogram(
                 "stageyoke_head_seconds",
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -96,4 +96,5 @@
     ReplicaEnded, 816, "warn", "The process of a replica ended while it ran a request.";
     RequestBlocked, 817, "error", "A request is blocked: replicas ended one after the other while they ran it.";
     RequestCleared, 818, "info", "A restricted request ran to its end and may be sent again.";
+    CallerConnectionEnded, 819, "info", "This front ended a caller's connection because of an error; the reason follows.";
 }
