Decide on a turn's tokens once, by the order in which stores received the reservations

What callers saw: a turn that a replica had begun was cut after its head (budget_spent_meanwhile), while the sibling that came after it got 402; none of the two was served.

Cause: a turn is sent once a write quorum has received its reservation, and its output was judged again by the ledger that a quorum had stored, which also counts reservations that came in between. Those count the turn too.

Change: a store tells with its reply to a reservation how many entries of the ledger came after it; only entries that came before it at any member of a quorum count, and any quorum will do. Two quorums share a member, where one of two came first, so at least one of two granted turns counts the other (property tests, plans_test). The order is told only of entries since the store's start, its completeness and its newest member list: a restart or a refill may change it. A rejection waits up to 0.3 s for further members, and not at all once no quorum can leave room. Settlements that were known when the turn was sent still count. A turn that exceeds its whole budget by itself gets 402 at once.

--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -10,8 +10,8 @@
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{ChainPart, Placement};
 use stageyoke_store::{
-    ChainOutcome, GroupClients, GroupError, LedgerView, RecentTurns, Record, StoredRecord,
-    TurnRecord,
+    ChainOutcome, GroupClients, GroupError, LedgerRoom, LedgerView, RecentTurns, Record,
+    ReservationFields, StoredRecord, TurnRecord,
 };
 use stageyoke_types::{Blob, Text};
 use tokio::sync::oneshot;
@@ -32,6 +32,9 @@
 /// Time without any stored record after which turns wait until their reservation is stored, as
 /// the disks may have stalled.
 const MAX_UNSTORED_TIME: Duration = Duration::from_millis(500);
+/// Time for which further stores may answer a reservation after a quorum whose ledgers leave too
+/// few tokens.
+const REJECTION_DELAY: Duration = Duration::from_millis(300);
 /// Timeout of a settlement.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -141,8 +144,14 @@
         let outcome = tokio::select! {
             ledger = &mut stored => ledger.unwrap_or(Err(GroupError::NoQuorum)).map(ReservedLedger::stored),
             Some(ledger) = unsynced => Ok(ReservedLedger {
+                pending: Some(PendingLedger {
+                    received: ledger.clone(),
+                    stored,
+                    stores: self.stores.clone(),
+                    request: request.clone(),
+                    deadline,
+                }),
                 ledger,
-                pending: Some(PendingLedger { stored, stores: self.stores.clone(), request: request.clone(), deadline }),
             }),
         };
         metrics()
@@ -219,6 +228,8 @@
     pub reserved: ReservedTurn,
     /// Maximum number of tokens of the turn.
     pub max_tokens: u32,
+    /// Token budget of the program.
+    pub budget: u64,
     /// Replica on which the turn is expected to run.
     pub placement: Option<Placement>,
 }
@@ -231,6 +242,34 @@
             max_tokens: self.max_tokens,
         })
     }
+
+    /// Returns whether this ledger leaves the turn's tokens.
+    pub fn fits(&self, ledger: &LedgerView) -> bool {
+        let others = ledger.total_excluding(&self.reserved.turn);
+        others.saturating_add(self.max_tokens.into()) <= self.budget
+    }
+
+    fn fields(&self, rejection_delay: Duration) -> ReservationFields {
+        ReservationFields {
+            placement: self.placement,
+            room: Some(LedgerRoom {
+                max_others: self.budget.saturating_sub(self.max_tokens.into()),
+                rejection_delay,
+            }),
+        }
+    }
+
+    async fn append(
+        &self,
+        stores: &GroupClients,
+        rejection_delay: Duration,
+        time_limit: Duration,
+    ) -> Result<LedgerView, GroupError> {
+        let fields = self.fields(rejection_delay);
+        stores
+            .append_with_fields(self.record(), fields, time_limit)
+            .await
+    }
 }
 
 /// Ledger of a program that includes the reservation of a turn.
@@ -250,8 +289,10 @@
     }
 }
 
-/// A reservation that is being stored.
+/// A reservation that a quorum has received and that is being stored.
 pub struct PendingLedger {
+    /// The ledger as of the receipt.
+    received: LedgerView,
     stored: oneshot::Receiver<Result<LedgerView, GroupError>>,
     stores: Rc<GroupClients>,
     request: ReservationRequest,
@@ -261,17 +302,37 @@
 impl PendingLedger {
     /// Waits until the reservation is stored and returns the ledger as of then. Repeats the
     /// append until the deadline, since the turn may have run already.
-    pub async fn wait(self) -> Result<LedgerView, GroupError> {
-        let mut outcome = self.stored.await.unwrap_or(Err(GroupError::NoQuorum));
+    pub async fn wait(&mut self) -> Result<LedgerView, GroupError> {
+        let stored = (&mut self.stored).await;
+        let mut outcome = stored.unwrap_or(Err(GroupError::NoQuorum));
         while outcome.is_err() && Instant::now() + COMMIT_RETRY_DELAY < self.deadline {
             tokio::time::sleep(COMMIT_RETRY_DELAY).await;
-            let remaining = self.deadline.saturating_duration_since(Instant::now());
-            let time_limit = remaining.min(COMMIT_ATTEMPT_TIMEOUT);
-            let record = self.request.record();
-            outcome = self.stores.append(record, time_limit).await;
+            let time_limit = self.remaining().min(COMMIT_ATTEMPT_TIMEOUT);
+            let append = self
+                .request
+                .append(&self.stores, REJECTION_DELAY, time_limit);
+            outcome = append.await;
         }
         outcome
     }
+
+    /// Waits like `wait`, for a turn that was granted. The stores that had received its
+    /// reservation leave it room once they have all stored it, so they are given the time.
+    async fn wait_for_granting_quorum(mut self) -> Result<LedgerView, GroupError> {
+        let ledger = self.wait().await?;
+        if self.request.fits(&ledger) {
+            return Ok(ledger);
+        }
+        let remaining = self.remaining();
+        let append = self.request.append(&self.stores, remaining, remaining);
+        let mut ledger = append.await.unwrap_or(ledger);
+        ledger.merge_settlements(&self.received);
+        Ok(ledger)
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
 }
 
 /// Stores a reservation. An outdated member list is replaced once by the newer one that came
@@ -285,7 +346,7 @@
     let until = Instant::now() + time_limit;
     let append = || {
         let remaining = until.saturating_duration_since(Instant::now());
-        stores.append_with_placement(request.record(), request.placement, remaining)
+        request.append(&stores, REJECTION_DELAY, remaining)
     };
     let mut ledger = append().await;
     if matches!(ledger, Err(GroupError::StaleMembers)) {
@@ -298,30 +359,27 @@
 pub struct PendingCheck {
     /// The reservation that is being stored.
     pub ledger: PendingLedger,
-    /// Token budget of the program.
-    pub budget: u64,
 }
 
 impl PendingCheck {
     /// Waits until the reservation is stored; returns why the turn's output must not be
     /// forwarded, if so. Adds the ledger that decided to the request's `summary`.
     pub async fn wait(self, summary: &mut RequestSummary) -> Result<(), &'static str> {
-        let turn = self.ledger.request.reserved.turn.clone();
-        let max_tokens = u64::from(self.ledger.request.max_tokens);
-        let ledger = match self.ledger.wait().await {
+        let request = self.ledger.request.clone();
+        let ledger = match self.ledger.wait_for_granting_quorum().await {
             Ok(ledger) => ledger,
             Err(error) => {
                 summary.ledger.push_str(&format!(" stored_error={error}"));
                 return Err("not_reserved");
             }
         };
-        let others = ledger.total_excluding(&turn);
+        let others = ledger.total_excluding(&request.reserved.turn);
         let turns = ledger.turns();
         let decision = format!(" stored_others={others} stored_turns={turns}");
         summary.ledger.push_str(&decision);
-        match others + max_tokens > self.budget {
-            true => Err("budget_spent_meanwhile"),
-            false => Ok(()),
+        match request.fits(&ledger) {
+            true => Ok(()),
+            false => Err("budget_spent_meanwhile"),
         }
     }
 }
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
+use stageyoke_store::GroupError;
 use stageyoke_store::message::Placement;
-use stageyoke_store::{GroupError, LedgerView};
 use stageyoke_types::ErrorKind;
 use tokio::time::Instant;
 
@@ -26,6 +26,7 @@
 /// Failure time of a store group after which requests fail immediately. Probes detect its
 /// recovery.
 const FAIL_FAST_DELAY: Duration = Duration::from_millis(800);
+
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
     /// Reads the transcript that this turn continues, if any.
     pub(crate) async fn read_transcript(
@@ -89,6 +90,11 @@
         if parameters.program.is_empty() || context.route.kind != RouteKind::Stream {
             return Ok(None);
         }
+        let max_tokens = parameters.max_tokens;
+        if u64::from(max_tokens) > budget {
+            *detail.borrow_mut() = format!("budget={budget} most={max_tokens}");
+            return Err(budget_spent());
+        }
         let (program, turn) = (
             context.identifiers.program.clone(),
             context.identifiers.turn.clone(),
@@ -112,7 +118,6 @@
             retention: context.route.retention,
         };
         let mut reservation = Reservation::new(self.history.clone(), reserved.clone());
-        let max_tokens = parameters.max_tokens;
         let not_reserved = |error| {
             *detail.borrow_mut() = format!("budget={budget} most={max_tokens} error={error}");
             Failure::retryable(
@@ -124,6 +129,7 @@
         let request = ReservationRequest {
             reserved,
             max_tokens,
+            budget,
             placement,
         };
         let reserve_until = Instant::now() + time_limit;
@@ -133,11 +139,9 @@
             mut ledger,
             mut pending,
         } = reserving.await.map_err(not_reserved)?;
-        let exceeds_budget =
-            |ledger: &LedgerView| ledger.total_excluding(&turn) + u64::from(max_tokens) > budget;
         // A reservation that is not stored may still fail, so it rejects no other.
-        if exceeds_budget(&ledger)
-            && let Some(pending) = pending.take()
+        if !request.fits(&ledger)
+            && let Some(mut pending) = pending.take()
         {
             let waiting = tokio::time::timeout_at(reserve_until, pending.wait());
             let stored = waiting.await.unwrap_or(Err(GroupError::NoQuorum));
@@ -149,15 +153,16 @@
             ledger.turns(),
             u8::from(pending.is_some())
         );
-        if exceeds_budget(&ledger) {
-            return Err(Failure::permanent(
-                ErrorKind::TokenBudgetSpent,
-                "budget_spent",
-            ));
+        if !request.fits(&ledger) {
+            return Err(budget_spent());
         }
         if let Some(ledger) = pending {
-            reservation.set_pending_check(PendingCheck { ledger, budget });
+            reservation.set_pending_check(PendingCheck { ledger });
         }
         Ok(Some(reservation))
     }
 }
+
+fn budget_spent() -> Failure {
+    Failure::permanent(ErrorKind::TokenBudgetSpent, "budget_spent")
+}
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -16,13 +16,15 @@
 };
 use stageyoke_front::{FrontListeners, FrontSettings};
 use stageyoke_store::StoreLimits;
+use stageyoke_store::journal::AppendResult;
 use stageyoke_store::local_store::LocalStore;
 use stageyoke_store::segment::DataFolder;
 use stageyoke_types::Text;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use super::support::names;
@@ -245,6 +247,9 @@
 /// Real store on the loopback interface.
 pub struct Store {
     address: SocketAddr,
+    local_store: Rc<LocalStore>,
+    /// Whether the disk reports its writes.
+    disk_reports: watch::Sender<bool>,
     tasks: Vec<JoinHandle<()>>,
     _folder: TempDir,
 }
@@ -261,21 +266,38 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let collector = local_store.clone();
-        let serving = stageyoke_store::server::serve(local_store, listener);
+        let serving = stageyoke_store::server::serve(local_store.clone(), listener);
+        let (disk_reports, reporting) = watch::channel(true);
+        let (reports, reported) = unbounded_channel();
         let tasks = vec![
             tokio::task::spawn_local(serving),
+            tokio::task::spawn_local(delay_reports(results, reports, reporting)),
             tokio::task::spawn_local(
-                async move { collector.process_journal_results(results).await },
+                async move { collector.process_journal_results(reported).await },
             ),
         ];
         Self {
             address,
+            local_store,
+            disk_reports,
             tasks,
             _folder: folder,
         }
     }
 }
 
+/// Passes on what a disk reports while `reporting` is set.
+async fn delay_reports(
+    mut results: UnboundedReceiver<Vec<AppendResult>>,
+    reports: UnboundedSender<Vec<AppendResult>>,
+    mut reporting: watch::Receiver<bool>,
+) {
+    while let Some(batch) = results.recv().await {
+        let _ = reporting.wait_for(|reports| *reports).await;
+        let _ = reports.send(batch);
+    }
+}
+
 /// Path of requests under which a replica of `Replica::start_ending` ends.
 pub const DEADLY_PATH: &str = "/stream/deadly";
 
@@ -480,6 +502,28 @@
         self.directory.write(&format!("replica-{number}"), &value);
     }
 
+    /// Forms a group of all stores, which accept records from then on.
+    pub fn form_group(&self) {
+        let groups = Rc::new(store_groups(&self.store_addresses().join(" ")));
+        for store in &self.stores {
+            store.local_store.set_stores(groups.clone());
+        }
+    }
+
+    /// Lets the disks of all stores report their writes, or not until they may again.
+    pub fn set_disks_report(&self, reporting: bool) {
+        for store in &self.stores {
+            let _ = store.disk_reports.send(reporting);
+        }
+    }
+
+    /// Returns the number of stores that have received records which are not stored yet.
+    pub fn stores_with_unstored_records(&self, records: usize) -> usize {
+        let stores = self.stores.iter();
+        let waiting = stores.filter(|store| store.local_store.in_flight_records() >= records);
+        waiting.count()
+    }
+
     /// Removes a replica from the list.
     pub fn remove(&self, number: usize) {
         self.directory.write(&format!("replica-{number}"), "");
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -50,6 +50,7 @@
 const RESTRICTIONS_TAG: u8 = 22;
 const LEDGER_RETENTION_TAG: u8 = 23;
 const LEDGER_RETENTIONS_TAG: u8 = 24;
+const LATER_ENTRIES_TAG: u8 = 25;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -249,6 +250,9 @@
     pub ledger_retention_seconds: Option<u32>,
     /// After a reply with records: that time of each record in order; 0 if it is not known.
     pub ledger_retentions: Option<List<u32>>,
+    /// After the reply to a reservation: how many of the last entries of the ledger in it the
+    /// store has received after the reservation.
+    pub later_ledger_entries: Option<u32>,
 }
 
 impl ExtensionFields {
@@ -306,6 +310,8 @@
         encode_field(LEDGER_RETENTION_TAG, retention, output);
         let retentions = self.ledger_retentions.as_ref();
         encode_field(LEDGER_RETENTIONS_TAG, retentions, output);
+        let later = self.later_ledger_entries.as_ref();
+        encode_field(LATER_ENTRIES_TAG, later, output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -356,6 +362,9 @@
                 LEDGER_RETENTIONS_TAG => {
                     fields.ledger_retentions = Some(DeBin::deserialize_bin(content)?);
                 }
+                LATER_ENTRIES_TAG => {
+                    fields.later_ledger_entries = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -9,7 +9,7 @@
 
 use stageyoke_directory::{Freshness, GroupNumber, Member, Members, StoreGroups, Tolerance};
 use stageyoke_types::{List, Text};
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::Instant;
 
 use crate::client::{CallError, ExtendedReply, StoreClient};
@@ -17,7 +17,7 @@
 use crate::frame::EncodedMessage;
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Reply, Request};
-use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerView, UnsyncedTally};
+use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerRoom, LedgerView, UnsyncedTally};
 use crate::restricted_requests::RestrictedRequests;
 use crate::stored_record::StoredRecord;
 
@@ -80,6 +80,15 @@
     Unknown,
 }
 
+/// What an append of a reservation has beyond its record.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReservationFields {
+    /// Replica on which the turn is placed.
+    pub placement: Option<Placement>,
+    /// Room that the ledger must leave; `None` if any ledger will do.
+    pub room: Option<LedgerRoom>,
+}
+
 /// State shared by a front's clients of all groups.
 #[derive(Clone)]
 pub struct GroupContext {
@@ -297,11 +306,11 @@
 
     /// Sends a record to every member and returns once a write quorum has it on disk. For a
     /// reservation the quorum counts only complete members, and the result is their merged
-    /// ledger.
+    /// ledger; with a room to be left, that of a quorum which leaves it, if one does.
     pub async fn append(
         &self,
         record: StoredRecord,
-        placement: Option<Placement>,
+        reservation: ReservationFields,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         if !record.record.fits_into_frame() {
@@ -310,7 +319,9 @@
         if self.unstored_since.get().is_none() {
             self.unstored_since.set(Some(Instant::now()));
         }
-        let outcome = self.append_to_members(record, placement, time_limit).await;
+        let outcome = self
+            .append_to_members(record, reservation, time_limit)
+            .await;
         if outcome.is_ok() {
             self.unstored_since.set(None);
         }
@@ -321,11 +332,16 @@
     async fn append_to_members(
         &self,
         stored: StoredRecord,
-        placement: Option<Placement>,
+        reservation: ReservationFields,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         let members = self.members();
-        let reads_ledger = matches!(stored.record, Record::Reserve { .. });
+        let reserved_turn = match &stored.record {
+            Record::Reserve { turn, .. } => Some(turn.clone()),
+            Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
+        };
+        let reads_ledger = reserved_turn.is_some();
+        let needed = reserved_turn.zip(reservation.room);
         let mut tally = AppendTally::new(&members, &self.context.tolerance, reads_ledger)?;
         let sent_at = Instant::now();
         let (answers, mut received) = unbounded_channel();
@@ -333,7 +349,7 @@
             group: self.number,
             members_version: members.version,
             load: self.context.load.report(self.number),
-            placement,
+            placement: reservation.placement,
             record: stored.record.clone(),
         });
         let extensions = Rc::new(ExtensionFields {
@@ -357,18 +373,31 @@
             });
         }
         drop(answers);
-        while let Some(answer) = received.recv().await {
+        let mut wait_until = None;
+        while let Some(answer) = receive_until(&mut received, wait_until).await {
             let (node, Ok(mut answer)) = answer else {
                 continue;
             };
             self.apply_answer(&mut answer, reads_ledger, sent_at);
-            tally.add_reply(&node, answer.reply);
+            let later_entries = answer.extension_fields.later_ledger_entries;
+            let later_entries = later_entries.unwrap_or(0) as usize;
+            tally.add_ordered_reply(&node, answer.reply, later_entries);
             if let Some(newer) = tally.take_newer_stores() {
                 self.apply_newer_stores(newer);
             }
-            if tally.is_stored() {
+            if !tally.is_stored() {
+                continue;
+            }
+            let Some((turn, room)) = &needed else {
+                break;
+            };
+            if let Some(ledger) = tally.fitting_ledger(turn, *room) {
+                return Ok(ledger);
+            }
+            if !tally.may_still_fit(turn, *room) {
                 break;
             }
+            wait_until = wait_until.or(Some(Instant::now() + room.rejection_delay));
         }
         tally.outcome()
     }
@@ -548,6 +577,19 @@
     }
 }
 
+/// Receives the next answer, if one comes in time.
+async fn receive_until<T>(
+    received: &mut UnboundedReceiver<T>,
+    until: Option<Instant>,
+) -> Option<T> {
+    match until {
+        Some(until) => tokio::time::timeout_at(until, received.recv())
+            .await
+            .unwrap_or(None),
+        None => received.recv().await,
+    }
+}
+
 /// Retries a call after a connection failure. Members identify records by their digests, so a
 /// duplicate is harmless.
 async fn call_with_retry(
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -15,7 +15,7 @@
 use crate::client::StoreClient;
 use crate::cold_permits;
 use crate::extension::{PermitRequest, StreamReport};
-use crate::group_client::{ChainOutcome, GroupClient, GroupContext, GroupError};
+use crate::group_client::{ChainOutcome, GroupClient, GroupContext, GroupError, ReservationFields};
 use crate::keys::{StreamKey, TurnKey};
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Request};
@@ -287,15 +287,15 @@
         record: impl Into<StoredRecord>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
-        self.append_with_placement(record, None, time_limit).await
+        let no_fields = ReservationFields::default();
+        self.append_with_fields(record, no_fields, time_limit).await
     }
 
-    /// Appends a record like `append`. A reservation also reports the replica on which its
-    /// turn is placed.
-    pub async fn append_with_placement(
+    /// Appends a record like `append`, with what belongs to a reservation.
+    pub async fn append_with_fields(
         &self,
         record: impl Into<StoredRecord>,
-        placement: Option<Placement>,
+        reservation: ReservationFields,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         let record = record.into();
@@ -304,7 +304,7 @@
             self.unknown_since.set(Some(since));
             return Err(GroupError::NoGroup);
         };
-        let outcome = group.append(record, placement, time_limit).await;
+        let outcome = group.append(record, reservation, time_limit).await;
         self.apply_newer_stores();
         outcome
     }
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -59,12 +59,12 @@
 pub mod wait_reason;
 
 pub use client::StoreClient;
-pub use group_client::{ChainOutcome, GroupClient, GroupError};
+pub use group_client::{ChainOutcome, GroupClient, GroupError, ReservationFields};
 pub use group_clients::GroupClients;
 pub use limits::StoreLimits;
 pub use load::LoadTracker;
 pub use message::{LedgerEntry, Record, Reply, Request, TurnRecord};
-pub use quorum::LedgerView;
+pub use quorum::{LedgerRoom, LedgerView};
 pub use recent_turns::RecentTurns;
 pub use store_host::{StoreHost, StoreSettings};
 pub use stored_record::StoredRecord;
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -112,6 +112,7 @@
         let (journal, results) = Journal::start(folder, next_segment, limits.segment_bytes, clock)?;
         let mut state = recovered.state;
         state.set_recent_bytes(limits.recent_bytes);
+        state.forget_entry_order();
         let stores = recovered.stores.unwrap_or_default();
         let recovered_stores_version = stores.version;
         let membership = MembershipState::new(node.clone(), stores, recovered.completeness);
@@ -207,6 +208,9 @@
     /// Declares the store complete for its group and saves that to disk.
     pub fn declare_complete(&self) {
         let completeness = self.membership.borrow_mut().declare_complete();
+        if completeness.is_some() {
+            self.state.borrow_mut().forget_entry_order();
+        }
         self.save_completeness(completeness);
     }
 
@@ -266,6 +270,8 @@
             return;
         }
         self.members_since.set(Instant::now());
+        // Records that came from peers before are in their order.
+        self.state.borrow_mut().forget_entry_order();
         let now = self.started_at.elapsed();
         self.quotas.borrow_mut().handle_owner_change(now);
         let mut positions_held_by_peers = self.positions_held_by_peers.borrow_mut();
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -29,13 +29,15 @@
 /// Write delay below which a disk is not reported as slow.
 const MIN_REPORTED_WRITE_DELAY: Duration = Duration::from_millis(100);
 
-/// The reply to a request, and the fields behind it that come from records.
+/// The reply to a request, and the fields behind it that belong to its content.
 #[derive(Debug)]
 pub struct HandledRequest {
     /// The reply.
     pub reply: Reply,
     /// Retentions of the ledgers of the records in the reply.
     pub ledger_retentions: Option<List<u32>>,
+    /// How many of the last entries of the ledger in the reply came after the reservation.
+    pub later_ledger_entries: Option<u32>,
 }
 
 impl From<Reply> for HandledRequest {
@@ -43,6 +45,7 @@
         Self {
             reply,
             ledger_retentions: None,
+            later_ledger_entries: None,
         }
     }
 }
@@ -252,8 +255,24 @@
         if let Request::Fetch { digests } = request {
             return self.fetch(&digests).await;
         }
+        let reservation = match &request {
+            Request::Append {
+                record: Record::Reserve { program, turn, .. },
+                ..
+            } => Some((program.clone(), TurnKey::of(turn))),
+            _ => None,
+        };
         let reply = self.handle_plain_request(request, ledger_retention).await;
-        HandledRequest::from(reply)
+        let is_stored = matches!(reply, Reply::Stored { .. });
+        let later_entries = reservation.filter(|_| is_stored).map(|(program, turn)| {
+            let later = self.state.borrow().later_ledger_entries(&program, turn);
+            u32::try_from(later).unwrap_or(u32::MAX)
+        });
+        HandledRequest {
+            reply,
+            ledger_retentions: None,
+            later_ledger_entries: later_entries,
+        }
     }
 
     async fn handle_plain_request(&self, request: Request, ledger_retention: Option<u32>) -> Reply {
@@ -367,6 +386,7 @@
         });
         HandledRequest {
             ledger_retentions: Some(retentions.collect()),
+            later_ledger_entries: None,
             reply: Reply::Fetched {
                 journal,
                 records: records.into_iter().map(|record| record.record).collect(),
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -3,13 +3,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use stageyoke_directory::{Members, Quorums, StoreGroups, Tolerance};
 
 use crate::group_client::GroupError;
 use crate::keys::TurnKey;
 use crate::message::{ChainPart, LedgerEntry, Refusal, Reply};
-use stageyoke_types::Text;
+use stageyoke_types::{List, Text};
 
 /// A program's ledger, merged from the replies of a quorum.
 #[derive(Clone, Debug, Default)]
@@ -30,6 +31,23 @@
         }
     }
 
+    /// Adopts the settlements of another view of the same ledger.
+    pub fn merge_settlements(&mut self, other: &Self) {
+        for (turn, entry) in &other.entries {
+            if entry.settled && self.entries.contains_key(turn) {
+                self.merge([*entry]);
+            }
+        }
+    }
+
+    fn restricted_to(&self, turns: &BTreeSet<u64>) -> Self {
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(turn, _)| turns.contains(turn));
+        Self {
+            entries: entries.map(|(turn, entry)| (*turn, *entry)).collect(),
+        }
+    }
+
     /// Tokens that all turns except this one have used or reserved.
     pub fn total_excluding(&self, turn: &str) -> u64 {
         let TurnKey(turn) = TurnKey::of(turn);
@@ -52,16 +70,38 @@
     }
 }
 
+/// Room that other turns must leave for a turn to be granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LedgerRoom {
+    /// Most tokens that other turns may have used or reserved.
+    pub max_others: u64,
+    /// Time for which further members may answer after a write quorum whose ledgers leave too
+    /// little.
+    pub rejection_delay: Duration,
+}
+
+/// Largest number of members of which every quorum is considered. Beyond it, one fitting quorum
+/// may be missed, and a turn rejected for it.
+const MAX_COMPARED_MEMBERS: usize = 10;
+
 /// Replies to one append. The record is durable once a write quorum of the member list in use
 /// has it on disk, and during a change also one of the list before it. For a reservation only
 /// complete members count, since their ledgers decide on the budget.
+///
+/// Of a member's ledger only the entries count that it has received before the reservation. Two
+/// quorums share a member, and one of two reservations came first there. So of any two turns at
+/// least one counts the other, by whichever quorum each of them is decided, and one that came
+/// later everywhere never changes a decision.
 #[derive(Debug)]
 pub struct AppendTally {
     members: Rc<Members>,
     quorums: Quorums,
     reads_ledger: bool,
     stored_on: BTreeSet<Text>,
-    ledger: LedgerView,
+    /// Entries that came before the reservation, by member.
+    earlier_turns: BTreeMap<Text, BTreeSet<u64>>,
+    /// All entries, with the newest known amounts.
+    amounts: LedgerView,
     error: GroupError,
     newer_stores: Option<StoreGroups>,
 }
@@ -78,22 +118,35 @@
             quorums: members.quorums(tolerance).ok_or(GroupError::NoGroup)?,
             reads_ledger,
             stored_on: BTreeSet::new(),
-            ledger: LedgerView::default(),
+            earlier_turns: BTreeMap::new(),
+            amounts: LedgerView::default(),
             error: GroupError::NoQuorum,
             newer_stores: None,
         })
     }
 
-    /// Adds the reply of the member on this machine. Repeated replies count once.
+    /// Adds the reply of the member on this machine, whose whole ledger came before the
+    /// reservation as far as is known. Repeated replies count once.
     pub fn add_reply(&mut self, member: &Text, reply: Reply) {
+        self.add_ordered_reply(member, reply, 0);
+    }
+
+    /// Adds a reply like `add_reply`, of which the last `later_entries` entries of the ledger
+    /// came after the reservation.
+    pub fn add_ordered_reply(&mut self, member: &Text, reply: Reply, later_entries: usize) {
         match reply {
             Reply::Stored {
-                complete, ledger, ..
+                complete,
+                ledger: List(entries),
+                ..
             } => {
-                self.ledger.merge(ledger);
                 if complete || !self.reads_ledger {
                     self.stored_on.insert(member.clone());
+                    let earlier = entries.len().saturating_sub(later_entries);
+                    let turns = entries[..earlier].iter().map(|entry| entry.turn).collect();
+                    self.earlier_turns.insert(member.clone(), turns);
                 }
+                self.amounts.merge(entries);
             }
             Reply::StaleMembers(newer) => {
                 let known = self.newer_stores.as_ref().map_or(0, |known| known.version);
@@ -121,8 +174,7 @@
 
     /// Checks whether a write quorum has stored the record.
     pub fn is_stored(&self) -> bool {
-        self.members
-            .has_quorum(self.quorums, |member| self.stored_on.contains(&member.node))
+        self.is_quorum(&self.stored_on)
     }
 
     /// Takes the newer store groups that came with a rejection.
@@ -130,10 +182,61 @@
         self.newer_stores.take()
     }
 
-    /// Returns the merged ledger, or the reason why no quorum has stored the record.
+    /// Returns the ledger of a write quorum that has stored the reservation of `turn` and leaves
+    /// the room, if there is one.
+    pub fn fitting_ledger(&self, turn: &str, room: LedgerRoom) -> Option<LedgerView> {
+        let fits = |ledger: &LedgerView| ledger.total_excluding(turn) <= room.max_others;
+        let whole = self.ledger_of(&self.stored_on);
+        if self.is_stored() && fits(&whole) {
+            return Some(whole);
+        }
+        let leaving_room = |member: &&Text| !self.exceeds(member, turn, room);
+        let candidates: Vec<&Text> = self.stored_on.iter().filter(leaving_room).collect();
+        if candidates.len() > MAX_COMPARED_MEMBERS {
+            return None;
+        }
+        let subsets = 1..1_usize << candidates.len();
+        let mut quorums = subsets
+            .map(|subset| {
+                let chosen = (0..candidates.len()).filter(|index| subset >> index & 1 == 1);
+                chosen.map(|index| candidates[index].clone()).collect()
+            })
+            .filter(|chosen| self.is_quorum(chosen));
+        quorums.find_map(|chosen| Some(self.ledger_of(&chosen)).filter(fits))
+    }
+
+    /// Returns whether further replies may still complete a write quorum that leaves the room.
+    pub fn may_still_fit(&self, turn: &str, room: LedgerRoom) -> bool {
+        self.members.has_quorum(self.quorums, |member| {
+            !self.exceeds(&member.node, turn, room)
+        })
+    }
+
+    /// Returns whether a member's ledger alone leaves too little room.
+    fn exceeds(&self, member: &Text, turn: &str, room: LedgerRoom) -> bool {
+        let ledger = self.ledger_of(&BTreeSet::from([member.clone()]));
+        ledger.total_excluding(turn) > room.max_others
+    }
+
+    fn is_quorum(&self, chosen: &BTreeSet<Text>) -> bool {
+        self.members
+            .has_quorum(self.quorums, |member| chosen.contains(&member.node))
+    }
+
+    /// Returns the entries that came before the reservation at any of these members.
+    fn ledger_of(&self, chosen: &BTreeSet<Text>) -> LedgerView {
+        let sets = chosen
+            .iter()
+            .filter_map(|member| self.earlier_turns.get(member));
+        let turns: BTreeSet<u64> = sets.flatten().copied().collect();
+        self.amounts.restricted_to(&turns)
+    }
+
+    /// Returns the ledger of all members that have stored the record, or the reason why no quorum
+    /// has.
     pub fn outcome(self) -> Result<LedgerView, GroupError> {
         match self.is_stored() {
-            true => Ok(self.ledger),
+            true => Ok(self.ledger_of(&self.stored_on)),
             false => Err(self.error),
         }
     }
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -162,6 +162,7 @@
     let extension_fields = match context.peer.reads_extension_fields() {
         true => context.peer.fields_for_next_message(&ExtensionFields {
             ledger_retentions: handled.ledger_retentions,
+            later_ledger_entries: handled.later_ledger_entries,
             ..local_store.reply_fields(context.requested_fields)
         }),
         false => ExtensionFields::default(),
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -72,6 +72,8 @@
     /// Entries in the order of the turns' first records. Most programs have only a few
     /// turns, so a linear search is fast enough.
     entries: Vec<LedgerEntry>,
+    /// Number of the first entries whose order may differ from that which earlier replies told.
+    unordered: usize,
     expires_at: u64,
 }
 
@@ -87,6 +89,13 @@
         let mut entries = self.entries.iter_mut().rev();
         entries.find(|entry| entry.turn == turn.0)
     }
+
+    /// Returns how many of the last entries came after that of `turn`.
+    fn later_entries(&self, turn: TurnKey) -> usize {
+        let position = self.entries.iter().position(|entry| entry.turn == turn.0);
+        let first_later = position.map_or(self.entries.len(), |position| position + 1);
+        self.entries.len() - first_later.max(self.unordered)
+    }
 }
 
 /// The number of copies of a record in the journal, and the location of the last one.
@@ -293,6 +302,22 @@
         List(ledger.map_or_else(Vec::new, |ledger| ledger.entries.clone()))
     }
 
+    /// Returns how many of the last entries of a program's ledger the store has received after
+    /// the reservation of `turn`, so that every reply to one of them had it. None do if their
+    /// order is not certain.
+    pub fn later_ledger_entries(&self, program: &str, turn: TurnKey) -> usize {
+        let ledger = self.ledgers.get(&ProgramKey::of(program));
+        ledger.map_or(0, |ledger| ledger.later_entries(turn))
+    }
+
+    /// Forgets the order of all ledger entries. A restart reads them in the order of their newest
+    /// copies, and a store that joins a group or is filled gets them in that of its peers.
+    pub fn forget_entry_order(&mut self) {
+        for ledger in self.ledgers.values_mut() {
+            ledger.unordered = ledger.entries.len();
+        }
+    }
+
     /// Returns the stored part of the chain that ends in `turn`, newest first, up to
     /// `max_bytes` and at least one turn.
     pub fn chain(&self, turn: &Text, max_bytes: usize) -> Vec<ChainLink> {
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -536,6 +536,45 @@
     .await;
 }
 
+/// Returns how many reservations a store tells to have come after this one.
+async fn later_entries(store: &Store, members_version: u64, turn: &str) -> Option<u32> {
+    let request = Request::Append {
+        group: GroupNumber(0),
+        members_version,
+        load: Default::default(),
+        placement: None,
+        record: reserve_record(turn),
+    };
+    let handled = store.local_store.handle_extended_request(request, None);
+    handled.await.later_ledger_entries
+}
+
+/// Guards against two turns of which none counts the other: a store tells an order only of
+/// reservations that it has received since its start and the newest member list.
+#[tokio::test]
+async fn a_store_tells_the_order_of_reservations_only_while_nothing_may_have_changed_it() {
+    run_local(async {
+        let (mut stores, _group) = start_group(3).await;
+        let members = store_groups(&stores);
+        let version = members.group(GroupNumber(0)).expect("group").version;
+        for turn in ["one", "two"] {
+            assert_eq!(later_entries(&stores[0], version, turn).await, Some(0));
+        }
+        assert_eq!(later_entries(&stores[0], version, "one").await, Some(1));
+        let changed = with_later_version(&members, 1);
+        stores[0].local_store.set_stores(changed);
+        let version = version + 1;
+        assert_eq!(later_entries(&stores[0], version, "one").await, Some(0));
+        assert_eq!(later_entries(&stores[0], version, "three").await, Some(0));
+        assert_eq!(later_entries(&stores[0], version, "one").await, Some(1));
+        let store = stores.remove(0);
+        stop(&store);
+        let restarted = Store::start_in(0, false, store.folder).await;
+        assert_eq!(later_entries(&restarted, version, "one").await, Some(0));
+    })
+    .await;
+}
+
 /// A reservation that too few stores have accepted, or that may never be stored, must not
 /// count.
 #[rstest]
--- a/crates/stageyoke-store/tests/plans/simulated_store.rs
+++ b/crates/stageyoke-store/tests/plans/simulated_store.rs
@@ -9,6 +9,7 @@
 use stageyoke_directory::{GroupNumber, Member, Members, StoreGroups, Tolerance};
 use stageyoke_store::completeness::Completeness;
 use stageyoke_store::journal_sync::{DigestPage, JournalSync};
+use stageyoke_store::keys::TurnKey;
 use stageyoke_store::membership::{
     FencedJournalEnd, LocalMember, MembershipStep, PeerHealth, decide, is_caught_up_with_group,
     is_fenced,
@@ -179,6 +180,7 @@
                     .add(&record.clone().into(), RecordLocation::default(), 0);
             }
         }
+        self.state.forget_entry_order();
         let node = self.entry.node.clone();
         let disk = &self.disk;
         self.membership = MembershipState::new(node, disk.stores.clone(), disk.completeness);
@@ -253,6 +255,16 @@
         }
     }
 
+    /// How many entries of the ledger in the reply to an append came after it.
+    pub fn later_entries(&self, record: &Record) -> usize {
+        match record {
+            Record::Reserve { program, turn, .. } => {
+                self.state.later_ledger_entries(program, TurnKey::of(turn))
+            }
+            _ => 0,
+        }
+    }
+
     /// The reply to a request for a turn's chain.
     pub fn chain(&self, group: GroupNumber, members_version: u64, turn: &Text) -> Reply {
         let steps = self.state.chain(turn, usize::MAX);
@@ -294,6 +306,7 @@
             return;
         }
         self.members_since = now;
+        self.state.forget_entry_order();
         let is_member = |node: &Text| members.get(node).is_some();
         self.held_by.retain(|node, _| is_member(node));
         self.syncs.retain(|node, _| is_member(node));
@@ -457,6 +470,7 @@
         let awaits_completeness = !self.membership.is_complete() && lists_current_disk;
         if awaits_completeness && self.is_caught_up_with_group(tolerance) {
             let completeness = self.membership.declare_complete();
+            self.state.forget_entry_order();
             self.store_completeness(completeness);
         }
     }
--- a/crates/stageyoke-store/tests/plans/simulation.rs
+++ b/crates/stageyoke-store/tests/plans/simulation.rs
@@ -14,7 +14,7 @@
 };
 use stageyoke_store::membership::MembershipStep;
 use stageyoke_store::message::{Record, Reply, TurnRecord};
-use stageyoke_store::quorum::{AppendTally, ChainLookup, ChainTally};
+use stageyoke_store::quorum::{AppendTally, ChainLookup, ChainTally, LedgerView};
 use stageyoke_store::spare::{LOST_MEMBER_TIMEOUT, replacement_timeout};
 use stageyoke_types::{Blob, Text};
 
@@ -123,7 +123,7 @@
     SendRequest,
     DeliverRequest(usize, usize),
     SyncDisk(usize, usize),
-    DeliverReply(usize, Text, Reply),
+    DeliverReply(usize, Text, Reply, usize),
     CallTimeout(usize),
 }
 
@@ -146,6 +146,8 @@
     program: Text,
     turn: Text,
     amount: u32,
+    /// The ledger by which a reservation was decided.
+    ledger: LedgerView,
 }
 
 struct Front {
@@ -383,7 +385,9 @@
             }
             Event::DeliverRequest(call, store) => self.deliver_request(call, store),
             Event::SyncDisk(call, store) => self.sync_disk(call, store),
-            Event::DeliverReply(call, node, reply) => self.apply_reply(call, &node, reply),
+            Event::DeliverReply(call, node, reply, later) => {
+                self.apply_reply(call, &node, reply, later)
+            }
             Event::CallTimeout(call) => drop(self.calls[call].pending.take()),
         }
     }
@@ -904,7 +908,7 @@
             Some(PendingCall::Append { record, .. }) => {
                 let record = record.clone();
                 match self.stores[store].append(group, version, &record, self.now) {
-                    Some(refusal) => self.send(Event::DeliverReply(call, node, refusal)),
+                    Some(refusal) => self.send(Event::DeliverReply(call, node, refusal, 0)),
                     None => {
                         let delay = self.draw(1, 25);
                         self.schedule_after(delay, Event::SyncDisk(call, store));
@@ -917,7 +921,7 @@
                 if let Reply::Chain { complete, .. } = &mut reply {
                     *complete &= !(never_absent && self.wiped_groups.contains(&group));
                 }
-                self.send(Event::DeliverReply(call, node, reply));
+                self.send(Event::DeliverReply(call, node, reply, 0));
             }
             None => {}
         }
@@ -934,14 +938,15 @@
         if self.stores[store].sync(&record, self.now) {
             let node = self.stores[store].entry.node.clone();
             let reply = self.stores[store].append_reply(self.calls[call].group, &record);
-            self.send(Event::DeliverReply(call, node, reply));
+            let later = self.stores[store].later_entries(&record);
+            self.send(Event::DeliverReply(call, node, reply, later));
         }
     }
 
-    fn apply_reply(&mut self, call: usize, node: &Text, reply: Reply) {
+    fn apply_reply(&mut self, call: usize, node: &Text, reply: Reply, later: usize) {
         match self.calls[call].pending.take() {
             Some(PendingCall::Append { record, mut tally }) => {
-                tally.add_reply(node, reply);
+                tally.add_ordered_reply(node, reply, later);
                 match tally.is_stored() {
                     true => self.record_stored(call, &record, tally),
                     false => self.calls[call].pending = Some(PendingCall::Append { record, tally }),
@@ -966,7 +971,8 @@
 
     // Checks.
 
-    /// Records a stored append; a reservation must see all that were stored before it.
+    /// Records a stored append. A reservation must see all that were stored before it, and of any
+    /// two at least one must see the other.
     fn record_stored(&mut self, call: usize, record: &Record, tally: AppendTally) {
         self.outcome.appends_stored += 1;
         self.availability.mark_served(call);
@@ -998,11 +1004,23 @@
                     );
                     self.outcome.violations.push(violation);
                 }
+                let unseen = self.reservations.iter().find(|stored| {
+                    stored.program == *program
+                        && !stored.ledger.contains(turn)
+                        && !ledger.contains(&stored.turn)
+                });
+                if let Some(stored) = unseen {
+                    let other = &stored.turn;
+                    let violation =
+                        format!("{stored_at}: neither {turn} nor {other} sees the other");
+                    self.outcome.violations.push(violation);
+                }
                 self.reservations.push(StoredRecord {
                     stored_at,
                     program: program.clone(),
                     turn: turn.clone(),
                     amount: *amount,
+                    ledger,
                 });
             }
             Record::Turn(record) => self.turns.push(StoredRecord {
@@ -1010,6 +1028,7 @@
                 program: record.program.clone(),
                 turn: record.turn.clone(),
                 amount: record.used_tokens,
+                ledger,
             }),
             _ => {}
         }
--- a/crates/stageyoke-store/tests/state_test.rs
+++ b/crates/stageyoke-store/tests/state_test.rs
@@ -99,6 +99,24 @@
     assert_eq!(amounts, [(30, true), (20, true)]);
 }
 
+/// Guards against an order that is told although a restart or a refill may have changed it.
+#[test]
+fn the_order_of_ledger_entries_is_told_only_while_it_is_certain() {
+    let mut state = StoreState::new(1);
+    for turn in ["a", "b", "c"] {
+        state.add(&reserve(turn, 100).into(), location(0), 0);
+    }
+    state.add(&settle("c", 30).into(), location(0), 0);
+    let later = |state: &StoreState, turn| state.later_ledger_entries("program", TurnKey::of(turn));
+    assert_eq!(later(&state, "a"), 2);
+    assert_eq!(later(&state, "c"), 0);
+    assert_eq!(later(&state, "unknown"), 0);
+    state.forget_entry_order();
+    state.add(&reserve("d", 100).into(), location(0), 0);
+    assert_eq!(later(&state, "a"), 1, "only d surely came after it");
+    assert_eq!(later(&state, "d"), 0);
+}
+
 #[test]
 fn merged_ledgers_prefer_settlements_over_reservations() {
     let entry = |turn: &str, amount, settled| LedgerEntry {
@@ -117,6 +135,30 @@
     assert_eq!(view.total_excluding("c"), 35);
 }
 
+/// Guards against a granted turn that is rejected for tokens which a sibling has given back.
+#[test]
+fn settlements_that_were_known_before_still_count() {
+    let entry = |turn: &str, amount, settled| LedgerEntry {
+        turn: TurnKey::of(turn).0,
+        amount,
+        settled,
+    };
+    let mut received = LedgerView::default();
+    received.merge([
+        entry("a", 30, true),
+        entry("b", 100, false),
+        entry("c", 7, true),
+    ]);
+    let mut stored = LedgerView::default();
+    stored.merge([entry("a", 100, false), entry("b", 50, true)]);
+    stored.merge_settlements(&received);
+    assert_eq!(
+        stored.total_excluding("none"),
+        80,
+        "c came later at all stores"
+    );
+}
+
 #[test]
 fn digests_identify_the_records_that_another_store_lacks() {
     let mut from = StoreState::new(1);
