Hold the head of a stream until its first event and the reservation's check

What callers saw: a stream whose replica broke off, whose deadline passed or whose reservation failed its check before the first event ended as a cut connection after a 200 head with the replica's signature, although nothing had been forwarded yet and a whole answer was still possible.

Cause: `Front::dispatch` returned a stream as soon as its head had come, and the head was sent on; the first event and the check were awaited only in the relay, when all that was left was to cut.

Change: `stream_start` reads a stream up to its first complete event or its regular end, and then waits for the check, before the head is forwarded; the relay gets what was read. Until then - a lost replica is an outcome of the attempt (`replica_broke_off`, `replica_ended`): resumable streams go on to the next replica, others get 502 `outcome_unknown`; - the deadline gives 504 `time_out`; - a check that fails gives 502 `outcome_unknown` with the causes as before ("The work may have run and will not be run again"). `back_end_failed` would blame replicas, and 402, 429 and 503 would promise that the turn has not run; - a caller that leaves drops the handler, which closes the replica's connection, reports the turn's end and is logged with the replica pending.

The version of a resumable stream is recorded from its head on, as before, so further attempts stay at that version: with two versions recorded, or one told by a store that missed the other, a continuation could mix them.

A replica counts as sound once its stream has begun, not at its head. Its latency is taken at the head, as before.

Evidence: with the new tests on the old code, the cases of lost replicas (5), the next replica, the deadline (2) and the failed check (2) failed, and so did the one on versions, as nothing was repeated; without the restriction to the recorded version that one fails with ["v2", "v1"]. The tests on a leaving caller, on an empty stream and on the limit of ended replicas passed before and guard what the change might have broken.

Changed tests: `a_new_program_is_admitted_only_while_engines_have_free_slots` answered turns with four bytes that are no event, cut in the middle; its replica now sends a stream, its assertions are the same. The case `no_event_arrived` of `a_truncated_unframed_stream_ends_with_a_reset` asked for a reset after the head; the same response must now give a whole 502 without the replica's signature (`a_stream_without_its_first_event_becomes_a_whole_failure`, case `without_framing`).

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::replica::Replica;
 use crate::replica_registry::ReplicaQuery;
 use crate::restrictions::Shortage;
+use crate::stream_start::{StartFailure, StreamStart, TIME_OUT};
 use stageyoke_framing::Framing;
 
 /// Maximum number of replicas that one request is sent to.
@@ -32,6 +33,8 @@
 /// Number of idle replicas whose rejections show that the request itself is at fault. A
 /// single replica may reject for a reason of its own.
 const MIN_IDLE_REJECTIONS: usize = 2;
+/// Outcome of an attempt whose replica has responded, or begun a stream.
+pub(crate) const ANSWERED: &str = "answered";
 /// Outcome of an attempt whose response is overdue.
 const OVERDUE: &str = "no_answer";
 /// Outcome of an attempt under which the replica's process ended.
@@ -112,9 +115,9 @@
                     OVERDUE
                 }
                 Err(AttemptTimeout::DeadlineExceeded) => {
-                    record_attempt(summary, &replica.id, "time_out");
+                    record_attempt(summary, &replica.id, TIME_OUT);
                     self.record_latency(context, &replica, sent);
-                    return Err(Failure::permanent(ErrorKind::DeadlineExceeded, "time_out"));
+                    return Err(deadline_exceeded());
                 }
                 Ok(AttemptOutcome::Responded(reply)) => {
                     summary.response_head_ms = context.arrived.elapsed().as_millis() as u64;
@@ -124,14 +127,30 @@
                         .validate_response(context, reply, uncached_tokens, may_retry_elsewhere)
                         .await
                     {
-                        Ok(dispatched) => {
-                            if dispatched.is_known_complete() {
-                                guard.record_completed(context.identity, &replica);
-                            }
-                            record_attempt(summary, &replica.id, "answered");
+                        Ok(response) => {
                             self.record_latency(context, &replica, sent);
-                            replica.record(response_evidence(&dispatched));
-                            return Ok(dispatched);
+                            summary.pending = replica.id.to_string();
+                            let started = self
+                                .start_response(context, response, summary, reservation)
+                                .await;
+                            summary.pending.clear();
+                            match started {
+                                Ok(dispatched) => {
+                                    if dispatched.is_known_complete() {
+                                        guard.record_completed(context.identity, &replica);
+                                    }
+                                    record_attempt(summary, &replica.id, ANSWERED);
+                                    replica.record(response_evidence(&dispatched));
+                                    return Ok(dispatched);
+                                }
+                                Err(StartFailure::Final { outcome, failure }) => {
+                                    record_attempt(summary, &replica.id, outcome);
+                                    return Err(failure);
+                                }
+                                Err(StartFailure::Unusable(response)) => {
+                                    response.record(&replica).await
+                                }
+                            }
                         }
                         Err(cause) => {
                             replica.record(match cause {
@@ -403,7 +422,11 @@
             return Err("server_error");
         }
         if context.route.kind == RouteKind::Stream && status == StatusCode::OK {
-            return Ok(DispatchedResponse::Stream(reply, uncached_tokens));
+            return Ok(DispatchedResponse::Stream(
+                reply,
+                uncached_tokens,
+                StreamStart::default(),
+            ));
         }
         let framing = Framing::of(&reply.response);
         let reading = Limited::new(reply.response.body_mut(), MAX_RESPONSE_BYTES).collect();
@@ -483,9 +506,9 @@
 pub(crate) enum DispatchedResponse {
     /// Plain response; whether it is complete is unknown if it ended with its connection.
     Plain(hyper::http::response::Parts, Bytes, Framing),
-    /// Stream whose body is still to be relayed, and the tokens of its prompt that the
-    /// replica was not expected to have cached.
-    Stream(Box<ReplicaResponse>, u32),
+    /// Stream whose body is still to be relayed, the tokens of its prompt that the replica was
+    /// not expected to have cached, and what was read of its body.
+    Stream(Box<ReplicaResponse>, u32, StreamStart),
 }
 
 impl DispatchedResponse {
@@ -517,6 +540,11 @@
     }
 }
 
+/// Failure of a request whose deadline has passed.
+pub(crate) fn deadline_exceeded() -> Failure {
+    Failure::permanent(ErrorKind::DeadlineExceeded, TIME_OUT)
+}
+
 fn set_may_have_run(reservation: &mut Option<Reservation>, may_have_run: bool) {
     if let Some(reservation) = reservation {
         reservation.set_may_have_run(may_have_run);
--- a/crates/stageyoke-front/src/event_stream.rs
+++ b/crates/stageyoke-front/src/event_stream.rs
@@ -41,6 +41,11 @@
     }
 
     /// Returns the bytes after the last complete event.
+    pub fn remainder(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Takes the bytes after the last complete event.
     pub fn take_remainder(&mut self) -> Bytes {
         self.scanned = 0;
         self.buffer.split().freeze()
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -36,6 +36,7 @@
 use crate::response_body::{ResponseBody, chunk_channel};
 use crate::routing::MatchedRoute;
 use crate::stream_relay::{CHUNK_BUFFER, RelayLine, StreamRelay, TurnStorage, UpstreamStream};
+use crate::stream_version::VersionRecord;
 use stageyoke_framing::{Framing, close_after};
 use stageyoke_observe::{self as observe, RequestSummary};
 
@@ -70,6 +71,8 @@
     pub(crate) arrived: Instant,
     /// Software version that began the stream which the request continues.
     pub(crate) required_version: Option<Text>,
+    /// Record of the version that began the request's stream; `None` if none is under way.
+    pub(crate) version_record: Option<VersionRecord>,
     /// Permit of the run that is under way; `None` if it needs none.
     pub(crate) run_permit: Option<HeldPermit>,
     /// Memory used by the request.
@@ -247,6 +250,7 @@
             input,
             arrived,
             required_version: None,
+            version_record: None,
             run_permit: None,
             memory_guard,
         };
@@ -386,7 +390,7 @@
         summary: &mut RequestSummary,
         reservation: Option<Reservation>,
     ) -> Response<ResponseBody> {
-        let (reply, uncached_tokens) = match dispatched {
+        let (reply, uncached_tokens, start) = match dispatched {
             DispatchedResponse::Plain(head, content, framing) => {
                 summary.status = head.status.as_u16();
                 summary.outcome = "answered";
@@ -398,11 +402,12 @@
                 let body = body.with_memory(context.memory_guard);
                 return build_caller_response(&head, body, framing);
             }
-            DispatchedResponse::Stream(reply, uncached_tokens) => (*reply, uncached_tokens),
+            DispatchedResponse::Stream(reply, uncached_tokens, start) => {
+                (*reply, uncached_tokens, start)
+            }
         };
         let framing = Framing::of(&reply.response);
         let (head, body) = reply.response.into_parts();
-        let version_record = self.record_version(&context, &reply.replica, summary);
         let mut summary = std::mem::take(summary);
         summary.status = head.status.as_u16();
         let engine = context.service.engine.as_ref();
@@ -426,7 +431,7 @@
                 uncached_tokens,
                 framing,
             },
-            version_record,
+            version_record: context.version_record,
             identity: context.identity,
             request_guard: self.request_guard.clone(),
             _run_permit: context.run_permit,
@@ -436,7 +441,7 @@
         let (chunks, receiver) = chunk_channel(CHUNK_BUFFER);
         let request_guard = self.requests.track();
         tokio::task::spawn_local(async move {
-            relay.run(body, chunks).await;
+            relay.run(start, body, chunks).await;
             drop(request_guard);
         });
         build_caller_response(&head, ResponseBody::Stream(receiver), framing)
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod service_pool;
 pub mod shutdown;
 pub mod stream_relay;
+mod stream_start;
 pub mod stream_version;
 pub mod tenant_warnings;
 pub mod traffic_split;
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -20,6 +20,7 @@
 use crate::request::ScopedIdentifiers;
 use crate::request_identity::RequestIdentity;
 use crate::response_body::ChunkSender;
+use crate::stream_start::{FirstEvent, StreamStart, TIME_OUT, TRUNCATED};
 use crate::stream_version::VersionRecord;
 use stageyoke_framing::Framing;
 use stageyoke_observe::{self as observe, RequestSummary};
@@ -27,8 +28,6 @@
 /// Chunks buffered for a slow caller.
 pub const CHUNK_BUFFER: usize = 16;
 
-/// Outcome of a stream that the replica did not complete.
-const TRUNCATED: &str = "replica_broke_off";
 /// Outcome of a stream that ended after an event and with its connection.
 const END_UNKNOWN: &str = "end_unknown";
 /// Outcome of a relay that was dropped before its end.
@@ -82,13 +81,6 @@
     }
 }
 
-/// State at a stream's first event.
-struct FirstEvent {
-    at: Instant,
-    /// Requests in flight at the replica, including this one.
-    in_flight: u32,
-}
-
 /// Relay of one stream to its caller.
 pub struct StreamRelay {
     /// Identifiers under which the turn is stored.
@@ -200,11 +192,11 @@
 }
 
 impl StreamRelay {
-    /// Relays the stream from `body` to the caller's channel `chunks` until either side
-    /// ends.
-    pub async fn run(mut self, mut body: Incoming, chunks: ChunkSender) {
+    /// Relays the stream to the caller's channel `chunks` until either side ends: what was
+    /// read at its `start`, and then the rest of its `body`.
+    pub async fn run(mut self, start: StreamStart, mut body: Incoming, chunks: ChunkSender) {
         let mut received = ReceivedEvents::default();
-        let end = self.forward(&mut body, &chunks, &mut received).await;
+        let end = self.forward(start, &mut body, &chunks, &mut received).await;
         if end.is_lost_connection() {
             self.record_lost_connection(&end).await;
         }
@@ -251,49 +243,56 @@
 
     async fn forward(
         &mut self,
+        start: StreamStart,
         body: &mut Incoming,
         chunks: &ChunkSender,
         received: &mut ReceivedEvents,
     ) -> StreamEnd {
-        let mut splitter = EventSplitter::default();
+        let mut splitter = start.splitter;
+        let Some((events, first)) = start.first else {
+            return self.end_of_body(splitter, received, chunks).await;
+        };
+        received.first = Some(first);
+        if let Some(record) = self.version_record.take() {
+            record.wait().await;
+        }
+        if let Some(end) = self.send_events(events, received, chunks).await {
+            return end;
+        }
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = chunks.closed() => return StreamEnd::CallerDisconnected,
-                () = tokio::time::sleep_until(self.deadline) => return StreamEnd::Aborted("time_out"),
+                () = tokio::time::sleep_until(self.deadline) => return StreamEnd::Aborted(TIME_OUT),
             };
             let complete_events = match frame {
-                None => {
-                    if let Some(end) = self.wait_for_reservation(chunks).await {
-                        return end;
-                    }
-                    return self.end_of_body(splitter, received, chunks).await;
-                }
+                None => return self.end_of_body(splitter, received, chunks).await,
                 Some(Err(_)) => return StreamEnd::Aborted(TRUNCATED),
                 Some(Ok(frame)) => frame.data_ref().and_then(|data| splitter.push(data)),
             };
-            if let Some(events) = complete_events {
-                received.first.get_or_insert_with(|| FirstEvent {
-                    at: Instant::now(),
-                    in_flight: self.upstream.replica.requests_in_flight(),
-                });
-                if let Some(end) = self.wait_for_reservation(chunks).await {
-                    return end;
-                }
-                if let Some(record) = self.version_record.take() {
-                    record.wait().await;
-                }
-                received.events += collect_data(&events, &mut received.output);
-                let sending = tokio::time::timeout_at(self.deadline, chunks.send(events));
-                match sending.await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) => return StreamEnd::CallerDisconnected,
-                    Err(_) => return StreamEnd::Aborted("time_out"),
-                }
+            if let Some(events) = complete_events
+                && let Some(end) = self.send_events(events, received, chunks).await
+            {
+                return end;
             }
         }
     }
 
+    /// Forwards complete events; returns how the stream ends if that fails.
+    async fn send_events(
+        &self,
+        events: Bytes,
+        received: &mut ReceivedEvents,
+        chunks: &ChunkSender,
+    ) -> Option<StreamEnd> {
+        received.events += collect_data(&events, &mut received.output);
+        match tokio::time::timeout_at(self.deadline, chunks.send(events)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(StreamEnd::CallerDisconnected),
+            Err(_) => Some(StreamEnd::Aborted(TIME_OUT)),
+        }
+    }
+
     /// Judges a stream whose body has ended without an error. One that ends inside an event has
     /// been broken off, and so has one without framing that ends before its first event.
     async fn end_of_body(
@@ -316,19 +315,7 @@
         match tokio::time::timeout_at(self.deadline, chunks.send(remainder)).await {
             Ok(Ok(())) => end,
             Ok(Err(_)) => StreamEnd::CallerDisconnected,
-            Err(_) => StreamEnd::Aborted("time_out"),
-        }
-    }
-
-    /// Waits until the reservation is stored, since no output may be forwarded before that;
-    /// returns how the stream ends otherwise.
-    async fn wait_for_reservation(&mut self, chunks: &ChunkSender) -> Option<StreamEnd> {
-        let reservation = self.storage.reservation.as_mut();
-        let check = reservation.and_then(Reservation::take_pending_check)?;
-        tokio::select! {
-            outcome = check.wait(&mut self.line.summary) => outcome.err().map(StreamEnd::Aborted),
-            () = chunks.closed() => Some(StreamEnd::CallerDisconnected),
-            () = tokio::time::sleep_until(self.deadline) => Some(StreamEnd::Aborted("time_out")),
+            Err(_) => StreamEnd::Aborted(TIME_OUT),
         }
     }
 
--- a/crates/stageyoke-front/tests/deadly_requests_test.rs
+++ b/crates/stageyoke-front/tests/deadly_requests_test.rs
@@ -16,7 +16,7 @@
 use stageyoke_front::request::{RequestParameters, ScopedIdentifiers};
 use stageyoke_front::request_identity::{IdentityParts, RequestIdentity};
 use stageyoke_store::unblock::clear_request;
-use streams::{BROKEN_STREAM, DEADLY_PATH, FIRST_EVENT, Front, Replica, System};
+use streams::{BROKEN_STREAM, DEADLY_PATH, FIRST_EVENT, Front, HEAD, Replica, System};
 use support::names;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -48,6 +48,7 @@
 /// Each attempt has an identifier of its own and may reach another front.
 #[rstest]
 #[case::before_the_head("", "")]
+#[case::before_the_first_event(HEAD, "")]
 #[case::after_the_first_event(FIRST_EVENT, "")]
 #[case::resumed(FIRST_EVENT, "last-event-id: 1\r\n")]
 #[tokio::test]
--- a/crates/stageyoke-front/tests/stream_versions_test.rs
+++ b/crates/stageyoke-front/tests/stream_versions_test.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use streams::{BROKEN_STREAM, NOT_RUN, Replica, STREAM, System, header_value};
+use streams::{BROKEN_STREAM, LOST_STREAM, NOT_RUN, Replica, STREAM, System, header_value};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -135,6 +135,34 @@
     .await;
 }
 
+/// The version is being recorded since the first attempt's head, and the caller would continue
+/// the stream with it.
+#[tokio::test]
+async fn retries_of_a_stream_without_its_first_event_stay_at_the_recorded_version() {
+    run_local(async {
+        let mut replicas = replicas(&["v1", "v2", "v2"]).await;
+        for _ in 0..2 {
+            replicas.push(("v1", Replica::start(LOST_STREAM, LOST_STREAM).await));
+        }
+        let system = System::start(1, 0, replicas).await;
+        let front = system.start_front().await;
+        let mut repeated = 0;
+        for number in 0..STREAMS {
+            let id = format!("first-{number}");
+            front.begin(&id).await;
+            let versions = system.versions_of(&id);
+            let first = versions.first().expect("sent");
+            assert!(
+                versions.iter().all(|version| version == first),
+                "{versions:?}"
+            );
+            repeated += usize::from(versions.len() > 1);
+        }
+        assert!(repeated > 0, "no stream was lost before its first event");
+    })
+    .await;
+}
+
 /// Callers of older builds do not name the attempt that began a stream.
 #[tokio::test]
 async fn a_stream_without_its_first_attempt_goes_on_only_if_there_is_one_version() {
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -43,6 +43,12 @@
 pub const BROKEN_STREAM: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
      Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
      f\r\nid: 1\ndata: a\n\n\r\nCLOSE";
+/// Stream that breaks off before its first event.
+pub const LOST_STREAM: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
+     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nCLOSE";
+/// Head of a stream.
+pub const HEAD: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
+     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// Start of a stream, up to and including its first event.
 pub const FIRST_EVENT: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\
      Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -261,9 +261,9 @@
         }
         "replica_broke_off" => "the replica broke its stream off",
         "not_kept" => "cut: its turn could not be kept on a quorum of stores",
-        "not_reserved" => "cut before any output: its reservation was not stored in time",
+        "not_reserved" => "its output was withheld: its reservation was not stored in time",
         "budget_spent_meanwhile" => {
-            "cut before any output: turns reserved at the same time used up the budget"
+            "its output was withheld: turns reserved at the same time used up the budget"
         }
         "relay_failed" => "cut: the front's relay of the stream ended by a fault of its own",
         "caller_left" => "the caller left before the end",
