Read a rejection's body only as far as reusing its connection is worth

What was seen: a replica that rejects requests as not run and sends a body without end raised the front's memory from 7 to 56 MB under five callers, who had their 503 long before.

Cause: the body was collected in memory for up to 400 ms, whatever its size, after the request's guards had been dropped, and any number of such drains ran at the same time.

At most 64 drains are under way, beyond which connections are closed as well. Connections of short rejections are still reused. Rejections that are too long are counted in stageyoke_oversized_responses_total.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::authentication::Caller;
+use crate::connection_drain;
 use crate::connection_pool::Connection;
 use crate::health::Evidence;
 use crate::protocol_names::ProtocolNames;
@@ -247,7 +248,8 @@
     let is_own = echoed.is_some_and(|value| value.as_bytes() == outbound.request_id.as_bytes());
     let not_run = head.headers().contains_key(&names.not_run);
     if not_run && (is_own || echoed.is_none()) {
-        tokio::task::spawn_local(drain_connection(*reply));
+        let limit = reply.replica.drain_limit.clone();
+        connection_drain::drain(*reply, &limit);
         return AttemptOutcome::NotRun(status);
     }
     if !is_own {
@@ -259,21 +261,3 @@
     }
     AttemptOutcome::Responded(reply)
 }
-
-/// Reads the rest of a short response, so that its connection can be reused.
-async fn drain_connection(reply: ReplicaResponse) {
-    use http_body_util::BodyExt;
-    let ReplicaResponse {
-        response,
-        connection,
-        replica,
-        guard,
-        ..
-    } = reply;
-    drop(guard);
-    let reading = response.into_body().collect();
-    if let Ok(Ok(_)) = tokio::time::timeout(crate::connection_pool::CONNECT_TIMEOUT, reading).await
-    {
-        replica.pool.release(connection);
-    }
-}
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
+use crate::connection_drain::DrainLimit;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::engine_rates::{EngineRates, Slowdown, TurnTiming};
 use crate::health::{self, Evidence, Health};
@@ -47,6 +48,8 @@
     pub load: Rc<LoadTracker>,
     /// Idle limit learned from reset connections, for all replicas.
     pub idle_limit: Rc<Cell<IdleLimit>>,
+    /// Limit of the rejections that are read at the same time, for all replicas.
+    pub drain_limit: DrainLimit,
     /// Rates of the service's engines.
     pub rates: Rc<Cell<EngineRates>>,
     /// Region of the replica's zone.
@@ -61,6 +64,8 @@
     pub record: ReplicaRecord,
     /// Idle connections to the replica.
     pub pool: ConnectionPool,
+    /// Limit of the rejections that are read at the same time, for all replicas.
+    pub drain_limit: DrainLimit,
     hash: u64,
     region: Text,
     evacuated: Cell<bool>,
@@ -94,6 +99,7 @@
             cold_phase: Cell::new(initial_cold_phase(&record)),
             load: shared.load,
             idle_limit: shared.idle_limit,
+            drain_limit: shared.drain_limit,
             rates: shared.rates,
             slowdown: Cell::default(),
             prompt_cache: RefCell::default(),
--- a/crates/stageyoke-front/src/replica_registry.rs
+++ b/crates/stageyoke-front/src/replica_registry.rs
@@ -12,6 +12,7 @@
 use stageyoke_types::{Event, Text};
 use tokio::time::Instant;
 
+use crate::connection_drain::DrainLimit;
 use crate::engine_rates::{CurrentRates, EngineRates};
 use crate::health;
 use crate::idle_limit::IdleLimit;
@@ -37,6 +38,7 @@
     load: Rc<LoadTracker>,
     region_by_zone: BTreeMap<String, String>,
     idle_limit: Rc<Cell<IdleLimit>>,
+    drain_limit: DrainLimit,
     store_groups: Cell<usize>,
     evacuated_zones: RefCell<BTreeSet<Text>>,
     has_lapses: Cell<bool>,
@@ -54,6 +56,7 @@
             load,
             region_by_zone,
             idle_limit: Rc::default(),
+            drain_limit: DrainLimit::default(),
             store_groups: Cell::new(0),
             evacuated_zones: RefCell::default(),
             has_lapses: Cell::new(false),
@@ -267,6 +270,7 @@
             region: region.map_or_else(|| record.zone.clone(), |name| Text::from(name.as_str())),
             load: self.load.clone(),
             idle_limit: self.idle_limit.clone(),
+            drain_limit: self.drain_limit.clone(),
             rates: rates.entry(service.clone()).or_default().clone(),
         }
     }
--- /dev/null
+++ b/crates/stageyoke-front/tests/endless_responses_test.rs
@@ -0,0 +1,189 @@
+//! Replicas that send bytes without end occupy the front neither for long nor with much memory.
+
+#[path = "endless_responses/front.rs"]
+mod front;
+#[path = "endless_responses/replica.rs"]
+mod replica;
+#[allow(dead_code)]
+#[path = "support/streams.rs"]
+mod streams;
+mod support;
+
+use std::time::Duration;
+
+use front::{Answer, Front, SOUND, TROUBLED};
+use replica::{Replica, Script};
+use rstest::rstest;
+use tokio::task::LocalSet;
+
+/// Memory of the front's machine, of which 35 percent are for requests.
+const MEMORY_BYTES: u64 = 200_000_000;
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes that a replica can send before it sees that its connection is closed: what the front
+/// reads at a time, and the buffers of both sockets.
+const BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+/// Time within which bytes that are no response are given up.
+const GIVE_UP_TIME: Duration = Duration::from_secs(1);
+/// Time within which another caller is served meanwhile.
+const OTHER_CALLER_TIME: Duration = Duration::from_millis(500);
+/// Short response whose connection stays open.
+const SHORT: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 4\r\n\r\nbody";
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\n\r\n";
+const CHUNKED: &str =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+const CHUNKED_ERROR: &str = "HTTP/1.1 500 Error\r\nid: ID\r\nTransfer-Encoding: chunked\r\n\r\n";
+const CHUNKED_REJECTION: &str =
+    "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LONG_REJECTION: &str =
+    "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 9999999999\r\n\r\n";
+const UNFRAMED_REJECTION: &str = "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\n\r\n";
+
+/// Returns a chunk of 1 KiB.
+fn chunk() -> String {
+    format!("400\r\n{}\r\n", "x".repeat(1024))
+}
+
+async fn run_local<T>(work: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(work).await
+}
+
+/// Returns how many responses were given up for a cause.
+fn given_up(cause: &str) -> u64 {
+    let counter = &stageyoke_observe::metrics().oversized_responses;
+    counter.with_label_values(&[cause]).get()
+}
+
+/// Sends a request to a troubled replica while another caller polls the sound service.
+async fn send_beside_another_caller(front: Front, path: &str) -> Answer {
+    let mut troubled = std::pin::pin!(front.get(path));
+    loop {
+        let other = front.get("/sound/a");
+        let answer = tokio::select! {
+            answer = &mut troubled => return answer,
+            answer = other => answer,
+        };
+        assert_eq!(answer.status, 200);
+        assert!(answer.took < OTHER_CALLER_TIME, "{:?}", answer.took);
+        tokio::select! {
+            answer = &mut troubled => return answer,
+            () = tokio::time::sleep(Duration::from_millis(5)) => {}
+        }
+    }
+}
+
+/// Starts a front with a troubled and a sound replica.
+async fn start(script: Script) -> (Front, Replica) {
+    let troubled = Replica::start(script).await;
+    let sound = Replica::start(Script::short(SHORT)).await;
+    let front = Front::start(MEMORY_BYTES, &[(TROUBLED, &troubled), (SOUND, &sound)]).await;
+    (front, troubled)
+}
+
+/// Guards against a body that is read for as long as it comes.
+#[rstest]
+#[case::chunked(CHUNKED, &chunk(), 502)]
+#[case::unframed(UNFRAMED, "x", 502)]
+#[case::error(CHUNKED_ERROR, &chunk(), 502)]
+#[case::rejection(CHUNKED_REJECTION, &chunk(), 503)]
+#[case::unframed_rejection(UNFRAMED_REJECTION, "x", 503)]
+#[case::rejection_with_a_length(LONG_REJECTION, "x", 503)]
+#[case::chunk_extension(
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+    "x",
+    502
+)]
+#[case::extensions_of_many_chunks(CHUNKED, "1;x=012345678901234567890123456789\r\nx\r\n", 502)]
+#[case::trailer_value(
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na: ",
+    "x",
+    502
+)]
+#[case::trailer_fields(
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "a: b\r\n",
+    502
+)]
+#[case::trailers_of_a_rejection(
+    "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "a: b\r\n",
+    503
+)]
+#[tokio::test]
+async fn an_endless_body_is_given_up(
+    #[case] prefix: &str,
+    #[case] unit: &str,
+    #[case] status: u16,
+) {
+    run_local(async {
+        let (front, troubled) = start(Script::endless(prefix, unit)).await;
+        let answer = send_beside_another_caller(front, "/once/a").await;
+        assert_eq!(answer.status, status);
+        assert!(!answer.body.is_empty());
+        assert!(answer.took < 2 * GIVE_UP_TIME, "{:?}", answer.took);
+        troubled.wait_until_closed().await;
+        let limit = match status {
+            502 => MAX_RESPONSE_BYTES + BUFFERED_BYTES,
+            _ => BUFFERED_BYTES,
+        };
+        let sent = troubled.observed.sent_bytes.get();
+        assert!(sent < limit, "{sent} bytes sent");
+    })
+    .await;
+}
+
+/// Guards against a new connection for each rejection.
+#[rstest]
+#[case::no_body("HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::short_body("HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\nbusy")]
+#[case::chunked_body(
+    "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n"
+)]
+#[tokio::test]
+async fn the_connection_of_a_rejection_is_reused(#[case] rejection: &str) {
+    run_local(async {
+        let (front, replica) = start(Script::short(rejection)).await;
+        for _ in 0..5 {
+            assert_eq!(front.get("/once/a").await.status, 503);
+        }
+        assert_eq!(replica.requests(), 5);
+        assert_eq!(replica.observed.accepted.get(), 1);
+    })
+    .await;
+}
+
+/// Guards against rejections that cost a connection each without a trace.
+#[rstest]
+#[case::chunked(CHUNKED_REJECTION, &chunk())]
+#[case::stated_length(LONG_REJECTION, "x")]
+#[tokio::test]
+async fn an_oversized_rejection_is_counted(#[case] prefix: &str, #[case] unit: &str) {
+    run_local(async {
+        let before = given_up("oversized_rejection");
+        let (front, replica) = start(Script::endless(prefix, unit)).await;
+        assert_eq!(front.get("/once/a").await.status, 503);
+        replica.wait_until_closed().await;
+        assert!(given_up("oversized_rejection") > before);
+    })
+    .await;
+}
+
+/// Guards against drains that pile up: each holds a connection and its read buffer.
+#[tokio::test]
+async fn only_so_many_rejections_are_read_at_the_same_time() {
+    const CALLERS: usize = 100;
+    run_local(async {
+        let stalled = "HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 9\r\n\r\n";
+        let (front, replica) = start(Script::short(stalled)).await;
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| tokio::task::spawn_local(async move { front.get("/once/a").await }))
+            .collect();
+        for caller in callers {
+            assert_eq!(caller.await.expect("caller").status, 503);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let open = replica.observed.open.get();
+        assert!(open <= 64, "{open} connections are open");
+        replica.wait_until_closed().await;
+    })
+    .await;
+}
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -38,6 +38,8 @@
     pub requests: IntCounterVec,
     /// Responses that were cut after their head while the caller stayed, by outcome.
     pub cut_responses: IntCounterVec,
+    /// Responses of replicas that were given up because of their size, by cause.
+    pub oversized_responses: IntCounterVec,
     /// Seconds from a request's arrival to its end.
     pub request_seconds: Histogram,
     /// Seconds from a request's arrival to the head of its response.
@@ -174,6 +176,11 @@
                 "Responses that were cut after their head while the caller stayed, by outcome.",
                 &["outcome"],
             ),
+            oversized_responses: counter_vec(
+                "stageyoke_oversized_responses_total",
+                "Responses of replicas that were given up because of their size, by cause.",
+                &["cause"],
+            ),
             request_seconds: latency_histogram("stageyoke_request_seconds", "Arrival to end."),
             head_seconds: latency_histogram(
                 "stageyoke_head_seconds",
