Node: give up a back end that sends informational heads without end

Callers of an application whose replica sent 1xx heads in place of a response waited until the route's deadline, and the node read and parsed all of them at the speed of the link.

The HTTP library limits a single head (some 400 KB) but skips any number of 1xx heads before it. The client now counts them for each request (64 KiB of status lines and fields, some 3,800 of the shortest) and drops the request beyond: its connection closes, and the outcome is that of a lost connection (502 to a caller of an application; `Broken` for an engine; no answer for the key-value service and the list of machines). `HttpClient` is a type of its own, so that every user of the pool has the limit.

Ordinary informational heads still precede a response (`informational_heads_of_an_ordinary_response_are_no_failure`, passes on both).

--- a/crates/stageyoke-node/src/backends/engine.rs
+++ b/crates/stageyoke-node/src/backends/engine.rs
@@ -21,7 +21,7 @@
     LOAD_PATH, LoadReport, RELEASE_PATH, ReleaseRequest, WireMessage, program_name,
 };
 use super::run_limits::{RequestIdentity, RunLimits};
-use super::{HttpClient, full_body, http_client};
+use super::{HttpClient, RequestError, full_body, http_client};
 use crate::callers::sink::TextSink;
 
 /// Longest wait for an answer to a short request.
@@ -201,7 +201,7 @@
         address: SocketAddr,
         path: &str,
         body: &impl Serialize,
-    ) -> Result<Response<Incoming>, hyper_util::client::legacy::Error> {
+    ) -> Result<Response<Incoming>, RequestError> {
         let request = request(address, Method::POST, path, body);
         self.http.request(request).await
     }
--- a/crates/stageyoke-node/src/backends/replica_connection.rs
+++ b/crates/stageyoke-node/src/backends/replica_connection.rs
@@ -9,7 +9,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::{Body, CONNECT_TIMEOUT};
+use super::http_client::{CONNECT_TIMEOUT, limit_informational_heads};
+use super::{Body, RequestError};
 
 /// A new connection, which the replica does not close for having been idle.
 pub struct NewConnection {
@@ -33,12 +34,15 @@
     }
 
     /// Sends the request and waits for the head of its response.
-    pub async fn send(mut self, mut request: Request<Body>) -> hyper::Result<Response<Incoming>> {
+    pub async fn send(
+        mut self,
+        mut request: Request<Body>,
+    ) -> Result<Response<Incoming>, RequestError> {
         let path = request.uri().path_and_query().cloned();
         *request.uri_mut() = path.map_or_else(Uri::default, Uri::from);
         if let Ok(host) = header::HeaderValue::from_str(&self.replica.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
-        self.sender.send_request(request).await
+        limit_informational_heads(request, |request| self.sender.send_request(request)).await
     }
 }
--- a/crates/stageyoke-node/tests/relayed_responses_test.rs
+++ b/crates/stageyoke-node/tests/relayed_responses_test.rs
@@ -2,6 +2,8 @@
 
 #[path = "application/deadly_requests.rs"]
 mod deadly_requests;
+#[path = "application/endless_responses.rs"]
+mod endless_responses;
 #[path = "application/kept_connections.rs"]
 mod kept_connections;
 mod support;
--- a/crates/stageyoke-node/tests/support/mod.rs
+++ b/crates/stageyoke-node/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! A node that passes requests to one application replica.
 
+pub mod flood;
 pub mod replica;
 
 use std::net::{Ipv4Addr, SocketAddr};
