Limit the bytes of a response of the key-value service

A service in trouble that sends bytes without end was read for up to its idle timeout + 10 s: the body was kept in memory as long as it came, and 1xx heads were read without a limit. Processes saw no error until then, and several calls at once used as much memory as the link brought.

- Heads: at most 128 KiB are read between a request and the end of the final head, counted anew for each request on a kept connection; one head has at most 64 KiB.
- Bodies: at most 4 MiB, which fits a page of 1 MB with one more value of 1 MiB in base64; all calls of a client together 8 MiB.
A stated length beyond the limit is given up before the body.
- Beyond a limit: CallError::ResponseTooLarge, KeyValueError::AnswerTooLarge; the connection and the idle ones are closed.
- A watch whose changes are too large is treated like a discarded history, so that everything is read in pages; a retry would get the same answer until the service discards it.

--- a/crates/stageyoke-directory/src/key_value.rs
+++ b/crates/stageyoke-directory/src/key_value.rs
@@ -120,6 +120,8 @@
     Refused,
     /// No usable answer: the call may have been executed, or may still be.
     NoAnswer,
+    /// The answer exceeds the client's limit on its size: the call may have been executed.
+    AnswerTooLarge,
 }
 
 impl fmt::Display for KeyValueError {
@@ -128,6 +130,7 @@
             Self::Throttled => "throttled",
             Self::Refused => "refused",
             Self::NoAnswer => "no_answer",
+            Self::AnswerTooLarge => "answer_too_large",
         })
     }
 }
@@ -173,6 +176,17 @@
     ) -> impl Future<Output = Result<TransactionOutcome, KeyValueError>>;
 }
 
+/// Treats changes that are too large for one answer like a discarded history: everything is read
+/// again, in pages or by key.
+pub fn discard_if_too_large(
+    outcome: Result<WatchOutcome, KeyValueError>,
+) -> Result<WatchOutcome, KeyValueError> {
+    match outcome {
+        Err(KeyValueError::AnswerTooLarge) => Ok(WatchOutcome::HistoryCompacted),
+        outcome => outcome,
+    }
+}
+
 /// Reads one key with a non-blocking watch, which does not transfer an unchanged value.
 /// Returns `None` if the key has not changed after the revision `after` or is absent.
 pub async fn get_by_watch<S: KeyValueService>(
@@ -180,8 +194,8 @@
     key: &str,
     after: u64,
 ) -> Result<Option<Item>, KeyValueError> {
-    let outcome = service.watch(key, after, Duration::ZERO).await?;
-    let WatchOutcome::Changes { changes, .. } = outcome else {
+    let outcome = service.watch(key, after, Duration::ZERO).await;
+    let WatchOutcome::Changes { changes, .. } = discard_if_too_large(outcome)? else {
         return service.get(key).await;
     };
     // The watch also returns changes of longer keys with this prefix.
--- a/crates/stageyoke-directory/src/mirror.rs
+++ b/crates/stageyoke-directory/src/mirror.rs
@@ -20,7 +20,9 @@
 use self::catch_up::CompleteReadCost;
 use crate::freshness::{AgeLimits, Freshness};
 use crate::groups::StoreGroups;
-use crate::key_value::{Change, Item, KeyValueError, KeyValueService, WatchOutcome};
+use crate::key_value::{
+    Change, Item, KeyValueError, KeyValueService, WatchOutcome, discard_if_too_large,
+};
 use crate::relay::{DirectoryRelay, RecentChanges};
 use crate::transfer::{TransferTimeouts, wait_for_transfer};
 use crate::view::{Changed, Interpreter, Update, View};
@@ -540,7 +542,8 @@
     ) -> Result<Step, KeyValueError> {
         let now = Instant::now();
         self.record_request_start();
-        Ok(self.apply_service_answer(outcome?, now, report))
+        let outcome = discard_if_too_large(outcome)?;
+        Ok(self.apply_service_answer(outcome, now, report))
     }
 
     /// Applies an answer from the service itself.
@@ -570,7 +573,7 @@
         let prefix = self.interpreter.prefix();
         self.record_request_start();
         let answer = self.service.watch(prefix, revision, Duration::ZERO);
-        self.receive_answer(answer, patience).await
+        discard_if_too_large(self.receive_answer(answer, patience).await)
     }
 
     /// Waits for an answer of the service. Fails if no data arrives for the answer timeout
--- a/crates/stageyoke-http/src/lib.rs
+++ b/crates/stageyoke-http/src/lib.rs
@@ -4,18 +4,20 @@
 pub mod durations;
 pub mod json_file;
 mod lenient_list;
+mod response_limits;
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use percent_encoding::{NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use stageyoke_directory::{TransferTimeouts, wait_for_transfer};
@@ -23,6 +25,7 @@
 use tokio::task::JoinHandle;
 
 pub use lenient_list::LenientList;
+use response_limits::{BodyMemory, HeadLimit, HeadLimitedStream, MAX_HEAD_BYTES};
 
 /// Maximum transfer time of a response, in addition to the idle timeout of the call.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
@@ -34,6 +37,9 @@
     Malformed,
     /// The connection failed or the call timed out. The service may have processed the call.
     NoAnswer,
+    /// The response exceeds a limit on its bytes, and the connection was closed. The service may
+    /// have processed the call.
+    ResponseTooLarge,
 }
 
 impl fmt::Display for CallError {
@@ -41,6 +47,7 @@
         formatter.write_str(match self {
             Self::Malformed => "malformed",
             Self::NoAnswer => "no_answer",
+            Self::ResponseTooLarge => "response_too_large",
         })
     }
 }
@@ -62,11 +69,13 @@
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     received_bytes: Cell<u64>,
+    body_memory: BodyMemory,
 }
 
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: Rc<HeadLimit>,
     driver: JoinHandle<()>,
 }
 
@@ -76,6 +85,24 @@
     }
 }
 
+impl Connection {
+    /// Sends a request and waits for the final head of its response.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.head_limit.start();
+        let response = self.sender.send_request(request).await;
+        self.head_limit.end();
+        response.map_err(|error| {
+            match error.is_parse_too_large() || self.head_limit.is_exceeded() {
+                true => CallError::ResponseTooLarge,
+                false => CallError::NoAnswer,
+            }
+        })
+    }
+}
+
 /// Closes all idle connections if a call fails or is cancelled.
 struct CloseIdleOnDrop<'a>(&'a RefCell<Vec<Connection>>);
 
@@ -86,12 +113,14 @@
 }
 
 impl HttpClient {
-    /// Creates a client of the service at `address`. Connections are opened on demand.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a client of the service at `address`, whose responses have bodies of at most
+    /// `max_body_bytes`. Connections are opened on demand.
+    pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
         Self {
             address,
             idle: RefCell::default(),
             received_bytes: Cell::new(0),
+            body_memory: BodyMemory::new(max_body_bytes),
         }
     }
 
@@ -102,7 +131,7 @@
 
     /// Sends a request with a JSON body, which may be empty, and waits for the complete
     /// response. Fails if no data arrives for `idle_timeout`, or if the transfer exceeds its
-    /// maximum time.
+    /// maximum time or size.
     pub async fn call(
         &self,
         method: Method,
@@ -128,13 +157,21 @@
         }
         let stream = TcpStream::connect(self.address).await.map_err(no_answer)?;
         stageyoke_store::socket::configure(&stream);
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        let head_limit = Rc::new(HeadLimit::default());
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(no_answer)?;
         let driver = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection {
+            sender,
+            head_limit,
+            driver,
+        })
     }
 
     async fn exchange(
@@ -153,8 +190,7 @@
             .header(HOST, self.address.to_string())
             .body(Full::new(body))
             .map_err(|_| CallError::Malformed)?;
-        let response = connection.sender.send_request(request).await;
-        let response = response.map_err(no_answer)?;
+        let response = connection.send(request).await?;
         let status = response.status();
         let body = self.read_body(response.into_body(), received_bytes).await?;
         std::mem::forget(close_on_failure);
@@ -167,12 +203,15 @@
         mut body: Incoming,
         received_bytes: &Cell<u64>,
     ) -> Result<Bytes, CallError> {
+        let mut share = self.body_memory.share();
+        share.check_length(body.size_hint().lower())?;
         let mut content = BytesMut::new();
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(no_answer)?.into_data() {
                 let bytes = data.len() as u64;
                 received_bytes.set(received_bytes.get() + bytes);
                 self.received_bytes.set(self.received_bytes.get() + bytes);
+                share.add(data.len())?;
                 content.extend_from_slice(&data);
             }
         }
--- a/crates/stageyoke-http/tests/calls_test.rs
+++ b/crates/stageyoke-http/tests/calls_test.rs
@@ -10,6 +10,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
+const MAX_BODY_BYTES: usize = 1024;
 const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a failed call may take in addition to its timeout.
 const MARGIN: Duration = Duration::from_millis(200);
@@ -34,7 +35,7 @@
 async fn responses_to_other_calls_do_not_prolong_a_silent_call() {
     let test = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let client = HttpClient::new(listener.local_addr().expect("address"));
+        let client = HttpClient::new(listener.local_addr().expect("address"), MAX_BODY_BYTES);
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::task::spawn_local(serve_connection(stream));
