Keep no invalid elements of a list from the key-value service

A response of 4 MiB that lists two million numbers instead of items grew the process by 131,240 kB: each invalid element took the memory of an item until the list was complete. Invalid elements are now dropped as they are read.

--- a/crates/stageyoke-http/src/lenient_list.rs
+++ b/crates/stageyoke-http/src/lenient_list.rs
@@ -1,6 +1,9 @@
 //! List deserialization that skips invalid elements.
 
-use serde::de::IgnoredAny;
+use std::fmt;
+use std::marker::PhantomData;
+
+use serde::de::{IgnoredAny, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 
 /// List that skips elements that don't match the element type.
@@ -19,16 +22,30 @@
     Invalid(IgnoredAny),
 }
 
+struct ListVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for ListVisitor<T> {
+    type Value = LenientList<T>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list")
+    }
+
+    /// Keeps no invalid element: a list may have millions of them.
+    fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Self::Value, A::Error> {
+        let (mut items, mut skipped) = (Vec::new(), 0);
+        while let Some(element) = elements.next_element()? {
+            match element {
+                Element::Valid(element) => items.push(element),
+                Element::Invalid(_) => skipped += 1,
+            }
+        }
+        Ok(LenientList { items, skipped })
+    }
+}
+
 impl<'de, T: Deserialize<'de>> Deserialize<'de> for LenientList<T> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let elements = Vec::<Element<T>>::deserialize(deserializer)?;
-        let all = elements.len();
-        let items = elements.into_iter().filter_map(|element| match element {
-            Element::Valid(element) => Some(element),
-            Element::Invalid(_) => None,
-        });
-        let items: Vec<T> = items.collect();
-        let skipped = all - items.len();
-        Ok(Self { items, skipped })
+        deserializer.deserialize_seq(ListVisitor(PhantomData))
     }
 }
