Soak: replicas that send some answers without end

The soak played answers that break off, that are lost or that end with their connection, but none that doesn't end, so that a front which keeps such bytes had no check. The fault EndlessAnswers, drawn only by name, so that seeds keep their meaning, lets replicas send 3 to 15 percent of their answers without end at 5 MB/s: a body in chunks or without framing, that of a status 500 or of a rejection that was not run, one event, events or comments; or one replica the heads of all its answers, interim ones or one header. Kind and share are drawn from the seed.

Checks: memory of fronts and shares of served requests as before; an answer without end that is framed as complete is a breach, also where its part is what was asked for; so is a connection that is read for 6 s, longer than any deadline. The part that a caller received may end with its connection, and its tokens count up to what was asked for. A breach shows 400 bytes of a wrong answer at most.

--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -91,6 +91,8 @@
     EndReplicas,
     /// Stores turns that together exceed one message between stores, and then loses stores.
     LargeTurns,
+    /// Makes replicas send some answers without end.
+    EndlessAnswers,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
@@ -128,7 +130,12 @@
 ];
 
 /// Kinds drawn only if they are named explicitly.
-pub const NAMED_FAULTS: [Fault; 3] = [Fault::Losses, Fault::EndReplicas, Fault::LargeTurns];
+pub const NAMED_FAULTS: [Fault; 4] = [
+    Fault::Losses,
+    Fault::EndReplicas,
+    Fault::LargeTurns,
+    Fault::EndlessAnswers,
+];
 
 impl Fault {
     /// Returns the fault with this name, ignoring case.
@@ -285,6 +292,7 @@
             }
             Fault::Losses => details = self.lose_stores(random).await,
             Fault::LargeTurns => details = self.store_large_turns(random).await,
+            Fault::EndlessAnswers => details.push(self.send_without_end(random, duration).await),
         }
         if fault.suspends_bounds() {
             self.promises.disturbances.record_end();
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod disk_stalls;
 pub mod disturbances;
+pub mod endless_answers;
 pub mod faults;
 pub mod keys;
 pub mod large_turns;
--- a/crates/stageyoke-lab/src/soak/promises.rs
+++ b/crates/stageyoke-lab/src/soak/promises.rs
@@ -12,7 +12,10 @@
     MIN_JUDGED_REQUESTS, MIN_SERVED_SHARE, RequestLabels, RequestOutcome, ServedShares,
 };
 use super::versions::{ServingVersions, StreamCounts};
-use crate::standins::platform::answers::ReceivedAnswer;
+use crate::standins::platform::answers::{AnswerEnd, ReceivedAnswer};
+
+/// Bytes of a wrong answer that a breach shows.
+const MAX_SHOWN_BYTES: usize = 400;
 
 /// What a caller expects of one request.
 #[derive(Clone, Debug)]
@@ -37,6 +40,8 @@
     runs: u32,
     refused: Option<u16>,
     is_withheld: bool,
+    /// Whether the replica sent an answer without end.
+    is_endless: bool,
     /// Whether the replica sent a whole answer without framing while no disturbance was near.
     is_whole_unframed: bool,
     is_answered: bool,
@@ -71,6 +76,8 @@
     pub broken_off: u64,
     /// Whole answers without framing that replicas sent in calm times.
     pub unframed: u64,
+    /// Answers that replicas sent without end.
+    pub endless: u64,
     /// Attempts of resumable streams.
     pub streams: StreamCounts,
     /// Stored turns whose retention ended before they could be requested.
@@ -139,6 +146,42 @@
         observed.is_some_and(|observed| observed.is_withheld)
     }
 
+    /// Records that a replica ran a request and sends an answer without end.
+    pub fn record_endless_answer(&self, request: &str) {
+        let mut record = self.record();
+        record.counts.endless += 1;
+        let observed = record.observed.entry(request.to_owned()).or_default();
+        observed.is_endless = true;
+    }
+
+    /// Returns whether a replica sent an answer without end to a request.
+    pub fn is_answer_endless(&self, request: &str) -> bool {
+        let record = self.record();
+        let observed = record.observed.get(request);
+        observed.is_some_and(|observed| observed.is_endless)
+    }
+
+    /// Returns whether a request may run more than once.
+    fn is_repeatable(&self, request: &str) -> bool {
+        let record = self.record();
+        let expected = record.expected.get(request);
+        expected.is_some_and(|expected| expected.repeatable)
+    }
+
+    /// Judges the end of an answer. One that a replica sent without end is never whole, unless
+    /// another replica answered too, and its part may end without a claim to be complete.
+    pub fn judge_end(&self, request: &str, expected: &str, received: &ReceivedAnswer) -> AnswerEnd {
+        let end = received.end(expected);
+        if !self.is_answer_endless(request) {
+            return end;
+        }
+        match end {
+            AnswerEnd::Whole if !self.is_repeatable(request) => AnswerEnd::Wrong,
+            AnswerEnd::Wrong if !received.is_framed => AnswerEnd::BrokenOff,
+            end => end,
+        }
+    }
+
     /// Records the outcome of a request that has just ended without a usable response.
     pub fn record_failure(&self, labels: RequestLabels, sent_at: Instant, request: &str) {
         match self.is_response_withheld(request) {
@@ -237,8 +280,9 @@
                 "{request}: the answer is framed as complete after {size} of {expected_size} bytes"
             ),
             false => {
-                let body = String::from_utf8_lossy(&received.body);
-                format!("{request} received the wrong answer {body:?}")
+                let shown = &received.body[..size.min(MAX_SHOWN_BYTES)];
+                let body = String::from_utf8_lossy(shown);
+                format!("{request} received the wrong answer of {size} bytes: {body:?}")
             }
         });
     }
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -13,6 +13,7 @@
 
 use super::connections::HeldConnections;
 use crate::standins::ACCEPT_RETRY_DELAY;
+use crate::standins::platform::endless::EndlessHead;
 
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Response rate of each connection in [`Mode::Slow`].
@@ -35,6 +36,8 @@
     Reset,
     /// Closes all connections, and answers requests on new ones with status 503.
     Refuse,
+    /// Sends bytes without end in place of the rest of a response.
+    Endless(EndlessHead),
     /// Limits responses to [`SLOW_BYTES_PER_SECOND`] on each connection.
     Slow,
 }
@@ -229,7 +232,7 @@
             let is_blocked = match mode {
                 Mode::Silence => true,
                 Mode::OneWay => is_response,
-                Mode::Pass | Mode::Reset | Mode::Refuse | Mode::Slow => false,
+                Mode::Pass | Mode::Reset | Mode::Refuse | Mode::Endless(_) | Mode::Slow => false,
             };
             if !is_blocked {
                 break;
@@ -302,6 +305,10 @@
             break;
         }
         connection.wait_to_forward(count, is_response).await;
+        if is_response && let (Mode::Endless(head), _) = connection.current().await {
+            let _ = head.send(&mut to).await;
+            return;
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/stageyoke-lab/src/standins/platform/mod.rs
+++ b/crates/stageyoke-lab/src/standins/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod answers;
 pub mod caller;
 pub mod cold_phase;
+pub mod endless;
 pub mod entry;
 pub mod key_value;
 pub mod programs;
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -16,6 +16,7 @@
 
 use super::answers::{event, event_data, tool_answer};
 use super::cold_phase::ColdPhase;
+use super::endless::{EndlessAnswer, SendingEndless};
 use super::resumable::resumable_data;
 use super::{RESUMABLE_PATH, TOKENS_PER_EVENT, names};
 use crate::soak::disturbances::MAX_PROPAGATION_DELAY;
@@ -39,6 +40,8 @@
     pub unframed_percent: AtomicU32,
     /// Those of them that end early, as if they were complete.
     pub broken_off_percent: AtomicU32,
+    /// Answers without end: their kind and their share.
+    endless: Mutex<Option<(EndlessAnswer, u32)>>,
     /// Identifiers of replicas whose processes are to end.
     ended: Mutex<Vec<String>>,
 }
@@ -50,6 +53,18 @@
         std::mem::take(&mut ended)
     }
 
+    /// Sets which share of the answers in percent is sent without end, and how; `None` for none.
+    pub fn set_endless(&self, endless: Option<(EndlessAnswer, u32)>) {
+        let mut current = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = endless;
+    }
+
+    fn draw_endless(&self) -> Option<EndlessAnswer> {
+        let current = *self.endless.lock().unwrap_or_else(PoisonError::into_inner);
+        let (kind, percent) = current?;
+        (rand::random_range(0..100) < percent).then_some(kind)
+    }
+
     fn record_end(&self, replica: &str) {
         let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
         ended.push(replica.to_owned());
@@ -263,6 +278,27 @@
         response
     }
 
+    /// Answers without end, after a run unless the answer is a rejection.
+    fn answer_without_end(
+        &self,
+        kind: EndlessAnswer,
+        request: &str,
+        admitted: Option<AdmittedRequest>,
+    ) -> Response<Body> {
+        let sending = SendingEndless {
+            promises: self.promises.clone(),
+            held: Box::new(admitted),
+        };
+        let mut response = kind.respond(request, sending);
+        self.set_headers(&mut response, request);
+        if kind == EndlessAnswer::Rejection {
+            let headers = response.headers_mut();
+            headers.remove(names::SIGNATURE);
+            headers.insert(names::NOT_EXECUTED, HeaderValue::from_static("1"));
+        }
+        response
+    }
+
     /// Returns where a resumable stream starts, and checks what the fronts passed on.
     fn resume_position(&self, request: &str, headers: &HeaderMap) -> StreamStart {
         let first = header_text(headers, names::RESUMES);
@@ -430,6 +466,13 @@
         if draw_fault(&self.faults.rejected_percent) {
             return self.reject(StatusCode::SERVICE_UNAVAILABLE, &id);
         }
+        let endless = match is_resumable {
+            true => None,
+            false => self.faults.draw_endless(),
+        };
+        if let Some(EndlessAnswer::Rejection) = endless {
+            return self.answer_without_end(EndlessAnswer::Rejection, &id, None);
+        }
         let Ok(body) = request.into_body().collect().await else {
             return self.reject(StatusCode::BAD_REQUEST, &id);
         };
@@ -445,6 +488,10 @@
             self.promises.record_withheld_response(&id);
             std::future::pending::<()>().await;
         }
+        if let Some(kind) = endless {
+            self.promises.record_endless_answer(&id);
+            return self.answer_without_end(kind, &id, Some(admitted));
+        }
         if self.is_engine {
             let token_counts = header_text(&headers, names::TOKEN_COUNTS);
             let max_tokens = token_counts
