End a request whose deadline passes during a plain response's body

What callers saw: 502 instead of 504 when the deadline passed after the head of a plain response; a request without a head in time gets 504.

Cause: the time-out of the body was handled as an invalid response, so a repeatable request went on to the next replica after its deadline, and one that may run once ended as outcome_unknown.

Now it ends at once with time_out, as for a missing head. The evidence against the replica is unchanged (Failed).

Evidence: both cases of the new test got 502 on the code before; they get 504 now, and no second replica receives the request.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -152,6 +152,12 @@
                                 }
                             }
                         }
+                        Err(TIME_OUT) => {
+                            replica.record(Evidence::Failed);
+                            record_attempt(summary, &replica.id, TIME_OUT);
+                            self.record_latency(context, &replica, sent);
+                            return Err(deadline_exceeded());
+                        }
                         Err(cause) => {
                             replica.record(match cause {
                                 TRUNCATED => Evidence::Lost,
@@ -433,7 +439,7 @@
         let content = match tokio::time::timeout_at(context.outbound.deadline, reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
             Ok(Err(_)) => return Err(TRUNCATED),
-            Err(_) => return Err("time_out"),
+            Err(_) => return Err(TIME_OUT),
         };
         context.memory_guard.force_acquire(content.len());
         let reply = *reply;
--- a/crates/stageyoke-front/tests/endless_responses_test.rs
+++ b/crates/stageyoke-front/tests/endless_responses_test.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use front::{Answer, Front, SOUND, TROUBLED};
-use replica::{Replica, Script};
+use replica::{Replica, SHORT_PATH, Script};
 use rstest::rstest;
 use tokio::task::LocalSet;
 
@@ -131,6 +131,36 @@
     .await;
 }
 
+/// Guards against a request that goes on to another replica after its deadline, or whose caller
+/// gets another failure than that of a response without a head.
+#[rstest]
+#[case::repeatable("/safe/a")]
+#[case::once("/once/a")]
+#[tokio::test]
+async fn a_body_beyond_the_deadline_ends_the_request(#[case] path: &str) {
+    run_local(async {
+        let stalled = Script::short(&format!("{CHUNKED}{}", chunk()));
+        let replicas = [
+            Replica::start(stalled.clone()).await,
+            Replica::start(stalled).await,
+        ];
+        let listed = [(TROUBLED, &replicas[0]), (TROUBLED, &replicas[1])];
+        let front = Front::start(MEMORY_BYTES, &listed).await;
+        for _ in 0..3 {
+            // Opens connections to both replicas.
+            front.get(SHORT_PATH).await;
+        }
+        let requests = || replicas.iter().map(Replica::requests).sum::<usize>();
+        let before = requests();
+        let answer = front.send(path, 300, 0).await;
+        assert_eq!(answer.status, 504);
+        assert!(answer.took < GIVE_UP_TIME, "{:?}", answer.took);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(requests() - before, 1);
+    })
+    .await;
+}
+
 /// Guards against a new connection for each rejection.
 #[rstest]
 #[case::no_body("HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n")]
