Tell the order of reservations only for the requester's member list and for turns that were not settled

What could happen: two turns of a program that both give out output and of which none has counted the other, so that the budget is exceeded without a bound.

- A member that lags behind a settled change of members told a requester with the newer list an order in which the other members had not received the turns.
The order is told only if both have the same list.
- A turn that was refunded and is reserved again under its identifier kept its first place.
A settled turn tells no order, and counts all entries if any member knows that it was settled.

Also: a group counts as storing and available as soon as a quorum has stored a record, and not only after the wait for further members.

--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -82,7 +82,7 @@
 
 /// What an append of a reservation has beyond its record.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ReservationFields {
+pub struct ReservationOptions {
     /// Replica on which the turn is placed.
     pub placement: Option<Placement>,
     /// Room that the ledger must leave; `None` if any ledger will do.
@@ -310,7 +310,7 @@
     pub async fn append(
         &self,
         record: StoredRecord,
-        reservation: ReservationFields,
+        reservation: ReservationOptions,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         if !record.record.fits_into_frame() {
@@ -332,7 +332,7 @@
     async fn append_to_members(
         &self,
         stored: StoredRecord,
-        reservation: ReservationFields,
+        reservation: ReservationOptions,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         let members = self.members();
@@ -341,7 +341,7 @@
             Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
         };
         let reads_ledger = reserved_turn.is_some();
-        let needed = reserved_turn.zip(reservation.room);
+        let condition = reserved_turn.clone().zip(reservation.room);
         let mut tally = AppendTally::new(&members, &self.context.tolerance, reads_ledger)?;
         let sent_at = Instant::now();
         let (answers, mut received) = unbounded_channel();
@@ -388,7 +388,9 @@
             if !tally.is_stored() {
                 continue;
             }
-            let Some((turn, room)) = &needed else {
+            self.unstored_since.set(None);
+            self.record_availability(true);
+            let Some((turn, room)) = &condition else {
                 break;
             };
             if let Some(ledger) = tally.fitting_ledger(turn, *room) {
@@ -399,7 +401,7 @@
             }
             wait_until = wait_until.or(Some(Instant::now() + room.rejection_delay));
         }
-        tally.outcome()
+        tally.outcome_for(reserved_turn.as_deref().unwrap_or_default())
     }
 
     /// Applies the reports that an answer carries.
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -15,7 +15,9 @@
 use crate::client::StoreClient;
 use crate::cold_permits;
 use crate::extension::{PermitRequest, StreamReport};
-use crate::group_client::{ChainOutcome, GroupClient, GroupContext, GroupError, ReservationFields};
+use crate::group_client::{
+    ChainOutcome, GroupClient, GroupContext, GroupError, ReservationOptions,
+};
 use crate::keys::{StreamKey, TurnKey};
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Request};
@@ -287,15 +289,16 @@
         record: impl Into<StoredRecord>,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
-        let no_fields = ReservationFields::default();
-        self.append_with_fields(record, no_fields, time_limit).await
+        let no_fields = ReservationOptions::default();
+        self.append_with_options(record, no_fields, time_limit)
+            .await
     }
 
     /// Appends a record like `append`, with what belongs to a reservation.
-    pub async fn append_with_fields(
+    pub async fn append_with_options(
         &self,
         record: impl Into<StoredRecord>,
-        reservation: ReservationFields,
+        reservation: ReservationOptions,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         let record = record.into();
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -59,7 +59,7 @@
 pub mod wait_reason;
 
 pub use client::StoreClient;
-pub use group_client::{ChainOutcome, GroupClient, GroupError, ReservationFields};
+pub use group_client::{ChainOutcome, GroupClient, GroupError, ReservationOptions};
 pub use group_clients::GroupClients;
 pub use limits::StoreLimits;
 pub use load::LoadTracker;
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -270,7 +270,6 @@
             return;
         }
         self.members_since.set(Instant::now());
-        // Records that came from peers before are in their order.
         self.state.borrow_mut().forget_entry_order();
         let now = self.started_at.elapsed();
         self.quotas.borrow_mut().handle_owner_change(now);
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -257,17 +257,28 @@
         }
         let reservation = match &request {
             Request::Append {
+                group,
+                members_version,
                 record: Record::Reserve { program, turn, .. },
                 ..
-            } => Some((program.clone(), TurnKey::of(turn))),
+            } => Some((*group, *members_version, program.clone(), TurnKey::of(turn))),
             _ => None,
         };
         let reply = self.handle_plain_request(request, ledger_retention).await;
         let is_stored = matches!(reply, Reply::Stored { .. });
-        let later_entries = reservation.filter(|_| is_stored).map(|(program, turn)| {
-            let later = self.state.borrow().later_ledger_entries(&program, turn);
-            u32::try_from(later).unwrap_or(u32::MAX)
-        });
+        let later_entries =
+            reservation
+                .filter(|_| is_stored)
+                .map(|(group, members_version, program, turn)| {
+                    // A requester with a newer list may count on members that this store does not
+                    // know, and that have received the reservations in another order.
+                    let membership = self.membership.borrow();
+                    let later = match membership.version_of(group) == members_version {
+                        true => self.state.borrow().later_ledger_entries(&program, turn),
+                        false => 0,
+                    };
+                    u32::try_from(later).unwrap_or(u32::MAX)
+                });
         HandledRequest {
             reply,
             ledger_retentions: None,
--- a/crates/stageyoke-store/src/membership_state.rs
+++ b/crates/stageyoke-store/src/membership_state.rs
@@ -92,7 +92,8 @@
         }
     }
 
-    fn version_of(&self, group: GroupNumber) -> u64 {
+    /// Version of a group's member list in use; 0 if there is none.
+    pub fn version_of(&self, group: GroupNumber) -> u64 {
         let members = self.stores.group(group);
         members.map_or(0, |members| members.version)
     }
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -58,12 +58,26 @@
             .sum()
     }
 
+    /// Tokens that all other turns have used for good.
+    pub fn settled_excluding(&self, turn: &str) -> u64 {
+        let TurnKey(turn) = TurnKey::of(turn);
+        let entries = self.entries.values();
+        let others = entries.filter(|entry| entry.turn != turn && entry.settled);
+        others.map(|entry| u64::from(entry.amount)).sum()
+    }
+
     /// Returns whether the ledger has an entry for this turn.
     pub fn contains(&self, turn: &str) -> bool {
         let TurnKey(turn) = TurnKey::of(turn);
         self.entries.contains_key(&turn)
     }
 
+    /// Returns whether this turn is settled.
+    pub fn is_settled(&self, turn: &str) -> bool {
+        let TurnKey(turn) = TurnKey::of(turn);
+        self.entries.get(&turn).is_some_and(|entry| entry.settled)
+    }
+
     /// Number of turns in the ledger.
     pub fn turns(&self) -> usize {
         self.entries.len()
@@ -80,6 +94,15 @@
     pub rejection_delay: Duration,
 }
 
+/// Turns in the ledger of one member.
+#[derive(Debug)]
+struct MemberLedger {
+    /// All turns, in the order in which the member has received them.
+    turns: Vec<u64>,
+    /// Number of the first turns that came before the reservation.
+    earlier: usize,
+}
+
 /// Largest number of members of which every quorum is considered. Beyond it, one fitting quorum
 /// may be missed, and a turn rejected for it.
 const MAX_COMPARED_MEMBERS: usize = 10;
@@ -88,19 +111,19 @@
 /// has it on disk, and during a change also one of the list before it. For a reservation only
 /// complete members count, since their ledgers decide on the budget.
 ///
-/// Of a member's ledger only the entries count that it has received before the reservation. Two
-/// quorums share a member, and one of two reservations came first there. So of any two turns at
-/// least one counts the other, by whichever quorum each of them is decided, and one that came
-/// later everywhere never changes a decision.
+/// Of a member's ledger only the entries count that it has received before the reservation, as far
+/// as it tells their order. Two quorums share a member, and one of two reservations came first
+/// there. So of any two turns at least one counts the other, whichever quorums decide on them, and
+/// one that came later at all members never changes a decision.
 #[derive(Debug)]
 pub struct AppendTally {
     members: Rc<Members>,
     quorums: Quorums,
     reads_ledger: bool,
     stored_on: BTreeSet<Text>,
-    /// Entries that came before the reservation, by member.
-    earlier_turns: BTreeMap<Text, BTreeSet<u64>>,
-    /// All entries, with the newest known amounts.
+    /// Ledgers of the members that have stored the record.
+    member_ledgers: BTreeMap<Text, MemberLedger>,
+    /// All entries, with settled amounts where any member knows them.
     amounts: LedgerView,
     error: GroupError,
     newer_stores: Option<StoreGroups>,
@@ -118,7 +141,7 @@
             quorums: members.quorums(tolerance).ok_or(GroupError::NoGroup)?,
             reads_ledger,
             stored_on: BTreeSet::new(),
-            earlier_turns: BTreeMap::new(),
+            member_ledgers: BTreeMap::new(),
             amounts: LedgerView::default(),
             error: GroupError::NoQuorum,
             newer_stores: None,
@@ -142,9 +165,11 @@
             } => {
                 if complete || !self.reads_ledger {
                     self.stored_on.insert(member.clone());
-                    let earlier = entries.len().saturating_sub(later_entries);
-                    let turns = entries[..earlier].iter().map(|entry| entry.turn).collect();
-                    self.earlier_turns.insert(member.clone(), turns);
+                    let ledger = MemberLedger {
+                        turns: entries.iter().map(|entry| entry.turn).collect(),
+                        earlier: entries.len().saturating_sub(later_entries),
+                    };
+                    self.member_ledgers.insert(member.clone(), ledger);
                 }
                 self.amounts.merge(entries);
             }
@@ -186,11 +211,11 @@
     /// the room, if there is one.
     pub fn fitting_ledger(&self, turn: &str, room: LedgerRoom) -> Option<LedgerView> {
         let fits = |ledger: &LedgerView| ledger.total_excluding(turn) <= room.max_others;
-        let whole = self.ledger_of(&self.stored_on);
+        let whole = self.ledger_of(&self.stored_on, turn);
         if self.is_stored() && fits(&whole) {
             return Some(whole);
         }
-        let leaving_room = |member: &&Text| !self.exceeds(member, turn, room);
+        let leaving_room = |member: &&Text| !self.exceeds_alone(member, turn, room);
         let candidates: Vec<&Text> = self.stored_on.iter().filter(leaving_room).collect();
         if candidates.len() > MAX_COMPARED_MEMBERS {
             return None;
@@ -202,19 +227,19 @@
                 chosen.map(|index| candidates[index].clone()).collect()
             })
             .filter(|chosen| self.is_quorum(chosen));
-        quorums.find_map(|chosen| Some(self.ledger_of(&chosen)).filter(fits))
+        quorums.find_map(|chosen| Some(self.ledger_of(&chosen, turn)).filter(fits))
     }
 
     /// Returns whether further replies may still complete a write quorum that leaves the room.
     pub fn may_still_fit(&self, turn: &str, room: LedgerRoom) -> bool {
         self.members.has_quorum(self.quorums, |member| {
-            !self.exceeds(&member.node, turn, room)
+            !self.exceeds_alone(&member.node, turn, room)
         })
     }
 
     /// Returns whether a member's ledger alone leaves too little room.
-    fn exceeds(&self, member: &Text, turn: &str, room: LedgerRoom) -> bool {
-        let ledger = self.ledger_of(&BTreeSet::from([member.clone()]));
+    fn exceeds_alone(&self, member: &Text, turn: &str, room: LedgerRoom) -> bool {
+        let ledger = self.ledger_of(&BTreeSet::from([member.clone()]), turn);
         ledger.total_excluding(turn) > room.max_others
     }
 
@@ -223,23 +248,34 @@
             .has_quorum(self.quorums, |member| chosen.contains(&member.node))
     }
 
-    /// Returns the entries that came before the reservation at any of these members.
-    fn ledger_of(&self, chosen: &BTreeSet<Text>) -> LedgerView {
-        let sets = chosen
+    /// Returns the entries that came before the reservation of `turn` at any of these members. If
+    /// the turn was settled before and is reserved again, all of them did.
+    fn ledger_of(&self, chosen: &BTreeSet<Text>, turn: &str) -> LedgerView {
+        let is_repeated = self.amounts.is_settled(turn);
+        let ledgers = chosen
             .iter()
-            .filter_map(|member| self.earlier_turns.get(member));
-        let turns: BTreeSet<u64> = sets.flatten().copied().collect();
+            .filter_map(|member| self.member_ledgers.get(member));
+        let turns = ledgers.flat_map(|ledger| match is_repeated {
+            true => &ledger.turns[..],
+            false => &ledger.turns[..ledger.earlier],
+        });
+        let turns: BTreeSet<u64> = turns.copied().collect();
         self.amounts.restricted_to(&turns)
     }
 
-    /// Returns the ledger of all members that have stored the record, or the reason why no quorum
-    /// has.
-    pub fn outcome(self) -> Result<LedgerView, GroupError> {
+    /// Returns the ledger of all members that have stored the reservation of `turn`, or another
+    /// record if that is empty; or the reason why no quorum has.
+    pub fn outcome_for(self, turn: &str) -> Result<LedgerView, GroupError> {
         match self.is_stored() {
-            true => Ok(self.ledger_of(&self.stored_on)),
+            true => Ok(self.ledger_of(&self.stored_on, turn)),
             false => Err(self.error),
         }
     }
+
+    /// Returns the outcome without regard to whether a turn was reserved before.
+    pub fn outcome(self) -> Result<LedgerView, GroupError> {
+        self.outcome_for("")
+    }
 }
 
 /// Replies to a query for a program's ledger before its newest reservation is on disk. The
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -72,8 +72,8 @@
     /// Entries in the order of the turns' first records. Most programs have only a few
     /// turns, so a linear search is fast enough.
     entries: Vec<LedgerEntry>,
-    /// Number of the first entries whose order may differ from that which earlier replies told.
-    unordered: usize,
+    /// Number of the first entries whose order may differ from that in earlier replies.
+    unordered_prefix: usize,
     expires_at: u64,
 }
 
@@ -90,11 +90,13 @@
         entries.find(|entry| entry.turn == turn.0)
     }
 
-    /// Returns how many of the last entries came after that of `turn`.
+    /// Returns how many of the last entries came after that of `turn`. A settled turn that is
+    /// reserved again came after all of them.
     fn later_entries(&self, turn: TurnKey) -> usize {
-        let position = self.entries.iter().position(|entry| entry.turn == turn.0);
+        let mut entries = self.entries.iter();
+        let position = entries.position(|entry| entry.turn == turn.0 && !entry.settled);
         let first_later = position.map_or(self.entries.len(), |position| position + 1);
-        self.entries.len() - first_later.max(self.unordered)
+        self.entries.len() - first_later.max(self.unordered_prefix)
     }
 }
 
@@ -302,19 +304,20 @@
         List(ledger.map_or_else(Vec::new, |ledger| ledger.entries.clone()))
     }
 
-    /// Returns how many of the last entries of a program's ledger the store has received after
-    /// the reservation of `turn`, so that every reply to one of them had it. None do if their
-    /// order is not certain.
+    /// Returns how many of the last entries of a program's ledger this store has received after
+    /// the reservation of `turn`, as far as their order is certain. Replies to the reservations
+    /// of those entries contained that of `turn`.
     pub fn later_ledger_entries(&self, program: &str, turn: TurnKey) -> usize {
         let ledger = self.ledgers.get(&ProgramKey::of(program));
         ledger.map_or(0, |ledger| ledger.later_entries(turn))
     }
 
-    /// Forgets the order of all ledger entries. A restart reads them in the order of their newest
-    /// copies, and a store that joins a group or is filled gets them in that of its peers.
+    /// Forgets the order of all ledger entries. After a restart it is that of the newest copies of
+    /// the records; after a change of members, replies may be counted with those of members that
+    /// have received the entries from their peers.
     pub fn forget_entry_order(&mut self) {
         for ledger in self.ledgers.values_mut() {
-            ledger.unordered = ledger.entries.len();
+            ledger.unordered_prefix = ledger.entries.len();
         }
     }
 
--- a/crates/stageyoke-store/tests/append_tally_test.rs
+++ b/crates/stageyoke-store/tests/append_tally_test.rs
@@ -141,6 +141,28 @@
     assert!(tally.fitting_ledger("own", room(0)).is_some());
 }
 
+/// Guards against a repeated turn that ignores those that came after its first reservation.
+#[test]
+fn a_turn_that_was_settled_before_counts_all_entries() {
+    let settled = LedgerEntry {
+        amount: 0,
+        settled: true,
+        ..entry("own")
+    };
+    let stored = Reply::Stored {
+        complete: true,
+        ledger: List(vec![settled, entry("other")]),
+        other_fronts: Default::default(),
+        directory: Default::default(),
+    };
+    let mut tally = tally(3, 1, "own", &[(0, vec!["own", "other"])]);
+    assert!(tally.may_still_fit("own", room(0)));
+    tally.add_ordered_reply(&node(1), stored, 1);
+    assert!(tally.fitting_ledger("own", room(0)).is_none());
+    let ledger = tally.outcome_for("own").expect("stored");
+    assert!(ledger.contains("other"));
+}
+
 const TURNS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
 /// An order in which each of the members has received all turns, and in which members answer.
@@ -188,6 +210,19 @@
         }
     }
 
+    /// Guards against a larger excess than that of quorums which share only one member: of the
+    /// members, each decides on at most as many turns as fit, and each turn is decided by a quorum.
+    #[test]
+    fn granted_turns_exceed_the_budget_by_no_more_than_members_exceed_a_quorum(
+        (orders, answers) in arrivals(3),
+        room in 0_u32..5,
+    ) {
+        let granted = TURNS.iter().filter(|turn| decide(turn, 1, &orders, &answers, room).is_some());
+        let (members, quorum) = (3, 2);
+        let most = members * (room as usize + 1) / quorum;
+        prop_assert!(granted.count() <= most, "{orders:?}");
+    }
+
     /// Guards against turns that are rejected although they fit beside those before them.
     #[test]
     fn turns_in_one_order_are_granted_while_they_fit(
--- a/crates/stageyoke-store/tests/group_test.rs
+++ b/crates/stageyoke-store/tests/group_test.rs
@@ -14,8 +14,11 @@
 use stageyoke_store::local_store::{LocalStore, SilentSince};
 use stageyoke_store::message::{JournalPosition, Numbered, Record, Reply, Request};
 use stageyoke_store::peer_sync::Peers;
+use stageyoke_store::quorum::AppendTally;
 use stageyoke_store::rank_load::ServiceRank;
-use stageyoke_store::{ChainOutcome, GroupClients, GroupError, LedgerView};
+use stageyoke_store::{
+    ChainOutcome, GroupClients, GroupError, LedgerRoom, LedgerView, ReservationOptions,
+};
 use stageyoke_types::{List, Text};
 use support::turn;
 use tokio::io::AsyncWriteExt;
@@ -567,6 +570,8 @@
         assert_eq!(later_entries(&stores[0], version, "one").await, Some(0));
         assert_eq!(later_entries(&stores[0], version, "three").await, Some(0));
         assert_eq!(later_entries(&stores[0], version, "one").await, Some(1));
+        let newer_list = later_entries(&stores[0], version + 1, "one").await;
+        assert_eq!(newer_list, Some(0), "the store does not know that list");
         let store = stores.remove(0);
         stop(&store);
         let restarted = Store::start_in(0, false, store.folder).await;
@@ -575,6 +580,123 @@
     .await;
 }
 
+fn settle_record(turn: &str, used_tokens: u32) -> Record {
+    Record::Settle {
+        program: Text::from(PROGRAM),
+        turn: Text::from(turn),
+        used_tokens,
+    }
+}
+
+fn with_room(max_others: u64) -> ReservationOptions {
+    let rejection_delay = Duration::from_millis(100);
+    ReservationOptions {
+        placement: None,
+        room: Some(LedgerRoom {
+            max_others,
+            rejection_delay,
+        }),
+    }
+}
+
+/// Guards against a caller that repeats a refunded turn under its identifier and is granted it
+/// beside the turns that got its tokens.
+#[tokio::test]
+async fn a_turn_that_is_reserved_again_counts_those_that_came_meanwhile() {
+    run_local(async {
+        let (_stores, group) = start_group(3).await;
+        let reserve = async |turn: &str| {
+            let options = with_room(0);
+            let record = reserve_record(turn);
+            let ledger = group.append_with_options(record, options, TIMEOUT).await;
+            ledger.expect("stored").total_excluding(turn)
+        };
+        // Stores announce their version with the first reply.
+        group
+            .append(turn("greeting", ""), TIMEOUT)
+            .await
+            .expect("stored");
+        group
+            .append(settle_record("greeting", 0), TIMEOUT)
+            .await
+            .expect("stored");
+        assert_eq!(reserve("one").await, 0);
+        group
+            .append(settle_record("one", 0), TIMEOUT)
+            .await
+            .expect("stored");
+        assert_eq!(reserve("two").await, 0);
+        assert_eq!(reserve("one").await, 100);
+    })
+    .await;
+}
+
+/// Guards against two turns of which none counts the other, because a store that has not heard
+/// of a settled change of members tells an order in which others have not received them.
+#[tokio::test]
+async fn turns_before_and_after_a_change_of_members_count_each_other() {
+    run_local(async {
+        let mut stores = Vec::new();
+        for number in 0..4 {
+            stores.push(Store::start(number, true).await);
+        }
+        let zero = GroupNumber(0);
+        let spare = stores.pop().expect("spare");
+        let first = store_groups(&stores);
+        for store in stores.iter().chain([&spare]) {
+            store.local_store.set_stores(first.clone());
+        }
+        let spare_entry = Member {
+            node: spare.local_store.node.clone(),
+            address: Text::from(spare.address.to_string()),
+            zone: Text::from("zone"),
+            state: MemberState::Active,
+            disk: spare.local_store.disk(),
+        };
+        spare.local_store.backfill_for(Some(zero));
+        spare.local_store.declare_complete();
+        let append = async |store: &Store, version: u64, turn: &str| {
+            let request = Request::Append {
+                group: zero,
+                members_version: version,
+                load: Default::default(),
+                placement: None,
+                record: reserve_record(turn),
+            };
+            let handling = store.local_store.handle_extended_request(request, None);
+            let handled = handling.await;
+            let later = handled.later_ledger_entries.unwrap_or(0) as usize;
+            (store.local_store.node.clone(), handled.reply, later)
+        };
+        let old = first.group(zero).expect("group").clone();
+        append(&stores[2], old.version, "other").await;
+        let mut tally = AppendTally::new(&Rc::new(old.clone()), &tolerance(), true).expect("tally");
+        for store in &stores[..2] {
+            let (node, reply, later) = append(store, old.version, "one").await;
+            tally.add_ordered_reply(&node, reply, later);
+        }
+        let one = tally.outcome_for("one").expect("stored");
+        let changing = old.start_change(old.list_replacing("store-0", spare_entry));
+        let changed = changing.settle_change();
+        let groups = |members: &Members| Rc::new(StoreGroups::single(members.clone()));
+        for store in [&stores[1], &stores[2], &spare] {
+            store.local_store.set_stores(groups(&changing));
+        }
+        // The lagging member gets the record from its peer.
+        append(&stores[2], changing.version, "one").await;
+        spare.local_store.set_stores(groups(&changed));
+        let mut tally =
+            AppendTally::new(&Rc::new(changed.clone()), &tolerance(), true).expect("tally");
+        for store in [&spare, &stores[2]] {
+            let (node, reply, later) = append(store, changed.version, "other").await;
+            tally.add_ordered_reply(&node, reply, later);
+        }
+        let other = tally.outcome_for("other").expect("stored");
+        assert!(one.contains("other") || other.contains("one"));
+    })
+    .await;
+}
+
 /// A reservation that too few stores have accepted, or that may never be stored, must not
 /// count.
 #[rstest]
--- a/crates/stageyoke-store/tests/plans/simulated_store.rs
+++ b/crates/stageyoke-store/tests/plans/simulated_store.rs
@@ -256,9 +256,16 @@
     }
 
     /// How many entries of the ledger in the reply to an append came after it.
-    pub fn later_entries(&self, record: &Record) -> usize {
+    pub fn later_entries(
+        &self,
+        group: GroupNumber,
+        members_version: u64,
+        record: &Record,
+    ) -> usize {
         match record {
-            Record::Reserve { program, turn, .. } => {
+            Record::Reserve { program, turn, .. }
+                if self.membership.version_of(group) == members_version =>
+            {
                 self.state.later_ledger_entries(program, TurnKey::of(turn))
             }
             _ => 0,
--- a/crates/stageyoke-store/tests/plans/simulation.rs
+++ b/crates/stageyoke-store/tests/plans/simulation.rs
@@ -938,7 +938,8 @@
         if self.stores[store].sync(&record, self.now) {
             let node = self.stores[store].entry.node.clone();
             let reply = self.stores[store].append_reply(self.calls[call].group, &record);
-            let later = self.stores[store].later_entries(&record);
+            let version = self.calls[call].members_version;
+            let later = self.stores[store].later_entries(self.calls[call].group, version, &record);
             self.send(Event::DeliverReply(call, node, reply, later));
         }
     }
