--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -11,7 +11,7 @@
 use stageyoke_store::message::{ChainPart, Placement};
 use stageyoke_store::{
     ChainOutcome, GroupClients, GroupError, LedgerRoom, LedgerView, RecentTurns, Record,
-    ReservationFields, StoredRecord, TurnRecord,
+    ReservationOptions, StoredRecord, TurnRecord,
 };
 use stageyoke_types::{Blob, Text};
 use tokio::sync::oneshot;
@@ -35,6 +35,8 @@
 /// Time for which further stores may answer a reservation after a quorum whose ledgers leave too
 /// few tokens.
 const REJECTION_DELAY: Duration = Duration::from_millis(300);
+/// Time for which the stores are asked again about a granted turn that their ledgers overrule.
+const GRANT_RETRY_TIME: Duration = Duration::from_millis(1500);
 /// Timeout of a settlement.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -145,7 +147,7 @@
             ledger = &mut stored => ledger.unwrap_or(Err(GroupError::NoQuorum)).map(ReservedLedger::stored),
             Some(ledger) = unsynced => Ok(ReservedLedger {
                 pending: Some(PendingLedger {
-                    received: ledger.clone(),
+                    received_ledger: ledger.clone(),
                     stored,
                     stores: self.stores.clone(),
                     request: request.clone(),
@@ -249,8 +251,14 @@
         others.saturating_add(self.max_tokens.into()) <= self.budget
     }
 
-    fn fields(&self, rejection_delay: Duration) -> ReservationFields {
-        ReservationFields {
+    /// Returns whether other turns have used too many tokens for good.
+    pub fn can_never_fit(&self, ledger: &LedgerView) -> bool {
+        let used = ledger.settled_excluding(&self.reserved.turn);
+        used.saturating_add(self.max_tokens.into()) > self.budget
+    }
+
+    fn options(&self, rejection_delay: Duration) -> ReservationOptions {
+        ReservationOptions {
             placement: self.placement,
             room: Some(LedgerRoom {
                 max_others: self.budget.saturating_sub(self.max_tokens.into()),
@@ -265,9 +273,9 @@
         rejection_delay: Duration,
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
-        let fields = self.fields(rejection_delay);
+        let options = self.options(rejection_delay);
         stores
-            .append_with_fields(self.record(), fields, time_limit)
+            .append_with_options(self.record(), options, time_limit)
             .await
     }
 }
@@ -292,7 +300,7 @@
 /// A reservation that a quorum has received and that is being stored.
 pub struct PendingLedger {
     /// The ledger as of the receipt.
-    received: LedgerView,
+    received_ledger: LedgerView,
     stored: oneshot::Receiver<Result<LedgerView, GroupError>>,
     stores: Rc<GroupClients>,
     request: ReservationRequest,
@@ -300,7 +308,7 @@
 }
 
 impl PendingLedger {
-    /// Waits until the reservation is stored and returns the ledger as of then. Repeats the
+    /// Waits until the reservation is stored and returns the ledger that decides on it. Repeats the
     /// append until the deadline, since the turn may have run already.
     pub async fn wait(&mut self) -> Result<LedgerView, GroupError> {
         let stored = (&mut self.stored).await;
@@ -317,17 +325,24 @@
     }
 
     /// Waits like `wait`, for a turn that was granted. The stores that had received its
-    /// reservation leave it room once they have all stored it, so they are given the time.
+    /// reservation leave it room once they have all stored it, and turns that were rejected for it
+    /// are refunded, so the stores are asked again for a while.
     async fn wait_for_granting_quorum(mut self) -> Result<LedgerView, GroupError> {
-        let ledger = self.wait().await?;
-        if self.request.fits(&ledger) {
-            return Ok(ledger);
+        let mut ledger = self.wait().await?;
+        let until = self.deadline.min(Instant::now() + GRANT_RETRY_TIME);
+        loop {
+            ledger.merge_settlements(&self.received_ledger);
+            let is_over = Instant::now() + COMMIT_RETRY_DELAY >= until;
+            if is_over || self.request.fits(&ledger) || self.request.can_never_fit(&ledger) {
+                return Ok(ledger);
+            }
+            tokio::time::sleep(COMMIT_RETRY_DELAY).await;
+            let time_limit = until.saturating_duration_since(Instant::now());
+            let append = self
+                .request
+                .append(&self.stores, REJECTION_DELAY, time_limit);
+            ledger = append.await.unwrap_or(ledger);
         }
-        let remaining = self.remaining();
-        let append = self.request.append(&self.stores, remaining, remaining);
-        let mut ledger = append.await.unwrap_or(ledger);
-        ledger.merge_settlements(&self.received);
-        Ok(ledger)
     }
 
     fn remaining(&self) -> Duration {
@@ -346,7 +361,7 @@
     let until = Instant::now() + time_limit;
     let append = || {
         let remaining = until.saturating_duration_since(Instant::now());
-        request.append(&stores, REJECTION_DELAY, remaining)
+        request.append(&stores, REJECTION_DELAY.min(remaining / 2), remaining)
     };
     let mut ledger = append().await;
     if matches!(ledger, Err(GroupError::StaleMembers)) {
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -141,6 +141,7 @@
         } = reserving.await.map_err(not_reserved)?;
         // A reservation that is not stored may still fail, so it rejects no other.
         if !request.fits(&ledger)
+            && !request.can_never_fit(&ledger)
             && let Some(mut pending) = pending.take()
         {
             let waiting = tokio::time::timeout_at(reserve_until, pending.wait());
