Test of recorded versions: send the streams at once, so that some are lost

`retries_of_a_stream_without_its_first_event_stay_at_the_recorded_version` sent one stream after the other. In one of its runs no stream went to a replica that loses it, and the test failed with "no stream was lost before its first event".

--- a/crates/stageyoke-front/tests/stream_versions_test.rs
+++ b/crates/stageyoke-front/tests/stream_versions_test.rs
@@ -5,6 +5,7 @@
 mod streams;
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use streams::{BROKEN_STREAM, LOST_STREAM, NOT_RUN, Replica, STREAM, System, header_value};
@@ -145,12 +146,17 @@
             replicas.push(("v1", Replica::start(LOST_STREAM, LOST_STREAM).await));
         }
         let system = System::start(1, 0, replicas).await;
-        let front = system.start_front().await;
+        let front = Rc::new(system.start_front().await);
+        // All at once, so that each replica gets some first.
+        let beginning = (0..STREAMS).map(|number| {
+            let front = front.clone();
+            tokio::task::spawn_local(async move { front.begin(&format!("first-{number}")).await })
+        });
+        let beginning: Vec<_> = beginning.collect();
         let mut repeated = 0;
-        for number in 0..STREAMS {
-            let id = format!("first-{number}");
-            front.begin(&id).await;
-            let versions = system.versions_of(&id);
+        for (number, begun) in beginning.into_iter().enumerate() {
+            begun.await.expect("answer");
+            let versions = system.versions_of(&format!("first-{number}"));
             let first = versions.first().expect("sent");
             assert!(
                 versions.iter().all(|version| version == first),
