Give up a stream that exceeds what its request allows

What callers saw: a replica that sends a stream without end kept its caller until the deadline (200 and a cut, or 504 before the first event).

Cause: `EventSplitter` and the relay's output had no limit and no accounting, and nothing compared a turn's events with its tokens.

Change: `ReceivedStream` takes what comes of a stream, before and after its first event. - From one event with data to the next at most 1 MiB come: the event itself, and comments and events without data. - A turn of an engine with a known number of tokens has at most as many events with data, and 16 that may carry no token, such as a mark of the end. - Any stream has at most 16 MiB, the limit of plain responses, or 4 KiB for each event that the turn may have, if that is more. - The incomplete event and the kept output are acquired from the memory budget as they grow; output is kept only where the turn is stored. A stream that exceeds the request is given up at once as `stream_too_large`: the replica's connection is closed and `Evidence::Failed` recorded. Before the first event it is an outcome of the attempt (502, or the next replica where the request may be repeated), after it a cut. A stream for which the front has no memory ends as `no_stream_memory` (502 or a cut) without evidence; the name differs from `no_memory`, which promises that the request has not run.

Evidence: all 8 cases of `endless_streams` that were written then failed on the code before (504 after the deadline, 319 events for 5 tokens, over 20 MB of comments). Without the evidence, both cases of `only_the_replica_that_is_at_fault_is_suspended` that expect a suspension fail. `received_stream_test` checks that what is kept is always acquired and released again; it cannot be built on the code before.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -431,7 +431,7 @@
             return Ok(DispatchedResponse::Stream(
                 reply,
                 uncached_tokens,
-                StreamStart::default(),
+                StreamStart::new(context, self.memory_budget.start_request()),
             ));
         }
         let framing = Framing::of(&reply.response);
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prompt_cache;
 pub mod protocol_names;
 pub mod quota;
+pub mod received_stream;
 pub mod replica;
 mod replica_log;
 pub mod replica_registry;
--- a/crates/stageyoke-front/src/memory_budget.rs
+++ b/crates/stageyoke-front/src/memory_budget.rs
@@ -51,6 +51,19 @@
         true
     }
 
+    /// Changes the memory of the request to `bytes`, if the budget allows it; less is always
+    /// allowed.
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        if let Some(additional) = bytes.checked_sub(self.bytes) {
+            return self.try_acquire(additional);
+        }
+        self.budget
+            .used
+            .set(self.budget.used.get() - (self.bytes - bytes));
+        self.bytes = bytes;
+        true
+    }
+
     /// Acquires memory even beyond the budget, for a request that has run and must not be
     /// rejected.
     pub fn force_acquire(&mut self, bytes: usize) {
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -12,10 +12,11 @@
 use crate::deadly_requests::{HeldPermit, RequestGuard};
 use crate::dispatch::{REPLICA_ENDED, record_attempt};
 use crate::engine_rates::TurnTiming;
-use crate::event_stream::{EventSplitter, collect_data, is_inside_event};
+use crate::event_stream::is_inside_event;
 use crate::health::Evidence;
 use crate::history::{History, Reservation, build_turn_record};
 use crate::memory_budget::MemoryGuard;
+use crate::received_stream::{ReceivedStream, StreamExcess};
 use crate::replica::{InFlightGuard, Replica};
 use crate::request::ScopedIdentifiers;
 use crate::request_identity::RequestIdentity;
@@ -184,19 +185,18 @@
     }
 }
 
-#[derive(Default)]
-struct ReceivedEvents {
-    output: Vec<u8>,
-    events: u32,
-    first: Option<FirstEvent>,
-}
-
 impl StreamRelay {
     /// Relays the stream to the caller's channel `chunks` until either side ends: what was
     /// read at its `start`, and then the rest of its `body`.
     pub async fn run(mut self, start: StreamStart, mut body: Incoming, chunks: ChunkSender) {
-        let mut received = ReceivedEvents::default();
-        let end = self.forward(start, &mut body, &chunks, &mut received).await;
+        let StreamStart {
+            mut received,
+            first,
+        } = start;
+        let (first_events, first) = first.unzip();
+        let end = self
+            .forward(first_events, &mut body, &chunks, &mut received)
+            .await;
         if end.is_lost_connection() {
             self.record_lost_connection(&end).await;
         }
@@ -204,11 +204,11 @@
             StreamEnd::Complete => {
                 let replica = &self.upstream.replica;
                 self.request_guard.record_completed(self.identity, replica);
-                self.record_rates(&received);
-                self.store_turn(received, StreamEnd::Complete).await
+                self.record_rates(&received, first.as_ref());
+                self.store_turn(&mut received, StreamEnd::Complete).await
             }
             // Stored as far as it came: it is continued only by a caller that took it as whole.
-            StreamEnd::Unknown => self.store_turn(received, StreamEnd::Unknown).await,
+            StreamEnd::Unknown => self.store_turn(&mut received, StreamEnd::Unknown).await,
             other => other,
         };
         self.finish(&end, chunks);
@@ -231,11 +231,11 @@
     }
 
     /// Updates the engine's learned rates with a completed turn.
-    fn record_rates(&self, received: &ReceivedEvents) {
-        let Some(first) = &received.first else {
+    fn record_rates(&self, received: &ReceivedStream, first: Option<&FirstEvent>) {
+        let Some(first) = first else {
             return;
         };
-        let later_events = received.events.saturating_sub(1);
+        let later_events = received.events().saturating_sub(1);
         let generated = later_events.saturating_mul(self.storage.tokens_per_event);
         let timing = self.upstream.timing(first, generated);
         self.upstream.replica.record_turn(&timing);
@@ -243,20 +243,18 @@
 
     async fn forward(
         &mut self,
-        start: StreamStart,
+        first_events: Option<Bytes>,
         body: &mut Incoming,
         chunks: &ChunkSender,
-        received: &mut ReceivedEvents,
+        received: &mut ReceivedStream,
     ) -> StreamEnd {
-        let mut splitter = start.splitter;
-        let Some((events, first)) = start.first else {
-            return self.end_of_body(splitter, received, chunks).await;
+        let Some(events) = first_events else {
+            return self.end_of_body(received, chunks).await;
         };
-        received.first = Some(first);
         if let Some(record) = self.version_record.take() {
             record.wait().await;
         }
-        if let Some(end) = self.send_events(events, received, chunks).await {
+        if let Some(end) = self.send_events(events, chunks).await {
             return end;
         }
         loop {
@@ -266,26 +264,34 @@
                 () = tokio::time::sleep_until(self.deadline) => return StreamEnd::Aborted(TIME_OUT),
             };
             let complete_events = match frame {
-                None => return self.end_of_body(splitter, received, chunks).await,
+                None => return self.end_of_body(received, chunks).await,
                 Some(Err(_)) => return StreamEnd::Aborted(TRUNCATED),
-                Some(Ok(frame)) => frame.data_ref().and_then(|data| splitter.push(data)),
+                Some(Ok(frame)) => match frame.data_ref() {
+                    Some(data) => received.push(data),
+                    None => Ok(None),
+                },
+            };
+            let end = match complete_events {
+                Ok(Some(events)) => self.send_events(events, chunks).await,
+                Ok(None) => None,
+                Err(excess) => Some(self.give_up(excess)),
             };
-            if let Some(events) = complete_events
-                && let Some(end) = self.send_events(events, received, chunks).await
-            {
+            if let Some(end) = end {
                 return end;
             }
         }
     }
 
+    /// Returns the end of a stream that exceeds a limit.
+    fn give_up(&self, excess: StreamExcess) -> StreamEnd {
+        if excess == StreamExcess::TooLarge {
+            self.upstream.replica.record(Evidence::Failed);
+        }
+        StreamEnd::Aborted(excess.outcome())
+    }
+
     /// Forwards complete events; returns how the stream ends if that fails.
-    async fn send_events(
-        &self,
-        events: Bytes,
-        received: &mut ReceivedEvents,
-        chunks: &ChunkSender,
-    ) -> Option<StreamEnd> {
-        received.events += collect_data(&events, &mut received.output);
+    async fn send_events(&self, events: Bytes, chunks: &ChunkSender) -> Option<StreamEnd> {
         match tokio::time::timeout_at(self.deadline, chunks.send(events)).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(StreamEnd::CallerDisconnected),
@@ -295,18 +301,13 @@
 
     /// Judges a stream whose body has ended without an error. One that ends inside an event has
     /// been broken off, and so has one without framing that ends before its first event.
-    async fn end_of_body(
-        &self,
-        mut splitter: EventSplitter,
-        received: &ReceivedEvents,
-        chunks: &ChunkSender,
-    ) -> StreamEnd {
-        let remainder = splitter.take_remainder();
+    async fn end_of_body(&self, received: &mut ReceivedStream, chunks: &ChunkSender) -> StreamEnd {
+        let remainder = received.take_remainder();
         let end = match (self.upstream.framing, is_inside_event(&remainder)) {
             (Framing::Length | Framing::Chunked, false) => StreamEnd::Complete,
             (Framing::Length | Framing::Chunked, true) => return StreamEnd::Aborted(TRUNCATED),
             (Framing::Connection, true) => StreamEnd::InsideEvent,
-            (Framing::Connection, false) if received.events > 0 => StreamEnd::Unknown,
+            (Framing::Connection, false) if received.events() > 0 => StreamEnd::Unknown,
             (Framing::Connection, false) => return StreamEnd::Aborted(TRUNCATED),
         };
         if remainder.is_empty() {
@@ -321,9 +322,9 @@
 
     /// Stores the turn or settles its reservation before the caller sees the end. Returns `end`
     /// unless that fails.
-    async fn store_turn(&mut self, received: ReceivedEvents, end: StreamEnd) -> StreamEnd {
+    async fn store_turn(&mut self, received: &mut ReceivedStream, end: StreamEnd) -> StreamEnd {
         let generated = received
-            .events
+            .events()
             .saturating_mul(self.storage.tokens_per_event);
         let used = match self.max_tokens {
             0 => generated,
@@ -336,7 +337,8 @@
             return end;
         };
         let retention = self.storage.retention;
-        let record = build_turn_record(&self.identifiers, input, received.output, used, retention);
+        let output = received.take_output();
+        let record = build_turn_record(&self.identifiers, input, output, used, retention);
         let started = Instant::now();
         let stored = self.storage.history.commit(record, self.deadline).await;
         self.line.summary.store_turn_ms = started.elapsed().as_millis() as u64;
--- a/crates/stageyoke-front/src/stream_start.rs
+++ b/crates/stageyoke-front/src/stream_start.rs
@@ -11,14 +11,15 @@
 use stageyoke_types::ErrorKind;
 use tokio::time::Instant;
 
-use crate::attempt::ReplicaResponse;
 use crate::dispatch::{ANSWERED, DispatchedResponse, REPLICA_ENDED, deadline_exceeded};
-use crate::event_stream::{EventSplitter, is_inside_event};
+use crate::event_stream::is_inside_event;
 use crate::failure::Failure;
 use crate::front::Front;
 use crate::handler::RequestContext;
 use crate::health::Evidence;
 use crate::history::Reservation;
+use crate::memory_budget::MemoryGuard;
+use crate::received_stream::{ReceivedStream, StreamExcess, StreamLimits};
 use crate::replica::Replica;
 
 /// Outcome of a stream that the replica did not complete.
@@ -37,10 +38,9 @@
 }
 
 /// Part of a stream that was read before its head is forwarded.
-#[derive(Default)]
 pub struct StreamStart {
-    /// Bytes after the first events.
-    pub splitter: EventSplitter,
+    /// What was received of the stream.
+    pub received: ReceivedStream,
     /// First events; `None` if the stream has ended regularly without any.
     pub first: Option<(Bytes, FirstEvent)>,
 }
@@ -86,6 +86,21 @@
         })
     }
 
+    fn given_up(excess: StreamExcess) -> Self {
+        let outcome = excess.outcome();
+        match excess {
+            StreamExcess::TooLarge => Self::Unusable(UnusableStream {
+                cause: outcome,
+                evidence: Some(Evidence::Failed),
+            }),
+            // Another replica's stream would find no memory either.
+            StreamExcess::NoMemory => Self::Final {
+                outcome,
+                failure: Failure::permanent(ErrorKind::OutcomeUnknown, outcome),
+            },
+        }
+    }
+
     fn deadline_exceeded() -> Self {
         Self::Final {
             outcome: TIME_OUT,
@@ -95,35 +110,45 @@
 }
 
 impl StreamStart {
+    /// Creates the start of a request's stream of which nothing was read.
+    pub(crate) fn new(context: &RequestContext, memory: MemoryGuard) -> Self {
+        // Only engines' events are tokens.
+        let max_tokens = match context.service.engine {
+            Some(_) => context.parameters.max_tokens,
+            None => 0,
+        };
+        let limits = StreamLimits::of_turn(max_tokens);
+        Self {
+            received: ReceivedStream::new(limits, context.route.stores_history, memory),
+            first: None,
+        }
+    }
+
     /// Reads a stream up to its first complete event or its regular end.
     async fn read(
+        &mut self,
         body: &mut Incoming,
         framing: Framing,
         replica: &Replica,
-    ) -> Result<Self, StartFailure> {
-        let mut splitter = EventSplitter::default();
+    ) -> Result<(), StartFailure> {
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| StartFailure::broken_off())?;
             let Some(data) = frame.data_ref() else {
                 continue;
             };
-            if let Some(events) = splitter.push(data) {
+            let complete_events = self.received.push(data);
+            if let Some(events) = complete_events.map_err(StartFailure::given_up)? {
                 let first = FirstEvent {
                     at: Instant::now(),
                     in_flight: replica.requests_in_flight(),
                 };
-                return Ok(Self {
-                    splitter,
-                    first: Some((events, first)),
-                });
+                self.first = Some((events, first));
+                return Ok(());
             }
         }
-        match framing == Framing::Connection || is_inside_event(splitter.remainder()) {
+        match framing == Framing::Connection || is_inside_event(self.received.remainder()) {
             true => Err(StartFailure::broken_off()),
-            false => Ok(Self {
-                splitter,
-                first: None,
-            }),
+            false => Ok(()),
         }
     }
 }
@@ -137,13 +162,14 @@
         summary: &mut RequestSummary,
         reservation: &mut Option<Reservation>,
     ) -> Result<DispatchedResponse, StartFailure> {
-        let DispatchedResponse::Stream(mut reply, uncached_tokens, _) = response else {
+        let DispatchedResponse::Stream(mut reply, uncached_tokens, mut start) = response else {
             return Ok(response);
         };
         self.begin_version(context, &reply.replica, summary)?;
         let deadline = context.outbound.deadline;
-        let reading = read_start(&mut reply);
-        let start = tokio::time::timeout_at(deadline, reading)
+        let framing = Framing::of(&reply.response);
+        let reading = start.read(reply.response.body_mut(), framing, &reply.replica);
+        tokio::time::timeout_at(deadline, reading)
             .await
             .map_err(|_| StartFailure::deadline_exceeded())??;
         check_reservation(reservation, deadline, &reply.replica, summary).await?;
@@ -175,11 +201,6 @@
     }
 }
 
-async fn read_start(reply: &mut ReplicaResponse) -> Result<StreamStart, StartFailure> {
-    let framing = Framing::of(&reply.response);
-    StreamStart::read(reply.response.body_mut(), framing, &reply.replica).await
-}
-
 /// Waits until the turn's reservation is stored, since no output may be forwarded before that.
 async fn check_reservation(
     reservation: &mut Option<Reservation>,
--- a/crates/stageyoke-front/tests/front/stream_starts.rs
+++ b/crates/stageyoke-front/tests/front/stream_starts.rs
@@ -60,14 +60,7 @@
         let sound = Replica::start(&[&whole_stream()]).await;
         let test_front = start(&[&broken_off, &sound]).await;
         let text = request("POST", "/resumable/a", "");
-        let sending = (0..REQUESTS).map(|_| {
-            let (address, text) = (test_front.address, text.clone());
-            tokio::task::spawn_local(async move { send_request(address, &text).await })
-        });
-        // All at once, as a replica without requests gets the next one.
-        let sending: Vec<_> = sending.collect();
-        for answer in sending {
-            let answer = answer.await.expect("answer");
+        for answer in send_at_once(test_front.address, &text, REQUESTS).await {
             assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
             assert!(answer.contains("data: a"), "{answer}");
             assert!(answer.ends_with(LAST_CHUNK), "{answer}");
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -1,5 +1,7 @@
 //! Runs a front in process against scripted replicas on the loopback interface.
 
+#[path = "front/endless_streams.rs"]
+mod endless_streams;
 #[path = "front/stream_starts.rs"]
 mod stream_starts;
 mod support;
@@ -632,6 +634,26 @@
     routes: &str,
     store: Option<SocketAddr>,
     admission_control: bool,
+) -> TestFront {
+    start_with_settings(replicas, routes, store, admission_control, MEMORY_BYTES).await
+}
+
+/// Starts a front on a machine with this memory.
+async fn start_with_memory(
+    replicas: &[&Replica],
+    routes: &str,
+    store: Option<SocketAddr>,
+    memory_bytes: u64,
+) -> TestFront {
+    start_with_settings(replicas, routes, store, false, memory_bytes).await
+}
+
+async fn start_with_settings(
+    replicas: &[&Replica],
+    routes: &str,
+    store: Option<SocketAddr>,
+    admission_control: bool,
+    memory_bytes: u64,
 ) -> TestFront {
     let reachable = Rc::new(RefCell::new(true));
     let directory = FakeKeyValueService {
@@ -659,7 +681,7 @@
         change_bound: Duration::from_secs(2),
         key_age_limit: None,
         cold_tolerance: None,
-        memory_bytes: MEMORY_BYTES,
+        memory_bytes,
         admission_control,
         heterogeneous_engines: false,
     };
@@ -701,6 +723,20 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
+/// Sends a request several times at once, so that each of two replicas gets some.
+async fn send_at_once(address: SocketAddr, text: &str, count: usize) -> Vec<String> {
+    let sending = (0..count).map(|_| {
+        let text = text.to_owned();
+        tokio::task::spawn_local(async move { send_request(address, &text).await })
+    });
+    let sending: Vec<_> = sending.collect();
+    let mut answers = Vec::new();
+    for answer in sending {
+        answers.push(answer.await.expect("answer"));
+    }
+    answers
+}
+
 fn request(method: &str, path: &str, body: &str) -> String {
     let length = body.len();
     format!(
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -260,6 +260,8 @@
              whole is unknown, and its caller got it without framing"
         }
         "replica_broke_off" => "the replica broke its stream off",
+        "stream_too_large" => "the replica sent more than the request allows, and was stopped",
+        "no_stream_memory" => "the front had no memory for what it keeps of the stream",
         "not_kept" => "cut: its turn could not be kept on a quorum of stores",
         "not_reserved" => "its output was withheld: its reservation was not stored in time",
         "budget_spent_meanwhile" => {
