Acquire memory for plain responses while they grow, and give up the others

What was seen: five plain responses without end raised the front's memory from 9 to 93 MB before each got 502; a machine of 88 MB has less.

Cause: a response of up to 16 MiB was collected first and counted against the memory budget afterwards, without regard to the budget. A stated length beyond the limit was read up to the limit all the same.

Now the body is read into one buffer whose capacity is acquired before it grows, or up front for a stated length. Otherwise the response is given up at once, its memory is released and its connection closed:

- too large: oversized_response, evidence Failed (it was Lost, and had the process probed for its end).
A repeatable request goes on to another replica within MaxAttempts, as before.
- no memory: no_memory_for_response, no evidence against the replica.
No other replica is tried, as the lack is the front's own.

The caller gets a whole 502 with that outcome in its log line; explain and stageyoke_oversized_responses_total know both.

Two tests of slow callers ran on a front whose budget is 700 bytes and let 3 and 8 MB pass, which only the uncounted memory allowed. They now have a front of 64 MB; the second also checks that the first of its two responses came whole, since a 502 in its place would have passed.

--- a/crates/stageyoke-front/src/dispatch.rs
+++ b/crates/stageyoke-front/src/dispatch.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
 use stageyoke_observe::{self as observe, RequestSummary};
@@ -21,7 +20,9 @@
 use crate::handler::{OUTAGE_RETRY_DELAY, RequestContext, SHORT_RETRY_DELAY};
 use crate::health::Evidence;
 use crate::history::Reservation;
+use crate::oversized_response::{self, NO_MEMORY_FOR_RESPONSE, OVERSIZED_RESPONSE};
 use crate::placement::{self, Candidate};
+use crate::plain_response::{self, ReadError};
 use crate::replica::Replica;
 use crate::replica_registry::ReplicaQuery;
 use crate::restrictions::Shortage;
@@ -43,8 +44,6 @@
 const TRUNCATED: &str = "answer_broke_off";
 /// Number of cold replicas without permits after which a request is rejected.
 const MAX_PERMIT_DENIALS: usize = 3;
-/// Maximum size of a plain response.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
     /// Sends the request to one replica after another until one responds or no further
@@ -62,6 +61,7 @@
             false => 1,
         };
         let mut runs = 0;
+        let mut last_cause = "";
         let mut budget = self.retry_budget.get();
         budget.deposit();
         self.retry_budget.set(budget);
@@ -152,6 +152,10 @@
                                 }
                             }
                         }
+                        Err(NO_MEMORY_FOR_RESPONSE) => {
+                            record_attempt(summary, &replica.id, NO_MEMORY_FOR_RESPONSE);
+                            return Err(failure_after_run(context, NO_MEMORY_FOR_RESPONSE));
+                        }
                         Err(TIME_OUT) => {
                             replica.record(Evidence::Failed);
                             record_attempt(summary, &replica.id, TIME_OUT);
@@ -189,6 +193,7 @@
                 }
             };
             record_attempt(summary, &replica.id, cause);
+            last_cause = cause;
             runs += 1;
             if cause == REPLICA_ENDED {
                 end_reports.add(guard.report_end(context.identity, &replica));
@@ -209,16 +214,7 @@
         if self.request_guard.standing(context.identity) == Standing::Blocked {
             return Err(deadly_requests::blocked());
         }
-        match context.route.is_repeatable() {
-            true => Err(Failure::permanent(
-                ErrorKind::BackEndFailed,
-                "replicas_failed",
-            )),
-            false => Err(Failure::permanent(
-                ErrorKind::OutcomeUnknown,
-                "outcome_unknown",
-            )),
-        }
+        Err(failure_after_run(context, last_cause))
     }
 
     fn withdraw_retry(&self) -> bool {
@@ -435,13 +431,11 @@
             ));
         }
         let framing = Framing::of(&reply.response);
-        let reading = Limited::new(reply.response.body_mut(), MAX_RESPONSE_BYTES).collect();
-        let content = match tokio::time::timeout_at(context.outbound.deadline, reading).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(_)) => return Err(TRUNCATED),
-            Err(_) => return Err(TIME_OUT),
-        };
-        context.memory_guard.force_acquire(content.len());
+        let mut memory_guard = context.memory_guard.start_part();
+        let deadline = context.outbound.deadline;
+        let reading = plain_response::read(reply.response.body_mut(), &mut memory_guard, deadline);
+        let content = reading.await.map_err(read_failure)?;
+        context.memory_guard.absorb(memory_guard);
         let reply = *reply;
         let (head, _) = reply.response.into_parts();
         if framing != Framing::Connection {
@@ -451,6 +445,30 @@
     }
 }
 
+/// Returns the cause of an attempt whose response was not read to its end.
+fn read_failure(error: ReadError) -> &'static str {
+    let cause = match error {
+        ReadError::Truncated => return TRUNCATED,
+        ReadError::DeadlineExceeded => return TIME_OUT,
+        ReadError::TooLarge => OVERSIZED_RESPONSE,
+        ReadError::OutOfMemory => NO_MEMORY_FOR_RESPONSE,
+    };
+    oversized_response::count(cause);
+    cause
+}
+
+/// Returns the failure of a request that may have run, by the cause of its last attempt.
+fn failure_after_run(context: &RequestContext, last_cause: &'static str) -> Failure {
+    let (kind, cause) = match context.route.is_repeatable() {
+        true => (ErrorKind::BackEndFailed, "replicas_failed"),
+        false => (ErrorKind::OutcomeUnknown, "outcome_unknown"),
+    };
+    Failure::permanent(
+        kind,
+        oversized_response::failure_cause(last_cause).unwrap_or(cause),
+    )
+}
+
 /// Returns the hash that selects the replicas for a request: that of its program for an
 /// engine, so that all fronts agree on it.
 fn affinity(context: &RequestContext) -> u64 {
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -25,6 +25,7 @@
 mod oversized_response;
 mod pending_request;
 pub mod placement;
+mod plain_response;
 pub mod prompt_cache;
 pub mod protocol_names;
 pub mod quota;
--- a/crates/stageyoke-front/src/memory_budget.rs
+++ b/crates/stageyoke-front/src/memory_budget.rs
@@ -42,6 +42,16 @@
 }
 
 impl MemoryGuard {
+    /// Returns another guard of the same budget, which uses no memory yet.
+    pub fn start_part(&self) -> Self {
+        self.budget.start_request()
+    }
+
+    /// Takes over the memory of another guard of the same budget.
+    pub fn absorb(&mut self, mut part: Self) {
+        self.bytes += std::mem::take(&mut part.bytes);
+    }
+
     /// Acquires memory if the budget allows it.
     pub fn try_acquire(&mut self, bytes: usize) -> bool {
         if self.budget.used.get() + bytes > self.budget.capacity {
--- a/crates/stageyoke-front/tests/endless_responses_test.rs
+++ b/crates/stageyoke-front/tests/endless_responses_test.rs
@@ -15,6 +15,7 @@
 use replica::{Replica, SHORT_PATH, Script};
 use rstest::rstest;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 /// Memory of the front's machine, of which 35 percent are for requests.
 const MEMORY_BYTES: u64 = 200_000_000;
@@ -53,6 +54,12 @@
     counter.with_label_values(&[cause]).get()
 }
 
+/// Returns how many requests of a route ended with an outcome.
+fn ended(route: &str, outcome: &str) -> u64 {
+    let requests = &stageyoke_observe::metrics().requests;
+    requests.with_label_values(&[route, outcome]).get()
+}
+
 /// Sends a request to a troubled replica while another caller polls the sound service.
 async fn send_beside_another_caller(front: Front, path: &str) -> Answer {
     let mut troubled = std::pin::pin!(front.get(path));
@@ -131,6 +138,121 @@
     .await;
 }
 
+/// Guards against reading 16 MiB of a response whose length says that it is too large.
+#[tokio::test]
+async fn a_response_with_a_length_beyond_the_limit_is_given_up_unread() {
+    run_local(async {
+        let before = (
+            given_up("oversized_response"),
+            ended("once", "oversized_response"),
+        );
+        let head = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 16777217\r\n\r\n";
+        let (front, troubled) = start(Script::endless(head, "x")).await;
+        let answer = front.get("/once/a").await;
+        assert_eq!(answer.status, 502);
+        troubled.wait_until_closed().await;
+        let sent = troubled.observed.sent_bytes.get();
+        assert!(sent < BUFFERED_BYTES, "{sent} bytes sent");
+        assert!(given_up("oversized_response") > before.0);
+        assert!(ended("once", "oversized_response") > before.1);
+    })
+    .await;
+}
+
+/// A replica that sends too much may be the only one in trouble.
+#[rstest]
+#[case::body(CHUNKED, &chunk())]
+#[tokio::test]
+async fn a_repeatable_request_goes_on_to_another_replica(#[case] prefix: &str, #[case] unit: &str) {
+    run_local(async {
+        let endless = Replica::start(Script::endless(prefix, unit)).await;
+        // A replica without an idle connection is not preferred to the other.
+        let closing = SHORT.replace("Content-Length", "Connection: close\r\nContent-Length");
+        let sound = Replica::start(Script::short(&closing)).await;
+        let replicas = [(TROUBLED, &endless), (TROUBLED, &sound)];
+        let front = Front::start(MEMORY_BYTES, &replicas).await;
+        let started = Instant::now();
+        while endless.requests() == 0 {
+            let answer = front.get("/safe/a").await;
+            assert_eq!((answer.status, answer.body.as_slice()), (200, &b"body"[..]));
+            assert!(started.elapsed() < Duration::from_secs(5));
+        }
+        endless.wait_until_closed().await;
+    })
+    .await;
+}
+
+/// Guards against the memory of responses that is accounted for only once they are whole: then
+/// several together exceed the budget.
+#[tokio::test]
+async fn responses_beyond_the_memory_budget_are_given_up_while_they_grow() {
+    const BUDGET_BYTES: usize = 4_000_000;
+    const CALLERS: usize = 5;
+    run_local(async {
+        let before = given_up("no_memory_for_response");
+        let replicas = [
+            Replica::start(Script::endless(CHUNKED, &chunk())).await,
+            Replica::start(Script::endless(CHUNKED, &chunk())).await,
+        ];
+        let listed = [(TROUBLED, &replicas[0]), (TROUBLED, &replicas[1])];
+        let memory_bytes = (BUDGET_BYTES as f64 / 0.35) as u64;
+        let front = Front::start(memory_bytes, &listed).await;
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| tokio::task::spawn_local(async move { front.get("/safe/a").await }))
+            .collect();
+        for caller in callers {
+            let answer = caller.await.expect("caller");
+            assert_eq!(answer.status, 502);
+            assert!(answer.took < 2 * GIVE_UP_TIME, "{:?}", answer.took);
+        }
+        let mut sent = 0;
+        let mut requests = 0;
+        for replica in &replicas {
+            replica.wait_until_closed().await;
+            sent += replica.observed.sent_bytes.get();
+            requests += replica.requests();
+        }
+        assert!(
+            sent < 2 * BUDGET_BYTES + CALLERS * BUFFERED_BYTES / 2,
+            "{sent} bytes sent"
+        );
+        assert_eq!(requests, CALLERS, "no further replica may run it");
+        assert_eq!(given_up("no_memory_for_response") - before, CALLERS as u64);
+        // The replicas are not to blame.
+        assert_eq!(front.get(SHORT_PATH).await.status, 200);
+    })
+    .await;
+}
+
+/// Guards against callers whose requests are accepted although a response that is being read
+/// holds the memory, and against memory that is not released.
+#[rstest]
+#[case::stated_length(
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: 900000\r\n\r\n",
+    0
+)]
+#[case::as_it_arrives(UNFRAMED, 900_000)]
+#[tokio::test]
+async fn the_memory_of_an_unfinished_response_counts(#[case] head: &str, #[case] arrived: usize) {
+    const MEMORY_BYTES: u64 = 4_000_000;
+    run_local(async {
+        let script = Script::short(&format!("{head}{}", "x".repeat(arrived)));
+        let troubled = Replica::start(script).await;
+        let sound = Replica::start(Script::short(SHORT)).await;
+        let replicas = [(TROUBLED, &troubled), (SOUND, &sound)];
+        let front = Front::start(MEMORY_BYTES, &replicas).await;
+        let first = tokio::task::spawn_local(async move { front.send("/once/a", 800, 0).await });
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let beside = front.send("/sound/a", 300, 700_000).await;
+        assert_eq!(beside.status, 503);
+        let first = first.await.expect("caller");
+        assert_eq!(first.status, 504);
+        let afterwards = front.send("/sound/a", 300, 700_000).await;
+        assert_eq!(afterwards.status, 200);
+    })
+    .await;
+}
+
 /// Guards against a request that goes on to another replica after its deadline, or whose caller
 /// gets another failure than that of a response without a head.
 #[rstest]
@@ -161,6 +283,30 @@
     .await;
 }
 
+/// Guards against limits that hit valid responses: large heads and some informational ones, on a
+/// connection that is used again, and bodies of the maximum size.
+#[tokio::test]
+async fn valid_responses_of_one_connection_are_not_limited_together() {
+    run_local(async {
+        let informational = "HTTP/1.1 103 Early\r\nlink: a\r\n\r\n".repeat(100);
+        let field = "f".repeat(40_000);
+        let body = "x".repeat(MAX_RESPONSE_BYTES);
+        let response = format!(
+            "{informational}HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nlarge: {field}\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let (front, replica) = start(Script::short(&response)).await;
+        for _ in 0..4 {
+            let answer = front.get("/once/a").await;
+            assert_eq!(answer.status, 200);
+            assert_eq!(answer.body.len(), body.len());
+        }
+        assert_eq!(replica.observed.accepted.get(), 1);
+    })
+    .await;
+}
+
 /// Guards against a new connection for each rejection.
 #[rstest]
 #[case::no_body("HTTP/1.1 503 No\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n")]
--- a/crates/stageyoke-front/tests/front/unframed_connections.rs
+++ b/crates/stageyoke-front/tests/front/unframed_connections.rs
@@ -23,13 +23,17 @@
     }
 }
 
+async fn start_with_large_memory(replica: &Replica) -> TestFront {
+    start_with_settings(&[replica], "", None, false, LARGE_MEMORY_BYTES).await
+}
+
 /// Guards against data that is lost because linger is still zero when the socket closes.
 #[tokio::test]
 async fn a_slow_caller_gets_a_whole_unframed_response() {
     run_local(async {
         let body = "x".repeat(3_000_000);
         let replica = Replica::start(&[&format!("{UNFRAMED_HEAD}{body}CLOSE")]).await;
-        let test_front = start(&[&replica]).await;
+        let test_front = start_with_large_memory(&replica).await;
         let mut stream = TcpStream::connect(test_front.address).await.expect("open");
         stream
             .write_all(kept("GET", "/safe/a").as_bytes())
@@ -55,7 +59,7 @@
             format!("HTTP/1.1 200 OK\r\nid: ID\r\nsigned: s\r\nContent-Length: {length}\r\n\r\n");
         let unframed = format!("{UNFRAMED_HEAD}bytesCLOSE");
         let replica = Replica::start(&[&format!("{head}{body}"), &unframed]).await;
-        let test_front = start(&[&replica]).await;
+        let test_front = start_with_large_memory(&replica).await;
         let mut stream = TcpStream::connect(test_front.address).await.expect("open");
         let message = kept("GET", "/safe/a");
         stream.write_all(message.as_bytes()).await.expect("send");
@@ -64,7 +68,7 @@
         let (received, end) = read_slowly(&mut stream).await;
         let text = String::from_utf8_lossy(&received);
         let second = text.rfind("HTTP/1.").expect("status line");
-        assert!(second > 0, "one response {end:?}");
+        assert!(second > length, "{second} bytes before it, {end:?}");
         assert!(
             text[second..].starts_with("HTTP/1.1 200"),
             "{}",
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -41,6 +41,8 @@
 
 /// Memory of the front's machine, of which buffered requests may use a third.
 const MEMORY_BYTES: u64 = 2_000;
+/// Memory of a machine that can buffer large responses.
+const LARGE_MEMORY_BYTES: u64 = 64_000_000;
 /// Marks a route table whose replicas are engines.
 const ENGINES: &str = "engines";
 /// Retention of the route whose turns are stored, and of the others.
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -218,6 +218,12 @@
             "may have run: the replica's answer was lost, and it may not run twice"
         }
         "replicas_failed" => "every replica that might be tried failed",
+        "oversized_response" => {
+            "may have run: the replica's answer exceeded the size limit and was given up"
+        }
+        "no_memory_for_response" => {
+            "has run, but the answer was given up: this front's memory budget did not allow for it"
+        }
         "refused_while_idle" => {
             "not run: several replicas refused it while under half of their places were taken"
         }
--- a/crates/stageyoke-observe/tests/explain_test.rs
+++ b/crates/stageyoke-observe/tests/explain_test.rs
@@ -81,6 +81,18 @@
     assert!(explanation.timeline[0].contains("store-1 ListWaits detail=waits_for=successor"));
 }
 
+/// Guards against a given-up response whose log line does not tell who was to blame.
+#[rstest::rstest]
+#[case("oversized_response", "exceeded the size limit")]
+#[case("no_memory_for_response", "this front's memory budget")]
+fn a_response_that_was_given_up_is_explained(#[case] outcome: &str, #[case] meaning: &str) {
+    let mut logs = Logs::default();
+    logs.add(&request_line(5_000, "front-1", "r-1", outcome, 502));
+    let cause = &logs.explain("r-1").causes[0];
+    assert!(cause.contains("status 502"), "{cause}");
+    assert!(cause.contains(meaning), "{cause}");
+}
+
 /// The explanation of a rejection names the tenant, its limit and the configuration, and
 /// includes nearby events.
 #[rstest::rstest]
