Limit what a replica may send before its response begins

What callers saw: 504 after their whole deadline from a replica that sends informational (1xx) heads without end; the front spent 0.6 s of processor time on 95 MB of them. The same holds for a replica that sends them on a new connection before any request.

Cause: hyper limits the size of one head, but skips any number of informational ones. A single head could grow to 408 KiB in the read buffer and counted as a lost connection, which has the process probed for its end and, within 8 ms of the request, teaches the front an idle limit.

Now the stream that hyper reads counts the bytes between a request and its response's head, anew for each request of a connection, and fails beyond 128 KiB; the read buffer, and so a single head, is limited to 64 KiB. The sum leaves room for what is read together with the end of the largest head, so a body cannot exhaust it. Such an attempt ends as oversized_head, another malformed head as malformed_head, both with evidence Failed, and its connection is closed. A repeatable request goes on to another replica.

Evidence: on the code before, endless 100 and 103 heads and unsolicited ones did not end in 502; endless header values, header fields, reason phrases and blank lines did, but as outcome_unknown. These seven cases failed and pass now.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -19,11 +19,14 @@
 use crate::connection_drain;
 use crate::connection_pool::Connection;
 use crate::health::Evidence;
+use crate::oversized_response::{self, OVERSIZED_HEAD};
 use crate::protocol_names::ProtocolNames;
 use crate::replica::{InFlightGuard, Replica};
 
 /// Outcome of an attempt whose connection ended before the head of a response.
 pub const CONNECTION_LOST: &str = "connection_lost";
+/// Outcome of an attempt whose replica sent something else than the head of a response.
+const MALFORMED_HEAD: &str = "malformed_head";
 
 /// Headers that apply to a single connection.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -174,7 +177,7 @@
         set_deadline(&mut request, outbound, names);
         let idle_time = connection.idle_time();
         let sent = Instant::now();
-        match connection.sender.try_send_request(request).await {
+        match connection.try_send(request).await {
             Ok(response) => {
                 let reply = Box::new(ReplicaResponse {
                     response,
@@ -189,6 +192,10 @@
                 Some(unsent) if !is_new => request = unsent,
                 Some(_) => return AttemptOutcome::NotSent("connection_closed"),
                 None => {
+                    if let Some(cause) = invalid_head(&connection, error.error()) {
+                        replica.record(Evidence::Failed);
+                        return AttemptOutcome::Lost(cause);
+                    }
                     if sent.elapsed() >= IMMEDIATE_RESET {
                         replica.record(Evidence::Lost);
                     } else {
@@ -205,6 +212,15 @@
     }
 }
 
+/// Returns the cause of an attempt that ended because the replica sent no valid head.
+fn invalid_head(connection: &Connection, error: &hyper::Error) -> Option<&'static str> {
+    if connection.exceeded_head_allowance() || error.is_parse_too_large() {
+        oversized_response::count(OVERSIZED_HEAD);
+        return Some(OVERSIZED_HEAD);
+    }
+    error.is_parse().then_some(MALFORMED_HEAD)
+}
+
 fn build_request(
     outbound: &OutboundRequest,
     replica: &Replica,
--- a/crates/stageyoke-front/src/connection_pool.rs
+++ b/crates/stageyoke-front/src/connection_pool.rs
@@ -2,18 +2,22 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::replica_stream::{HeadAllowance, READ_BUFFER_BYTES, ReplicaStream};
+
 /// Timeout for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Margin before the end of the announced keep-alive timeout in which a connection is not
@@ -24,8 +28,8 @@
 
 /// Connection to a replica.
 pub struct Connection {
-    /// Sends the next request.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head_allowance: Rc<HeadAllowance>,
     driver: JoinHandle<()>,
     idle_since: Instant,
     keep_alive: Duration,
@@ -40,7 +44,10 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stageyoke_store::socket::configure(&stream);
         stageyoke_observe::metrics().connections_opened.inc();
+        let head_allowance: Rc<HeadAllowance> = Rc::default();
+        let stream = ReplicaStream::new(stream, head_allowance.clone());
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -49,12 +56,29 @@
         });
         Ok(Self {
             sender,
+            head_allowance,
             driver,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
     }
 
+    /// Sends a request and waits for the head of its response.
+    pub async fn try_send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_allowance.renew();
+        let response = self.sender.try_send_request(request).await?;
+        self.head_allowance.suspend();
+        Ok(response)
+    }
+
+    /// Returns whether the replica has sent too many bytes before a response.
+    pub fn exceeded_head_allowance(&self) -> bool {
+        self.head_allowance.is_exceeded()
+    }
+
     fn is_reusable(&self) -> bool {
         let max_idle = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
         self.sender.is_ready() && self.idle_time() < max_idle
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod replica;
 mod replica_log;
 pub mod replica_registry;
+mod replica_stream;
 pub mod request;
 pub mod request_identity;
 pub mod response_body;
--- a/crates/stageyoke-front/tests/endless_responses_test.rs
+++ b/crates/stageyoke-front/tests/endless_responses_test.rs
@@ -138,6 +138,65 @@
     .await;
 }
 
+/// Guards against bytes before a response that are read until the deadline, and against a
+/// malformed response that counts as the end of the replica's process.
+#[rstest]
+#[case::informational_heads("", "HTTP/1.1 100 Continue\r\n\r\n", "oversized_head")]
+#[case::early_hints("", "HTTP/1.1 103 Early\r\nlink: a\r\n\r\n", "oversized_head")]
+#[case::header_value("HTTP/1.1 200 OK\r\nid: ID\r\na: ", "x", "oversized_head")]
+#[case::reason("HTTP/1.1 200 ", "x", "oversized_head")]
+#[case::header_fields("HTTP/1.1 200 OK\r\nid: ID\r\n", "a: b\r\n", "oversized_head")]
+#[case::blank_lines("", "\r\n", "oversized_head")]
+#[case::no_http("", "x", "outcome_unknown")]
+#[tokio::test]
+async fn an_endless_head_is_given_up_at_once(
+    #[case] prefix: &str,
+    #[case] unit: &str,
+    #[case] outcome: &str,
+) {
+    run_local(async {
+        let before = ended("once", outcome);
+        let (front, troubled) = start(Script::endless(prefix, unit)).await;
+        let answer = send_beside_another_caller(front, "/once/a").await;
+        assert_eq!(answer.status, 502);
+        assert!(!answer.body.is_empty());
+        assert!(answer.took < GIVE_UP_TIME, "{:?}", answer.took);
+        troubled.wait_until_closed().await;
+        let sent = troubled.observed.sent_bytes.get();
+        assert!(sent < BUFFERED_BYTES, "{sent} bytes sent");
+        assert!(ended("once", outcome) > before);
+        // One malformed response alone excludes no replica.
+        assert_eq!(front.get(SHORT_PATH).await.status, 200);
+    })
+    .await;
+}
+
+/// Guards against bytes that nobody asked for, after a response or before a request.
+#[rstest]
+#[case::after_a_response(Script::endless(SHORT, "x"), 200)]
+#[case::before_a_request(
+    Script { unsolicited: true, ..Script::endless("", "HTTP/1.1 100 Continue\r\n\r\n") },
+    502
+)]
+#[tokio::test]
+async fn an_idle_connection_with_endless_bytes_is_closed(
+    #[case] script: Script,
+    #[case] status: u16,
+) {
+    run_local(async {
+        let (front, troubled) = start(script).await;
+        for _ in 0..2 {
+            let answer = send_beside_another_caller(front, "/once/a").await;
+            assert_eq!(answer.status, status);
+            assert!(answer.took < GIVE_UP_TIME, "{:?}", answer.took);
+            troubled.wait_until_closed().await;
+        }
+        let sent = troubled.observed.sent_bytes.get();
+        assert!(sent < 2 * BUFFERED_BYTES, "{sent} bytes sent");
+    })
+    .await;
+}
+
 /// Guards against reading 16 MiB of a response whose length says that it is too large.
 #[tokio::test]
 async fn a_response_with_a_length_beyond_the_limit_is_given_up_unread() {
@@ -162,6 +221,7 @@
 /// A replica that sends too much may be the only one in trouble.
 #[rstest]
 #[case::body(CHUNKED, &chunk())]
+#[case::informational_heads("", "HTTP/1.1 100 Continue\r\n\r\n")]
 #[tokio::test]
 async fn a_repeatable_request_goes_on_to_another_replica(#[case] prefix: &str, #[case] unit: &str) {
     run_local(async {
--- a/crates/stageyoke-observe/src/explain.rs
+++ b/crates/stageyoke-observe/src/explain.rs
@@ -221,6 +221,9 @@
         "oversized_response" => {
             "may have run: the replica's answer exceeded the size limit and was given up"
         }
+        "oversized_head" => {
+            "may have run: the replica sent too much before its answer, which was given up"
+        }
         "no_memory_for_response" => {
             "has run, but the answer was given up: this front's memory budget did not allow for it"
         }
--- a/crates/stageyoke-observe/tests/explain_test.rs
+++ b/crates/stageyoke-observe/tests/explain_test.rs
@@ -84,6 +84,7 @@
 /// Guards against a given-up response whose log line does not tell who was to blame.
 #[rstest::rstest]
 #[case("oversized_response", "exceeded the size limit")]
+#[case("oversized_head", "too much before its answer")]
 #[case("no_memory_for_response", "this front's memory budget")]
 fn a_response_that_was_given_up_is_explained(#[case] outcome: &str, #[case] meaning: &str) {
     let mut logs = Logs::default();
