Limit a stream that is no turn by the size of its events only

A service's feed of events may go on until its deadline, whatever it has sent by then; nothing of it is kept, so the limit of 16 MiB would only have cut long ones. One event, and what lies between two, still have at most 1 MiB.

--- a/crates/stageyoke-front/src/received_stream.rs
+++ b/crates/stageyoke-front/src/received_stream.rs
@@ -9,7 +9,7 @@
 /// Maximum size of what comes from one event with data to the next: the event itself, and
 /// comments and events without data before it.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
-/// Size of a stream up to which nothing but its events is limited.
+/// Size of a turn's stream up to which nothing but its events is limited.
 pub const MAX_STREAM_BYTES: usize = 16 * 1024 * 1024;
 /// Mean size of the events of a turn that may be larger than `MAX_STREAM_BYTES`.
 const MEAN_EVENT_BYTES: usize = 4 * 1024;
@@ -38,6 +38,15 @@
             max_bytes: expected_bytes.max(MAX_STREAM_BYTES),
         }
     }
+
+    /// Returns the limits of a service's stream that is no turn. It may go on until its deadline,
+    /// and only its events are limited.
+    pub fn of_event_feed() -> Self {
+        Self {
+            max_events: None,
+            max_bytes: usize::MAX,
+        }
+    }
 }
 
 /// Reason why a stream is given up.
--- a/crates/stageyoke-front/src/stream_start.rs
+++ b/crates/stageyoke-front/src/stream_start.rs
@@ -113,11 +113,10 @@
     /// Creates the start of a request's stream of which nothing was read.
     pub(crate) fn new(context: &RequestContext, memory: MemoryGuard) -> Self {
         // Only engines' events are tokens.
-        let max_tokens = match context.service.engine {
-            Some(_) => context.parameters.max_tokens,
-            None => 0,
+        let limits = match context.service.engine {
+            Some(_) => StreamLimits::of_turn(context.parameters.max_tokens),
+            None => StreamLimits::of_event_feed(),
         };
-        let limits = StreamLimits::of_turn(max_tokens);
         Self {
             received: ReceivedStream::new(limits, context.route.stores_history, memory),
             first: None,
--- a/crates/stageyoke-front/tests/received_stream_test.rs
+++ b/crates/stageyoke-front/tests/received_stream_test.rs
@@ -88,6 +88,20 @@
     data.len()
 }
 
+/// Guards against a feed of events that is cut because it has been going on for long.
+#[test]
+fn a_feed_of_events_is_limited_by_the_size_of_each_event_only() {
+    let memory = budget(LARGE_MEMORY).start_request();
+    let mut stream = ReceivedStream::new(StreamLimits::of_event_feed(), false, memory);
+    let piece = EVENT.repeat(PIECE_BYTES / EVENT.len());
+    let pieces = 2 * MAX_STREAM_BYTES / piece.len();
+    for _ in 0..pieces {
+        assert!(stream.push(&piece).is_ok_and(|events| events.is_some()));
+    }
+    let event = vec![b'x'; MAX_EVENT_BYTES + 1];
+    assert_eq!(stream.push(&event), Err(StreamExcess::TooLarge));
+}
+
 #[rstest]
 #[case::events(EVENT, MAX_STREAM_BYTES)]
 #[case::comments(b": c\n\n", MAX_EVENT_BYTES)]
