Give up a frame that stays incomplete

A front or store that received a part of a frame and then a byte now and then kept the connection for ever. Each byte counted as a sign of life, so that a client never opened a new connection: all calls to that store timed out, and requests went on to be queued for it. A store kept the connection of such a front with up to 32 MiB of its frame.

A frame is now given up if less than 4 KiB of it arrive within 2 s, unless they complete it, or after 30 s in all, which is longer than any call waits; the connection ends, and PeerRefused tells why. A connection that is idle between two frames stays open, and so does one whose frame makes progress.

--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use nanoserde::{DeBin, SerBin};
 use stageyoke_observe as observe;
 use stageyoke_types::Event;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
 
 use crate::extension::ExtensionFields;
 use crate::message::Numbered;
@@ -18,6 +20,14 @@
 const EXTENSION_FIELDS_CAPACITY: usize = 64;
 /// Size from which no further frame is written in the same call.
 const MAX_COMBINED_BYTES: usize = 64 * 1024;
+/// Memory reserved for a frame before its content arrives.
+const INITIAL_CAPACITY: usize = 64 * 1024;
+/// A frame of which fewer bytes arrive within the interval is given up, unless they complete it.
+/// A narrow link is a hundred times as fast.
+const MIN_PROGRESS_BYTES: usize = 4 * 1024;
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time from the start of a frame after which it is given up: longer than any call waits.
+const MAX_FRAME_TIME: Duration = Duration::from_secs(30);
 /// Largest accepted frame.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
@@ -125,21 +135,53 @@
 
 async fn read_content(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Vec<u8>> {
     let mut prefix = [0_u8; LENGTH_BYTES];
-    stream.read_exact(&mut prefix).await?;
+    // A connection may be idle between two frames.
+    stream.read_exact(&mut prefix[..1]).await?;
+    let deadline = Instant::now() + MAX_FRAME_TIME;
+    within_interval(deadline, stream.read_exact(&mut prefix[1..])).await?;
     let length = u32::from_le_bytes(prefix) as usize;
     if length > MAX_FRAME_BYTES {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+        return Err(invalid("frame too long"));
     }
-    let mut content = Vec::new();
-    stream.take(length as u64).read_to_end(&mut content).await?;
-    if content.len() < length {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+    let mut content = Vec::with_capacity(length.min(INITIAL_CAPACITY));
+    let mut rest = stream.take(length as u64);
+    while content.len() < length {
+        let target = length.min(content.len() + MIN_PROGRESS_BYTES);
+        within_interval(deadline, read_up_to(&mut rest, &mut content, target)).await?;
     }
     Ok(content)
 }
 
+/// Appends to `content` until it has at least `target` bytes.
+async fn read_up_to(
+    stream: &mut (impl AsyncRead + Unpin),
+    content: &mut Vec<u8>,
+    target: usize,
+) -> io::Result<()> {
+    while content.len() < target {
+        if stream.read_buf(content).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(())
+}
+
+/// Waits for a part of a frame, up to the progress interval and the frame's deadline.
+async fn within_interval<T>(
+    deadline: Instant,
+    reading: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    let until = deadline.min(Instant::now() + PROGRESS_INTERVAL);
+    let read = tokio::time::timeout_at(until, reading).await;
+    read.unwrap_or_else(|_| Err(invalid("frame incomplete for too long")))
+}
+
+fn invalid(reason: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason)
+}
+
 fn malformed() -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, "malformed frame")
+    invalid("malformed frame")
 }
 
 /// Logs why a connection to a peer ends if the received data was invalid.
