Node: limit the bytes of an engine's stream and of its reports

An engine that sent a line, text, empty events or comments without end kept its call until the caller's deadline: the line and the text grew in memory, and each piece of a line was searched from its start again. A report without end grew for the two seconds of its timeout.

A completion now has limits on its text (256 bytes for each token that the call allows), on a line and on the whole stream, 16 MiB at most for the first two. Beyond them the attempt is `Broken`, as for an engine whose connection is lost, and its connection closes. Reports end at 4 MiB, answers to orders at 64 KiB. Lines are searched once.

Evidence, on the old `engine.rs`, each case alone: text, events without text and comments ran into the test's 5 s, a line was killed after 9 s without an end (with all cases together the process was still busy after 20 min), and 1.07 GB of a report were taken in 2.1 s. With the limits all pass; the longest tokens in escaped form, one event or many, 130 KB of comments and a report of 20,000 programs stay whole (these three were not run on the old code).

--- a/crates/stageyoke-node/src/backends/engine.rs
+++ b/crates/stageyoke-node/src/backends/engine.rs
@@ -16,18 +16,24 @@
 use stageyoke_types::{EngineId, NodeId, ProgramKey, Text};
 use tokio::sync::oneshot;
 
+use super::completion_limits::CompletionLimits;
 use super::engine_protocol::{
     CANCEL_PATH, COMPLETIONS_PATH, CallIdentity, CancelRequest, Chunk, CompletionRequest,
     LOAD_PATH, LoadReport, RELEASE_PATH, ReleaseRequest, WireMessage, program_name,
 };
+use super::event_lines::{EventLines, LineTooLong};
 use super::run_limits::{RequestIdentity, RunLimits};
-use super::{HttpClient, RequestError, full_body, http_client};
+use super::{HttpClient, RequestError, full_body, http_client, read_whole};
 use crate::callers::sink::TextSink;
 
 /// Longest wait for an answer to a short request.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest silence of a stream before the engine counts as broken.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest report of an engine: it names the programs of which the engine has tokens cached.
+const MAX_REPORT_BYTES: usize = 4 << 20;
+/// Longest answer to an order that has none but its status.
+const MAX_ORDER_ANSWER_BYTES: usize = 64 << 10;
 /// Start of a line that carries data in a server-sent event.
 const DATA_PREFIX: &[u8] = b"data:";
 /// The last event of a stream.
@@ -113,7 +119,7 @@
         if response.status() != StatusCode::OK {
             return AttemptResult::NotSent;
         }
-        let mut stream = Stream::new(response);
+        let mut stream = Stream::new(response, CompletionLimits::of(order.max_tokens_out));
         let result = tokio::select! {
             result = stream.relay(text) => result,
             // A dropped sender means that nobody can cancel any more.
@@ -157,7 +163,7 @@
             attempt: order.attempt.0,
         };
         // Closing the stream cancels too; this only makes it sooner.
-        let _ = self.short(address, Method::POST, CANCEL_PATH, &body).await;
+        self.give_order(address, CANCEL_PATH, &body).await;
     }
 
     /// Tells an engine to drop what it holds for a program. If this is lost,
@@ -169,28 +175,26 @@
         let body = ReleaseRequest {
             program: program_name(&program),
         };
-        let _ = self.short(address, Method::POST, RELEASE_PATH, &body).await;
+        self.give_order(address, RELEASE_PATH, &body).await;
     }
 
     /// An engine's report on itself.
     pub async fn load(&self, engine: &EngineId) -> Option<LoadReport> {
         let address = self.address(engine)?;
-        let body = self.short(address, Method::GET, LOAD_PATH, &()).await?;
-        decode(&body)
+        let request = request(address, Method::GET, LOAD_PATH, &());
+        decode(&self.short(request, MAX_REPORT_BYTES).await?)
     }
 
-    async fn short(
-        &self,
-        address: SocketAddr,
-        method: Method,
-        path: &str,
-        body: &impl Serialize,
-    ) -> Option<Bytes> {
-        let request = request(address, method, path, body);
+    async fn give_order(&self, address: SocketAddr, path: &str, body: &impl Serialize) {
+        let request = request(address, Method::POST, path, body);
+        let _ = self.short(request, MAX_ORDER_ANSWER_BYTES).await;
+    }
+
+    async fn short(&self, request: Request<super::Body>, max_bytes: usize) -> Option<Bytes> {
         let answered = tokio::time::timeout(SHORT_TIMEOUT, async {
             let response = self.http.request(request).await.ok()?;
             let is_ok = response.status() == StatusCode::OK;
-            let body = response.into_body().collect().await.ok()?.to_bytes();
+            let body = read_whole(response.into_body(), max_bytes).await?;
             is_ok.then_some(body)
         });
         answered.await.ok().flatten()
@@ -233,6 +237,14 @@
     AttemptResult::Broken { usage }
 }
 
+fn text_bytes(chunk: &Chunk) -> usize {
+    let texts = chunk.choices.iter();
+    texts
+        .filter_map(|choice| choice.delta.content.as_ref())
+        .map(String::len)
+        .sum()
+}
+
 /// Returns the identity of a call: its program, model and messages.
 fn identity(order: &AttemptOrder) -> RequestIdentity {
     let program = program_name(&order.program);
@@ -245,16 +257,22 @@
 /// A completion's stream of events.
 struct Stream {
     body: Incoming,
-    buffer: Vec<u8>,
+    lines: EventLines,
+    limits: CompletionLimits,
+    stream_bytes: usize,
+    text_bytes: usize,
     usage: Usage,
     finish: Option<String>,
 }
 
 impl Stream {
-    fn new(response: Response<Incoming>) -> Self {
+    fn new(response: Response<Incoming>, limits: CompletionLimits) -> Self {
         Self {
             body: response.into_body(),
-            buffer: Vec::new(),
+            lines: EventLines::new(limits.line_bytes),
+            limits,
+            stream_bytes: 0,
+            text_bytes: 0,
             usage: Usage::default(),
             finish: None,
         }
@@ -264,7 +282,7 @@
         self.usage
     }
 
-    /// Passes text on until the stream ends.
+    /// Passes text on until the stream ends or exceeds a limit.
     async fn relay(&mut self, text: &mut TextSink) -> AttemptResult {
         loop {
             let frame = tokio::time::timeout(SILENCE_TIMEOUT, self.body.frame()).await;
@@ -274,28 +292,40 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.buffer.extend_from_slice(&data);
-            while let Some(line) = self.take_line() {
-                let Some(data) = line.strip_prefix(DATA_PREFIX) else {
-                    continue;
-                };
-                let data = data.trim_ascii();
-                if data == DONE {
-                    return self.finished(text);
-                }
-                let Some(chunk) = decode::<Chunk>(data) else {
-                    return broken(self.usage);
-                };
-                self.take_chunk(chunk, text).await;
+            self.stream_bytes += data.len();
+            self.lines.extend(&data);
+            if let Some(result) = self.take_lines(text).await {
+                return result;
+            }
+            if self.stream_bytes > self.limits.stream_bytes {
+                return broken(self.usage);
             }
         }
     }
 
-    fn take_line(&mut self) -> Option<Vec<u8>> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
-        let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
-        line.pop();
-        Some(line)
+    /// Takes the lines that have come; gives the result if the stream ends with them.
+    async fn take_lines(&mut self, text: &mut TextSink) -> Option<AttemptResult> {
+        loop {
+            let line = match self.lines.next_line() {
+                Ok(line) => line?,
+                Err(LineTooLong) => return Some(broken(self.usage)),
+            };
+            let Some(data) = line.strip_prefix(DATA_PREFIX) else {
+                continue;
+            };
+            let data = data.trim_ascii();
+            if data == DONE {
+                return Some(self.finished(text));
+            }
+            let Some(chunk) = decode::<Chunk>(data) else {
+                return Some(broken(self.usage));
+            };
+            self.text_bytes += text_bytes(&chunk);
+            if self.text_bytes > self.limits.text_bytes {
+                return Some(broken(self.usage));
+            }
+            self.take_chunk(chunk, text).await;
+        }
     }
 
     async fn take_chunk(&mut self, chunk: Chunk, text: &mut TextSink) {
--- a/crates/stageyoke-node/tests/application/endless_responses.rs
+++ b/crates/stageyoke-node/tests/application/endless_responses.rs
@@ -54,7 +54,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_informational_heads_fail_a_request_at_once(#[case] method: &'static str) {
     let flood = Flood {
-        head: "",
+        head: String::new(),
         piece: PROCESSING,
         pause: None,
     };
--- a/crates/stageyoke-node/tests/support/flood.rs
+++ b/crates/stageyoke-node/tests/support/flood.rs
@@ -9,17 +9,17 @@
 use tokio::net::{TcpListener, TcpStream};
 
 /// Requests with this in their head get a short answer on a connection that stays open.
-pub const CALM: &str = "calm";
+const CALM: &str = "calm";
 const CALM_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 /// Bytes written at once at full speed.
 const WRITE_BYTES: usize = 64 << 10;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// What is sent without end.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Flood {
     /// Sent once.
-    pub head: &'static str,
+    pub head: String,
     /// Sent again and again.
     pub piece: &'static str,
     /// Pause after each piece; none for full speed.
@@ -49,7 +49,7 @@
         let shared = counts.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, flood, shared.clone()));
+                tokio::spawn(serve(stream, flood.clone(), shared.clone()));
             }
         });
         Self { address, counts }
