Node: limit the answers of the key-value service and the list of machines

An answer without end grew in memory for the two seconds (list of machines: three) of its timeout, as fast as the link brought it.

Answers are now given up beyond 8 MiB (the service takes values of 1.5 MiB by default, 2 MiB in base64) and 4 MiB (some 80,000 machines); the connection closes. For the key-value client this is `Unavailable`, because a write whose answer is unusable may have taken effect and is then settled by reading.

The list of machines has no test of its own.

--- a/crates/stageyoke-node/src/platform/key_value.rs
+++ b/crates/stageyoke-node/src/platform/key_value.rs
@@ -10,14 +10,15 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use http_body_util::BodyExt;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::backends::{HttpClient, full_body, http_client};
+use crate::backends::{HttpClient, full_body, http_client, read_whole};
 
 /// Longest wait for one answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest answer: one value in base64. By default the service takes values of up to 1.5 MiB.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -207,8 +208,8 @@
             let response = self.http.request(request).await;
             let response = response.map_err(|_| StoreError::Unavailable)?;
             let status = response.status();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|_| StoreError::Unavailable)?.to_bytes();
+            let body = read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+            let body = body.ok_or(StoreError::Unavailable)?;
             match status {
                 StatusCode::OK => Ok(body.to_vec()),
                 StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
--- a/crates/stageyoke-node/src/platform/machine_list.rs
+++ b/crates/stageyoke-node/src/platform/machine_list.rs
@@ -4,19 +4,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::Request;
 use serde::Deserialize;
 use stageyoke_core::node::Input;
 use stageyoke_types::Text;
 
-use crate::backends::{full_body, http_client};
+use crate::backends::{full_body, http_client, read_whole};
 use crate::driver::{Command, DriverHandle};
 
 /// How often the list is read.
 const PERIOD: Duration = Duration::from_secs(10);
 /// Longest wait for it.
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest list: some 80,000 machines.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
 #[derive(Debug, Deserialize)]
 struct Machine {
@@ -37,7 +38,7 @@
         };
         let read = tokio::time::timeout(TIMEOUT, async {
             let response = http.request(request).await.ok()?;
-            let body = response.into_body().collect().await.ok()?.to_bytes();
+            let body = read_whole(response.into_body(), MAX_LIST_BYTES).await?;
             serde_json::from_slice::<Vec<Machine>>(&body).ok()
         });
         if let Ok(Some(machines)) = read.await {
--- a/crates/stageyoke-node/tests/endless_answers_test.rs
+++ b/crates/stageyoke-node/tests/endless_answers_test.rs
@@ -12,6 +12,7 @@
 use stageyoke_core::program::{Message, MessageRole};
 use stageyoke_node::backends::engine::EngineClient;
 use stageyoke_node::callers::sink::TextSink;
+use stageyoke_node::platform::key_value::{KeyValueClient, StoreError};
 use stageyoke_types::{Attempt, CallNumber, EngineId, List, NodeId, ProgramKey, RequestId, Text};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -178,3 +179,31 @@
     let report = client.load(&engines[0]).await.expect("a report");
     assert_eq!(report.programs.len(), PROGRAMS);
 }
+
+/// Guards against an answer of the key-value service that grows in memory for as long as its
+/// timeout allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_value_is_given_up_at_once() {
+    let flooding = FloodingServer::start(Flood {
+        head: format!("{JSON}{{\"kvs\":[{{\"value\":\""),
+        piece: "YWFh",
+        pause: None,
+    });
+    let flooding = flooding.await;
+    let client = KeyValueClient::new(vec![flooding.address]);
+    let read = tokio::time::timeout(SOON, client.get("key")).await;
+    assert_eq!(read.expect("an end in time"), Err(StoreError::Unavailable));
+    flooding.assert_closed_within(SOON).await;
+    assert_bounded(&flooding);
+}
+
+/// Guards against a limit that the largest value of the service reaches.
+#[tokio::test]
+async fn a_value_of_the_largest_size_is_read() {
+    const VALUE_BYTES: usize = 3 << 19;
+    let value = "YWFh".repeat(VALUE_BYTES / 3);
+    let answer = format!("{JSON}{{\"kvs\":[{{\"value\":\"{value}\",\"mod_revision\":\"1\"}}]}}");
+    let client = KeyValueClient::new(vec![start_engine(answer).await]);
+    let found = client.get("key").await.expect("an answer");
+    assert_eq!(found.expect("a value").value.len(), VALUE_BYTES);
+}
