--- a/crates/stageyoke-node/tests/application/endless_responses.rs
+++ b/crates/stageyoke-node/tests/application/endless_responses.rs
@@ -90,3 +90,31 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.ends_with("ok"), "{answer}");
 }
+
+const ENDLESS_BODY: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ntransfer-encoding: chunked\r\n\r\n";
+/// Time for which a caller reads nothing.
+const CALLER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Guards against a body that is kept in memory while its caller doesn't read, that holds up other
+/// callers, or that goes on after its caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_body_goes_no_further_than_its_caller_reads() {
+    let flood = Flood {
+        head: ENDLESS_BODY.to_owned(),
+        piece: "10\r\n0123456789abcdef\r\n",
+        pause: None,
+    };
+    let replica = FloodingServer::start(flood).await;
+    let node = Node::start(replica.address).await;
+    let mut caller = open(&node, "GET", "/feeds").await;
+    let mut head = [0; 15];
+    caller.read_exact(&mut head).await.expect("a status line");
+    assert_eq!(head.as_slice(), b"HTTP/1.1 200 OK");
+    tokio::time::sleep(CALLER_PAUSE).await;
+    assert_others_are_served(&node).await;
+    let sent = replica.sent_bytes();
+    assert!(sent < MAX_TAKEN_BYTES, "{sent} bytes");
+    drop(caller);
+    replica.assert_closed_within(SOON).await;
+}
