--- a/crates/stageyoke-front/src/connection_drain.rs
+++ b/crates/stageyoke-front/src/connection_drain.rs
@@ -11,7 +11,8 @@
 use crate::attempt::ReplicaResponse;
 use crate::oversized_response::{self, OVERSIZED_REJECTION};
 
-/// Maximum number of bytes read of a rejection's body. A new connection costs less than more.
+/// Maximum number of bytes read of a rejection's body: reading more costs more than opening a new
+/// connection.
 pub const MAX_DRAINED_BYTES: usize = 16 * 1024;
 /// Time limit for reading a rejection's body.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -299,7 +299,7 @@
 
 /// A reservation that a quorum has received and that is being stored.
 pub struct PendingLedger {
-    /// The ledger as of the receipt.
+    /// The ledger at the time when a quorum had received the reservation.
     received_ledger: LedgerView,
     stored: oneshot::Receiver<Result<LedgerView, GroupError>>,
     stores: Rc<GroupClients>,
