--- a/review/standins-2/src/bin/chain_of_two_programs.rs
+++ b/review/standins-2/src/bin/chain_of_two_programs.rs
@@ -22,6 +22,8 @@
 /// Interval of the programs that run all the time.
 const OTHER_INTERVAL: Duration = Duration::from_millis(1000);
 const TRIES: usize = 6;
+/// Seconds after the start of the case by which each program should be over.
+const PROGRAMS_END_AT: f64 = 118.0;
 const PAUSE: Duration = Duration::from_millis(300);
 
 const CONFIGURATION: &str = r#"{"Version":1,"Routes":[
@@ -33,7 +35,6 @@
     let request = ClientRequest::new("POST", "/draft/turn", id, 4000)
         .with("Program-Id", program)
         .with("Session-Id", program)
-        .with("Finish-Ms", "120000")
         .with("Token-Budget", "100000")
         .with("Model", "m")
         .with("Token-Count", "100,72")
@@ -46,8 +47,12 @@
 }
 
 fn send(record: &Record, address: SocketAddr, request: &ClientRequest) -> Answer {
+    let left = PROGRAMS_END_AT - record.seconds();
+    let request = request
+        .clone()
+        .with("Finish-Ms", &format!("{:.0}", left.max(0.0) * 1000.0));
     record.line(&format!("SENT {} to {address}", request.id));
-    let answer = ask(address, request);
+    let answer = ask(address, &request);
     let retry_after = answer.head.header("retry-after").unwrap_or("-");
     record.line(&format!(
         "ANSWER {} from {address}: status {}, whole {}, retry after {retry_after}",
--- a/review/standins-2/src/bin/long_turn.rs
+++ b/review/standins-2/src/bin/long_turn.rs
@@ -23,6 +23,8 @@
 /// Interval of the programs that run all the time.
 const OTHER_INTERVAL: Duration = Duration::from_millis(1000);
 const TRIES: usize = 6;
+/// Seconds after the start of the case by which each program should be over.
+const PROGRAMS_END_AT: f64 = 118.0;
 const PAUSE: Duration = Duration::from_millis(300);
 const DEADLINE_MS: u64 = 30_000;
 
@@ -35,7 +37,6 @@
     let request = ClientRequest::new("POST", "/draft/turn", id, DEADLINE_MS)
         .with("Program-Id", program)
         .with("Session-Id", program)
-        .with("Finish-Ms", "120000")
         .with("Token-Budget", "100000")
         .with("Model", "m")
         .with("Token-Count", &format!("100,{}", events * 9))
@@ -48,8 +49,12 @@
 }
 
 fn send(record: &Record, address: SocketAddr, request: &ClientRequest) -> Answer {
+    let left = PROGRAMS_END_AT - record.seconds();
+    let request = request
+        .clone()
+        .with("Finish-Ms", &format!("{:.0}", left.max(0.0) * 1000.0));
     record.line(&format!("SENT {} to {address}", request.id));
-    let answer = ask(address, request);
+    let answer = ask(address, &request);
     let retry_after = answer.head.header("retry-after").unwrap_or("-");
     record.line(&format!(
         "ANSWER {} from {address}: status {}, whole {}, retry after {retry_after}",
