--- a/review/standins-2/src/bin/cut_at_shutdown.rs
+++ b/review/standins-2/src/bin/cut_at_shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,25 @@
 "Services":[{"Name":"app","HealthPath":"/health","MaxConns":110,"Protocol":"h1","Tls":false}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 
+/// Size of the client's receive buffer.
+const RECEIVE_BUFFER_BYTES: i32 = 64 * 1024;
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, option: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// Keeps the kernel from reading ahead of the client.
+fn limit_receive_buffer(stream: &TcpStream) {
+    // SAFETY: the option's value is an integer that outlives the call.
+    unsafe {
+        let length = size_of::<i32>() as u32;
+        let socket = stream.as_raw_fd();
+        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BUFFER_BYTES, length);
+    }
+}
+
 struct Reading {
     status: u16,
     received: usize,
@@ -38,6 +58,7 @@
     let request = ClientRequest::new("POST", "/bulletin/read", id, DEADLINE_MS);
     let started = Instant::now();
     let mut stream = TcpStream::connect(address)?;
+    limit_receive_buffer(&stream);
     stream.set_read_timeout(Some(Duration::from_secs(10)))?;
     stream.write_all(&request.encode())?;
     let mut input = BufReader::with_capacity(4096, stream);
