Store a turn with its whole chain in its own group

Cause: a store extends the retention of the predecessors that it holds itself. Predecessors in another group heard nothing of the turn that continues them and expired. Ruled out: wrong groups asked and early time-outs (another try never helps, and it works before the expiry); a restart or a changed group (the case has none).

Change: the reply to a stored turn names the newest turn of its chain that a complete member lacks. The front, which has read the chain for the replica, keeps it until the turn is stored, stores copies of what is missing in the turn's own group, and checks again before the answer ends. Copies are turn records without a program, so no ledger changes and every build reads them. The index keeps a turn as long as its record is on disk; it dropped turns whose record was still there.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -14,10 +14,10 @@
     Interpreter, KeyValueService, RequestHomes, Route, RouteTable, ServiceSpec,
 };
 use stageyoke_policy::deadly_requests::Standing;
-use stageyoke_store::message::{MAX_TURN_INPUT_BYTES, Placement};
+use stageyoke_store::message::{ChainPart, MAX_TURN_INPUT_BYTES, Placement};
 use stageyoke_store::quota_owners::QuotaGrant;
 use stageyoke_store::rank_load::ServiceRank;
-use stageyoke_types::{ErrorKind, Text};
+use stageyoke_types::{Blob, ErrorKind, Text};
 use tokio::time::Instant;
 
 use crate::admission::service_hash;
@@ -53,8 +53,8 @@
 
 /// Reservation of a turn; `None` if it needs none.
 type ReservationResult = Result<Option<Reservation>, Failure>;
-/// Transcript of earlier turns; `None` if the turn continues none.
-type TranscriptResult = Result<Option<Bytes>, Failure>;
+/// Earlier turns, oldest first; none if the turn continues none.
+type TranscriptResult = Result<Vec<ChainPart>, Failure>;
 
 /// Request with the results of its routing.
 pub(crate) struct RequestContext {
@@ -68,6 +68,8 @@
     pub(crate) service: ServiceSpec,
     pub(crate) outbound: OutboundRequest,
     pub(crate) input: Bytes,
+    /// Earlier turns that the turn continues, oldest first, as parts of the outbound body.
+    pub(crate) chain: Vec<ChainPart>,
     pub(crate) arrived: Instant,
     /// Software version that began the stream which the request continues.
     pub(crate) required_version: Option<Text>,
@@ -248,6 +250,7 @@
             service,
             outbound,
             input,
+            chain: Vec::new(),
             arrived,
             required_version: None,
             version_record: None,
@@ -302,24 +305,13 @@
         };
         if let Some(previous) = &context.parameters.previous {
             let found = match &transcript {
-                Ok(Some(text)) => format!("{} bytes", text.len()),
-                Ok(None) => "not stored".to_owned(),
+                Ok(chain) if chain.is_empty() => "not stored".to_owned(),
+                Ok(chain) => format!("{} bytes", transcript_bytes(chain)),
                 Err(failure) => failure.cause.to_owned(),
             };
             summary.history = format!("previous={previous} found={found}");
         }
-        if let Some(transcript) = transcript? {
-            if !context
-                .memory_guard
-                .try_acquire(transcript.len() + context.input.len())
-            {
-                return Err(out_of_memory());
-            }
-            let mut body = Vec::with_capacity(transcript.len() + context.input.len());
-            body.extend_from_slice(&transcript);
-            body.extend_from_slice(&context.input);
-            context.outbound.body = Bytes::from(body);
-        }
+        add_transcript(&mut context, transcript?)?;
         self.started_programs.record(&context.identifiers.program);
         summary.first_offer_ms = context.arrived.elapsed().as_millis() as u64;
         let dispatched = self
@@ -414,6 +406,7 @@
         let storage = TurnStorage {
             history: self.history.clone(),
             input: context.route.stores_history.then(|| context.input.clone()),
+            chain: context.chain,
             retention: context.route.retention,
             reservation,
             tokens_per_event: engine.map_or(0, |engine| engine.tokens_per_event),
@@ -448,6 +441,43 @@
     }
 }
 
+/// Returns the size of the turns' contents in bytes.
+fn transcript_bytes(chain: &[ChainPart]) -> usize {
+    chain.iter().map(ChainPart::bytes).sum()
+}
+
+/// Puts the turns that a request continues before its own input.
+fn add_transcript(context: &mut RequestContext, chain: Vec<ChainPart>) -> Result<(), Failure> {
+    if chain.is_empty() {
+        return Ok(());
+    }
+    let bytes = transcript_bytes(&chain) + context.input.len();
+    if !context.memory_guard.try_acquire(bytes) {
+        return Err(out_of_memory());
+    }
+    let mut body = Vec::with_capacity(bytes);
+    for part in &chain {
+        body.extend_from_slice(&part.input);
+        body.extend_from_slice(&part.output);
+    }
+    body.extend_from_slice(&context.input);
+    context.outbound.body = Bytes::from(body);
+    context.chain = slices_of(&context.outbound.body, chain);
+    Ok(())
+}
+
+/// Replaces the contents of turns by slices of a body that begins with them, so that they are in
+/// memory once.
+fn slices_of(body: &Bytes, chain: Vec<ChainPart>) -> Vec<ChainPart> {
+    let mut rest = body.clone();
+    let parts = chain.into_iter().map(|part| ChainPart {
+        input: Blob(rest.split_to(part.input.len())),
+        output: Blob(rest.split_to(part.output.len())),
+        ..part
+    });
+    parts.collect()
+}
+
 /// Builds the response to the caller. It claims no more about the end of its body than the
 /// replica's response did.
 fn build_caller_response(
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -25,6 +25,7 @@
 use crate::stream_version::VersionRecord;
 use stageyoke_framing::Framing;
 use stageyoke_observe::{self as observe, RequestSummary};
+use stageyoke_store::message::ChainPart;
 
 /// Chunks buffered for a slow caller.
 pub const CHUNK_BUFFER: usize = 16;
@@ -40,6 +41,9 @@
     pub history: Rc<History>,
     /// The turn's own input; `None` if its route keeps no history.
     pub input: Option<Bytes>,
+    /// Earlier turns that the turn continues, oldest first. They are held until the turn is stored,
+    /// as the stores may have dropped them by then.
+    pub chain: Vec<ChainPart>,
     /// Retention period of the stored turn.
     pub retention: Duration,
     /// The turn's reservation, if its program has a budget.
@@ -340,7 +344,10 @@
         let output = received.take_output();
         let record = build_turn_record(&self.identifiers, input, output, used, retention);
         let started = Instant::now();
-        let stored = self.storage.history.commit(record, self.deadline).await;
+        let history = &self.storage.history;
+        let stored = history
+            .commit(record, &self.storage.chain, self.deadline)
+            .await;
         self.line.summary.store_turn_ms = started.elapsed().as_millis() as u64;
         if let Some(reservation) = &mut self.storage.reservation {
             reservation.mark_recorded();
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -3,10 +3,9 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use bytes::Bytes;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
 use stageyoke_store::GroupError;
-use stageyoke_store::message::Placement;
+use stageyoke_store::message::{ChainPart, Placement};
 use stageyoke_types::ErrorKind;
 use tokio::time::Instant;
 
@@ -28,16 +27,16 @@
 const FAIL_FAST_DELAY: Duration = Duration::from_millis(800);
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
-    /// Reads the transcript that this turn continues, if any.
+    /// Reads the chain of turns that this turn continues, oldest first; empty if there is none.
     pub(crate) async fn read_transcript(
         &self,
         context: &RequestContext,
-    ) -> Result<Option<Bytes>, Failure> {
+    ) -> Result<Vec<ChainPart>, Failure> {
         let Some(previous) = &context.identifiers.previous else {
-            return Ok(None);
+            return Ok(Vec::new());
         };
         if !context.route.stores_history {
-            return Ok(None);
+            return Ok(Vec::new());
         }
         let remaining = context
             .outbound
@@ -50,7 +49,7 @@
             .history
             .read_transcript(program, previous, time_limit, &mut memory);
         match reading.await {
-            Transcript::Found(text) => Ok(Some(text)),
+            Transcript::Found(chain) => Ok(chain),
             Transcript::TooLarge => Err(out_of_memory()),
             Transcript::Absent => Err(Failure::permanent(ErrorKind::NotFound, "no_such_turn")),
             Transcript::Unknown => Err(Failure::retryable(
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -68,6 +68,8 @@
     pub unacknowledged_versions: IntCounter,
     /// Continued streams rejected because the version that began them is unknown.
     pub unknown_versions: IntCounter,
+    /// Earlier turns of chains that were stored again with a turn that continues them.
+    pub copied_turns: IntCounter,
     /// Ends of replicas' processes under requests, each counted once a request.
     pub replicas_ended: IntCounter,
     /// Requests that are blocked, as this front knows.
@@ -255,6 +257,13 @@
                     "Continued streams rejected because the version that began them is unknown.",
                 ),
             ),
+            copied_turns: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_copied_turns_total",
+                    "Earlier turns of chains stored again with a turn that continues them.",
+                ),
+            ),
             replicas_ended: register(
                 &registry,
                 IntCounter::new(
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -51,6 +51,7 @@
 const LEDGER_RETENTION_TAG: u8 = 23;
 const LEDGER_RETENTIONS_TAG: u8 = 24;
 const LATER_ENTRIES_TAG: u8 = 25;
+const MISSING_OF_CHAIN_TAG: u8 = 26;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -253,6 +254,9 @@
     /// After the reply to a reservation: how many of the last entries of the ledger in it the
     /// store has received after the reservation.
     pub later_ledger_entries: Option<u32>,
+    /// After the reply to an append of a turn: key of the newest turn of its chain that the store
+    /// does not hold although it is a complete member of the group.
+    pub missing_of_chain: Option<u64>,
 }
 
 impl ExtensionFields {
@@ -312,6 +316,8 @@
         encode_field(LEDGER_RETENTIONS_TAG, retentions, output);
         let later = self.later_ledger_entries.as_ref();
         encode_field(LATER_ENTRIES_TAG, later, output);
+        let missing = self.missing_of_chain.as_ref();
+        encode_field(MISSING_OF_CHAIN_TAG, missing, output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -365,6 +371,9 @@
                 LATER_ENTRIES_TAG => {
                     fields.later_ledger_entries = Some(DeBin::deserialize_bin(content)?);
                 }
+                MISSING_OF_CHAIN_TAG => {
+                    fields.missing_of_chain = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -15,6 +15,7 @@
 use crate::client::{CallError, ExtendedReply, StoreClient};
 use crate::extension::{ExtensionFields, LedgerQuery};
 use crate::frame::EncodedMessage;
+use crate::keys::TurnKey;
 use crate::load::LoadTracker;
 use crate::message::{ChainPart, Placement, Record, Reply, Request};
 use crate::quorum::{AppendTally, ChainLookup, ChainTally, LedgerRoom, LedgerView, UnsyncedTally};
@@ -50,6 +51,8 @@
     MemoryFull,
     /// The record is larger than a message may be. Sending it would end the connections.
     RecordTooLarge,
+    /// Members lack earlier turns of a turn's chain that the requester lacks too.
+    IncompleteChain,
 }
 
 impl fmt::Display for GroupError {
@@ -61,6 +64,7 @@
             Self::DiskRefused => "disk_refused",
             Self::MemoryFull => "memory_full",
             Self::RecordTooLarge => "record_too_large",
+            Self::IncompleteChain => "incomplete_chain",
         })
     }
 }
@@ -89,6 +93,16 @@
     pub room: Option<LedgerRoom>,
 }
 
+/// Result of an append.
+#[derive(Clone, Debug, Default)]
+pub struct AppendOutcome {
+    /// The program's ledger after a reservation; empty after other records.
+    pub ledger: LedgerView,
+    /// After a turn: the turns of its chain that members lack, of each member the newest. Empty once
+    /// a write quorum holds the whole chain.
+    pub missing_of_chain: BTreeSet<TurnKey>,
+}
+
 /// State shared by a front's clients of all groups.
 #[derive(Clone)]
 pub struct GroupContext {
@@ -306,13 +320,14 @@
 
     /// Sends a record to every member and returns once a write quorum has it on disk. For a
     /// reservation the quorum counts only complete members, and the result is their merged
-    /// ledger; with a room to be left, that of a quorum which leaves it, if one does.
+    /// ledger; with a room to be left, that of a quorum which leaves it, if one does. For a turn the
+    /// result tells what those members lack of its chain.
     pub async fn append(
         &self,
         record: StoredRecord,
         reservation: ReservationOptions,
         time_limit: Duration,
-    ) -> Result<LedgerView, GroupError> {
+    ) -> Result<AppendOutcome, GroupError> {
         if !record.record.fits_into_frame() {
             return Err(GroupError::RecordTooLarge);
         }
@@ -334,7 +349,7 @@
         stored: StoredRecord,
         reservation: ReservationOptions,
         time_limit: Duration,
-    ) -> Result<LedgerView, GroupError> {
+    ) -> Result<AppendOutcome, GroupError> {
         let members = self.members();
         let reserved_turn = match &stored.record {
             Record::Reserve { turn, .. } => Some(turn.clone()),
@@ -373,6 +388,8 @@
             });
         }
         drop(answers);
+        let mut missing_of_chain = BTreeSet::new();
+        let mut incomplete_on = BTreeSet::new();
         let mut wait_until = None;
         while let Some(answer) = receive_until(&mut received, wait_until).await {
             let (node, Ok(mut answer)) = answer else {
@@ -381,6 +398,10 @@
             self.apply_answer(&mut answer, reads_ledger, sent_at);
             let later_entries = answer.extension_fields.later_ledger_entries;
             let later_entries = later_entries.unwrap_or(0) as usize;
+            if let Some(missing) = answer.extension_fields.missing_of_chain {
+                missing_of_chain.insert(TurnKey(missing));
+                incomplete_on.insert(node.clone());
+            }
             tally.add_ordered_reply(&node, answer.reply, later_entries);
             if let Some(newer) = tally.take_newer_stores() {
                 self.apply_newer_stores(newer);
@@ -390,18 +411,30 @@
             }
             self.unstored_since.set(None);
             self.record_availability(true);
+            if !incomplete_on.is_empty() && !tally.is_stored_without(&incomplete_on) {
+                wait_until = wait_until.or(Some(Instant::now() + HEDGE_DELAY));
+                continue;
+            }
+            missing_of_chain.clear();
             let Some((turn, room)) = &condition else {
                 break;
             };
             if let Some(ledger) = tally.fitting_ledger(turn, *room) {
-                return Ok(ledger);
+                return Ok(AppendOutcome {
+                    ledger,
+                    missing_of_chain,
+                });
             }
             if !tally.may_still_fit(turn, *room) {
                 break;
             }
             wait_until = wait_until.or(Some(Instant::now() + room.rejection_delay));
         }
-        tally.outcome_for(reserved_turn.as_deref().unwrap_or_default())
+        let ledger = tally.outcome_for(reserved_turn.as_deref().unwrap_or_default())?;
+        Ok(AppendOutcome {
+            ledger,
+            missing_of_chain,
+        })
     }
 
     /// Applies the reports that an answer carries.
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -16,7 +16,7 @@
 use crate::cold_permits;
 use crate::extension::{PermitRequest, StreamReport};
 use crate::group_client::{
-    ChainOutcome, GroupClient, GroupContext, GroupError, ReservationOptions,
+    AppendOutcome, ChainOutcome, GroupClient, GroupContext, GroupError, ReservationOptions,
 };
 use crate::keys::{StreamKey, TurnKey};
 use crate::load::LoadTracker;
@@ -249,6 +249,15 @@
         self.stores.borrow().group_of_hash(hash)
     }
 
+    /// Returns the group of a record. Notes since when no group is known.
+    pub(crate) fn require_group_of(&self, record: &Record) -> Result<Rc<GroupClient>, GroupError> {
+        self.group_of_record(record).ok_or_else(|| {
+            let since = self.unknown_since.get().unwrap_or_else(Instant::now);
+            self.unknown_since.set(Some(since));
+            GroupError::NoGroup
+        })
+    }
+
     fn group_of_record(&self, record: &Record) -> Option<Rc<GroupClient>> {
         match record {
             Record::Reserve { program, turn, .. } | Record::Settle { program, turn, .. } => {
@@ -301,11 +310,18 @@
         time_limit: Duration,
     ) -> Result<LedgerView, GroupError> {
         let record = record.into();
-        let Some(group) = self.group_of_record(&record.record) else {
-            let since = self.unknown_since.get().unwrap_or_else(Instant::now);
-            self.unknown_since.set(Some(since));
-            return Err(GroupError::NoGroup);
-        };
+        let group = self.require_group_of(&record.record)?;
+        let outcome = self.append_to_group(&group, record, reservation, time_limit);
+        Ok(outcome.await?.ledger)
+    }
+
+    pub(crate) async fn append_to_group(
+        &self,
+        group: &GroupClient,
+        record: StoredRecord,
+        reservation: ReservationOptions,
+        time_limit: Duration,
+    ) -> Result<AppendOutcome, GroupError> {
         let outcome = group.append(record, reservation, time_limit).await;
         self.apply_newer_stores();
         outcome
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -55,11 +55,12 @@
 pub mod store_status;
 pub mod stored_record;
 pub mod stream_versions;
+pub mod turn_chains;
 pub mod unblock;
 pub mod wait_reason;
 
 pub use client::StoreClient;
-pub use group_client::{ChainOutcome, GroupClient, GroupError, ReservationOptions};
+pub use group_client::{AppendOutcome, ChainOutcome, GroupClient, GroupError, ReservationOptions};
 pub use group_clients::GroupClients;
 pub use limits::StoreLimits;
 pub use load::LoadTracker;
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -453,15 +453,29 @@
     /// Expires segments whose records have passed their retention. Must be called
     /// regularly, because a store without new records has to expire old ones too.
     pub async fn expire_segments(&self) {
+        self.expire_segments_at(self.clock_seconds()).await;
+    }
+
+    /// Returns the reading of the disk's clock, in seconds.
+    pub fn clock_seconds(&self) -> u64 {
+        self.clock.seconds()
+    }
+
+    /// Expires the segments whose records have passed their retention at this time. Records that
+    /// are written again meanwhile are left to the next call.
+    pub async fn expire_segments_at(&self, now: u64) {
         if self.is_expiring.replace(true) {
             return;
         }
-        while let Some(segment) = self.expired_segment() {
+        let newest = self.segments.borrow().back().map(|segment| segment.number);
+        while let Some(segment) = self.expired_segment(now)
+            && newest.is_some_and(|newest| segment.number < newest)
+        {
             match self.reader.segment(segment.number).await {
                 Ok(mut records) if records.len() >= segment.records => {
                     // Further records were never acknowledged because their write failed.
                     records.truncate(segment.records);
-                    self.expire_segment(segment, records);
+                    self.expire_segment(segment, records, now);
                 }
                 Ok(records) => {
                     let detail = format!("segment={} records={}", segment.number, records.len());
@@ -478,16 +492,15 @@
         self.is_expiring.set(false);
     }
 
-    /// Returns the oldest segment if it has expired and is not the newest.
-    fn expired_segment(&self) -> Option<SegmentUsage> {
+    /// Returns the oldest segment if it has expired.
+    fn expired_segment(&self, now: u64) -> Option<SegmentUsage> {
         let segments = self.segments.borrow();
-        let oldest = segments.front().filter(|_| segments.len() > 1)?;
-        oldest.has_expired(self.clock.seconds()).then_some(*oldest)
+        let oldest = segments.front()?;
+        oldest.has_expired(now).then_some(*oldest)
     }
 
-    fn expire_segment(&self, segment: SegmentUsage, records: Vec<StoredRecord>) {
+    fn expire_segment(&self, segment: SegmentUsage, records: Vec<StoredRecord>, now: u64) {
         self.segments.borrow_mut().pop_front();
-        let now = self.clock.seconds();
         let retained = self.state.borrow_mut().expire(records, now);
         for record in retained {
             self.submit(record);
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -38,6 +38,8 @@
     pub ledger_retentions: Option<List<u32>>,
     /// How many of the last entries of the ledger in the reply came after the reservation.
     pub later_ledger_entries: Option<u32>,
+    /// Newest turn that is missing of the chain of the turn that was stored.
+    pub missing_of_chain: Option<u64>,
 }
 
 impl From<Reply> for HandledRequest {
@@ -46,6 +48,7 @@
             reply,
             ledger_retentions: None,
             later_ledger_entries: None,
+            missing_of_chain: None,
         }
     }
 }
@@ -264,6 +267,14 @@
             } => Some((*group, *members_version, program.clone(), TurnKey::of(turn))),
             _ => None,
         };
+        let stored_turn = match &request {
+            Request::Append {
+                group,
+                record: Record::Turn(turn),
+                ..
+            } => Some((*group, TurnKey::of(&turn.turn))),
+            _ => None,
+        };
         let reply = self.handle_plain_request(request, ledger_retention).await;
         let is_stored = matches!(reply, Reply::Stored { .. });
         let later_entries =
@@ -279,13 +290,27 @@
                     };
                     u32::try_from(later).unwrap_or(u32::MAX)
                 });
+        let missing_of_chain = stored_turn
+            .filter(|_| is_stored)
+            .and_then(|(group, turn)| self.missing_of_chain(group, turn));
         HandledRequest {
             reply,
             ledger_retentions: None,
             later_ledger_entries: later_entries,
+            missing_of_chain,
         }
     }
 
+    /// Returns the newest turn that is missing of the chain of a stored turn. A store that is being
+    /// filled still gets what it misses from its peers.
+    fn missing_of_chain(&self, group: GroupNumber, turn: TurnKey) -> Option<u64> {
+        if !self.membership.borrow().is_complete_for(group) {
+            return None;
+        }
+        let TurnKey(missing) = self.state.borrow().missing_of_chain(turn)?;
+        Some(missing)
+    }
+
     async fn handle_plain_request(&self, request: Request, ledger_retention: Option<u32>) -> Reply {
         match request {
             Request::Append {
@@ -398,6 +423,7 @@
         HandledRequest {
             ledger_retentions: Some(retentions.collect()),
             later_ledger_entries: None,
+            missing_of_chain: None,
             reply: Reply::Fetched {
                 journal,
                 records: records.into_iter().map(|record| record.record).collect(),
@@ -501,9 +527,18 @@
             Record::Reserve { program, turn, .. } => Some((program.clone(), TurnKey::of(turn))),
             Record::Settle { .. } | Record::Turn(_) | Record::Clock { .. } => None,
         };
-        if !self.store_record(stored).await {
+        let turn = match record {
+            Record::Turn(turn) => Some((TurnKey::of(&turn.turn), turn.retention_seconds)),
+            Record::Reserve { .. } | Record::Settle { .. } | Record::Clock { .. } => None,
+        };
+        if !self.holds_copied_turn(record) && !self.store_record(stored).await {
             return Reply::Refused(Refusal::DiskRefused);
         }
+        if let Some((turn, retention_seconds)) = turn {
+            let now = self.clock.seconds();
+            let mut state = self.state.borrow_mut();
+            state.retain_chain(turn, retention_seconds, now);
+        }
         // A newer member list may have arrived while the record waited for the disk, and a
         // peer may have fetched digests under that list without this record.
         if let Some(refusal) = self.membership.borrow().refusal(group, members_version) {
@@ -527,6 +562,17 @@
         }
     }
 
+    /// Returns whether a record is the copy of a turn that is stored. A copy belongs to no program,
+    /// so it holds nothing that the turn's own record lacks.
+    fn holds_copied_turn(&self, record: &Record) -> bool {
+        match record {
+            Record::Turn(turn) => {
+                turn.program.is_empty() && self.state.borrow().has_turn(&turn.turn)
+            }
+            Record::Reserve { .. } | Record::Settle { .. } | Record::Clock { .. } => false,
+        }
+    }
+
     /// Decides on a tenant's request on behalf of all fronts.
     fn decide_quota(&self, request: QuotaRequest) -> Reply {
         let forced = request.forced || request.standby;
--- a/crates/stageyoke-store/src/quorum.rs
+++ b/crates/stageyoke-store/src/quorum.rs
@@ -202,6 +202,11 @@
         self.is_quorum(&self.stored_on)
     }
 
+    /// Checks whether a write quorum of other members than these has stored the record.
+    pub fn is_stored_without(&self, excluded: &BTreeSet<Text>) -> bool {
+        self.is_quorum(&self.stored_on.difference(excluded).cloned().collect())
+    }
+
     /// Takes the newer store groups that came with a rejection.
     pub fn take_newer_stores(&mut self) -> Option<StoreGroups> {
         self.newer_stores.take()
--- a/crates/stageyoke-store/src/server.rs
+++ b/crates/stageyoke-store/src/server.rs
@@ -163,6 +163,7 @@
         true => context.peer.fields_for_next_message(&ExtensionFields {
             ledger_retentions: handled.ledger_retentions,
             later_ledger_entries: handled.later_ledger_entries,
+            missing_of_chain: handled.missing_of_chain,
             ..local_store.reply_fields(context.requested_fields)
         }),
         false => ExtensionFields::default(),
--- a/crates/stageyoke-store/src/state.rs
+++ b/crates/stageyoke-store/src/state.rs
@@ -285,6 +285,27 @@
         self.extend_chain_retention(key, expires_at);
     }
 
+    /// Returns whether a turn is stored, under whichever program.
+    pub fn has_turn(&self, turn: &str) -> bool {
+        self.turns.contains_key(&TurnKey::of(turn))
+    }
+
+    /// Retains a turn, and the part of its chain that is stored, for this time from now on.
+    pub fn retain_chain(&mut self, turn: TurnKey, retention_seconds: u32, now: u64) {
+        let expires_at = now + u64::from(retention_seconds) + RETENTION_MARGIN_SECONDS;
+        self.extend_chain_retention(turn, expires_at);
+    }
+
+    /// Returns the newest turn that is not stored of the chain that ends in `turn`; `None` if the
+    /// whole chain is stored.
+    pub fn missing_of_chain(&self, turn: TurnKey) -> Option<TurnKey> {
+        let mut next = turn;
+        while let Some(indexed) = self.turns.get(&next) {
+            next = indexed.previous.filter(|previous| *previous != next)?;
+        }
+        Some(next)
+    }
+
     fn extend_chain_retention(&mut self, turn: TurnKey, expires_at: u64) {
         let mut next = turn;
         while let Some(indexed) = self.turns.get_mut(&next) {
@@ -400,10 +421,10 @@
             if indexed.copies > 0 {
                 continue;
             }
+            let location = indexed.location;
             self.records.remove(&digest);
-            retained.extend(self.retained_copy(stored, now));
+            retained.extend(self.retained_copy(stored, location, now));
         }
-        self.turns.retain(|_, indexed| indexed.expires_at > now);
         self.ledgers.retain(|_, ledger| {
             let is_retained = ledger.expires_at > now;
             if !is_retained {
@@ -431,16 +452,28 @@
         }
     }
 
-    /// Returns the copy of a record to write again if it must be retained longer. The copy of a
-    /// ledger's record carries the rest of the ledger's retention. A turn that has expired
+    /// Returns the copy of a removed record to write again if it must be retained longer. The copy
+    /// of a ledger's record carries the rest of the ledger's retention. A turn that has expired
     /// leaves the settlement of its reservation to a ledger that is retained longer.
-    fn retained_copy(&self, stored: StoredRecord, now: u64) -> Option<StoredRecord> {
+    fn retained_copy(
+        &mut self,
+        stored: StoredRecord,
+        location: RecordLocation,
+        now: u64,
+    ) -> Option<StoredRecord> {
         match &stored.record {
             Record::Turn(record) => {
-                let indexed = self.turns.get(&TurnKey::of(&record.turn));
-                if indexed.is_some_and(|indexed| indexed.expires_at > now) {
+                let key = TurnKey::of(&record.turn);
+                // A turn that was stored again under no program is read from its newest record.
+                let indexed = self.turns.get(&key);
+                let indexed = indexed.filter(|indexed| indexed.location == location);
+                let expires_at = indexed.map(|indexed| indexed.expires_at);
+                if expires_at.is_some_and(|expires_at| expires_at > now) {
                     return Some(stored);
                 }
+                if expires_at.is_some() {
+                    self.turns.remove(&key);
+                }
                 let seconds = self.remaining_retention(&record.program, &record.turn, now)?;
                 let settlement = Record::Settle {
                     program: record.program.clone(),
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -365,6 +365,7 @@
         ledger_retention_seconds: Some(60),
         ledger_retentions: Some(List(vec![0, 60, 3_600])),
         later_ledger_entries: Some(3),
+        missing_of_chain: Some(1 << 43),
     };
     let mut bytes = Vec::new();
     fields.encode(&mut bytes);
