Keep a resumed turn with all events that its caller got

Cause: the front stored as the turn's output what this attempt relayed. Ruled out: events dropped in the relay (callers got each event once) and a second record of the turn (only a prefix is ever missing).

Change: each attempt at a turn that may be resumed is recorded in the memory of a write quorum of its program's group, before it is sent and, with its events, when it is broken off. A request that resumes asks a quorum what its caller has; the turn is stored with these events and its own. If that is not known it is rejected before it is sent. New fields 27 to 30 behind Ping and Pong.

--- a/crates/stageyoke-front/src/event_stream.rs
+++ b/crates/stageyoke-front/src/event_stream.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 const DATA_FIELD: &[u8] = b"data:";
+const IDENTIFIER_FIELD: &[u8] = b"id:";
 
 /// Buffers bytes until they form complete events.
 #[derive(Debug, Default)]
@@ -59,6 +60,26 @@
     lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
 
+/// Returns the events up to and including the last one with this identifier; `None` if none has it.
+pub fn events_until<'a>(events: &'a [u8], last_identifier: &str) -> Option<&'a [u8]> {
+    let mut end = None;
+    let mut position = 0;
+    let mut is_last = false;
+    for line in events.split_inclusive(|byte| *byte == b'\n') {
+        position += line.len();
+        let line = line.strip_suffix(b"\n").unwrap_or(line);
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() && std::mem::take(&mut is_last) {
+            end = Some(position);
+        }
+        if let Some(identifier) = line.strip_prefix(IDENTIFIER_FIELD) {
+            let identifier = identifier.strip_prefix(b" ").unwrap_or(identifier);
+            is_last = identifier == last_identifier.as_bytes();
+        }
+    }
+    end.map(|end| &events[..end])
+}
+
 /// Appends the data of each event to `output`, followed by a line feed, and returns the
 /// number of events with data.
 pub fn collect_data(events: &[u8], output: &mut Vec<u8>) -> u32 {
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -23,6 +23,7 @@
 use crate::admission::service_hash;
 use crate::attempt::{OutboundRequest, end_to_end_headers, forwarded_headers};
 use crate::authentication::Caller;
+use crate::broken_stream::ResumableAttempt;
 use crate::deadly_requests::{self, HeldPermit};
 use crate::dispatch::DispatchedResponse;
 use crate::failure::{self, Failure};
@@ -71,6 +72,8 @@
     /// Earlier turns that the turn continues, oldest first, as parts of the outbound body.
     pub(crate) chain: Vec<ChainPart>,
     pub(crate) arrived: Instant,
+    /// Attempt at a turn that the caller may resume.
+    pub(crate) attempt: Option<ResumableAttempt>,
     /// Software version that began the stream which the request continues.
     pub(crate) required_version: Option<Text>,
     /// Record of the version that began the request's stream; `None` if none is under way.
@@ -252,6 +255,7 @@
             input,
             chain: Vec::new(),
             arrived,
+            attempt: None,
             required_version: None,
             version_record: None,
             run_permit: None,
@@ -293,6 +297,7 @@
             return Err(failure);
         }
         self.require_version(&mut context, summary).await?;
+        context.attempt = self.begin_attempt(&context).await?;
         self.check_history_regions(&context)?;
         self.admit_program(&context, summary).await?;
         // The ledger returned with the reservation may suggest a better one.
@@ -425,6 +430,7 @@
                 framing,
             },
             version_record: context.version_record,
+            attempt: context.attempt,
             identity: context.identity,
             request_guard: self.request_guard.clone(),
             _run_permit: context.run_permit,
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod authentication;
 pub mod baseline_latency;
 pub mod bootstrap;
+mod broken_stream;
 mod connection_drain;
 pub mod connection_pool;
 pub mod deadly_requests;
--- a/crates/stageyoke-front/src/received_stream.rs
+++ b/crates/stageyoke-front/src/received_stream.rs
@@ -68,6 +68,18 @@
     }
 }
 
+/// What is kept of a stream until its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeptOutput {
+    /// Nothing.
+    Nothing,
+    /// The data of its events.
+    Data,
+    /// Its events, as a caller that resumes the stream names the last one that it got. Contains those
+    /// that the caller got before.
+    Events(Bytes),
+}
+
 /// Received part of a stream. The memory of what is kept of it is acquired as it grows.
 #[derive(Debug)]
 pub struct ReceivedStream {
@@ -78,14 +90,13 @@
     bytes_since_event: usize,
     events: u32,
     output: Vec<u8>,
-    keeps_output: bool,
+    kept: KeptOutput,
     memory: MemoryGuard,
 }
 
 impl ReceivedStream {
-    /// Creates the state of a stream of which nothing has come. `keeps_output` tells whether the
-    /// data of its events is kept.
-    pub fn new(limits: StreamLimits, keeps_output: bool, memory: MemoryGuard) -> Self {
+    /// Creates the state of a stream of which nothing has come.
+    pub fn new(limits: StreamLimits, kept: KeptOutput, memory: MemoryGuard) -> Self {
         Self {
             limits,
             splitter: EventSplitter::default(),
@@ -93,7 +104,7 @@
             bytes_since_event: 0,
             events: 0,
             output: Vec::new(),
-            keeps_output,
+            kept,
             memory,
         }
     }
@@ -125,12 +136,18 @@
     /// Counts the events with data and keeps their data; returns their number.
     fn collect(&mut self, events: &[u8]) -> Result<u32, StreamExcess> {
         // The data of events is shorter than the events.
-        if !self.keeps_output {
+        if matches!(self.kept, KeptOutput::Nothing) {
             self.output.clear();
         } else if !self.reserve_output(events.len()) {
             return Err(StreamExcess::NoMemory);
         }
-        let count = collect_data(events, &mut self.output);
+        let count = match &self.kept {
+            KeptOutput::Nothing | KeptOutput::Data => collect_data(events, &mut self.output),
+            KeptOutput::Events(_) => {
+                self.output.extend_from_slice(events);
+                collect_data(events, &mut Vec::new())
+            }
+        };
         self.events = self.events.saturating_add(count);
         match self.limits.max_events {
             Some(most) if self.events > most => Err(StreamExcess::TooLarge),
@@ -155,9 +172,11 @@
 
     /// Acquires the memory for an output of this capacity and the incomplete event.
     fn acquire(&mut self, output_capacity: usize) -> bool {
-        let output = match self.keeps_output {
-            true => output_capacity,
-            false => 0,
+        let output = match &self.kept {
+            KeptOutput::Nothing => 0,
+            KeptOutput::Data => output_capacity,
+            // Twice, as their data is copied at the end.
+            KeptOutput::Events(earlier) => 2 * (output_capacity + earlier.len()),
         };
         self.memory
             .try_resize(output + self.splitter.remainder().len())
@@ -178,8 +197,23 @@
         self.splitter.take_remainder()
     }
 
-    /// Takes the data of all events; its memory stays acquired until the stream is dropped.
+    /// Returns the data of all events, also of those that the caller got before. Their memory stays
+    /// acquired until the stream is dropped.
     pub fn take_output(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.output)
+        let KeptOutput::Events(earlier) = &self.kept else {
+            return std::mem::take(&mut self.output);
+        };
+        let mut data = Vec::new();
+        collect_data(earlier, &mut data);
+        collect_data(&self.output, &mut data);
+        data
+    }
+
+    /// Returns all events, also those that the caller got before; `None` if they are not kept.
+    pub fn kept_events(&self) -> Option<Bytes> {
+        match &self.kept {
+            KeptOutput::Events(earlier) => Some([earlier, &self.output[..]].concat().into()),
+            KeptOutput::Nothing | KeptOutput::Data => None,
+        }
     }
 }
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -49,14 +49,14 @@
     pub previous: Option<Text>,
     /// Request that brought the first event of the stream which this one continues.
     pub resumed_stream: Option<Text>,
-    /// Whether the caller already has events of the stream.
-    pub continues_after_event: bool,
+    /// Identifier of the last event that the caller has of the stream.
+    pub last_event: Option<Text>,
 }
 
 impl RequestParameters {
     /// Returns whether the request continues a stream.
     pub fn continues_stream(&self) -> bool {
-        self.resumed_stream.is_some() || self.continues_after_event
+        self.resumed_stream.is_some() || self.last_event.is_some()
     }
 
     /// Reads the parameters; returns `None` if the request has no identifier.
@@ -77,7 +77,9 @@
                 .unwrap_or_default(),
             previous: text_header(headers, &names.previous_turn),
             resumed_stream: text_header(headers, &names.resumed_stream),
-            continues_after_event: headers.contains_key(&names.last_event),
+            last_event: headers
+                .contains_key(&names.last_event)
+                .then(|| text_header(headers, &names.last_event).unwrap_or_default()),
         })
     }
 }
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::broken_stream::ResumableAttempt;
 use crate::connection_pool::Connection;
 use crate::deadly_requests::{HeldPermit, RequestGuard};
 use crate::dispatch::{REPLICA_ENDED, record_attempt};
@@ -100,6 +101,8 @@
     pub deadline: Instant,
     /// Record of the version that began the stream, which the first events wait for.
     pub version_record: Option<VersionRecord>,
+    /// Attempt that the caller may resume if it is broken off; `None` for other streams.
+    pub attempt: Option<ResumableAttempt>,
     /// Identity of the request.
     pub identity: RequestIdentity,
     /// Limit of the replicas that may end under one request.
@@ -215,7 +218,8 @@
             StreamEnd::Unknown => self.store_turn(&mut received, StreamEnd::Unknown).await,
             other => other,
         };
-        self.finish(&end, chunks);
+        drop(body);
+        self.finish(&end, &received, chunks).await;
     }
 
     /// Records that the connection to the replica ended, and whether its process did.
@@ -358,11 +362,19 @@
         }
     }
 
-    fn finish(self, end: &StreamEnd, chunks: ChunkSender) {
+    async fn finish(self, end: &StreamEnd, received: &ReceivedStream, chunks: ChunkSender) {
         self.line.write(end);
-        let replica = self.upstream.replica;
-        if matches!(end, StreamEnd::Complete) {
-            replica.pool.release(self.upstream.connection);
+        let upstream = self.upstream;
+        match end {
+            StreamEnd::Complete => upstream.replica.pool.release(upstream.connection),
+            // Stops the replica before anything else is waited for.
+            _ => drop(upstream.connection),
+        }
+        drop(upstream.guard);
+        if !matches!(end, StreamEnd::Complete)
+            && let (Some(attempt), Some(events)) = (&self.attempt, received.kept_events())
+        {
+            attempt.record_end(events).await;
         }
         match end {
             StreamEnd::Complete | StreamEnd::Unknown | StreamEnd::InsideEvent => chunks.complete(),
--- a/crates/stageyoke-front/src/stream_start.rs
+++ b/crates/stageyoke-front/src/stream_start.rs
@@ -19,7 +19,7 @@
 use crate::health::Evidence;
 use crate::history::Reservation;
 use crate::memory_budget::MemoryGuard;
-use crate::received_stream::{ReceivedStream, StreamExcess, StreamLimits};
+use crate::received_stream::{KeptOutput, ReceivedStream, StreamExcess, StreamLimits};
 use crate::replica::Replica;
 
 /// Outcome of a stream that the replica did not complete.
@@ -117,8 +117,13 @@
             Some(_) => StreamLimits::of_turn(context.parameters.max_tokens),
             None => StreamLimits::of_event_feed(),
         };
+        let kept = match (&context.attempt, context.route.stores_history) {
+            (Some(attempt), _) => KeptOutput::Events(attempt.earlier_events.clone()),
+            (None, true) => KeptOutput::Data,
+            (None, false) => KeptOutput::Nothing,
+        };
         Self {
-            received: ReceivedStream::new(limits, context.route.stores_history, memory),
+            received: ReceivedStream::new(limits, kept, memory),
             first: None,
         }
     }
--- a/crates/stageyoke-front/src/stream_version.rs
+++ b/crates/stageyoke-front/src/stream_version.rs
@@ -30,7 +30,7 @@
 /// Time for which the first event of a stream waits for the record.
 const MAX_FIRST_EVENT_DELAY: Duration = Duration::from_millis(50);
 /// Time after a request's deadline for which its caller may continue the stream.
-const RESUME_MARGIN: Duration = Duration::from_secs(15);
+pub(crate) const RESUME_MARGIN: Duration = Duration::from_secs(15);
 /// Number of versions of a service that are remembered after their last replica has left.
 const MAX_DEPARTED_VERSIONS: usize = 16;
 
--- a/crates/stageyoke-front/tests/received_stream_test.rs
+++ b/crates/stageyoke-front/tests/received_stream_test.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use rstest::rstest;
 use stageyoke_front::memory_budget::MemoryBudget;
 use stageyoke_front::received_stream::{
-    MAX_EVENT_BYTES, MAX_EVENTS_WITHOUT_TOKENS, MAX_STREAM_BYTES, ReceivedStream, StreamExcess,
-    StreamLimits,
+    KeptOutput, MAX_EVENT_BYTES, MAX_EVENTS_WITHOUT_TOKENS, MAX_STREAM_BYTES, ReceivedStream,
+    StreamExcess, StreamLimits,
 };
 
 const EVENT: &[u8] = b"id: 1\ndata: abcdefghij\n\n";
@@ -47,24 +48,25 @@
 
 /// Guards against memory that is used beside the budget, and against one that is never released.
 #[rstest]
-#[case::output(EVENT, true, StreamExcess::NoMemory)]
-#[case::incomplete_event(b"data: x", true, StreamExcess::TooLarge)]
-#[case::output_that_is_not_kept(EVENT, false, StreamExcess::TooLarge)]
+#[case::output(EVENT, KeptOutput::Data, StreamExcess::NoMemory)]
+#[case::events(EVENT, KeptOutput::Events(Bytes::new()), StreamExcess::NoMemory)]
+#[case::incomplete_event(b"data: x", KeptOutput::Data, StreamExcess::TooLarge)]
+#[case::output_that_is_not_kept(EVENT, KeptOutput::Nothing, StreamExcess::TooLarge)]
 fn what_is_kept_of_a_stream_is_acquired(
     #[case] repeated: &[u8],
-    #[case] keeps_output: bool,
+    #[case] kept_output: KeptOutput,
     #[case] expected: StreamExcess,
 ) {
     let budget = budget(SMALL_MEMORY);
     let whole = available(&budget);
     let limits = StreamLimits::of_turn(0);
-    let mut stream = ReceivedStream::new(limits, keeps_output, budget.start_request());
+    let mut stream = ReceivedStream::new(limits, kept_output.clone(), budget.start_request());
     let piece = repeated.repeat(PIECE_BYTES / repeated.len());
     let data_bytes = stream_data_bytes(&piece);
     let mut kept = 0;
     let excess = loop {
         match stream.push(&piece) {
-            Ok(_) => kept += data_bytes * usize::from(keeps_output),
+            Ok(_) => kept += data_bytes * usize::from(kept_output != KeptOutput::Nothing),
             Err(excess) => break excess,
         }
         let acquired = whole - available(&budget);
@@ -92,7 +94,8 @@
 #[test]
 fn a_feed_of_events_is_limited_by_the_size_of_each_event_only() {
     let memory = budget(LARGE_MEMORY).start_request();
-    let mut stream = ReceivedStream::new(StreamLimits::of_event_feed(), false, memory);
+    let mut stream =
+        ReceivedStream::new(StreamLimits::of_event_feed(), KeptOutput::Nothing, memory);
     let piece = EVENT.repeat(PIECE_BYTES / EVENT.len());
     let pieces = 2 * MAX_STREAM_BYTES / piece.len();
     for _ in 0..pieces {
@@ -110,7 +113,7 @@
 #[case::one_event(b"x", MAX_EVENT_BYTES)]
 fn bytes_without_end_are_bounded(#[case] repeated: &[u8], #[case] most: usize) {
     let memory = budget(LARGE_MEMORY).start_request();
-    let mut stream = ReceivedStream::new(StreamLimits::of_turn(0), true, memory);
+    let mut stream = ReceivedStream::new(StreamLimits::of_turn(0), KeptOutput::Data, memory);
     let piece = repeated.repeat(PIECE_BYTES / repeated.len());
     let (excess, passed) = push_until_given_up(&mut stream, &piece);
     assert_eq!(excess, StreamExcess::TooLarge);
@@ -122,7 +125,11 @@
 #[case::more_than_the_bytes_of_other_streams(2_000_000)]
 fn a_turn_has_no_more_events_than_tokens_and_marks(#[case] max_tokens: u32) {
     let memory = budget(LARGE_MEMORY).start_request();
-    let mut stream = ReceivedStream::new(StreamLimits::of_turn(max_tokens), false, memory);
+    let mut stream = ReceivedStream::new(
+        StreamLimits::of_turn(max_tokens),
+        KeptOutput::Nothing,
+        memory,
+    );
     for _ in 0..max_tokens + MAX_EVENTS_WITHOUT_TOKENS {
         assert!(stream.push(EVENT).is_ok());
     }
@@ -133,7 +140,7 @@
 #[test]
 fn comments_count_only_up_to_the_next_event() {
     let memory = budget(LARGE_MEMORY).start_request();
-    let mut stream = ReceivedStream::new(StreamLimits::of_turn(0), true, memory);
+    let mut stream = ReceivedStream::new(StreamLimits::of_turn(0), KeptOutput::Data, memory);
     let comments = b": c\n\n".repeat(MAX_EVENT_BYTES / 10);
     for _ in 0..20 {
         assert!(stream.push(&comments).is_ok());
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -57,6 +57,16 @@
 pub const SHORT_TURNS: &str = "/turns/short/";
 /// Path of turns that are kept for `LONG_RETENTION_SECONDS`.
 pub const LONG_TURNS: &str = "/turns/long/";
+/// Path of turns that are kept and may be resumed. A replica sends `TURN_EVENTS` events, and breaks
+/// the stream off after the event that the header `BREAK_AFTER` names, within the next one if there
+/// is a header `BREAK_INSIDE`.
+pub const RESUMABLE_TURNS: &str = "/turns/resumable/";
+/// Number of events of a turn of `RESUMABLE_TURNS`.
+pub const TURN_EVENTS: usize = 5;
+/// Header that names the last event before a break.
+pub const BREAK_AFTER: &str = "break-after";
+/// Header of a break within an event.
+pub const BREAK_INSIDE: &str = "break-inside";
 /// Timeout of turns, which allows for slow syncs.
 const TURN_TIMEOUT: Duration = Duration::from_secs(20);
 /// Retention of turns of `SHORT_TURNS`.
@@ -266,8 +276,8 @@
     }
 }
 
-/// Returns a table with a resumable route, `/stream/`, one that is not, `/plain/`, and two that
-/// keep turns, `SHORT_TURNS` and `LONG_TURNS`.
+/// Returns a table with a resumable route, `/stream/`, one that is not, `/plain/`, and those that
+/// keep turns.
 fn route_table() -> RouteTable {
     RouteTable {
         version: 1,
@@ -276,6 +286,10 @@
             plain_route(),
             turn_route(SHORT_TURNS, SHORT_RETENTION_SECONDS),
             turn_route(LONG_TURNS, LONG_RETENTION_SECONDS),
+            Route {
+                resumable: true,
+                ..turn_route(RESUMABLE_TURNS, LONG_RETENTION_SECONDS)
+            },
         ],
         services: vec![ServiceSpec {
             name: Text::from(SERVICE),
@@ -501,6 +515,11 @@
                 return;
             }
             tokio::time::sleep(script.service_time).await;
+            if path == RESUMABLE_TURNS {
+                let response = turn_response(&text);
+                let _ = stream.write_all(response.as_bytes()).await;
+                return;
+            }
             let response = match header_value(&text, "last-event-id") {
                 Some(_) => script.continued,
                 None => script.new,
@@ -520,6 +539,30 @@
     }
 }
 
+/// Returns the response to a turn of `RESUMABLE_TURNS`, which ends with its connection.
+fn turn_response(request: &str) -> String {
+    let number = |name| header_value(request, name).map(|value| value.parse().expect("a number"));
+    let id = header_value(request, "id").expect("an identifier");
+    let mut response = HEAD.replace("ID", &id);
+    let first = number("last-event-id").map_or(1, |last: usize| last + 1);
+    let break_after: Option<usize> = number(BREAK_AFTER);
+    let last = break_after.unwrap_or(TURN_EVENTS);
+    for event in first..=last {
+        response.push_str(&chunk(&format!("id: {event}\ndata: {id} says {event}\n\n")));
+    }
+    if header_value(request, BREAK_INSIDE).is_some() {
+        response.push_str(&chunk(&format!("id: {}\ndata: {id} sa", last + 1)));
+    }
+    if break_after.is_none() {
+        response.push_str("0\r\n\r\n");
+    }
+    response
+}
+
+fn chunk(content: &str) -> String {
+    format!("{:x}\r\n{content}\r\n", content.len())
+}
+
 /// Returns the body of a request once all of it has arrived.
 fn whole_body(request: &str) -> Option<&str> {
     let (head, body) = request.split_once("\r\n\r\n")?;
@@ -727,14 +770,28 @@
 
     /// Sends a turn of a program that goes on from an earlier one, or from none if that is empty.
     pub async fn send_turn(&self, path: &str, id: &str, program: &str, previous: &str) -> String {
+        let input = input_of(id);
+        self.send_turn_with(path, id, program, previous, &input, "")
+            .await
+    }
+
+    /// Sends a turn like `send_turn`, with this input and further headers.
+    pub async fn send_turn_with(
+        &self,
+        path: &str,
+        id: &str,
+        program: &str,
+        previous: &str,
+        body: &str,
+        headers: &str,
+    ) -> String {
         let previous = match previous {
             "" => String::new(),
             previous => format!("previous: {previous}\r\n"),
         };
-        let body = input_of(id);
         let request = format!(
             "POST {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: {}\r\n\
-             program: {program}\r\n{previous}content-length: {}\r\n\
+             program: {program}\r\n{previous}{headers}content-length: {}\r\n\
              connection: close\r\n\r\n{body}",
             TURN_TIMEOUT.as_millis(),
             body.len()
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -68,6 +68,10 @@
     pub unacknowledged_versions: IntCounter,
     /// Continued streams rejected because the version that began them is unknown.
     pub unknown_versions: IntCounter,
+    /// Broken streams of turns that no quorum of stores recorded.
+    pub unrecorded_broken_streams: IntCounter,
+    /// Resumed turns rejected because it is not known what their callers got.
+    pub unknown_broken_streams: IntCounter,
     /// Earlier turns of chains that were stored again with a turn that continues them.
     pub copied_turns: IntCounter,
     /// Ends of replicas' processes under requests, each counted once a request.
@@ -257,6 +261,20 @@
                     "Continued streams rejected because the version that began them is unknown.",
                 ),
             ),
+            unrecorded_broken_streams: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_broken_streams_unrecorded_total",
+                    "Broken streams of turns that no quorum of stores recorded.",
+                ),
+            ),
+            unknown_broken_streams: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_broken_streams_unknown_total",
+                    "Resumed turns rejected because it is not known what their callers got.",
+                ),
+            ),
             copied_turns: register(
                 &registry,
                 IntCounter::new(
--- a/crates/stageyoke-policy/src/lib.rs
+++ b/crates/stageyoke-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers pass the current time as the duration since the process started.
 
 pub mod admission;
+pub mod broken_streams;
 pub mod cold_start;
 pub mod deadly_requests;
 pub mod quota;
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -52,6 +52,10 @@
 const LEDGER_RETENTIONS_TAG: u8 = 24;
 const LATER_ENTRIES_TAG: u8 = 25;
 const MISSING_OF_CHAIN_TAG: u8 = 26;
+const ATTEMPT_REPORT_TAG: u8 = 27;
+const ATTEMPT_RECORDED_TAG: u8 = 28;
+const ATTEMPTS_QUERY_TAG: u8 = 29;
+const ATTEMPTS_TAG: u8 = 30;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -129,6 +133,32 @@
     pub ttl_milliseconds: u32,
 }
 
+/// What the caller of one attempt at a stream may have got of it.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct RecordedAttempt {
+    /// Hash of the identifier of the request that began the stream.
+    pub stream: u128,
+    /// Hash of the identifier of the attempt.
+    pub attempt: u128,
+    /// Number of attempts at the same stream before this one.
+    pub sequence: u32,
+    /// Whether the attempt has ended, so that its caller has no further events of it.
+    pub ended: bool,
+    /// Events since the beginning of the stream.
+    pub events: Blob,
+}
+
+/// A report of an attempt at a stream that its caller may resume.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct AttemptReport {
+    /// Identity of the request.
+    pub request: u128,
+    /// What its caller may have got.
+    pub attempt: RecordedAttempt,
+    /// Time in milliseconds for which the stream may be continued.
+    pub ttl_milliseconds: u32,
+}
+
 /// Stands for the request in the report of a replica that ended without one.
 pub const NO_REQUEST: u128 = 0;
 
@@ -257,6 +287,14 @@
     /// After the reply to an append of a turn: key of the newest turn of its chain that the store
     /// does not hold although it is a complete member of the group.
     pub missing_of_chain: Option<u64>,
+    /// After a ping: what the caller of an attempt at a stream may have got.
+    pub attempt_report: Option<AttemptReport>,
+    /// After the reply to such a ping: whether the store knows it from now on.
+    pub attempt_recorded: Option<bool>,
+    /// After a ping: identity of a request whose attempts are queried.
+    pub attempts_query: Option<u128>,
+    /// After the reply to such a ping: the attempts that the store knows.
+    pub attempts: Option<List<RecordedAttempt>>,
 }
 
 impl ExtensionFields {
@@ -318,6 +356,13 @@
         encode_field(LATER_ENTRIES_TAG, later, output);
         let missing = self.missing_of_chain.as_ref();
         encode_field(MISSING_OF_CHAIN_TAG, missing, output);
+        let report = self.attempt_report.as_ref();
+        encode_field(ATTEMPT_REPORT_TAG, report, output);
+        let recorded = self.attempt_recorded.as_ref();
+        encode_field(ATTEMPT_RECORDED_TAG, recorded, output);
+        let query = self.attempts_query.as_ref();
+        encode_field(ATTEMPTS_QUERY_TAG, query, output);
+        encode_field(ATTEMPTS_TAG, self.attempts.as_ref(), output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -374,6 +419,18 @@
                 MISSING_OF_CHAIN_TAG => {
                     fields.missing_of_chain = Some(DeBin::deserialize_bin(content)?);
                 }
+                ATTEMPT_REPORT_TAG => {
+                    fields.attempt_report = Some(DeBin::deserialize_bin(content)?);
+                }
+                ATTEMPT_RECORDED_TAG => {
+                    fields.attempt_recorded = Some(DeBin::deserialize_bin(content)?);
+                }
+                ATTEMPTS_QUERY_TAG => {
+                    fields.attempts_query = Some(DeBin::deserialize_bin(content)?);
+                }
+                ATTEMPTS_TAG => {
+                    fields.attempts = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -7,6 +7,7 @@
 //! program, so that of two racing turns at least one sees the other. Members compare
 //! digests of their records and fetch the missing ones.
 
+pub mod broken_streams;
 pub mod catch_up_monitor;
 pub mod client;
 pub mod cold_permits;
--- a/crates/stageyoke-store/src/limits.rs
+++ b/crates/stageyoke-store/src/limits.rs
@@ -17,6 +17,8 @@
 const RESERVATION_FRACTION: f64 = 0.85;
 /// Fraction of the index's memory for copies of the directory that are being sent.
 const DIRECTORY_TRANSFER_FRACTION: f64 = 0.1;
+/// Fraction of the index's memory for what callers got of streams that were broken off.
+const BROKEN_STREAM_FRACTION: f64 = 0.1;
 /// Default memory limit: that of the smallest store machine of all deployments.
 pub const DEFAULT_MEMORY_BYTES: u64 = 58 * 1024 * 1024;
 
@@ -65,6 +67,11 @@
         (self.state_bytes as f64 * RESERVATION_FRACTION) as usize
     }
 
+    /// Memory for what callers got of streams that were broken off.
+    pub fn broken_stream_bytes(&self) -> usize {
+        (self.state_bytes as f64 * BROKEN_STREAM_FRACTION) as usize
+    }
+
     /// Memory for copies of the directory that are being sent.
     pub fn directory_transfer_bytes(&self) -> usize {
         (self.state_bytes as f64 * DIRECTORY_TRANSFER_FRACTION) as usize
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -10,10 +10,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use stageyoke_directory::{
     AgeLimits, DirectoryMark, DirectorySource, Freshness, GroupNumber, Members, StoreGroups,
 };
 use stageyoke_observe as observe;
+use stageyoke_policy::broken_streams::BrokenStreams;
 use stageyoke_policy::cold_start::PermitLedger;
 use stageyoke_policy::deadly_requests::DeadlyRequests;
 use stageyoke_policy::quota::{QuotaLedger, QuotaTolerance};
@@ -85,6 +87,7 @@
     quotas: RefCell<QuotaLedger>,
     permits: RefCell<PermitLedger>,
     stream_versions: RefCell<StreamVersions>,
+    broken_streams: RefCell<BrokenStreams<Bytes>>,
     deadly_requests: RefCell<DeadlyRequests>,
     /// Connections that get changes of the restricted requests.
     pub(crate) restriction_watchers: RestrictionWatchers,
@@ -145,6 +148,7 @@
             quotas: RefCell::default(),
             permits: RefCell::default(),
             stream_versions: RefCell::default(),
+            broken_streams: RefCell::new(BrokenStreams::new(limits.broken_stream_bytes())),
             deadly_requests: RefCell::default(),
             restriction_watchers: RestrictionWatchers::default(),
             registered_addresses: RefCell::default(),
@@ -345,9 +349,10 @@
         }
     }
 
-    /// Estimates the memory used by the index and the cache of the newest turns, in bytes.
+    /// Estimates the memory used by the index, the cache of the newest turns and the broken
+    /// streams, in bytes.
     pub fn memory_bytes(&self) -> usize {
-        self.state.borrow().memory_bytes()
+        self.state.borrow().memory_bytes() + self.broken_streams.borrow().bytes()
     }
 
     /// Returns why no record can be accepted if the state may use `state_bytes`.
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use stageyoke_directory::GroupNumber;
+use stageyoke_policy::broken_streams::StreamAttempt;
 use stageyoke_policy::quota::QuotaDecision;
 use stageyoke_types::{Blob, List, Text};
 
@@ -10,7 +11,8 @@
 use crate::cold_permits;
 use crate::directory_relay;
 use crate::extension::{
-    ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, Restrictions, StreamReport,
+    AttemptReport, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitRequest, RecordedAttempt,
+    Restrictions, StreamReport,
 };
 use crate::keys::TurnKey;
 use crate::membership_state::PeerStatus;
@@ -75,6 +77,10 @@
     stream_recorded: Option<bool>,
     /// Version that began the queried stream; empty if it is not known.
     stream_version: Option<Text>,
+    /// Whether an attempt at a stream is known from now on.
+    attempt_recorded: Option<bool>,
+    /// Request whose attempts are queried.
+    attempts_query: Option<u128>,
     /// Decision on a permit to run a request.
     run_permit: Option<u8>,
     /// Restricted requests that the requester does not know yet.
@@ -147,6 +153,10 @@
             stream_version: fields
                 .stream_query
                 .map(|stream| self.stream_version(stream)),
+            attempt_recorded: fields
+                .attempt_report
+                .map(|report| self.record_attempt(report)),
+            attempts_query: fields.attempts_query,
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
@@ -181,6 +191,36 @@
             .unwrap_or_default()
     }
 
+    fn record_attempt(&self, report: AttemptReport) -> bool {
+        let recorded = report.attempt;
+        let attempt = StreamAttempt {
+            stream: recorded.stream,
+            attempt: recorded.attempt,
+            sequence: recorded.sequence,
+            ended: recorded.ended,
+            // A slice of the frame would keep the whole frame in memory.
+            events: recorded.events.detached().0,
+        };
+        let ttl = Duration::from_millis(report.ttl_milliseconds.into());
+        let now = self.started_at.elapsed();
+        let mut streams = self.broken_streams.borrow_mut();
+        streams.record(report.request, attempt, ttl, now)
+    }
+
+    /// Returns the attempts at a request's streams that this store knows.
+    fn attempts_at(&self, request: u128) -> List<RecordedAttempt> {
+        let streams = self.broken_streams.borrow();
+        let attempts = streams.attempts(request, self.started_at.elapsed());
+        let recorded = attempts.map(|attempt| RecordedAttempt {
+            stream: attempt.stream,
+            attempt: attempt.attempt,
+            sequence: attempt.sequence,
+            ended: attempt.ended,
+            events: Blob(attempt.events.clone()),
+        });
+        recorded.collect()
+    }
+
     /// Returns whether any turn of a program has started, as far as this store knows.
     fn has_started(&self, program: &Text) -> bool {
         let entries = self.state.borrow().ledger_entries(program);
@@ -229,6 +269,10 @@
             permit: requested.permit,
             stream_recorded: requested.stream_recorded,
             stream_version: requested.stream_version,
+            attempt_recorded: requested.attempt_recorded,
+            attempts: requested
+                .attempts_query
+                .map(|request| self.attempts_at(request)),
             run_permit: requested.run_permit,
             restrictions: requested.restrictions,
             write_delay_milliseconds: requested
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -9,12 +9,13 @@
 use stageyoke_store::StoreClient;
 use stageyoke_store::client::CallError;
 use stageyoke_store::extension::{
-    Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitQuery, PermitRequest,
-    RankLoad, Restriction, Restrictions, RunReport, StreamReport, VERSION,
+    AttemptReport, Deviation, ExtensionFields, KnownItem, LedgerQuery, Permit, PermitQuery,
+    PermitRequest, RankLoad, RecordedAttempt, Restriction, Restrictions, RunReport, StreamReport,
+    VERSION,
 };
 use stageyoke_store::frame::{self, EncodedMessage, Received};
 use stageyoke_store::message::{LatencyEntry, LedgerEntry, Numbered, Reply, Request};
-use stageyoke_types::List;
+use stageyoke_types::{Blob, List};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -288,6 +289,16 @@
     assert_eq!(size(&restrictions(1)), 29);
 }
 
+fn recorded_attempt() -> RecordedAttempt {
+    RecordedAttempt {
+        stream: 1 << 101,
+        attempt: 1 << 102,
+        sequence: 3,
+        ended: true,
+        events: Blob::from(b"id: 1\ndata: a\n\n".to_vec()),
+    }
+}
+
 #[test]
 fn encoded_fields_are_decoded_unchanged() {
     let fields = ExtensionFields {
@@ -366,6 +377,14 @@
         ledger_retentions: Some(List(vec![0, 60, 3_600])),
         later_ledger_entries: Some(3),
         missing_of_chain: Some(1 << 43),
+        attempt_report: Some(AttemptReport {
+            request: 1 << 100,
+            attempt: recorded_attempt(),
+            ttl_milliseconds: 19_000,
+        }),
+        attempt_recorded: Some(true),
+        attempts_query: Some(1 << 100),
+        attempts: Some(List(vec![recorded_attempt()])),
     };
     let mut bytes = Vec::new();
     fields.encode(&mut bytes);
