--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -344,7 +344,8 @@
             }
             return end;
         };
-        let retention = self.storage.retention;
+        // Counts from the end of the answer, which a slow caller may get as late as its deadline.
+        let retention = self.storage.retention + self.time_left();
         let output = received.take_output();
         let record = build_turn_record(&self.identifiers, input, output, used, retention);
         let started = Instant::now();
@@ -362,6 +363,10 @@
         }
     }
 
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     async fn finish(self, end: &StreamEnd, received: &ReceivedStream, chunks: ChunkSender) {
         self.line.write(end);
         let upstream = self.upstream;
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -68,7 +68,7 @@
 /// Header of a break within an event.
 pub const BREAK_INSIDE: &str = "break-inside";
 /// Timeout of turns, which allows for slow syncs.
-const TURN_TIMEOUT: Duration = Duration::from_secs(20);
+pub const TURN_TIMEOUT: Duration = Duration::from_secs(20);
 /// Retention of turns of `SHORT_TURNS`.
 pub const SHORT_RETENTION_SECONDS: u64 = 10;
 /// Retention of turns of `LONG_TURNS`.
