Don't join a stream from two versions after all fronts are lost

Cause: without the name of the first attempt, a front decided by the list and by the versions that it had itself seen leave. One that has just started has seen none leave. Ruled out: callers that name their attempt (the record at the stores held), and a front that has followed the list.

Change: the version is recorded under the identity of the request too, so such a caller goes on at its version, also beside others. Stores observe the listed versions and save changes to their disks. New fields 31 to 33, new file.

--- a/crates/stageyoke-front/src/replica_registry.rs
+++ b/crates/stageyoke-front/src/replica_registry.rs
@@ -46,6 +46,8 @@
     services: RefCell<HashMap<Text, ServicePool>>,
     rates: RefCell<HashMap<Text, Rc<Cell<EngineRates>>>>,
     departed_versions: DepartedVersions,
+    /// When the list was applied first.
+    following_since: Cell<Option<Instant>>,
 }
 
 impl ReplicaRegistry {
@@ -64,6 +66,7 @@
             services: RefCell::default(),
             rates: RefCell::default(),
             departed_versions: DepartedVersions::default(),
+            following_since: Cell::new(None),
         }
     }
 
@@ -161,6 +164,9 @@
 
     /// Logs the changed replicas and updates the pools of their services.
     fn finish_update(&self, added: Vec<Rc<Replica>>, removed: Vec<Rc<Replica>>) {
+        if self.following_since.get().is_none() {
+            self.following_since.set(Some(Instant::now()));
+        }
         let now = self.replicas.borrow().len();
         replica_log::log_replica_changes(&added, &removed, now);
         self.departed_versions.record(&removed);
@@ -261,6 +267,13 @@
         is_only.then(|| version.clone())
     }
 
+    /// Returns whether the list has been followed for this time, so that every version which has left
+    /// since then is known.
+    pub fn has_followed_list_for(&self, time: Duration) -> bool {
+        let since = self.following_since.get();
+        since.is_some_and(|since| since.elapsed() >= time)
+    }
+
     fn shared_state(&self, record: &ReplicaRecord) -> SharedState {
         let zone = record.zone.as_str();
         let region = self.region_by_zone.get(zone);
--- a/crates/stageyoke-front/src/stream_version.rs
+++ b/crates/stageyoke-front/src/stream_version.rs
@@ -12,6 +12,7 @@
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
 use stageyoke_observe::{self as observe, RequestSummary};
 use stageyoke_policy::stream_versions::MAX_TTL;
+use stageyoke_store::StreamOfRequest;
 use stageyoke_types::{ErrorKind, Text};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -20,6 +21,7 @@
 use crate::front::Front;
 use crate::handler::{RequestContext, SHORT_RETRY_DELAY};
 use crate::replica::Replica;
+use crate::request_identity::RequestIdentity;
 
 /// Time limit for the stores to say which version began a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
@@ -77,14 +79,45 @@
     }
 
     async fn version_of_resumed_stream(&self, context: &RequestContext) -> Option<Text> {
-        let Some(stream) = &context.identifiers.resumed_stream else {
-            return self.registry.only_version(&context.service.name);
-        };
         let deadline = context.outbound.deadline;
         let time_left = deadline.saturating_duration_since(Instant::now());
         let time_limit = LOOKUP_TIMEOUT.min(time_left / LOOKUP_TIME_DIVISOR);
+        let (recorded, only) = tokio::join!(
+            self.recorded_version(context, time_limit),
+            self.only_recent_version(&context.service.name, time_limit)
+        );
+        recorded.or(only)
+    }
+
+    /// Returns the version that is recorded of the stream, or of all streams of the request if the
+    /// caller does not name one.
+    async fn recorded_version(
+        &self,
+        context: &RequestContext,
+        time_limit: Duration,
+    ) -> Option<Text> {
+        let stores = &self.history.stores;
+        let RequestIdentity(identity) = context.identity;
+        match &context.identifiers.resumed_stream {
+            Some(request) => {
+                let stream = StreamOfRequest { request, identity };
+                stores.stream_version(stream, time_limit).await
+            }
+            None => stores.version_of_request(identity, time_limit).await,
+        }
+    }
+
+    /// Returns the version of a service if no other one can have begun a stream that goes on. A front
+    /// that has not followed the list for long enough asks the stores, which outlive it.
+    async fn only_recent_version(&self, service: &Text, time_limit: Duration) -> Option<Text> {
+        let version = self.registry.only_version(service)?;
+        if self.registry.has_followed_list_for(MAX_TTL) {
+            return Some(version);
+        }
         let stores = &self.history.stores;
-        stores.stream_version(stream, time_limit).await
+        let observed = stores.service_versions(service, time_limit).await?;
+        let is_only = observed.iter().all(|observed| *observed == version);
+        is_only.then_some(version)
     }
 
     /// Starts to record the version that began a stream; `None` if the stream cannot be
@@ -110,8 +143,13 @@
         let ttl = MAX_TTL.min(time_left + RESUME_MARGIN);
         let stores = self.history.stores.clone();
         let request = context.identifiers.turn.clone();
+        let RequestIdentity(identity) = context.identity;
         let recording = async move {
-            let recording = stores.record_stream_version(&request, &version, ttl, RECORD_TIMEOUT);
+            let stream = StreamOfRequest {
+                request: &request,
+                identity,
+            };
+            let recording = stores.record_stream_version(stream, &version, ttl, RECORD_TIMEOUT);
             recording.await
         };
         Some(VersionRecord {
--- a/crates/stageyoke-front/tests/stream_versions_test.rs
+++ b/crates/stageyoke-front/tests/stream_versions_test.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use streams::{BROKEN_STREAM, LOST_STREAM, NOT_RUN, Replica, STREAM, System, header_value};
+use rstest::rstest;
+use streams::{BROKEN_STREAM, Front, LOST_STREAM, NOT_RUN, Replica, STREAM, System, header_value};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -169,24 +170,134 @@
     .await;
 }
 
-/// Callers of older builds do not name the attempt that began a stream.
+/// Path of a request of its own.
+fn path(number: usize) -> String {
+    format!("/stream/{number}")
+}
+
+/// Begins streams of requests of their own, all at once, so that each replica gets some.
+async fn begin_all(front: &Rc<Front>) {
+    let beginning = (0..STREAMS).map(|number| {
+        let front = front.clone();
+        tokio::task::spawn_local(async move {
+            let id = format!("first-{number}");
+            front.send_to(&path(number), &id, "").await
+        })
+    });
+    let beginning: Vec<_> = beginning.collect();
+    for begun in beginning {
+        let answer = begun.await.expect("answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
+/// Returns the version at which `begin_all` began a stream.
+fn began_at(system: &System, number: usize) -> Vec<&'static str> {
+    system.versions_of(&format!("first-{number}"))
+}
+
+/// Takes up a stream as a caller does that does not name the attempt which began it.
+async fn take_up(front: &Front, path: &str, id: &str) -> String {
+    front.send_to(path, id, "last-event-id: 1\r\n").await
+}
+
+/// Callers may not name the attempt that began a stream.
 #[tokio::test]
-async fn a_stream_without_its_first_attempt_goes_on_only_if_there_is_one_version() {
+async fn a_stream_without_its_first_attempt_goes_on_only_at_its_version() {
     run_local(async {
-        let system = System::start(1, 0, replicas(&["v1", "v1"]).await).await;
+        let system = System::start(1, 0, replicas(&["v1", "v2", "v1", "v2"]).await).await;
+        system.observe_versions();
         let front = system.start_front().await;
-        front.begin("first").await;
-        let answer = front.send("again", "last-event-id: 1\r\n").await;
+        let other_front = system.start_front().await;
+        for number in 0..STREAMS {
+            let (began_as, id) = (format!("first-{number}"), format!("again-{number}"));
+            front.send_to(&path(number), &began_as, "").await;
+            let answer = take_up(&other_front, &path(number), &id).await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            assert_eq!(system.versions_of(&id), system.versions_of(&began_as));
+        }
+        assert_rejected(&take_up(&front, "/stream/never-begun", "unknown").await);
+        assert!(system.versions_of("unknown").is_empty());
+    })
+    .await;
+}
+
+/// Guards against streams whose first part is of a version that the fronts, all started anew, have
+/// never seen.
+#[rstest]
+#[case::fronts(false, false)]
+#[case::fronts_and_stores(true, false)]
+#[case::fronts_and_the_stores_with_their_disks(true, true)]
+#[tokio::test]
+async fn streams_are_not_joined_from_two_versions_after_all_processes_are_lost(
+    #[case] loses_stores: bool,
+    #[case] loses_disks: bool,
+    #[values(true, false)] leaves_before: bool,
+) {
+    run_local(async {
+        let mut system = System::start(3, 1, replicas(&["v1", "v1", "v2", "v2"]).await).await;
+        system.observe_versions();
+        let front = Rc::new(system.start_front().await);
+        begin_all(&front).await;
+        for version in ["v1", "v2"] {
+            let began = (0..STREAMS).any(|number| began_at(&system, number) == [version]);
+            assert!(began, "no stream began at {version}");
+        }
+        front.stop();
+        let leave = |system: &System| (0..2).for_each(|number| system.remove(number));
+        if leaves_before {
+            leave(&system);
+            system.observe_versions();
+        }
+        if loses_disks {
+            system.replace_stores().await;
+        } else if loses_stores {
+            system.restart_stores().await;
+        }
+        if !leaves_before {
+            leave(&system);
+        }
+        system.observe_versions();
+        let front = system.start_front().await;
+        let mut continued = 0;
+        for number in 0..STREAMS {
+            let id = format!("again-{number}");
+            let answer = take_up(&front, &path(number), &id).await;
+            let began_at = began_at(&system, number);
+            match system.versions_of(&id) {
+                sent if sent.is_empty() => assert_rejected(&answer),
+                sent => {
+                    assert_eq!(sent, began_at, "{answer}");
+                    continued += 1;
+                }
+            }
+        }
+        let began_at_v2 = (0..STREAMS).filter(|number| began_at(&system, *number) == ["v2"]);
+        let expected = match loses_stores {
+            true => 0,
+            false => began_at_v2.count(),
+        };
+        assert_eq!(continued, expected, "what is known goes on");
+    })
+    .await;
+}
+
+/// A loss of all processes must not cost callers their streams where no other version was there.
+#[tokio::test]
+async fn streams_go_on_after_all_processes_are_lost_if_there_was_one_version() {
+    run_local(async {
+        let mut system = System::start(3, 1, replicas(&["v1", "v1"]).await).await;
+        system.observe_versions();
+        let front = system.start_front().await;
+        front.send_to(&path(0), "first", "").await;
+        front.stop();
+        system.restart_stores().await;
+        system.observe_versions();
+        let front = system.start_front().await;
+        let answer = take_up(&front, &path(0), "again").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let answer = front.resume("named", "never-recorded").await;
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-        system.set_version(0, "v2");
-        tokio::time::sleep(CHANGE_TIME).await;
-        assert_rejected(&front.send("mixed", "last-event-id: 1\r\n").await);
-        system.remove(1);
-        tokio::time::sleep(CHANGE_TIME).await;
-        let answer = front.send("departed", "last-event-id: 1\r\n").await;
-        assert_rejected(&answer);
-        assert!(system.versions_of("mixed").is_empty());
-        assert!(system.versions_of("departed").is_empty());
     })
     .await;
 }
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -314,14 +314,18 @@
     /// Whether the disk reports its writes.
     disk_reports: watch::Sender<bool>,
     tasks: Vec<JoinHandle<()>>,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Store {
     async fn start(number: usize) -> Self {
         let folder = tempfile::tempdir().expect("folder");
+        Self::start_in(number, folder, true).await
+    }
+
+    async fn start_in(number: usize, folder: TempDir, first_start: bool) -> Self {
         let data = DataFolder::open(folder.path()).expect("open");
-        let recovered = data.recover(number as u64 + 1, true).expect("recover");
+        let recovered = data.recover(rand::random(), first_start).expect("recover");
         let node = Text::from(format!("store-{number}"));
         // Each batch of records has a segment of its own, so that it expires by itself.
         let limits = StoreLimits::default().with_segment_bytes(1);
@@ -346,7 +350,7 @@
             local_store,
             disk_reports,
             tasks,
-            _folder: folder,
+            folder,
         }
     }
 }
@@ -682,6 +686,45 @@
         self.directory.write(&format!("replica-{number}"), "");
     }
 
+    /// Lets all stores observe which versions are listed, as their processes do.
+    pub fn observe_versions(&self) {
+        let items = self.directory.items.borrow();
+        let listed = items
+            .iter()
+            .filter(|(key, item)| key.starts_with("replica-") && !item.value.is_empty());
+        let versions = listed.map(|(_, item)| {
+            let record = replica_record(std::str::from_utf8(&item.value).expect("text"));
+            (record.service, record.software_version)
+        });
+        let versions = versions.collect();
+        for store in &self.stores {
+            store.local_store.observe_versions(&versions);
+        }
+    }
+
+    /// Restarts all stores on their disks, at other addresses.
+    pub async fn restart_stores(&mut self) {
+        // What is being saved is saved by a thread of its own.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let mut restarted = Vec::new();
+        for (number, store) in self.stores.drain(..).enumerate() {
+            store.tasks.iter().for_each(JoinHandle::abort);
+            restarted.push(Store::start_in(number, store.folder, false).await);
+        }
+        self.stores = restarted;
+        self.set_stores(&self.store_addresses().join(" "));
+    }
+
+    /// Replaces all stores by ones with empty disks.
+    pub async fn replace_stores(&mut self) {
+        for number in 0..self.stores.len() {
+            self.stop_store(number);
+            let folder = tempfile::tempdir().expect("folder");
+            self.stores[number] = Store::start_in(number, folder, false).await;
+        }
+        self.set_stores(&self.store_addresses().join(" "));
+    }
+
     /// Stops a store for good.
     pub fn stop_store(&mut self, number: usize) {
         for task in &self.stores[number].tasks {
--- a/crates/stageyoke-store/src/extension.rs
+++ b/crates/stageyoke-store/src/extension.rs
@@ -56,6 +56,9 @@
 const ATTEMPT_RECORDED_TAG: u8 = 28;
 const ATTEMPTS_QUERY_TAG: u8 = 29;
 const ATTEMPTS_TAG: u8 = 30;
+const STREAM_IDENTITY_TAG: u8 = 31;
+const SERVICE_QUERY_TAG: u8 = 32;
+const SERVICE_VERSIONS_TAG: u8 = 33;
 
 /// An encoded field.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -295,6 +298,13 @@
     pub attempts_query: Option<u128>,
     /// After the reply to such a ping: the attempts that the store knows.
     pub attempts: Option<List<RecordedAttempt>>,
+    /// After the version that began a stream: identity of the request, under which it is known too.
+    pub stream_identity: Option<u128>,
+    /// After a ping: a service whose recent versions are queried.
+    pub service_query: Option<Text>,
+    /// After the reply to such a ping: the versions that were listed recently, none if the store has
+    /// not observed the service for long enough.
+    pub service_versions: Option<List<Text>>,
 }
 
 impl ExtensionFields {
@@ -363,6 +373,11 @@
         let query = self.attempts_query.as_ref();
         encode_field(ATTEMPTS_QUERY_TAG, query, output);
         encode_field(ATTEMPTS_TAG, self.attempts.as_ref(), output);
+        let identity = self.stream_identity.as_ref();
+        encode_field(STREAM_IDENTITY_TAG, identity, output);
+        encode_field(SERVICE_QUERY_TAG, self.service_query.as_ref(), output);
+        let versions = self.service_versions.as_ref();
+        encode_field(SERVICE_VERSIONS_TAG, versions, output);
     }
 
     /// Decodes all fields up to the end of the frame, skipping those with unknown tags.
@@ -431,6 +446,13 @@
                 ATTEMPTS_TAG => {
                     fields.attempts = Some(DeBin::deserialize_bin(content)?);
                 }
+                STREAM_IDENTITY_TAG => {
+                    fields.stream_identity = Some(DeBin::deserialize_bin(content)?);
+                }
+                SERVICE_QUERY_TAG => fields.service_query = Some(DeBin::deserialize_bin(content)?),
+                SERVICE_VERSIONS_TAG => {
+                    fields.service_versions = Some(DeBin::deserialize_bin(content)?);
+                }
                 UNSYNCED_LEDGER_TAG => {
                     fields.unsynced_ledger = Some(DeBin::deserialize_bin(content)?);
                 }
--- a/crates/stageyoke-store/src/group_clients.rs
+++ b/crates/stageyoke-store/src/group_clients.rs
@@ -2,6 +2,7 @@
 //! program's group only.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,6 +44,15 @@
     unknown_since: Cell<Option<Instant>>,
 }
 
+/// A stream and the identity of its request, which the caller shares over all its attempts.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamOfRequest<'a> {
+    /// Identifier of the attempt that began the stream.
+    pub request: &'a str,
+    /// Identity of the request.
+    pub identity: u128,
+}
+
 /// One group's result of a chain lookup.
 struct GroupAnswer {
     is_own_group: bool,
@@ -136,35 +146,71 @@
         cold_permits::request(owner, request).await
     }
 
-    /// Records which version began the stream of a request. Returns true once a write quorum of
-    /// the request's group knows it, false if none says so in time.
+    /// Records which version began a stream. Returns true once a write quorum of the group of the
+    /// request's identity knows it, false if none says so in time.
     pub async fn record_stream_version(
         &self,
-        request: &str,
+        stream: StreamOfRequest<'_>,
         version: &Text,
         ttl: Duration,
         time_limit: Duration,
     ) -> bool {
-        let Some(group) = self.group_of_program("", request) else {
+        let Some(group) = self.group_of_identity(stream.identity) else {
             return false;
         };
         let report = StreamReport {
-            stream: StreamKey::of(request).0,
+            stream: StreamKey::of(stream.request).0,
             version: version.clone(),
             ttl_milliseconds: u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX),
         };
-        group.record_stream_version(report, time_limit).await
-    }
-
-    /// Returns the version that began the stream of a request; `None` if no store of the
-    /// request's group says it in time.
-    pub async fn stream_version(&self, request: &str, time_limit: Duration) -> Option<Text> {
-        let group = self.group_of_program("", request)?;
         group
-            .stream_version(StreamKey::of(request), time_limit)
+            .record_stream_version(report, stream.identity, time_limit)
             .await
     }
 
+    /// Returns the version that began the stream of a request; `None` if no store says it in time.
+    /// A front of the build before has recorded it in the group of the request's identifier.
+    pub async fn stream_version(
+        &self,
+        stream: StreamOfRequest<'_>,
+        time_limit: Duration,
+    ) -> Option<Text> {
+        let key = StreamKey::of(stream.request);
+        let group = self.group_of_identity(stream.identity)?;
+        let group_of_request = self.group_of_program("", stream.request)?;
+        if Rc::ptr_eq(&group, &group_of_request) {
+            return group.stream_version(key, time_limit).await;
+        }
+        let (version, recorded_before) = tokio::join!(
+            group.stream_version(key, time_limit),
+            group_of_request.stream_version(key, time_limit)
+        );
+        version.or(recorded_before)
+    }
+
+    /// Returns the version that began the streams of a request with this identity, if it is the
+    /// same for all of them.
+    pub async fn version_of_request(&self, identity: u128, time_limit: Duration) -> Option<Text> {
+        let group = self.group_of_identity(identity)?;
+        group.stream_version(StreamKey(identity), time_limit).await
+    }
+
+    /// Returns the versions of a service that were listed recently, as the stores of one group have
+    /// observed; `None` if that is not certain.
+    pub async fn service_versions(
+        &self,
+        service: &Text,
+        time_limit: Duration,
+    ) -> Option<BTreeSet<Text>> {
+        let group = self.first_group()?;
+        group.service_versions(service, time_limit).await
+    }
+
+    fn group_of_identity(&self, identity: u128) -> Option<Rc<GroupClient>> {
+        let GroupNumber(number) = self.stores.borrow().group_of_hash(identity as u64)?;
+        self.groups.borrow().get(number as usize).cloned()
+    }
+
     /// Returns whether all stores that hold a program's turns are in regions that the request
     /// may be stored in.
     pub fn stores_within(&self, homes: RequestHomes<'_>, program: &str, turn: &str) -> bool {
--- a/crates/stageyoke-store/src/lib.rs
+++ b/crates/stageyoke-store/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod run_permits;
 pub mod segment;
 pub mod server;
+pub mod service_versions;
 pub mod socket;
 pub mod spare;
 pub mod state;
@@ -62,7 +63,7 @@
 
 pub use client::StoreClient;
 pub use group_client::{AppendOutcome, ChainOutcome, GroupClient, GroupError, ReservationOptions};
-pub use group_clients::GroupClients;
+pub use group_clients::{GroupClients, StreamOfRequest};
 pub use limits::StoreLimits;
 pub use load::LoadTracker;
 pub use message::{LedgerEntry, Record, Reply, Request, TurnRecord};
--- a/crates/stageyoke-store/src/local_store.rs
+++ b/crates/stageyoke-store/src/local_store.rs
@@ -5,7 +5,7 @@
 mod restrictions;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +42,7 @@
 use crate::reply_memory::ReplyMemory;
 use crate::restriction_watchers::RestrictionWatchers;
 use crate::segment::{DataFolder, Recovered, SegmentUsage};
+use crate::service_versions::ServiceVersions;
 use crate::state::StoreState;
 use crate::stored_record::StoredRecord;
 
@@ -88,6 +89,8 @@
     permits: RefCell<PermitLedger>,
     stream_versions: RefCell<StreamVersions>,
     broken_streams: RefCell<BrokenStreams<Bytes>>,
+    service_versions: RefCell<ServiceVersions>,
+    has_observed_versions: Cell<bool>,
     deadly_requests: RefCell<DeadlyRequests>,
     /// Connections that get changes of the restricted requests.
     pub(crate) restriction_watchers: RestrictionWatchers,
@@ -116,6 +119,10 @@
         let mut state = recovered.state;
         state.set_recent_bytes(limits.recent_bytes);
         state.forget_entry_order();
+        let service_versions = match recovered.service_versions {
+            Some(saved) => saved.resume(clock.seconds()),
+            None => ServiceVersions::start(recovered.is_first_start, clock.seconds()),
+        };
         let stores = recovered.stores.unwrap_or_default();
         let recovered_stores_version = stores.version;
         let membership = MembershipState::new(node.clone(), stores, recovered.completeness);
@@ -148,6 +155,8 @@
             quotas: RefCell::default(),
             permits: RefCell::default(),
             stream_versions: RefCell::default(),
+            service_versions: RefCell::new(service_versions),
+            has_observed_versions: Cell::new(false),
             broken_streams: RefCell::new(BrokenStreams::new(limits.broken_stream_bytes())),
             deadly_requests: RefCell::default(),
             restriction_watchers: RestrictionWatchers::default(),
@@ -290,6 +299,27 @@
         *self.directory_items.borrow_mut() = items;
     }
 
+    /// Applies the services and versions of all listed replicas, and saves them to disk if they have
+    /// changed.
+    pub fn observe_versions(&self, listed: &BTreeSet<(Text, Text)>) {
+        self.has_observed_versions.set(true);
+        let mut versions = self.service_versions.borrow_mut();
+        if versions.observe(listed, self.clock.seconds()) {
+            self.item_writer.save_versions(versions.clone());
+        }
+    }
+
+    /// Returns the versions of a service that were listed recently; none if that is not certain.
+    pub fn service_versions_of(&self, service: &str) -> Vec<Text> {
+        match self.has_observed_versions.get() {
+            true => {
+                let versions = self.service_versions.borrow();
+                versions.of_service(service, self.clock.seconds())
+            }
+            false => Vec::new(),
+        }
+    }
+
     /// Applies the directory mark in another store's reply to a message that was sent at
     /// `sent`.
     pub fn apply_directory_mark(&self, mark: DirectoryMark, sent: Instant) {
--- a/crates/stageyoke-store/src/local_store/requests.rs
+++ b/crates/stageyoke-store/src/local_store/requests.rs
@@ -81,6 +81,8 @@
     attempt_recorded: Option<bool>,
     /// Request whose attempts are queried.
     attempts_query: Option<u128>,
+    /// Versions of the queried service that were listed recently.
+    service_versions: Option<List<Text>>,
     /// Decision on a permit to run a request.
     run_permit: Option<u8>,
     /// Restricted requests that the requester does not know yet.
@@ -149,7 +151,7 @@
                 .and_then(|request| self.decide_permit(request)),
             stream_recorded: fields
                 .stream_report
-                .map(|report| self.record_stream_version(&report)),
+                .map(|report| self.record_stream_version(&report, fields.stream_identity)),
             stream_version: fields
                 .stream_query
                 .map(|stream| self.stream_version(stream)),
@@ -157,6 +159,9 @@
                 .attempt_report
                 .map(|report| self.record_attempt(report)),
             attempts_query: fields.attempts_query,
+            service_versions: fields
+                .service_query
+                .map(|service| List(self.service_versions_of(&service))),
             started: fields.program.map(|program| self.has_started(&program)),
         }
     }
@@ -174,10 +179,15 @@
         Some(Permit::new(decision))
     }
 
-    fn record_stream_version(&self, report: &StreamReport) -> bool {
+    /// Records the version that began a stream, also by the identity of its request, which a caller
+    /// shares over all its attempts.
+    fn record_stream_version(&self, report: &StreamReport, identity: Option<u128>) -> bool {
         let ttl = Duration::from_millis(report.ttl_milliseconds.into());
         let now = self.started_at.elapsed();
         let mut versions = self.stream_versions.borrow_mut();
+        if let Some(identity) = identity {
+            versions.record(identity, &report.version, ttl, now);
+        }
         versions.record(report.stream, &report.version, ttl, now)
     }
 
@@ -273,6 +283,7 @@
             attempts: requested
                 .attempts_query
                 .map(|request| self.attempts_at(request)),
+            service_versions: requested.service_versions,
             run_permit: requested.run_permit,
             restrictions: requested.restrictions,
             write_delay_milliseconds: requested
--- a/crates/stageyoke-store/src/segment.rs
+++ b/crates/stageyoke-store/src/segment.rs
@@ -13,6 +13,7 @@
 
 use crate::completeness::Completeness;
 use crate::message::{DirectoryItem, Record};
+use crate::service_versions::ServiceVersions;
 use crate::state::{StoreState, segment_lifetime};
 use crate::stored_record::StoredRecord;
 
@@ -24,6 +25,7 @@
 const COMPLETE_FILE: &str = "complete";
 const STORES_FILE: &str = "stores";
 const ITEMS_FILE: &str = "items";
+const VERSIONS_FILE: &str = "versions";
 const TEMPORARY_SUFFIX: &str = ".new";
 
 /// Appends one record, preceded by its length and checksum.
@@ -228,6 +230,10 @@
     pub clock_seconds: u64,
     /// Store groups that were last saved.
     pub stores: Option<StoreGroups>,
+    /// Versions of services that were last saved; `None` if there are none.
+    pub service_versions: Option<ServiceVersions>,
+    /// Whether the disk was empty at the first start of the whole system.
+    pub is_first_start: bool,
 }
 
 impl Recovered {
@@ -313,6 +319,8 @@
             bytes: 0,
             clock_seconds: 0,
             stores: self.read_stores(),
+            service_versions: self.read_service_versions(),
+            is_first_start: is_new && first_start,
         };
         for number in numbers {
             self.recover_segment(number, &mut recovered)?;
@@ -404,6 +412,16 @@
         self.replace(ITEMS_FILE, &items.serialize_bin())
     }
 
+    /// Saves the versions of services that were listed recently.
+    pub fn save_service_versions(&self, versions: &ServiceVersions) -> io::Result<()> {
+        self.replace(VERSIONS_FILE, &versions.serialize_bin())
+    }
+
+    fn read_service_versions(&self) -> Option<ServiceVersions> {
+        let bytes = self.read_file(VERSIONS_FILE).ok()?;
+        ServiceVersions::deserialize_bin(&bytes).ok()
+    }
+
     /// Returns the items that were last saved.
     pub fn read_items(&self) -> List<DirectoryItem> {
         self.read_file(ITEMS_FILE)
--- a/crates/stageyoke-store/src/store_host.rs
+++ b/crates/stageyoke-store/src/store_host.rs
@@ -54,6 +54,8 @@
 /// to it, so that the rate of the writes does not grow with the fleet.
 const MIN_SAVE_ITEMS_INTERVAL: Duration = Duration::from_millis(700);
 const SAVE_INTERVAL_PER_ITEM: Duration = Duration::from_millis(1);
+/// Interval between two observations of the listed versions, for each replica.
+const OBSERVATION_INTERVAL_PER_REPLICA: Duration = Duration::from_micros(50);
 /// Interval between two checks for expired segments.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -148,6 +150,7 @@
     recovery_monitor: RecoveryMonitor,
     catch_up_monitor: CatchUpMonitor,
     saved_items: Cell<SavedItems>,
+    versions_observed_at: Cell<Option<Instant>>,
 }
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> StoreHost<S, I> {
@@ -199,6 +202,7 @@
             recovery_monitor: RecoveryMonitor::default(),
             catch_up_monitor,
             saved_items: Cell::default(),
+            versions_observed_at: Cell::default(),
         });
         host.apply_view();
         let expiring_store = host.local_store.clone();
@@ -246,6 +250,26 @@
         let refreshes_early = first.any(|member| member.node == self.settings.node);
         self.mirror.freshness().set_early_refresh(refreshes_early);
         self.save_directory_items();
+        self.observe_versions();
+    }
+
+    /// Observes which versions of each service are listed. A long list is read less often.
+    fn observe_versions(&self) {
+        if self.mirror.last_contact().is_none() {
+            return;
+        }
+        let view = self.mirror.view();
+        let replicas = u32::try_from(view.replicas.len()).unwrap_or(u32::MAX);
+        let interval = OBSERVATION_INTERVAL_PER_REPLICA.saturating_mul(replicas);
+        let observed_at = self.versions_observed_at.get();
+        if observed_at.is_some_and(|at| at.elapsed() < interval) {
+            return;
+        }
+        self.versions_observed_at.set(Some(Instant::now()));
+        let replicas = view.replicas.values();
+        let versions =
+            replicas.map(|record| (record.service.clone(), record.software_version.clone()));
+        self.local_store.observe_versions(&versions.collect());
     }
 
     /// Returns the store groups if they are formed and this store is not a member of any.
--- a/crates/stageyoke-store/src/stream_versions.rs
+++ b/crates/stageyoke-store/src/stream_versions.rs
@@ -25,15 +25,21 @@
 const MAX_CALLS: usize = 3;
 
 impl GroupClient {
-    /// Reports to all members which version began a stream. Returns true once a write quorum
-    /// knows it, false if none says so in time.
-    pub async fn record_stream_version(&self, report: StreamReport, time_limit: Duration) -> bool {
+    /// Reports to all members which version began a stream of the request with this identity.
+    /// Returns true once a write quorum knows it, false if none says so in time.
+    pub async fn record_stream_version(
+        &self,
+        report: StreamReport,
+        identity: u128,
+        time_limit: Duration,
+    ) -> bool {
         let members = self.members();
         let Some(quorums) = members.quorums(self.tolerance()) else {
             return false;
         };
         let fields = ExtensionFields {
             stream_report: Some(report),
+            stream_identity: Some(identity),
             ..ExtensionFields::default()
         };
         let recorded = |fields: ExtensionFields| fields.stream_recorded;
--- a/crates/stageyoke-store/tests/stream_versions_test.rs
+++ b/crates/stageyoke-store/tests/stream_versions_test.rs
@@ -12,7 +12,7 @@
 use stageyoke_store::message::{Numbered, Reply, Request};
 use stageyoke_store::segment::DataFolder;
 use stageyoke_store::server;
-use stageyoke_store::{GroupClients, StoreLimits};
+use stageyoke_store::{GroupClients, StoreLimits, StreamOfRequest};
 use stageyoke_types::Text;
 use tempfile::TempDir;
 use tokio::io::AsyncWriteExt;
@@ -23,6 +23,15 @@
 const TTL: Duration = Duration::from_secs(30);
 const TIMEOUT: Duration = Duration::from_secs(5);
 const STREAM: &str = "tenant\nrequest";
+/// Identity of the request that began it.
+const IDENTITY: u128 = 1 << 90;
+
+fn stream() -> StreamOfRequest<'static> {
+    StreamOfRequest {
+        request: STREAM,
+        identity: IDENTITY,
+    }
+}
 
 async fn run_local<T>(work: impl Future<Output = T>) -> T {
     LocalSet::new().run_until(work).await
@@ -93,7 +102,7 @@
 async fn record(front: &GroupClients, version: &str) -> bool {
     let version = Text::from(version);
     front
-        .record_stream_version(STREAM, &version, TTL, TIMEOUT)
+        .record_stream_version(stream(), &version, TTL, TIMEOUT)
         .await
 }
 
@@ -112,7 +121,9 @@
         let mut remaining = addresses(&stores);
         remaining[lost] = closed_address().await;
         let second = front(&remaining);
-        let version = second.stream_version(STREAM, TIMEOUT).await;
+        let version = second.stream_version(stream(), TIMEOUT).await;
+        assert_eq!(version.as_deref(), Some("v1"));
+        let version = second.version_of_request(IDENTITY, TIMEOUT).await;
         assert_eq!(version.as_deref(), Some("v1"));
     })
     .await;
@@ -135,7 +146,7 @@
         let stores = start_stores(3).await;
         let front = front(&addresses(&stores));
         let started_at = Instant::now();
-        assert_eq!(front.stream_version(STREAM, TIMEOUT).await, None);
+        assert_eq!(front.stream_version(stream(), TIMEOUT).await, None);
         assert!(started_at.elapsed() < TIMEOUT / 5);
     })
     .await;
@@ -148,7 +159,7 @@
         let front = front(&addresses(&stores));
         assert!(record(&front, "v1").await);
         assert!(!record(&front, "v2").await);
-        assert_eq!(front.stream_version(STREAM, TIMEOUT).await, None);
+        assert_eq!(front.stream_version(stream(), TIMEOUT).await, None);
     })
     .await;
 }
@@ -195,12 +206,12 @@
         let only_old = front(&[old, old, old]);
         let started_at = Instant::now();
         assert!(!record(&only_old, "v1").await);
-        assert_eq!(only_old.stream_version(STREAM, TIMEOUT).await, None);
+        assert_eq!(only_old.stream_version(stream(), TIMEOUT).await, None);
         assert!(started_at.elapsed() < TIMEOUT / 5);
         let stores = start_stores(2).await;
         let mixed = front(&[old, stores[0].address, stores[1].address]);
         assert!(record(&mixed, "v1").await);
-        let version = mixed.stream_version(STREAM, TIMEOUT).await;
+        let version = mixed.stream_version(stream(), TIMEOUT).await;
         assert_eq!(version.as_deref(), Some("v1"));
     })
     .await;
--- a/crates/stageyoke-store/tests/version_compatibility_test.rs
+++ b/crates/stageyoke-store/tests/version_compatibility_test.rs
@@ -385,6 +385,9 @@
         attempt_recorded: Some(true),
         attempts_query: Some(1 << 100),
         attempts: Some(List(vec![recorded_attempt()])),
+        stream_identity: Some(1 << 100),
+        service_query: Some("service".into()),
+        service_versions: Some(List(vec!["1.2".into()])),
     };
     let mut bytes = Vec::new();
     fields.encode(&mut bytes);
