Keep a program's ledger until its retention after its turns have ended

Cause: the ledger's life counted from the reservation. Ruled out: settlements that free too much (no turn has ended when it happens).

Change: a reservation carries the retention of its route and the time that its turn has left. No relay outlasts that. Routes without a retention are unchanged.

--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -218,6 +218,19 @@
 }
 
 impl ReservedTurn {
+    /// Returns the same turn with a longer retention, for a turn that may run as long: the ledger is
+    /// retained from its end. A route without a retention keeps none.
+    fn retained_for_further(&self, time_left: Duration) -> Self {
+        let retention = match self.retention.is_zero() {
+            true => Duration::ZERO,
+            false => self.retention + time_left,
+        };
+        Self {
+            retention,
+            ..self.clone()
+        }
+    }
+
     fn with_retention(&self, record: Record) -> StoredRecord {
         StoredRecord::new(record, Some(whole_seconds(self.retention)))
     }
@@ -234,13 +247,17 @@
     pub budget: u64,
     /// Replica on which the turn is expected to run.
     pub placement: Option<Placement>,
+    /// Time at which the turn has ended at the latest.
+    pub deadline: Instant,
 }
 
 impl ReservationRequest {
     fn record(&self) -> StoredRecord {
-        self.reserved.with_retention(Record::Reserve {
-            program: self.reserved.program.clone(),
-            turn: self.reserved.turn.clone(),
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let reserved = self.reserved.retained_for_further(time_left);
+        reserved.with_retention(Record::Reserve {
+            program: reserved.program.clone(),
+            turn: reserved.turn.clone(),
             max_tokens: self.max_tokens,
         })
     }
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -130,6 +130,7 @@
             max_tokens,
             budget,
             placement,
+            deadline: context.outbound.deadline,
         };
         let reserve_until = Instant::now() + time_limit;
         let deadline = context.outbound.deadline;
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -1391,7 +1391,8 @@
         while retentions.borrow().len() < 2 {
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
-        assert_eq!(*retentions.borrow(), [Some(60), Some(60)]);
+        // The reservation's counts from the end of the turn, which has one second.
+        assert_eq!(*retentions.borrow(), [Some(61), Some(60)]);
     };
     let result = run_local(tokio::time::timeout(TEST_TIMEOUT, test)).await;
     result.expect("the turn is reserved and settled");
--- a/crates/stageyoke-store/tests/turn_chains_test.rs
+++ b/crates/stageyoke-store/tests/turn_chains_test.rs
@@ -4,8 +4,10 @@
 #[path = "support/running_store.rs"]
 mod running_store;
 mod support;
+#[path = "support/virtual_store.rs"]
+mod virtual_store;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,17 +16,14 @@
 use stageyoke_directory::Tolerance;
 use stageyoke_store::keys::TurnKey;
 use stageyoke_store::message::{ChainPart, Record, TurnRecord};
-use stageyoke_store::segment::RecordLocation;
-use stageyoke_store::state::{ChainLink, StoreState, segment_lifetime};
 use stageyoke_store::turn_chains::copies_of;
-use stageyoke_store::{ChainOutcome, GroupClients, GroupError, StoredRecord};
+use stageyoke_store::{ChainOutcome, GroupClients, GroupError};
 use stageyoke_types::{Blob, Text};
 use support::turn;
 use tokio::task::LocalSet;
+use virtual_store::{VirtualStore, part_of};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
-/// Age in seconds at which a store starts a new segment.
-const SEGMENT_AGE_SECONDS: u64 = 10;
 
 async fn run_local<T>(work: impl Future<Output = T>) -> T {
     LocalSet::new().run_until(work).await
@@ -37,15 +36,6 @@
     }
 }
 
-fn part_of(record: &TurnRecord) -> ChainPart {
-    ChainPart {
-        turn: record.turn.clone(),
-        previous: record.previous.clone(),
-        input: record.input.clone(),
-        output: record.output.clone(),
-    }
-}
-
 async fn start_group(count: usize, complete: bool) -> (Vec<Store>, Rc<GroupClients>) {
     let mut stores = Vec::new();
     for number in 0..count {
@@ -118,135 +108,30 @@
     .await;
 }
 
-struct Segment {
-    number: u32,
-    started_at: u64,
-    records: Vec<StoredRecord>,
-    last_write: u64,
-    lifetime: u64,
-}
-
 struct ModelTurn {
     record: TurnRecord,
     chain: Vec<ChainPart>,
     ended_at: Option<u64>,
 }
 
-/// A store in virtual time, with its segments and the turns that fronts run.
+/// A store in virtual time, and the turns that fronts run.
 struct Model {
-    state: StoreState,
-    segments: VecDeque<Segment>,
-    next_segment: u32,
-    now: u64,
-    /// Time by which the disk's clock is behind, since restarts set it back.
-    clock_lag: u64,
+    store: VirtualStore,
     turns: Vec<ModelTurn>,
 }
 
 impl Model {
     fn new() -> Self {
         Self {
-            state: StoreState::new(1),
-            segments: VecDeque::new(),
-            next_segment: 0,
-            now: 0,
-            clock_lag: 0,
+            store: VirtualStore::new(),
             turns: Vec::new(),
         }
     }
 
-    fn clock(&self) -> u64 {
-        self.now - self.clock_lag
-    }
-
-    fn write(&mut self, record: StoredRecord) {
-        let now = self.clock();
-        let is_current = |segment: &Segment| segment.started_at + SEGMENT_AGE_SECONDS > now;
-        if !self.segments.back().is_some_and(is_current) {
-            self.segments.push_back(Segment {
-                number: self.next_segment,
-                started_at: now,
-                records: Vec::new(),
-                last_write: now,
-                lifetime: 0,
-            });
-            self.next_segment += 1;
-        }
-        let segment = self.segments.back_mut().expect("a segment");
-        let location = RecordLocation {
-            segment: segment.number,
-            offset: segment.records.len() as u32,
-            length: 1,
-        };
-        self.state.add(&record, location, now);
-        segment.last_write = now;
-        segment.lifetime = segment.lifetime.max(segment_lifetime(&record));
-        segment.records.push(record);
-    }
-
-    fn expire(&mut self) {
-        let newest = self.next_segment.saturating_sub(1);
-        while let Some(oldest) = self.segments.front()
-            && oldest.number < newest
-            && oldest.last_write + oldest.lifetime <= self.clock()
-        {
-            let oldest = self.segments.pop_front().expect("a segment");
-            let retained = self.state.expire(oldest.records, self.clock());
-            for record in retained {
-                self.write(record);
-            }
-        }
-    }
-
-    /// Replaces the index by one that is read from the disk, whose clock goes on from its last
-    /// reading.
-    fn restart(&mut self) {
-        let last_reading = self.segments.back().map_or(0, |last| last.started_at);
-        self.clock_lag = self.now - last_reading;
-        self.state = StoreState::new(1);
-        self.state.set_recent_bytes(0);
-        let next_starts: Vec<u64> = self
-            .segments
-            .iter()
-            .skip(1)
-            .map(|next| next.started_at)
-            .collect();
-        for (index, segment) in self.segments.iter_mut().enumerate() {
-            for (offset, record) in segment.records.iter().enumerate() {
-                let location = RecordLocation {
-                    segment: segment.number,
-                    offset: offset as u32,
-                    length: 1,
-                };
-                self.state.add(record, location, segment.started_at);
-            }
-            segment.last_write = next_starts.get(index).copied().unwrap_or(last_reading);
-        }
-    }
-
-    /// Reads the chain that ends in a turn, oldest first, as a front does.
-    fn read(&self, turn: &Text) -> Vec<ChainPart> {
-        let links = self.state.chain(turn, usize::MAX);
-        let parts = links.into_iter().map(|link| match link {
-            ChainLink::Cached(part) => part,
-            ChainLink::OnDisk(location) => {
-                let mut segments = self.segments.iter();
-                let segment = segments.find(|segment| segment.number == location.segment);
-                let segment = segment.expect("the segment of an indexed record");
-                match &segment.records[location.offset as usize].record {
-                    Record::Turn(record) => part_of(record),
-                    other => panic!("{other:?} is no turn"),
-                }
-            }
-        });
-        let mut parts: Vec<ChainPart> = parts.collect();
-        parts.reverse();
-        parts
-    }
-
     fn is_owed(&self, turn: &ModelTurn) -> bool {
         let retention = u64::from(turn.record.retention_seconds);
-        turn.ended_at.is_some_and(|at| self.now < at + retention)
+        turn.ended_at
+            .is_some_and(|at| self.store.now < at + retention)
     }
 
     /// Begins a turn that goes on from one that is retained, if there is one.
@@ -262,7 +147,7 @@
         };
         let chain = match previous.is_empty() {
             true => Vec::new(),
-            false => self.read(&previous),
+            false => self.store.read(&previous),
         };
         let name = format!("turn-{}", self.turns.len());
         let record = TurnRecord {
@@ -291,26 +176,32 @@
             self.turns[index].chain.clone(),
         );
         let key = TurnKey::of(&record.turn);
-        self.write(Record::Turn(record.clone()).into());
-        if let Some(missing) = self.state.missing_of_chain(key) {
+        self.store.write(Record::Turn(record.clone()).into());
+        if let Some(missing) = self.store.state.missing_of_chain(key) {
             let missing = BTreeSet::from([missing]);
             let copies = copies_of(&chain, &missing, record.retention_seconds);
             for copy in copies.expect("a front holds the chain of a running turn") {
-                if !self.state.has_turn(&copy.turn) {
-                    self.write(Record::Turn(copy).into());
+                if !self.store.state.has_turn(&copy.turn) {
+                    self.store.write(Record::Turn(copy).into());
                 }
             }
         }
-        self.state
-            .retain_chain(key, record.retention_seconds, self.clock());
-        self.turns[index].ended_at = Some(self.now);
+        self.store
+            .state
+            .retain_chain(key, record.retention_seconds, self.store.clock());
+        self.turns[index].ended_at = Some(self.store.now);
     }
 
     fn check(&self) {
         for turn in self.turns.iter().filter(|turn| self.is_owed(turn)) {
             let mut expected = turn.chain.clone();
             expected.push(part_of(&turn.record));
-            assert_eq!(self.read(&turn.record.turn), expected, "at {}", self.now);
+            assert_eq!(
+                self.store.read(&turn.record.turn),
+                expected,
+                "at {}",
+                self.store.now
+            );
         }
     }
 }
@@ -344,12 +235,12 @@
         let mut model = Model::new();
         for step in steps {
             match step {
-                Step::Advance(seconds) => model.now += seconds,
+                Step::Advance(seconds) => model.store.now += seconds,
                 Step::Begin(choice, retention) => model.begin(choice, retention),
                 Step::End(choice) => model.end(choice),
-                Step::Restart => model.restart(),
+                Step::Restart => model.store.restart(),
             }
-            model.expire();
+            model.store.expire();
             model.check();
         }
     }
