Read once more: one place for acknowledgements of a quorum, transcripts beside their reading

No change of behaviour: the loop that waits for a write quorum's acknowledgement stood twice, and the functions that put a transcript before a turn's input stand beside the one that reads it now.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -17,7 +17,7 @@
 use stageyoke_store::message::{ChainPart, MAX_TURN_INPUT_BYTES, Placement};
 use stageyoke_store::quota_owners::QuotaGrant;
 use stageyoke_store::rank_load::ServiceRank;
-use stageyoke_types::{Blob, ErrorKind, Text};
+use stageyoke_types::{ErrorKind, Text};
 use tokio::time::Instant;
 
 use crate::admission::service_hash;
@@ -38,6 +38,7 @@
 use crate::routing::MatchedRoute;
 use crate::stream_relay::{CHUNK_BUFFER, RelayLine, StreamRelay, TurnStorage, UpstreamStream};
 use crate::stream_version::VersionRecord;
+use crate::turn_preparation::{add_transcript, transcript_bytes};
 use stageyoke_framing::{Framing, close_after};
 use stageyoke_observe::{self as observe, RequestSummary};
 
@@ -447,43 +448,6 @@
     }
 }
 
-/// Returns the size of the turns' contents in bytes.
-fn transcript_bytes(chain: &[ChainPart]) -> usize {
-    chain.iter().map(ChainPart::bytes).sum()
-}
-
-/// Puts the turns that a request continues before its own input.
-fn add_transcript(context: &mut RequestContext, chain: Vec<ChainPart>) -> Result<(), Failure> {
-    if chain.is_empty() {
-        return Ok(());
-    }
-    let bytes = transcript_bytes(&chain) + context.input.len();
-    if !context.memory_guard.try_acquire(bytes) {
-        return Err(out_of_memory());
-    }
-    let mut body = Vec::with_capacity(bytes);
-    for part in &chain {
-        body.extend_from_slice(&part.input);
-        body.extend_from_slice(&part.output);
-    }
-    body.extend_from_slice(&context.input);
-    context.outbound.body = Bytes::from(body);
-    context.chain = slices_of(&context.outbound.body, chain);
-    Ok(())
-}
-
-/// Replaces the contents of turns by slices of a body that begins with them, so that they are in
-/// memory once.
-fn slices_of(body: &Bytes, chain: Vec<ChainPart>) -> Vec<ChainPart> {
-    let mut rest = body.clone();
-    let parts = chain.into_iter().map(|part| ChainPart {
-        input: Blob(rest.split_to(part.input.len())),
-        output: Blob(rest.split_to(part.output.len())),
-        ..part
-    });
-    parts.collect()
-}
-
 /// Builds the response to the caller. It claims no more about the end of its body than the
 /// replica's response did.
 fn build_caller_response(
--- a/crates/stageyoke-front/src/received_stream.rs
+++ b/crates/stageyoke-front/src/received_stream.rs
@@ -75,8 +75,8 @@
     Nothing,
     /// The data of its events.
     Data,
-    /// Its events, as a caller that resumes the stream names the last one that it got. Contains those
-    /// that the caller got before.
+    /// Its events with their identifiers, so that the caller can resume it after any of them. Holds
+    /// the events that the caller got before.
     Events(Bytes),
 }
 
--- a/crates/stageyoke-front/src/turn_preparation.rs
+++ b/crates/stageyoke-front/src/turn_preparation.rs
@@ -3,10 +3,11 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use bytes::Bytes;
 use stageyoke_directory::{Interpreter, KeyValueService, RouteKind};
 use stageyoke_store::GroupError;
 use stageyoke_store::message::{ChainPart, Placement};
-use stageyoke_types::ErrorKind;
+use stageyoke_types::{Blob, ErrorKind};
 use tokio::time::Instant;
 
 use crate::failure::Failure;
@@ -167,3 +168,43 @@
 fn budget_spent() -> Failure {
     Failure::permanent(ErrorKind::TokenBudgetSpent, "budget_spent")
 }
+
+/// Returns the size of the turns' contents in bytes.
+pub(crate) fn transcript_bytes(chain: &[ChainPart]) -> usize {
+    chain.iter().map(ChainPart::bytes).sum()
+}
+
+/// Puts the turns that a request continues before its own input.
+pub(crate) fn add_transcript(
+    context: &mut RequestContext,
+    chain: Vec<ChainPart>,
+) -> Result<(), Failure> {
+    if chain.is_empty() {
+        return Ok(());
+    }
+    let bytes = transcript_bytes(&chain) + context.input.len();
+    if !context.memory_guard.try_acquire(bytes) {
+        return Err(out_of_memory());
+    }
+    let mut body = Vec::with_capacity(bytes);
+    for part in &chain {
+        body.extend_from_slice(&part.input);
+        body.extend_from_slice(&part.output);
+    }
+    body.extend_from_slice(&context.input);
+    context.outbound.body = Bytes::from(body);
+    context.chain = slices_of(&context.outbound.body, chain);
+    Ok(())
+}
+
+/// Replaces the contents of turns by slices of a body that begins with them, so that they are in
+/// memory once.
+fn slices_of(body: &Bytes, chain: Vec<ChainPart>) -> Vec<ChainPart> {
+    let mut rest = body.clone();
+    let parts = chain.into_iter().map(|part| ChainPart {
+        input: Blob(rest.split_to(part.input.len())),
+        output: Blob(rest.split_to(part.output.len())),
+        ..part
+    });
+    parts.collect()
+}
--- a/crates/stageyoke-store/src/broken_streams.rs
+++ b/crates/stageyoke-store/src/broken_streams.rs
@@ -14,26 +14,12 @@
     /// Reports an attempt at a stream. Returns true once a write quorum knows it, false if none
     /// says so in time.
     pub async fn record_attempt(&self, report: AttemptReport, time_limit: Duration) -> bool {
-        let members = self.members();
-        let Some(quorums) = members.quorums(self.tolerance()) else {
-            return false;
-        };
         let fields = ExtensionFields {
             attempt_report: Some(report),
             ..ExtensionFields::default()
         };
         let recorded = |fields: ExtensionFields| fields.attempt_recorded;
-        let mut answers = self.ask_all(fields, recorded, time_limit);
-        let mut recorded_on = BTreeSet::new();
-        while let Some((node, recorded)) = answers.recv().await {
-            if recorded == Some(true) {
-                recorded_on.insert(node);
-            }
-            if members.has_quorum(quorums, |member| recorded_on.contains(&member.node)) {
-                return true;
-            }
-        }
-        false
+        self.is_acknowledged(fields, recorded, time_limit).await
     }
 
     /// Returns what a write quorum knows of the attempts at a request's streams; `None` if none
--- a/crates/stageyoke-store/src/stream_versions.rs
+++ b/crates/stageyoke-store/src/stream_versions.rs
@@ -33,23 +33,34 @@
         identity: u128,
         time_limit: Duration,
     ) -> bool {
-        let members = self.members();
-        let Some(quorums) = members.quorums(self.tolerance()) else {
-            return false;
-        };
         let fields = ExtensionFields {
             stream_report: Some(report),
             stream_identity: Some(identity),
             ..ExtensionFields::default()
         };
         let recorded = |fields: ExtensionFields| fields.stream_recorded;
-        let mut answers = self.ask_all(fields, recorded, time_limit);
-        let mut recorded_on = BTreeSet::new();
-        while let Some((node, recorded)) = answers.recv().await {
-            if recorded == Some(true) {
-                recorded_on.insert(node);
+        self.is_acknowledged(fields, recorded, time_limit).await
+    }
+
+    /// Sends the fields to all members. Returns true once a write quorum acknowledges them, false if
+    /// none does in time; `read` returns the acknowledgement in a reply's fields.
+    pub(crate) async fn is_acknowledged(
+        &self,
+        fields: ExtensionFields,
+        read: fn(ExtensionFields) -> Option<bool>,
+        time_limit: Duration,
+    ) -> bool {
+        let members = self.members();
+        let Some(quorums) = members.quorums(self.tolerance()) else {
+            return false;
+        };
+        let mut answers = self.ask_all(fields, read, time_limit);
+        let mut acknowledged_by = BTreeSet::new();
+        while let Some((node, acknowledged)) = answers.recv().await {
+            if acknowledged == Some(true) {
+                acknowledged_by.insert(node);
             }
-            if members.has_quorum(quorums, |member| recorded_on.contains(&member.node)) {
+            if members.has_quorum(quorums, |member| acknowledged_by.contains(&member.node)) {
                 return true;
             }
         }
