Compare a response's identifier before its promise

Callers saw a request that may run once run at two replicas after a replica had sent a second response (421, with the identifier of the request before), and 503 for requests that had run after a doubled rejection without an identifier.

Cause: `classify_response` believed the status before it compared the echoed identifier, and a rejection without one on a connection that had carried another. Ruled out: unread bytes on reused connections (hyper closes those; a second 200 is told apart, test case 5).

Change: the identifier decides first; a connection that has carried a response without one is kept for requests that may be repeated; 421 of another instance excludes a replica for 2 s.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::authentication::Caller;
 use crate::connection_drain;
-use crate::connection_pool::Connection;
+use crate::connection_pool::{Connection, ReuseRequirements};
 use crate::health::Evidence;
 use crate::oversized_response::{self, OVERSIZED_HEAD};
 use crate::protocol_names::ProtocolNames;
@@ -157,8 +157,11 @@
     let guard = replica.start_request(outbound.ranked);
     let mut request = build_request(outbound, replica, names);
     loop {
-        let limit = replica.idle_limit(outbound.repeatable);
-        let (mut connection, is_new) = match replica.pool.acquire(limit) {
+        let requirements = ReuseRequirements {
+            max_idle: replica.idle_limit(outbound.repeatable),
+            only_identified_responses: !outbound.repeatable,
+        };
+        let (mut connection, is_new) = match replica.pool.acquire(requirements) {
             Some(connection) => (connection, false),
             None => match Connection::open(&replica.record.address).await {
                 Ok(connection) => (connection, true),
@@ -248,31 +251,58 @@
     request.headers_mut().insert(names.deadline.clone(), value);
 }
 
+/// Request that a response belongs to, by the identifier that it echoes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseOwner {
+    /// The request that was sent.
+    Own,
+    /// Another request, as in a surplus response to an earlier one.
+    Other,
+    /// The response echoes no identifier.
+    Unstated,
+}
+
+impl ResponseOwner {
+    fn of(outbound: &OutboundRequest, headers: &HeaderMap, names: &ProtocolNames) -> Self {
+        match headers.get(&names.request_id) {
+            None => Self::Unstated,
+            Some(echoed) if echoed.as_bytes() == outbound.request_id.as_bytes() => Self::Own,
+            Some(_) => Self::Other,
+        }
+    }
+}
+
 fn classify_response(
     outbound: &OutboundRequest,
     mut reply: Box<ReplicaResponse>,
     names: &ProtocolNames,
 ) -> AttemptOutcome {
     reply.connection.apply_keep_alive(&reply.response);
-    let head = &reply.response;
-    let status = head.status();
-    if status.as_u16() == names.wrong_instance_status {
-        reply.replica.mark_removed();
-        return AttemptOutcome::NotRun(status);
+    let status = reply.response.status();
+    let headers = reply.response.headers();
+    let owner = ResponseOwner::of(outbound, headers, names);
+    let not_run = headers.contains_key(&names.not_run);
+    let is_encoded = headers.contains_key(CONTENT_ENCODING);
+    if owner == ResponseOwner::Unstated {
+        reply.connection.note_unidentified_response();
     }
-    let echoed = head.headers().get(&names.request_id);
-    let is_own = echoed.is_some_and(|value| value.as_bytes() == outbound.request_id.as_bytes());
-    let not_run = head.headers().contains_key(&names.not_run);
-    if not_run && (is_own || echoed.is_none()) {
-        let limit = reply.replica.drain_limit.clone();
-        connection_drain::drain(*reply, &limit);
-        return AttemptOutcome::NotRun(status);
+    // What another request's response promises does not hold for this one.
+    if owner != ResponseOwner::Other {
+        if status.as_u16() == names.wrong_instance_status {
+            reply.replica.pause_misaddressed();
+            return AttemptOutcome::NotRun(status);
+        }
+        if not_run {
+            let limit = reply.replica.drain_limit.clone();
+            connection_drain::drain(*reply, &limit);
+            return AttemptOutcome::NotRun(status);
+        }
     }
-    if !is_own {
+    if owner != ResponseOwner::Own {
         reply.replica.record(Evidence::Failed);
         return AttemptOutcome::Lost("foreign_answer");
     }
-    if head.headers().contains_key(CONTENT_ENCODING) {
+    if is_encoded {
         return AttemptOutcome::Lost("encoded_answer");
     }
     AttemptOutcome::Responded(reply)
--- a/crates/stageyoke-front/src/connection_pool.rs
+++ b/crates/stageyoke-front/src/connection_pool.rs
@@ -33,6 +33,9 @@
     driver: JoinHandle<()>,
     idle_since: Instant,
     keep_alive: Duration,
+    /// Whether a response on it has echoed no identifier. A late copy of such a response can't be
+    /// told from the response to a later request.
+    had_unidentified_response: bool,
 }
 
 impl Connection {
@@ -60,6 +63,7 @@
             driver,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
+            had_unidentified_response: false,
         })
     }
 
@@ -79,6 +83,11 @@
         self.head_allowance.is_exceeded()
     }
 
+    /// Notes that a response has echoed no identifier.
+    pub fn note_unidentified_response(&mut self) {
+        self.had_unidentified_response = true;
+    }
+
     fn is_reusable(&self) -> bool {
         let max_idle = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
         self.sender.is_ready() && self.idle_time() < max_idle
@@ -118,6 +127,25 @@
     }
 }
 
+/// What an idle connection must meet to carry a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReuseRequirements {
+    /// Maximum idle time; `None` if unlimited.
+    pub max_idle: Option<Duration>,
+    /// Whether all earlier responses must have echoed the identifiers of their requests.
+    pub only_identified_responses: bool,
+}
+
+impl ReuseRequirements {
+    fn allow(&self, connection: &Connection) -> bool {
+        let idle_too_long = self
+            .max_idle
+            .is_some_and(|limit| connection.idle_time() > limit);
+        let is_ambiguous = self.only_identified_responses && connection.had_unidentified_response;
+        !idle_too_long && !is_ambiguous
+    }
+}
+
 /// Idle connections of one replica, used last in, first out.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -125,16 +153,14 @@
 }
 
 impl ConnectionPool {
-    /// Takes the newest reusable connection, unless it has been idle for longer than
-    /// `limit`.
-    pub fn acquire(&self, limit: Option<Duration>) -> Option<Connection> {
+    /// Takes the newest reusable connection that meets the requirements.
+    pub fn acquire(&self, requirements: ReuseRequirements) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(Connection::is_reusable);
-        let newest = idle.last()?;
-        if limit.is_some_and(|limit| newest.idle_time() > limit) {
-            return None;
-        }
-        idle.pop()
+        let newest = idle
+            .iter()
+            .rposition(|connection| requirements.allow(connection))?;
+        Some(idle.remove(newest))
     }
 
     /// Returns whether a reusable connection is idle.
--- a/crates/stageyoke-front/src/replica.rs
+++ b/crates/stageyoke-front/src/replica.rs
@@ -24,6 +24,8 @@
 use crate::replica_registry::ReplicaQuery;
 use crate::restrictions::{ColdPhase, Shortage};
 
+/// Time for which a replica gets no requests after another one has answered at its address.
+const MISADDRESSED_PAUSE: Duration = Duration::from_secs(2);
 /// Time limit for finding out whether a replica has ended.
 const END_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -81,6 +83,8 @@
     /// Number of the last selection that contains this replica.
     last_selection: Cell<u64>,
     lapsed_until: Cell<Option<Instant>>,
+    /// End of the pause after another replica has answered at its address.
+    misaddressed_until: Cell<Option<Instant>>,
     /// Newest start reported by the directory; its count of orders increases over time.
     start: Cell<ReplicaStart>,
     cell: Cell<Option<GroupNumber>>,
@@ -111,6 +115,7 @@
             removed: Cell::new(false),
             last_selection: Cell::new(0),
             lapsed_until: Cell::new(None),
+            misaddressed_until: Cell::new(None),
             cell: Cell::new(None),
             last_probe: Mutex::default(),
             end_noticed: Cell::new(false),
@@ -119,7 +124,7 @@
 
     /// Returns whether the replica may get new requests, by the directory.
     pub fn accepts_requests(&self) -> bool {
-        self.is_listed() && !self.evacuated.get()
+        self.is_listed() && !self.is_misaddressed() && !self.evacuated.get()
     }
 
     /// Returns whether the replica has been removed from the list.
@@ -139,6 +144,19 @@
         !self.removed.get() && deadline.is_none_or(|until| Instant::now() < until)
     }
 
+    /// Excludes the replica from new requests for a while, as another one has answered at its
+    /// address. Its entry in the list decides afterwards.
+    pub fn pause_misaddressed(&self) {
+        let until = Instant::now() + MISADDRESSED_PAUSE;
+        self.misaddressed_until.set(Some(until));
+        self.pool.clear();
+    }
+
+    fn is_misaddressed(&self) -> bool {
+        let until = self.misaddressed_until.get();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Sets whether the replica's zone is evacuated. A replica without requests may have
     /// turned cold, so it counts as cold for `cold_time` after the zone returns.
     pub fn set_evacuated(&self, evacuated: bool, cold_time: Duration) {
@@ -168,7 +186,7 @@
 
     /// Returns why the replica may not get a request with this query; `None` if it may.
     pub fn restriction(&self, query: &ReplicaQuery<'_>) -> Option<Shortage> {
-        if !self.is_listed() {
+        if !self.is_listed() || self.is_misaddressed() {
             return Some(Shortage::NoReplica);
         }
         let version = self.record.software_version.as_str();
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -5,6 +5,8 @@
 #[path = "front/stream_starts.rs"]
 mod stream_starts;
 mod support;
+#[path = "front/surplus_responses.rs"]
+mod surplus_responses;
 #[path = "front/unframed_connections.rs"]
 mod unframed_connections;
 #[path = "front/unframed_responses.rs"]
