Wait at a planned stop until responses are written

Cause: a request counted as ended once hyper had taken its body. Ruled out: a close of busy connections (small responses and relayed streams are whole), and the kernel's buffers (what is missing was still in the process).

Change: a response is counted until its connection has been flushed behind it.

--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod request;
 pub mod request_identity;
 pub mod response_body;
+mod response_writing;
 pub mod restrictions;
 mod routing;
 pub mod server;
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -13,6 +13,7 @@
 
 use crate::front::Front;
 use crate::response_body::{ResponseBody, TruncatedResponse};
+use crate::response_writing::{UnwrittenResponses, WritingConnection};
 use stageyoke_framing::{CallerConnection, UnframedSignal};
 use stageyoke_observe as observe;
 use stageyoke_types::Event;
@@ -56,14 +57,17 @@
         .map(|routes| routes.limits.clone());
     let serving = front.clone();
     let unframed = UnframedSignal::default();
+    let unwritten = UnwrittenResponses::default();
     let stream = CallerConnection::new(stream, unframed.clone());
+    let stream = WritingConnection::new(stream, unwritten.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let (front, unframed) = (serving.clone(), unframed.clone());
+        let unwritten = unwritten.clone();
         async move {
             let version = request.version();
-            let response = front.handle(request).await;
+            let response = front.clone().handle(request).await;
             unframed.announce(version, &response);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(unwritten.track(response, front.requests.track_response()))
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
--- a/crates/stageyoke-front/src/shutdown.rs
+++ b/crates/stageyoke-front/src/shutdown.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::Notify;
 
-/// Counter of requests and streams in flight.
+/// Counter of requests and streams in flight, and of responses that are being written.
 #[derive(Clone, Debug, Default)]
 pub struct RequestTracker(Rc<TrackerState>);
 
@@ -16,24 +16,40 @@
     idle: Notify,
 }
 
-/// Counts one request or stream as in flight until dropped.
+/// Counts one request, stream or response as in flight until dropped.
 #[derive(Debug)]
-pub struct RequestGuard(Rc<TrackerState>);
+pub struct RequestGuard {
+    state: Rc<TrackerState>,
+    is_metered: bool,
+}
 
 impl RequestTracker {
     /// Counts one more request until the guard is dropped.
     pub fn track(&self) -> RequestGuard {
-        self.0.count.set(self.0.count.get() + 1);
         stageyoke_observe::metrics().in_flight.inc();
-        RequestGuard(self.0.clone())
+        self.guard(true)
     }
 
-    /// Returns the number of requests in flight.
+    /// Counts a response that is being written until the guard is dropped. It is no request any
+    /// more, so the metric of requests in flight leaves it out.
+    pub fn track_response(&self) -> RequestGuard {
+        self.guard(false)
+    }
+
+    fn guard(&self, is_metered: bool) -> RequestGuard {
+        self.0.count.set(self.0.count.get() + 1);
+        RequestGuard {
+            state: self.0.clone(),
+            is_metered,
+        }
+    }
+
+    /// Returns the number of requests in flight, and of responses that are being written.
     pub fn count(&self) -> usize {
         self.0.count.get()
     }
 
-    /// Waits until no request is in flight.
+    /// Waits until no request is in flight and all responses are written.
     pub async fn wait_until_idle(&self) {
         while self.count() > 0 {
             self.0.idle.notified().await;
@@ -43,11 +59,13 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let remaining = self.0.count.get() - 1;
-        stageyoke_observe::metrics().in_flight.dec();
-        self.0.count.set(remaining);
+        let remaining = self.state.count.get() - 1;
+        if self.is_metered {
+            stageyoke_observe::metrics().in_flight.dec();
+        }
+        self.state.count.set(remaining);
         if remaining == 0 {
-            self.0.idle.notify_one();
+            self.state.idle.notify_one();
         }
     }
 }
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -2,6 +2,8 @@
 
 #[path = "front/endless_streams.rs"]
 mod endless_streams;
+#[path = "front/slow_readers.rs"]
+mod slow_readers;
 #[path = "front/stream_starts.rs"]
 mod stream_starts;
 mod support;
@@ -392,7 +394,10 @@
         host: Text::from("host"),
         path_prefix: Text::from(format!("/{name}/")),
         kind,
-        timeout: Duration::from_millis(1500),
+        timeout: match name {
+            "patient" | "feed" => Duration::from_secs(6),
+            _ => Duration::from_millis(1500),
+        },
         latency_objective: Duration::from_millis(100),
         priority: 1,
         targets: vec![Target {
@@ -417,6 +422,8 @@
             route("safe", RouteKind::Repeatable),
             route("once", RouteKind::Once),
             route("idle", RouteKind::Once),
+            route("patient", RouteKind::Once),
+            route("feed", RouteKind::Stream),
             route("stream", RouteKind::Stream),
             route("resumable", RouteKind::Stream),
             route("history", RouteKind::Stream),
@@ -659,6 +666,36 @@
     admission_control: bool,
     memory_bytes: u64,
 ) -> TestFront {
+    let options = FrontOptions {
+        store,
+        admission_control,
+        memory_bytes,
+    };
+    let stop = std::future::pending();
+    let (test_front, _) = start_until(replicas, routes, options, stop).await;
+    test_front
+}
+
+/// Settings of a front that differ between tests.
+#[derive(Default)]
+struct FrontOptions {
+    store: Option<SocketAddr>,
+    admission_control: bool,
+    memory_bytes: u64,
+}
+
+/// Starts a front that stops when `stop` resolves; returns its task too.
+async fn start_until(
+    replicas: &[&Replica],
+    routes: &str,
+    options: FrontOptions,
+    stop: impl Future<Output = ()> + 'static,
+) -> (TestFront, tokio::task::JoinHandle<std::io::Result<()>>) {
+    let FrontOptions {
+        store,
+        admission_control,
+        memory_bytes,
+    } = options;
     let reachable = Rc::new(RefCell::new(true));
     let directory = FakeKeyValueService {
         replicas: replicas.iter().map(|replica| replica.address).collect(),
@@ -689,8 +726,7 @@
         admission_control,
         heterogeneous_engines: false,
     };
-    let stop = std::future::pending();
-    tokio::task::spawn_local(stageyoke_front::run(
+    let serving = tokio::task::spawn_local(stageyoke_front::run(
         settings,
         listeners,
         names(),
@@ -712,7 +748,7 @@
     {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    test_front
+    (test_front, serving)
 }
 
 /// Sends a request on a new connection and reads until the connection closes.
