Keep a caller's connection until the deadline of its response

Cause: TCP_USER_TIMEOUT, which the kernel counts also while a living peer acknowledges probes of its closed window. Ruled out: timers of hyper and limits of the front (the reset comes at 2.5 s whatever the deadline).

Change: a large response or a stream extends the timeout to the time that its request has left.

--- a/crates/stageyoke-framing/src/caller_connection.rs
+++ b/crates/stageyoke-framing/src/caller_connection.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Sets the time that written data may stay unacknowledged or unread before the connection is
+    /// closed.
+    pub fn set_user_timeout(&self, timeout: Duration) {
+        let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout));
+    }
+
     /// Starts an unframed response if one was announced. `bytes` are those written next.
     fn start_announced_response(&mut self, bytes: &[u8]) {
         let Some(request_version) = self.signal.take() else {
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -35,6 +35,7 @@
 use crate::request::{RequestParameters, ScopedIdentifiers};
 use crate::request_identity::{IdentityParts, RequestIdentity};
 use crate::response_body::{ResponseBody, chunk_channel};
+use crate::response_writing::WriteDeadline;
 use crate::routing::MatchedRoute;
 use crate::stream_relay::{CHUNK_BUFFER, RelayLine, StreamRelay, TurnStorage, UpstreamStream};
 use crate::stream_version::VersionRecord;
@@ -398,7 +399,8 @@
                     Framing::Length | Framing::Chunked => ResponseBody::full(content),
                 };
                 let body = body.with_memory(context.memory_guard);
-                return build_caller_response(&head, body, framing);
+                let deadline = WriteDeadline(context.outbound.deadline);
+                return build_caller_response(&head, body, framing, deadline);
             }
             DispatchedResponse::Stream(reply, uncached_tokens, start) => {
                 (*reply, uncached_tokens, start)
@@ -438,13 +440,14 @@
             line: RelayLine::new(summary, context.arrived),
             _memory_guard: context.memory_guard,
         };
+        let deadline = WriteDeadline(relay.deadline);
         let (chunks, receiver) = chunk_channel(CHUNK_BUFFER);
         let request_guard = self.requests.track();
         tokio::task::spawn_local(async move {
             relay.run(start, body, chunks).await;
             drop(request_guard);
         });
-        build_caller_response(&head, ResponseBody::Stream(receiver), framing)
+        build_caller_response(&head, ResponseBody::Stream(receiver), framing, deadline)
     }
 }
 
@@ -454,8 +457,10 @@
     head: &hyper::http::response::Parts,
     body: ResponseBody,
     framing: Framing,
+    deadline: WriteDeadline,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(body);
+    response.extensions_mut().insert(deadline);
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
     if framing == Framing::Connection {
--- a/crates/stageyoke-front/src/response_writing.rs
+++ b/crates/stageyoke-front/src/response_writing.rs
@@ -1,27 +1,38 @@
 //! Follows responses until the kernel has taken their last bytes.
 //!
 //! hyper takes a body long before a slow caller has got it. A planned shutdown waits until the
-//! response is written.
+//! response is written, and a caller that reads late keeps its connection until its deadline.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
 use stageyoke_framing::CallerConnection;
+use stageyoke_store::socket::USER_TIMEOUT;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
 
 use crate::response_body::{ResponseBody, TruncatedResponse};
 use crate::shutdown::RequestGuard;
 
+/// Size from which a response may exceed what the kernels of both sides buffer at once.
+const LARGE_RESPONSE_BYTES: u64 = 32 * 1024;
+
+/// Time by which the caller wants the end of a response, as an extension of the response.
+#[derive(Clone, Copy, Debug)]
+pub struct WriteDeadline(pub Instant);
+
 /// Responses of one connection whose bodies hyper has taken and not written yet.
 #[derive(Clone, Default)]
 pub struct UnwrittenResponses {
     guards: Rc<RefCell<Vec<RequestGuard>>>,
+    deadline: Rc<Cell<Option<Instant>>>,
 }
 
 impl UnwrittenResponses {
@@ -31,6 +42,12 @@
         response: Response<ResponseBody>,
         guard: RequestGuard,
     ) -> Response<TrackedBody> {
+        let length = response.body().size_hint().exact();
+        let is_large = length.is_none_or(|bytes| bytes >= LARGE_RESPONSE_BYTES);
+        let deadline = response.extensions().get::<WriteDeadline>();
+        if let Some(WriteDeadline(deadline)) = deadline.filter(|_| is_large) {
+            self.deadline.set(Some(*deadline));
+        }
         response.map(|body| TrackedBody {
             body,
             guard: Some(guard),
@@ -80,14 +97,30 @@
 pub struct WritingConnection {
     connection: CallerConnection,
     unwritten: UnwrittenResponses,
+    /// Time that written data may stay unacknowledged or unread.
+    user_timeout: Duration,
 }
 
 impl WritingConnection {
-    /// Wraps an accepted connection.
+    /// Wraps an accepted connection whose socket is configured.
     pub fn new(connection: CallerConnection, unwritten: UnwrittenResponses) -> Self {
         Self {
             connection,
             unwritten,
+            user_timeout: USER_TIMEOUT,
+        }
+    }
+
+    /// Keeps the connection open until the response's deadline. The kernel counts a closed window
+    /// like a lost peer.
+    fn extend_user_timeout(&mut self) {
+        let Some(deadline) = self.unwritten.deadline.take() else {
+            return;
+        };
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        if time_left > self.user_timeout {
+            self.user_timeout = time_left;
+            self.connection.set_user_timeout(time_left);
         }
     }
 }
@@ -108,6 +141,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.extend_user_timeout();
         Pin::new(&mut self.connection).poll_write(context, bytes)
     }
 
@@ -116,6 +150,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.extend_user_timeout();
         Pin::new(&mut self.connection).poll_write_vectored(context, slices)
     }
 
--- a/crates/stageyoke-front/tests/front/slow_readers.rs
+++ b/crates/stageyoke-front/tests/front/slow_readers.rs
@@ -1,4 +1,4 @@
-//! Planned shutdowns while callers read their responses slowly.
+//! Callers that read their responses slowly or late, and planned shutdowns meanwhile.
 
 use socket2::{Domain, Socket, Type};
 use tokio::sync::oneshot;
@@ -10,6 +10,8 @@
 /// More than all buffers between the replica and a caller that reads slowly.
 const LARGE_BODY_BYTES: usize = 14_000_000;
 const SLOW_BYTES_PER_SECOND: f64 = 2_800_000.0;
+/// Response that a caller leaves unread for a while.
+const UNREAD_BODY_BYTES: usize = 1_000_000;
 const EVENT_BYTES: usize = 50_000;
 const GRACE: Duration = Duration::from_secs(8);
 const DEADLINE_MILLISECONDS: u64 = 6_000;
@@ -149,3 +151,69 @@
     front.thread.join().expect("thread");
     assert!(stopped_at.elapsed() < GRACE / 2);
 }
+
+/// Guards against a connection that is reset under a caller that reads late, but within its
+/// deadline.
+#[rstest]
+#[case::framed("/patient/a", framed_response(UNREAD_BODY_BYTES))]
+#[case::unframed("/patient/a", unframed_response(UNREAD_BODY_BYTES))]
+#[case::stream("/feed/a", event_stream(UNREAD_BODY_BYTES))]
+#[tokio::test]
+async fn a_caller_that_reads_late_gets_its_whole_response(
+    #[case] path: &str,
+    #[case] response: String,
+) {
+    run_local(async {
+        let content = response.trim_end_matches("CLOSE");
+        let (_, body) = content.split_once("\r\n\r\n").expect("head");
+        let replica = Replica::start(&[&response]).await;
+        let options = FrontOptions {
+            memory_bytes: LARGE_MEMORY_BYTES,
+            ..FrontOptions::default()
+        };
+        let stop = std::future::pending();
+        let (test_front, _) = start_until(&[&replica], "", options, stop).await;
+        let mut stream = connect(test_front.address).await;
+        let message = patient_request(path, DEADLINE_MILLISECONDS);
+        stream.write_all(message.as_bytes()).await.expect("send");
+        let mut first = [0; 1];
+        stream.read_exact(&mut first).await.expect("response");
+        tokio::time::sleep(Duration::from_millis(3_500)).await;
+        let expected_bytes = body.len();
+        let (received, end) = read_at(&mut stream, f64::INFINITY, expected_bytes).await;
+        assert!(received >= expected_bytes, "{received} bytes, then {end}");
+    })
+    .await;
+}
+
+/// Guards against responses that are held for ever for callers that never read them.
+#[tokio::test]
+async fn a_caller_that_never_reads_is_given_up_after_its_deadline() {
+    run_local(async {
+        let replica = Replica::start(&[&framed_response(LARGE_BODY_BYTES)]).await;
+        let options = FrontOptions {
+            memory_bytes: LARGE_MEMORY_BYTES,
+            ..FrontOptions::default()
+        };
+        let stop = std::future::pending();
+        let (test_front, _) = start_until(&[&replica], "", options, stop).await;
+        let message = request("GET", "/patient/a", "").replace("deadline: 1400", "deadline: 3000");
+        let mut silent = Vec::new();
+        // The second one finds no memory while the first one is held.
+        for _ in 0..2 {
+            let mut stream = connect(test_front.address).await;
+            stream.write_all(message.as_bytes()).await.expect("send");
+            silent.push(stream);
+        }
+        tokio::time::sleep(Duration::from_millis(5_500)).await;
+        let mut stream = connect(test_front.address).await;
+        stream.write_all(message.as_bytes()).await.expect("send");
+        let (received, end) = read_at(&mut stream, f64::INFINITY, LARGE_BODY_BYTES).await;
+        assert!(received >= LARGE_BODY_BYTES, "{received} bytes, then {end}");
+        for stream in &mut silent {
+            let (received, end) = read_at(stream, f64::INFINITY, LARGE_BODY_BYTES).await;
+            assert!(received < LARGE_BODY_BYTES, "{received} bytes, then {end}");
+        }
+    })
+    .await;
+}
