Soak: surplus answers, fronts lost beside two versions, programs that return late

New: `SurplusAnswers` (the proxies before replicas send a second answer of each status in the place of the next one due), `KillFrontsBesideVersions` (half of the callers send `Last-Event-Id` alone), and in runs of 120 s or more twelve programs whose turns each go on from another program's turn 44 s after it.

--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -3,6 +3,7 @@
 //! affected at any time.
 
 use std::fmt;
+use std::ops::Range;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -93,6 +94,11 @@
     LargeTurns,
     /// Makes replicas send some answers without end.
     EndlessAnswers,
+    /// Makes replicas send second answers in the place of the next ones due.
+    SurplusAnswers,
+    /// Replaces model replicas by ones of a newer software version, and then kills and restarts all
+    /// fronts at once.
+    KillFrontsBesideVersions,
 }
 
 /// Kinds drawn by default. New kinds are appended, because regression cases use a prefix of
@@ -130,11 +136,13 @@
 ];
 
 /// Kinds drawn only if they are named explicitly.
-pub const NAMED_FAULTS: [Fault; 4] = [
+pub const NAMED_FAULTS: [Fault; 6] = [
     Fault::Losses,
     Fault::EndReplicas,
     Fault::LargeTurns,
     Fault::EndlessAnswers,
+    Fault::SurplusAnswers,
+    Fault::KillFrontsBesideVersions,
 ];
 
 impl Fault {
@@ -161,12 +169,15 @@
 
     /// Returns whether no request can be served during the fault.
     pub fn stops_everything(self) -> bool {
-        self == Self::KillAll
+        matches!(self, Self::KillAll | Self::KillFrontsBesideVersions)
     }
 
     /// Returns whether processes that hold requests are suspended or killed all at once.
     fn suspends_processes(self) -> bool {
-        matches!(self, Self::KillAll | Self::PauseFront | Self::OverlapFaults)
+        matches!(
+            self,
+            Self::KillAll | Self::KillFrontsBesideVersions | Self::PauseFront | Self::OverlapFaults
+        )
     }
 
     /// Returns whether the store must catch up before the next store may fail.
@@ -247,7 +258,7 @@
             Fault::KillStore => self.kill_store(store, random).await,
             Fault::PauseStore => self.pause(store, duration).await,
             Fault::WipeStore => self.wipe_store(store).await,
-            Fault::KillAll => self.kill_all().await,
+            Fault::KillAll => self.kill_processes(0..self.processes.len()).await,
             Fault::CutService => self.disrupt_service_connections(random, duration).await,
             Fault::TroubleService => self.disrupt_service(random, duration).await,
             Fault::CutReplicas => self.disrupt_replica_connections(random, duration).await,
@@ -293,6 +304,15 @@
             Fault::Losses => details = self.lose_stores(random).await,
             Fault::LargeTurns => details = self.store_large_turns(random).await,
             Fault::EndlessAnswers => details.push(self.send_without_end(random, duration).await),
+            Fault::KillFrontsBesideVersions => {
+                details.push(self.replace_versions(random).await);
+                self.promises.disturbances.record_start();
+                self.kill_processes(0..self.size.fronts).await;
+                self.promises.disturbances.record_end();
+            }
+            Fault::SurplusAnswers => {
+                details.push(self.send_surplus_answers(random, duration).await);
+            }
         }
         if fault.suspends_bounds() {
             self.promises.disturbances.record_end();
@@ -350,15 +370,15 @@
         self.start_or_report(number);
     }
 
-    async fn kill_all(&mut self) {
-        for process in &self.processes {
+    async fn kill_processes(&mut self, numbers: Range<usize>) {
+        for process in &self.processes[numbers.clone()] {
             process.signal(Signal::SIGKILL);
         }
-        for process in &mut self.processes {
+        for process in &mut self.processes[numbers.clone()] {
             process.wait_for_exit().await;
         }
         tokio::time::sleep(RESTART_DELAY).await;
-        for number in 0..self.processes.len() {
+        for number in numbers {
             self.start_or_report(number);
         }
     }
--- a/crates/stageyoke-lab/src/soak/mod.rs
+++ b/crates/stageyoke-lab/src/soak/mod.rs
@@ -20,10 +20,12 @@
 pub mod promises;
 pub mod proxy;
 pub mod replicas;
+pub mod returning_programs;
 pub mod shape;
 pub mod shares;
 pub mod slopes;
 pub mod slow_transfers;
+pub mod surplus_answers;
 pub mod upgrade;
 pub mod versions;
 
@@ -52,6 +54,9 @@
 const CALLERS: u64 = 8;
 /// Number of concurrent callers of resumable streams.
 const RESUMING_CALLERS: u64 = 4;
+/// Number of programs that return late, in runs of at least this duration.
+const RETURNING_PROGRAMS: u64 = 12;
+const MIN_RETURN_DURATION: Duration = Duration::from_secs(2 * RETENTION_SECONDS);
 const TURNS: u32 = 4;
 /// Time in which a stored turn must be continued at the end of a run, from its first request
 /// on.
@@ -177,17 +182,27 @@
         callers.spawn(run_programs_until(caller, until));
     }
     let mut resuming_callers = JoinSet::new();
-    if plan.faults.contains(&Fault::ReplaceVersions) {
+    let kills_fronts = plan.faults.contains(&Fault::KillFrontsBesideVersions);
+    if kills_fronts || plan.faults.contains(&Fault::ReplaceVersions) {
         for number in 0..RESUMING_CALLERS {
             let resuming = ResumingCaller {
                 fronts: deployment.fronts.clone(),
                 promises: deployment.promises.clone(),
                 random: ChaCha8Rng::seed_from_u64(plan.seed ^ (number + 10_000)),
                 judged_from: started_at + LEAD_TIME,
+                names_beginning: !kills_fronts || number % 2 == 0,
             };
             resuming_callers.spawn(resuming.run_until(until));
         }
     }
+    let mut returning = JoinSet::new();
+    if plan.duration >= MIN_RETURN_DURATION {
+        for number in 0..RETURNING_PROGRAMS {
+            let caller = caller(&deployment, plan.seed ^ (number + 20_000));
+            let promises = deployment.promises.clone();
+            returning.spawn(returning_programs::run_until(caller, promises, until));
+        }
+    }
     let change_probe = tokio::spawn(changes::probe_fronts(
         deployment.fronts.clone(),
         deployment.versions.clone(),
@@ -252,6 +267,7 @@
         stored_turns.extend(turns.unwrap_or_default());
     }
     while resuming_callers.join_next().await.is_some() {}
+    while returning.join_next().await.is_some() {}
     for window in &windows {
         for shortfall in deployment.promises.shares.shortfalls(window) {
             deployment.promises.report_breach(shortfall);
--- a/crates/stageyoke-lab/src/soak/proxy.rs
+++ b/crates/stageyoke-lab/src/soak/proxy.rs
@@ -1,7 +1,7 @@
 //! A loopback proxy that injects faults: delays, resets, one-way drops and silence.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -12,8 +12,10 @@
 use tokio::time::Instant;
 
 use super::connections::HeldConnections;
+use super::surplus_answers::SurplusAnswer;
 use crate::standins::ACCEPT_RETRY_DELAY;
 use crate::standins::platform::endless::EndlessHead;
+use crate::standins::platform::names;
 
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Response rate of each connection in [`Mode::Slow`].
@@ -40,6 +42,8 @@
     Endless(EndlessHead),
     /// Limits responses to [`SLOW_BYTES_PER_SECOND`] on each connection.
     Slow,
+    /// Sends second responses to the requests before, in the place of the next ones due.
+    Surplus(SurplusAnswer),
 }
 
 /// A proxy's mode and delay, and the connections that they apply to.
@@ -232,7 +236,12 @@
             let is_blocked = match mode {
                 Mode::Silence => true,
                 Mode::OneWay => is_response,
-                Mode::Pass | Mode::Reset | Mode::Refuse | Mode::Endless(_) | Mode::Slow => false,
+                Mode::Pass
+                | Mode::Reset
+                | Mode::Refuse
+                | Mode::Endless(_)
+                | Mode::Slow
+                | Mode::Surplus(_) => false,
             };
             if !is_blocked {
                 break;
@@ -285,33 +294,92 @@
     let _ = back_end.set_nodelay(true);
     let (from_caller, to_caller) = caller.into_split();
     let (from_back_end, to_back_end) = back_end.into_split();
-    let requests = copy(from_caller, to_back_end, connection.clone(), false);
-    let responses = copy(from_back_end, to_caller, connection.clone(), true);
+    let surplus = SurplusQueue::default();
+    let requests = Direction {
+        from: from_caller,
+        to: to_back_end,
+        surplus: surplus.clone(),
+        is_response: false,
+    };
+    let responses = Direction {
+        from: from_back_end,
+        to: to_caller,
+        surplus,
+        is_response: true,
+    };
+    let requests = requests.copy(connection.clone());
+    let responses = responses.copy(connection.clone());
     tokio::select! {
         ((), ()) = async { tokio::join!(requests, responses) } => {}
         () = connection.wait_for_reset() => {}
     }
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mut connection: ProxiedConnection,
+/// Surplus response that precedes the next bytes of a response.
+#[derive(Clone, Default)]
+struct SurplusQueue(Arc<Mutex<Option<Vec<u8>>>>);
+
+impl SurplusQueue {
+    fn set(&self, response: Option<Vec<u8>>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = response;
+    }
+
+    fn take(&self) -> Option<Vec<u8>> {
+        let mut response = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        response.take()
+    }
+}
+
+/// Bytes of one direction.
+struct Direction {
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    surplus: SurplusQueue,
     is_response: bool,
-) {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    while let Ok(count) = from.read(&mut buffer).await {
-        if count == 0 {
-            break;
-        }
-        connection.wait_to_forward(count, is_response).await;
-        if is_response && let (Mode::Endless(head), _) = connection.current().await {
-            let _ = head.send(&mut to).await;
-            return;
-        }
-        if to.write_all(&buffer[..count]).await.is_err() {
-            return;
+}
+
+impl Direction {
+    async fn copy(mut self, mut connection: ProxiedConnection) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        let mut last_request = None;
+        while let Ok(count) = self.from.read(&mut buffer).await {
+            if count == 0 {
+                break;
+            }
+            let bytes = &buffer[..count];
+            connection.wait_to_forward(count, self.is_response).await;
+            let (mode, _) = connection.current().await;
+            if let (Mode::Endless(head), true) = (mode, self.is_response) {
+                let _ = head.send(&mut self.to).await;
+                return;
+            }
+            if self.is_response {
+                let surplus = self.surplus.take();
+                let surplus = surplus.filter(|_| matches!(mode, Mode::Surplus(_)));
+                if let Some(surplus) = surplus
+                    && self.to.write_all(&surplus).await.is_err()
+                {
+                    return;
+                }
+            } else if let Some(request) = request_identifier(bytes) {
+                let earlier = last_request.replace(request);
+                if let (Mode::Surplus(surplus), Some(earlier)) = (mode, earlier) {
+                    self.surplus.set(surplus.answer_to(&earlier));
+                }
+            }
+            if self.to.write_all(bytes).await.is_err() {
+                return;
+            }
         }
+        let _ = self.to.shutdown().await;
     }
-    let _ = to.shutdown().await;
+}
+
+/// Returns the identifier of the request whose head begins these bytes.
+fn request_identifier(bytes: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, _) = text.split_once("\r\n\r\n")?;
+    let field = format!("{}: ", names::REQUEST_ID);
+    let mut lines = head.lines();
+    lines.find_map(|line| line.strip_prefix(&field).map(str::to_owned))
 }
--- a/crates/stageyoke-lab/src/standins/platform/replica.rs
+++ b/crates/stageyoke-lab/src/standins/platform/replica.rs
@@ -17,7 +17,7 @@
 use super::answers::{event, event_data, tool_answer};
 use super::cold_phase::ColdPhase;
 use super::endless::{EndlessAnswer, SendingEndless};
-use super::resumable::resumable_data;
+use super::resumable::{named_stream, resumable_data};
 use super::{RESUMABLE_PATH, TOKENS_PER_EVENT, names};
 use crate::soak::disturbances::MAX_PROPAGATION_DELAY;
 use crate::soak::promises::{Promises, ResumePosition};
@@ -300,7 +300,7 @@
     }
 
     /// Returns where a resumable stream starts, and checks what the fronts passed on.
-    fn resume_position(&self, request: &str, headers: &HeaderMap) -> StreamStart {
+    fn resume_position(&self, request: &str, headers: &HeaderMap, body: &[u8]) -> StreamStart {
         let first = header_text(headers, names::RESUMES);
         let last_event: Option<u32> = header_text(headers, names::LAST_EVENT_ID).parse().ok();
         let position = last_event.map(|last_event| ResumePosition {
@@ -309,10 +309,10 @@
         });
         self.promises.check_resume(request, &first, position);
         StreamStart {
-            stream: if first.is_empty() {
-                request.to_owned()
-            } else {
-                first
+            stream: match named_stream(body) {
+                Some(name) => name,
+                None if first.is_empty() => request.to_owned(),
+                None => first,
             },
             number: last_event.map_or(0, |last_event| last_event + 1),
             version: self.version.load(Ordering::Relaxed),
@@ -369,7 +369,7 @@
 
 /// Where a replica starts a resumable stream.
 struct StreamStart {
-    /// Attempt that brought the first event of the stream.
+    /// Attempt that brought the first event of the stream, or the name that its question states.
     stream: String,
     /// Number of the first event to send.
     number: u32,
@@ -479,7 +479,8 @@
         let Some(admitted) = self.slots.enter().await else {
             return self.reject(StatusCode::SERVICE_UNAVAILABLE, &id);
         };
-        self.promises.record_run(&id, &body.to_bytes());
+        let body = body.to_bytes();
+        self.promises.record_run(&id, &body);
         if is_deadly {
             self.faults.record_end(&self.id);
             std::future::pending::<()>().await;
@@ -500,7 +501,7 @@
                 .and_then(|tokens| tokens.parse().ok());
             let events = max_tokens.unwrap_or(TOKENS_PER_EVENT) / TOKENS_PER_EVENT;
             let position = match is_resumable {
-                true => Some(self.resume_position(&id, &headers)),
+                true => Some(self.resume_position(&id, &headers, &body)),
                 false => None,
             };
             return self.stream_turn(id, events, position, admitted);
--- a/crates/stageyoke-lab/src/standins/platform/resumable.rs
+++ b/crates/stageyoke-lab/src/standins/platform/resumable.rs
@@ -26,7 +26,18 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Data of an event of the stream that began with the attempt `first`.
+const QUESTION: &str = "question\n";
+const NAMED_QUESTION: &str = "question of ";
+
+/// Returns the name of the stream that a question asks for, if it names one.
+pub fn named_stream(question: &[u8]) -> Option<String> {
+    let question = std::str::from_utf8(question).ok()?;
+    let name = question.strip_prefix(NAMED_QUESTION)?;
+    Some(name.trim_end().to_owned())
+}
+
+/// Data of an event of the stream with this name: the attempt that brought its first event, or
+/// the name that its question states.
 pub fn resumable_data(first: &str, number: u32, version: u64) -> String {
     format!("{first} says {number} at {version}")
 }
@@ -34,7 +45,7 @@
 /// What a client has received of one stream over all its attempts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StreamProgress {
-    /// Attempt that brought the first event.
+    /// Name of the stream: the attempt that brought the first event, or that in the question.
     pub first: Option<String>,
     /// Software version of the replica that began the stream.
     pub version: Option<u64>,
@@ -97,6 +108,9 @@
     /// Time from which attempts are judged: traffic is owed only after the lead time of the first
     /// start, in which the store groups form.
     pub judged_from: Instant,
+    /// Whether the caller names the first attempt where it takes a stream up. Otherwise the question
+    /// names the stream.
+    pub names_beginning: bool,
 }
 
 impl ResumingCaller {
@@ -110,13 +124,22 @@
     /// Runs a stream over several attempts, each at another front than the one before.
     pub async fn run_stream(&mut self) {
         let mut progress = StreamProgress::default();
+        let mut question = QUESTION.to_owned();
+        if !self.names_beginning {
+            let name = format!("{:016x}", self.random.random::<u64>());
+            question = format!("{NAMED_QUESTION}{name}\n");
+            progress.first = Some(name);
+        }
         let mut front = self.random.random_range(0..self.fronts.len());
         for _ in 0..MAX_ATTEMPTS {
             if self.fronts.len() > 1 {
                 front += self.random.random_range(1..self.fronts.len());
                 front %= self.fronts.len();
             }
-            match self.attempt(self.fronts[front], &mut progress).await {
+            match self
+                .attempt(self.fronts[front], &question, &mut progress)
+                .await
+            {
                 AttemptEnd::Over => return,
                 // Only the end of the answer was lost.
                 AttemptEnd::Retry(_) if progress.next == RESUMABLE_EVENTS => return,
@@ -125,21 +148,30 @@
         }
     }
 
-    async fn attempt(&mut self, front: SocketAddr, progress: &mut StreamProgress) -> AttemptEnd {
+    async fn attempt(
+        &mut self,
+        front: SocketAddr,
+        question: &str,
+        progress: &mut StreamProgress,
+    ) -> AttemptEnd {
         let id = format!("{:016x}", self.random.random::<u64>());
-        let position = progress.position();
+        let mut position = progress.position();
+        if let Some(position) = position.as_mut().filter(|_| !self.names_beginning) {
+            position.first.clear();
+        }
+        let request = request(&id, question, position.clone());
         let expected = ExpectedRequest {
-            body: Bytes::from_static(b"question\n"),
+            body: Bytes::from(question.to_owned()),
             repeatable: true,
         };
         self.promises.record_request(&id, expected);
-        self.promises.record_resume(&id, position.clone());
+        self.promises.record_resume(&id, position);
         let from = progress.next;
         let version = progress.version;
         let was_calm = self.is_calm(version);
         // Some attempts are read to their end.
         let leave_at = self.random.random_range(from + 1..=RESUMABLE_EVENTS * 2);
-        let reading = self.read(front, &id, position, progress, leave_at);
+        let reading = self.read(front, &id, request, progress, leave_at);
         let end = tokio::time::timeout(DEADLINE, reading).await;
         if was_calm && self.is_calm(version) {
             let went_on = progress.next > from;
@@ -162,7 +194,7 @@
         &self,
         front: SocketAddr,
         id: &str,
-        position: Option<ResumePosition>,
+        request: Request<Full<Bytes>>,
         progress: &mut StreamProgress,
         leave_at: u32,
     ) -> AttemptEnd {
@@ -170,7 +202,7 @@
         let Some(mut sender) = connect(front).await else {
             return retry;
         };
-        let Ok(response) = sender.send_request(request(id, position)).await else {
+        let Ok(response) = sender.send_request(request).await else {
             return retry;
         };
         let (head, mut body) = response.into_parts();
@@ -216,8 +248,8 @@
     }
 }
 
-fn request(id: &str, position: Option<ResumePosition>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::from("question\n"));
+fn request(id: &str, question: &str, position: Option<ResumePosition>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::from(question.to_owned()));
     *request.method_mut() = Method::POST;
     if let Ok(uri) = RESUMABLE_PATH.parse() {
         *request.uri_mut() = uri;
@@ -231,7 +263,9 @@
         ("authorization", format!("Bearer {CALLERS_KEY}")),
     ];
     if let Some(position) = position {
-        fields.push((names::RESUMES, position.first));
+        if !position.first.is_empty() {
+            fields.push((names::RESUMES, position.first));
+        }
         fields.push((names::LAST_EVENT_ID, position.last_event.to_string()));
     }
     for (name, value) in fields {
--- a/crates/stageyoke-lab/tests/versions_test.rs
+++ b/crates/stageyoke-lab/tests/versions_test.rs
@@ -180,6 +180,7 @@
         fronts: Arc::new(vec![one.address, other.address]),
         promises: promises.clone(),
         random: ChaCha8Rng::seed_from_u64(5),
+        names_beginning: true,
         judged_from: Instant::now(),
     };
     for _ in 0..8 {
