--- a/crates/stageyoke-lab/src/soak/faults.rs
+++ b/crates/stageyoke-lab/src/soak/faults.rs
@@ -96,8 +96,8 @@
     EndlessAnswers,
     /// Makes replicas send second answers in the place of the next ones due.
     SurplusAnswers,
-    /// Replaces model replicas by ones of a newer software version, and then kills and restarts all
-    /// fronts at once.
+    /// Crashes the last model replicas of a software version beside those of a newer one, and
+    /// kills and restarts all fronts at that moment.
     KillFrontsBesideVersions,
 }
 
@@ -305,10 +305,7 @@
             Fault::LargeTurns => details = self.store_large_turns(random).await,
             Fault::EndlessAnswers => details.push(self.send_without_end(random, duration).await),
             Fault::KillFrontsBesideVersions => {
-                details.push(self.replace_versions(random).await);
-                self.promises.disturbances.record_start();
-                self.kill_processes(0..self.size.fronts).await;
-                self.promises.disturbances.record_end();
+                details.push(self.kill_fronts_beside_versions(random).await);
             }
             Fault::SurplusAnswers => {
                 details.push(self.send_surplus_answers(random, duration).await);
@@ -370,7 +367,7 @@
         self.start_or_report(number);
     }
 
-    async fn kill_processes(&mut self, numbers: Range<usize>) {
+    pub(super) async fn kill_processes(&mut self, numbers: Range<usize>) {
         for process in &self.processes[numbers.clone()] {
             process.signal(Signal::SIGKILL);
         }
--- a/crates/stageyoke-lab/src/soak/versions.rs
+++ b/crates/stageyoke-lab/src/soak/versions.rs
@@ -21,6 +21,8 @@
 pub const MIN_JUDGED_RESUMES: u64 = 12;
 /// Minimum share of resumed streams that go on, relative to the new streams that begin.
 pub const MIN_RELATIVE_RESUMES: f64 = 0.5;
+/// Time from the crash of all replicas of a version to the kill of all fronts.
+const CRASH_TO_KILL_DELAY: Duration = Duration::from_millis(50);
 /// Number of replicas of a version that must serve for its resumed streams to be judged.
 const MIN_SERVING_REPLICAS: usize = 2;
 
@@ -114,15 +116,42 @@
         format!("version {next}")
     }
 
+    /// Replaces model replicas by ones of the next version until two versions serve, crashes all
+    /// replicas of the older one, and kills and restarts all fronts at that moment.
+    pub(super) async fn kill_fronts_beside_versions(&mut self, random: &mut ChaCha8Rng) -> String {
+        let description = self.replace_versions(random).await;
+        let models = 0..self.shape.models.replicas;
+        let version = |number: usize| self.replicas[number].version.load(Ordering::Relaxed);
+        let newest = models.clone().map(version).max().unwrap_or_default();
+        let outdated: Vec<usize> = models.filter(|number| version(*number) < newest).collect();
+        self.promises.disturbances.record_start();
+        for number in &outdated {
+            self.crash_replica(*number);
+        }
+        // Until the fronts have lost their connections, and callers wait to take streams up.
+        tokio::time::sleep(CRASH_TO_KILL_DELAY).await;
+        self.kill_processes(0..self.size.fronts).await;
+        tokio::time::sleep(MAX_PROPAGATION_DELAY).await;
+        for number in &outdated {
+            self.return_at_version(*number, newest);
+        }
+        self.promises.disturbances.record_end();
+        format!("{description}, {} replicas crashed", outdated.len())
+    }
+
+    fn crash_replica(&mut self, number: usize) {
+        let behavior = &self.replica_proxies[number].behavior;
+        behavior.set(Mode::Reset, Duration::ZERO);
+        self.remove_replica_entry(number);
+    }
+
     async fn replace_version(&mut self, number: usize, version: u64, random: &mut ChaCha8Rng) {
         let crashes = random.random_bool(0.3);
         let moves = random.random_bool(0.5);
         let wait = MAX_PROPAGATION_DELAY + random_milliseconds(random, 100, 600);
         if crashes {
             self.promises.disturbances.record_start();
-            let behavior = &self.replica_proxies[number].behavior;
-            behavior.set(Mode::Reset, Duration::ZERO);
-            self.remove_replica_entry(number);
+            self.crash_replica(number);
             self.promises.disturbances.record_end();
         } else {
             self.drain_replica(number);
@@ -138,6 +167,10 @@
                 }
             }
         }
+        self.return_at_version(number, version);
+    }
+
+    fn return_at_version(&mut self, number: usize, version: u64) {
         let behavior = &self.replica_proxies[number].behavior;
         behavior.set(Mode::Pass, Duration::ZERO);
         let replica = &self.replicas[number];
--- a/crates/stageyoke-lab/src/standins/platform/resumable.rs
+++ b/crates/stageyoke-lab/src/standins/platform/resumable.rs
@@ -21,8 +21,10 @@
 /// Number of events of a resumable stream.
 pub const RESUMABLE_EVENTS: u32 = 8;
 const DEADLINE: Duration = Duration::from_millis(2000);
-/// Maximum number of attempts of one stream.
+/// Maximum number of attempts of one stream; more if its question names it, since all fronts may be
+/// down for a moment.
 const MAX_ATTEMPTS: u32 = 6;
+const MAX_ATTEMPTS_OF_NAMED_STREAM: u32 = 12;
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -131,7 +133,11 @@
             progress.first = Some(name);
         }
         let mut front = self.random.random_range(0..self.fronts.len());
-        for _ in 0..MAX_ATTEMPTS {
+        let max_attempts = match self.names_beginning {
+            true => MAX_ATTEMPTS,
+            false => MAX_ATTEMPTS_OF_NAMED_STREAM,
+        };
+        for _ in 0..max_attempts {
             if self.fronts.len() > 1 {
                 front += self.random.random_range(1..self.fronts.len());
                 front %= self.fronts.len();
