Close a connection that only rejected a request which may run once

A service that gets no others left such connections idle: ten rejections left ten, which count towards the replica's limit of connections. Found by reading the change again; no run had shown it.

The new test on the code before: "10 connections after 10 rejections". With the change it passes.

--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -293,8 +293,12 @@
             return AttemptOutcome::NotRun(status);
         }
         if not_run {
-            let limit = reply.replica.drain_limit.clone();
-            connection_drain::drain(*reply, &limit);
+            // Requests like this one could not use a connection with an unidentified response.
+            let is_reusable = outbound.repeatable || owner == ResponseOwner::Own;
+            if is_reusable {
+                let limit = reply.replica.drain_limit.clone();
+                connection_drain::drain(*reply, &limit);
+            }
             return AttemptOutcome::NotRun(status);
         }
     }
--- a/crates/stageyoke-front/tests/front/surplus_responses.rs
+++ b/crates/stageyoke-front/tests/front/surplus_responses.rs
@@ -215,6 +215,23 @@
     .await;
 }
 
+/// Guards against idle connections that no request may use, which count towards the replica's limit.
+#[tokio::test]
+async fn rejections_without_identifiers_leave_no_unusable_connections() {
+    run_local(async {
+        let full = Replica::start(&[&rejection(503, "")]).await;
+        let test_front = start(&[&full]).await;
+        for number in 0..10 {
+            let (_, status) = send_numbered(&test_front, "/once/a", number).await;
+            assert_eq!(status, 503);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let open = full.open_connections.get();
+        assert!(open <= 1, "{open} connections after 10 rejections");
+    })
+    .await;
+}
+
 fn any_step() -> impl Strategy<Value = Step> {
     let status = prop_oneof![Just(503_u16), Just(429), Just(421), Just(400)];
     let rejecting = (status.clone(), any::<bool>())
