--- a/crates/stageyoke-front/src/attempt.rs
+++ b/crates/stageyoke-front/src/attempt.rs
@@ -115,9 +115,9 @@
 }
 
 /// Builds the headers that are forwarded to replicas. Reserved headers of the caller are
-/// removed, since engines reject requests that refer to a prompt copy which they do not
-/// hold: idle engines rejected 39 of 100 turns because of such headers, and none without them. The caller's key is removed as well; the replica gets the tenant's name and the
-/// urgency instead. Returns `None` if the tenant's name is not a valid header value.
+/// removed, since engines reject requests that refer to a prompt copy which they do not hold.
+/// The caller's key is removed as well; the replica gets the tenant's name and the urgency
+/// instead. Returns `None` if the tenant's name is not a valid header value.
 pub fn forwarded_headers(
     headers: &HeaderMap,
     names: &ProtocolNames,
--- a/crates/stageyoke-lab/src/soak/surplus_answers.rs
+++ b/crates/stageyoke-lab/src/soak/surplus_answers.rs
@@ -16,12 +16,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SurplusAnswer {
     status: u16,
-    promises: bool,
+    says_not_executed: bool,
     percent: u32,
 }
 
 impl SurplusAnswer {
-    /// Statuses of surplus answers, and whether they promise that a request was not executed.
+    /// Statuses of surplus answers, and whether they say that the request was not executed.
     const KINDS: [(u16, bool); 6] = [
         (200, false),
         (421, false),
@@ -32,10 +32,10 @@
     ];
 
     fn draw(random: &mut ChaCha8Rng) -> Self {
-        let (status, promises) = Self::KINDS[random.random_range(0..Self::KINDS.len())];
+        let (status, says_not_executed) = Self::KINDS[random.random_range(0..Self::KINDS.len())];
         Self {
             status,
-            promises,
+            says_not_executed,
             percent: random.random_range(3..=20),
         }
     }
@@ -45,7 +45,7 @@
         if rand::random_range(0..100) >= self.percent {
             return None;
         }
-        let promise = match self.promises {
+        let promise = match self.says_not_executed {
             true => format!("{}: 1\r\n", names::NOT_EXECUTED),
             false => String::new(),
         };
