Tests of clients that misbehave, beside ordinary traffic

These tests start the system's own processes on loopback and play each kind of client against one front: bodies over the limit, chunks without end or of one byte, largest bodies whole and in pieces, half bodies, starts of bodies, slow bodies and heads, starts of request lines, idle connections, heads of very many fields, requests ahead of their responses, long identifiers; at routes, at a path without a route and at the readiness address. Beside them ordinary requests run, each on a new connection and repeated as the protocol allows, and readiness probes. The test watches memory and descriptors of its child processes every 10 ms and stops one that passes its machine's memory. It fails if a process ends, fewer than 95 of 100 ordinary requests are served, two probes in a row get no 200, or a whole request is refused without its caller reading the refusal.

The full series, 48 to 512 MB at each path, is run by hand (--ignored).

The stand-in replicas accept heads of any number of fields; processes in tests get MaxFds 4100, the number of the smallest front machines.

--- a/crates/stageyoke-lab/src/lib.rs
+++ b/crates/stageyoke-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod hunts;
 pub mod lateness;
 pub mod load;
+pub mod misbehaving_clients;
 pub mod process;
 pub mod soak;
 pub mod standins;
--- a/crates/stageyoke-lab/src/soak/processes.rs
+++ b/crates/stageyoke-lab/src/soak/processes.rs
@@ -24,6 +24,8 @@
 const REFUSED_SEGMENTS: u64 = 500;
 /// Memory limit of a process in megabytes; that of the smallest store machines in use.
 pub const MEMORY_MB: u64 = 58;
+/// Limit of a process's descriptors; that of the smallest front machines in use.
+pub const MAX_DESCRIPTORS: usize = 4100;
 /// Device that fails every write with `ENOSPC`.
 const FULL_DEVICE: &str = "/dev/full";
 
@@ -212,7 +214,7 @@
             "DataDir": data,
             "FaultTolerance": {"Machines": shape.tolerated_stores},
             "Contracts": self.parameters.contracts,
-            "Limits": {"MemoryMb": self.memory_limit_mb()},
+            "Limits": {"MemoryMb": self.memory_limit_mb(), "MaxFds": MAX_DESCRIPTORS},
             "Bounds": {"GraceS": 8, "CatchUpS": shape.catch_up.as_secs_f64(),
                 "EvacuationMs": MAX_PROPAGATION_DELAY.as_millis() as u64,
                 "ColdExcess": COLD_FACTOR, "ColdSlack": COLD_SLACK,
--- a/crates/stageyoke-lab/src/standins/mod.rs
+++ b/crates/stageyoke-lab/src/standins/mod.rs
@@ -58,6 +58,9 @@
     Ok(StandInServer { address, task })
 }
 
+/// Maximum number of fields in a request's head.
+const MAX_FIELDS: usize = 8192;
+
 /// Delay before connections are accepted again after an error.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -77,7 +80,8 @@
                 let handler = handler.clone();
                 async move { Ok::<_, Infallible>(handler.handle(request).await) }
             });
-            let builder = auto::Builder::new(TokioExecutor::new());
+            let mut builder = auto::Builder::new(TokioExecutor::new());
+            builder.http1().max_headers(MAX_FIELDS);
             let _ = builder
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
