Limit the connections for readiness probes and metrics

What callers saw: slow heads at the readiness address took a front of 48 MB over its memory within a second; ordinary requests at the front ended with its process.

Cause: both listeners had no timer, no limit of connections and read buffers of up to 400 KiB. The metrics listener also ended at the first failed accept.

Change: they keep the newest 256 and 16 connections, read buffers of 8 KiB and time limits. Older connections are closed rather than new ones refused, since a probe is answered at once.

--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -15,7 +15,7 @@
 use crate::response_body::{ResponseBody, TruncatedResponse};
 use crate::response_writing::{UnwrittenResponses, WritingConnection};
 use stageyoke_framing::{CallerConnection, UnframedSignal};
-use stageyoke_observe as observe;
+use stageyoke_observe::{self as observe, NewestTasks};
 use stageyoke_types::Event;
 
 /// Minimum read buffer that hyper accepts.
@@ -25,6 +25,11 @@
 /// reuse it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 
+/// Maximum number of connections for readiness probes.
+const MAX_READINESS_CONNECTIONS: usize = 256;
+/// Time for which a connection for readiness probes may be idle, or receive a head.
+const READINESS_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Accepts callers' connections until shutdown.
 pub async fn serve_callers<S: KeyValueService + 'static, I: Interpreter + 'static>(
     front: Rc<Front<S, I>>,
@@ -103,15 +108,19 @@
     builder.max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
 }
 
-/// Answers readiness probes for the lifetime of the process.
+/// Answers readiness probes for the lifetime of the process. Beyond the maximum number of
+/// connections the oldest one is closed.
 pub async fn serve_readiness<S: KeyValueService + 'static, I: Interpreter + 'static>(
     front: Rc<Front<S, I>>,
     listener: TcpListener,
 ) {
+    let mut connections = NewestTasks::new(MAX_READINESS_CONNECTIONS);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(answer_readiness(front.clone(), stream));
+                let task = tokio::task::spawn_local(answer_readiness(front.clone(), stream));
+                connections.add(task.abort_handle());
+                tokio::task::yield_now().await;
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -122,6 +131,7 @@
     front: Rc<Front<S, I>>,
     stream: TcpStream,
 ) {
+    stageyoke_store::socket::configure(&stream);
     let service = service_fn(move |request: Request<Incoming>| {
         let is_readiness_probe = request.uri().path() == front.names.readiness_path;
         let status = match (is_readiness_probe, front.is_ready()) {
@@ -134,6 +144,9 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let _ = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(READINESS_TIMEOUT)
+        .max_buf_size(MIN_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -4,12 +4,13 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Mutex, OnceLock};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -18,6 +19,8 @@
 use stageyoke_types::Event;
 use tokio::net::TcpListener;
 
+use crate::NewestTasks;
+
 /// HTTP path of the metrics page.
 pub const METRICS_PATH: &str = "/metrics";
 /// HTTP path of the status page.
@@ -383,18 +386,36 @@
     }
 }
 
+/// Maximum number of connections for metrics; beyond it the oldest one is closed.
+const MAX_METRICS_CONNECTIONS: usize = 16;
+/// Time for which such a connection may be idle, or receive a head.
+const METRICS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Minimum read buffer that hyper accepts.
+const MIN_BUFFER_BYTES: usize = 8192;
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 async fn listen(address: SocketAddr) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
+    let mut connections = NewestTasks::new(MAX_METRICS_CONNECTIONS);
     loop {
-        let (stream, _) = listener.accept().await?;
-        tokio::task::spawn_local(async move {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process may be out of descriptors for a moment.
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let serving = tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
                 Ok::<_, Infallible>(response_for(request.uri().path()))
             });
             let _ = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(METRICS_TIMEOUT)
+                .max_buf_size(MIN_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
+        connections.add(serving.abort_handle());
+        tokio::task::yield_now().await;
     }
 }
 
