Count a body's memory before it is held, and revoke it from late bodies

What callers saw: bodies over the limit, or in chunks of one byte, ended a front of 48 MB within a second; starts of bodies with long deadlines kept others out with 503 (no_memory) for that time.

Cause: a body over the limit acquired no memory and was read up to the limit; a body in chunks was kept as pieces that cost far more than their length, and copied once more at the end; a stated length was acquired with the head and held until the caller's deadline.

Ruled out: acquiring only what has arrived, without a reservation. Of many largest bodies that begin together, none would then be served.

Change: a stated length over the limit is refused at once. Bodies are copied into one buffer, whose capacity is acquired before it grows. A late body's memory is revoked when another request finds none (503, not run). Reading ends at the route's timeout. New metric: stageyoke_revoked_bodies_total.

a_request_over_the_memory_limit_is_rejected_until_memory_is_released: its first request now runs at a replica that does not answer, since a body that stays incomplete holds its memory no longer; it checks the same rejection, the small request beside it and the release. The fixture's machine and bodies are larger, as a front of 2 kB has no room for what requests acquire.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
@@ -29,6 +28,7 @@
 use crate::failure::{self, Failure};
 use crate::front::Front;
 use crate::history::Reservation;
+use crate::incoming_body::read_body;
 use crate::memory_budget::MemoryGuard;
 use crate::pending_request::PendingRequest;
 use crate::quota::QuotaRequest;
@@ -202,16 +202,16 @@
         summary.routes_version = routes.version;
         let service = self.choose_service(&routes, &route)?;
         let mut memory_guard = self.memory_budget.start_request();
+        let deadline = parameters.deadline.min(arrived + route.timeout);
         // A turn that is too large to be stored is rejected before it runs.
         let body_limit = match route.stores_history {
             true => routes.limits.body_bytes.min(MAX_TURN_INPUT_BYTES),
             false => routes.limits.body_bytes,
         };
         let reading = read_body(body, body_limit, &mut memory_guard);
-        let input = tokio::time::timeout_at(parameters.deadline, reading)
+        let input = tokio::time::timeout_at(deadline, reading)
             .await
             .map_err(|_| Failure::permanent(ErrorKind::TooSlow, "body_too_slow"))??;
-        let deadline = parameters.deadline.min(arrived + route.timeout);
         let path = head
             .uri
             .path_and_query()
@@ -469,45 +469,6 @@
     response
 }
 
-/// Reads a request's body. Memory for the whole body is acquired up front if its length is
-/// known, otherwise chunk by chunk.
-async fn read_body(
-    body: Incoming,
-    limit: usize,
-    memory_guard: &mut MemoryGuard,
-) -> Result<Bytes, Failure> {
-    let content_length = body.size_hint().exact().map(|length| length as usize);
-    if let Some(length) = content_length
-        && length <= limit
-        && !memory_guard.try_acquire(length)
-    {
-        return Err(out_of_memory());
-    }
-    let mut body = Limited::new(body, limit);
-    let mut chunks: Vec<Bytes> = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(body_failure)?.into_data() else {
-            continue;
-        };
-        if content_length.is_none() && !memory_guard.try_acquire(data.len()) {
-            return Err(out_of_memory());
-        }
-        chunks.push(data);
-    }
-    match chunks.len() {
-        0 => Ok(Bytes::new()),
-        1 => Ok(chunks.remove(0)),
-        _ => Ok(Bytes::from(chunks.concat())),
-    }
-}
-
-fn body_failure(error: Box<dyn std::error::Error + Send + Sync>) -> Failure {
-    match error.is::<http_body_util::LengthLimitError>() {
-        true => Failure::permanent(ErrorKind::TooLarge, "body_too_large"),
-        false => Failure::permanent(ErrorKind::BadRequest, "body_broke_off"),
-    }
-}
-
 /// Rejection of a request that exceeds the memory budget and was not run.
 pub(crate) fn out_of_memory() -> Failure {
     Failure::retryable(ErrorKind::Overloaded, "no_memory", SHORT_RETRY_DELAY)
--- /dev/null
+++ b/crates/stageyoke-front/src/incoming_body.rs
@@ -0,0 +1,177 @@
+//! A request's body while it is received. Its memory is acquired before it is held, and may be
+//! revoked for another request as long as the body arrives late: a caller that declares a large
+//! body and sends little of it holds nothing that others need.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use stageyoke_observe as observe;
+use stageyoke_types::ErrorKind;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::failure::Failure;
+use crate::handler::out_of_memory;
+use crate::memory_budget::{MemoryBudget, MemoryGuard};
+
+/// Rate that a body's arrival is compared with.
+const REFERENCE_BYTES_PER_SECOND: f64 = 1024.0 * 1024.0;
+/// Memory that a body without a stated length acquires first.
+const FIRST_GROWTH_BYTES: usize = 4 * 1024;
+
+/// Body that is being received, as the memory budget sees it.
+#[derive(Debug)]
+pub struct IncomingBody {
+    started: Instant,
+    content: RefCell<Vec<u8>>,
+    /// Memory of the request, its head included.
+    reserved: Cell<usize>,
+    is_revoked: Cell<bool>,
+    revocation: Notify,
+}
+
+impl IncomingBody {
+    /// Returns how much longer the body has taken than at the reference rate.
+    pub(crate) fn lateness(&self) -> Duration {
+        let received = self.content.borrow().len() as f64;
+        let expected = Duration::from_secs_f64(received / REFERENCE_BYTES_PER_SECOND);
+        self.started.elapsed().saturating_sub(expected)
+    }
+
+    /// Returns the memory of the request.
+    pub(crate) fn reserved_bytes(&self) -> usize {
+        self.reserved.get()
+    }
+
+    /// Drops what was received, and returns how much memory that frees.
+    pub(crate) fn revoke(&self) -> usize {
+        self.content.take();
+        self.is_revoked.set(true);
+        self.revocation.notify_one();
+        observe::metrics().revoked_bodies.inc();
+        self.reserved.take()
+    }
+}
+
+/// Keeps a body listed at the budget, and owns its memory until it is complete.
+struct Reservation<'a> {
+    body: Rc<IncomingBody>,
+    guard: &'a mut MemoryGuard,
+}
+
+impl<'a> Reservation<'a> {
+    /// Lists a body of a request whose memory so far is that of `guard`.
+    fn start(guard: &'a mut MemoryGuard) -> Self {
+        let body = Rc::new(IncomingBody {
+            started: Instant::now(),
+            content: RefCell::default(),
+            reserved: Cell::new(guard.take_bytes()),
+            is_revoked: Cell::new(false),
+            revocation: Notify::new(),
+        });
+        guard.budget().add_incoming(body.clone());
+        Self { body, guard }
+    }
+
+    fn budget(&self) -> &MemoryBudget {
+        self.guard.budget()
+    }
+
+    /// Grows to a capacity. The budget may revoke this body meanwhile, if it is the latest one.
+    fn try_grow(&self, capacity: usize) -> bool {
+        let added = capacity - self.body.content.borrow().capacity();
+        let total = self.body.reserved.get() + added;
+        if !self.budget().try_admit(added, total) {
+            return false;
+        }
+        if self.body.is_revoked.get() {
+            self.budget().release(added);
+            return false;
+        }
+        self.body.reserved.set(total);
+        let mut content = self.body.content.borrow_mut();
+        let additional = capacity - content.len();
+        content.reserve_exact(additional);
+        true
+    }
+
+    /// Adds received bytes to a body that may have `limit` of them.
+    fn append(&self, data: &[u8], limit: usize) -> Result<(), Failure> {
+        let (needed, capacity) = {
+            let content = self.body.content.borrow();
+            (content.len() + data.len(), content.capacity())
+        };
+        if needed > limit {
+            return Err(too_large());
+        }
+        if needed > capacity {
+            let amortized = needed.max(capacity * 2).max(FIRST_GROWTH_BYTES).min(limit);
+            if !self.try_grow(amortized) && !self.try_grow(needed) {
+                return Err(out_of_memory());
+            }
+        }
+        self.body.content.borrow_mut().extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Returns the complete body; its memory is the request's again.
+    fn finish(self) -> Bytes {
+        Bytes::from(self.body.content.take())
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.guard.budget().remove_incoming(&self.body);
+        self.guard.add_bytes(self.body.reserved.take());
+    }
+}
+
+/// Reads a request's body. Memory for the whole body is acquired up front if its length is
+/// known, otherwise as it grows. Chunks are copied, since each of them may keep a whole read
+/// buffer alive.
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    memory_guard: &mut MemoryGuard,
+) -> Result<Bytes, Failure> {
+    let content_length = body.size_hint().exact();
+    if content_length.is_some_and(|length| length > limit as u64) {
+        return Err(too_large());
+    }
+    if content_length == Some(0) {
+        return Ok(Bytes::new());
+    }
+    let reservation = Reservation::start(memory_guard);
+    if let Some(length) = content_length
+        && !reservation.try_grow(length as usize)
+    {
+        return Err(out_of_memory());
+    }
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = reservation.body.revocation.notified() => return Err(out_of_memory()),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            return Ok(reservation.finish());
+        };
+        let frame = frame.map_err(|_| broke_off())?;
+        if let Some(data) = frame.data_ref() {
+            reservation.append(data, limit)?;
+        }
+    }
+}
+
+fn too_large() -> Failure {
+    Failure::permanent(ErrorKind::TooLarge, "body_too_large")
+}
+
+fn broke_off() -> Failure {
+    Failure::permanent(ErrorKind::BadRequest, "body_broke_off")
+}
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod health;
 pub mod history;
 pub mod idle_limit;
+mod incoming_body;
 mod log_limiter;
 pub mod memory_budget;
 mod oversized_response;
--- /dev/null
+++ b/crates/stageyoke-front/tests/front/misbehaving_callers.rs
@@ -0,0 +1,95 @@
+//! Callers that use their limits to the full, or that hold memory and connections without need.
+
+use super::*;
+
+/// Fields of a head of nearly the maximum size.
+const VERY_MANY_FIELDS: usize = 2_300;
+const HALF: usize = LARGE_BODY_BYTES / 2;
+/// Memory of a machine with room for a few connections only.
+const FEW_CONNECTIONS_MEMORY: u64 = 1_000_000;
+const MORE_CONNECTIONS_THAN_FIT: usize = 100;
+const DRIP_INTERVAL: Duration = Duration::from_millis(40);
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    TcpStream::connect(address).await.expect("connection")
+}
+
+/// Reads what is left on a connection; an error counts as the end.
+async fn read_rest(stream: &mut TcpStream) -> String {
+    let mut received = Vec::new();
+    while matches!(stream.read_buf(&mut received).await, Ok(1..)) {}
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+async fn within_test_timeout(test: impl Future<Output = ()>) {
+    let result = run_local(tokio::time::timeout(TEST_TIMEOUT, test)).await;
+    result.expect("the test must end in time");
+}
+
+/// Sends a whole request before it reads, as simple callers do.
+async fn send_then_read(address: SocketAddr, request: &str) -> String {
+    let mut stream = connect(address).await;
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("a refusal must not reset the connection while the request is sent");
+    read_rest(&mut stream).await
+}
+
+/// A body's memory is taken for its stated length, which its caller may never send.
+#[tokio::test]
+async fn a_late_body_gives_its_memory_to_another_request() {
+    within_test_timeout(async {
+        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let test_front = start(&[&replica]).await;
+        let whole = request("POST", "/once/a", &"x".repeat(LARGE_BODY_BYTES));
+        let mut late = connect(test_front.address).await;
+        let start = &whole.as_bytes()[..whole.len() - HALF];
+        late.write_all(start).await.expect("half of the body");
+        while !send_request(test_front.address, &whole)
+            .await
+            .starts_with("HTTP/1.1 200")
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let refusal = read_rest(&mut late).await;
+        assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+        assert!(refusal.to_lowercase().contains("retry-after"), "{refusal}");
+        assert_eq!(replica.count(), 1);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_slow_body_is_served_in_calm() {
+    within_test_timeout(async {
+        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let test_front = start(&[&replica]).await;
+        let whole = request("POST", "/once/a", &"x".repeat(1_000));
+        let mut stream = connect(test_front.address).await;
+        for piece in whole.as_bytes().chunks(100) {
+            stream.write_all(piece).await.expect("a piece");
+            tokio::time::sleep(DRIP_INTERVAL).await;
+        }
+        let answer = read_rest(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(replica.received.borrow()[0].ends_with(&"x".repeat(1_000)));
+    })
+    .await;
+}
+
+/// A caller chooses its deadline; the route's timeout limits for how long it holds memory.
+#[tokio::test]
+async fn a_body_that_never_comes_is_given_up_at_its_routes_timeout() {
+    within_test_timeout(async {
+        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let test_front = start(&[&replica]).await;
+        let whole = request("POST", "/once/a", &"x".repeat(1_000));
+        let patient = whole.replace("deadline: 1400", "deadline: 3600000");
+        let mut stream = connect(test_front.address).await;
+        let start = &patient.as_bytes()[..patient.len() - 1];
+        stream.write_all(start).await.expect("most of the body");
+        let answer = read_rest(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        assert_eq!(replica.count(), 0);
+    })
+    .await;
+}
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -2,6 +2,8 @@
 
 #[path = "front/endless_streams.rs"]
 mod endless_streams;
+#[path = "front/misbehaving_callers.rs"]
+mod misbehaving_callers;
 #[path = "front/slow_readers.rs"]
 mod slow_readers;
 #[path = "front/stream_starts.rs"]
@@ -43,8 +45,12 @@
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
-/// Memory of the front's machine, of which buffered requests may use a third.
-const MEMORY_BYTES: u64 = 2_000;
+/// Memory of the front's machine, on which one request with a large body may run at a time.
+const MEMORY_BYTES: u64 = 4_000_000;
+/// Size of such a body.
+const LARGE_BODY_BYTES: usize = 550_000;
+/// Maximum size of a body.
+const MAX_BODY_BYTES: usize = 600_000;
 /// Memory of a machine that can buffer large responses.
 const LARGE_MEMORY_BYTES: u64 = 64_000_000;
 /// Marks a route table whose replicas are engines.
@@ -436,7 +442,7 @@
         }],
         limits: HttpLimits {
             header_bytes: 16_384,
-            body_bytes: 1_000,
+            body_bytes: MAX_BODY_BYTES,
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
@@ -1300,7 +1306,7 @@
                 .await
                 .starts_with("HTTP/1.1 400")
         );
-        let large = request("POST", "/once/a", &"x".repeat(2_000));
+        let large = request("POST", "/once/a", &"x".repeat(MAX_BODY_BYTES + 1));
         assert!(
             send_request(test_front.address, &large)
                 .await
@@ -1316,23 +1322,17 @@
 #[tokio::test]
 async fn a_request_over_the_memory_limit_is_rejected_until_memory_is_released() {
     let test = async {
-        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let replica = Replica::start(&["", SIGNED_RESPONSE]).await;
         let test_front = start(&[&replica]).await;
-        let whole = request("POST", "/once/a", &"x".repeat(600));
-        let mut slow = TcpStream::connect(test_front.address)
+        let whole = request("POST", "/once/a", &"x".repeat(LARGE_BODY_BYTES));
+        let mut unanswered = TcpStream::connect(test_front.address)
             .await
             .expect("connection");
-        let partial_request = &whole.as_bytes()[..whole.len() - 300];
-        slow.write_all(partial_request)
-            .await
-            .expect("half of the body");
-        let refused = loop {
-            // Repeats until the front has read the head of the slow request.
-            let answer = send_request(test_front.address, &whole).await;
-            if !answer.starts_with("HTTP/1.1 200") {
-                break answer;
-            }
-        };
+        unanswered.write_all(whole.as_bytes()).await.expect("sent");
+        while replica.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let refused = send_request(test_front.address, &whole).await;
         assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
         assert!(refused.to_lowercase().contains("retry-after"), "{refused}");
         let run_count = replica.count();
@@ -1341,7 +1341,7 @@
                 .await
                 .starts_with("HTTP/1.1 200")
         );
-        drop(slow);
+        drop(unanswered);
         while !send_request(test_front.address, &whole)
             .await
             .starts_with("HTTP/1.1 200")
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -85,6 +85,8 @@
     pub evacuated_zones: IntGauge,
     /// Connections opened to replicas.
     pub connections_opened: IntCounter,
+    /// Bodies that were given up because others needed their memory.
+    pub revoked_bodies: IntCounter,
     /// Requests and response streams in flight.
     pub in_flight: IntGauge,
     /// Version of the configuration in use.
@@ -304,6 +306,13 @@
                     "Connections opened to replicas.",
                 ),
             ),
+            revoked_bodies: register(
+                &registry,
+                IntCounter::new(
+                    "stageyoke_revoked_bodies_total",
+                    "Late bodies that were given up because other requests needed their memory.",
+                ),
+            ),
             in_flight: gauge("stageyoke_under_way", "Requests and streams under way."),
             routes_version: gauge("stageyoke_routes_version", "Configuration in force."),
             members_version: gauge("stageyoke_members_version", "Version of the member list."),
