Accept as many fields as a head's limit in bytes allows, and count heads

Cause: hyper accepts 100 fields unless told otherwise. No head was in the memory budget, and a head of many fields costs far more memory than bytes.

Change: the number of fields follows from MaxHeaderBytes. Each request first acquires memory for its task and three copies of its fields; without it, it is rejected (503, no_memory).

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -32,7 +32,7 @@
 use crate::memory_budget::MemoryGuard;
 use crate::pending_request::PendingRequest;
 use crate::quota::QuotaRequest;
-use crate::request::{RequestParameters, ScopedIdentifiers};
+use crate::request::{RequestParameters, ScopedIdentifiers, request_memory};
 use crate::request_identity::{IdentityParts, RequestIdentity};
 use crate::response_body::{ResponseBody, chunk_channel};
 use crate::response_writing::WriteDeadline;
@@ -146,6 +146,10 @@
         summary: &mut RequestSummary,
     ) -> Result<Response<ResponseBody>, Failure> {
         let (head, body) = request.into_parts();
+        let mut memory_guard = self.memory_budget.start_request();
+        if !memory_guard.try_admit(request_memory(&head)) {
+            return Err(out_of_memory());
+        }
         let parameters = RequestParameters::read(&head.headers, &self.names, arrived).ok_or(
             Failure::permanent(ErrorKind::BadRequest, "no_request_identifier"),
         )?;
@@ -201,7 +205,6 @@
         }
         summary.routes_version = routes.version;
         let service = self.choose_service(&routes, &route)?;
-        let mut memory_guard = self.memory_budget.start_request();
         let deadline = parameters.deadline.min(arrived + route.timeout);
         // A turn that is too large to be stored is rejected before it runs.
         let body_limit = match route.stores_history {
--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -4,6 +4,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
+use hyper::http::request::Parts;
 use stageyoke_directory::Tenant;
 use stageyoke_types::Text;
 use tokio::time::Instant;
@@ -14,6 +15,26 @@
 /// Timeout of requests that set none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Memory of a request apart from its fields and its body: its task, its summary and the buffers of
+/// the connection to a replica.
+const REQUEST_BYTES: usize = 16 * 1024;
+/// Memory of a field beside its text, in the request that was received.
+const FIELD_BYTES: usize = 200;
+/// Copies of the fields: as received, as forwarded, and as written to a replica.
+const FIELD_COPIES: usize = 3;
+
+/// Returns the memory that a request needs until it ends, without its body.
+pub fn request_memory(head: &Parts) -> usize {
+    let fields = head.headers.iter();
+    let text = fields.map(|(name, value)| name.as_str().len() + value.len());
+    let field_bytes = head.headers.len() * FIELD_BYTES + text.sum::<usize>();
+    let path_bytes = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    REQUEST_BYTES + FIELD_COPIES * (field_bytes + path_bytes)
+}
+
 /// Time by which a program should be complete.
 #[derive(Clone, Copy, Debug)]
 pub struct ProgramDeadline {
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -20,6 +20,8 @@
 
 /// Minimum read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
+/// Size of the smallest field of a head: a name, a colon and the end of its line.
+const MIN_FIELD_BYTES: usize = 4;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Added to the idle timeout, so that a connection is not closed while the caller may still
 /// reuse it.
@@ -106,6 +108,7 @@
     // hyper's header read timeout also applies while a connection is idle.
     builder.header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN);
     builder.max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+    builder.max_headers(limits.header_bytes / MIN_FIELD_BYTES);
 }
 
 /// Answers readiness probes for the lifetime of the process. Beyond the maximum number of
--- a/crates/stageyoke-front/tests/front/misbehaving_callers.rs
+++ b/crates/stageyoke-front/tests/front/misbehaving_callers.rs
@@ -34,6 +34,42 @@
     read_rest(&mut stream).await
 }
 
+#[tokio::test]
+async fn a_head_of_very_many_fields_is_served() {
+    within_test_timeout(async {
+        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let test_front = start_with_memory(&[&replica], "", None, LARGE_MEMORY_BYTES).await;
+        let fields: String = (0..VERY_MANY_FIELDS).fold(String::new(), |fields, number| {
+            fields + &format!("{number:x}:\r\n")
+        });
+        let request = request_with_headers("GET", "/safe/a", &fields);
+        assert!(request.len() < 16_384, "{} bytes", request.len());
+        let answer = send_request(test_front.address, &request).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let last = format!("\r\n{:x}:", VERY_MANY_FIELDS - 1);
+        assert!(replica.received.borrow()[0].contains(&last));
+    })
+    .await;
+}
+
+#[rstest]
+#[case::below_the_limit(16_384 - 200, "HTTP/1.1 200")]
+#[case::beyond_the_limit(16_384 + 200, "HTTP/1.1 431")]
+#[tokio::test]
+async fn a_head_is_refused_only_beyond_the_limit(#[case] bytes: usize, #[case] expected: &str) {
+    within_test_timeout(async {
+        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let test_front = start(&[&replica]).await;
+        let base = request("GET", "/safe/a", "").len();
+        let field = format!("x-padding: {}\r\n", "p".repeat(bytes - base - 13));
+        let request = request_with_headers("GET", "/safe/a", &field);
+        assert_eq!(request.len(), bytes);
+        let answer = send_request(test_front.address, &request).await;
+        assert!(answer.starts_with(expected), "{answer}");
+    })
+    .await;
+}
+
 /// A body's memory is taken for its stated length, which its caller may never send.
 #[tokio::test]
 async fn a_late_body_gives_its_memory_to_another_request() {
