Limit callers' connections by descriptors and memory

What callers saw: crowds of idle connections, of starts of request lines and of slow heads took a front of 48 MB over its memory within a second, and all descriptors of one of 88 MB; ordinary callers were no longer served.

Cause: nothing limited connections, Limits.MaxFds was read by nobody, read buffers were in no budget, and HeaderTimeoutMs was not applied.

Ruled out: a limit by source address, since all clients may come through the platform's; refusing new connections at the limit, since the crowd came first.

Change: connections are limited by number and by memory, both from the settings, counted before they are held. At a limit the connection that has waited the longest for its caller is closed for a new one, never one whose request runs. A head has HeaderTimeoutMs and gets 408 then. Buffers are allocated once something has arrived. New connections are accepted in turns with open ones, from a longer queue. New metrics and the event CallerConnectionsClosed (820), at most one line a second.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -16,12 +16,13 @@
 use stageyoke_store::extension::describe_build;
 use stageyoke_store::store_host::log_mirror_event;
 use stageyoke_types::{Event, Text};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::admission::StartedPrograms;
 use crate::authentication::KeyFreshness;
 use crate::baseline_latency::BaselineLatencies;
 use crate::bootstrap;
+use crate::caller_connections::{CallerConnections, ConnectionLimits};
 use crate::deadly_requests::RequestGuard;
 use crate::evacuation_log::EvacuationLog;
 use crate::history::History;
@@ -45,6 +46,8 @@
 
 /// Time without a quorum of any store group after which the front is not ready.
 const UNREADY_DELAY: Duration = Duration::from_millis(600);
+/// Connections that may wait to be accepted.
+const ACCEPT_QUEUE: u32 = 4096;
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -70,6 +73,8 @@
     pub key_age_limit: Option<Duration>,
     /// Memory limit of the process, in bytes.
     pub memory_bytes: u64,
+    /// Limit of the process's open descriptors.
+    pub max_descriptors: usize,
     /// Whether new programs are rejected while engines are overloaded.
     pub admission_control: bool,
     /// Whether engines differ in speed, so that fronts share their latencies.
@@ -89,12 +94,23 @@
     /// Binds both addresses.
     pub async fn open(callers: SocketAddr, readiness: SocketAddr) -> io::Result<Self> {
         Ok(Self {
-            callers: TcpListener::bind(callers).await?,
-            readiness: TcpListener::bind(readiness).await?,
+            callers: listen(callers)?,
+            readiness: listen(readiness)?,
         })
     }
 }
 
+/// Listens with a queue that holds a crowd of new connections; the kernel may shorten it.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// State shared by the tasks of a front.
 pub struct Front<S, I> {
     /// Header names and paths.
@@ -131,6 +147,8 @@
     pub requests: RequestTracker,
     /// Memory budget of requests in flight.
     pub memory_budget: Rc<MemoryBudget>,
+    /// Connections of callers.
+    pub caller_connections: Rc<CallerConnections>,
     /// Signal for listeners and connections to close.
     pub shutdown: ShutdownSignal,
     draining: Cell<bool>,
@@ -273,6 +291,10 @@
         history: Rc::new(History::new(stores)),
         requests: RequestTracker::default(),
         memory_budget: Rc::new(MemoryBudget::for_machine(settings.memory_bytes)),
+        caller_connections: Rc::new(CallerConnections::new(ConnectionLimits::for_machine(
+            settings.memory_bytes,
+            settings.max_descriptors,
+        ))),
         shutdown: ShutdownSignal::default(),
         draining: Cell::new(false),
         tenant_warnings: TenantWarnings::default(),
@@ -282,6 +304,14 @@
     let FrontListeners { callers, readiness } = listeners;
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
     tokio::task::spawn_local(server::serve_readiness(front.clone(), readiness));
+    let watching = front.clone();
+    tokio::task::spawn_local(async move {
+        let header_timeout = || server::http_limits(&watching).header_timeout;
+        watching
+            .caller_connections
+            .watch_heads(header_timeout)
+            .await;
+    });
     let applying = front.clone();
     tokio::task::spawn_local(async move {
         let mirror = applying.mirror.clone();
--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -23,6 +23,7 @@
 use crate::attempt::{OutboundRequest, end_to_end_headers, forwarded_headers};
 use crate::authentication::Caller;
 use crate::broken_stream::ResumableAttempt;
+use crate::caller_connections::ConnectionHandle;
 use crate::deadly_requests::{self, HeldPermit};
 use crate::dispatch::DispatchedResponse;
 use crate::failure::{self, Failure};
@@ -99,11 +100,17 @@
 
 impl<S: KeyValueService + 'static, I: Interpreter + 'static> Front<S, I> {
     /// Handles one request.
-    pub async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    pub async fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        connection: &ConnectionHandle,
+    ) -> Response<ResponseBody> {
         let arrived = Instant::now();
         let _request_guard = self.requests.track();
         let mut pending = PendingRequest::new(arrived);
-        let outcome = self.serve(request, arrived, &mut pending.summary).await;
+        let outcome = self
+            .serve(request, connection, arrived, &mut pending.summary)
+            .await;
         let mut summary = pending.into_summary();
         let mut response = match outcome {
             Ok(response) => response,
@@ -116,7 +123,7 @@
                 self.echo_request_id(failure::build_response(&failure), &summary)
             }
         };
-        if !self.is_ready() {
+        if !self.is_ready() || connection.is_evicted() {
             // The load balancer sends new connections elsewhere; closing this one moves its
             // caller too.
             let close = HeaderValue::from_static("close");
@@ -142,6 +149,7 @@
     async fn serve(
         self: &Rc<Self>,
         request: Request<Incoming>,
+        connection: &ConnectionHandle,
         arrived: Instant,
         summary: &mut RequestSummary,
     ) -> Result<Response<ResponseBody>, Failure> {
@@ -211,10 +219,11 @@
             true => routes.limits.body_bytes.min(MAX_TURN_INPUT_BYTES),
             false => routes.limits.body_bytes,
         };
-        let reading = read_body(body, body_limit, &mut memory_guard);
+        let reading = read_body(body, body_limit, &mut memory_guard, connection);
         let input = tokio::time::timeout_at(deadline, reading)
             .await
             .map_err(|_| Failure::permanent(ErrorKind::TooSlow, "body_too_slow"))??;
+        connection.finish_body();
         let path = head
             .uri
             .path_and_query()
--- a/crates/stageyoke-front/src/incoming_body.rs
+++ b/crates/stageyoke-front/src/incoming_body.rs
@@ -14,8 +14,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::caller_connections::ConnectionHandle;
 use crate::failure::Failure;
-use crate::handler::out_of_memory;
+use crate::handler::{SHORT_RETRY_DELAY, out_of_memory};
 use crate::memory_budget::{MemoryBudget, MemoryGuard};
 
 /// Rate that a body's arrival is compared with.
@@ -138,6 +139,7 @@
     mut body: Incoming,
     limit: usize,
     memory_guard: &mut MemoryGuard,
+    connection: &ConnectionHandle,
 ) -> Result<Bytes, Failure> {
     let content_length = body.size_hint().exact();
     if content_length.is_some_and(|length| length > limit as u64) {
@@ -156,6 +158,7 @@
         let frame = tokio::select! {
             biased;
             () = reservation.body.revocation.notified() => return Err(out_of_memory()),
+            () = connection.evicted() => return Err(too_many_connections()),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else {
@@ -172,6 +175,11 @@
     Failure::permanent(ErrorKind::TooLarge, "body_too_large")
 }
 
+fn too_many_connections() -> Failure {
+    let cause = "too_many_connections";
+    Failure::retryable(ErrorKind::Overloaded, cause, SHORT_RETRY_DELAY)
+}
+
 fn broke_off() -> Failure {
     Failure::permanent(ErrorKind::BadRequest, "body_broke_off")
 }
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod baseline_latency;
 pub mod bootstrap;
 mod broken_stream;
+pub mod caller_connections;
+mod caller_stream;
 mod connection_drain;
 pub mod connection_pool;
 pub mod deadly_requests;
--- a/crates/stageyoke-front/src/response_writing.rs
+++ b/crates/stageyoke-front/src/response_writing.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
+use crate::caller_connections::ConnectionHandle;
 use crate::response_body::{ResponseBody, TruncatedResponse};
 use crate::shutdown::RequestGuard;
 
@@ -29,13 +30,23 @@
 pub struct WriteDeadline(pub Instant);
 
 /// Responses of one connection whose bodies hyper has taken and not written yet.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct UnwrittenResponses {
+    connection: ConnectionHandle,
     guards: Rc<RefCell<Vec<RequestGuard>>>,
     deadline: Rc<Cell<Option<Instant>>>,
 }
 
 impl UnwrittenResponses {
+    /// Creates the list of a connection without responses.
+    pub fn new(connection: ConnectionHandle) -> Self {
+        Self {
+            connection,
+            guards: Rc::default(),
+            deadline: Rc::default(),
+        }
+    }
+
     /// Holds `guard` until the response is written or the connection has ended.
     pub fn track(
         &self,
@@ -56,7 +67,10 @@
     }
 
     fn release(&self) {
-        self.guards.borrow_mut().clear();
+        let released = self.guards.take();
+        if !released.is_empty() {
+            self.connection.finish_response();
+        }
     }
 }
 
--- a/crates/stageyoke-front/tests/endless_responses/front.rs
+++ b/crates/stageyoke-front/tests/endless_responses/front.rs
@@ -168,6 +168,7 @@
             key_age_limit: None,
             cold_tolerance: None,
             memory_bytes,
+            max_descriptors: 4096,
             admission_control: false,
             heterogeneous_engines: false,
         };
--- a/crates/stageyoke-front/tests/front/misbehaving_callers.rs
+++ b/crates/stageyoke-front/tests/front/misbehaving_callers.rs
@@ -129,3 +129,59 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_head_that_never_ends_is_given_up_at_its_timeout() {
+    within_test_timeout(async {
+        let replica = Replica::start(&[SIGNED_RESPONSE]).await;
+        let test_front = start(&[&replica]).await;
+        let mut stream = connect(test_front.address).await;
+        let started = std::time::Instant::now();
+        stream.write_all(b"GET /safe/a HT").await.expect("sent");
+        let answer = read_rest(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        // The configured time for a head is 3 s, and 15 s for an idle connection.
+        assert!(started.elapsed() >= Duration::from_secs(3));
+        assert!(started.elapsed() < Duration::from_secs(10));
+    })
+    .await;
+}
+
+/// The connection of a request that runs is never closed for a new one.
+#[tokio::test]
+async fn a_new_connection_takes_the_place_of_the_longest_idle_one() {
+    within_test_timeout(async {
+        let replica = Replica::start(&["", SIGNED_RESPONSE]).await;
+        let test_front = start_with_memory(&[&replica], "", None, FEW_CONNECTIONS_MEMORY).await;
+        let mut running = connect(test_front.address).await;
+        let unanswered = request("GET", "/safe/a", "");
+        running
+            .write_all(unanswered.as_bytes())
+            .await
+            .expect("sent");
+        while replica.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut idle = Vec::new();
+        for _ in 0..MORE_CONNECTIONS_THAN_FIT {
+            idle.push(connect(test_front.address).await);
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let answer = send_request(test_front.address, &request("GET", "/safe/a", "")).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert_eq!(
+            read_rest(&mut idle[0]).await,
+            "",
+            "the longest idle one is closed"
+        );
+        let newest = idle.last_mut().expect("connections");
+        let request = request("GET", "/safe/a", "");
+        newest.write_all(request.as_bytes()).await.expect("sent");
+        let answer = read_rest(newest).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let mut byte = [0];
+        let closed = running.try_read(&mut byte);
+        assert!(closed.is_err(), "the request still runs: {closed:?}");
+    })
+    .await;
+}
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -729,6 +729,7 @@
         key_age_limit: None,
         cold_tolerance: None,
         memory_bytes,
+        max_descriptors: 4096,
         admission_control,
         heterogeneous_engines: false,
     };
--- a/crates/stageyoke-observe/src/metrics.rs
+++ b/crates/stageyoke-observe/src/metrics.rs
@@ -85,6 +85,10 @@
     pub evacuated_zones: IntGauge,
     /// Connections opened to replicas.
     pub connections_opened: IntCounter,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Connections of callers that were closed at a limit, by what they did.
+    pub closed_connections: IntCounterVec,
     /// Bodies that were given up because others needed their memory.
     pub revoked_bodies: IntCounter,
     /// Requests and response streams in flight.
@@ -306,6 +310,15 @@
                     "Connections opened to replicas.",
                 ),
             ),
+            caller_connections: gauge(
+                "stageyoke_caller_connections",
+                "Open connections of callers.",
+            ),
+            closed_connections: counter_vec(
+                "stageyoke_caller_connections_closed_total",
+                "Connections of callers that were closed at a limit, by what they did.",
+                &["phase"],
+            ),
             revoked_bodies: register(
                 &registry,
                 IntCounter::new(
--- a/crates/stageyoke-types/src/event.rs
+++ b/crates/stageyoke-types/src/event.rs
@@ -97,4 +97,5 @@
     RequestBlocked, 817, "error", "A request is blocked: replicas ended one after the other while they ran it.";
     RequestCleared, 818, "info", "A restricted request ran to its end and may be sent again.";
     CallerConnectionEnded, 819, "info", "This front ended a caller's connection because of an error; the reason follows.";
+    CallerConnectionsClosed, 820, "warn", "This front closed connections of callers at its limits; their number since the last line, the last one's phase and what is in use follow.";
 }
