Hold a response's memory until it is written

The memory of a plain response was released when hyper had taken its body, which hyper holds until its caller has read it. The guard now moves to the list of unwritten responses of the connection.

No test of its own: front_test (slow_readers) covers the list.

--- a/crates/stageyoke-front/src/response_body.rs
+++ b/crates/stageyoke-front/src/response_body.rs
@@ -110,7 +110,16 @@
         Self::Unframed(Some(content), None)
     }
 
-    /// Attaches a memory guard, which is dropped with the body.
+    /// Returns the guard of the content's memory, which outlives the body if the content was taken
+    /// but not written.
+    pub fn take_memory(&mut self) -> Option<MemoryGuard> {
+        match self {
+            Self::Full(_, memory) | Self::Unframed(_, memory) => memory.take(),
+            Self::Stream(_) => None,
+        }
+    }
+
+    /// Attaches a memory guard, which is dropped with the body unless it is taken before.
     pub fn with_memory(self, memory_guard: MemoryGuard) -> Self {
         match self {
             Self::Full(content, _) => Self::Full(content, Some(memory_guard)),
--- a/crates/stageyoke-front/src/response_writing.rs
+++ b/crates/stageyoke-front/src/response_writing.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::caller_connections::ConnectionHandle;
+use crate::memory_budget::MemoryGuard;
 use crate::response_body::{ResponseBody, TruncatedResponse};
 use crate::shutdown::RequestGuard;
 
@@ -29,11 +30,17 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WriteDeadline(pub Instant);
 
+/// What a response holds until it is written.
+struct ResponseGuard {
+    _request: RequestGuard,
+    _memory: Option<MemoryGuard>,
+}
+
 /// Responses of one connection whose bodies hyper has taken and not written yet.
 #[derive(Clone)]
 pub struct UnwrittenResponses {
     connection: ConnectionHandle,
-    guards: Rc<RefCell<Vec<RequestGuard>>>,
+    guards: Rc<RefCell<Vec<ResponseGuard>>>,
     deadline: Rc<Cell<Option<Instant>>>,
 }
 
@@ -47,7 +54,8 @@
         }
     }
 
-    /// Holds `guard` until the response is written or the connection has ended.
+    /// Holds `guard` and the response's memory until the response is written or the connection has
+    /// ended.
     pub fn track(
         &self,
         response: Response<ResponseBody>,
@@ -103,7 +111,12 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.unwritten.guards.borrow_mut().extend(self.guard.take());
+        let memory = self.body.take_memory();
+        let guard = self.guard.take().map(|request| ResponseGuard {
+            _request: request,
+            _memory: memory,
+        });
+        self.unwritten.guards.borrow_mut().extend(guard);
     }
 }
 
