Bound the queue of a stream's chunks by bytes, within the budget

Up to 16 chunks, each up to an event of 1 MiB, were queued for a slow caller of a stream, and none was in the memory budget. The queue holds 64 KiB now. Its first chunk is always taken, so that each stream goes on; further ones need memory of the budget, otherwise the replica waits.

chunks_wait_while_their_caller_does_not_read and a_stream_goes_on_without_memory_for_a_queue are new; the queue of before had no such interface, so they were not run on it.

--- a/crates/stageyoke-front/src/handler.rs
+++ b/crates/stageyoke-front/src/handler.rs
@@ -38,7 +38,7 @@
 use crate::response_body::{ResponseBody, chunk_channel};
 use crate::response_writing::WriteDeadline;
 use crate::routing::MatchedRoute;
-use crate::stream_relay::{CHUNK_BUFFER, RelayLine, StreamRelay, TurnStorage, UpstreamStream};
+use crate::stream_relay::{RelayLine, StreamRelay, TurnStorage, UpstreamStream};
 use crate::stream_version::VersionRecord;
 use crate::turn_preparation::{add_transcript, transcript_bytes};
 use stageyoke_framing::{Framing, close_after};
@@ -431,6 +431,7 @@
             reservation,
             tokens_per_event: engine.map_or(0, |engine| engine.tokens_per_event),
         };
+        let chunk_memory = context.memory_guard.start_part();
         let relay = StreamRelay {
             deadline: context.outbound.deadline,
             storage,
@@ -453,7 +454,7 @@
             _memory_guard: context.memory_guard,
         };
         let deadline = WriteDeadline(relay.deadline);
-        let (chunks, receiver) = chunk_channel(CHUNK_BUFFER);
+        let (chunks, receiver) = chunk_channel(chunk_memory);
         let request_guard = self.requests.track();
         tokio::task::spawn_local(async move {
             relay.run(start, body, chunks).await;
--- a/crates/stageyoke-front/src/response_body.rs
+++ b/crates/stageyoke-front/src/response_body.rs
@@ -1,14 +1,15 @@
 //! Bodies of the front's responses.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::Notify;
 
 use crate::memory_budget::MemoryGuard;
 
@@ -29,48 +30,124 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerGone;
 
+/// Maximum number of chunks in a queue.
+const MAX_QUEUED_CHUNKS: usize = 16;
+/// Size up to which further chunks are queued.
+const MAX_QUEUED_BYTES: usize = 64 * 1024;
+
+/// Chunks between the sender and the receiver of a stream.
+struct ChunkQueue {
+    chunks: RefCell<VecDeque<QueuedChunk>>,
+    is_complete: Cell<bool>,
+    has_sender: Cell<bool>,
+    has_receiver: Cell<bool>,
+    /// Memory of the request that the stream responds to.
+    memory: MemoryGuard,
+    receiver: RefCell<Option<Waker>>,
+    /// Notified when a chunk was taken, or the receiver is gone.
+    changed: Notify,
+}
+
+/// Chunk and the memory that it uses.
+struct QueuedChunk {
+    bytes: Bytes,
+    memory: MemoryGuard,
+}
+
+impl ChunkQueue {
+    /// Acquires memory for one more chunk. The only chunk of a queue needs none from the budget, so
+    /// that each stream goes on.
+    fn try_acquire(&self, bytes: usize) -> Option<MemoryGuard> {
+        let mut memory = self.memory.start_part();
+        let chunks = self.chunks.borrow();
+        if chunks.is_empty() {
+            memory.force_acquire(bytes);
+            return Some(memory);
+        }
+        let queued: usize = chunks.iter().map(|chunk| chunk.bytes.len()).sum();
+        let has_room = chunks.len() < MAX_QUEUED_CHUNKS && queued + bytes <= MAX_QUEUED_BYTES;
+        (has_room && memory.try_acquire(bytes)).then_some(memory)
+    }
+
+    fn wake_receiver(&self) {
+        if let Some(receiver) = self.receiver.take() {
+            receiver.wake();
+        }
+    }
+}
+
 /// Sends the chunks of a stream. The stream is truncated if this is dropped without
 /// [`Self::complete`], also by a panic of the task that owns it.
-pub struct ChunkSender {
-    chunks: mpsc::Sender<Bytes>,
-    is_complete: Rc<Cell<bool>>,
-}
+pub struct ChunkSender(Rc<ChunkQueue>);
 
 /// Chunks of a stream that are to be written to the caller.
 pub struct ChunkReceiver {
-    chunks: mpsc::Receiver<Bytes>,
-    is_complete: Rc<Cell<bool>>,
+    queue: Rc<ChunkQueue>,
+    /// Memory of the chunk that was taken last, which may not be written yet.
+    taken: Option<MemoryGuard>,
 }
 
-/// Creates both ends of a stream that buffers this many chunks.
-pub fn chunk_channel(buffered: usize) -> (ChunkSender, ChunkReceiver) {
-    let (sender, receiver) = mpsc::channel(buffered);
-    let is_complete: Rc<Cell<bool>> = Rc::default();
-    let sender = ChunkSender {
-        chunks: sender,
-        is_complete: is_complete.clone(),
-    };
+/// Creates both ends of a stream. Queued chunks use memory of the budget that `memory` belongs to.
+pub fn chunk_channel(memory: MemoryGuard) -> (ChunkSender, ChunkReceiver) {
+    let queue = Rc::new(ChunkQueue {
+        chunks: RefCell::default(),
+        is_complete: Cell::new(false),
+        has_sender: Cell::new(true),
+        has_receiver: Cell::new(true),
+        memory,
+        receiver: RefCell::default(),
+        changed: Notify::new(),
+    });
     let receiver = ChunkReceiver {
-        chunks: receiver,
-        is_complete,
+        queue: queue.clone(),
+        taken: None,
     };
-    (sender, receiver)
+    (ChunkSender(queue), receiver)
 }
 
 impl ChunkSender {
-    /// Sends a chunk, and waits while the buffer is full.
+    /// Sends a chunk, and waits while the queue is full.
     pub async fn send(&self, chunk: Bytes) -> Result<(), CallerGone> {
-        self.chunks.send(chunk).await.map_err(|_| CallerGone)
+        let queue = &self.0;
+        loop {
+            let changed = queue.changed.notified();
+            if !queue.has_receiver.get() {
+                return Err(CallerGone);
+            }
+            if let Some(memory) = queue.try_acquire(chunk.len()) {
+                let chunk = QueuedChunk {
+                    bytes: chunk,
+                    memory,
+                };
+                queue.chunks.borrow_mut().push_back(chunk);
+                queue.wake_receiver();
+                return Ok(());
+            }
+            changed.await;
+        }
     }
 
     /// Waits until the caller has disconnected.
     pub async fn closed(&self) {
-        self.chunks.closed().await;
+        loop {
+            let changed = self.0.changed.notified();
+            if !self.0.has_receiver.get() {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Ends the stream regularly after the chunks that were sent.
     pub fn complete(self) {
-        self.is_complete.set(true);
+        self.0.is_complete.set(true);
+    }
+}
+
+impl Drop for ChunkSender {
+    fn drop(&mut self) {
+        self.0.has_sender.set(false);
+        self.0.wake_receiver();
     }
 }
 
@@ -79,15 +156,31 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, TruncatedResponse>>> {
-        let chunk = ready!(self.chunks.poll_recv(context));
-        Poll::Ready(match chunk {
-            Some(chunk) => Some(Ok(chunk)),
-            None if self.is_complete.get() => None,
-            None => Some(Err(TruncatedResponse)),
+        let queue = &self.queue;
+        let chunk = queue.chunks.borrow_mut().pop_front();
+        if let Some(chunk) = chunk {
+            self.taken = Some(chunk.memory);
+            queue.changed.notify_waiters();
+            return Poll::Ready(Some(Ok(chunk.bytes)));
+        }
+        if queue.has_sender.get() {
+            queue.receiver.replace(Some(context.waker().clone()));
+            return Poll::Pending;
+        }
+        Poll::Ready(match queue.is_complete.get() {
+            true => None,
+            false => Some(Err(TruncatedResponse)),
         })
     }
 }
 
+impl Drop for ChunkReceiver {
+    fn drop(&mut self) {
+        self.queue.has_receiver.set(false);
+        self.queue.changed.notify_waiters();
+    }
+}
+
 /// Body of a response.
 pub enum ResponseBody {
     /// Complete content, and the memory that it uses until it is written.
--- a/crates/stageyoke-front/src/stream_relay.rs
+++ b/crates/stageyoke-front/src/stream_relay.rs
@@ -28,9 +28,6 @@
 use stageyoke_observe::{self as observe, RequestSummary};
 use stageyoke_store::message::ChainPart;
 
-/// Chunks buffered for a slow caller.
-pub const CHUNK_BUFFER: usize = 16;
-
 /// Outcome of a stream that ended after an event and with its connection.
 const END_UNKNOWN: &str = "end_unknown";
 /// Outcome of a relay that was dropped before its end.
--- a/crates/stageyoke-front/tests/front_components_test.rs
+++ b/crates/stageyoke-front/tests/front_components_test.rs
@@ -1,5 +1,8 @@
 //! Event splitting, prompt cache, placement, traffic splits and the idle limit.
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use proptest::prelude::*;
@@ -7,9 +10,10 @@
 use stageyoke_directory::{Route, RouteKind, Target};
 use stageyoke_front::engine_rates::{CurrentRates, EngineRates};
 use stageyoke_front::event_stream::{EventSplitter, collect_data};
+use stageyoke_front::memory_budget::MemoryBudget;
 use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
 use stageyoke_front::prompt_cache::{Prompt, PromptCache};
-use stageyoke_front::response_body::{ResponseBody, chunk_channel};
+use stageyoke_front::response_body::{CallerGone, ResponseBody, chunk_channel};
 use stageyoke_front::traffic_split::TrafficSplit;
 use stageyoke_types::Text;
 use stageyoke_types::hash::mix;
@@ -263,7 +267,8 @@
 #[case::dropped(false)]
 #[tokio::test]
 async fn a_stream_ends_as_complete_only_if_its_relay_says_so(#[case] is_completed: bool) {
-    let (chunks, receiver) = chunk_channel(2);
+    let budget = Rc::new(MemoryBudget::for_machine(1_000_000));
+    let (chunks, receiver) = chunk_channel(budget.start_request());
     let mut body = ResponseBody::Stream(receiver);
     chunks.send(Bytes::from("a")).await.expect("receiver");
     match is_completed {
@@ -275,3 +280,50 @@
     let end = body.frame().await.map(|frame| frame.is_ok());
     assert_eq!(end, (!is_completed).then_some(false));
 }
+
+/// A slow caller of a stream of large events must not use more memory than its queue may hold.
+#[tokio::test(start_paused = true)]
+async fn chunks_wait_while_their_caller_does_not_read() {
+    const CHUNK_BYTES: usize = 20_000;
+    let budget = Rc::new(MemoryBudget::for_machine(10_000_000));
+    let (chunks, receiver) = chunk_channel(budget.start_request());
+    let mut body = ResponseBody::Stream(receiver);
+    let chunk = Bytes::from(vec![b'e'; CHUNK_BYTES]);
+    let mut sent = 0;
+    while tokio::time::timeout(Duration::from_secs(1), chunks.send(chunk.clone()))
+        .await
+        .is_ok()
+    {
+        sent += 1;
+        assert_eq!(budget.used(), sent * CHUNK_BYTES);
+    }
+    assert_eq!(sent, 3, "three chunks fit into 64 KiB");
+    for _ in 0..sent {
+        let frame = body.frame().await.expect("chunk").expect("no error");
+        assert_eq!(frame.into_data().expect("data"), chunk);
+    }
+    assert_eq!(
+        budget.used(),
+        CHUNK_BYTES,
+        "the last one may not be written yet"
+    );
+    drop(body);
+    assert_eq!(budget.used(), 0);
+    assert_eq!(chunks.send(chunk).await, Err(CallerGone));
+}
+
+/// Without memory for more, a stream goes on chunk by chunk.
+#[tokio::test(start_paused = true)]
+async fn a_stream_goes_on_without_memory_for_a_queue() {
+    let budget = Rc::new(MemoryBudget::for_machine(0));
+    let (chunks, receiver) = chunk_channel(budget.start_request());
+    let mut body = ResponseBody::Stream(receiver);
+    for number in 0..3 {
+        let chunk = Bytes::from(format!("event {number}"));
+        chunks.send(chunk.clone()).await.expect("receiver");
+        let second = tokio::time::timeout(Duration::from_secs(1), chunks.send(chunk.clone()));
+        assert!(second.await.is_err(), "the queue holds one chunk");
+        let frame = body.frame().await.expect("chunk").expect("no error");
+        assert_eq!(frame.into_data().expect("data"), chunk);
+    }
+}
