Know long identifiers by their digests at stores

Identifiers may fill a head of 16 KiB, while stores and quota owners limit numbers of entries and estimate some 200 bytes each. A front now names a turn, a program or a stream to them by a digest where its identifier has more than 256 bytes. Requests are forwarded with their own identifiers.

Found by reading. identifiers_have_a_limited_size_at_stores is new; on the code before it finds the identifier itself, 15,000 bytes.

--- a/crates/stageyoke-front/src/request.rs
+++ b/crates/stageyoke-front/src/request.rs
@@ -15,6 +15,8 @@
 /// Timeout of requests that set none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Size up to which stores know an identifier by itself, and not by its digest.
+const MAX_IDENTIFIER_BYTES: usize = 256;
 /// Memory of a request apart from its fields and its body: its task, its summary and the buffers of
 /// the connection to a replica.
 const REQUEST_BYTES: usize = 16 * 1024;
@@ -125,9 +127,9 @@
         let scoped = |identifier: &Text| match tenant {
             // Header values contain no line feed, so scoped identifiers are unambiguous.
             Some(tenant) if !identifier.is_empty() => {
-                Text::from(format!("{}\n{identifier}", tenant.name))
+                Text::from(format!("{}\n{}", tenant.name, bounded(identifier)))
             }
-            _ => identifier.clone(),
+            _ => bounded(identifier),
         };
         Self {
             program: scoped(&parameters.program),
@@ -138,6 +140,16 @@
     }
 }
 
+/// Replaces a long identifier by its digest, so that what stores and caches keep of a request has a
+/// limited size. The line feed tells digests from identifiers.
+fn bounded(identifier: &Text) -> Text {
+    if identifier.len() <= MAX_IDENTIFIER_BYTES {
+        return identifier.clone();
+    }
+    let digest = blake3::hash(identifier.as_bytes()).to_hex();
+    Text::from(format!("\n{digest}"))
+}
+
 fn text_header(headers: &HeaderMap, name: &HeaderName) -> Option<Text> {
     let value = headers.get(name)?.to_str().ok()?.trim();
     (!value.is_empty()).then(|| Text::from(value))
--- a/crates/stageyoke-front/tests/front_components_test.rs
+++ b/crates/stageyoke-front/tests/front_components_test.rs
@@ -1,10 +1,13 @@
 //! Event splitting, prompt cache, placement, traffic splits and the idle limit.
 
+mod support;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use proptest::prelude::*;
 use rstest::rstest;
 use stageyoke_directory::{Route, RouteKind, Target};
@@ -13,10 +16,13 @@
 use stageyoke_front::memory_budget::MemoryBudget;
 use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
 use stageyoke_front::prompt_cache::{Prompt, PromptCache};
+use stageyoke_front::request::{RequestParameters, ScopedIdentifiers};
 use stageyoke_front::response_body::{CallerGone, ResponseBody, chunk_channel};
 use stageyoke_front::traffic_split::TrafficSplit;
 use stageyoke_types::Text;
 use stageyoke_types::hash::mix;
+use support::names;
+use tokio::time::Instant;
 
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
@@ -327,3 +333,28 @@
         assert_eq!(frame.into_data().expect("data"), chunk);
     }
 }
+
+/// Stores and caches estimate their memory for identifiers of an ordinary size.
+#[test]
+fn identifiers_have_a_limited_size_at_stores() {
+    let long = "i".repeat(15_000);
+    let mut headers = HeaderMap::new();
+    let names = names();
+    for name in [&names.request_id, &names.program, &names.previous_turn] {
+        headers.insert(name.clone(), long.parse().expect("value"));
+    }
+    let arrived = Instant::now();
+    let parameters = RequestParameters::read(&headers, &names, arrived).expect("identifier");
+    let identifiers = ScopedIdentifiers::of(&parameters, None);
+    assert!(identifiers.turn.len() < 100, "{}", identifiers.turn);
+    assert_eq!(identifiers.previous.as_ref(), Some(&identifiers.turn));
+    assert_eq!(
+        parameters.request_id.len(),
+        long.len(),
+        "forwarded unchanged"
+    );
+    headers.insert(names.request_id.clone(), long[1..].parse().expect("value"));
+    let other = RequestParameters::read(&headers, &names, arrived).expect("identifier");
+    let other = ScopedIdentifiers::of(&other, None);
+    assert_ne!(other.turn, identifiers.turn);
+}
