Bound the parts of a prompt in the model of an engine's cache

The model evicted by tokens, which callers state: parts without tokens were never evicted, thousands in a head, some 120 bytes each. Sums of stated tokens could overflow. The model holds 1,024 parts, 512 of a prompt are considered, and sums saturate.

Found by reading. the_model_of_a_prompt_cache_is_bounded is new.

--- a/crates/stageyoke-front/src/prompt_cache.rs
+++ b/crates/stageyoke-front/src/prompt_cache.rs
@@ -7,6 +7,12 @@
 
 use crate::placement::hash_text;
 
+/// Maximum number of parts of a prompt that are considered.
+pub const MAX_PROMPT_PARTS: usize = 512;
+/// Maximum number of parts in the model of an engine, some 120 bytes each. Parts may have few
+/// tokens, or none.
+pub const MAX_CACHED_PARTS: usize = 1024;
+
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -24,7 +30,8 @@
 }
 
 impl Prompt {
-    /// Parses `ID:TOKENS,ID:TOKENS`. The list ends at the first invalid part.
+    /// Parses `ID:TOKENS,ID:TOKENS`. The list ends at the first invalid part, and after
+    /// [`MAX_PROMPT_PARTS`].
     pub fn parse(text: &str) -> Self {
         let part = |part: &str| {
             let (id, tokens) = part.trim().split_once(':')?;
@@ -33,16 +40,25 @@
             Some(PromptPart { hash, tokens })
         };
         Self {
-            parts: text.split(',').map_while(part).collect(),
+            parts: text
+                .split(',')
+                .map_while(part)
+                .take(MAX_PROMPT_PARTS)
+                .collect(),
         }
     }
 
     /// Returns the total number of tokens.
     pub fn tokens(&self) -> u32 {
-        self.parts.iter().map(|part| part.tokens).sum()
+        sum_tokens(self.parts.iter())
     }
 }
 
+/// Adds up the tokens of parts; callers may state any number.
+fn sum_tokens<'a>(parts: impl Iterator<Item = &'a PromptPart>) -> u32 {
+    parts.fold(0, |sum, part| sum.saturating_add(part.tokens))
+}
+
 #[derive(Clone, Copy, Debug)]
 struct CachedPart {
     tokens: u32,
@@ -61,21 +77,28 @@
 impl PromptCache {
     /// Returns the tokens of the prompt's leading parts that are cached.
     pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
-        prompt
-            .parts
-            .iter()
-            .take_while(|part| self.parts.contains_key(&part.hash))
-            .map(|part| part.tokens)
-            .sum()
+        let parts = prompt.parts.iter();
+        sum_tokens(parts.take_while(|part| self.parts.contains_key(&part.hash)))
+    }
+
+    /// Returns the number of cached parts.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether nothing is cached.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
     }
 
-    /// Adds a prompt to the cache, and evicts parts beyond a `capacity` in tokens.
+    /// Adds a prompt to the cache, and evicts parts beyond a `capacity` in tokens or beyond
+    /// [`MAX_CACHED_PARTS`].
     pub fn record_prompt(&mut self, prompt: &Prompt, capacity: u64) {
         // Reversed, so that the leading parts are used last and evicted last.
         for part in prompt.parts.iter().rev() {
             self.touch(*part);
         }
-        while self.tokens > capacity {
+        while self.tokens > capacity || self.parts.len() > MAX_CACHED_PARTS {
             let Some((_, oldest)) = self.by_use.pop_first() else {
                 return;
             };
--- a/crates/stageyoke-front/tests/front_components_test.rs
+++ b/crates/stageyoke-front/tests/front_components_test.rs
@@ -15,7 +15,7 @@
 use stageyoke_front::event_stream::{EventSplitter, collect_data};
 use stageyoke_front::memory_budget::MemoryBudget;
 use stageyoke_front::placement::{Candidate, choose_engine, choose_plain};
-use stageyoke_front::prompt_cache::{Prompt, PromptCache};
+use stageyoke_front::prompt_cache::{MAX_CACHED_PARTS, MAX_PROMPT_PARTS, Prompt, PromptCache};
 use stageyoke_front::request::{RequestParameters, ScopedIdentifiers};
 use stageyoke_front::response_body::{CallerGone, ResponseBody, chunk_channel};
 use stageyoke_front::traffic_split::TrafficSplit;
@@ -334,6 +334,25 @@
     }
 }
 
+/// Callers state the tokens of prompt parts, which may be none or any number.
+#[rstest]
+#[case::no_tokens(0)]
+#[case::one_token(1)]
+#[case::any_number(u32::MAX)]
+fn the_model_of_a_prompt_cache_is_bounded(#[case] tokens: u32) {
+    let mut cache = PromptCache::default();
+    for number in 0..20u64 {
+        let parts: Vec<String> = (0..4_000)
+            .map(|part| format!("{:x}:{tokens}", number * 4_000 + part))
+            .collect();
+        let prompt = Prompt::parse(&parts.join(","));
+        assert!(prompt.parts.len() <= MAX_PROMPT_PARTS);
+        let _ = (prompt.tokens(), cache.cached_tokens(&prompt));
+        cache.record_prompt(&prompt, 100_000);
+        assert!(cache.len() <= MAX_CACHED_PARTS, "{} parts", cache.len());
+    }
+}
+
 /// Stores and caches estimate their memory for identifiers of an ordinary size.
 #[test]
 fn identifiers_have_a_limited_size_at_stores() {
