Give large bodies pages of their own

Cause: bodies of up to 4 MiB came from the heap, where they leave gaps between smaller allocations. The budget bounds what is in use, not what the heap keeps.

Change: a body of 128 KiB or more gets mapped pages, which return to the system with it. The message to stores is encoded into a buffer of its size, which grew to twice that before.

--- a/crates/stageyoke-front/src/incoming_body.rs
+++ b/crates/stageyoke-front/src/incoming_body.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::body_buffer::BodyBuffer;
 use crate::caller_connections::ConnectionHandle;
 use crate::failure::Failure;
 use crate::handler::{SHORT_RETRY_DELAY, out_of_memory};
@@ -28,7 +29,7 @@
 #[derive(Debug)]
 pub struct IncomingBody {
     started: Instant,
-    content: RefCell<Vec<u8>>,
+    content: RefCell<BodyBuffer>,
     /// Memory of the request, its head included.
     reserved: Cell<usize>,
     is_revoked: Cell<bool>,
@@ -62,6 +63,8 @@
 struct Reservation<'a> {
     body: Rc<IncomingBody>,
     guard: &'a mut MemoryGuard,
+    /// Size for which memory is acquired.
+    capacity: Cell<usize>,
     copies: usize,
 }
 
@@ -79,6 +82,7 @@
         Self {
             body,
             guard,
+            capacity: Cell::new(0),
             copies,
         }
     }
@@ -87,9 +91,10 @@
         self.guard.budget()
     }
 
-    /// Grows to a capacity. The budget may revoke this body meanwhile, if it is the latest one.
-    fn try_grow(&self, capacity: usize) -> bool {
-        let added = (capacity - self.body.content.borrow().capacity()) * self.copies;
+    /// Acquires memory for a capacity and makes room for it. The budget may revoke this body
+    /// meanwhile, if it is the latest one.
+    fn try_grow(&self, capacity: usize, max_bytes: usize) -> bool {
+        let added = (capacity - self.capacity.get()) * self.copies;
         let total = self.body.reserved.get() + added;
         if !self.budget().try_admit(added, total) {
             return false;
@@ -99,34 +104,31 @@
             return false;
         }
         self.body.reserved.set(total);
+        self.capacity.set(capacity);
         let mut content = self.body.content.borrow_mut();
-        let additional = capacity - content.len();
-        content.reserve_exact(additional);
-        true
+        content.try_reserve(capacity, max_bytes)
     }
 
     /// Adds received bytes to a body that may have `limit` of them.
     fn append(&self, data: &[u8], limit: usize) -> Result<(), Failure> {
-        let (needed, capacity) = {
-            let content = self.body.content.borrow();
-            (content.len() + data.len(), content.capacity())
-        };
+        let needed = self.body.content.borrow().len() + data.len();
         if needed > limit {
             return Err(too_large());
         }
+        let capacity = self.capacity.get();
         if needed > capacity {
             let amortized = needed.max(capacity * 2).max(FIRST_GROWTH_BYTES).min(limit);
-            if !self.try_grow(amortized) && !self.try_grow(needed) {
+            if !self.try_grow(amortized, limit) && !self.try_grow(needed, limit) {
                 return Err(out_of_memory());
             }
         }
-        self.body.content.borrow_mut().extend_from_slice(data);
+        self.body.content.borrow_mut().append(data);
         Ok(())
     }
 
     /// Returns the complete body; its memory is the request's again.
     fn finish(self) -> Bytes {
-        Bytes::from(self.body.content.take())
+        self.body.content.take().into_bytes()
     }
 }
 
@@ -164,7 +166,7 @@
     }
     let reservation = Reservation::start(memory_guard, limits.copies);
     if let Some(length) = content_length
-        && !reservation.try_grow(length as usize)
+        && !reservation.try_grow(length as usize, length as usize)
     {
         return Err(out_of_memory());
     }
--- a/crates/stageyoke-front/src/lib.rs
+++ b/crates/stageyoke-front/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod authentication;
 pub mod baseline_latency;
+mod body_buffer;
 pub mod bootstrap;
 mod broken_stream;
 pub mod caller_connections;
--- a/crates/stageyoke-store/src/frame.rs
+++ b/crates/stageyoke-store/src/frame.rs
@@ -64,6 +64,13 @@
         Self(Rc::new(content.serialize_bin()))
     }
 
+    /// Encodes a message of about `size` bytes, without growing the buffer for it.
+    pub fn encode_with_capacity<T: SerBin>(content: &T, size: usize) -> Self {
+        let mut bytes = Vec::with_capacity(size);
+        content.ser_bin(&mut bytes);
+        Self(Rc::new(bytes))
+    }
+
     /// Builds the frame of this message with a number and extension fields.
     pub fn frame(&self, number: u64, extension_fields: &ExtensionFields) -> SharedFrame {
         let mut tail = Vec::with_capacity(EXTENSION_FIELDS_CAPACITY);
--- a/crates/stageyoke-store/src/group_client.rs
+++ b/crates/stageyoke-store/src/group_client.rs
@@ -23,6 +23,8 @@
 use crate::stored_record::StoredRecord;
 
 /// Time to wait for a member's answer before the next member is asked as well.
+/// Expected size of a message beside the contents of a turn.
+const MESSAGE_OVERHEAD_BYTES: usize = 1024;
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
 
 /// Number of members that are asked whether a program has started.
@@ -360,13 +362,19 @@
         let mut tally = AppendTally::new(&members, &self.context.tolerance, reads_ledger)?;
         let sent_at = Instant::now();
         let (answers, mut received) = unbounded_channel();
-        let request = EncodedMessage::encode(&Request::Append {
+        let content_bytes = match &stored.record {
+            Record::Turn(turn) => turn.input.len() + turn.output.len(),
+            Record::Reserve { .. } | Record::Settle { .. } | Record::Clock { .. } => 0,
+        };
+        let request = Request::Append {
             group: self.number,
             members_version: members.version,
             load: self.context.load.report(self.number),
             placement: reservation.placement,
             record: stored.record.clone(),
-        });
+        };
+        let message_bytes = content_bytes + MESSAGE_OVERHEAD_BYTES;
+        let request = EncodedMessage::encode_with_capacity(&request, message_bytes);
         let extensions = Rc::new(ExtensionFields {
             rank_loads: self.context.load.ranks.report(),
             engine_latencies: self.context.load.engines.take_unreported(self.number),
