Keep the allocator from returning the blocks of each head

hyper allocates two blocks of up to 128 KiB for the fields of each head where more than 100 are allowed, and glibc returned them to the system each time. One larger block that is freed at the start makes it keep them.

The refusal of a request whose connection is closed in favour of others may take 2 s, as looking up its route may take 0.8 s.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -302,6 +302,7 @@
         relay,
     });
     let FrontListeners { callers, readiness } = listeners;
+    server::keep_freed_blocks();
     tokio::task::spawn_local(server::serve_callers(front.clone(), callers));
     tokio::task::spawn_local(server::serve_readiness(front.clone(), readiness));
     let watching = front.clone();
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -25,14 +25,17 @@
 const MIN_BUFFER_BYTES: usize = 8192;
 /// Size of the smallest field of a head: a name, a colon and the end of its line.
 const MIN_FIELD_BYTES: usize = 4;
+/// More than hyper allocates for the fields of a head.
+const KEPT_BLOCK_BYTES: usize = 1024 * 1024;
 /// Connections that are accepted before open ones have their turn.
 const ACCEPTED_PER_TURN: usize = 32;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Added to the idle timeout, so that a connection is not closed while the caller may still
 /// reuse it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
-/// Time for a caller whose connection is closed in favour of others to take its refusal.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for the refusal of a request whose connection is closed in favour of others: for looking up
+/// its route, and for writing.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Response to a caller whose request's head is not complete in time.
 const HEAD_TIMEOUT_RESPONSE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\n\
     connection: close\r\n\r\n";
@@ -56,6 +59,14 @@
     limits.unwrap_or(INITIAL_LIMITS)
 }
 
+/// Makes the allocator keep freed blocks of less than [`KEPT_BLOCK_BYTES`]. hyper allocates two large
+/// blocks for the fields of each head, and glibc returns such blocks to the system each time until
+/// it has freed a larger one.
+pub(crate) fn keep_freed_blocks() {
+    let block: Vec<u8> = Vec::with_capacity(KEPT_BLOCK_BYTES);
+    drop(std::hint::black_box(block));
+}
+
 /// Lets open connections have their turn while a crowd of new ones is accepted.
 #[derive(Default)]
 struct AcceptTurns {
