Map bodies of 32 KiB or more, and leave two fifths of the budget to small requests

A series of crowds left 34 MB in use on a front of 48 MB whose requests were over: half bodies and slow bodies of 60,000 bytes had grown the heap, which is not returned.

--- a/crates/stageyoke-front/src/body_buffer.rs
+++ b/crates/stageyoke-front/src/body_buffer.rs
@@ -1,11 +1,11 @@
-//! Buffer for a request's body. Large bodies get pages of their own, which return to the system with
+//! Buffer for a request's body. All but small bodies get pages of their own, which return to the system with
 //! the body: on the heap they would leave gaps that add up to more than the memory budget.
 
 use bytes::Bytes;
 use memmap2::MmapMut;
 
 /// Size from which a body gets pages of its own.
-const MIN_MAPPED_BYTES: usize = 128 * 1024;
+const MIN_MAPPED_BYTES: usize = 32 * 1024;
 
 /// Bytes of a body.
 #[derive(Debug, Default)]
--- a/crates/stageyoke-front/src/memory_budget.rs
+++ b/crates/stageyoke-front/src/memory_budget.rs
@@ -13,7 +13,7 @@
 const REQUEST_MEMORY_FRACTION: f64 = 0.35;
 /// Fraction of the budget that large requests may use when they arrive. The rest is left for small
 /// ones, so that a few large bodies don't reject everybody else.
-const LARGE_REQUEST_FRACTION: f64 = 0.75;
+const LARGE_REQUEST_FRACTION: f64 = 0.6;
 /// Memory from which a request counts as large.
 const LARGE_REQUEST_BYTES: usize = 128 * 1024;
 /// Lateness from which a body's memory may be given to another request.
