Leave turns out of the cache that are larger than it

A turn of 4 MiB was copied into a front's cache of recent turns, and evicted most others; one of more than 6 MiB evicted all, itself included. Such a turn is left out now. The cache has 6% of the machine's memory, 6 MiB at most: on a front of 48 MB a turn of 4 MiB was an eighth of all memory.

--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -288,7 +288,7 @@
         key_freshness: KeyFreshness::new(settings.change_bound, settings.key_age_limit),
         stale_list_monitor: StaleListMonitor::new(settings.change_bound),
         quotas: Quotas::new(stores.clone()),
-        history: Rc::new(History::new(stores)),
+        history: Rc::new(History::new(stores, settings.memory_bytes)),
         requests: RequestTracker::default(),
         memory_budget: Rc::new(MemoryBudget::for_machine(settings.memory_bytes)),
         caller_connections: Rc::new(CallerConnections::new(ConnectionLimits::for_machine(
--- a/crates/stageyoke-front/src/history.rs
+++ b/crates/stageyoke-front/src/history.rs
@@ -20,8 +20,10 @@
 use crate::memory_budget::MemoryGuard;
 use crate::request::ScopedIdentifiers;
 
-/// Size of the cache of recent turns.
-const TURN_CACHE_BYTES: usize = 6 * 1024 * 1024;
+/// Maximum size of the cache of recent turns.
+const MAX_TURN_CACHE_BYTES: usize = 6 * 1024 * 1024;
+/// Fraction of the machine's memory for that cache.
+const TURN_CACHE_FRACTION: f64 = 0.06;
 /// Timeout of one attempt to commit a turn.
 const COMMIT_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1500);
 const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -60,11 +62,13 @@
 }
 
 impl History {
-    /// Creates a history on these store groups.
-    pub fn new(stores: Rc<GroupClients>) -> Self {
+    /// Creates a history on these store groups, on a machine with the given memory.
+    pub fn new(stores: Rc<GroupClients>, memory_bytes: u64) -> Self {
+        let cache_bytes = (memory_bytes as f64 * TURN_CACHE_FRACTION) as usize;
+        let cache = RecentTurns::new(cache_bytes.min(MAX_TURN_CACHE_BYTES));
         Self {
             stores,
-            cache: RefCell::new(RecentTurns::new(TURN_CACHE_BYTES)),
+            cache: RefCell::new(cache),
         }
     }
 
--- a/crates/stageyoke-store/src/recent_turns.rs
+++ b/crates/stageyoke-store/src/recent_turns.rs
@@ -29,10 +29,11 @@
         }
     }
 
-    /// Adds a turn and evicts old ones until the size limit is met.
+    /// Adds a turn and evicts old ones until the size limit is met. A turn that is larger than the
+    /// limit is left out.
     pub fn insert(&mut self, part: ChainPart) {
         let key = TurnKey::of(&part.turn);
-        if self.parts.contains_key(&key) {
+        if self.parts.contains_key(&key) || size_bytes(&part) > self.max_bytes {
             return;
         }
         self.bytes += size_bytes(&part);
--- a/crates/stageyoke-store/tests/limits_test.rs
+++ b/crates/stageyoke-store/tests/limits_test.rs
@@ -382,6 +382,23 @@
     assert!(held(99) && held(92) && !held(89) && !held(0));
 }
 
+/// One large turn must not drop all others, nor be copied for nothing.
+#[test]
+fn a_turn_larger_than_the_cache_evicts_nothing() {
+    let part = |turn: &str, bytes: usize| ChainPart {
+        turn: Text::from(turn),
+        previous: Text::default(),
+        input: Blob::from(vec![0; bytes]),
+        output: Blob::default(),
+    };
+    let mut recent = RecentTurns::new(10_000);
+    recent.insert(part("small", 500));
+    recent.insert(part("large", 11_000));
+    assert!(recent.get(TurnKey::of("small")).is_some());
+    assert!(recent.get(TurnKey::of("large")).is_none());
+    assert!(recent.bytes() <= 10_000);
+}
+
 /// Cached contents that are slices of a connection's read buffer would keep the whole buffer in
 /// memory.
 #[test]
