Restore the memory limit of connections as soon as one of them waits

Running requests may take callers' connections over their memory, since none of them is closed. When one of them became idle, the limit was restored only with the next new connection or buffer. It is now restored at each change to a phase in which a connection may be closed.

A body whose pages the system refuses is rejected without an underflow of its acquired size, and small values of MaxHeaderBytes no longer lower the number of fields. Both by reading.

--- a/crates/stageyoke-front/src/caller_connections.rs
+++ b/crates/stageyoke-front/src/caller_connections.rs
@@ -149,6 +149,11 @@
         self.open.get()
     }
 
+    /// Returns the memory that open connections are counted with.
+    pub fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
     /// Admits a new connection, if necessary in the place of another one. `None` if all others
     /// have requests that run.
     pub fn admit(self: &Rc<Self>) -> Option<ConnectionHandle> {
@@ -296,6 +301,8 @@
         state.phase.set(phase);
         state.since.set(Instant::now());
         self.0.connections.list(state);
+        // Running requests may have taken the connections over their memory, which ends here.
+        self.0.connections.make_room(0);
     }
 
     fn set_bytes(&self, bytes: usize) {
--- a/crates/stageyoke-front/src/incoming_body.rs
+++ b/crates/stageyoke-front/src/incoming_body.rs
@@ -99,14 +99,17 @@
         if !self.budget().try_admit(added, total) {
             return false;
         }
-        if self.body.is_revoked.get() {
+        let has_room = || {
+            let mut content = self.body.content.borrow_mut();
+            content.try_reserve(capacity, max_bytes)
+        };
+        if self.body.is_revoked.get() || !has_room() {
             self.budget().release(added);
             return false;
         }
         self.body.reserved.set(total);
         self.capacity.set(capacity);
-        let mut content = self.body.content.borrow_mut();
-        content.try_reserve(capacity, max_bytes)
+        true
     }
 
     /// Adds received bytes to a body that may have `limit` of them.
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -194,8 +194,9 @@
 fn apply_limits(builder: &mut hyper::server::conn::http1::Builder, limits: &HttpLimits) {
     // hyper's header read timeout also applies while a connection is idle.
     builder.header_read_timeout(limits.idle_timeout + IDLE_TIMEOUT_MARGIN);
-    builder.max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
-    builder.max_headers(limits.header_bytes / MIN_FIELD_BYTES);
+    let max_head_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
+    builder.max_buf_size(max_head_bytes);
+    builder.max_headers(max_head_bytes / MIN_FIELD_BYTES);
 }
 
 /// Answers readiness probes for the lifetime of the process. Beyond the maximum number of
