Count a discarded body as closing, and a head until its request has it

What was seen: under load, 3 to 223 of some 800 connections of bodies_in_pieces were reset before their refusal. The event CallerConnectionsClosed told the cause: the memory of connections was full at 245 of them.

Cause: after a refusal hyper reads on in a body that nobody wants. The connection counted as idle then, so that what came counted as a large head. A large head also stayed counted while its request ran, which counts its fields itself.

Change: a connection whose request was not read whole is closing once its response is written. The memory of a head is the connection's until the head is complete. What a caller sends after its last response is discarded for as long as a connection may be idle, 2 s before.

--- a/crates/stageyoke-front/src/caller_connections.rs
+++ b/crates/stageyoke-front/src/caller_connections.rs
@@ -347,9 +347,10 @@
         }
     }
 
-    /// Records that a request's head is complete.
+    /// Records that a request's head is complete. Its memory is the request's from now on.
     pub fn start_request(&self, has_body: bool) {
         self.state().head_bytes.set(0);
+        self.set_bytes(CONNECTION_BYTES);
         self.state().sends_unread.set(has_body);
         self.enter(if has_body { Phase::Body } else { Phase::Busy });
     }
@@ -374,11 +375,14 @@
         }
     }
 
-    /// Records that a response is written.
+    /// Records that a response is written. A connection whose request was not read whole is closed
+    /// next.
     pub fn finish_response(&self) {
         if self.phase() == Phase::Busy {
-            self.set_bytes(CONNECTION_BYTES);
-            self.enter(Phase::Idle);
+            self.enter(match self.sends_unread() {
+                true => Phase::Closing,
+                false => Phase::Idle,
+            });
         }
     }
 
--- a/crates/stageyoke-front/src/caller_stream.rs
+++ b/crates/stageyoke-front/src/caller_stream.rs
@@ -8,14 +8,13 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use stageyoke_directory::HttpLimits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
 use crate::caller_connections::ConnectionHandle;
 use crate::response_writing::WritingConnection;
 
-/// Longest time for which a caller may go on sending after the last response.
-const MAX_CLOSING_TIME: Duration = Duration::from_secs(2);
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -25,21 +24,25 @@
     connection: ConnectionHandle,
     /// Bytes that may still be discarded.
     discardable_bytes: usize,
-    /// End of the time for discarding; `None` before the stream is closed.
+    /// Longest time for which the caller may go on sending after the last response.
+    max_closing_time: Duration,
+    /// End of that time; `None` before the stream is closed.
     closing: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
-    /// Wraps the stream of a connection, whose requests have bodies of at most `max_body_bytes`.
+    /// Wraps the stream of a connection. What a caller sends after the last response is discarded for
+    /// as long as a connection may be idle, and up to one largest body.
     pub fn new(
         stream: WritingConnection,
         connection: ConnectionHandle,
-        max_body_bytes: usize,
+        limits: &HttpLimits,
     ) -> Self {
         Self {
             stream,
             connection,
-            discardable_bytes: max_body_bytes + DISCARD_BUFFER_BYTES,
+            discardable_bytes: limits.body_bytes + DISCARD_BUFFER_BYTES,
+            max_closing_time: limits.idle_timeout,
             closing: None,
         }
     }
@@ -125,7 +128,8 @@
         if self.closing.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
             self.connection.start_closing();
-            self.closing = Some(Box::pin(tokio::time::sleep(MAX_CLOSING_TIME)));
+            let closing = tokio::time::sleep(self.max_closing_time);
+            self.closing = Some(Box::pin(closing));
         }
         self.poll_discard(context).map(Ok)
     }
--- a/crates/stageyoke-front/src/server.rs
+++ b/crates/stageyoke-front/src/server.rs
@@ -137,7 +137,7 @@
     let unwritten = UnwrittenResponses::new(connection.clone());
     let stream = CallerConnection::new(stream, unframed.clone());
     let stream = WritingConnection::new(stream, unwritten.clone());
-    let stream = CallerStream::new(stream, connection.clone(), limits.body_bytes);
+    let stream = CallerStream::new(stream, connection.clone(), &limits);
     let handle = connection.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (front, unframed) = (serving.clone(), unframed.clone());
