--- a/crates/stageyoke-front/src/front.rs
+++ b/crates/stageyoke-front/src/front.rs
@@ -46,6 +46,8 @@
 
 /// Time without a quorum of any store group after which the front is not ready.
 const UNREADY_DELAY: Duration = Duration::from_millis(600);
+/// Limit of open descriptors where none is given.
+const DEFAULT_MAX_DESCRIPTORS: usize = 4096;
 /// Connections that may wait to be accepted.
 const ACCEPT_QUEUE: u32 = 4096;
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -73,8 +75,8 @@
     pub key_age_limit: Option<Duration>,
     /// Memory limit of the process, in bytes.
     pub memory_bytes: u64,
-    /// Limit of the process's open descriptors.
-    pub max_descriptors: usize,
+    /// Limit of the process's open descriptors; 4,096 if it is not known.
+    pub max_descriptors: Option<usize>,
     /// Whether new programs are rejected while engines are overloaded.
     pub admission_control: bool,
     /// Whether engines differ in speed, so that fronts share their latencies.
@@ -293,7 +295,7 @@
         memory_budget: Rc::new(MemoryBudget::for_machine(settings.memory_bytes)),
         caller_connections: Rc::new(CallerConnections::new(ConnectionLimits::for_machine(
             settings.memory_bytes,
-            settings.max_descriptors,
+            settings.max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
         ))),
         shutdown: ShutdownSignal::default(),
         draining: Cell::new(false),
--- a/crates/stageyoke-front/tests/endless_responses/front.rs
+++ b/crates/stageyoke-front/tests/endless_responses/front.rs
@@ -168,7 +168,7 @@
             key_age_limit: None,
             cold_tolerance: None,
             memory_bytes,
-            max_descriptors: 4096,
+            max_descriptors: None,
             admission_control: false,
             heterogeneous_engines: false,
         };
--- a/crates/stageyoke-front/tests/front/unframed_connections.rs
+++ b/crates/stageyoke-front/tests/front/unframed_connections.rs
@@ -256,7 +256,7 @@
                 key_age_limit: None,
                 cold_tolerance: None,
                 memory_bytes: MEMORY_BYTES,
-                max_descriptors: 4096,
+                max_descriptors: None,
                 admission_control: false,
                 heterogeneous_engines: false,
             };
--- a/crates/stageyoke-front/tests/front_test.rs
+++ b/crates/stageyoke-front/tests/front_test.rs
@@ -729,7 +729,7 @@
         key_age_limit: None,
         cold_tolerance: None,
         memory_bytes,
-        max_descriptors: 4096,
+        max_descriptors: None,
         admission_control,
         heterogeneous_engines: false,
     };
--- a/crates/stageyoke-front/tests/replica_removal_test.rs
+++ b/crates/stageyoke-front/tests/replica_removal_test.rs
@@ -210,7 +210,7 @@
             key_age_limit: None,
             cold_tolerance: None,
             memory_bytes: 100_000_000,
-            max_descriptors: 4096,
+            max_descriptors: None,
             admission_control: false,
             heterogeneous_engines: false,
         };
--- a/crates/stageyoke-front/tests/support/streams.rs
+++ b/crates/stageyoke-front/tests/support/streams.rs
@@ -762,7 +762,7 @@
             key_age_limit: None,
             cold_tolerance: None,
             memory_bytes: 10_000_000,
-            max_descriptors: 4096,
+            max_descriptors: None,
             admission_control: false,
             heterogeneous_engines: false,
         };
