--- a/crates/stageyoke-front/src/caller_connections.rs
+++ b/crates/stageyoke-front/src/caller_connections.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    /// Closes connections whose heads take longer than the timeout, for ever.
+    /// Closes connections whose heads take longer than the timeout. Never returns.
     pub async fn watch_heads(&self, timeout: impl Fn() -> Duration) {
         let mut delayed_until = Instant::now();
         loop {
--- a/crates/stageyoke-lab/src/misbehaving_clients/kinds.rs
+++ b/crates/stageyoke-lab/src/misbehaving_clients/kinds.rs
@@ -24,7 +24,7 @@
 const HEAD_END_BYTES: usize = 400;
 const ORDINARY_DEADLINE_MS: u64 = 4000;
 const LONG_DEADLINE_MS: u64 = 3_600_000;
-/// Size of a body piece that fits into no packet with another one's header.
+/// Size of each piece of a body that is sent in pieces.
 const PIECE_BYTES: usize = 700;
 const REQUESTS_AHEAD: usize = 4000;
 /// Sizes of bodies of which clients send half.
--- a/crates/stageyoke-lab/src/misbehaving_clients/mod.rs
+++ b/crates/stageyoke-lab/src/misbehaving_clients/mod.rs
@@ -1,5 +1,4 @@
-//! Clients that stay inside no limit of a front, or that use the limits to the full: bodies over
-//! the limit, many at a time or in tiny pieces, heads of very many fields, requests whose
+//! Clients that exceed the limits of a front, or that use them to the full: bodies over the limit, many at a time or in tiny pieces, heads of very many fields, requests whose
 //! responses are not read, and connections that send slowly or nothing. Ordinary traffic runs
 //! beside them, and the front's process is watched.
 
